--- /dev/null
+++ b/configuration/src/main/java/org/merlinwood/configuration/inventory/NetworkAddress.java
@@ -0,0 +1,53 @@
+package org.merlinwood.configuration.inventory;
+
+/**
+ * A numeric IP address with a port.
+ *
+ * @param host numeric IPv4 or IPv6 address, without brackets
+ * @param port between 1 and 65,535
+ */
+public record NetworkAddress(String host, int port) {
+
+    private static final int MAXIMUM_PORT = 65_535;
+
+    /** Checks the port. */
+    public NetworkAddress {
+        if (host == null || host.isBlank()) {
+            throw new IllegalArgumentException("an address needs a numeric IP");
+        }
+        if (port < 1 || port > MAXIMUM_PORT) {
+            throw new IllegalArgumentException("port " + port + " is not between 1 and " + MAXIMUM_PORT);
+        }
+    }
+
+    /**
+     * Parses {@code 127.0.0.1:7001} or {@code [::1]:7001}. Resolves no names.
+     *
+     * @param text host and port
+     * @return the address
+     * @throws IllegalArgumentException if the text has another shape
+     */
+    public static NetworkAddress parse(String text) {
+        int colon = text.lastIndexOf(':');
+        if (colon <= 0) {
+            throw new IllegalArgumentException("'" + text + "' is not of the shape IP:PORT");
+        }
+        String host = text.substring(0, colon);
+        if (host.startsWith("[") && host.endsWith("]")) {
+            host = host.substring(1, host.length() - 1);
+        }
+        if (!host.matches("[0-9.]+|[0-9A-Fa-f:.]*:[0-9A-Fa-f:.]*")) {
+            throw new IllegalArgumentException("'" + host + "' is not a numeric IP address");
+        }
+        try {
+            return new NetworkAddress(host, Integer.parseInt(text.substring(colon + 1)));
+        } catch (NumberFormatException exception) {
+            throw new IllegalArgumentException("'" + text + "' has no numeric port", exception);
+        }
+    }
+
+    @Override
+    public String toString() {
+        return host.contains(":") ? "[" + host + "]:" + port : host + ":" + port;
+    }
+}
--- /dev/null
+++ b/configuration/src/main/java/org/merlinwood/configuration/settings/package-info.java
@@ -0,0 +1,2 @@
+/** Settings of one process: its addresses, its failure domain, its keys. Values only. */
+package org.merlinwood.configuration.settings;
--- /dev/null
+++ b/core/src/main/java/org/merlinwood/core/identity/RequestIdentifier.java
@@ -0,0 +1,15 @@
+package org.merlinwood.core.identity;
+
+/**
+ * Identifies one request of one caller over all its attempts: 128 random bits.
+ *
+ * @param high the upper 64 bits
+ * @param low the lower 64 bits
+ */
+public record RequestIdentifier(long high, long low) {
+
+    @Override
+    public String toString() {
+        return "%016x%016x".formatted(high, low);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/merlinwood/core/identity/package-info.java
@@ -0,0 +1,2 @@
+/** Typed names and numbers, so that no bare string or number crosses a module boundary. */
+package org.merlinwood.core.identity;
