HTTP client on Undertow's client, with bounded, cancellable, streamed answers

Truncated, silent and garbage answers are failures whose execution state is unknown; only a call that never reached a connection counts as not run.

--- /dev/null
+++ b/http/src/main/java/org/merlinwood/http/HttpAnswer.java
@@ -0,0 +1,43 @@
+package org.merlinwood.http;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * A whole answer.
+ *
+ * @param status the HTTP status
+ * @param headers the headers
+ * @param body the body, whole
+ */
+@SuppressWarnings("ArrayRecordComponent") // a body of bytes is never compared
+public record HttpAnswer(int status, List<HttpHeader> headers, byte[] body) {
+
+    /** Copies the headers. */
+    public HttpAnswer {
+        headers = List.copyOf(headers);
+    }
+
+    /**
+     * Returns the body as text.
+     *
+     * @return the body, decoded as UTF-8
+     */
+    public String text() {
+        return new String(body, StandardCharsets.UTF_8);
+    }
+
+    /**
+     * Finds the first header of a name.
+     *
+     * @param name the name, in any case
+     * @return its value, or empty if there is none
+     */
+    public Optional<String> header(String name) {
+        return headers.stream()
+                .filter(header -> header.name().equalsIgnoreCase(name))
+                .map(HttpHeader::value)
+                .findFirst();
+    }
+}
--- /dev/null
+++ b/http/src/main/java/org/merlinwood/http/HttpCall.java
@@ -0,0 +1,121 @@
+package org.merlinwood.http;
+
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.Objects;
+
+/**
+ * One call, ready to be sent. Immutable; the body must not be changed afterwards.
+ *
+ * @param method the method in capitals
+ * @param address numeric address of the server
+ * @param path path and query, beginning with {@code /}
+ * @param headers headers besides those that the client sets itself (Host, Content-Length)
+ * @param body the body, empty for none
+ * @param connectTimeoutMillis how long connecting may take, in milliseconds
+ * @param silenceTimeoutMillis how long the server may send nothing, in milliseconds
+ * @param maximumAnswerBytes size of the answer's body at most, in bytes
+ * @param connectionUse whether an idle connection may be reused
+ */
+@SuppressWarnings("ArrayRecordComponent") // a body of bytes is never compared
+public record HttpCall(
+        String method,
+        InetSocketAddress address,
+        String path,
+        List<HttpHeader> headers,
+        byte[] body,
+        long connectTimeoutMillis,
+        long silenceTimeoutMillis,
+        long maximumAnswerBytes,
+        ConnectionUse connectionUse) {
+
+    /** Milliseconds that connecting may take unless said otherwise. */
+    public static final long DEFAULT_CONNECT_TIMEOUT_MILLIS = 1_000;
+
+    /** Milliseconds of silence unless said otherwise. */
+    public static final long DEFAULT_SILENCE_TIMEOUT_MILLIS = 10_000;
+
+    /** Bytes of an answer unless said otherwise. */
+    public static final long DEFAULT_MAXIMUM_ANSWER_BYTES = 8L << 20;
+
+    /** Checks the parts and copies the headers. */
+    public HttpCall {
+        Objects.requireNonNull(address, "address");
+        headers = List.copyOf(headers);
+        if (!path.startsWith("/")) {
+            throw new IllegalArgumentException("a path begins with '/': " + path);
+        }
+    }
+
+    /**
+     * Creates a call without headers, with the default limits.
+     *
+     * @param method the method in capitals
+     * @param address address of the server
+     * @param path path and query
+     * @param body the body, empty for none
+     * @return the call
+     */
+    public static HttpCall of(String method, InetSocketAddress address, String path, byte[] body) {
+        return new HttpCall(
+                method,
+                address,
+                path,
+                List.of(),
+                body,
+                DEFAULT_CONNECT_TIMEOUT_MILLIS,
+                DEFAULT_SILENCE_TIMEOUT_MILLIS,
+                DEFAULT_MAXIMUM_ANSWER_BYTES,
+                ConnectionUse.POOLED);
+    }
+
+    /**
+     * Returns this call with other headers.
+     *
+     * @param others the headers
+     * @return a copy
+     */
+    public HttpCall withHeaders(List<HttpHeader> others) {
+        return new HttpCall(
+                method,
+                address,
+                path,
+                others,
+                body,
+                connectTimeoutMillis,
+                silenceTimeoutMillis,
+                maximumAnswerBytes,
+                connectionUse);
+    }
+
+    /**
+     * Returns this call with other time limits.
+     *
+     * @param connectMillis how long connecting may take, in milliseconds
+     * @param silenceMillis how long the server may send nothing, in milliseconds
+     * @return a copy
+     */
+    public HttpCall withTimeouts(long connectMillis, long silenceMillis) {
+        return new HttpCall(
+                method, address, path, headers, body, connectMillis, silenceMillis, maximumAnswerBytes, connectionUse);
+    }
+
+    /**
+     * Returns this call with another use of connections.
+     *
+     * @param use whether an idle connection may be reused
+     * @return a copy
+     */
+    public HttpCall withConnectionUse(ConnectionUse use) {
+        return new HttpCall(
+                method,
+                address,
+                path,
+                headers,
+                body,
+                connectTimeoutMillis,
+                silenceTimeoutMillis,
+                maximumAnswerBytes,
+                use);
+    }
+}
--- /dev/null
+++ b/http/src/main/java/org/merlinwood/http/impl/ConnectionPool.java
@@ -0,0 +1,57 @@
+package org.merlinwood.http.impl;
+
+import io.undertow.client.ClientConnection;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.merlinwood.core.time.MillisClock;
+import org.xnio.IoUtils;
+
+/** Idle connections by address. Thread-safe; holds a bounded number for each address, for a bounded time. */
+final class ConnectionPool {
+
+    private static final int MAXIMUM_IDLE_PER_ADDRESS = 32;
+    private static final long MAXIMUM_IDLE_MILLIS = 2_000;
+
+    private final Map<InetSocketAddress, ArrayDeque<IdleConnection>> idle = new HashMap<>();
+    private final MillisClock clock;
+
+    ConnectionPool(MillisClock clock) {
+        this.clock = clock;
+    }
+
+    synchronized Optional<ClientConnection> take(InetSocketAddress address) {
+        ArrayDeque<IdleConnection> connections = idle.get(address);
+        if (connections == null) {
+            return Optional.empty();
+        }
+        long oldestAllowed = clock.monotonicMillis() - MAXIMUM_IDLE_MILLIS;
+        IdleConnection next;
+        while ((next = connections.pollLast()) != null) {
+            if (next.connection.isOpen() && next.sinceMillis >= oldestAllowed) {
+                return Optional.of(next.connection);
+            }
+            IoUtils.safeClose(next.connection);
+        }
+        idle.remove(address);
+        return Optional.empty();
+    }
+
+    synchronized void give(InetSocketAddress address, ClientConnection connection) {
+        ArrayDeque<IdleConnection> connections = idle.computeIfAbsent(address, ignored -> new ArrayDeque<>());
+        if (!connection.isOpen() || connections.size() >= MAXIMUM_IDLE_PER_ADDRESS) {
+            IoUtils.safeClose(connection);
+            return;
+        }
+        connections.addLast(new IdleConnection(connection, clock.monotonicMillis()));
+    }
+
+    synchronized void closeAll() {
+        idle.values().forEach(connections -> connections.forEach(entry -> IoUtils.safeClose(entry.connection)));
+        idle.clear();
+    }
+
+    private record IdleConnection(ClientConnection connection, long sinceMillis) {}
+}
--- /dev/null
+++ b/http/src/main/java/org/merlinwood/http/impl/package-info.java
@@ -0,0 +1,2 @@
+/** Internals of the HTTP client. */
+package org.merlinwood.http.impl;
--- /dev/null
+++ b/http/src/test/java/org/merlinwood/http/HttpClientTest.java
@@ -0,0 +1,123 @@
+package org.merlinwood.http;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.undertow.Undertow;
+import io.undertow.server.HttpHandler;
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.merlinwood.core.result.ExecutionState;
+import org.merlinwood.core.result.Failure;
+import org.merlinwood.core.result.ResultCode;
+
+final class HttpClientTest {
+
+    private static final int PATIENCE_SECONDS = 20;
+
+    private final HttpClient client = HttpClient.create("test", 2);
+
+    @AfterEach
+    void closeClient() {
+        client.close();
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {0, 1, 100_000, 2_000_000})
+    void returnsTheBodyThatTheServerEchoes(int bytes) throws Exception {
+        Undertow server = start(exchange -> exchange.getRequestReceiver()
+                .receiveFullBytes((receiving, body) -> receiving
+                        .getResponseSender()
+                        .send(new String(body, StandardCharsets.ISO_8859_1), StandardCharsets.ISO_8859_1)));
+        try {
+            byte[] body = "x".repeat(bytes).getBytes(StandardCharsets.ISO_8859_1);
+            HttpAnswer answer =
+                    await(HttpCall.of("POST", addressOf(server), "/echo", body)).get();
+            assertThat(answer.status()).isEqualTo(200);
+            assertThat(answer.body()).isEqualTo(body);
+        } finally {
+            server.stop();
+        }
+    }
+
+    @Test
+    void reportsThatNothingRanWhenNobodyListens() throws Exception {
+        InetSocketAddress closed;
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            closed = new InetSocketAddress("127.0.0.1", socket.getLocalPort());
+        }
+        Failure failure = await(HttpCall.of("GET", closed, "/", new byte[0])).getLeft();
+        assertThat(failure.code()).isEqualTo(ResultCode.UPSTREAM_UNREACHABLE);
+        assertThat(failure.executionState()).isEqualTo(ExecutionState.NOT_RUN);
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf",
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n",
+                "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n",
+                "",
+                "garbage without end"
+            })
+    void reportsAnUnknownOutcomeWhenTheAnswerIsNotWhole(String answer) throws Exception {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            Thread.ofVirtual().start(() -> answerOnce(socket, answer));
+            InetSocketAddress address = new InetSocketAddress("127.0.0.1", socket.getLocalPort());
+            Failure failure =
+                    await(HttpCall.of("GET", address, "/", new byte[0])).getLeft();
+            assertThat(failure.executionState()).isEqualTo(ExecutionState.UNKNOWN);
+        }
+    }
+
+    @Test
+    void givesUpOnASilentServer() throws Exception {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            InetSocketAddress address = new InetSocketAddress("127.0.0.1", socket.getLocalPort());
+            HttpCall call = HttpCall.of("GET", address, "/", new byte[0]).withTimeouts(1_000, 200);
+            Failure failure = await(call).getLeft();
+            assertThat(failure.code()).isEqualTo(ResultCode.UPSTREAM_TIMEOUT);
+            assertThat(failure.executionState()).isEqualTo(ExecutionState.UNKNOWN);
+        }
+    }
+
+    private Either<Failure, HttpAnswer> await(HttpCall call) throws Exception {
+        return client.call(call).toCompletableFuture().get(PATIENCE_SECONDS, TimeUnit.SECONDS);
+    }
+
+    private static void answerOnce(ServerSocket server, String answer) {
+        try (Socket socket = server.accept();
+                OutputStream output = socket.getOutputStream()) {
+            byte[] request = new byte[1024];
+            if (socket.getInputStream().read(request) > 0) {
+                output.write(answer.getBytes(StandardCharsets.ISO_8859_1));
+                output.flush();
+            }
+        } catch (IOException exception) {
+            throw new IllegalStateException(exception);
+        }
+    }
+
+    private static Undertow start(HttpHandler handler) {
+        Undertow server = Undertow.builder()
+                .addHttpListener(0, "127.0.0.1")
+                .setHandler(handler)
+                .build();
+        server.start();
+        return server;
+    }
+
+    private static InetSocketAddress addressOf(Undertow server) {
+        return (InetSocketAddress) server.getListenerInfo().getFirst().getAddress();
+    }
+}
