--- /dev/null
+++ b/operation/src/main/java/org/merlinwood/operation/lifecycle/package-info.java
@@ -0,0 +1,2 @@
+/** Start and end of a process. */
+package org.merlinwood.operation.lifecycle;
--- /dev/null
+++ b/operation/src/main/java/org/merlinwood/operation/log/JsonLogs.java
@@ -0,0 +1,44 @@
+package org.merlinwood.operation.log;
+
+import java.util.logging.Handler;
+import java.util.logging.Level;
+import java.util.logging.Logger;
+import java.util.logging.StreamHandler;
+
+/** Sets up the logs of a process: one JSON object a line on standard error. Called once, before anything logs. */
+public final class JsonLogs {
+
+    private static final Logger ROOT = Logger.getLogger("");
+
+    private JsonLogs() {}
+
+    /**
+     * Replaces all handlers.
+     *
+     * @param process name of the process, in every line
+     * @param level lowest level that is written
+     */
+    public static void install(String process, Level level) {
+        for (Handler handler : ROOT.getHandlers()) {
+            ROOT.removeHandler(handler);
+        }
+        Handler handler = new FlushingHandler();
+        handler.setFormatter(new JsonLineFormatter(process));
+        handler.setLevel(level);
+        ROOT.addHandler(handler);
+        ROOT.setLevel(level);
+    }
+
+    private static final class FlushingHandler extends StreamHandler {
+
+        private FlushingHandler() {
+            setOutputStream(System.err);
+        }
+
+        @Override
+        public synchronized void publish(java.util.logging.LogRecord logRecord) {
+            super.publish(logRecord);
+            flush();
+        }
+    }
+}
--- /dev/null
+++ b/operation/src/main/java/org/merlinwood/operation/log/package-info.java
@@ -0,0 +1,2 @@
+/** Logs as JSON lines on standard error. */
+package org.merlinwood.operation.log;
--- /dev/null
+++ b/operation/src/main/java/org/merlinwood/operation/port/package-info.java
@@ -0,0 +1,2 @@
+/** The operators' port: readiness, metrics, state dump, drain. */
+package org.merlinwood.operation.port;
--- /dev/null
+++ b/protocol/src/main/java/org/merlinwood/protocol/impl/NettyPeerConnection.java
@@ -0,0 +1,196 @@
+package org.merlinwood.protocol.impl;
+
+import com.google.common.flogger.FluentLogger;
+import io.netty.channel.Channel;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.AtomicReference;
+import org.merlinwood.core.identity.Revisions;
+import org.merlinwood.core.result.ResultCode;
+import org.merlinwood.core.time.MillisClock;
+import org.merlinwood.core.time.SystemMillisClock;
+import org.merlinwood.protocol.Exchange;
+import org.merlinwood.protocol.ExchangeAcceptor;
+import org.merlinwood.protocol.ExchangeListener;
+import org.merlinwood.protocol.PeerConnection;
+import org.merlinwood.protocol.PeerIdentity;
+import org.merlinwood.protocol.ProtocolLimits;
+import org.merlinwood.protocol.ProtocolObserver;
+import org.merlinwood.wire.Frame;
+
+/** An authenticated connection on a Netty channel. Thread-safe; lives until its channel closes. */
+@SuppressWarnings("FutureReturnValueIgnored") // Netty reports a failed write to exceptionCaught
+final class NettyPeerConnection implements PeerConnection {
+
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+    private static final int NUMBER_STEP = 2;
+
+    private final Channel channel;
+    private final PeerIdentity peer;
+    private final ProtocolLimits limits;
+    private final ProtocolObserver observer;
+    private final Map<Frame.BodyCase, ExchangeAcceptor> acceptors;
+    private final Map<Long, NettyExchange> exchanges = new ConcurrentHashMap<>();
+    private final AtomicLong nextNumber;
+    private final long ownParity;
+    private final AtomicReference<ResultCode> closeCode = new AtomicReference<>();
+    private final MillisClock clock = SystemMillisClock.shared();
+    private volatile Revisions peerRevisions = new Revisions(Revisions.NONE, Revisions.NONE);
+    private volatile long lastExchangeMillis;
+    private long highestPeerNumber;
+
+    // ------------------------------------------------------------------ life-cycle
+
+    NettyPeerConnection(
+            Channel channel,
+            PeerIdentity peer,
+            boolean connectingSide,
+            ProtocolLimits limits,
+            ProtocolObserver observer,
+            Map<Frame.BodyCase, ExchangeAcceptor> acceptors) {
+        this.channel = channel;
+        this.peer = peer;
+        this.limits = limits;
+        this.observer = observer;
+        this.acceptors = acceptors;
+        this.ownParity = connectingSide ? 1 : 0;
+        this.nextNumber = new AtomicLong(connectingSide ? 1 : NUMBER_STEP);
+        this.lastExchangeMillis = clock.monotonicMillis();
+    }
+
+    @Override
+    public void close(ResultCode code) {
+        closeCode.compareAndSet(null, code);
+        channel.close();
+    }
+
+    /** Called on the event loop once the channel is closed. */
+    void closed() {
+        ResultCode code = closeCode();
+        List.copyOf(exchanges.values()).forEach(exchange -> endExchange(exchange, code));
+        observer.onClosed(this, code);
+    }
+
+    // ------------------------------------------------------------------ public API
+
+    @Override
+    public PeerIdentity peer() {
+        return peer;
+    }
+
+    @Override
+    public Revisions peerRevisions() {
+        return peerRevisions;
+    }
+
+    @Override
+    public boolean isOpen() {
+        return channel.isActive();
+    }
+
+    @Override
+    public Exchange open(ExchangeListener listener) {
+        NettyExchange exchange = new NettyExchange(this, nextNumber.getAndAdd(NUMBER_STEP));
+        exchange.listener(listener);
+        exchanges.put(exchange.number(), exchange);
+        if (!channel.isActive()) {
+            channel.eventLoop().execute(() -> endExchange(exchange, closeCode()));
+        }
+        return exchange;
+    }
+
+    // ------------------------------------------------------------------ internals
+
+    boolean hasExchanges() {
+        return !exchanges.isEmpty();
+    }
+
+    boolean isIdle() {
+        return exchanges.isEmpty() && clock.monotonicMillis() - lastExchangeMillis >= limits.idleMillis();
+    }
+
+    boolean send(Frame frame) {
+        if (!channel.isActive()) {
+            return false;
+        }
+        if (channel.bytesBeforeWritable() > limits.maximumPendingBytes()) {
+            close(ResultCode.CALLER_TOO_SLOW);
+            return false;
+        }
+        channel.writeAndFlush(frame, channel.voidPromise());
+        return true;
+    }
+
+    void forget(NettyExchange exchange) {
+        if (exchanges.remove(exchange.number(), exchange)) {
+            lastExchangeMillis = clock.monotonicMillis();
+        }
+    }
+
+    void revisionsReceived(Revisions revisions) {
+        peerRevisions = new Revisions(
+                Math.max(peerRevisions.inventory(), revisions.inventory()),
+                Math.max(peerRevisions.rules(), revisions.rules()));
+        observer.onRevisions(this, revisions);
+    }
+
+    /** Called on the event loop for each frame that belongs to an exchange. */
+    void received(Frame frame) {
+        NettyExchange known = exchanges.get(frame.getExchange());
+        if (known != null) {
+            known.listener().onFrame(known, frame);
+            return;
+        }
+        if (frame.getExchange() % NUMBER_STEP != ownParity) {
+            receivedUnknown(frame);
+        }
+    }
+
+    /**
+     * A frame of an exchange that is not open here. Threads of the peer may open exchanges in another order than they
+     * get their numbers, so a kind that opens exchanges opens one whatever its number. Other kinds are late frames of a
+     * finished exchange, unless the number was never seen.
+     */
+    private void receivedUnknown(Frame first) {
+        ExchangeAcceptor acceptor = acceptors.get(first.getBodyCase());
+        if (acceptor != null && exchanges.size() < limits.maximumExchanges()) {
+            accept(acceptor, first);
+            return;
+        }
+        if (acceptor != null || first.getExchange() > highestPeerNumber) {
+            logger.atWarning().log("%s opened an exchange that is not accepted: %s", peer, first.getBodyCase());
+            close(ResultCode.PROTOCOL_VIOLATION);
+        }
+    }
+
+    private void accept(ExchangeAcceptor acceptor, Frame first) {
+        highestPeerNumber = Math.max(highestPeerNumber, first.getExchange());
+        NettyExchange exchange = new NettyExchange(this, first.getExchange());
+        exchanges.put(exchange.number(), exchange);
+        exchange.listener(new PendingListener());
+        exchange.listener(acceptor.accept(exchange, first));
+    }
+
+    private void endExchange(NettyExchange exchange, ResultCode code) {
+        if (exchanges.remove(exchange.number(), exchange)) {
+            exchange.listener().onClosed(exchange, code);
+        }
+    }
+
+    private ResultCode closeCode() {
+        ResultCode code = closeCode.get();
+        return code == null ? ResultCode.CONNECTION_LOST : code;
+    }
+
+    /** Stands in until the acceptor has returned; nothing reaches it, since both run on the event loop. */
+    private static final class PendingListener implements ExchangeListener {
+
+        @Override
+        public void onFrame(Exchange exchange, Frame frame) {}
+
+        @Override
+        public void onClosed(Exchange exchange, ResultCode code) {}
+    }
+}
--- /dev/null
+++ b/protocol/src/main/java/org/merlinwood/protocol/impl/package-info.java
@@ -0,0 +1,2 @@
+/** Internals of the protocol: handshake, framing, heartbeats, exchanges. */
+package org.merlinwood.protocol.impl;
