--- a/operation/src/main/java/org/merlinwood/operation/metric/MetricsText.java
+++ b/operation/src/main/java/org/merlinwood/operation/metric/MetricsText.java
@@ -46,12 +46,12 @@
 
     private static void writeCounter(StringBuilder text, String name, Counter counter) {
         writeType(text, name, "gauge");
-        writeLine(text, name, "", counter.getCount());
+        writeLine(text, name, "", (double) counter.getCount());
     }
 
     private static void writeMeter(StringBuilder text, String name, Meter meter) {
         writeType(text, name + "_total", "counter");
-        writeLine(text, name + "_total", "", meter.getCount());
+        writeLine(text, name + "_total", "", (double) meter.getCount());
     }
 
     private static void writeHistogram(StringBuilder text, String name, Histogram histogram) {
@@ -67,7 +67,7 @@
         writeLine(text, name, "{quantile=\"0.5\"}", snapshot.getMedian() / unit);
         writeLine(text, name, "{quantile=\"0.95\"}", snapshot.get95thPercentile() / unit);
         writeLine(text, name, "{quantile=\"0.99\"}", snapshot.get99thPercentile() / unit);
-        writeLine(text, name + "_count", "", count);
+        writeLine(text, name + "_count", "", (double) count);
     }
 
     private static void writeType(StringBuilder text, String name, String type) {
