--- /dev/null
+++ b/configuration/src/main/java/org/merlinwood/configuration/document/CrossCheck.java
@@ -0,0 +1,155 @@
+package org.merlinwood.configuration.document;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.stream.Collectors;
+import org.merlinwood.configuration.document.CrossFinding.Severity;
+import org.merlinwood.configuration.inventory.Instance;
+import org.merlinwood.configuration.inventory.InstanceRole;
+import org.merlinwood.configuration.inventory.InstanceState;
+import org.merlinwood.configuration.inventory.Inventory;
+import org.merlinwood.configuration.rules.Rules;
+import org.merlinwood.configuration.rules.ServiceKind;
+import org.merlinwood.configuration.rules.ServiceRule;
+import org.merlinwood.core.identity.ModelName;
+import org.merlinwood.core.identity.ServiceName;
+
+/** Compares a valid inventory with valid rules, for operators before they publish. Used by one thread for one check. */
+public final class CrossCheck {
+
+    private final Inventory inventory;
+    private final Rules rules;
+    private final Map<ServiceName, List<Instance>> instancesOfService = new LinkedHashMap<>();
+    private final List<CrossFinding> findings = new ArrayList<>();
+
+    private CrossCheck(Inventory inventory, Rules rules) {
+        this.inventory = inventory;
+        this.rules = rules;
+        inventory.instances().values().stream()
+                .filter(instance -> instance.role() != InstanceRole.ENTRY)
+                .filter(instance -> instance.state() != InstanceState.RETIRED)
+                .forEach(instance -> instancesOfService
+                        .computeIfAbsent(instance.service(), ignored -> new ArrayList<>())
+                        .add(instance));
+    }
+
+    // ------------------------------------------------------------------ public API
+
+    /**
+     * Compares the two.
+     *
+     * @param inventory a valid inventory
+     * @param rules valid rules
+     * @return what does not fit, errors first; empty if all is well
+     */
+    public static List<CrossFinding> check(Inventory inventory, Rules rules) {
+        CrossCheck check = new CrossCheck(inventory, rules);
+        check.instancesOfService.forEach(check::checkService);
+        rules.services().forEach(check::checkRule);
+        inventory.models().keySet().forEach(check::checkModel);
+        return check.findings.stream()
+                .sorted(java.util.Comparator.comparing(CrossFinding::severity))
+                .toList();
+    }
+
+    // ------------------------------------------------------------------ internals
+
+    private void checkService(ServiceName service, List<Instance> instances) {
+        Optional<ServiceRule> rule = rules.service(service);
+        if (rule.isEmpty()) {
+            add(
+                    Severity.ERROR,
+                    "instances",
+                    "the service '" + service + "' of " + instances.get(0).name() + " has no row in the rules",
+                    "add a row to \"services\" in the rules");
+            return;
+        }
+        ServiceKind inInventory = instances.get(0).role() == InstanceRole.PLAIN ? ServiceKind.PLAIN : ServiceKind.MODEL;
+        if (rule.get().kind() != inInventory) {
+            add(
+                    Severity.ERROR,
+                    "services[" + service + "]",
+                    "the rules call it " + DocumentWords.word(rule.get().kind()) + ", the inventory has it as "
+                            + DocumentWords.word(inInventory),
+                    "correct the kind, or the roles of its instances");
+        }
+        if (instances.stream().noneMatch(instance -> instance.state() == InstanceState.ACTIVE)) {
+            add(
+                    Severity.WARNING,
+                    "services[" + service + "]",
+                    "none of its instances is active, so new requests are refused",
+                    "leave at least one instance active");
+        }
+    }
+
+    private void checkRule(ServiceRule rule) {
+        if (!instancesOfService.containsKey(rule.name())) {
+            add(
+                    Severity.ERROR,
+                    "services[" + rule.name() + "]",
+                    "no instance of the inventory serves it",
+                    "add its instances, or delete the row");
+        }
+        boolean routed =
+                rules.routes().stream().anyMatch(route -> route.service().equals(rule.name()));
+        if (rule.kind() == ServiceKind.PLAIN && !routed) {
+            add(
+                    Severity.WARNING,
+                    "services[" + rule.name() + "]",
+                    "no route leads to this plain service",
+                    "add a row to \"routes\"");
+        }
+    }
+
+    private void checkModel(ModelName model) {
+        Set<ServiceName> services = servicesOf(model);
+        if (services.isEmpty()) {
+            add(
+                    Severity.WARNING,
+                    "models[" + model + "]",
+                    "no instance carries the model",
+                    "list it in the column \"models\" of instances, or delete the row");
+        }
+        if (services.size() > 1) {
+            add(
+                    Severity.ERROR,
+                    "models[" + model + "]",
+                    "several services carry the model: "
+                            + services.stream().map(ServiceName::value).collect(Collectors.joining(", ")),
+                    "give each service a model name of its own, since requests are sorted by it");
+        }
+        services.forEach(service -> checkPools(model, service));
+    }
+
+    private void checkPools(ModelName model, ServiceName service) {
+        Set<InstanceRole> roles = instancesOfService.get(service).stream()
+                .filter(instance -> instance.models().contains(model))
+                .map(Instance::role)
+                .collect(Collectors.toCollection(TreeSet::new));
+        if (roles.size() == 1) {
+            InstanceRole missing = roles.contains(InstanceRole.PREFILL) ? InstanceRole.DECODE : InstanceRole.PREFILL;
+            add(
+                    Severity.ERROR,
+                    "models[" + model + "]",
+                    "no " + DocumentWords.word(missing) + " instance of '" + service + "' carries the model",
+                    "list it at prefill and decode instances");
+        }
+    }
+
+    private Set<ServiceName> servicesOf(ModelName model) {
+        return inventory.instances().values().stream()
+                .filter(instance -> instance.state() != InstanceState.RETIRED)
+                .filter(instance -> instance.models().contains(model))
+                .map(Instance::service)
+                .collect(Collectors.toCollection(TreeSet::new));
+    }
+
+    private void add(Severity severity, String path, String problem, String remedy) {
+        findings.add(new CrossFinding(severity, path, problem, remedy));
+    }
+}
--- /dev/null
+++ b/configuration/src/main/java/org/merlinwood/configuration/document/InventoryWriter.java
@@ -0,0 +1,61 @@
+package org.merlinwood.configuration.document;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.merlinwood.configuration.document.impl.TableWriter;
+import org.merlinwood.configuration.inventory.Instance;
+import org.merlinwood.configuration.inventory.InstanceRole;
+import org.merlinwood.configuration.inventory.Inventory;
+import org.merlinwood.configuration.inventory.Model;
+
+/** Writes an inventory as a document, a row a line. Stateless, thread-safe. */
+public final class InventoryWriter {
+
+    private InventoryWriter() {}
+
+    /**
+     * Writes a document that {@link InventoryReader} reads as the same inventory.
+     *
+     * @param inventory the inventory
+     * @return JSON, without the revision
+     */
+    public static String write(Inventory inventory) {
+        return new TableWriter()
+                .table("models", inventory.models().values(), InventoryWriter::row)
+                .table("instances", inventory.instances().values(), InventoryWriter::row)
+                .text();
+    }
+
+    private static ObjectNode row(Model model) {
+        ObjectNode row = TableWriter.row();
+        row.put("name", model.name().value());
+        row.put("version", model.version());
+        row.put("weights", model.weights());
+        ArrayNode adapters = row.putArray("adapters");
+        model.adapters().forEach(adapters::add);
+        row.put("maximumTokens", model.maximumTokens());
+        row.put("cacheBytesPerToken", model.cacheBytesPerToken());
+        return row;
+    }
+
+    private static ObjectNode row(Instance instance) {
+        ObjectNode row = TableWriter.row();
+        row.put("name", instance.name().value());
+        row.put("address", instance.address().toString());
+        row.put("failureDomain", instance.failureDomain().value());
+        row.put("region", instance.region());
+        row.put("service", instance.service().value());
+        row.put("role", DocumentWords.word(instance.role()));
+        if (instance.role() == InstanceRole.PREFILL || instance.role() == InstanceRole.DECODE) {
+            ArrayNode models = row.putArray("models");
+            instance.models().forEach(model -> models.add(model.value()));
+            row.put("pieces", instance.pieces());
+            row.put("orderFencing", DocumentWords.word(instance.orderFencing()));
+        }
+        if (instance.role() == InstanceRole.PLAIN) {
+            row.put("concurrency", instance.concurrency());
+        }
+        row.put("state", DocumentWords.word(instance.state()));
+        return row;
+    }
+}
--- /dev/null
+++ b/configuration/src/main/java/org/merlinwood/configuration/document/impl/TableWriter.java
@@ -0,0 +1,62 @@
+package org.merlinwood.configuration.document.impl;
+
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+
+/** Writes tables as JSON, a row a line. Used by one thread for one document. */
+public final class TableWriter {
+
+    private final List<String> parts = new ArrayList<>();
+
+    /**
+     * Creates an empty row.
+     *
+     * @return a row without columns
+     */
+    public static ObjectNode row() {
+        return JsonNodeFactory.instance.objectNode();
+    }
+
+    /**
+     * Adds a table.
+     *
+     * @param <T> type of the rows
+     * @param name name of the table
+     * @param rows the rows
+     * @param toRow turns a row into its columns
+     * @return this writer
+     */
+    public <T> TableWriter table(String name, Collection<T> rows, Function<T, ObjectNode> toRow) {
+        String lines = rows.stream()
+                .map(row -> "    " + toRow.apply(row))
+                .collect(Collectors.joining(",\n", "[\n", rows.isEmpty() ? "  ]" : "\n  ]"));
+        parts.add("  \"" + name + "\": " + lines);
+        return this;
+    }
+
+    /**
+     * Adds a single object.
+     *
+     * @param name its name
+     * @param value its columns
+     * @return this writer
+     */
+    public TableWriter object(String name, ObjectNode value) {
+        parts.add("  \"" + name + "\": " + value);
+        return this;
+    }
+
+    /**
+     * Returns the document.
+     *
+     * @return the text, ending with a line break
+     */
+    public String text() {
+        return String.join(",\n", parts).transform(body -> "{\n" + body + "\n}\n");
+    }
+}
--- a/configuration/src/main/java/org/merlinwood/configuration/inventory/NetworkAddress.java
+++ b/configuration/src/main/java/org/merlinwood/configuration/inventory/NetworkAddress.java
@@ -9,6 +9,8 @@
 public record NetworkAddress(String host, int port) {
 
     private static final int MAXIMUM_PORT = 65_535;
+    private static final String OCTET = "(?:25[0-5]|2[0-4][0-9]|1[0-9]{2}|[1-9]?[0-9])";
+    private static final String NUMERIC_SHAPE = OCTET + "(?:\\." + OCTET + "){3}|[0-9A-Fa-f:.]*:[0-9A-Fa-f:.]*";
 
     /** Checks the port. */
     public NetworkAddress {
@@ -36,7 +38,7 @@
         if (host.startsWith("[") && host.endsWith("]")) {
             host = host.substring(1, host.length() - 1);
         }
-        if (!host.matches("[0-9.]+|[0-9A-Fa-f:.]*:[0-9A-Fa-f:.]*")) {
+        if (!host.matches(NUMERIC_SHAPE)) {
             throw new IllegalArgumentException("'" + host + "' is not a numeric IP address");
         }
         try {
