--- /dev/null
+++ b/decision/src/main/java/org/merlinwood/decision/fairness/package-info.java
@@ -0,0 +1,2 @@
+/** Fairness between callers of one entry. */
+package org.merlinwood.decision.fairness;
--- /dev/null
+++ b/decision/src/main/java/org/merlinwood/decision/placement/impl/package-info.java
@@ -0,0 +1,2 @@
+/** Internals of placement. */
+package org.merlinwood.decision.placement.impl;
--- /dev/null
+++ b/decision/src/main/java/org/merlinwood/decision/placement/package-info.java
@@ -0,0 +1,2 @@
+/** Placement: which instance of a pool takes the next request, judged from what one entry knows. */
+package org.merlinwood.decision.placement;
--- /dev/null
+++ b/decision/src/test/java/org/merlinwood/decision/placement/UpstreamPoolTest.java
@@ -0,0 +1,181 @@
+package org.merlinwood.decision.placement;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.merlinwood.decision.placement.PoolInventories.PIECES;
+import static org.merlinwood.decision.placement.PoolInventories.pool;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.merlinwood.configuration.inventory.Instance;
+import org.merlinwood.configuration.inventory.InstanceRole;
+import org.merlinwood.configuration.inventory.Inventory;
+import org.merlinwood.core.identity.InstanceName;
+import org.merlinwood.decision.prefix.PrefixBlocks;
+
+/** Which candidate takes a request. */
+final class UpstreamPoolTest {
+
+    private static final long NOW_MILLIS = 1_000_000;
+    private static final InstanceName FIRST = new InstanceName("instance-0");
+    private static final InstanceName SECOND = new InstanceName("instance-1");
+    private static final PrefixBlocks PREFIX = PrefixBlocks.of("x".repeat(20 * PrefixBlocks.BLOCK_BYTES));
+    private static final long PROMPT_TOKENS = 20L * PrefixBlocks.BLOCK_TOKENS;
+
+    @ParameterizedTest
+    @EnumSource(
+            value = InstanceRole.class,
+            names = {"PREFILL", "DECODE", "PLAIN"})
+    void givesNothingWhereNoInstanceIsLeft(InstanceRole role) {
+        UpstreamPool pool = pool(PoolInventories.of(role, 2, 1), role);
+        assertThat(pool.choose(query(1), Set.of(FIRST, SECOND))).isEmpty();
+        assertThat(pool(PoolInventories.of(role, 0, 1), role).choose(query(1), Set.of()))
+                .isEmpty();
+    }
+
+    @ParameterizedTest
+    @EnumSource(
+            value = InstanceRole.class,
+            names = {"PREFILL", "DECODE", "PLAIN"})
+    void skipsAnExcludedAndAnAvoidedInstance(InstanceRole role) {
+        UpstreamPool pool = pool(PoolInventories.of(role, 2, 1), role);
+        assertThat(name(pool.choose(query(1), Set.of(FIRST)))).isEqualTo(SECOND);
+        pool.avoid(SECOND, NOW_MILLIS + 1);
+        assertThat(name(pool.choose(query(1), Set.of()))).isEqualTo(FIRST);
+    }
+
+    @Test
+    void considersAnAvoidedInstanceAgainWhenItsTimeIsOver() {
+        UpstreamPool pool = pool(PoolInventories.of(InstanceRole.DECODE, 1, 1), InstanceRole.DECODE);
+        pool.avoid(FIRST, NOW_MILLIS);
+        assertThat(pool.choose(query(1), Set.of())).isPresent();
+    }
+
+    @Test
+    void skipsADrainingInstance() {
+        UpstreamPool pool = pool(PoolInventories.of(InstanceRole.DECODE, 2, 1), InstanceRole.DECODE);
+        pool.observe(FIRST, new LoadObservation(PIECES, PIECES, 0, 0, 0, 0, true), NOW_MILLIS);
+        pool.observe(SECOND, new LoadObservation(1, PIECES, 9, 0, 0, 0, false), NOW_MILLIS);
+        assertThat(name(pool.choose(query(1), Set.of()))).isEqualTo(SECOND);
+    }
+
+    @Test
+    void placesDecodeWhereMostPiecesAreFreeLessThoseInFlight() {
+        UpstreamPool pool = pool(PoolInventories.of(InstanceRole.DECODE, 2, 1), InstanceRole.DECODE);
+        pool.observe(FIRST, free(12), NOW_MILLIS);
+        pool.observe(SECOND, free(10), NOW_MILLIS);
+        assertThat(name(pool.choose(query(2), Set.of()))).isEqualTo(FIRST);
+        pool.started(FIRST, 6);
+        assertThat(name(pool.choose(query(2), Set.of()))).isEqualTo(SECOND);
+        pool.ended(FIRST, 6);
+        assertThat(name(pool.choose(query(2), Set.of()))).isEqualTo(FIRST);
+    }
+
+    @Test
+    void placesDecodeWhereTheWaitIsShortestIfNothingFits() {
+        UpstreamPool pool = pool(PoolInventories.of(InstanceRole.DECODE, 2, 1), InstanceRole.DECODE);
+        pool.observe(FIRST, new LoadObservation(1, PIECES, 9, 3, 900, 0, false), NOW_MILLIS);
+        pool.observe(SECOND, new LoadObservation(0, PIECES, 9, 3, 300, 0, false), NOW_MILLIS);
+        assertThat(name(pool.choose(query(2), Set.of()))).isEqualTo(SECOND);
+        assertThat(pool.forecast(query(2))).contains(new PlacementForecast(300, 0));
+    }
+
+    @Test
+    void placesAPrefillWhereItsPrefixIsCached() {
+        UpstreamPool pool = pool(PoolInventories.of(InstanceRole.PREFILL, 10, 1), InstanceRole.PREFILL);
+        pool.cached(SECOND, PREFIX, NOW_MILLIS);
+        assertThat(name(pool.choose(query(3), Set.of()))).isEqualTo(SECOND);
+    }
+
+    @Test
+    void doesNotFollowACachedPrefixIntoALongQueue() {
+        UpstreamPool pool = pool(PoolInventories.of(InstanceRole.PREFILL, 10, 1), InstanceRole.PREFILL);
+        pool.cached(SECOND, PREFIX, NOW_MILLIS);
+        pool.observe(SECOND, new LoadObservation(5, PIECES, 4, 4, 2_000, 2 * PROMPT_TOKENS, false), NOW_MILLIS);
+        assertThat(name(pool.choose(query(3), Set.of()))).isNotEqualTo(SECOND);
+    }
+
+    @Test
+    void forgetsAPrefixThatWasEvicted() {
+        UpstreamPool pool = pool(PoolInventories.of(InstanceRole.PREFILL, 2, 1), InstanceRole.PREFILL);
+        pool.cached(SECOND, PREFIX, NOW_MILLIS);
+        long cachedMillis = pool.forecast(query(3)).orElseThrow().serviceMillis();
+        pool.evicted(SECOND, PREFIX);
+        assertThat(pool.forecast(query(3)).orElseThrow().serviceMillis()).isGreaterThan(cachedMillis);
+    }
+
+    @Test
+    void spreadsPlainCallsByThoseInFlight() {
+        UpstreamPool pool = pool(PoolInventories.of(InstanceRole.PLAIN, 10, 1), InstanceRole.PLAIN);
+        Map<InstanceName, Integer> calls = new HashMap<>();
+        for (int call = 0; call < 1_000; call++) {
+            InstanceName chosen = name(pool.choose(query(1), Set.of()));
+            pool.started(chosen, 1);
+            calls.merge(chosen, 1, Integer::sum);
+        }
+        assertThat(calls.values()).hasSize(10).allMatch(count -> count > 90 && count < 110);
+    }
+
+    @Test
+    void keepsWhatItKnowsOverAnInventoryChange() {
+        Inventory before = PoolInventories.of(InstanceRole.DECODE, 3, 1);
+        UpstreamPool pool = pool(before, InstanceRole.DECODE);
+        pool.observe(FIRST, free(15), NOW_MILLIS);
+        pool.observe(SECOND, free(5), NOW_MILLIS);
+        UpstreamPool successor = pool.withInventory(PoolInventories.without(before, new InstanceName("instance-2")));
+        assertThat(name(successor.choose(query(2), Set.of()))).isEqualTo(FIRST);
+    }
+
+    @Test
+    void forgetsThePrefixesOfAReplacedInstance() {
+        Inventory before = PoolInventories.of(InstanceRole.PREFILL, 2, 1);
+        UpstreamPool pool = pool(before, InstanceRole.PREFILL);
+        long uncachedMillis = pool.forecast(query(3)).orElseThrow().serviceMillis();
+        pool.cached(SECOND, PREFIX, NOW_MILLIS);
+        UpstreamPool successor =
+                pool.withInventory(PoolInventories.without(before, SECOND)).withInventory(before);
+        assertThat(successor.forecast(query(3)).orElseThrow().serviceMillis()).isEqualTo(uncachedMillis);
+    }
+
+    @Test
+    void choosesTheSameInstancesOnEachRun() {
+        assertThat(choices()).isEqualTo(choices());
+    }
+
+    @Test
+    void ignoresInstancesThatAreNoCandidates() {
+        UpstreamPool pool = pool(PoolInventories.of(InstanceRole.DECODE, 1, 1), InstanceRole.DECODE);
+        InstanceName stranger = new InstanceName("stranger");
+        pool.observe(stranger, free(1), NOW_MILLIS);
+        pool.started(stranger, 1);
+        pool.ended(stranger, 1);
+        pool.avoid(stranger, NOW_MILLIS + 1);
+        assertThat(name(pool.choose(query(1), new HashSet<>()))).isEqualTo(FIRST);
+    }
+
+    private static Map<InstanceName, Integer> choices() {
+        UpstreamPool pool = pool(PoolInventories.of(InstanceRole.PLAIN, 30, 3), InstanceRole.PLAIN);
+        Map<InstanceName, Integer> calls = new HashMap<>();
+        for (int call = 0; call < 100; call++) {
+            calls.merge(name(pool.choose(query(1), Set.of())), 1, Integer::sum);
+        }
+        return calls;
+    }
+
+    private static LoadObservation free(int pieces) {
+        return new LoadObservation(pieces, PIECES, 1, 0, 0, 0, false);
+    }
+
+    private static PlacementQuery query(int pieces) {
+        return new PlacementQuery(pieces, PROMPT_TOKENS, PREFIX, NOW_MILLIS, 0);
+    }
+
+    private static InstanceName name(Optional<Instance> chosen) {
+        return chosen.orElseThrow().name();
+    }
+}
--- /dev/null
+++ b/decision/src/test/java/org/merlinwood/decision/retry/RetryTest.java
@@ -0,0 +1,64 @@
+package org.merlinwood.decision.retry;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.util.HashSet;
+import java.util.Set;
+import org.apache.commons.rng.simple.RandomSource;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Bounds on repeated attempts. */
+final class RetryTest {
+
+    @ParameterizedTest
+    @CsvSource({"0,10", "10,110", "20,210", "100,1010"})
+    void allowsThePercentageAndTheReserve(int percent, int expected) {
+        RetryBudget budget = new RetryBudget(percent);
+        int retries = 0;
+        for (int attempt = 0; attempt < 1_000; attempt++) {
+            retries += budget.tryRetry() ? 1 : 0;
+            budget.firstAttempt();
+            retries += budget.tryRetry() ? 1 : 0;
+        }
+        assertThat(retries).isBetween(expected - 1, expected + 1);
+    }
+
+    @Test
+    void keepsNoMoreThanTheReserve() {
+        RetryBudget budget = new RetryBudget(100);
+        for (int attempt = 0; attempt < 1_000; attempt++) {
+            budget.firstAttempt();
+        }
+        assertThat(budget.tokens()).isEqualTo(RetryBudget.MAXIMUM_TOKENS);
+    }
+
+    @Test
+    void refusesANegativePercentage() {
+        assertThatThrownBy(() -> new RetryBudget(-1)).isInstanceOf(IllegalArgumentException.class);
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {0, 100, 1_000, 10_000, 10_000_000})
+    void spreadsTheTimesToComeBack(long expectedMillis) {
+        RetryDelay delay = new RetryDelay(RandomSource.XO_RO_SHI_RO_128_PP.create(1));
+        Set<Long> seen = new HashSet<>();
+        for (int number = 0; number < 1_000; number++) {
+            long millis = delay.millis(expectedMillis, number % 10);
+            assertThat(millis).isBetween(RetryDelay.MINIMUM_MILLIS, RetryDelay.MAXIMUM_MILLIS);
+            assertThat(millis).isGreaterThanOrEqualTo(Math.min(expectedMillis, 12_000));
+            seen.add(millis);
+        }
+        assertThat(seen.size()).isGreaterThan(100);
+    }
+
+    @Test
+    void givesTheSameTimesForTheSameSeed() {
+        RetryDelay one = new RetryDelay(RandomSource.XO_RO_SHI_RO_128_PP.create(7));
+        RetryDelay other = new RetryDelay(RandomSource.XO_RO_SHI_RO_128_PP.create(7));
+        assertThat(one.millis(1_000, 0)).isEqualTo(other.millis(1_000, 0));
+    }
+}
