Follow inventory and rules from the configuration service

Cause: no process could get its inventory and rules. Change: ConfigurationFollower watches both documents, judges each whole, moves only to a higher valid revision, keeps the last good one and shows in dump, metrics and log why another was rejected. Back-off with jitter when the service is down or over its rate; a process that was paused asks anew on waking. Ruled out: asking again after the revision in force where a higher one was rejected, which would poll without pause. Conclusion: the unit tests, in virtual time with a service in memory, pass; nothing was measured.

--- /dev/null
+++ b/following/src/main/java/org/merlinwood/following/ConfigurationFollower.java
@@ -0,0 +1,180 @@
+package org.merlinwood.following;
+
+import com.codahale.metrics.MetricRegistry;
+import com.google.errorprone.annotations.CanIgnoreReturnValue;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.function.Consumer;
+import org.merlinwood.configuration.settings.ProcessSettings;
+import org.merlinwood.core.identity.Revisions;
+import org.merlinwood.core.time.MillisClock;
+import org.merlinwood.core.time.SystemMillisClock;
+import org.merlinwood.following.impl.FollowerCore;
+import org.merlinwood.following.impl.HttpConfigurationService;
+import org.merlinwood.following.impl.LoopTimer;
+import org.merlinwood.http.HttpClient;
+import org.merlinwood.operation.control.ControlLoop;
+import org.merlinwood.operation.port.StateSection;
+
+/**
+ * Keeps a process on the highest valid revision of inventory and rules.
+ *
+ * <p>Built once, started once, closed once. A document is judged whole; an invalid one is rejected whole and the last
+ * good one stays in force. Only a higher revision replaces the one in force. Reads are volatile and cheap; thread-safe.
+ */
+public final class ConfigurationFollower implements StateSection, AutoCloseable {
+
+    private static final String SECTION = "following";
+
+    private final ControlLoop loop;
+    private final FollowerCore core;
+
+    // ------------------------------------------------------------------ configuration
+
+    private ConfigurationFollower(Builder builder) {
+        long seed = builder.seed.orElseGet(() -> ThreadLocalRandom.current().nextLong());
+        this.loop = new ControlLoop("following");
+        this.core = new FollowerCore(
+                new LoopTimer(loop),
+                builder.clock,
+                new HttpConfigurationService(builder.httpClient, builder.settings.configurationService(), (int) seed),
+                builder.metrics,
+                seed);
+    }
+
+    /**
+     * Returns a builder.
+     *
+     * @param settings settings of the process
+     * @param httpClient reaches the configuration service; not closed by the follower
+     * @return a new builder
+     */
+    public static Builder builder(ProcessSettings settings, HttpClient httpClient) {
+        return new Builder(settings, httpClient);
+    }
+
+    /** Collects the configuration. Used by one thread. */
+    public static final class Builder {
+
+        private final ProcessSettings settings;
+        private final HttpClient httpClient;
+        private MillisClock clock = SystemMillisClock.shared();
+        private MetricRegistry metrics = new MetricRegistry();
+        private Optional<Long> seed = Optional.empty();
+
+        private Builder(ProcessSettings settings, HttpClient httpClient) {
+            this.settings = Objects.requireNonNull(settings, "settings");
+            this.httpClient = Objects.requireNonNull(httpClient, "httpClient");
+        }
+
+        /**
+         * Sets the registry for the metrics. Unset: the metrics are not served.
+         *
+         * @param value the registry
+         * @return this builder
+         */
+        @CanIgnoreReturnValue
+        public Builder metrics(MetricRegistry value) {
+            metrics = Objects.requireNonNull(value, "metrics");
+            return this;
+        }
+
+        /**
+         * Sets another clock than that of the machine.
+         *
+         * @param value the clock
+         * @return this builder
+         */
+        @CanIgnoreReturnValue
+        public Builder clock(MillisClock value) {
+            clock = Objects.requireNonNull(value, "clock");
+            return this;
+        }
+
+        /**
+         * Sets the seed of the jitter. Unset: drawn at random.
+         *
+         * @param value the seed
+         * @return this builder
+         */
+        @CanIgnoreReturnValue
+        public Builder seed(long value) {
+            seed = Optional.of(value);
+            return this;
+        }
+
+        /**
+         * Builds the follower; it does nothing before it is started.
+         *
+         * @return the follower
+         */
+        public ConfigurationFollower build() {
+            return new ConfigurationFollower(this);
+        }
+    }
+
+    // ------------------------------------------------------------------ life-cycle
+
+    /** Starts to follow the configuration service. */
+    public void start() {
+        core.start();
+    }
+
+    /** Stops following; what is in force stays readable. */
+    @Override
+    public void close() {
+        core.close();
+        loop.close();
+    }
+
+    // ------------------------------------------------------------------ public API
+
+    /**
+     * Returns what is in force. Cheap.
+     *
+     * @return both documents, empty before both were seen
+     */
+    public Optional<ConfigurationInForce> current() {
+        return core.current();
+    }
+
+    /**
+     * Returns the revisions in force. Cheap.
+     *
+     * @return the revisions, {@link Revisions#NONE} for what was not seen
+     */
+    public Revisions revisions() {
+        return core.revisions();
+    }
+
+    /**
+     * Tells whether the process may serve. Cheap.
+     *
+     * @return true once both documents are in force
+     */
+    public boolean isReady() {
+        return core.isReady();
+    }
+
+    /**
+     * Adds a listener; it hears of what is in force already at once.
+     *
+     * @param listener called with every later configuration, in order, on the follower's control thread; must not block
+     */
+    public void addListener(Consumer<ConfigurationInForce> listener) {
+        core.addListener(listener);
+    }
+
+    @Override
+    public String name() {
+        return SECTION;
+    }
+
+    @Override
+    public FollowerState state() {
+        CompletableFuture<FollowerState> state = loop.call(core::state);
+        return state.join();
+    }
+}
--- /dev/null
+++ b/following/src/main/java/org/merlinwood/following/impl/DocumentKind.java
@@ -0,0 +1,14 @@
+package org.merlinwood.following.impl;
+
+import java.util.Locale;
+
+/** The two documents. */
+enum DocumentKind {
+    INVENTORY,
+    RULES;
+
+    /** Name in paths, metrics and messages. */
+    String word() {
+        return name().toLowerCase(Locale.ROOT);
+    }
+}
--- /dev/null
+++ b/following/src/main/java/org/merlinwood/following/impl/ServiceAnswer.java
@@ -0,0 +1,30 @@
+package org.merlinwood.following.impl;
+
+/** Answer of the configuration service. */
+public sealed interface ServiceAnswer {
+
+    /**
+     * A document.
+     *
+     * @param revision its revision
+     * @param text its text
+     */
+    record Published(long revision, String text) implements ServiceAnswer {}
+
+    /** There is no higher revision. */
+    record Unchanged() implements ServiceAnswer {}
+
+    /**
+     * The service is over its rate.
+     *
+     * @param retryAfterMillis when to come back, 0 if it did not say
+     */
+    record Busy(long retryAfterMillis) implements ServiceAnswer {}
+
+    /**
+     * The service could not be reached, or answered what can't be understood.
+     *
+     * @param detail one sentence
+     */
+    record Unavailable(String detail) implements ServiceAnswer {}
+}
--- /dev/null
+++ b/following/src/test/java/org/merlinwood/following/impl/ServiceFollowingTest.java
@@ -0,0 +1,153 @@
+package org.merlinwood.following.impl;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.codahale.metrics.MetricRegistry;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.merlinwood.core.identity.Revisions;
+import org.merlinwood.core.time.ManualMillisClock;
+import org.merlinwood.following.ConfigurationInForce;
+
+/** A process that reads the configuration service itself. */
+class ServiceFollowingTest {
+
+    private static final long HOUR_MILLIS = 3_600_000;
+    private static final long SECONDS_MILLIS = 4_000;
+
+    private final ManualMillisClock clock = new ManualMillisClock(1);
+    private final VirtualTimer timer = new VirtualTimer(clock);
+    private final FakeService service = new FakeService(clock, timer);
+    private final MetricRegistry metrics = new MetricRegistry();
+    private final FollowerCore core = new FollowerCore(timer, clock, service, metrics, 7);
+    private final List<Revisions> heard = new ArrayList<>();
+
+    @BeforeEach
+    void start() {
+        service.publish("inventory", 5, TestDocuments.inventory(5));
+        service.publish("rules", 2, TestDocuments.RULES);
+        core.addListener(configuration -> heard.add(configuration.revisions()));
+        core.start();
+        timer.run(SECONDS_MILLIS);
+    }
+
+    @Test
+    void isReadyOnceBothDocumentsAreInForce() {
+        assertThat(core.isReady()).isTrue();
+        assertThat(core.revisions()).isEqualTo(new Revisions(5, 2));
+        assertThat(heard).containsExactly(new Revisions(5, 2));
+    }
+
+    @Test
+    void followsAHigherRevisionAlsoIfOneIsSkipped() {
+        service.publish("inventory", 9, TestDocuments.inventory(9));
+        timer.run(SECONDS_MILLIS);
+
+        assertThat(core.current().map(ConfigurationInForce::revisions)).contains(new Revisions(9, 2));
+    }
+
+    @ParameterizedTest
+    @CsvSource({"5, 6", "6, 5"})
+    void twoOperatorsRacingEndOnTheHigherRevision(long first, long second) {
+        service.publish("inventory", first + 10, TestDocuments.inventory((int) first));
+        timer.run(10);
+        service.publish("inventory", second + 10, TestDocuments.inventory((int) second));
+        timer.run(SECONDS_MILLIS);
+
+        assertThat(core.revisions().inventory()).isEqualTo(16);
+    }
+
+    @Test
+    void aStaleReplicaTakesNobodyBack() {
+        service.publish("inventory", 4, TestDocuments.inventory(4));
+        timer.run(HOUR_MILLIS);
+
+        assertThat(core.revisions().inventory()).isEqualTo(5);
+        assertThat(heard).hasSize(1);
+    }
+
+    @Test
+    void anInvalidDocumentIsRejectedWholeAndShownWithItsPlace() {
+        service.publish("inventory", 6, TestDocuments.invalidInventory());
+        timer.run(SECONDS_MILLIS);
+
+        assertThat(core.revisions().inventory()).isEqualTo(5);
+        assertThat(core.state().inventory().rejectedRevision()).isEqualTo(6);
+        assertThat(core.state().inventory().rejectedBecause())
+                .hasSize(3)
+                .first()
+                .asString()
+                .startsWith("inventory:2:");
+        assertThat(metrics.counter("following.documents.invalid").getCount()).isEqualTo(1);
+    }
+
+    @Test
+    void aRejectedRevisionIsNotAskedForAgainAndAgain() {
+        service.publish("inventory", 6, TestDocuments.invalidInventory());
+        timer.run(SECONDS_MILLIS);
+        int calls = service.calls();
+        timer.run(60_000);
+
+        assertThat(service.calls() - calls).isLessThan(60);
+    }
+
+    @Test
+    void aCorrectedRevisionFollowsAnInvalidOne() {
+        service.publish("inventory", 6, TestDocuments.invalidInventory());
+        timer.run(SECONDS_MILLIS);
+        service.publish("inventory", 7, TestDocuments.inventory(7));
+        timer.run(SECONDS_MILLIS);
+
+        assertThat(core.revisions().inventory()).isEqualTo(7);
+        assertThat(core.state().inventory().rejectedRevision()).isZero();
+    }
+
+    @Test
+    void theRevisionInForceWithAnotherContentIsRejected() {
+        core.onDocument(DocumentKind.INVENTORY, new ServiceAnswer.Published(5, TestDocuments.inventory(6)));
+
+        assertThat(core.current().orElseThrow().inventory().instances().values())
+                .allSatisfy(instance -> assertThat(instance.concurrency()).isEqualTo(5));
+        assertThat(metrics.counter("following.documents.conflicting").getCount())
+                .isEqualTo(1);
+    }
+
+    @Test
+    void aLongOutageKeepsWhatIsInForceAndIsCaughtUpAfterwards() {
+        service.fail(new ServiceAnswer.Unavailable("down"));
+        timer.run(HOUR_MILLIS);
+        assertThat(core.isReady()).isTrue();
+        assertThat(core.state().serviceFailures()).isPositive();
+
+        service.recover();
+        service.publish("rules", 3, TestDocuments.RULES);
+        timer.run(2 * SECONDS_MILLIS);
+
+        assertThat(core.revisions().rules()).isEqualTo(3);
+        assertThat(core.state().serviceFailures()).isZero();
+    }
+
+    @ParameterizedTest
+    @CsvSource({"0, 60", "30000, 6"})
+    void aBusyServiceIsAskedSeldom(long retryAfterMillis, int callsAMinute) {
+        service.fail(new ServiceAnswer.Busy(retryAfterMillis));
+        timer.run(60_000);
+        int before = service.calls();
+        timer.run(60_000);
+
+        assertThat(service.calls() - before).isLessThanOrEqualTo(callsAMinute);
+    }
+
+    @Test
+    void aPausedProcessCatchesUpOnWaking() {
+        clock.advanceMillis(HOUR_MILLIS);
+        service.publish("inventory", 8, TestDocuments.inventory(8));
+        timer.run(SECONDS_MILLIS);
+
+        assertThat(core.revisions().inventory()).isEqualTo(8);
+    }
+}
