--- a/protocol/src/main/java/org/merlinwood/protocol/PeerEndpoint.java
+++ b/protocol/src/main/java/org/merlinwood/protocol/PeerEndpoint.java
@@ -194,7 +194,7 @@
     CompletionStage<Either<Failure, PeerConnection>> connect(InetSocketAddress address);
 
     /**
-     * Returns how many authenticated connections are open.
+     * Returns how many connections are open, whether authenticated yet or not.
      *
      * @return a count at some moment
      */
--- a/protocol/src/main/java/org/merlinwood/protocol/impl/NettyPeerEndpoint.java
+++ b/protocol/src/main/java/org/merlinwood/protocol/impl/NettyPeerEndpoint.java
@@ -124,6 +124,7 @@
             if (known != null && isUsable(known)) {
                 return known;
             }
+            connections.values().removeIf(former -> !isUsable(former));
             created = new CompletableFuture<>();
             connections.put(address, created);
         }
