Stand-ins: engine, plain service, configuration service, weight store, forwarder

The processes are to be tested against systems that fail on command and that keep a record of what really ran. Each stand-in is a class for tests in the same process and a subcommand for tests against processes; commands go to a port of their own. The ledger of an engine and of a plain service can be kept in a file, so that it outlives a crash.

An engine's answer follows from prompt and offset alone, which shows holes and doubled tokens where a stream moves between engines; a checksum would not.

--- /dev/null
+++ b/stand-ins/src/main/java/org/merlinwood/standin/command/ListenOptions.java
@@ -0,0 +1,43 @@
+package org.merlinwood.standin.command;
+
+import java.net.InetSocketAddress;
+import org.merlinwood.standin.StandIn;
+import org.merlinwood.standin.impl.Addresses;
+import org.merlinwood.standin.impl.Json;
+import picocli.CommandLine.Option;
+
+/** Options that every stand-in has, and its life as a process. */
+final class ListenOptions {
+
+    @Option(
+            names = "--listen",
+            defaultValue = "127.0.0.1:0",
+            description = "Public address, IP:PORT; port 0 is chosen.")
+    private String listen;
+
+    @Option(names = "--admin", defaultValue = "127.0.0.1:0", description = "Address for commands, IP:PORT.")
+    private String administration;
+
+    InetSocketAddress listen() {
+        return Addresses.parse(listen);
+    }
+
+    InetSocketAddress administration() {
+        return Addresses.parse(administration);
+    }
+
+    /** Prints the addresses and serves until the process is asked to end. */
+    static int serve(String kind, StandIn standIn) {
+        Runtime.getRuntime().addShutdownHook(new Thread(standIn::close, "stand-in-shutdown"));
+        ReadyLine line =
+                new ReadyLine(kind, Addresses.text(standIn.address()), Addresses.text(standIn.administrationAddress()));
+        System.out.println(Json.text(line));
+        System.out.flush();
+        try {
+            Thread.currentThread().join();
+        } catch (InterruptedException exception) {
+            standIn.close();
+        }
+        return 0;
+    }
+}
--- /dev/null
+++ b/stand-ins/src/main/java/org/merlinwood/standin/command/package-info.java
@@ -0,0 +1,2 @@
+/** Subcommands of the program that runs stand-ins as processes. */
+package org.merlinwood.standin.command;
--- /dev/null
+++ b/stand-ins/src/main/java/org/merlinwood/standin/impl/StandInServer.java
@@ -0,0 +1,210 @@
+package org.merlinwood.standin.impl;
+
+import io.undertow.Undertow;
+import io.undertow.server.HttpHandler;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.server.ServerConnection;
+import io.undertow.server.protocol.http.HttpServerConnection;
+import io.undertow.util.Headers;
+import io.undertow.util.StatusCodes;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.Deque;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import org.xnio.IoUtils;
+import org.xnio.channels.Channels;
+
+/**
+ * HTTP server of a stand-in: each exchange runs blocking on a virtual thread of its own. Thread-safe.
+ *
+ * <p>Serves from construction until {@link #close()}, which cuts every connection.
+ */
+public final class StandInServer implements AutoCloseable {
+
+    private static final int IO_THREADS = 2;
+    private static final int BUFFER_BYTES = 16 * 1024;
+    private static final long MAXIMUM_BODY_BYTES = 64L << 20;
+
+    private final ExecutorService threads = Executors.newVirtualThreadPerTaskExecutor();
+    private final Set<ServerConnection> connections = ConcurrentHashMap.newKeySet();
+    private final HttpHandler routes;
+    private final Undertow server;
+
+    // ------------------------------------------------------------------ life-cycle
+
+    /**
+     * Starts a server.
+     *
+     * @param listen numeric address; port 0 lets the system choose
+     * @param routes handles an exchange, may block
+     */
+    public StandInServer(InetSocketAddress listen, HttpHandler routes) {
+        this.routes = routes;
+        this.server = Undertow.builder()
+                .addHttpListener(listen.getPort(), listen.getAddress().getHostAddress())
+                .setIoThreads(IO_THREADS)
+                .setWorkerThreads(1)
+                .setBufferSize(BUFFER_BYTES)
+                .setServerOption(io.undertow.UndertowOptions.MAX_ENTITY_SIZE, MAXIMUM_BODY_BYTES)
+                .setHandler(this::dispatch)
+                .build();
+        server.start();
+    }
+
+    @Override
+    public void close() {
+        connections.forEach(IoUtils::safeClose);
+        server.stop();
+        connections.forEach(IoUtils::safeClose);
+        threads.shutdownNow();
+    }
+
+    // ------------------------------------------------------------------ public API
+
+    /**
+     * Returns where the server listens.
+     *
+     * @return the address with the real port
+     */
+    public InetSocketAddress address() {
+        return (InetSocketAddress) server.getListenerInfo().getFirst().getAddress();
+    }
+
+    /**
+     * Answers with JSON.
+     *
+     * @param exchange the exchange
+     * @param status the HTTP status
+     * @param body a record
+     */
+    public static void answer(HttpServerExchange exchange, int status, Object body) {
+        exchange.setStatusCode(status);
+        exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "application/json");
+        send(exchange, Json.text(body).getBytes(StandardCharsets.UTF_8));
+    }
+
+    /**
+     * Answers without a body.
+     *
+     * @param exchange the exchange
+     * @param status the HTTP status
+     */
+    public static void answer(HttpServerExchange exchange, int status) {
+        exchange.setStatusCode(status);
+        exchange.endExchange();
+    }
+
+    /**
+     * Sends a whole body with its length.
+     *
+     * @param exchange the exchange
+     * @param body the bytes
+     */
+    public static void send(HttpServerExchange exchange, byte[] body) {
+        exchange.setResponseContentLength(body.length);
+        try (OutputStream output = exchange.getOutputStream()) {
+            output.write(body);
+        } catch (IOException exception) {
+            cut(exchange);
+        }
+    }
+
+    /**
+     * Closes the connection of an exchange at once, without ending its answer.
+     *
+     * @param exchange the exchange
+     */
+    public static void cut(HttpServerExchange exchange) {
+        IoUtils.safeClose(exchange.getConnection());
+    }
+
+    /**
+     * Writes bytes to the connection of an exchange, past the HTTP protocol.
+     *
+     * @param exchange the exchange, whose answer has not begun
+     * @param text what is written, in ISO 8859-1
+     */
+    public static void writeRaw(HttpServerExchange exchange, String text) {
+        if (!(exchange.getConnection() instanceof HttpServerConnection connection)) {
+            return;
+        }
+        ByteBuffer bytes = ByteBuffer.wrap(text.getBytes(StandardCharsets.ISO_8859_1));
+        try {
+            Channels.writeBlocking(connection.getChannel().getSinkChannel(), bytes);
+            Channels.flushBlocking(connection.getChannel().getSinkChannel());
+        } catch (IOException exception) {
+            cut(exchange);
+        }
+    }
+
+    /**
+     * Reads the body of an exchange.
+     *
+     * @param exchange the exchange
+     * @return the whole body
+     * @throws IOException if the connection breaks first
+     */
+    public static byte[] body(HttpServerExchange exchange) throws IOException {
+        return exchange.getInputStream().readAllBytes();
+    }
+
+    /**
+     * Returns a parameter of the path or query.
+     *
+     * @param exchange the exchange
+     * @param name name of the parameter
+     * @return its first value, or empty if there is none
+     */
+    public static Optional<String> parameter(HttpServerExchange exchange, String name) {
+        return Optional.ofNullable(exchange.getQueryParameters().get(name)).map(Deque::peekFirst);
+    }
+
+    /**
+     * Returns a numeric parameter of the query.
+     *
+     * @param exchange the exchange
+     * @param name name of the parameter
+     * @param otherwise value where there is none
+     * @return the number
+     * @throws Json.MalformedBodyException if it is not a number
+     */
+    public static long number(HttpServerExchange exchange, String name, long otherwise) {
+        Optional<String> text = parameter(exchange, name);
+        if (text.isEmpty()) {
+            return otherwise;
+        }
+        try {
+            return Long.parseLong(text.get());
+        } catch (NumberFormatException exception) {
+            throw new Json.MalformedBodyException(name + " is not a number: " + exception.getMessage());
+        }
+    }
+
+    // ------------------------------------------------------------------ internals
+
+    private void dispatch(HttpServerExchange exchange) {
+        ServerConnection connection = exchange.getConnection();
+        if (connections.add(connection)) {
+            connection.addCloseListener(connections::remove);
+        }
+        exchange.dispatch(threads, this::handle);
+    }
+
+    private void handle(HttpServerExchange exchange) throws Exception {
+        exchange.startBlocking();
+        try {
+            routes.handleRequest(exchange);
+        } catch (Json.MalformedBodyException exception) {
+            answer(exchange, StatusCodes.BAD_REQUEST, new ErrorBody(exception.getMessage()));
+        } catch (InterruptedException exception) {
+            cut(exchange);
+        }
+    }
+}
--- /dev/null
+++ b/stand-ins/src/main/java/org/merlinwood/standin/platform/package-info.java
@@ -0,0 +1,2 @@
+/** Stand-ins of the platform: configuration service and weight store. */
+package org.merlinwood.standin.platform;
--- /dev/null
+++ b/stand-ins/src/test/java/org/merlinwood/standin/engine/EngineFixture.java
@@ -0,0 +1,68 @@
+package org.merlinwood.standin.engine;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.merlinwood.http.HttpAnswer;
+import org.merlinwood.standin.Calls;
+import org.merlinwood.standin.impl.Addresses;
+
+/** Engines of one test and the calls to them. */
+final class EngineFixture implements AutoCloseable {
+
+    static final String MODEL = "summary";
+    static final String REQUEST = "0123456789abcdef0123456789abcdef";
+    static final ObjectMapper JSON = new ObjectMapper();
+
+    private final List<ModelEngine> engines = new ArrayList<>();
+    private final Calls calls = new Calls();
+
+    ModelEngine start(EngineOptions.Builder options) {
+        ModelEngine engine = new ModelEngine(
+                Addresses.anyLoopback(),
+                Addresses.anyLoopback(),
+                options.models(List.of(MODEL)).build(),
+                Optional.empty());
+        engines.add(engine);
+        return engine;
+    }
+
+    Calls calls() {
+        return calls;
+    }
+
+    static String decodeBody(String prompt, int maximumTokens, List<String> soFar, String cache) {
+        return """
+            {"request":"%s","model":"%s","prompt":"%s","tokensSoFar":%s,"maximumTokens":%d,"priority":1%s}""".formatted(REQUEST, MODEL, prompt, JSON.valueToTree(soFar), maximumTokens, cache);
+    }
+
+    HttpAnswer decode(ModelEngine engine, String prompt, int maximumTokens) throws Exception {
+        return calls.post(engine.address(), "/v1/decode", decodeBody(prompt, maximumTokens, List.of(), ""));
+    }
+
+    HttpAnswer prefill(ModelEngine engine, String prompt) throws Exception {
+        String body = """
+            {"request":"%s","model":"%s","prompt":"%s","priority":1}""".formatted(REQUEST, MODEL, prompt);
+        return calls.post(engine.address(), "/v1/prefill", body);
+    }
+
+    static List<String> tokens(HttpAnswer answer) throws Exception {
+        List<String> tokens = new ArrayList<>();
+        for (String line : answer.text().lines().toList()) {
+            JSON.readTree(line).path("tokens").forEach(token -> tokens.add(token.asText()));
+        }
+        return tokens;
+    }
+
+    static JsonNode lastLine(HttpAnswer answer) throws Exception {
+        return JSON.readTree(answer.text().strip().lines().toList().getLast());
+    }
+
+    @Override
+    public void close() {
+        engines.forEach(ModelEngine::close);
+        calls.close();
+    }
+}
--- /dev/null
+++ b/stand-ins/src/test/java/org/merlinwood/standin/engine/PrefillTest.java
@@ -0,0 +1,103 @@
+package org.merlinwood.standin.engine;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.List;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.merlinwood.http.HttpAnswer;
+import org.merlinwood.standin.Calls;
+import org.merlinwood.standin.impl.Addresses;
+
+final class PrefillTest {
+
+    private static final String LONG_PROMPT = "word ".repeat(1_000);
+
+    private final EngineFixture fixture = new EngineFixture();
+
+    @AfterEach
+    void stop() {
+        fixture.close();
+    }
+
+    @Test
+    void handsItsResultToADecodeEngine() throws Exception {
+        ModelEngine prefill = fixture.start(EngineOptions.builder().resultMillis(10_000));
+        ModelEngine decode = fixture.start(EngineOptions.builder());
+        HttpAnswer answer = decodeWith(decode, prefill, fixture.prefill(prefill, LONG_PROMPT));
+        assertThat(EngineFixture.tokens(answer)).isEqualTo(ExpectedAnswer.tokens(LONG_PROMPT, 10));
+        Calls.await(() -> prefill.ledger().heldPieces() == 0);
+        assertThat(prefill.ledger().runs().getFirst().outcome()).isEqualTo(EngineRun.Outcome.EXPORTED);
+    }
+
+    @Test
+    void evictsAResultThatNobodyTakes() throws Exception {
+        ModelEngine prefill = fixture.start(EngineOptions.builder().resultMillis(1));
+        ModelEngine decode = fixture.start(EngineOptions.builder());
+        HttpAnswer result = fixture.prefill(prefill, LONG_PROMPT);
+        Calls.await(() -> prefill.ledger().heldPieces() == 0);
+        assertThat(prefill.ledger().runs().getFirst().outcome()).isEqualTo(EngineRun.Outcome.EVICTED);
+        assertThat(decodeWith(decode, prefill, result).status()).isEqualTo(424);
+        assertThat(decode.ledger().heldPieces()).isZero();
+    }
+
+    @Test
+    void computesOnlyWhatThePrefixCacheLacks() throws Exception {
+        ModelEngine engine = fixture.start(EngineOptions.builder().cacheEvents(0, 0));
+        JsonNode first =
+                EngineFixture.JSON.readTree(fixture.prefill(engine, LONG_PROMPT).text());
+        JsonNode second =
+                EngineFixture.JSON.readTree(fixture.prefill(engine, LONG_PROMPT).text());
+        assertThat(first.path("computedTokens").asInt()).isEqualTo(1_250);
+        assertThat(second.path("computedTokens").asInt()).isEqualTo(1_250 - 4 * PrefixBlocks.BLOCK_TOKENS);
+        assertThat(fixture.calls()
+                        .get(engine.address(), "/v1/cache-events?after=0")
+                        .text())
+                .contains(PrefixBlocks.of(LONG_PROMPT));
+    }
+
+    @Test
+    void losesSomeCacheEvents() throws Exception {
+        ModelEngine engine = fixture.start(EngineOptions.builder().cacheEvents(0, 1));
+        fixture.prefill(engine, LONG_PROMPT);
+        assertThat(fixture.calls()
+                        .get(engine.address(), "/v1/cache-events?after=0")
+                        .text())
+                .isEqualTo("{\"next\":0,\"events\":[]}");
+    }
+
+    @Test
+    void evictsTheOldestBlocks() throws Exception {
+        ModelEngine engine =
+                fixture.start(EngineOptions.builder().prefixBlocks(2).cacheEvents(0, 0));
+        fixture.prefill(engine, LONG_PROMPT);
+        assertThat(fixture.calls()
+                        .get(engine.address(), "/v1/cache-events?after=0")
+                        .text())
+                .contains("\"evicted\"");
+    }
+
+    @Test
+    void refusesAModelThatIsNotLoaded() throws Exception {
+        ModelEngine engine = fixture.start(EngineOptions.builder());
+        String body = "{\"request\":\"r\",\"model\":\"other\",\"prompt\":\"p\"}";
+        assertThat(fixture.calls().post(engine.address(), "/v1/prefill", body).status())
+                .isEqualTo(404);
+    }
+
+    @Test
+    void refusesABodyThatIsNotJson() throws Exception {
+        ModelEngine engine = fixture.start(EngineOptions.builder());
+        assertThat(fixture.calls().post(engine.address(), "/v1/prefill", "{").status())
+                .isEqualTo(400);
+    }
+
+    private HttpAnswer decodeWith(ModelEngine decode, ModelEngine prefill, HttpAnswer result) throws Exception {
+        ObjectNode cache = (ObjectNode) EngineFixture.JSON.readTree(result.text());
+        cache.put("address", Addresses.text(prefill.address()));
+        String body = EngineFixture.decodeBody(LONG_PROMPT, 10, List.of(), ",\"cache\":" + cache);
+        return fixture.calls().post(decode.address(), "/v1/decode", body);
+    }
+}
--- /dev/null
+++ b/stand-ins/src/test/java/org/merlinwood/standin/plain/PlainServiceTest.java
@@ -0,0 +1,81 @@
+package org.merlinwood.standin.plain;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.util.Optional;
+import org.apache.commons.codec.digest.DigestUtils;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.merlinwood.standin.Calls;
+import org.merlinwood.standin.impl.Addresses;
+
+final class PlainServiceTest {
+
+    @TempDir
+    private Path folder;
+
+    private final Calls calls = new Calls();
+    private PlainService service;
+
+    @BeforeEach
+    void start() {
+        service = open();
+    }
+
+    @AfterEach
+    void stop() {
+        service.close();
+        calls.close();
+    }
+
+    @Test
+    void recordsEveryRunWithItsKeyAndBody() throws Exception {
+        calls.post(service.address(), "/bookings", "one");
+        calls.post(service.address(), "/bookings", "one");
+        assertThat(service.ledger().runs()).hasSize(2).allSatisfy(run -> {
+            assertThat(run.key()).isEqualTo("key-1");
+            assertThat(run.bodyDigest()).isEqualTo(DigestUtils.sha256Hex("one"));
+            assertThat(run.status()).isEqualTo(201);
+        });
+    }
+
+    @ParameterizedTest
+    @CsvSource({"GET,/hydrants/H-7,200,H-7", "GET,/reviews/R-7/status,200,R-7", "POST,/replies,201,R-ledger-1"})
+    void servesItsRoutes(String method, String path, int status, String part) throws Exception {
+        var answer = calls.send(method, service.address(), path, "");
+        assertThat(answer.status()).isEqualTo(status);
+        assertThat(answer.text()).contains(part);
+    }
+
+    @ParameterizedTest
+    @CsvSource({"CRASH_BEFORE_RUN,0", "CRASH_AFTER_RUN,1", "TRUNCATE,1", "GARBAGE,1"})
+    void failsAsTheMarkerSays(PlainFault fault, int runs) throws Exception {
+        calls.fail("POST", service.address(), "/bookings", "[fault " + fault + "]");
+        assertThat(service.ledger().runs()).hasSize(runs).allMatch(run -> run.status() == 0);
+    }
+
+    @Test
+    void keepsItsLedgerOverACrash() throws Exception {
+        InetSocketAddress before = service.address();
+        calls.fail("POST", before, "/bookings", "[fault CRASH_AFTER_RUN]");
+        service.close();
+        service = open();
+        assertThat(service.ledger().runs()).hasSize(1);
+    }
+
+    private PlainService open() {
+        return new PlainService(
+                Addresses.anyLoopback(),
+                Addresses.anyLoopback(),
+                "ledger",
+                4,
+                Optional.of(folder.resolve("runs")),
+                PlainService.CrashMode.CLOSE_SERVER);
+    }
+}
