Operators' command line: check, plan and dump

Cause: operators had no way to judge an edit before publishing it, nor to read a process's state. Change: check (all faults with file, line, column and remedy; inventory and rules of one folder against each other), plan (what instances gain or lose, what moves in idempotency keys, cautions) and dump. The command module may use the decision module, so that plan takes the home of a key from the code that binds it and not from a second version. Conclusion: the unit tests of the module pass; nothing was measured.

--- /dev/null
+++ b/command/src/main/java/org/merlinwood/command/impl/KeyMoves.java
@@ -0,0 +1,66 @@
+package org.merlinwood.command.impl;
+
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import org.merlinwood.configuration.inventory.Instance;
+import org.merlinwood.configuration.inventory.InstanceRole;
+import org.merlinwood.configuration.inventory.Inventory;
+import org.merlinwood.core.identity.IdempotencyKey;
+import org.merlinwood.core.identity.ServiceName;
+import org.merlinwood.decision.idempotency.KeyHome;
+
+/** Estimates which callers' own keys move to another instance, from a sample of keys. Stateless. */
+final class KeyMoves {
+
+    private static final int SAMPLE_KEYS = 10_000;
+    private static final double PERCENT = 100.0;
+
+    private KeyMoves() {}
+
+    static List<String> lines(Inventory before, Inventory after) {
+        List<String> lines = new ArrayList<>();
+        for (ServiceName service : plainServices(before)) {
+            movesOf(service, before, after).forEach((move, count) -> lines.add(line(service, move, count)));
+        }
+        return lines;
+    }
+
+    // ------------------------------------------------------------------ internals
+
+    private static String line(ServiceName service, String move, int count) {
+        return "idempotency keys of " + service + ": about " + Math.round(count * PERCENT / SAMPLE_KEYS) + "% move "
+                + move + "; they are withheld until the old instance has handed them over";
+    }
+
+    private static Map<String, Integer> movesOf(ServiceName service, Inventory before, Inventory after) {
+        Map<String, Integer> moves = new TreeMap<>();
+        for (int index = 0; index < SAMPLE_KEYS; index++) {
+            IdempotencyKey key = new IdempotencyKey("sample-" + index);
+            Optional<String> oldHome = home(key, before, service);
+            Optional<String> newHome = home(key, after, service);
+            if (oldHome.isPresent() && !oldHome.equals(newHome)) {
+                moves.merge("from " + oldHome.get() + " to " + newHome.orElse("nowhere"), 1, Integer::sum);
+            }
+        }
+        return moves;
+    }
+
+    private static Optional<String> home(IdempotencyKey key, Inventory inventory, ServiceName service) {
+        return KeyHome.of(key, inventory, service)
+                .map(instance -> instance.name().value());
+    }
+
+    private static Set<ServiceName> plainServices(Inventory inventory) {
+        Set<ServiceName> services = new LinkedHashSet<>();
+        inventory.instances().values().stream()
+                .filter(instance -> instance.role() == InstanceRole.PLAIN)
+                .map(Instance::service)
+                .forEach(services::add);
+        return services;
+    }
+}
--- /dev/null
+++ b/command/src/test/java/org/merlinwood/command/CheckCommandTest.java
@@ -0,0 +1,80 @@
+package org.merlinwood.command;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Verdicts and exit statuses of {@code check}. */
+class CheckCommandTest {
+
+    private static final Path BAGMATI = Path.of("..", "examples", "bagmati");
+
+    @TempDir
+    Path folder;
+
+    @Test
+    void allExamplesAreGood() throws IOException {
+        try (var files = Files.walk(BAGMATI.getParent())) {
+            Object[] arguments = java.util.stream.Stream.concat(
+                            java.util.stream.Stream.of("check"), files.filter(Files::isRegularFile))
+                    .toArray();
+            CommandRun run = CommandRun.of(arguments);
+
+            assertThat(run.errors()).isEmpty();
+            assertThat(run.output().lines()).hasSize(arguments.length - 1).allMatch(line -> line.contains("is valid"));
+            assertThat(run.status()).isEqualTo(ExitStatus.GOOD);
+        }
+    }
+
+    @Test
+    void aFindingNamesFileLineAndColumn() throws IOException {
+        Path file = edited("inventory.json", "\"role\": \"plain\"", "\"role\": \"plane\"");
+
+        CommandRun run = CommandRun.of("check", file);
+
+        assertThat(run.status()).isEqualTo(ExitStatus.FINDINGS);
+        assertThat(run.output().lines().findFirst().orElseThrow())
+                .matches(".*inventory\\.json:\\d+:\\d+: instances\\[13\\]\\.role: 'plane' is unknown; write one of .*");
+    }
+
+    @Test
+    void inventoryAndRulesOfOneFolderAreCheckedTogether() throws IOException {
+        Path inventory = edited("inventory.json", "\"service\": \"hydrant-ledger\"", "\"service\": \"hydrants\"");
+        Path rules = edited("rules.json", "x", "x");
+
+        CommandRun run = CommandRun.of("check", inventory, rules);
+
+        assertThat(run.status()).isEqualTo(ExitStatus.FINDINGS);
+        assertThat(run.output())
+                .contains("error: instances: the service 'hydrants'")
+                .contains("error: services[hydrant-ledger]: no instance of the inventory serves it");
+    }
+
+    @ParameterizedTest
+    @CsvSource({"entry-settings.json, sidecar-settings, 1", "entry-settings.json, entry-settings, 0"})
+    void theKindCanBeNamed(String file, String kind, int status) {
+        assertThat(CommandRun.of("check", "--kind", kind, BAGMATI.resolve(file)).status())
+                .isEqualTo(status);
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"check", "check nowhere.json", "check --kind table x.json", "plan a b", "", "dump here"})
+    void wrongUseHasItsOwnStatus(String line) {
+        CommandRun run = CommandRun.of((Object[]) line.split(" "));
+
+        assertThat(run.status()).isEqualTo(ExitStatus.USAGE);
+        assertThat(run.errors()).isNotBlank().doesNotContain("\tat ");
+    }
+
+    private Path edited(String name, String original, String replacement) throws IOException {
+        String text = Files.readString(BAGMATI.resolve(name)).replace(original, replacement);
+        return Files.writeString(folder.resolve(name), text);
+    }
+}
--- /dev/null
+++ b/command/src/test/java/org/merlinwood/command/DumpCommandTest.java
@@ -0,0 +1,48 @@
+package org.merlinwood.command;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.codahale.metrics.MetricRegistry;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import org.junit.jupiter.api.Test;
+import org.merlinwood.operation.port.OperatorServer;
+import org.merlinwood.operation.port.StateSection;
+
+/** Reading the state of a process, and of none. */
+class DumpCommandTest {
+
+    private record Section(String name, Object state) implements StateSection {}
+
+    private record State(int answer) {}
+
+    @Test
+    void printsTheStateOfAProcess() throws IOException {
+        InetSocketAddress address = new InetSocketAddress("127.0.0.1", freePort());
+        try (OperatorServer server = OperatorServer.builder(address, new MetricRegistry())
+                .section(new Section("example", new State(42)))
+                .build()) {
+            server.start();
+            CommandRun run = CommandRun.of("dump", "127.0.0.1:" + address.getPort());
+
+            assertThat(run.status()).isEqualTo(ExitStatus.GOOD);
+            assertThat(run.output()).contains("\"answer\" : 42");
+        }
+    }
+
+    @Test
+    void aProcessThatIsNotThereHasItsOwnStatus() throws IOException {
+        CommandRun run = CommandRun.of("dump", "127.0.0.1:" + freePort());
+
+        assertThat(run.status()).isEqualTo(ExitStatus.UNREACHABLE);
+        assertThat(run.errors()).contains("no connection");
+    }
+
+    private static int freePort() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return socket.getLocalPort();
+        }
+    }
+}
