--- a/stand-ins/src/main/java/org/merlinwood/standin/engine/impl/RateLimitedLink.java
+++ b/stand-ins/src/main/java/org/merlinwood/standin/engine/impl/RateLimitedLink.java
@@ -1,12 +1,18 @@
 package org.merlinwood.standin.engine.impl;
 
 import java.util.concurrent.TimeUnit;
+import org.merlinwood.core.time.MillisClock;
+import org.merlinwood.core.time.SystemMillisClock;
 
 /** A link whose rate all transfers share. Thread-safe. */
 public final class RateLimitedLink {
 
-    private final double nanosPerByte;
-    private long freeAtNanos = System.nanoTime();
+    private static final double MILLIS_PER_SECOND = TimeUnit.SECONDS.toMillis(1);
+    private static final double NANOS_PER_MILLI = TimeUnit.MILLISECONDS.toNanos(1);
+
+    private final MillisClock clock = SystemMillisClock.shared();
+    private final double millisPerByte;
+    private double freeAtMillis = clock.monotonicMillis();
 
     /**
      * Creates an idle link.
@@ -14,7 +20,7 @@
      * @param bytesPerSecond its rate, positive
      */
     public RateLimitedLink(long bytesPerSecond) {
-        this.nanosPerByte = (double) TimeUnit.SECONDS.toNanos(1) / bytesPerSecond;
+        this.millisPerByte = MILLIS_PER_SECOND / bytesPerSecond;
     }
 
     /**
@@ -24,15 +30,15 @@
      * @throws InterruptedException if the engine is being closed
      */
     public void pass(int bytes) throws InterruptedException {
-        long waitNanos = reserve(bytes);
+        long waitNanos = Math.round(reserveMillis(bytes) * NANOS_PER_MILLI);
         if (waitNanos > 0) {
             TimeUnit.NANOSECONDS.sleep(waitNanos);
         }
     }
 
-    private synchronized long reserve(int bytes) {
-        long now = System.nanoTime();
-        freeAtNanos = Math.max(freeAtNanos, now) + (long) (bytes * nanosPerByte);
-        return freeAtNanos - now;
+    private synchronized double reserveMillis(int bytes) {
+        double nowMillis = (double) clock.monotonicMillis();
+        freeAtMillis = Math.max(freeAtMillis, nowMillis) + bytes * millisPerByte;
+        return freeAtMillis - nowMillis;
     }
 }
