Follow inventory and rules through peers

Cause: every process watched the configuration service, whose rate grows more slowly than the fleet; a stale replica could keep a process behind. Change: two readers in each failure domain, first in rendezvous order over the inventory's active instances, watch the service; everybody else subscribes to a reader and gets line deltas that are checked by digest and judged whole again. A subscriber whose readers are silent tries the next in order, then other domains, then reads itself. Readers compare their revisions with a reader drawn at random, so a stale replica or an outage seen by one domain doesn't matter; a reader whose service fails subscribes as well. Whoever hears of a higher revision on a connection fetches it from there. A restarted process asks its seed peers and waits for them or for a bounded time before it is ready. Ruled out: deltas of parsed rows, which lose the text and let two processes judge different things. Conclusion: the module's unit tests, a fleet of 32 in virtual time under each failure, pass; nothing was measured.

--- a/following/src/main/java/org/merlinwood/following/ConfigurationFollower.java
+++ b/following/src/main/java/org/merlinwood/following/ConfigurationFollower.java
@@ -17,6 +17,9 @@
 import org.merlinwood.http.HttpClient;
 import org.merlinwood.operation.control.ControlLoop;
 import org.merlinwood.operation.port.StateSection;
+import org.merlinwood.protocol.PeerConnection;
+import org.merlinwood.protocol.PeerEndpoint;
+import org.merlinwood.wire.Frame;
 
 /**
  * Keeps a process on the highest valid revision of inventory and rules.
@@ -37,6 +40,7 @@
         long seed = builder.seed.orElseGet(() -> ThreadLocalRandom.current().nextLong());
         this.loop = new ControlLoop("following");
         this.core = new FollowerCore(
+                builder.settings,
                 new LoopTimer(loop),
                 builder.clock,
                 new HttpConfigurationService(builder.httpClient, builder.settings.configurationService(), (int) seed),
@@ -117,11 +121,20 @@
 
     // ------------------------------------------------------------------ life-cycle
 
-    /** Starts to follow the configuration service. */
+    /** Starts to follow the configuration service alone, without peers. */
     public void start() {
         core.start();
     }
 
+    /**
+     * Starts to follow the configuration service and peers.
+     *
+     * @param endpoint a started endpoint, built with {@link #serve}
+     */
+    public void start(PeerEndpoint endpoint) {
+        core.start(endpoint);
+    }
+
     /** Stops following; what is in force stays readable. */
     @Override
     public void close() {
@@ -152,12 +165,37 @@
     /**
      * Tells whether the process may serve. Cheap.
      *
-     * @return true once both documents are in force
+     * @return true once both documents are in force and the seed peers, if any, were asked
      */
     public boolean isReady() {
         return core.isReady();
     }
 
+    /**
+     * Lets an endpoint answer peers that ask for revisions, and tell them of the revisions in force.
+     *
+     * <p>The endpoint's observer has to pass on what it hears of revisions to {@link #onPeerRevisions}.
+     *
+     * @param endpoint builder of the process's endpoint
+     * @return the builder
+     */
+    @CanIgnoreReturnValue
+    public PeerEndpoint.Builder serve(PeerEndpoint.Builder endpoint) {
+        return endpoint.revisions(core::revisions)
+                .acceptor(Frame.BodyCase.DOCUMENTS_REQUEST, core::acceptRequest)
+                .acceptor(Frame.BodyCase.SUBSCRIBE, core::acceptSubscription);
+    }
+
+    /**
+     * Takes note of a correspondent's revisions, and catches up with it if it is ahead. Cheap; never blocks.
+     *
+     * @param connection the connection to the correspondent
+     * @param revisions its revisions
+     */
+    public void onPeerRevisions(PeerConnection connection, Revisions revisions) {
+        core.onPeerRevisions(connection, revisions);
+    }
+
     /**
      * Adds a listener; it hears of what is in force already at once.
      *
--- a/following/src/main/java/org/merlinwood/following/impl/FollowerCore.java
+++ b/following/src/main/java/org/merlinwood/following/impl/FollowerCore.java
@@ -3,46 +3,53 @@
 import com.codahale.metrics.Counter;
 import com.codahale.metrics.MetricRegistry;
 import com.google.common.flogger.FluentLogger;
-import java.util.EnumMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.Consumer;
-import org.merlinwood.configuration.document.InventoryReader;
-import org.merlinwood.configuration.document.RulesReader;
-import org.merlinwood.configuration.inventory.Inventory;
-import org.merlinwood.configuration.rules.Rules;
+import org.merlinwood.configuration.settings.ProcessSettings;
 import org.merlinwood.core.identity.Revisions;
 import org.merlinwood.core.time.MillisClock;
 import org.merlinwood.following.ConfigurationInForce;
 import org.merlinwood.following.FollowerState;
+import org.merlinwood.protocol.Exchange;
+import org.merlinwood.protocol.ExchangeListener;
+import org.merlinwood.protocol.PeerConnection;
+import org.merlinwood.protocol.PeerEndpoint;
+import org.merlinwood.wire.Frame;
 
-/** The control state of a follower. Everything but the volatile reads runs on the control thread. */
+/** Ties watches, peers and documents together. Everything but the volatile reads runs on the control thread. */
 public final class FollowerCore implements ServiceWatch.Listener {
 
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     private static final long TICK_MILLIS = 500;
     private static final long PAUSE_MILLIS = 2_000;
+    private static final long SEED_PATIENCE_MILLIS = 3_500;
 
+    private final ProcessSettings settings;
     private final ControlTimer timer;
     private final MillisClock clock;
-    private final DocumentHolder<Inventory> inventory;
-    private final DocumentHolder<Rules> rules;
-    private final Map<DocumentKind, ServiceWatch> watches = new EnumMap<>(DocumentKind.class);
+    private final MetricRegistry metrics;
+    private final Jitter jitter;
+    private final DocumentStore store;
+    private final ServiceWatches watches;
+    private final Subscribers subscribers;
+    private final PeerServer peerServer;
     private final List<Consumer<ConfigurationInForce>> listeners = new CopyOnWriteArrayList<>();
-    private final Map<Verdict, Counter> verdicts = new EnumMap<>(Verdict.class);
     private final Counter serviceFailures;
     private volatile Optional<ConfigurationInForce> current = Optional.empty();
-    private volatile Revisions revisions = new Revisions(Revisions.NONE, Revisions.NONE);
+    private volatile boolean settled;
+    private Optional<PeerFollowing> peers = Optional.empty();
+    private long inventoryRevision;
     private long lastTickMillis;
     private boolean closed;
 
     // ------------------------------------------------------------------ life-cycle
 
     /**
-     * Creates the state; nothing happens before {@link #start()}.
+     * Creates the state; nothing happens before it is started.
      *
+     * @param settings settings of the process
      * @param timer runs everything
      * @param clock the clock
      * @param service the configuration service
@@ -50,39 +57,49 @@
      * @param seed seed of the jitter
      */
     public FollowerCore(
-            ControlTimer timer, MillisClock clock, ConfigurationService service, MetricRegistry metrics, long seed) {
+            ProcessSettings settings,
+            ControlTimer timer,
+            MillisClock clock,
+            ConfigurationService service,
+            MetricRegistry metrics,
+            long seed) {
+        this.settings = settings;
         this.timer = timer;
         this.clock = clock;
-        this.inventory = new DocumentHolder<>(DocumentKind.INVENTORY, InventoryReader::read, clock);
-        this.rules = new DocumentHolder<>(DocumentKind.RULES, RulesReader::read, clock);
-        Jitter jitter = new Jitter(seed);
-        for (DocumentKind kind : DocumentKind.values()) {
-            DocumentHolder<?> holder = holder(kind);
-            watches.put(kind, new ServiceWatch(kind, service, timer, clock, jitter, holder::seenRevision, this));
-        }
-        for (Verdict verdict : Verdict.values()) {
-            String name = "following.documents." + verdict.name().toLowerCase(java.util.Locale.ROOT);
-            verdicts.put(verdict, metrics.counter(name));
-        }
+        this.metrics = metrics;
+        this.jitter = new Jitter(seed);
+        this.store = new DocumentStore(clock, metrics, this::onAccepted);
+        this.watches = new ServiceWatches(service, timer, clock, jitter, store, this);
+        this.subscribers = new Subscribers(store);
+        this.peerServer = new PeerServer(timer, store, subscribers);
         this.serviceFailures = metrics.counter("following.service.failures");
-        metrics.gauge("following.inventory.revision", () -> () -> revisions.inventory());
-        metrics.gauge("following.rules.revision", () -> () -> revisions.rules());
     }
 
-    /** Starts to follow. */
+    /** Starts to follow the configuration service alone. */
     public void start() {
-        timer.execute(() -> {
-            lastTickMillis = clock.monotonicMillis();
-            watches.values().forEach(ServiceWatch::start);
-            timer.schedule(TICK_MILLIS, this::tick);
-        });
+        timer.execute(() -> begin(Optional.empty()));
+    }
+
+    /**
+     * Starts to follow through peers as well.
+     *
+     * @param endpoint reaches them
+     */
+    public void start(PeerEndpoint endpoint) {
+        start(new ProtocolPeers(endpoint, timer));
+    }
+
+    void start(Peers reachable) {
+        timer.execute(() ->
+                begin(Optional.of(new PeerFollowing(settings, timer, jitter, store, reachable, watches, metrics))));
     }
 
     /** Ends all calls; what is in force stays readable. */
     public void close() {
         timer.execute(() -> {
             closed = true;
-            watches.values().forEach(ServiceWatch::stop);
+            watches.stop();
+            peers.ifPresent(PeerFollowing::close);
         });
     }
 
@@ -103,16 +120,16 @@
      * @return the revisions
      */
     public Revisions revisions() {
-        return revisions;
+        return store.revisions();
     }
 
     /**
      * Tells whether the process may serve. Thread-safe and cheap.
      *
-     * @return true once both documents are in force
+     * @return true once both documents are in force and the seed peers were asked
      */
     public boolean isReady() {
-        return current.isPresent();
+        return settled && current.isPresent();
     }
 
     /**
@@ -135,49 +152,103 @@
     public FollowerState state() {
         return new FollowerState(
                 isReady(),
-                watches.values().stream().anyMatch(ServiceWatch::isRunning),
-                "",
-                0,
-                watches.values().stream().mapToInt(ServiceWatch::failures).max().orElse(0),
-                inventory.state(),
-                rules.state());
+                watches.isRunning(),
+                peers.map(PeerFollowing::subscribedTo).orElse(""),
+                subscribers.count(),
+                watches.failures(),
+                store.state(DocumentKind.INVENTORY),
+                store.state(DocumentKind.RULES));
+    }
+
+    // ------------------------------------------------------------------ peers that ask
+
+    /**
+     * Accepts a peer's request for documents. Called on an event loop.
+     *
+     * @param exchange the exchange
+     * @param first its first frame
+     * @return the listener of the exchange
+     */
+    public ExchangeListener acceptRequest(Exchange exchange, Frame first) {
+        return peerServer.acceptRequest(exchange, first);
+    }
+
+    /**
+     * Accepts a peer's subscription. Called on an event loop.
+     *
+     * @param exchange the exchange
+     * @param first its first frame
+     * @return the listener of the exchange
+     */
+    public ExchangeListener acceptSubscription(Exchange exchange, Frame first) {
+        return peerServer.acceptSubscription(exchange, first);
+    }
+
+    /**
+     * Takes note of a correspondent's revisions. Thread-safe and cheap where this process is not behind.
+     *
+     * @param connection the connection to it
+     * @param theirs its revisions
+     */
+    public void onPeerRevisions(PeerConnection connection, Revisions theirs) {
+        if (store.revisions().isBehind(theirs)) {
+            onPeerRevisions(ProtocolPeers.of(connection, timer), theirs);
+        }
+    }
+
+    void onPeerRevisions(Peer peer, Revisions theirs) {
+        timer.execute(() -> peers.ifPresent(following -> following.onRevisions(peer, theirs)));
+    }
+
+    Subscribers subscribers() {
+        return subscribers;
+    }
+
+    DocumentStore store() {
+        return store;
     }
 
     // ------------------------------------------------------------------ answers of the service
 
     @Override
     public void onDocument(DocumentKind kind, ServiceAnswer.Published document) {
-        offer(kind, document.revision(), document.text(), "configuration service");
+        store.offer(kind, document.revision(), document.text(), "configuration service");
     }
 
     @Override
-    public void onAnswered(DocumentKind kind) {}
+    public void onAnswered(DocumentKind kind) {
+        peers.ifPresent(PeerFollowing::reconsider);
+    }
 
     @Override
     public void onFailure(DocumentKind kind) {
         serviceFailures.inc();
+        peers.ifPresent(PeerFollowing::reconsider);
     }
 
     // ------------------------------------------------------------------ internals
 
-    private Verdict offer(DocumentKind kind, long revision, String text, String origin) {
-        Verdict verdict = holder(kind).offer(revision, text, origin);
-        verdicts.get(verdict).inc();
-        if (verdict == Verdict.ACCEPTED) {
-            publish();
-        }
-        return verdict;
+    private void begin(Optional<PeerFollowing> following) {
+        peers = following;
+        lastTickMillis = clock.monotonicMillis();
+        watches.start();
+        peers.ifPresent(PeerFollowing::start);
+        settled = peers.isEmpty();
+        timer.schedule(SEED_PATIENCE_MILLIS, () -> settled = true);
+        timer.schedule(TICK_MILLIS, this::tick);
     }
 
-    private void publish() {
-        revisions = new Revisions(inventory.revision(), rules.revision());
-        if (inventory.held().isEmpty() || rules.held().isEmpty()) {
-            return;
+    private void onAccepted() {
+        subscribers.publish();
+        if (peers.isPresent() && store.revisions().inventory() != inventoryRevision) {
+            inventoryRevision = store.revisions().inventory();
+            store.inventory().ifPresent(peers.get()::onInventory);
+        }
+        Optional<ConfigurationInForce> next = store.current();
+        if (next.isPresent()) {
+            current = next;
+            listeners.forEach(listener -> tell(listener, next.get()));
         }
-        ConfigurationInForce configuration = new ConfigurationInForce(
-                inventory.held().get().value(), rules.held().get().value());
-        current = Optional.of(configuration);
-        listeners.forEach(listener -> tell(listener, configuration));
     }
 
     private static void tell(Consumer<ConfigurationInForce> listener, ConfigurationInForce configuration) {
@@ -195,16 +266,11 @@
         long now = clock.monotonicMillis();
         if (now - lastTickMillis > TICK_MILLIS + PAUSE_MILLIS) {
             logger.atWarning().log("this process was paused for %d ms; it catches up", now - lastTickMillis);
-            watches.values().forEach(ServiceWatch::restart);
+            watches.restart();
+            peers.ifPresent(PeerFollowing::restart);
         }
         lastTickMillis = now;
+        settled = settled || peers.map(PeerFollowing::isSettled).orElse(true);
         timer.schedule(TICK_MILLIS, this::tick);
     }
-
-    private DocumentHolder<?> holder(DocumentKind kind) {
-        return switch (kind) {
-            case INVENTORY -> inventory;
-            case RULES -> rules;
-        };
-    }
 }
--- /dev/null
+++ b/following/src/main/java/org/merlinwood/following/impl/PeerFollowing.java
@@ -0,0 +1,221 @@
+package org.merlinwood.following.impl;
+
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.MetricRegistry;
+import java.util.List;
+import java.util.Optional;
+import org.merlinwood.configuration.inventory.Inventory;
+import org.merlinwood.configuration.inventory.NetworkAddress;
+import org.merlinwood.configuration.settings.ProcessSettings;
+import org.merlinwood.core.identity.Revisions;
+import org.merlinwood.core.result.Failure;
+
+/**
+ * Follows through peers: asks the seed peers at the start, subscribes, compares with other readers, and catches up with
+ * whoever is ahead. Used by the control thread alone.
+ */
+final class PeerFollowing implements PeerSubscriber.Listener {
+
+    private static final long COMPARE_MILLIS = 1_500;
+    private static final long CATCH_UP_JITTER_MILLIS = 200;
+    private static final long CATCH_UP_INTERVAL_MILLIS = 1_000;
+    private static final long SEED_RETRY_MILLIS = 2_000;
+    private static final int FAILURES_BEFORE_BACKUP = 2;
+
+    /** Decides about the watch of the configuration service, on the control thread. */
+    interface Watching {
+        void start();
+
+        void stop();
+
+        boolean isRunning();
+
+        int failures();
+    }
+
+    private final ProcessSettings settings;
+    private final ControlTimer timer;
+    private final Jitter jitter;
+    private final DocumentStore store;
+    private final Peers peers;
+    private final Watching watching;
+    private final PeerSubscriber subscriber;
+    private final Counter fetches;
+    private Optional<ReaderPlan> plan = Optional.empty();
+    private int pendingSeeds;
+    private boolean heard;
+    private boolean catchingUp;
+    private boolean closed;
+
+    PeerFollowing(
+            ProcessSettings settings,
+            ControlTimer timer,
+            Jitter jitter,
+            DocumentStore store,
+            Peers peers,
+            Watching watching,
+            MetricRegistry metrics) {
+        this.settings = settings;
+        this.timer = timer;
+        this.jitter = jitter;
+        this.store = store;
+        this.peers = peers;
+        this.watching = watching;
+        this.subscriber = new PeerSubscriber(peers, timer, jitter, store::revisions, this);
+        this.fetches = metrics.counter("following.peer.fetches");
+    }
+
+    // ------------------------------------------------------------------ life-cycle
+
+    void start() {
+        askSeeds();
+        timer.schedule(jitter.around(COMPARE_MILLIS), this::compare);
+    }
+
+    void close() {
+        closed = true;
+        subscriber.stop();
+    }
+
+    /** Begins anew after a pause of the process. */
+    void restart() {
+        subscriber.restart();
+        compareNow();
+    }
+
+    // ------------------------------------------------------------------ events
+
+    /** A new inventory is in force: who reads may have changed. */
+    void onInventory(Inventory inventory) {
+        plan = Optional.of(ReaderPlan.of(inventory, settings.instance(), settings.failureDomain()));
+        reconsider();
+    }
+
+    /** The watch of the service failed or recovered. */
+    void reconsider() {
+        if (closed || plan.isEmpty()) {
+            return;
+        }
+        if (!plan.get().nominalReader()) {
+            subscriber.follow(plan.get().candidates());
+            return;
+        }
+        watching.start();
+        if (watching.failures() >= FAILURES_BEFORE_BACKUP) {
+            subscriber.follow(plan.get().candidates());
+        } else if (watching.failures() == 0) {
+            subscriber.stop();
+        }
+    }
+
+    /** A correspondent has told of its revisions. */
+    void onRevisions(Peer peer, Revisions theirs) {
+        if (closed || catchingUp || !store.revisions().isBehind(theirs)) {
+            return;
+        }
+        catchingUp = true;
+        timer.schedule(jitter.upTo(CATCH_UP_JITTER_MILLIS), () -> {
+            if (store.revisions().isBehind(theirs)) {
+                fetch(peer, store.revisions());
+            }
+        });
+        timer.schedule(CATCH_UP_INTERVAL_MILLIS, () -> catchingUp = false);
+    }
+
+    @Override
+    public void onUpdates(Peer peer, List<DocumentUpdate> updates) {
+        heard = true;
+        updates.forEach(update -> apply(peer, update));
+    }
+
+    @Override
+    public void onSubscribed() {
+        if (plan.isPresent() && !plan.get().nominalReader()) {
+            watching.stop();
+        }
+    }
+
+    @Override
+    public void onExhausted() {
+        watching.start();
+    }
+
+    // ------------------------------------------------------------------ state
+
+    /** True once a peer answered, or none of the seed peers can be expected to. */
+    boolean isSettled() {
+        return heard || pendingSeeds == 0;
+    }
+
+    String subscribedTo() {
+        return subscriber.subscribedTo();
+    }
+
+    // ------------------------------------------------------------------ internals
+
+    private void askSeeds() {
+        if (closed) {
+            return;
+        }
+        List<NetworkAddress> seeds = settings.seedPeers().stream()
+                .filter(seed -> !seed.equals(settings.peerAddress()))
+                .toList();
+        pendingSeeds = seeds.size();
+        seeds.forEach(seed -> fetch(peers.at(seed), store.revisions(), () -> pendingSeeds--));
+        timer.schedule(jitter.around(SEED_RETRY_MILLIS), () -> {
+            if (!store.revisions().isComplete()) {
+                askSeeds();
+            }
+        });
+    }
+
+    private void compare() {
+        if (!closed) {
+            compareNow();
+            timer.schedule(jitter.around(COMPARE_MILLIS), this::compare);
+        }
+    }
+
+    private void compareNow() {
+        List<NetworkAddress> readers = plan.map(ReaderPlan::readers).orElse(List.of());
+        if (watching.isRunning() && !readers.isEmpty()) {
+            fetch(peers.at(readers.get(jitter.index(readers.size()))), store.revisions());
+        }
+    }
+
+    private void apply(Peer peer, DocumentUpdate update) {
+        if (store.apply(update, peer.name()) == DocumentStore.Applied.NEEDS_WHOLE) {
+            fetch(peer, without(update.kind()));
+        }
+    }
+
+    private Revisions without(DocumentKind kind) {
+        Revisions known = store.revisions();
+        return switch (kind) {
+            case INVENTORY -> new Revisions(Revisions.NONE, known.rules());
+            case RULES -> new Revisions(known.inventory(), Revisions.NONE);
+        };
+    }
+
+    private void fetch(Peer peer, Revisions known) {
+        fetch(peer, known, () -> {});
+    }
+
+    private void fetch(Peer peer, Revisions known, Runnable onDone) {
+        fetches.inc();
+        peer.fetch(known, new Peer.Listener() {
+            @Override
+            public void onUpdates(List<DocumentUpdate> updates) {
+                onDone.run();
+                if (!closed) {
+                    PeerFollowing.this.onUpdates(peer, updates);
+                }
+            }
+
+            @Override
+            public void onEnded(Failure failure) {
+                onDone.run();
+            }
+        });
+    }
+}
--- /dev/null
+++ b/following/src/main/java/org/merlinwood/following/impl/ProtocolPeers.java
@@ -0,0 +1,158 @@
+package org.merlinwood.following.impl;
+
+import io.vavr.control.Either;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.atomic.AtomicReference;
+import org.merlinwood.configuration.inventory.NetworkAddress;
+import org.merlinwood.core.identity.Revisions;
+import org.merlinwood.core.result.Failure;
+import org.merlinwood.core.result.ResultCode;
+import org.merlinwood.protocol.Exchange;
+import org.merlinwood.protocol.ExchangeListener;
+import org.merlinwood.protocol.PeerConnection;
+import org.merlinwood.protocol.PeerEndpoint;
+import org.merlinwood.protocol.WireValues;
+import org.merlinwood.wire.DocumentsRequest;
+import org.merlinwood.wire.Frame;
+import org.merlinwood.wire.Subscribe;
+
+/** Peers over the protocol between processes. Thread-safe. */
+final class ProtocolPeers implements Peers {
+
+    private static final long FETCH_LIMIT_MILLIS = 3_000;
+
+    private final PeerEndpoint endpoint;
+    private final ControlTimer timer;
+
+    ProtocolPeers(PeerEndpoint endpoint, ControlTimer timer) {
+        this.endpoint = endpoint;
+        this.timer = timer;
+    }
+
+    // ------------------------------------------------------------------ public API
+
+    @Override
+    public Peer at(NetworkAddress address) {
+        InetSocketAddress socketAddress = new InetSocketAddress(address.host(), address.port());
+        return new ProtocolPeer(address.toString(), () -> endpoint.connect(socketAddress), timer);
+    }
+
+    /** The process at the other end of a connection. */
+    static Peer of(PeerConnection connection, ControlTimer timer) {
+        String name = connection.peer().instance().value();
+        return new ProtocolPeer(name, () -> CompletableFuture.completedFuture(Either.right(connection)), timer);
+    }
+
+    // ------------------------------------------------------------------ internals
+
+    private interface Connector {
+        CompletionStage<Either<Failure, PeerConnection>> connect();
+    }
+
+    private record ProtocolPeer(String name, Connector connector, ControlTimer timer) implements Peer {
+
+        @Override
+        public void fetch(Revisions known, Listener listener) {
+            Conversation conversation = new Conversation(timer, listener, true);
+            Frame.Builder request = Frame.newBuilder()
+                    .setDocumentsRequest(DocumentsRequest.newBuilder().setKnown(WireValues.toWire(known)));
+            connector.connect().thenAccept(result -> conversation.begin(result, request));
+            timer.schedule(FETCH_LIMIT_MILLIS, conversation::giveUp);
+        }
+
+        @Override
+        public Subscription subscribe(Revisions known, Listener listener) {
+            Conversation conversation = new Conversation(timer, listener, false);
+            Frame.Builder request =
+                    Frame.newBuilder().setSubscribe(Subscribe.newBuilder().setKnown(WireValues.toWire(known)));
+            connector.connect().thenAccept(result -> conversation.begin(result, request));
+            return conversation;
+        }
+    }
+
+    /**
+     * One exchange: a single answer or a subscription. Frames come on event loops, everything else on the control
+     * thread.
+     */
+    private static final class Conversation implements ExchangeListener, Peer.Subscription {
+
+        private final ControlTimer timer;
+        private final Peer.Listener listener;
+        private final boolean single;
+        private final AtomicReference<Exchange> exchange = new AtomicReference<>();
+        private boolean over;
+
+        private Conversation(ControlTimer timer, Peer.Listener listener, boolean single) {
+            this.timer = timer;
+            this.listener = listener;
+            this.single = single;
+        }
+
+        private void begin(Either<Failure, PeerConnection> result, Frame.Builder request) {
+            timer.execute(() -> {
+                if (over) {
+                    return;
+                }
+                if (result.isLeft()) {
+                    finish(result.getLeft());
+                    return;
+                }
+                Exchange opened = result.get().open(this);
+                exchange.set(opened);
+                if (!opened.send(request)) {
+                    finish(Failure.of(ResultCode.CONNECTION_LOST, "the request could not be sent"));
+                }
+            });
+        }
+
+        @Override
+        public void onFrame(Exchange source, Frame frame) {
+            timer.execute(() -> {
+                if (over) {
+                    return;
+                }
+                if (frame.getBodyCase() != Frame.BodyCase.DOCUMENTS) {
+                    finish(Failure.of(ResultCode.PROTOCOL_VIOLATION, "not documents: " + frame.getBodyCase()));
+                    return;
+                }
+                if (single) {
+                    end();
+                }
+                listener.onUpdates(DocumentMessages.fromWire(frame.getDocuments()));
+            });
+        }
+
+        @Override
+        public void onClosed(Exchange source, ResultCode code) {
+            timer.execute(() -> finish(Failure.of(code, "the connection ended")));
+        }
+
+        @Override
+        public void end() {
+            over = true;
+            Exchange opened = exchange.getAndSet(null);
+            if (opened != null) {
+                opened.finish();
+            }
+        }
+
+        private void giveUp() {
+            finish(Failure.of(ResultCode.PEER_SILENT, "no answer in time"));
+        }
+
+        private void finish(Failure failure) {
+            if (!over) {
+                end();
+                listener.onEnded(failure);
+            }
+        }
+    }
+
+    /** Sends updates on an exchange that a peer opened. */
+    static boolean send(Exchange exchange, List<DocumentUpdate> updates) {
+        return exchange.send(Frame.newBuilder().setDocuments(DocumentMessages.toWire(updates)));
+    }
+}
--- /dev/null
+++ b/following/src/test/java/org/merlinwood/following/impl/FakeFleet.java
@@ -0,0 +1,198 @@
+package org.merlinwood.following.impl;
+
+import com.codahale.metrics.MetricRegistry;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.function.BiPredicate;
+import java.util.function.Predicate;
+import java.util.stream.IntStream;
+import org.merlinwood.configuration.inventory.NetworkAddress;
+import org.merlinwood.core.identity.InstanceName;
+import org.merlinwood.core.identity.Revisions;
+import org.merlinwood.core.result.Failure;
+import org.merlinwood.core.result.ResultCode;
+import org.merlinwood.core.time.ManualMillisClock;
+
+/** Followers in virtual time, joined by links that can be cut. A cut link is noticed after a silence. */
+final class FakeFleet {
+
+    private static final long LATENCY_MILLIS = 1;
+    private static final long SILENCE_MILLIS = 1_500;
+
+    final ManualMillisClock clock = new ManualMillisClock(1);
+    final VirtualTimer timer = new VirtualTimer(clock);
+    final FakeService service = new FakeService(clock, timer);
+    final List<FollowerCore> followers = new ArrayList<>();
+    final List<MetricRegistry> metrics = new ArrayList<>();
+    private final Set<Link> links = new HashSet<>();
+    private BiPredicate<Integer, Integer> cut = (from, to) -> false;
+
+    FakeFleet(int size, List<NetworkAddress> seedPeers) {
+        IntStream.range(0, size).forEach(index -> add(index, service, seedPeers));
+    }
+
+    // ------------------------------------------------------------------ processes
+
+    /** Starts a process; one of the same index that ran before is gone. */
+    FollowerCore add(int index, ConfigurationService itsService, List<NetworkAddress> seedPeers) {
+        MetricRegistry registry = new MetricRegistry();
+        FollowerCore follower = new FollowerCore(
+                TestDocuments.settings(index, seedPeers), timer, clock, itsService, registry, 100 + index);
+        if (index < followers.size()) {
+            followers.get(index).close();
+            followers.set(index, follower);
+            metrics.set(index, registry);
+            Set.copyOf(links).forEach(link -> link.endIfOf(index));
+        } else {
+            followers.add(follower);
+            metrics.add(registry);
+        }
+        follower.start(address -> new FakePeer(index, indexOf(address)));
+        return follower;
+    }
+
+    /** Cuts links from now on. */
+    void cut(BiPredicate<Integer, Integer> pairs) {
+        cut = (from, to) -> pairs.test(from, to) || pairs.test(to, from);
+        timer.schedule(SILENCE_MILLIS, () -> Set.copyOf(links).forEach(Link::endIfCut));
+    }
+
+    void heal() {
+        cut = (from, to) -> false;
+    }
+
+    // ------------------------------------------------------------------ what is seen
+
+    List<Integer> readers() {
+        return IntStream.range(0, followers.size())
+                .filter(index -> followers.get(index).state().readsService())
+                .boxed()
+                .toList();
+    }
+
+    boolean allAt(Revisions revisions) {
+        return followers.stream().allMatch(follower -> follower.revisions().equals(revisions));
+    }
+
+    /** Runs until all have the revisions; the time that took, or -1. */
+    long millisUntilAllAt(Revisions revisions, long limitMillis) {
+        long begin = clock.monotonicMillis();
+        boolean reached = timer.runUntil(() -> allAt(revisions), begin + limitMillis);
+        return reached ? clock.monotonicMillis() - begin : -1;
+    }
+
+    Peer peer(int from, int to) {
+        return new FakePeer(from, to);
+    }
+
+    // ------------------------------------------------------------------ links
+
+    private int indexOf(NetworkAddress address) {
+        return IntStream.range(0, followers.size())
+                .filter(index -> TestDocuments.address(index).equals(address.toString()))
+                .findFirst()
+                .orElse(-1);
+    }
+
+    private final class FakePeer implements Peer {
+
+        private final int from;
+        private final int to;
+
+        private FakePeer(int from, int to) {
+            this.from = from;
+            this.to = to;
+        }
+
+        @Override
+        public String name() {
+            return TestDocuments.address(to);
+        }
+
+        @Override
+        public void fetch(Revisions known, Listener listener) {
+            if (unreachable()) {
+                timer.schedule(LATENCY_MILLIS, () -> listener.onEnded(unreachableFailure()));
+                return;
+            }
+            timer.schedule(LATENCY_MILLIS, () -> {
+                List<DocumentUpdate> updates = followers.get(to).store().since(known);
+                timer.schedule(LATENCY_MILLIS, () -> listener.onUpdates(updates));
+            });
+        }
+
+        @Override
+        public Subscription subscribe(Revisions known, Listener listener) {
+            if (unreachable()) {
+                timer.schedule(LATENCY_MILLIS, () -> listener.onEnded(unreachableFailure()));
+                return () -> {};
+            }
+            Link link = new Link(from, to, listener);
+            links.add(link);
+            timer.schedule(LATENCY_MILLIS, () -> link.begin(known));
+            return link;
+        }
+
+        private boolean unreachable() {
+            return to < 0 || cut.test(from, to);
+        }
+    }
+
+    private final class Link implements Peer.Subscription {
+
+        private final int from;
+        private final int to;
+        private final Peer.Listener listener;
+        private final Predicate<List<DocumentUpdate>> sender = this::send;
+
+        private Link(int from, int to, Peer.Listener listener) {
+            this.from = from;
+            this.to = to;
+            this.listener = listener;
+        }
+
+        private void begin(Revisions known) {
+            followers.get(to).subscribers().add(new InstanceName(TestDocuments.name(from)), known, sender);
+        }
+
+        private boolean send(List<DocumentUpdate> updates) {
+            if (!cut.test(from, to)) {
+                timer.schedule(LATENCY_MILLIS, () -> {
+                    if (links.contains(this)) {
+                        listener.onUpdates(updates);
+                    }
+                });
+            }
+            return true;
+        }
+
+        /** The process at one of the ends was replaced: its connections are closed. */
+        private void endIfOf(int index) {
+            if (from == index) {
+                end();
+            } else if (to == index) {
+                links.remove(this);
+                listener.onEnded(unreachableFailure());
+            }
+        }
+
+        private void endIfCut() {
+            if (cut.test(from, to) && links.contains(this)) {
+                end();
+                listener.onEnded(unreachableFailure());
+            }
+        }
+
+        @Override
+        public void end() {
+            links.remove(this);
+            followers.get(to).subscribers().remove(new InstanceName(TestDocuments.name(from)), sender);
+        }
+    }
+
+    private static Failure unreachableFailure() {
+        return Failure.of(ResultCode.PEER_SILENT, "the link is cut");
+    }
+}
--- /dev/null
+++ b/following/src/test/java/org/merlinwood/following/impl/PeerFollowingTest.java
@@ -0,0 +1,247 @@
+package org.merlinwood.following.impl;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.merlinwood.configuration.inventory.NetworkAddress;
+import org.merlinwood.core.identity.Revisions;
+
+/** A fleet of 32 in two failure domains that follows through peers, under each failure. */
+class PeerFollowingTest {
+
+    private static final int SIZE = 32;
+    private static final long SETTLING_MILLIS = 20_000;
+    private static final long WITHIN_MILLIS = 4_000;
+    private static final long HOUR_MILLIS = 3_600_000;
+    private static final List<NetworkAddress> SEEDS =
+            List.of(NetworkAddress.parse(TestDocuments.address(0)), NetworkAddress.parse(TestDocuments.address(9)));
+
+    private FakeFleet fleet;
+
+    @BeforeEach
+    void start() {
+        fleet = new FakeFleet(SIZE, SEEDS);
+        publish(5);
+        fleet.service.publish("rules", 2, TestDocuments.RULES);
+        fleet.timer.run(SETTLING_MILLIS);
+        assertThat(fleet.allAt(new Revisions(5, 2))).isTrue();
+    }
+
+    @Test
+    void twoInEachDomainRead() {
+        assertThat(fleet.readers()).hasSize(2 * ReaderPlan.READERS);
+        assertThat(fleet.readers().stream().map(TestDocuments::domain).distinct())
+                .hasSize(2);
+    }
+
+    @Test
+    void theServiceIsCalledAsOftenAsReadersAsk() {
+        int before = fleet.service.calls();
+        fleet.timer.run(60_000);
+
+        int documents = 2;
+        int shortestWatchMillis = 2_500;
+        int readers = 2 * ReaderPlan.READERS;
+        assertThat(fleet.service.calls() - before)
+                .isLessThanOrEqualTo(readers * documents * 60_000 / shortestWatchMillis);
+    }
+
+    @Test
+    void aChangeReachesEverybodyAsADelta() {
+        long wholesBefore = updates("whole");
+        publish(6);
+
+        assertThat(fleet.millisUntilAllAt(new Revisions(6, 2), WITHIN_MILLIS)).isNotNegative();
+        assertThat(updates("whole")).isEqualTo(wholesBefore);
+        assertThat(updates("delta")).isGreaterThanOrEqualTo(SIZE - 2L * ReaderPlan.READERS);
+    }
+
+    @Test
+    void aSkippedRevisionIsNoHindrance() {
+        publish(9);
+
+        assertThat(fleet.millisUntilAllAt(new Revisions(9, 2), WITHIN_MILLIS)).isNotNegative();
+    }
+
+    @ParameterizedTest
+    @CsvSource({"6, 7", "7, 6"})
+    void twoOperatorsRacingEndOnTheHigherRevision(long first, long second) {
+        publish(first);
+        fleet.timer.run(1);
+        publish(second);
+
+        assertThat(fleet.millisUntilAllAt(new Revisions(7, 2), WITHIN_MILLIS)).isNotNegative();
+        fleet.timer.run(SETTLING_MILLIS);
+        assertThat(fleet.allAt(new Revisions(7, 2))).isTrue();
+    }
+
+    @Test
+    void anInvalidRevisionReachesNobody() {
+        fleet.service.publish("inventory", 6, TestDocuments.invalidInventory());
+        fleet.timer.run(SETTLING_MILLIS);
+
+        assertThat(fleet.allAt(new Revisions(5, 2))).isTrue();
+        assertThat(fleet.followers
+                        .get(fleet.readers().get(0))
+                        .state()
+                        .inventory()
+                        .rejectedRevision())
+                .isEqualTo(6);
+    }
+
+    @Test
+    void silentReadersAreReplacedAndChangesGoOn() {
+        List<Integer> silent = fleet.readers();
+        fleet.cut((from, to) -> silent.contains(from));
+        fleet.timer.run(SETTLING_MILLIS);
+        publish(6);
+        fleet.timer.run(WITHIN_MILLIS);
+
+        for (int index = 0; index < SIZE; index++) {
+            assertThat(fleet.followers.get(index).revisions().inventory())
+                    .as("process %d", index)
+                    .isEqualTo(6);
+        }
+        assertThat(fleet.readers()).hasSizeBetween(silent.size() + 1, silent.size() + 8);
+    }
+
+    @Test
+    void aLongOutageOfTheServiceChangesNothing() {
+        fleet.service.fail(new ServiceAnswer.Unavailable("down"));
+        fleet.timer.run(HOUR_MILLIS);
+
+        assertThat(fleet.followers).allMatch(FollowerCore::isReady);
+        fleet.service.recover();
+        publish(6);
+        assertThat(fleet.millisUntilAllAt(new Revisions(6, 2), SETTLING_MILLIS)).isNotNegative();
+    }
+
+    @Test
+    void aProcessRestartedDuringAnOutageGetsTheRevisionsFromItsSeeds() {
+        fleet.service.fail(new ServiceAnswer.Unavailable("down"));
+        FollowerCore restarted = fleet.add(20, fleet.service, SEEDS);
+        assertThat(restarted.isReady()).isFalse();
+        fleet.timer.run(WITHIN_MILLIS);
+
+        assertThat(restarted.isReady()).isTrue();
+        assertThat(restarted.revisions()).isEqualTo(new Revisions(5, 2));
+    }
+
+    @Test
+    void aProcessThatHearsOfNobodyDoesNotServe() {
+        fleet.service.fail(new ServiceAnswer.Unavailable("down"));
+        fleet.cut((from, to) -> from == 20);
+        FollowerCore restarted = fleet.add(20, fleet.service, SEEDS);
+        fleet.timer.run(SETTLING_MILLIS);
+
+        assertThat(restarted.isReady()).isFalse();
+    }
+
+    @Test
+    void aStaleReplicaTakesARestartedProcessNotBack() {
+        publish(6);
+        fleet.timer.run(WITHIN_MILLIS);
+        FollowerCore restarted = fleet.add(20, staleReplica(), SEEDS);
+        boolean wasReadyWithOldRevision = fleet.timer.runUntil(
+                () -> restarted.isReady() && restarted.revisions().inventory() < 6,
+                fleet.clock.monotonicMillis() + WITHIN_MILLIS);
+
+        assertThat(wasReadyWithOldRevision).isFalse();
+        assertThat(restarted.revisions().inventory()).isEqualTo(6);
+    }
+
+    @Test
+    void readersWithAStaleReplicaLearnFromReadersOfTheOtherDomain() {
+        fleet.readers().stream()
+                .filter(index -> TestDocuments.domain(index).equals("a"))
+                .toList()
+                .forEach(index -> fleet.add(index, staleReplica(), SEEDS));
+        fleet.timer.run(SETTLING_MILLIS);
+        publish(6);
+
+        assertThat(fleet.millisUntilAllAt(new Revisions(6, 2), 2 * WITHIN_MILLIS))
+                .isNotNegative();
+    }
+
+    @Test
+    void aPartitionedDomainReadsItselfAndCatchesUp() {
+        fleet.cut((from, to) -> TestDocuments.domain(from).equals("a")
+                && TestDocuments.domain(to).equals("b"));
+        fleet.timer.run(SETTLING_MILLIS);
+        publish(6);
+
+        assertThat(fleet.millisUntilAllAt(new Revisions(6, 2), WITHIN_MILLIS)).isNotNegative();
+    }
+
+    @Test
+    void aProcessCutOffFromPeersAndServiceCatchesUpAfterwards() {
+        ConfigurationService unreachable = (document, after, wait) ->
+                java.util.concurrent.CompletableFuture.completedFuture(new ServiceAnswer.Unavailable("cut"));
+        FollowerCore isolated = fleet.add(20, unreachable, SEEDS);
+        fleet.timer.run(SETTLING_MILLIS);
+        fleet.cut((from, to) -> from == 20);
+        fleet.timer.run(SETTLING_MILLIS);
+        publish(6);
+        fleet.timer.run(SETTLING_MILLIS);
+        assertThat(isolated.revisions().inventory()).isEqualTo(5);
+
+        fleet.heal();
+        fleet.timer.run(2 * WITHIN_MILLIS);
+        assertThat(isolated.revisions().inventory()).isEqualTo(6);
+    }
+
+    @Test
+    void whoHearsOfAHigherRevisionCatchesUpWithTheCorrespondent() {
+        fleet.service.fail(new ServiceAnswer.Unavailable("down"));
+        fleet.cut((from, to) -> from == 20 || from == 21);
+        fleet.timer.run(SETTLING_MILLIS);
+        fleet.followers
+                .get(21)
+                .onDocument(DocumentKind.INVENTORY, new ServiceAnswer.Published(6, TestDocuments.inventory(SIZE, 6)));
+        fleet.heal();
+        fleet.followers.get(20).onPeerRevisions(fleet.peer(20, 21), new Revisions(6, 2));
+        fleet.timer.run(250);
+
+        assertThat(fleet.followers.get(20).revisions().inventory()).isEqualTo(6);
+    }
+
+    @Test
+    void aPausedFleetCatchesUpOnWaking() {
+        fleet.clock.advanceMillis(HOUR_MILLIS);
+        publish(8);
+
+        assertThat(fleet.millisUntilAllAt(new Revisions(8, 2), WITHIN_MILLIS)).isNotNegative();
+    }
+
+    @Test
+    void anInstanceAddedLaterSubscribesAndLeavesTheServiceAlone() {
+        FollowerCore added = fleet.add(SIZE, fleet.service, SEEDS);
+        fleet.service.publish("inventory", 6, TestDocuments.inventory(SIZE + 1, 6));
+        fleet.timer.run(SETTLING_MILLIS);
+
+        assertThat(added.revisions().inventory()).isEqualTo(6);
+        assertThat(fleet.readers()).hasSize(2 * ReaderPlan.READERS);
+    }
+
+    private ConfigurationService staleReplica() {
+        FakeService stale = new FakeService(fleet.clock, fleet.timer);
+        stale.publish("inventory", 5, TestDocuments.inventory(SIZE, 5));
+        stale.publish("rules", 2, TestDocuments.RULES);
+        return stale;
+    }
+
+    private void publish(long revision) {
+        fleet.service.publish("inventory", revision, TestDocuments.inventory(SIZE, (int) revision));
+    }
+
+    private long updates(String kind) {
+        return fleet.metrics.stream()
+                .mapToLong(registry ->
+                        registry.counter("following.updates." + kind).getCount())
+                .sum();
+    }
+}
--- a/following/src/test/java/org/merlinwood/following/impl/ServiceFollowingTest.java
+++ b/following/src/test/java/org/merlinwood/following/impl/ServiceFollowingTest.java
@@ -24,7 +24,8 @@
     private final VirtualTimer timer = new VirtualTimer(clock);
     private final FakeService service = new FakeService(clock, timer);
     private final MetricRegistry metrics = new MetricRegistry();
-    private final FollowerCore core = new FollowerCore(timer, clock, service, metrics, 7);
+    private final FollowerCore core =
+            new FollowerCore(TestDocuments.settings(0, List.of()), timer, clock, service, metrics, 7);
     private final List<Revisions> heard = new ArrayList<>();
 
     @BeforeEach
--- a/following/src/test/java/org/merlinwood/following/impl/TestDocuments.java
+++ b/following/src/test/java/org/merlinwood/following/impl/TestDocuments.java
@@ -3,6 +3,10 @@
 import java.util.List;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
+import org.merlinwood.configuration.inventory.NetworkAddress;
+import org.merlinwood.configuration.settings.ProcessSettings;
+import org.merlinwood.core.identity.FailureDomain;
+import org.merlinwood.core.identity.InstanceName;
 
 /** Texts of small documents. */
 final class TestDocuments {
@@ -47,8 +51,16 @@
         return "10.0.0." + (index + 1) + ":7100";
     }
 
-    static List<String> addresses(int instances) {
-        return IntStream.range(0, instances).mapToObj(TestDocuments::address).toList();
+    /** Settings of the process of a row. */
+    static ProcessSettings settings(int index, List<NetworkAddress> seedPeers) {
+        return new ProcessSettings(
+                new InstanceName(name(index)),
+                new FailureDomain(domain(index)),
+                NetworkAddress.parse(address(index)),
+                new NetworkAddress("127.0.0.1", 1),
+                List.of(new NetworkAddress("127.0.0.1", 2)),
+                seedPeers,
+                List.of());
     }
 
     private static String row(int index, int concurrency) {
