--- /dev/null
+++ b/proving/src/main/java/org/merlinwood/proving/caller/EventStreamReader.java
@@ -0,0 +1,85 @@
+package org.merlinwood.proving.caller;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+
+/** Reads server-sent events of one completion. Used by one thread at a time. */
+final class EventStreamReader {
+
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+    private static final String DATA = "data:";
+    private static final String DONE = "[DONE]";
+
+    private final ByteArrayOutputStream line = new ByteArrayOutputStream();
+    private final StringBuilder text = new StringBuilder();
+    private String finishReason = "";
+    private Optional<Integer> code = Optional.empty();
+    private Optional<String> execution = Optional.empty();
+    private boolean done;
+    private int terminalEvents;
+    private int eventsBehindTheEnd;
+
+    void read(byte[] bytes) {
+        for (byte each : bytes) {
+            if (each == '\n') {
+                readLine(line.toString(StandardCharsets.UTF_8).strip());
+                line.reset();
+            } else {
+                line.write(each);
+            }
+        }
+    }
+
+    boolean hasText() {
+        return !text.isEmpty();
+    }
+
+    /** Returns whether the stream ended well and nothing came behind its end. */
+    boolean isDone() {
+        return done && eventsBehindTheEnd == 0;
+    }
+
+    int terminalEvents() {
+        return terminalEvents;
+    }
+
+    AnswerBody body() {
+        return new AnswerBody(text.toString(), finishReason, code, execution);
+    }
+
+    private void readLine(String content) {
+        if (!content.startsWith(DATA)) {
+            return;
+        }
+        if (terminalEvents > 0) {
+            eventsBehindTheEnd++;
+        }
+        String data = content.substring(DATA.length()).strip();
+        if (data.equals(DONE)) {
+            done = true;
+            terminalEvents++;
+        } else {
+            readEvent(data);
+        }
+    }
+
+    private void readEvent(String data) {
+        AnswerBody event;
+        try {
+            event = AnswerBody.of(MAPPER.readTree(data));
+        } catch (JsonProcessingException exception) {
+            text.append("<not JSON: ").append(data).append('>');
+            return;
+        }
+        text.append(event.text());
+        finishReason = event.finishReason().isEmpty() ? finishReason : event.finishReason();
+        if (event.code().isPresent()) {
+            code = event.code();
+            execution = event.execution();
+            terminalEvents++;
+        }
+    }
+}
--- /dev/null
+++ b/proving/src/main/java/org/merlinwood/proving/caller/RequestUnderway.java
@@ -0,0 +1,124 @@
+package org.merlinwood.proving.caller;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import org.merlinwood.core.result.Failure;
+import org.merlinwood.core.time.MillisClock;
+import org.merlinwood.http.HttpHeader;
+import org.merlinwood.http.HttpListener;
+import org.merlinwood.http.HttpStream;
+
+/** One request from sending to its end. Thread-safe. */
+public final class RequestUnderway implements HttpListener {
+
+    private static final String EVENT_STREAM = "text/event-stream";
+
+    private final CompletableFuture<CallerAnswer> answer = new CompletableFuture<>();
+    private final CountDownLatch firstToken = new CountDownLatch(1);
+    private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+    private final EventStreamReader events = new EventStreamReader();
+    private final MillisClock clock;
+    private final long sentMillis;
+    private volatile HttpStream stream;
+    private List<HttpHeader> headers = List.of();
+    private int status;
+    private boolean streamed;
+    private long firstTokenMillis;
+
+    RequestUnderway(MillisClock clock) {
+        this.clock = clock;
+        this.sentMillis = clock.monotonicMillis();
+    }
+
+    // ------------------------------------------------------------------ public API
+
+    /**
+     * Returns the answer.
+     *
+     * @return completed at the end of the request, never exceptionally
+     */
+    public CompletableFuture<CallerAnswer> answer() {
+        return answer;
+    }
+
+    /** Returns the latch that opens with the first token or the end. */
+    public CountDownLatch firstToken() {
+        return firstToken;
+    }
+
+    /** Closes the caller's connection, as a caller who is gone does. */
+    public void disconnect() {
+        stream.cancel();
+    }
+
+    void started(HttpStream sent) {
+        stream = sent;
+    }
+
+    // ------------------------------------------------------------------ internals: listener
+
+    @Override
+    public void onHead(int answerStatus, List<HttpHeader> answerHeaders) {
+        status = answerStatus;
+        headers = answerHeaders;
+        streamed = header("Content-Type")
+                .filter(type -> type.startsWith(EVENT_STREAM))
+                .isPresent();
+    }
+
+    @Override
+    public void onBytes(byte[] bytes) {
+        if (!streamed) {
+            body.writeBytes(bytes);
+            return;
+        }
+        events.read(bytes);
+        if (events.hasText() && firstToken.getCount() > 0) {
+            firstTokenMillis = clock.monotonicMillis() - sentMillis;
+            firstToken.countDown();
+        }
+    }
+
+    @Override
+    public void onEnd() {
+        complete(Optional.empty());
+    }
+
+    @Override
+    public void onFailure(Failure failure) {
+        complete(Optional.of(failure.code() + ": " + failure.detail()));
+    }
+
+    private void complete(Optional<String> broken) {
+        AnswerBody read = streamed ? events.body() : AnswerBody.of(body.toString(StandardCharsets.UTF_8));
+        boolean whole = broken.isEmpty() && (!streamed || events.isDone());
+        answer.complete(new CallerAnswer(
+                status,
+                read.code()
+                        .or(() -> header("Merlinwood-Result-Code").map(Integer::valueOf))
+                        .map(java.util.OptionalInt::of)
+                        .orElse(java.util.OptionalInt.empty()),
+                read.execution().or(() -> header("Merlinwood-Execution")).orElse(""),
+                header("Merlinwood-Replayed").filter("true"::equals).isPresent(),
+                whole,
+                streamed ? events.terminalEvents() : 1,
+                read.text(),
+                read.finishReason(),
+                header("Merlinwood-Retry-After-Millis").map(Long::valueOf),
+                firstTokenMillis,
+                clock.monotonicMillis() - sentMillis,
+                broken));
+        firstToken.countDown();
+    }
+
+    private Optional<String> header(String name) {
+        return headers.stream()
+                .filter(header -> header.name().equalsIgnoreCase(name))
+                .map(HttpHeader::value)
+                .findFirst();
+    }
+}
--- /dev/null
+++ b/proving/src/main/java/org/merlinwood/proving/demo/package-info.java
@@ -0,0 +1,2 @@
+/** The demo: requests of both deployments to a whole fleet. */
+package org.merlinwood.proving.demo;
--- /dev/null
+++ b/proving/src/main/java/org/merlinwood/proving/fleet/SettingsFile.java
@@ -0,0 +1,58 @@
+package org.merlinwood.proving.fleet;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import org.merlinwood.configuration.inventory.Instance;
+import org.merlinwood.standin.impl.Addresses;
+
+/** Writes the settings of one process. Used by one thread. */
+final class SettingsFile {
+
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+    private static final String SECRET = "5a".repeat(32);
+    private static final int KEY_IDENTIFIER = 1;
+
+    private final ObjectNode settings = MAPPER.createObjectNode();
+    private final Path file;
+
+    SettingsFile(Path folder, Instance instance) {
+        this.file = folder.resolve(instance.name() + "-settings.json");
+        settings.put("instance", instance.name().value());
+        settings.put("failureDomain", instance.failureDomain().value());
+        settings.putArray("keys").addObject().put("identifier", KEY_IDENTIFIER).put("secretHexadecimal", SECRET);
+    }
+
+    SettingsFile address(String field, InetSocketAddress address) {
+        settings.put(field, Addresses.text(address));
+        return this;
+    }
+
+    SettingsFile addresses(String field, List<InetSocketAddress> addresses) {
+        addresses.forEach(address -> settings.withArray(field).add(Addresses.text(address)));
+        if (addresses.isEmpty()) {
+            settings.putArray(field);
+        }
+        return this;
+    }
+
+    SettingsFile port(String field, int port) {
+        settings.put(field, port);
+        return this;
+    }
+
+    /** Writes the file and returns the arguments that name it. */
+    List<String> write() {
+        try {
+            Files.writeString(file, MAPPER.writerWithDefaultPrettyPrinter().writeValueAsString(settings));
+        } catch (IOException exception) {
+            throw new UncheckedIOException("settings could not be written", exception);
+        }
+        return List.of("--settings", file.toString());
+    }
+}
--- /dev/null
+++ b/proving/src/main/java/org/merlinwood/proving/package-info.java
@@ -0,0 +1,2 @@
+/** Demo and proofs: whole fleets of real processes against the stand-ins. */
+package org.merlinwood.proving;
