Stand-in test waits for the crashed engine to stop serving

The crash closes the server on a thread of its own; a call right behind it was sometimes still answered. The test waits, then demands that the connection is refused, which it did not check before.

--- a/stand-ins/src/test/java/org/merlinwood/standin/engine/DecodeTest.java
+++ b/stand-ins/src/test/java/org/merlinwood/standin/engine/DecodeTest.java
@@ -11,6 +11,7 @@
 import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.merlinwood.core.result.ExecutionState;
+import org.merlinwood.core.result.ResultCode;
 import org.merlinwood.http.HttpAnswer;
 import org.merlinwood.http.HttpStream;
 import org.merlinwood.standin.Calls;
@@ -109,8 +110,14 @@
         String body = EngineFixture.decodeBody(marker, 20, List.of(), "");
         fixture.calls().fail("POST", engine.address(), "/v1/decode", body);
         assertThat(engine.ledger().runs().getFirst().outcome()).isEqualTo(EngineRun.Outcome.CRASHED);
-        assertThat(fixture.calls().fail("GET", engine.address(), "/v1/load", "").executionState())
-                .isNotNull();
+        Calls.await(() -> fixture.calls()
+                .client()
+                .call(Calls.call("GET", engine.address(), "/v1/load", ""))
+                .toCompletableFuture()
+                .get()
+                .isLeft());
+        assertThat(fixture.calls().fail("GET", engine.address(), "/v1/load", "").code())
+                .isEqualTo(ResultCode.UPSTREAM_UNREACHABLE);
     }
 
     @Test
