Harness of the proofs, one line for each promise or part of one

Each proof provokes one kind of failure in a fleet of processes and judges by the stand-ins' ledgers.

--- a/proving/src/main/java/org/merlinwood/proving/fleet/Fleet.java
+++ b/proving/src/main/java/org/merlinwood/proving/fleet/Fleet.java
@@ -17,6 +17,8 @@
 import org.merlinwood.configuration.rules.Rules;
 import org.merlinwood.core.identity.Revisions;
 import org.merlinwood.standin.StandIn;
+import org.merlinwood.standin.network.ForwardingDirection;
+import org.merlinwood.standin.network.ForwardingMode;
 
 /**
  * Entries, sidecars and stand-ins as processes on the loopback interface. Thread-safe.
@@ -168,6 +170,29 @@
         }
     }
 
+    /**
+     * Undoes what a test did: every path forwards, every process runs and is ready, and the platform shows all.
+     *
+     * @throws IllegalStateException if a process doesn't become ready in time
+     */
+    public void repair() {
+        sidecars.forEach(Fleet::passAll);
+        processes.stream().filter(FleetProcess::isAlive).forEach(FleetProcess::thaw);
+        processes.forEach(FleetProcess::start);
+        awaitListening(platform.process(), platform.administration());
+        sidecars.forEach(sidecar ->
+                awaitListening(sidecar.upstream().process(), sidecar.upstream().administration()));
+        probe.command(platform.administration(), "/up");
+        probe.command(platform.administration(), "/stale/inventory");
+        probe.command(platform.administration(), "/stale/rules");
+        awaitReady();
+    }
+
+    private static void passAll(Sidecar sidecar) {
+        Stream.concat(sidecar.peerForwarder().stream(), sidecar.upstreamForwarder().stream())
+                .forEach(forwarder -> forwarder.mode(ForwardingMode.PASS, ForwardingDirection.BOTH, 0));
+    }
+
     // ------------------------------------------------------------------ internals: assembly
 
     Path folder() {
--- /dev/null
+++ b/proving/src/main/java/org/merlinwood/proving/prove/Promises.java
@@ -0,0 +1,67 @@
+package org.merlinwood.proving.prove;
+
+import java.util.List;
+import org.merlinwood.proving.fleet.FleetDocuments;
+import org.merlinwood.proving.fleet.FleetPlan;
+import org.merlinwood.proving.fleet.FleetPlan.Forwarding;
+import org.merlinwood.proving.fleet.FleetPlan.PlainPool;
+
+/** Every promise with its proofs. Stateless. */
+final class Promises {
+
+    private static final int ENGINE_PIECES = 60;
+    private static final List<String> SLOW_ENGINES = List.of("--step-millis", "20", "--stream-millis", "0.2");
+
+    private Promises() {}
+
+    /** Returns the proofs, by the fleets that they share. */
+    static List<ProofGroup> groups() {
+        return List.of(plain(), streams());
+    }
+
+    private static ProofGroup plain() {
+        FleetPlan plan = FleetPlan.builder()
+                .entries(2)
+                .engines(1, 1)
+                .plainServices(List.of(new PlainPool(FleetDocuments.LEDGER, 2)))
+                .forwarding(Forwarding.ON, Forwarding.OFF)
+                .build();
+        return new ProofGroup(
+                plan,
+                List.of(
+                        new Proof("at-most-once-repeated-key", AtMostOnce::repeatedKey),
+                        new Proof("at-most-once-entry-killed", AtMostOnce::entryKilled),
+                        new Proof("at-most-once-upstream-killed", AtMostOnce::upstreamKilled),
+                        new Proof("at-most-once-sidecar-killed", AtMostOnce::sidecarKilled),
+                        new Proof("at-most-once-connection-silent", AtMostOnce::connectionSilent),
+                        new Proof("not-run-is-true", NotRun::refusalsUnderFailures)));
+    }
+
+    private static ProofGroup streams() {
+        FleetPlan plan = FleetPlan.builder()
+                .entries(2)
+                .engines(2, 2)
+                .plainServices(List.of(new PlainPool(FleetDocuments.LEDGER, 1)))
+                .forwarding(Forwarding.ON, Forwarding.OFF)
+                .pieces(ENGINE_PIECES)
+                .engineOptions(SLOW_ENGINES)
+                .build();
+        return new ProofGroup(
+                plan,
+                List.of(
+                        new Proof("held-memory-caller-gone", HeldMemory::callerGone),
+                        new Proof("held-memory-entry-killed", HeldMemory::entryKilled),
+                        new Proof("held-memory-connection-silent", HeldMemory::connectionSilent),
+                        new Proof("held-memory-sidecar-killed", HeldMemory::sidecarKilled),
+                        new Proof("whole-answer-concurrent", WholeAnswer::concurrent),
+                        new Proof("whole-answer-upstream-killed", WholeAnswer::upstreamKilled),
+                        new Proof("whole-answer-connection-cut", WholeAnswer::connectionCut),
+                        new Proof("whole-answer-connection-silent", WholeAnswer::connectionSilent),
+                        new Proof("answered-once", WholeAnswer::answeredOnce),
+                        new Proof("leaving-no-new-work", Leaving::drainedByInventory),
+                        new Proof("shutdown-cuts-nothing-sidecar", Leaving::sidecarTerminated),
+                        new Proof("shutdown-cuts-nothing-entry", Leaving::entryTerminated),
+                        new Proof("inventory-in-force", InventoryInForce::everywhere),
+                        new Proof("inventory-never-reverts", InventoryInForce::neverReverts)));
+    }
+}
--- /dev/null
+++ b/proving/src/main/java/org/merlinwood/proving/prove/ProveMain.java
@@ -0,0 +1,96 @@
+package org.merlinwood.proving.prove;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.Callable;
+import java.util.logging.LogManager;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+import org.merlinwood.proving.caller.CallerClient;
+import org.merlinwood.proving.fleet.Fleet;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+
+/** Main class of the proofs. Exit status 0 only if every promise holds and is proved. */
+@Command(
+        name = "prove",
+        description = "Checks every promise against real processes under failures.",
+        mixinStandardHelpOptions = true)
+public final class ProveMain implements Callable<Integer> {
+
+    private static final int NOT_PROVED_STATUS = 1;
+
+    @Option(names = "--seed", defaultValue = "1", description = "Fixes the random choices.")
+    private long seed;
+
+    @Option(names = "--only", description = "Carries out only promises whose names begin so.")
+    private String only = "";
+
+    private final List<ProofResult> results = new ArrayList<>();
+
+    /**
+     * Carries out the proofs.
+     *
+     * @param arguments options
+     */
+    public static void main(String[] arguments) {
+        System.exit(new CommandLine(new ProveMain()).execute(arguments));
+    }
+
+    @Override
+    public Integer call() {
+        LogManager.getLogManager().reset();
+        UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
+        Promises.groups().forEach(group -> carryOut(chosen(group), random));
+        System.out.printf(
+                "promises: %d passed, %d failed, %d unproved%n",
+                count(Verdict.PASS), count(Verdict.FAIL), count(Verdict.UNPROVED));
+        return count(Verdict.PASS) == results.size() ? 0 : NOT_PROVED_STATUS;
+    }
+
+    // ------------------------------------------------------------------ internals
+
+    private ProofGroup chosen(ProofGroup group) {
+        List<Proof> proofs = group.proofs().stream()
+                .filter(proof -> proof.name().startsWith(only))
+                .toList();
+        return new ProofGroup(group.plan(), proofs);
+    }
+
+    private void carryOut(ProofGroup group, UniformRandomProvider random) {
+        if (group.proofs().isEmpty()) {
+            return;
+        }
+        try (Fleet fleet = Fleet.start(group.plan());
+                CallerClient client = new CallerClient()) {
+            Workbench bench = new Workbench(fleet, client, random);
+            group.proofs().forEach(proof -> report(proof, carryOut(proof, bench)));
+        } catch (IllegalStateException exception) {
+            ProofResult result = ProofResult.fail("the fleet did not start: " + exception.getMessage());
+            group.proofs().forEach(proof -> report(proof, result));
+        }
+    }
+
+    private static ProofResult carryOut(Proof proof, Workbench bench) {
+        try {
+            bench.fleet().repair();
+            return proof.body().carryOut(bench);
+        } catch (IllegalStateException exception) {
+            return ProofResult.fail("could not be carried out: " + exception.getMessage());
+        } catch (InterruptedException exception) {
+            Thread.currentThread().interrupt();
+            return ProofResult.unproved("interrupted");
+        }
+    }
+
+    private void report(Proof proof, ProofResult result) {
+        results.add(result);
+        System.out.printf("promise %s %s%n", proof.name(), result.verdict());
+        System.err.printf("  %s: %s%n", proof.name(), result.detail());
+    }
+
+    private long count(Verdict verdict) {
+        return results.stream().filter(result -> result.verdict() == verdict).count();
+    }
+}
