--- /dev/null
+++ b/decision/src/main/java/org/merlinwood/decision/grant/GrantDemand.java
@@ -0,0 +1,41 @@
+package org.merlinwood.decision.grant;
+
+import java.util.Objects;
+
+/**
+ * What an entry asks for. Immutable.
+ *
+ * @param session the connection that asked
+ * @param attempt the attempt
+ * @param units units of capacity that the work takes: pieces of engine memory, or slots of a plain service; 0 for work
+ *     that needs no capacity, such as giving a stored answer again
+ * @param tokens prompt tokens that would be prefilled, 0 for other work
+ * @param priority 0 is served first
+ * @param waitMillis how long the demand may wait for its grant, in milliseconds
+ */
+public record GrantDemand(
+        SessionNumber session, AttemptIdentity attempt, int units, long tokens, int priority, long waitMillis) {
+
+    /** Tokens that one piece of engine memory holds. */
+    public static final int TOKENS_PER_PIECE = 2_000;
+
+    /** Checks the parts. */
+    public GrantDemand {
+        Objects.requireNonNull(session, "session");
+        Objects.requireNonNull(attempt, "attempt");
+        if (units < 0 || tokens < 0 || waitMillis < 0) {
+            throw new IllegalArgumentException("units, tokens and wait are not negative");
+        }
+    }
+
+    /**
+     * Computes the pieces of engine memory that a number of tokens takes.
+     *
+     * @param tokens prompt and answer, in tokens
+     * @return at least one piece
+     */
+    public static int piecesOf(long tokens) {
+        long pieces = (Math.max(1, tokens) + TOKENS_PER_PIECE - 1) / TOKENS_PER_PIECE;
+        return (int) Math.min(Integer.MAX_VALUE, pieces);
+    }
+}
--- /dev/null
+++ b/decision/src/main/java/org/merlinwood/decision/grant/impl/package-info.java
@@ -0,0 +1,2 @@
+/** Internals of the grant book. */
+package org.merlinwood.decision.grant.impl;
--- /dev/null
+++ b/decision/src/test/java/org/merlinwood/decision/grant/GrantBookFixture.java
@@ -0,0 +1,66 @@
+package org.merlinwood.decision.grant;
+
+import java.util.List;
+import java.util.Optional;
+import org.apache.commons.rng.simple.RandomSource;
+import org.merlinwood.core.identity.RequestIdentifier;
+import org.merlinwood.core.result.Failure;
+import org.merlinwood.core.result.ResultCode;
+import org.merlinwood.core.time.ManualMillisClock;
+import org.merlinwood.decision.retry.RetryDelay;
+
+/** A book of ten units on a clock that the test moves, with short names for what tests do. */
+final class GrantBookFixture {
+
+    static final int UNITS = 10;
+    static final long GRANT_MILLIS = 1_000;
+    static final long LONG_WAIT_MILLIS = 60_000;
+    static final SessionNumber SESSION = new SessionNumber(1);
+    static final Failure CANCELLED = Failure.of(ResultCode.CANCELLED, "test");
+
+    final ManualMillisClock clock = new ManualMillisClock(5_000);
+    final GrantBook book = new GrantBook(clock, new RetryDelay(RandomSource.XO_RO_SHI_RO_128_PP.create(1L)));
+
+    GrantBookFixture() {
+        book.configure(UNITS, GRANT_MILLIS);
+    }
+
+    static AttemptIdentity attempt(long request, int attempt) {
+        return new AttemptIdentity(new RequestIdentifier(0, request), attempt);
+    }
+
+    static GrantDemand demand(long request, int units) {
+        return new GrantDemand(SESSION, attempt(request, 1), units, 0, 5, LONG_WAIT_MILLIS);
+    }
+
+    static GrantDemand withPriority(long request, int units, int priority) {
+        return new GrantDemand(SESSION, attempt(request, 1), units, 0, priority, LONG_WAIT_MILLIS);
+    }
+
+    Grant give(GrantDemand demand) {
+        return given(book.request(demand), demand.attempt()).orElseThrow();
+    }
+
+    Grant run(GrantDemand demand) {
+        Grant grant = give(demand);
+        return book.use(demand.session(), grant.number(), demand.attempt()).get();
+    }
+
+    static Optional<Grant> given(List<GrantEvent> events, AttemptIdentity attempt) {
+        return events.stream()
+                .filter(GrantEvent.Given.class::isInstance)
+                .map(GrantEvent.Given.class::cast)
+                .filter(event -> event.attempt().equals(attempt))
+                .map(GrantEvent.Given::grant)
+                .findFirst();
+    }
+
+    static Optional<Failure> denied(List<GrantEvent> events, AttemptIdentity attempt) {
+        return events.stream()
+                .filter(GrantEvent.Denied.class::isInstance)
+                .map(GrantEvent.Denied.class::cast)
+                .filter(event -> event.attempt().equals(attempt))
+                .map(GrantEvent.Denied::failure)
+                .findFirst();
+    }
+}
