Replay of recorded traces in virtual time, with baselines and the bounds

Cause: the policy has to be measured against baselines before anything in it is changed. Ruled out: raising the load by compressing a trace, since the memory that is empty at the start then counts for more at higher loads; copies overlaid over the same time do not do that.

--- /dev/null
+++ b/replay/src/main/java/org/merlinwood/replay/fake/PrefillResult.java
@@ -0,0 +1,11 @@
+package org.merlinwood.replay.fake;
+
+/**
+ * A KV cache that a prefill instance holds for its transfer. Immutable.
+ *
+ * @param holder the instance
+ * @param computedTokens prompt tokens that were computed for it
+ * @param bytes its size
+ * @param doneMicros when it was complete, in virtual microseconds
+ */
+public record PrefillResult(FakePrefill holder, long computedTokens, long bytes, long doneMicros) {}
--- /dev/null
+++ b/replay/src/main/java/org/merlinwood/replay/measure/package-info.java
@@ -0,0 +1,2 @@
+/** Measurements of replays and the bounds that they are held to. */
+package org.merlinwood.replay.measure;
--- /dev/null
+++ b/replay/src/main/java/org/merlinwood/replay/package-info.java
@@ -0,0 +1,2 @@
+/** Replay of recorded traces in virtual time, with the decisions that the processes use. */
+package org.merlinwood.replay;
