--- a/stand-ins/src/test/java/org/merlinwood/standin/engine/DecodeTest.java
+++ b/stand-ins/src/test/java/org/merlinwood/standin/engine/DecodeTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
@@ -107,16 +108,17 @@
     @ValueSource(strings = {"[crash-engine]", "[crash-decode]"})
     void endsTheEngineThatRunsACrashingPrompt(String marker) throws Exception {
         ModelEngine engine = fixture.start(EngineOptions.builder());
+        InetSocketAddress address = engine.address();
         String body = EngineFixture.decodeBody(marker, 20, List.of(), "");
-        fixture.calls().fail("POST", engine.address(), "/v1/decode", body);
+        fixture.calls().fail("POST", address, "/v1/decode", body);
         assertThat(engine.ledger().runs().getFirst().outcome()).isEqualTo(EngineRun.Outcome.CRASHED);
         Calls.await(() -> fixture.calls()
                 .client()
-                .call(Calls.call("GET", engine.address(), "/v1/load", ""))
+                .call(Calls.call("GET", address, "/v1/load", ""))
                 .toCompletableFuture()
                 .get()
                 .isLeft());
-        assertThat(fixture.calls().fail("GET", engine.address(), "/v1/load", "").code())
+        assertThat(fixture.calls().fail("GET", address, "/v1/load", "").code())
                 .isEqualTo(ResultCode.UPSTREAM_UNREACHABLE);
     }
 
