--- a/proving/src/main/java/org/merlinwood/proving/prove/InventoryInForce.java
+++ b/proving/src/main/java/org/merlinwood/proving/prove/InventoryInForce.java
@@ -14,6 +14,8 @@
     private static final long IN_FORCE_MILLIS = 4_000;
     private static final long RECOVERY_MILLIS = 20_000;
 
+    private static final long NOT_SHOWN = -1;
+
     private InventoryInForce() {}
 
     /** Publishes changes and waits until every process has them in force. */
@@ -66,7 +68,11 @@
     }
 
     private static long inventoryRevision(Workbench bench, InetSocketAddress address) {
-        return bench.fleet().probe().dump(address).findPath("inventoryRevision").asLong(-1);
+        return bench.fleet().probe().dump(address).findValues("inventory").stream()
+                .filter(section -> section.has("revision") && section.has("digest"))
+                .mapToLong(section -> section.path("revision").asLong())
+                .findFirst()
+                .orElse(NOT_SHOWN);
     }
 
     private static List<InetSocketAddress> operatorAddresses(Workbench bench) {
