--- a/proving/src/main/java/org/merlinwood/proving/demo/DemoMain.java
+++ b/proving/src/main/java/org/merlinwood/proving/demo/DemoMain.java
@@ -13,7 +13,7 @@
 import org.merlinwood.proving.fleet.FleetDocuments;
 import org.merlinwood.proving.fleet.FleetPlan;
 import org.merlinwood.proving.fleet.FleetPlan.PlainPool;
-import org.merlinwood.standin.impl.Addresses;
+import org.merlinwood.standin.network.Addresses;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
--- a/proving/src/main/java/org/merlinwood/proving/demo/DemoScript.java
+++ b/proving/src/main/java/org/merlinwood/proving/demo/DemoScript.java
@@ -34,11 +34,12 @@
     }
 
     List<DemoRequest> requests(InetSocketAddress entry) {
-        String booking = "{\"hydrant\":\"H-17\",\"fault\":\"valve\",\"number\":\"" + System.nanoTime() + "\"}";
+        long run = SystemMillisClock.shared().wallMillis();
+        String booking = "{\"hydrant\":\"H-17\",\"fault\":\"valve\",\"number\":\"" + run + "\"}";
         String bookingKey = client.mintKey(entry, FleetDocuments.INSPECTOR_TOKEN, FleetDocuments.LEDGER);
-        String repair = "{\"hydrant\":\"H-18\",\"fault\":\"cap\",\"number\":\"" + System.nanoTime() + "\"}";
+        String repair = "{\"hydrant\":\"H-18\",\"fault\":\"cap\",\"number\":\"" + run + "\"}";
         String repairKey = CallerKeys.timed(SystemMillisClock.shared().wallMillis());
-        String reply = "{\"review\":\"R-5\",\"text\":\"Thank you.\",\"number\":\"" + System.nanoTime() + "\"}";
+        String reply = "{\"review\":\"R-5\",\"text\":\"Thank you.\",\"number\":\"" + run + "\"}";
         String replyKey = client.mintKey(entry, FleetDocuments.MANAGER_TOKEN, FleetDocuments.PORTAL);
         return List.of(
                 summary("streamed summary", "North ward", true),
--- a/proving/src/main/java/org/merlinwood/proving/fleet/FleetAssembly.java
+++ b/proving/src/main/java/org/merlinwood/proving/fleet/FleetAssembly.java
@@ -15,7 +15,7 @@
 import org.merlinwood.core.identity.ServiceName;
 import org.merlinwood.proving.fleet.FleetPlan.Forwarding;
 import org.merlinwood.proving.fleet.FleetPlan.PlainPool;
-import org.merlinwood.standin.impl.Addresses;
+import org.merlinwood.standin.network.Addresses;
 import org.merlinwood.standin.network.Forwarder;
 
 /** Starts the processes of one plan in their order. Used by one thread, once. */
--- a/proving/src/main/java/org/merlinwood/proving/fleet/FleetProbe.java
+++ b/proving/src/main/java/org/merlinwood/proving/fleet/FleetProbe.java
@@ -9,7 +9,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
 import java.util.concurrent.ExecutionException;
-import java.util.concurrent.TimeUnit;
+import org.merlinwood.core.time.SystemMillisClock;
 import org.merlinwood.http.ConnectionUse;
 import org.merlinwood.http.HttpAnswer;
 import org.merlinwood.http.HttpCall;
@@ -115,8 +115,8 @@
     }
 
     private static boolean await(FleetProcess process, long millis, java.util.function.BooleanSupplier condition) {
-        long deadlineNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(millis);
-        while (System.nanoTime() < deadlineNanos && process.isAlive()) {
+        long deadlineMillis = SystemMillisClock.shared().monotonicMillis() + millis;
+        while (SystemMillisClock.shared().monotonicMillis() < deadlineMillis && process.isAlive()) {
             if (condition.getAsBoolean()) {
                 return true;
             }
--- a/proving/src/main/java/org/merlinwood/proving/fleet/SettingsFile.java
+++ b/proving/src/main/java/org/merlinwood/proving/fleet/SettingsFile.java
@@ -9,7 +9,7 @@
 import java.nio.file.Path;
 import java.util.List;
 import org.merlinwood.configuration.inventory.Instance;
-import org.merlinwood.standin.impl.Addresses;
+import org.merlinwood.standin.network.Addresses;
 
 /** Writes the settings of one process. Used by one thread. */
 final class SettingsFile {
--- a/proving/src/main/java/org/merlinwood/proving/prove/Workbench.java
+++ b/proving/src/main/java/org/merlinwood/proving/prove/Workbench.java
@@ -3,13 +3,13 @@
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.Set;
-import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
 import org.apache.commons.codec.digest.DigestUtils;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.merlinwood.configuration.inventory.InstanceRole;
+import org.merlinwood.core.time.SystemMillisClock;
 import org.merlinwood.proving.caller.CallerClient;
 import org.merlinwood.proving.fleet.Entry;
 import org.merlinwood.proving.fleet.Fleet;
@@ -73,9 +73,9 @@
 
     /** Waits until a condition holds. */
     static boolean await(long millis, BooleanSupplier condition) throws InterruptedException {
-        long deadlineNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(millis);
+        long deadlineMillis = SystemMillisClock.shared().monotonicMillis() + millis;
         while (!condition.getAsBoolean()) {
-            if (System.nanoTime() > deadlineNanos) {
+            if (SystemMillisClock.shared().monotonicMillis() > deadlineMillis) {
                 return false;
             }
             Thread.sleep(POLL_MILLIS);
--- a/proving/src/test/java/org/merlinwood/proving/fleet/FleetProcessTest.java
+++ b/proving/src/test/java/org/merlinwood/proving/fleet/FleetProcessTest.java
@@ -9,7 +9,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
-import org.merlinwood.standin.impl.Addresses;
+import org.merlinwood.standin.network.Addresses;
 
 final class FleetProcessTest {
 
--- a/stand-ins/src/main/java/org/merlinwood/standin/command/ForwardCommand.java
+++ b/stand-ins/src/main/java/org/merlinwood/standin/command/ForwardCommand.java
@@ -1,7 +1,7 @@
 package org.merlinwood.standin.command;
 
 import java.util.concurrent.Callable;
-import org.merlinwood.standin.impl.Addresses;
+import org.merlinwood.standin.network.Addresses;
 import org.merlinwood.standin.network.Forwarder;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Mixin;
--- a/stand-ins/src/main/java/org/merlinwood/standin/command/ListenOptions.java
+++ b/stand-ins/src/main/java/org/merlinwood/standin/command/ListenOptions.java
@@ -2,8 +2,8 @@
 
 import java.net.InetSocketAddress;
 import org.merlinwood.standin.StandIn;
-import org.merlinwood.standin.impl.Addresses;
 import org.merlinwood.standin.impl.Json;
+import org.merlinwood.standin.network.Addresses;
 import picocli.CommandLine.Option;
 
 /** Options that every stand-in has, and its life as a process. */
--- a/stand-ins/src/main/java/org/merlinwood/standin/engine/impl/CacheImport.java
+++ b/stand-ins/src/main/java/org/merlinwood/standin/engine/impl/CacheImport.java
@@ -11,7 +11,7 @@
 import org.merlinwood.http.HttpListener;
 import org.merlinwood.http.HttpStream;
 import org.merlinwood.standin.engine.impl.EngineBodies.CacheReference;
-import org.merlinwood.standin.impl.Addresses;
+import org.merlinwood.standin.network.Addresses;
 
 /** Pulls KV caches from other engines. Thread-safe. */
 public final class CacheImport {
--- a/stand-ins/src/main/java/org/merlinwood/standin/engine/impl/LoadedModels.java
+++ b/stand-ins/src/main/java/org/merlinwood/standin/engine/impl/LoadedModels.java
@@ -15,8 +15,8 @@
 import org.merlinwood.standin.engine.impl.EngineBodies.Models;
 import org.merlinwood.standin.engine.impl.EngineBodies.Order;
 import org.merlinwood.standin.engine.impl.EngineBodies.WeightsRefusal;
-import org.merlinwood.standin.impl.Addresses;
 import org.merlinwood.standin.impl.ErrorBody;
+import org.merlinwood.standin.network.Addresses;
 
 /** Role and models of an engine, changed by orders. Thread-safe; one order at a time. */
 public final class LoadedModels {
--- a/stand-ins/src/main/java/org/merlinwood/standin/impl/Addresses.java
+++ b/stand-ins/src/main/java/org/merlinwood/standin/network/Addresses.java
@@ -1,4 +1,4 @@
-package org.merlinwood.standin.impl;
+package org.merlinwood.standin.network;
 
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
--- a/stand-ins/src/test/java/org/merlinwood/standin/engine/EngineFixture.java
+++ b/stand-ins/src/test/java/org/merlinwood/standin/engine/EngineFixture.java
@@ -7,7 +7,7 @@
 import java.util.Optional;
 import org.merlinwood.http.HttpAnswer;
 import org.merlinwood.standin.Calls;
-import org.merlinwood.standin.impl.Addresses;
+import org.merlinwood.standin.network.Addresses;
 
 /** Engines of one test and the calls to them. */
 final class EngineFixture implements AutoCloseable {
--- a/stand-ins/src/test/java/org/merlinwood/standin/engine/OrdersTest.java
+++ b/stand-ins/src/test/java/org/merlinwood/standin/engine/OrdersTest.java
@@ -7,7 +7,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.merlinwood.http.HttpAnswer;
-import org.merlinwood.standin.impl.Addresses;
+import org.merlinwood.standin.network.Addresses;
 import org.merlinwood.standin.platform.WeightStore;
 
 final class OrdersTest {
--- a/stand-ins/src/test/java/org/merlinwood/standin/engine/PrefillTest.java
+++ b/stand-ins/src/test/java/org/merlinwood/standin/engine/PrefillTest.java
@@ -9,7 +9,7 @@
 import org.junit.jupiter.api.Test;
 import org.merlinwood.http.HttpAnswer;
 import org.merlinwood.standin.Calls;
-import org.merlinwood.standin.impl.Addresses;
+import org.merlinwood.standin.network.Addresses;
 
 final class PrefillTest {
 
--- a/stand-ins/src/test/java/org/merlinwood/standin/network/ForwarderTest.java
+++ b/stand-ins/src/test/java/org/merlinwood/standin/network/ForwarderTest.java
@@ -14,7 +14,6 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.merlinwood.standin.Calls;
-import org.merlinwood.standin.impl.Addresses;
 
 final class ForwarderTest {
 
--- a/stand-ins/src/test/java/org/merlinwood/standin/plain/PlainServiceTest.java
+++ b/stand-ins/src/test/java/org/merlinwood/standin/plain/PlainServiceTest.java
@@ -13,7 +13,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.merlinwood.standin.Calls;
-import org.merlinwood.standin.impl.Addresses;
+import org.merlinwood.standin.network.Addresses;
 
 final class PlainServiceTest {
 
--- a/stand-ins/src/test/java/org/merlinwood/standin/platform/ConfigurationServiceTest.java
+++ b/stand-ins/src/test/java/org/merlinwood/standin/platform/ConfigurationServiceTest.java
@@ -7,7 +7,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.merlinwood.standin.Calls;
-import org.merlinwood.standin.impl.Addresses;
+import org.merlinwood.standin.network.Addresses;
 
 final class ConfigurationServiceTest {
 
