Entry: callers on Undertow, a state machine for each request, exchanges with sidecars

Cause: callers need one process that takes their requests and brings each to one terminal event.

Change: filters accept, identify and classify as pure functions; a state machine for model requests (decode grant, prefill grant, prefill, decode) and one for plain calls, both without transport; a runner that carries out their actions on the control thread, while parts of answers go straight from the event loop to the caller's connection. A caller that has gone is noticed by reading from its connection, since Undertow reads nothing while it serves.

Of a key that a caller sent, the entry never says NOT_RUN on its own: an earlier request with the key may have run.

Conclusion: whole, streamed and plain answers pass through a fake sidecar on the real protocol.

--- /dev/null
+++ b/entry/src/main/java/org/merlinwood/entry/caller/CallerServer.java
@@ -0,0 +1,130 @@
+package org.merlinwood.entry.caller;
+
+import io.undertow.Undertow;
+import io.undertow.UndertowOptions;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetSocketAddress;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import org.merlinwood.core.time.MillisClock;
+import org.merlinwood.entry.dispatch.Dispatcher;
+import org.merlinwood.entry.dispatch.EntryMetrics;
+import org.merlinwood.entry.filter.ClassifyFilter;
+import org.merlinwood.following.ConfigurationInForce;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioWorker;
+
+/**
+ * Listens for callers. Built, started, drained and closed once; thread-safe.
+ *
+ * <p>{@link #drain()} closes the listening socket only: open requests go on, and their connections end with them.
+ */
+public final class CallerServer implements AutoCloseable {
+
+    private static final int IO_THREADS = 4;
+    private static final int NO_REQUEST_TIMEOUT_MILLIS = (int) TimeUnit.SECONDS.toMillis(60);
+    private static final int REQUEST_PARSE_TIMEOUT_MILLIS = (int) TimeUnit.SECONDS.toMillis(10);
+
+    /** Undertow's own bounds lie above those that are answered with a number. */
+    private static final int PARSER_MAXIMUM_HEADERS = 2 * CallerHandler.MAXIMUM_HEADERS;
+
+    private static final int PARSER_MAXIMUM_HEADER_BYTES = 2 * CallerHandler.MAXIMUM_HEADER_BYTES;
+
+    private final CallerHandler handler;
+    private final XnioWorker worker;
+    private final Undertow server;
+    private InetSocketAddress boundAddress;
+
+    // ------------------------------------------------------------------ life-cycle
+
+    /**
+     * Creates the server; it does not listen before it is started.
+     *
+     * @param address numeric address to listen on
+     * @param configuration returns inventory and rules in force
+     * @param classifyFilter classifies requests
+     * @param dispatcher takes them
+     * @param metrics counts refusals
+     * @param clock the clock
+     */
+    public CallerServer(
+            InetSocketAddress address,
+            Supplier<Optional<ConfigurationInForce>> configuration,
+            ClassifyFilter classifyFilter,
+            Dispatcher dispatcher,
+            EntryMetrics metrics,
+            MillisClock clock) {
+        this.handler = new CallerHandler(configuration, classifyFilter, dispatcher, metrics, clock);
+        this.worker = createWorker();
+        this.server = Undertow.builder()
+                .setWorker(worker)
+                .addHttpListener(address.getPort(), address.getHostString())
+                .setServerOption(UndertowOptions.MAX_HEADERS, PARSER_MAXIMUM_HEADERS)
+                .setServerOption(UndertowOptions.MAX_HEADER_SIZE, PARSER_MAXIMUM_HEADER_BYTES)
+                .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, NO_REQUEST_TIMEOUT_MILLIS)
+                .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, REQUEST_PARSE_TIMEOUT_MILLIS)
+                .setServerOption(UndertowOptions.URL_CHARSET, "UTF-8")
+                .setHandler(handler)
+                .build();
+    }
+
+    /** Starts to listen. */
+    public void start() {
+        server.start();
+        boundAddress = (InetSocketAddress) server.getListenerInfo().getFirst().getAddress();
+    }
+
+    /** Stops listening; callers with open requests are told to close their connections. */
+    public void drain() {
+        handler.drain();
+        server.stop();
+    }
+
+    @Override
+    public void close() {
+        server.stop();
+        worker.shutdownNow();
+    }
+
+    // ------------------------------------------------------------------ public API
+
+    /**
+     * Returns the address that was bound.
+     *
+     * @return the address with its port
+     */
+    public InetSocketAddress boundAddress() {
+        return boundAddress;
+    }
+
+    /**
+     * Returns how many requests are being read, served or answered.
+     *
+     * @return a count at some moment
+     */
+    public int openRequests() {
+        return handler.openExchanges();
+    }
+
+    // ------------------------------------------------------------------ internals
+
+    private static XnioWorker createWorker() {
+        OptionMap options = OptionMap.builder()
+                .set(Options.WORKER_NAME, "callers")
+                .set(Options.WORKER_IO_THREADS, IO_THREADS)
+                .set(Options.WORKER_TASK_CORE_THREADS, 1)
+                .set(Options.WORKER_TASK_MAX_THREADS, 1)
+                .set(Options.TCP_NODELAY, true)
+                .set(Options.THREAD_DAEMON, true)
+                .getMap();
+        try {
+            return Xnio.getInstance().createWorker(options);
+        } catch (IOException exception) {
+            throw new UncheckedIOException("the threads of the callers' port could not start", exception);
+        }
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/merlinwood/entry/caller/CallerSink.java
@@ -0,0 +1,119 @@
+package org.merlinwood.entry.caller;
+
+import java.util.List;
+import java.util.Locale;
+import java.util.Set;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.merlinwood.core.identity.IdempotencyKey;
+import org.merlinwood.core.identity.RequestIdentifier;
+import org.merlinwood.core.result.Failure;
+import org.merlinwood.core.result.ResultCode;
+import org.merlinwood.core.time.MillisClock;
+import org.merlinwood.entry.dispatch.ModelAnswer;
+import org.merlinwood.entry.dispatch.PlainAnswer;
+import org.merlinwood.entry.dispatch.RequestSink;
+import org.merlinwood.entry.request.ClassifiedRequest;
+import org.merlinwood.entry.request.ClassifiedRequest.ModelCall;
+import org.merlinwood.entry.request.Delivery;
+import org.merlinwood.http.HttpHeader;
+
+/** Writes the answer of one request to its caller. Thread-safe in the order of the calls. */
+final class CallerSink implements RequestSink {
+
+    private static final int STATUS_OK = 200;
+
+    /** Headers that concern the upstream's connection. */
+    private static final Set<String> WITHHELD_HEADERS = Set.of(
+            "connection", "content-length", "keep-alive", "trailer", "transfer-encoding", "upgrade", "date", "server");
+
+    private final ClassifiedRequest request;
+    private final CallerExchange exchange;
+    private final MillisClock clock;
+    private final AtomicBoolean streaming = new AtomicBoolean();
+
+    CallerSink(ClassifiedRequest request, CallerExchange exchange, MillisClock clock) {
+        this.request = request;
+        this.exchange = exchange;
+        this.clock = clock;
+    }
+
+    // ------------------------------------------------------------------ public API
+
+    @Override
+    public void tokens(List<String> tokens) {
+        if (request instanceof ModelCall call && call.delivery() == Delivery.STREAMED) {
+            startStream();
+            exchange.write(AnswerJson.part(call, tokens, clock.wallMillis()));
+        }
+    }
+
+    @Override
+    public void modelAnswer(ModelAnswer answer) {
+        ModelCall call = (ModelCall) request;
+        switch (call.delivery()) {
+            case WHOLE ->
+                exchange.respond(
+                        STATUS_OK,
+                        ResponseHeaders.success(identifier(), ResponseHeaders.JSON),
+                        AnswerJson.whole(call, answer, clock.wallMillis()));
+            case STREAMED -> {
+                startStream();
+                exchange.write(AnswerJson.lastPart(call, answer, clock.wallMillis()));
+                exchange.endStream();
+            }
+        }
+    }
+
+    @Override
+    public void plainAnswer(PlainAnswer answer) {
+        List<HttpHeader> headers = answer.replayed()
+                ? ResponseHeaders.success(identifier(), ResponseHeaders.REPLAYED)
+                : ResponseHeaders.success(identifier());
+        answer.headers().stream()
+                .filter(header -> !WITHHELD_HEADERS.contains(header.name().toLowerCase(Locale.ROOT)))
+                .filter(header -> !isOurs(header))
+                .forEach(headers::add);
+        exchange.respond(answer.status(), headers, answer.body());
+    }
+
+    @Override
+    public void mintedKey(IdempotencyKey key) {
+        exchange.respond(
+                STATUS_OK,
+                ResponseHeaders.success(identifier(), ResponseHeaders.JSON, ResponseHeaders.NOT_CACHED),
+                AnswerJson.key(key));
+    }
+
+    @Override
+    public void failure(Failure failure) {
+        if (failure.code() == ResultCode.CALLER_GONE || failure.code() == ResultCode.CALLER_TOO_SLOW) {
+            exchange.abort();
+        } else if (streaming.get()) {
+            exchange.write(AnswerJson.failureEvent(identifier(), failure));
+            exchange.endStream();
+        } else {
+            exchange.respond(
+                    failure.code().httpStatus(),
+                    ResponseHeaders.failure(identifier(), failure),
+                    AnswerJson.failure(identifier(), failure));
+        }
+    }
+
+    // ------------------------------------------------------------------ internals
+
+    private void startStream() {
+        if (streaming.compareAndSet(false, true)) {
+            exchange.startStream(
+                    STATUS_OK,
+                    ResponseHeaders.success(identifier(), ResponseHeaders.EVENT_STREAM, ResponseHeaders.NOT_CACHED));
+        }
+    }
+
+    private static boolean isOurs(HttpHeader header) {
+        return header.name().toLowerCase(Locale.ROOT).startsWith("merlinwood-");
+    }
+
+    private RequestIdentifier identifier() {
+        return request.identified().accepted().identifier();
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/merlinwood/entry/dispatch/AttemptListener.java
@@ -0,0 +1,34 @@
+package org.merlinwood.entry.dispatch;
+
+import org.merlinwood.core.result.Failure;
+import org.merlinwood.entry.machine.RequestEvent;
+import org.merlinwood.wire.AnswerEnd;
+import org.merlinwood.wire.AnswerHead;
+import org.merlinwood.wire.AnswerPart;
+import org.merlinwood.wire.Load;
+import org.merlinwood.wire.RevisionPair;
+
+/** Hears what one {@link UpstreamAttempt} receives. Called on the control thread unless said otherwise. */
+interface AttemptListener {
+
+    /** The attempt took a step that the state machine has to know of. */
+    void onEvent(UpstreamAttempt attempt, RequestEvent event);
+
+    /** The answer of the attempt ended; {@code onPart} has had all of its parts. */
+    void onAnswerEnd(UpstreamAttempt attempt, AnswerEnd end);
+
+    /** The sidecar told of its load. */
+    void onLoad(UpstreamAttempt attempt, Load load);
+
+    /** The sidecar told of its revisions. */
+    void onRevisions(UpstreamAttempt attempt, RevisionPair revisions);
+
+    /** The attempt failed before it ended as it should; called before the event. */
+    void onFailure(UpstreamAttempt attempt, Failure failure);
+
+    /** Called on an event loop, in order. */
+    void onHead(UpstreamAttempt attempt, AnswerHead head);
+
+    /** Called on an event loop, in order. */
+    void onPart(UpstreamAttempt attempt, AnswerPart part);
+}
--- /dev/null
+++ b/entry/src/main/java/org/merlinwood/entry/dispatch/Dispatcher.java
@@ -0,0 +1,387 @@
+package org.merlinwood.entry.dispatch;
+
+import com.google.common.flogger.FluentLogger;
+import com.google.errorprone.annotations.CanIgnoreReturnValue;
+import io.vavr.control.Either;
+import java.net.InetSocketAddress;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Supplier;
+import org.merlinwood.configuration.inventory.Instance;
+import org.merlinwood.configuration.inventory.InstanceRole;
+import org.merlinwood.configuration.settings.SharedKey;
+import org.merlinwood.core.identity.FailureDomain;
+import org.merlinwood.core.identity.InstanceName;
+import org.merlinwood.core.identity.RequestIdentifier;
+import org.merlinwood.core.identity.Revisions;
+import org.merlinwood.core.result.ExecutionState;
+import org.merlinwood.core.result.Failure;
+import org.merlinwood.core.result.ResultCode;
+import org.merlinwood.core.time.MillisClock;
+import org.merlinwood.core.time.SystemMillisClock;
+import org.merlinwood.decision.admission.AdmissionDecision;
+import org.merlinwood.entry.request.ClassifiedRequest;
+import org.merlinwood.entry.request.KeyUse;
+import org.merlinwood.following.ConfigurationInForce;
+import org.merlinwood.operation.control.ControlLoop;
+import org.merlinwood.operation.port.StateSection;
+import org.merlinwood.protocol.PeerConnection;
+import org.merlinwood.protocol.PeerEndpoint;
+
+/**
+ * Admits requests, and runs each to its one terminal event.
+ *
+ * <p>Built once; serves from the first configuration until the process ends. Thread-safe: every step is handed to the
+ * control thread.
+ */
+public final class Dispatcher implements StateSection {
+
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+    private static final String SECTION = "requests";
+    private static final int MAXIMUM_MINTING_ATTEMPTS = 3;
+
+    private final DispatchParts parts;
+    private final InstanceName self;
+    private final FailureDomain failureDomain;
+    private final Map<RequestIdentifier, RequestRunner> runners = new LinkedHashMap<>();
+    private final AtomicInteger openRequests = new AtomicInteger();
+    private Optional<ControlState> state = Optional.empty();
+
+    // ------------------------------------------------------------------ configuration
+
+    private Dispatcher(Builder builder) {
+        this.parts = new DispatchParts(
+                Objects.requireNonNull(builder.endpoint, "endpoint"),
+                Objects.requireNonNull(builder.control, "control"),
+                builder.clock,
+                Objects.requireNonNull(builder.metrics, "metrics"),
+                builder.revisions,
+                builder.keys);
+        this.self = builder.self;
+        this.failureDomain = builder.failureDomain;
+        parts.metrics().gauge("open_requests", openRequests::get);
+    }
+
+    /**
+     * Returns a builder.
+     *
+     * @param self name of the entry's own instance
+     * @param failureDomain failure domain of the entry
+     * @return a new builder
+     */
+    public static Builder builder(InstanceName self, FailureDomain failureDomain) {
+        return new Builder(self, failureDomain);
+    }
+
+    /** Collects the configuration. Used by one thread. */
+    public static final class Builder {
+
+        private final InstanceName self;
+        private final FailureDomain failureDomain;
+        private PeerEndpoint endpoint;
+        private ControlLoop control;
+        private MillisClock clock = SystemMillisClock.shared();
+        private EntryMetrics metrics;
+        private Supplier<Revisions> revisions = () -> new Revisions(Revisions.NONE, Revisions.NONE);
+        private List<SharedKey> keys = List.of();
+
+        private Builder(InstanceName self, FailureDomain failureDomain) {
+            this.self = Objects.requireNonNull(self, "self");
+            this.failureDomain = Objects.requireNonNull(failureDomain, "failureDomain");
+        }
+
+        /**
+         * Sets the connections to the sidecars.
+         *
+         * @param value the endpoint
+         * @return this builder
+         */
+        @CanIgnoreReturnValue
+        public Builder endpoint(PeerEndpoint value) {
+            endpoint = value;
+            return this;
+        }
+
+        /**
+         * Sets the control thread.
+         *
+         * @param value the control loop
+         * @return this builder
+         */
+        @CanIgnoreReturnValue
+        public Builder control(ControlLoop value) {
+            control = value;
+            return this;
+        }
+
+        /**
+         * Sets another clock than that of the machine.
+         *
+         * @param value the clock
+         * @return this builder
+         */
+        @CanIgnoreReturnValue
+        public Builder clock(MillisClock value) {
+            clock = value;
+            return this;
+        }
+
+        /**
+         * Sets the metrics.
+         *
+         * @param value the metrics
+         * @return this builder
+         */
+        @CanIgnoreReturnValue
+        public Builder metrics(EntryMetrics value) {
+            metrics = value;
+            return this;
+        }
+
+        /**
+         * Sets where the revisions come from that every request for a grant carries.
+         *
+         * @param value returns the revisions in force
+         * @return this builder
+         */
+        @CanIgnoreReturnValue
+        public Builder revisions(Supplier<Revisions> value) {
+            revisions = value;
+            return this;
+        }
+
+        /**
+         * Sets the keys of the fleet.
+         *
+         * @param values the valid keys; the first one mints
+         * @return this builder
+         */
+        @CanIgnoreReturnValue
+        public Builder keys(List<SharedKey> values) {
+            keys = List.copyOf(values);
+            return this;
+        }
+
+        /**
+         * Builds the dispatcher.
+         *
+         * @return the dispatcher, which refuses all requests until it is configured
+         */
+        public Dispatcher build() {
+            return new Dispatcher(this);
+        }
+    }
+
+    // ------------------------------------------------------------------ public API
+
+    /**
+     * Puts a configuration in force.
+     *
+     * @param changed inventory and rules
+     */
+    public void configure(ConfigurationInForce changed) {
+        parts.control()
+                .execute(() -> state.ifPresentOrElse(
+                        present -> present.configure(changed),
+                        () -> state = Optional.of(new ControlState(self, failureDomain, parts.clock(), changed))));
+    }
+
+    /**
+     * Takes a request. The sink gets its one terminal event, sooner or later.
+     *
+     * @param request the request
+     * @param sink where the answer goes
+     */
+    public void dispatch(ClassifiedRequest request, RequestSink sink) {
+        openRequests.incrementAndGet();
+        parts.control().execute(() -> admit(request, sink));
+    }
+
+    /**
+     * Gives up a request whose caller has gone or reads too slowly. What was settled already stays so.
+     *
+     * @param identifier the request
+     * @param failure why
+     */
+    public void giveUp(RequestIdentifier identifier, Failure failure) {
+        parts.control()
+                .execute(
+                        () -> Optional.ofNullable(runners.get(identifier)).ifPresent(runner -> runner.giveUp(failure)));
+    }
+
+    /**
+     * Gives up all open requests, since the process ends.
+     *
+     * @param failure why
+     */
+    public void giveUpAll(Failure failure) {
+        parts.control().execute(() -> List.copyOf(runners.values()).forEach(runner -> runner.giveUp(failure)));
+    }
+
+    /**
+     * Returns how many requests have not got their terminal event.
+     *
+     * @return a count at some moment
+     */
+    public int openRequests() {
+        return openRequests.get();
+    }
+
+    @Override
+    public String name() {
+        return SECTION;
+    }
+
+    @Override
+    public DispatchState state() {
+        return parts.control().call(this::describe).join();
+    }
+
+    // ------------------------------------------------------------------ internals: admission
+
+    private void admit(ClassifiedRequest request, RequestSink sink) {
+        if (state.isEmpty()) {
+            refuse(request, sink, Failure.of(ResultCode.NOT_READY, "no inventory and rules are in force yet"));
+            return;
+        }
+        ControlState present = state.get();
+        Either<Failure, Integer> entered = present.enter(request.identified());
+        if (entered.isLeft()) {
+            refuse(request, sink, entered.getLeft());
+            return;
+        }
+        Runnable leave = leaveOnce(present, request);
+        switch (request) {
+            case ClassifiedRequest.ModelCall call -> admitModel(call, sink, present, leave);
+            case ClassifiedRequest.PlainCall call -> run(call, Long.MAX_VALUE, sink, present, leave);
+            case ClassifiedRequest.MintCall call -> mint(call, sink, present, leave, new HashSet<>());
+        }
+    }
+
+    private void admitModel(ClassifiedRequest.ModelCall call, RequestSink sink, ControlState present, Runnable leave) {
+        switch (present.admit(call)) {
+            case AdmissionDecision.Admit admitted -> run(call, admitted.waitMillis(), sink, present, leave);
+            case AdmissionDecision.Refuse refused -> {
+                parts.metrics().ended(refused.failure().code());
+                sink.failure(refused.failure());
+                leave.run();
+            }
+        }
+    }
+
+    private void run(
+            ClassifiedRequest request, long waitMillis, RequestSink sink, ControlState present, Runnable leave) {
+        RequestIdentifier identifier = request.identified().accepted().identifier();
+        RequestRunner runner = new RequestRunner(request, waitMillis, sink, parts, present, () -> {
+            runners.remove(identifier);
+            leave.run();
+        });
+        runners.put(identifier, runner);
+        runner.start();
+    }
+
+    private Runnable leaveOnce(ControlState present, ClassifiedRequest request) {
+        AtomicBoolean left = new AtomicBoolean();
+        return () -> {
+            if (left.compareAndSet(false, true)) {
+                present.leave(request.identified());
+                openRequests.decrementAndGet();
+            }
+        };
+    }
+
+    private void refuse(ClassifiedRequest request, RequestSink sink, Failure failure) {
+        parts.metrics().ended(failure.code());
+        sink.failure(judgeKey(request, failure));
+        openRequests.decrementAndGet();
+    }
+
+    /** Of a key that a caller sent, only its instance knows whether an earlier request with it ran. */
+    private static Failure judgeKey(ClassifiedRequest request, Failure failure) {
+        boolean hasKey = request instanceof ClassifiedRequest.PlainCall call
+                && (call.key() instanceof KeyUse.Own || call.key() instanceof KeyUse.Minted);
+        return hasKey ? failure.withExecutionState(ExecutionState.UNKNOWN) : failure;
+    }
+
+    // ------------------------------------------------------------------ internals: minting
+
+    private void mint(
+            ClassifiedRequest.MintCall call,
+            RequestSink sink,
+            ControlState present,
+            Runnable leave,
+            Set<InstanceName> tried) {
+        Optional<Instance> chosen = tried.size() < MAXIMUM_MINTING_ATTEMPTS
+                ? present.choose(call, InstanceRole.PLAIN, tried)
+                : Optional.empty();
+        if (chosen.isEmpty()) {
+            long retryAfterMillis = present.retryDelay()
+                    .millis(
+                            ControlState.UNREACHABLE_MILLIS,
+                            call.identified().callerClass().priority());
+            parts.metrics().ended(ResultCode.NO_INSTANCE);
+            sink.failure(Failure.retryable(
+                    ResultCode.NO_INSTANCE, "no instance of the service is reachable", retryAfterMillis));
+            leave.run();
+            return;
+        }
+        Instance instance = chosen.get();
+        tried.add(instance.name());
+        InetSocketAddress address = new InetSocketAddress(
+                instance.address().host(), instance.address().port());
+        var unused = parts.endpoint()
+                .connect(address)
+                .whenComplete((result, none) -> parts.control()
+                        .execute(() -> result.peek(connection -> minted(call, sink, leave, instance, connection))
+                                .peekLeft(failure -> {
+                                    present.failed(call, InstanceRole.PLAIN, instance.name(), failure);
+                                    mint(call, sink, present, leave, tried);
+                                })));
+    }
+
+    private void minted(
+            ClassifiedRequest.MintCall call,
+            RequestSink sink,
+            Runnable leave,
+            Instance instance,
+            PeerConnection connection) {
+        parts.metrics().ended(ResultCode.OK);
+        sink.mintedKey(WireRequests.mint(call, instance, connection, parts));
+        logger.atFine().log("minted a key for %s", instance.name());
+        leave.run();
+    }
+
+    // ------------------------------------------------------------------ internals: dump
+
+    private DispatchState describe() {
+        return new DispatchState(
+                runners.values().stream().map(RequestRunner::describe).toList(),
+                state.map(ControlState::pools).orElse(List.of()),
+                state.map(ControlState::activeCallers).orElse(0),
+                state.map(present -> present.retryBudget().tokens()).orElse(0.0),
+                parts.endpoint().openConnections());
+    }
+
+    /**
+     * State of an entry, for the dump. Immutable.
+     *
+     * @param openRequests requests that are not settled
+     * @param pools the pools and the instances that this entry uses
+     * @param activeCallers callers with open requests
+     * @param retryTokens repeated attempts that the budget allows now
+     * @param openConnections connections to peers
+     */
+    public record DispatchState(
+            List<OpenRequest> openRequests,
+            List<ControlState.PoolState> pools,
+            int activeCallers,
+            double retryTokens,
+            int openConnections) {}
+}
--- /dev/null
+++ b/entry/src/main/java/org/merlinwood/entry/dispatch/ModelAnswer.java
@@ -0,0 +1,17 @@
+package org.merlinwood.entry.dispatch;
+
+import java.util.List;
+
+/**
+ * A model's whole answer. Immutable.
+ *
+ * @param tokens all tokens
+ * @param finishReason why the engine ended, as it said
+ */
+public record ModelAnswer(List<String> tokens, String finishReason) {
+
+    /** Copies the list. */
+    public ModelAnswer {
+        tokens = List.copyOf(tokens);
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/merlinwood/entry/machine/ModelMachine.java
@@ -0,0 +1,358 @@
+package org.merlinwood.entry.machine;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.merlinwood.configuration.inventory.Instance;
+import org.merlinwood.configuration.inventory.InstanceRole;
+import org.merlinwood.core.identity.InstanceName;
+import org.merlinwood.core.result.ExecutionState;
+import org.merlinwood.core.result.Failure;
+import org.merlinwood.core.result.ResultCode;
+import org.merlinwood.entry.machine.RequestAction.Ask;
+import org.merlinwood.entry.machine.RequestAction.AwaitRevisions;
+import org.merlinwood.entry.machine.RequestAction.Cancel;
+import org.merlinwood.entry.machine.RequestAction.ExecuteDecode;
+import org.merlinwood.entry.machine.RequestAction.ExecutePrefill;
+import org.merlinwood.entry.machine.RequestAction.Release;
+import org.merlinwood.entry.machine.RequestAction.Settle;
+import org.merlinwood.entry.machine.RequestEvent.AnswerFailed;
+import org.merlinwood.entry.machine.RequestEvent.AnswerWhole;
+import org.merlinwood.entry.machine.RequestEvent.GivenUp;
+import org.merlinwood.entry.machine.RequestEvent.Granted;
+import org.merlinwood.entry.machine.RequestEvent.Lost;
+import org.merlinwood.entry.machine.RequestEvent.PrefillDone;
+import org.merlinwood.entry.machine.RequestEvent.Refused;
+import org.merlinwood.entry.machine.RequestEvent.RevisionsAwaited;
+import org.merlinwood.wire.CacheHandle;
+
+/**
+ * Decides what is done for one model request.
+ *
+ * <p>The decode grant comes first, since decode memory is scarce; then a prefill grant, the prefill, and at once the
+ * decode. A prefill that fails gives the decode grant back, and the request begins again. A decode that fails begins
+ * again as well, behind the tokens that the caller has. Each beginning after the first and each further candidate
+ * spends the budget for repeated attempts. Not thread-safe: used by the control thread only.
+ */
+public final class ModelMachine implements RequestMachine {
+
+    /** Grants that one request asks for at most. */
+    public static final int MAXIMUM_ATTEMPTS = 12;
+
+    /** Failed transfers after which the decode engine is left to prefill on its own. */
+    private static final int TRANSFERS_BEFORE_OWN_PREFILL = 2;
+
+    private final Placement placement;
+    private final RefusalSummary refusals;
+    private final Set<InstanceName> excludedDecodes = new HashSet<>();
+    private final Set<InstanceName> excludedPrefills = new HashSet<>();
+    private final List<RequestAction> actions = new ArrayList<>();
+    private State state = new State.Created();
+    private int attempts;
+    private int failedTransfers;
+    private ExecutionState execution = ExecutionState.NOT_RUN;
+
+    // ------------------------------------------------------------------ life-cycle
+
+    /**
+     * Creates the machine of one request.
+     *
+     * @param placement the decisions
+     */
+    public ModelMachine(Placement placement) {
+        this.placement = placement;
+        this.refusals = new RefusalSummary(placement);
+    }
+
+    // ------------------------------------------------------------------ public API
+
+    @Override
+    public List<RequestAction> start() {
+        placement.firstAttempt();
+        askDecode();
+        return takeActions();
+    }
+
+    @Override
+    public List<RequestAction> on(RequestEvent event) {
+        if (event instanceof GivenUp givenUp && !(state instanceof State.Settled)) {
+            giveUp(givenUp.failure());
+            return takeActions();
+        }
+        switch (state) {
+            case State.AskingDecode asking -> onAskingDecode(asking, event);
+            case State.AskingPrefill asking -> onAskingPrefill(asking, event);
+            case State.Prefilling prefilling -> onPrefilling(prefilling, event);
+            case State.Decoding decoding -> onDecoding(decoding, event);
+            case State.AwaitingRevisions awaiting -> onAwaitingRevisions(event);
+            case State.Created created -> throw new IllegalStateException("an event before the start: " + event);
+            case State.Settled settled -> {}
+        }
+        return takeActions();
+    }
+
+    @Override
+    public String stateName() {
+        return state.getClass().getSimpleName();
+    }
+
+    // ------------------------------------------------------------------ internals: a method for each state
+
+    private void onAskingDecode(State.AskingDecode asking, RequestEvent event) {
+        switch (event) {
+            case Granted granted when granted.attempt() == asking.decode().attempt() -> decodeGranted(asking.decode());
+            case Refused refused
+            when refused.attempt() == asking.decode().attempt() -> decodeRefused(asking.decode(), refused.failure());
+            case Lost lost
+            when lost.attempt() == asking.decode().attempt() -> nextDecode(asking.decode(), lost.failure());
+            default -> {}
+        }
+    }
+
+    private void onAskingPrefill(State.AskingPrefill asking, RequestEvent event) {
+        switch (event) {
+            case Granted granted
+            when granted.attempt() == asking.prefill().attempt() -> {
+                actions.add(new ExecutePrefill(granted.attempt()));
+                execution = ExecutionState.UNKNOWN;
+                state = new State.Prefilling(asking.decode(), asking.prefill());
+            }
+            case Refused refused
+            when refused.attempt() == asking.prefill().attempt() -> nextPrefill(asking, refused.failure());
+            case Lost lost when lost.attempt() == asking.prefill().attempt() -> nextPrefill(asking, lost.failure());
+            case Refused refused
+            when refused.attempt() == asking.decode().attempt() ->
+                decodeLapsed(asking.decode(), asking.prefill(), refused.failure());
+            case Lost lost
+            when lost.attempt() == asking.decode().attempt() ->
+                decodeLapsed(asking.decode(), asking.prefill(), lost.failure());
+            default -> {}
+        }
+    }
+
+    private void onPrefilling(State.Prefilling prefilling, RequestEvent event) {
+        switch (event) {
+            case PrefillDone done
+            when done.attempt() == prefilling.prefill().attempt() ->
+                decode(prefilling.decode(), Optional.of(done.cache()));
+            case Refused refused
+            when refused.attempt() == prefilling.prefill().attempt() -> prefillFailed(prefilling, refused.failure());
+            case AnswerFailed failed
+            when failed.attempt() == prefilling.prefill().attempt() -> prefillFailed(prefilling, failed.failure());
+            case Lost lost
+            when lost.attempt() == prefilling.prefill().attempt() -> prefillFailed(prefilling, lost.failure());
+            case Refused refused
+            when refused.attempt() == prefilling.decode().attempt() ->
+                decodeLapsed(prefilling.decode(), prefilling.prefill(), refused.failure());
+            case Lost lost
+            when lost.attempt() == prefilling.decode().attempt() ->
+                decodeLapsed(prefilling.decode(), prefilling.prefill(), lost.failure());
+            default -> {}
+        }
+    }
+
+    private void onDecoding(State.Decoding decoding, RequestEvent event) {
+        switch (event) {
+            case AnswerWhole whole when whole.attempt() == decoding.decode().attempt() -> settle(Optional.empty());
+            case AnswerFailed failed
+            when failed.attempt() == decoding.decode().attempt() -> {
+                actions.add(new Cancel(failed.attempt(), failed.failure().code()));
+                decodeFailed(decoding.decode(), failed.failure());
+            }
+            case Refused refused
+            when refused.attempt() == decoding.decode().attempt() -> decodeFailed(decoding.decode(), refused.failure());
+            case Lost lost
+            when lost.attempt() == decoding.decode().attempt() -> decodeFailed(decoding.decode(), lost.failure());
+            default -> {}
+        }
+    }
+
+    private void onAwaitingRevisions(RequestEvent event) {
+        if (event instanceof RevisionsAwaited) {
+            retryDecode();
+        }
+    }
+
+    // ------------------------------------------------------------------ internals: steps
+
+    private void askDecode() {
+        Optional<Attempt> attempt = ask(InstanceRole.DECODE, excludedDecodes);
+        if (attempt.isPresent()) {
+            state = new State.AskingDecode(attempt.get());
+        } else {
+            settle(Optional.of(refusals.noneLeft(execution)));
+        }
+    }
+
+    private void decodeGranted(Attempt decode) {
+        if (failedTransfers >= TRANSFERS_BEFORE_OWN_PREFILL) {
+            decode(decode, Optional.empty());
+        } else {
+            askPrefill(decode);
+        }
+    }
+
+    private void askPrefill(Attempt decode) {
+        Optional<Attempt> prefill = ask(InstanceRole.PREFILL, excludedPrefills);
+        if (prefill.isPresent()) {
+            state = new State.AskingPrefill(decode, prefill.get());
+        } else {
+            actions.add(new Release(decode.attempt()));
+            settle(Optional.of(refusals.noneLeft(execution)));
+        }
+    }
+
+    private void decode(Attempt decode, Optional<CacheHandle> cache) {
+        actions.add(new ExecuteDecode(decode.attempt(), cache));
+        execution = ExecutionState.UNKNOWN;
+        state = new State.Decoding(decode);
+    }
+
+    private void decodeRefused(Attempt decode, Failure failure) {
+        if (failure.code() == ResultCode.REVISION_BEHIND) {
+            refusals.add(failure);
+            actions.add(new AwaitRevisions());
+            state = new State.AwaitingRevisions();
+        } else {
+            nextDecode(decode, failure);
+        }
+    }
+
+    private void nextDecode(Attempt decode, Failure failure) {
+        excludedDecodes.add(decode.instance().name());
+        beginAgain(failure);
+    }
+
+    private void nextPrefill(State.AskingPrefill asking, Failure failure) {
+        refusals.add(failure);
+        excludedPrefills.add(asking.prefill().instance().name());
+        if (RefusalSummary.isFinal(failure)) {
+            actions.add(new Release(asking.decode().attempt()));
+            settle(Optional.of(failure.withExecutionState(execution)));
+        } else if (placement.tryRetry()) {
+            askPrefill(asking.decode());
+        } else {
+            actions.add(new Release(asking.decode().attempt()));
+            settle(Optional.of(refusals.budgetSpent(execution)));
+        }
+    }
+
+    private void prefillFailed(State.Prefilling prefilling, Failure failure) {
+        actions.add(new Release(prefilling.decode().attempt()));
+        excludedPrefills.add(prefilling.prefill().instance().name());
+        beginAgain(failure);
+    }
+
+    /** The decode grant went away while the prefill was under way, which would be wasted now. */
+    private void decodeLapsed(Attempt decode, Attempt prefill, Failure failure) {
+        actions.add(new Cancel(prefill.attempt(), ResultCode.CANCELLED));
+        if (failure.code() != ResultCode.GRANT_EXPIRED) {
+            excludedDecodes.add(decode.instance().name());
+        }
+        beginAgain(failure);
+    }
+
+    /** Earlier exclusions end here: what was full when the request began may have room by now. */
+    private void decodeFailed(Attempt decode, Failure failure) {
+        excludedDecodes.clear();
+        excludedPrefills.clear();
+        switch (failure.code()) {
+            case TRANSFER_FAILED -> failedTransfers++;
+            case GRANT_EXPIRED, GRANT_UNKNOWN -> {}
+            default -> excludedDecodes.add(decode.instance().name());
+        }
+        beginAgain(failure);
+    }
+
+    private void beginAgain(Failure failure) {
+        refusals.add(failure);
+        if (RefusalSummary.isFinal(failure)) {
+            settle(Optional.of(failure.withExecutionState(execution)));
+        } else {
+            retryDecode();
+        }
+    }
+
+    private void retryDecode() {
+        if (placement.tryRetry()) {
+            askDecode();
+        } else {
+            settle(Optional.of(refusals.budgetSpent(execution)));
+        }
+    }
+
+    private void giveUp(Failure failure) {
+        for (Attempt open : state.openAttempts()) {
+            actions.add(new Cancel(open.attempt(), failure.code()));
+        }
+        settle(Optional.of(failure.withExecutionState(execution)));
+    }
+
+    private void settle(Optional<Failure> failure) {
+        state = new State.Settled();
+        actions.add(new Settle(failure));
+    }
+
+    private Optional<Attempt> ask(InstanceRole role, Set<InstanceName> excluded) {
+        if (attempts >= MAXIMUM_ATTEMPTS) {
+            return Optional.empty();
+        }
+        Optional<Attempt> attempt = placement.place(role, excluded).map(instance -> new Attempt(++attempts, instance));
+        attempt.ifPresent(placed -> actions.add(new Ask(placed.attempt(), role, placed.instance())));
+        return attempt;
+    }
+
+    private List<RequestAction> takeActions() {
+        List<RequestAction> taken = List.copyOf(actions);
+        actions.clear();
+        return taken;
+    }
+
+    /** One grant that was asked for. */
+    private record Attempt(int attempt, Instance instance) {}
+
+    /** Where the request stands. */
+    private sealed interface State {
+
+        /** Returns the attempts that a sidecar may still hold something for. */
+        default List<Attempt> openAttempts() {
+            return List.of();
+        }
+
+        record Created() implements State {}
+
+        record AskingDecode(Attempt decode) implements State {
+            @Override
+            public List<Attempt> openAttempts() {
+                return List.of(decode);
+            }
+        }
+
+        record AskingPrefill(Attempt decode, Attempt prefill) implements State {
+            @Override
+            public List<Attempt> openAttempts() {
+                return List.of(decode, prefill);
+            }
+        }
+
+        record Prefilling(Attempt decode, Attempt prefill) implements State {
+            @Override
+            public List<Attempt> openAttempts() {
+                return List.of(decode, prefill);
+            }
+        }
+
+        record Decoding(Attempt decode) implements State {
+            @Override
+            public List<Attempt> openAttempts() {
+                return List.of(decode);
+            }
+        }
+
+        record AwaitingRevisions() implements State {}
+
+        record Settled() implements State {}
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/merlinwood/entry/machine/PlainMachine.java
@@ -0,0 +1,260 @@
+package org.merlinwood.entry.machine;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.merlinwood.configuration.inventory.Instance;
+import org.merlinwood.configuration.inventory.InstanceRole;
+import org.merlinwood.core.identity.InstanceName;
+import org.merlinwood.core.result.ExecutionState;
+import org.merlinwood.core.result.Failure;
+import org.merlinwood.core.result.ResultCode;
+import org.merlinwood.entry.machine.RequestAction.Ask;
+import org.merlinwood.entry.machine.RequestAction.AwaitRevisions;
+import org.merlinwood.entry.machine.RequestAction.Cancel;
+import org.merlinwood.entry.machine.RequestAction.ExecutePlain;
+import org.merlinwood.entry.machine.RequestAction.Settle;
+import org.merlinwood.entry.machine.RequestEvent.AnswerFailed;
+import org.merlinwood.entry.machine.RequestEvent.AnswerWhole;
+import org.merlinwood.entry.machine.RequestEvent.GivenUp;
+import org.merlinwood.entry.machine.RequestEvent.Granted;
+import org.merlinwood.entry.machine.RequestEvent.Lost;
+import org.merlinwood.entry.machine.RequestEvent.Refused;
+import org.merlinwood.entry.machine.RequestEvent.RevisionsAwaited;
+
+/**
+ * Decides what is done for one call of a plain service.
+ *
+ * <p>Before execute, any attempt that was refused or lost may be followed by another one, at an instance that the key
+ * allows. From execute on only an idempotent call is sent again; any other ends with what its sidecar says, or, if that
+ * says nothing, with an unknown outcome. Not thread-safe: used by the control thread only.
+ */
+public final class PlainMachine implements RequestMachine {
+
+    /** Grants that one request asks for at most. */
+    public static final int MAXIMUM_ATTEMPTS = 6;
+
+    private final Placement placement;
+    private final Binding binding;
+    private final RefusalSummary refusals;
+    private final Set<InstanceName> excluded = new HashSet<>();
+    private final List<RequestAction> actions = new ArrayList<>();
+    private State state = new State.Created();
+    private int attempts;
+    private ExecutionState execution;
+
+    /** What the request's key allows. */
+    public enum Binding {
+        /** Idempotent: any instance, more than once. */
+        ANY_REPEATED,
+        /** Any instance until one is told to execute. */
+        ANY_ONCE,
+        /** Only the instance that the placement names, and once. */
+        ONE_ONCE
+    }
+
+    // ------------------------------------------------------------------ life-cycle
+
+    /**
+     * Creates the machine of one request.
+     *
+     * @param placement the decisions; for {@link Binding#ONE_ONCE} it names the one instance
+     * @param binding what the request's key allows
+     */
+    public PlainMachine(Placement placement, Binding binding) {
+        this.placement = placement;
+        this.binding = binding;
+        this.refusals = new RefusalSummary(placement);
+        this.execution = beforeExecute();
+    }
+
+    // ------------------------------------------------------------------ public API
+
+    @Override
+    public List<RequestAction> start() {
+        placement.firstAttempt();
+        ask();
+        return takeActions();
+    }
+
+    @Override
+    public List<RequestAction> on(RequestEvent event) {
+        if (event instanceof GivenUp givenUp && !(state instanceof State.Settled)) {
+            giveUp(givenUp.failure());
+            return takeActions();
+        }
+        switch (state) {
+            case State.Asking asking -> onAsking(asking, event);
+            case State.Executing executing -> onExecuting(executing, event);
+            case State.AwaitingRevisions awaiting -> onAwaitingRevisions(event);
+            case State.Created created -> throw new IllegalStateException("an event before the start: " + event);
+            case State.Settled settled -> {}
+        }
+        return takeActions();
+    }
+
+    @Override
+    public String stateName() {
+        return state.getClass().getSimpleName();
+    }
+
+    // ------------------------------------------------------------------ internals: a method for each state
+
+    private void onAsking(State.Asking asking, RequestEvent event) {
+        switch (event) {
+            case Granted granted
+            when granted.attempt() == asking.attempt() -> {
+                actions.add(new ExecutePlain(granted.attempt()));
+                execution = ExecutionState.UNKNOWN;
+                state = new State.Executing(asking.attempt(), asking.instance());
+            }
+            case Refused refused
+            when refused.attempt() == asking.attempt() -> refusedBeforeExecute(asking, refused.failure());
+            case Lost lost when lost.attempt() == asking.attempt() -> lostBeforeExecute(asking, lost.failure());
+            default -> {}
+        }
+    }
+
+    private void onExecuting(State.Executing executing, RequestEvent event) {
+        switch (event) {
+            case AnswerWhole whole when whole.attempt() == executing.attempt() -> settle(Optional.empty());
+            case AnswerFailed failed
+            when failed.attempt() == executing.attempt() -> endedAfterExecute(executing, failed.failure());
+            case Refused refused
+            when refused.attempt() == executing.attempt() -> endedAfterExecute(executing, refused.failure());
+            case Lost lost when lost.attempt() == executing.attempt() -> lostAfterExecute(executing, lost.failure());
+            default -> {}
+        }
+    }
+
+    private void onAwaitingRevisions(RequestEvent event) {
+        if (event instanceof RevisionsAwaited) {
+            retry();
+        }
+    }
+
+    // ------------------------------------------------------------------ internals: steps
+
+    private void ask() {
+        Optional<Instance> instance =
+                attempts < MAXIMUM_ATTEMPTS ? placement.place(InstanceRole.PLAIN, excluded) : Optional.empty();
+        if (instance.isEmpty()) {
+            settle(Optional.of(noneLeft()));
+            return;
+        }
+        attempts++;
+        state = new State.Asking(attempts, instance.get());
+        actions.add(new Ask(attempts, InstanceRole.PLAIN, instance.get()));
+    }
+
+    private Failure noneLeft() {
+        return binding == Binding.ONE_ONCE
+                ? homeUnreachable(
+                        Failure.of(ResultCode.NO_INSTANCE, "the inventory does not name the instance of the key"))
+                : refusals.noneLeft(execution);
+    }
+
+    private void refusedBeforeExecute(State.Asking asking, Failure failure) {
+        if (failure.code() == ResultCode.REVISION_BEHIND) {
+            refusals.add(failure);
+            actions.add(new AwaitRevisions());
+            state = new State.AwaitingRevisions();
+        } else if (binding == Binding.ONE_ONCE || RefusalSummary.isFinal(failure)) {
+            settle(Optional.of(spread(failure)));
+        } else {
+            next(asking.instance(), failure);
+        }
+    }
+
+    private void lostBeforeExecute(State.Asking asking, Failure failure) {
+        if (binding == Binding.ONE_ONCE) {
+            settle(Optional.of(homeUnreachable(failure)));
+        } else {
+            next(asking.instance(), failure);
+        }
+    }
+
+    private void endedAfterExecute(State.Executing executing, Failure failure) {
+        if (binding == Binding.ANY_REPEATED && !RefusalSummary.isFinal(failure)) {
+            next(executing.instance(), failure);
+        } else {
+            settle(Optional.of(spread(failure)));
+        }
+    }
+
+    private void lostAfterExecute(State.Executing executing, Failure failure) {
+        if (failure.executionState() == ExecutionState.NOT_RUN) {
+            execution = beforeExecute();
+            lostBeforeExecute(new State.Asking(executing.attempt(), executing.instance()), failure);
+        } else if (binding == Binding.ANY_REPEATED) {
+            next(executing.instance(), failure);
+        } else {
+            settle(Optional.of(Failure.of(
+                    ResultCode.OUTCOME_UNKNOWN, "the call was handed over, and its outcome was not heard of")));
+        }
+    }
+
+    private void next(Instance instance, Failure failure) {
+        refusals.add(failure);
+        excluded.add(instance.name());
+        retry();
+    }
+
+    private void retry() {
+        if (placement.tryRetry()) {
+            ask();
+        } else {
+            settle(Optional.of(refusals.budgetSpent(execution)));
+        }
+    }
+
+    private Failure homeUnreachable(Failure cause) {
+        return refusals.retryLater(
+                new Failure(ResultCode.KEY_HOME_UNREACHABLE, cause.detail(), execution, Failure.NO_RETRY));
+    }
+
+    /** An earlier request may have had the key that a caller sent, and only the instance of the key knows of it. */
+    private ExecutionState beforeExecute() {
+        return binding == Binding.ONE_ONCE ? ExecutionState.UNKNOWN : ExecutionState.NOT_RUN;
+    }
+
+    private Failure spread(Failure failure) {
+        return failure.retryAfterMillis() == Failure.NO_RETRY ? failure : refusals.retryLater(failure);
+    }
+
+    private void giveUp(Failure failure) {
+        switch (state) {
+            case State.Asking asking -> actions.add(new Cancel(asking.attempt(), failure.code()));
+            case State.Executing executing -> actions.add(new Cancel(executing.attempt(), failure.code()));
+            default -> {}
+        }
+        settle(Optional.of(failure.withExecutionState(execution)));
+    }
+
+    private void settle(Optional<Failure> failure) {
+        state = new State.Settled();
+        actions.add(new Settle(failure));
+    }
+
+    private List<RequestAction> takeActions() {
+        List<RequestAction> taken = List.copyOf(actions);
+        actions.clear();
+        return taken;
+    }
+
+    /** Where the request stands. */
+    private sealed interface State {
+
+        record Created() implements State {}
+
+        record Asking(int attempt, Instance instance) implements State {}
+
+        record Executing(int attempt, Instance instance) implements State {}
+
+        record AwaitingRevisions() implements State {}
+
+        record Settled() implements State {}
+    }
+}
