--- a/stand-ins/src/test/java/org/merlinwood/standin/engine/DecodeTest.java
+++ b/stand-ins/src/test/java/org/merlinwood/standin/engine/DecodeTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
@@ -11,6 +12,7 @@
 import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.merlinwood.core.result.ExecutionState;
+import org.merlinwood.core.result.ResultCode;
 import org.merlinwood.http.HttpAnswer;
 import org.merlinwood.http.HttpStream;
 import org.merlinwood.standin.Calls;
@@ -106,11 +108,18 @@
     @ValueSource(strings = {"[crash-engine]", "[crash-decode]"})
     void endsTheEngineThatRunsACrashingPrompt(String marker) throws Exception {
         ModelEngine engine = fixture.start(EngineOptions.builder());
+        InetSocketAddress address = engine.address();
         String body = EngineFixture.decodeBody(marker, 20, List.of(), "");
-        fixture.calls().fail("POST", engine.address(), "/v1/decode", body);
+        fixture.calls().fail("POST", address, "/v1/decode", body);
         assertThat(engine.ledger().runs().getFirst().outcome()).isEqualTo(EngineRun.Outcome.CRASHED);
-        assertThat(fixture.calls().fail("GET", engine.address(), "/v1/load", "").executionState())
-                .isNotNull();
+        Calls.await(() -> fixture.calls()
+                .client()
+                .call(Calls.call("GET", address, "/v1/load", ""))
+                .toCompletableFuture()
+                .get()
+                .isLeft());
+        assertThat(fixture.calls().fail("GET", address, "/v1/load", "").code())
+                .isEqualTo(ResultCode.UPSTREAM_UNREACHABLE);
     }
 
     @Test
