Ask seed peers in turn, and subscribe with all that they sent

Cause: all seed peers sent a restarted process whole documents at once, which a fleet of thousands would make costly; an answer of a seed that itself knew nothing counted as having heard from a peer; a process subscribed between the two documents of one answer and got the second one twice. Change: seeds are asked one after the other with what is known by then, and the process is ready once all were asked or a bounded time has passed; the subscription begins behind the whole answer. Two tests, one of which failed before. Conclusion: the unit tests of the module pass.

--- a/following/src/main/java/org/merlinwood/following/impl/FollowerCore.java
+++ b/following/src/main/java/org/merlinwood/following/impl/FollowerCore.java
@@ -90,8 +90,8 @@
     }
 
     void start(Peers reachable) {
-        timer.execute(() ->
-                begin(Optional.of(new PeerFollowing(settings, timer, jitter, store, reachable, watches, metrics))));
+        timer.execute(() -> begin(Optional.of(
+                new PeerFollowing(settings, timer, jitter, store, reachable, watches, metrics, () -> settled = true))));
     }
 
     /** Ends all calls; what is in force stays readable. */
@@ -232,8 +232,8 @@
         peers = following;
         lastTickMillis = clock.monotonicMillis();
         watches.start();
-        peers.ifPresent(PeerFollowing::start);
         settled = peers.isEmpty();
+        peers.ifPresent(PeerFollowing::start);
         timer.schedule(SEED_PATIENCE_MILLIS, () -> settled = true);
         timer.schedule(TICK_MILLIS, this::tick);
     }
@@ -270,7 +270,6 @@
             peers.ifPresent(PeerFollowing::restart);
         }
         lastTickMillis = now;
-        settled = settled || peers.map(PeerFollowing::isSettled).orElse(true);
         timer.schedule(TICK_MILLIS, this::tick);
     }
 }
--- a/following/src/main/java/org/merlinwood/following/impl/PeerFollowing.java
+++ b/following/src/main/java/org/merlinwood/following/impl/PeerFollowing.java
@@ -2,8 +2,11 @@
 
 import com.codahale.metrics.Counter;
 import com.codahale.metrics.MetricRegistry;
+import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.merlinwood.configuration.inventory.Inventory;
 import org.merlinwood.configuration.inventory.NetworkAddress;
 import org.merlinwood.configuration.settings.ProcessSettings;
@@ -20,6 +23,7 @@
     private static final long CATCH_UP_JITTER_MILLIS = 200;
     private static final long CATCH_UP_INTERVAL_MILLIS = 1_000;
     private static final long SEED_RETRY_MILLIS = 2_000;
+    private static final long NEXT_SEED_MILLIS = 700;
     private static final int FAILURES_BEFORE_BACKUP = 2;
 
     /** Decides about the watch of the configuration service, on the control thread. */
@@ -41,9 +45,10 @@
     private final Watching watching;
     private final PeerSubscriber subscriber;
     private final Counter fetches;
+    private final Runnable onSeedsAsked;
+    private final List<NetworkAddress> seeds;
     private Optional<ReaderPlan> plan = Optional.empty();
-    private int pendingSeeds;
-    private boolean heard;
+    private int seedTurn;
     private boolean catchingUp;
     private boolean closed;
 
@@ -54,7 +59,8 @@
             DocumentStore store,
             Peers peers,
             Watching watching,
-            MetricRegistry metrics) {
+            MetricRegistry metrics,
+            Runnable onSeedsAsked) {
         this.settings = settings;
         this.timer = timer;
         this.jitter = jitter;
@@ -63,6 +69,10 @@
         this.watching = watching;
         this.subscriber = new PeerSubscriber(peers, timer, jitter, store::revisions, this);
         this.fetches = metrics.counter("following.peer.fetches");
+        this.onSeedsAsked = onSeedsAsked;
+        this.seeds = new ArrayList<>(settings.seedPeers());
+        seeds.remove(settings.peerAddress());
+        Collections.rotate(seeds, jitter.index(seeds.size() + 1));
     }
 
     // ------------------------------------------------------------------ life-cycle
@@ -88,7 +98,7 @@
     /** A new inventory is in force: who reads may have changed. */
     void onInventory(Inventory inventory) {
         plan = Optional.of(ReaderPlan.of(inventory, settings.instance(), settings.failureDomain()));
-        reconsider();
+        timer.execute(this::reconsider); // behind the rules of the same answer, so that they are known by then
     }
 
     /** The watch of the service failed or recovered. */
@@ -124,7 +134,6 @@
 
     @Override
     public void onUpdates(Peer peer, List<DocumentUpdate> updates) {
-        heard = true;
         updates.forEach(update -> apply(peer, update));
     }
 
@@ -142,31 +151,38 @@
 
     // ------------------------------------------------------------------ state
 
-    /** True once a peer answered, or none of the seed peers can be expected to. */
-    boolean isSettled() {
-        return heard || pendingSeeds == 0;
-    }
-
     String subscribedTo() {
         return subscriber.subscribedTo();
     }
 
     // ------------------------------------------------------------------ internals
 
+    /** Asks one seed peer after the other, so that only the first sends whole documents. */
     private void askSeeds() {
+        askSeed(0, ++seedTurn);
+        timer.schedule(jitter.around(SEED_RETRY_MILLIS) + NEXT_SEED_MILLIS * seeds.size(), () -> {
+            if (!closed && !store.revisions().isComplete()) {
+                askSeeds();
+            }
+        });
+    }
+
+    private void askSeed(int index, int turn) {
         if (closed) {
             return;
         }
-        List<NetworkAddress> seeds = settings.seedPeers().stream()
-                .filter(seed -> !seed.equals(settings.peerAddress()))
-                .toList();
-        pendingSeeds = seeds.size();
-        seeds.forEach(seed -> fetch(peers.at(seed), store.revisions(), () -> pendingSeeds--));
-        timer.schedule(jitter.around(SEED_RETRY_MILLIS), () -> {
-            if (!store.revisions().isComplete()) {
-                askSeeds();
+        if (index >= seeds.size()) {
+            onSeedsAsked.run();
+            return;
+        }
+        AtomicBoolean passed = new AtomicBoolean();
+        Runnable next = () -> {
+            if (turn == seedTurn && passed.compareAndSet(false, true)) {
+                askSeed(index + 1, turn);
             }
-        });
+        };
+        fetch(peers.at(seeds.get(index)), store.revisions(), next);
+        timer.schedule(NEXT_SEED_MILLIS, next);
     }
 
     private void compare() {
@@ -206,10 +222,10 @@
         peer.fetch(known, new Peer.Listener() {
             @Override
             public void onUpdates(List<DocumentUpdate> updates) {
-                onDone.run();
                 if (!closed) {
                     PeerFollowing.this.onUpdates(peer, updates);
                 }
+                onDone.run();
             }
 
             @Override
--- a/following/src/test/java/org/merlinwood/following/impl/PeerFollowingTest.java
+++ b/following/src/test/java/org/merlinwood/following/impl/PeerFollowingTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -154,6 +155,33 @@
         assertThat(restarted.revisions().inventory()).isEqualTo(6);
     }
 
+    @Test
+    void aSeedThatKnowsNothingItselfIsNotBelieved() {
+        publish(6);
+        fleet.timer.run(WITHIN_MILLIS);
+        ConfigurationService unreachable =
+                (document, after, wait) -> CompletableFuture.completedFuture(new ServiceAnswer.Unavailable("cut"));
+        fleet.cut((from, to) -> from == 0 && to != 20);
+        fleet.add(0, unreachable, List.of());
+        FollowerCore restarted = fleet.add(20, staleReplica(), SEEDS);
+        boolean wasReadyWithOldRevision = fleet.timer.runUntil(
+                () -> restarted.isReady() && restarted.revisions().inventory() < 6,
+                fleet.clock.monotonicMillis() + WITHIN_MILLIS);
+
+        assertThat(wasReadyWithOldRevision).isFalse();
+        assertThat(restarted.isReady()).isTrue();
+    }
+
+    @Test
+    void onlyOneSeedSendsWholeDocuments() {
+        FollowerCore restarted = fleet.add(20, new FakeService(fleet.clock, fleet.timer), SEEDS);
+        fleet.timer.run(WITHIN_MILLIS);
+
+        assertThat(restarted.isReady()).isTrue();
+        assertThat(fleet.metrics.get(20).counter("following.updates.whole").getCount())
+                .isEqualTo(2);
+    }
+
     @Test
     void readersWithAStaleReplicaLearnFromReadersOfTheOtherDomain() {
         fleet.readers().stream()
