Note cached prefixes when the prefill is done, and learn its rate

Cause: choose() remembered the prompt's prefixes at the chosen instance at once, so that the forecast made right after it took the whole prompt for cached: the latest start was late by the whole prefill. The rate of prefills began at 8 tokens a millisecond and moved only when a queue was reported, so that long prompts were refused on an idle fleet. Ruled out: late starts at the sidecar (none began after its latest start), transfers (predicted within 60 ms). Change: prefilled() notes prefixes and rate when a prefill ends; choose() remembers nothing.

--- a/decision/src/main/java/org/merlinwood/decision/placement/UpstreamPool.java
+++ b/decision/src/main/java/org/merlinwood/decision/placement/UpstreamPool.java
@@ -43,6 +43,7 @@
     private static final int PREFIX_ROWS = 1 << 16;
     private static final long PREFIX_LIFE_MILLIS = 600_000;
     private static final double DEFAULT_PREFILL_TOKENS_PER_MILLI = 8;
+    private static final long LEAST_TOKENS_FOR_RATE = 256;
     private static final double RATE_GAIN = 0.1;
     private static final double TIE_SPREAD = 0.02;
 
@@ -55,6 +56,7 @@
     private final UniformRandomProvider random;
     private final int[] matchedBlocks = new int[PrefixIndex.MAXIMUM_HOLDERS];
     private double prefillTokensPerMilli = DEFAULT_PREFILL_TOKENS_PER_MILLI;
+    private boolean rateKnown;
 
     // ------------------------------------------------------------------ life-cycle
 
@@ -121,6 +123,7 @@
         }
         UpstreamPool successor = new UpstreamPool(filter, selection, successors, prefixIndex, random);
         successor.prefillTokensPerMilli = prefillTokensPerMilli;
+        successor.rateKnown = rateKnown;
         return successor;
     }
 
@@ -136,11 +139,7 @@
      */
     public Optional<Instance> choose(PlacementQuery query, Set<InstanceName> excluded) {
         Candidate best = best(query, excluded);
-        if (best == null) {
-            return Optional.empty();
-        }
-        prefixIndex.ifPresent(index -> index.stored(best.slot(), query.blocks(), query.nowMillis()));
-        return best.asAnswer();
+        return best == null ? Optional.empty() : best.asAnswer();
     }
 
     /**
@@ -155,7 +154,8 @@
     }
 
     /**
-     * Notes a load that rode on a grant, a refusal or an answer.
+     * Notes a load that rode on a grant, a refusal or an answer. After a grant the load has the granted work in it, so
+     * call {@link #started} before; after a refusal it has not, so call {@link #ended} before.
      *
      * @param name the instance; ignored if it is no candidate
      * @param observation its load
@@ -163,7 +163,9 @@
      */
     public void observe(InstanceName name, LoadObservation observation, long nowMillis) {
         withCandidate(name, candidate -> candidate.observe(observation, nowMillis));
-        learnRate(observation);
+        if (observation.queuedTokens() > 0 && observation.expectedWaitMillis() > 0) {
+            learnRate((double) observation.queuedTokens() / observation.expectedWaitMillis());
+        }
     }
 
     /**
@@ -196,6 +198,22 @@
         withCandidate(name, candidate -> candidate.avoid(untilMillis));
     }
 
+    /**
+     * Notes a prefill that was completed: where its prefixes are cached now, and how fast it was.
+     *
+     * @param name the instance; ignored if it is no candidate
+     * @param blocks the prefixes of the prompt
+     * @param computedTokens prompt tokens that the instance computed, without those that it had cached
+     * @param millis from execute to the end of the prefill, in milliseconds
+     * @param nowMillis the monotonic time, in milliseconds
+     */
+    public void prefilled(InstanceName name, PrefixBlocks blocks, long computedTokens, long millis, long nowMillis) {
+        cached(name, blocks, nowMillis);
+        if (computedTokens >= LEAST_TOKENS_FOR_RATE && millis > 0) {
+            learnRate((double) computedTokens / millis);
+        }
+    }
+
     /**
      * Notes that an instance has a prompt's prefixes in its cache. A hint.
      *
@@ -372,11 +390,10 @@
                 : new PlacementForecast(candidate.expectedWaitMillis(query.nowMillis()), 0);
     }
 
-    private void learnRate(LoadObservation observation) {
-        if (observation.queuedTokens() > 0 && observation.expectedWaitMillis() > 0) {
-            double reported = (double) observation.queuedTokens() / observation.expectedWaitMillis();
-            prefillTokensPerMilli += RATE_GAIN * (reported - prefillTokensPerMilli);
-        }
+    private void learnRate(double tokensPerMilli) {
+        double gain = rateKnown ? RATE_GAIN : 1;
+        rateKnown = true;
+        prefillTokensPerMilli += gain * (tokensPerMilli - prefillTokensPerMilli);
     }
 
     // ------------------------------------------------------------------ internals: candidates
--- a/decision/src/test/java/org/merlinwood/decision/placement/UpstreamPoolTest.java
+++ b/decision/src/test/java/org/merlinwood/decision/placement/UpstreamPoolTest.java
@@ -109,6 +109,23 @@
         assertThat(pool.forecast(query(3)).orElseThrow().serviceMillis()).isGreaterThan(cachedMillis);
     }
 
+    @Test
+    void aChoiceAloneIsNoHint() {
+        UpstreamPool pool = pool(PoolInventories.of(InstanceRole.PREFILL, 1, 1), InstanceRole.PREFILL);
+        long beforeMillis = pool.forecast(query(3)).orElseThrow().serviceMillis();
+        assertThat(pool.choose(query(3), Set.of())).isPresent();
+        assertThat(pool.forecast(query(3)).orElseThrow().serviceMillis()).isEqualTo(beforeMillis);
+    }
+
+    @Test
+    void learnsFromACompletedPrefill() {
+        UpstreamPool pool = pool(PoolInventories.of(InstanceRole.PREFILL, 2, 1), InstanceRole.PREFILL);
+        pool.prefilled(FIRST, PREFIX, PROMPT_TOKENS, PROMPT_TOKENS / 20, NOW_MILLIS);
+        assertThat(name(pool.choose(query(3), Set.of()))).isEqualTo(FIRST);
+        PlacementQuery other = new PlacementQuery(1, 20_000, PrefixBlocks.NONE, NOW_MILLIS, 0);
+        assertThat(pool.forecast(other)).contains(new PlacementForecast(0, 1_000));
+    }
+
     @Test
     void spreadsPlainCallsByThoseInFlight() {
         UpstreamPool pool = pool(PoolInventories.of(InstanceRole.PLAIN, 10, 1), InstanceRole.PLAIN);
--- a/replay/src/main/java/org/merlinwood/replay/fake/FakePrefill.java
+++ b/replay/src/main/java/org/merlinwood/replay/fake/FakePrefill.java
@@ -174,10 +174,11 @@
         running = Optional.of(work);
         long workMicros = micros(computedTokens);
         busyUntilMicros = time.nowMicros() + workMicros;
-        time.after(workMicros, () -> finish(work, computedTokens));
+        long begunMicros = time.nowMicros();
+        time.after(workMicros, () -> finish(work, computedTokens, begunMicros));
     }
 
-    private void finish(PrefillWork work, long computedTokens) {
+    private void finish(PrefillWork work, long computedTokens, long begunMicros) {
         if (!alive) {
             return;
         }
@@ -185,7 +186,7 @@
         cache.store(work.blocks());
         cacheListener.stored(instance.name(), work.blocks());
         long bytes = work.promptTokens() * fleet.link().bytesPerToken();
-        PrefillResult result = new PrefillResult(this, computedTokens, bytes, time.nowMicros());
+        PrefillResult result = new PrefillResult(this, computedTokens, bytes, begunMicros, time.nowMicros());
         FakeNetwork.send(time, () -> work.done().accept(result));
         startNext();
         changed();
--- a/replay/src/main/java/org/merlinwood/replay/fake/PrefillResult.java
+++ b/replay/src/main/java/org/merlinwood/replay/fake/PrefillResult.java
@@ -6,6 +6,7 @@
  * @param holder the instance
  * @param computedTokens prompt tokens that were computed for it
  * @param bytes its size
+ * @param begunMicros when its prefill began, in virtual microseconds
  * @param doneMicros when it was complete, in virtual microseconds
  */
-public record PrefillResult(FakePrefill holder, long computedTokens, long bytes, long doneMicros) {}
+public record PrefillResult(FakePrefill holder, long computedTokens, long bytes, long begunMicros, long doneMicros) {}
--- a/replay/src/main/java/org/merlinwood/replay/policy/BaselineDecisions.java
+++ b/replay/src/main/java/org/merlinwood/replay/policy/BaselineDecisions.java
@@ -117,6 +117,9 @@
     @Override
     public void transferred(long bytes, long millis) {}
 
+    @Override
+    public void prefilled(InstanceName name, ModelRun run, long computedTokens, long millis) {}
+
     @Override
     public void cached(InstanceName name, PrefixBlocks blocks) {}
 
--- a/replay/src/main/java/org/merlinwood/replay/policy/MerlinwoodDecisions.java
+++ b/replay/src/main/java/org/merlinwood/replay/policy/MerlinwoodDecisions.java
@@ -173,6 +173,11 @@
         transferRate.observe(bytes, millis);
     }
 
+    @Override
+    public void prefilled(InstanceName name, ModelRun run, long computedTokens, long millis) {
+        prefillPool.prefilled(name, run.blocks(), computedTokens, millis, time.monotonicMillis());
+    }
+
     @Override
     public void cached(InstanceName name, PrefixBlocks blocks) {
         prefillPool.cached(name, blocks, time.monotonicMillis());
--- a/replay/src/main/java/org/merlinwood/replay/policy/ModelDispatch.java
+++ b/replay/src/main/java/org/merlinwood/replay/policy/ModelDispatch.java
@@ -164,6 +164,8 @@
     }
 
     private void prefillDone(PrefillResult done) {
+        long millis = TimeUnit.MICROSECONDS.toMillis(done.doneMicros() - done.begunMicros());
+        decisions.prefilled(done.holder().instance().name(), run, done.computedTokens(), millis);
         endPrefillUse();
         if (run.isEnded()) {
             return;
--- a/replay/src/main/java/org/merlinwood/replay/policy/RoutingDecisions.java
+++ b/replay/src/main/java/org/merlinwood/replay/policy/RoutingDecisions.java
@@ -126,6 +126,16 @@
      */
     void transferred(long bytes, long millis);
 
+    /**
+     * Notes a completed prefill.
+     *
+     * @param name the instance
+     * @param run the send
+     * @param computedTokens prompt tokens that were computed
+     * @param millis from the grant to the end
+     */
+    void prefilled(InstanceName name, ModelRun run, long computedTokens, long millis);
+
     /**
      * Notes a cache event.
      *
