Promise the import link of a decode instance with each grant

Change: LinkReservation counts the bytes of all grants until their transfer ends; a grant waits while those before it take longer than half the life of a result.

--- a/replay/src/main/java/org/merlinwood/replay/fake/FakeDecode.java
+++ b/replay/src/main/java/org/merlinwood/replay/fake/FakeDecode.java
@@ -1,12 +1,14 @@
 package org.merlinwood.replay.fake;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.merlinwood.configuration.inventory.Instance;
+import org.merlinwood.decision.admission.LinkReservation;
 import org.merlinwood.decision.placement.LoadObservation;
 import org.merlinwood.replay.trace.Fleet;
 
@@ -14,6 +16,7 @@
 public final class FakeDecode {
 
     private static final double LINK_SHARE_OF_RESULT_LIFE = 0.5;
+    private static final double ASSUMED_BYTES_PER_MILLI = 5_000_000;
     private static final double RELEASE_GAIN = 0.1;
     private static final double FIRST_RELEASE_GAP_MICROS = 500_000;
     private static final int FIRST_RELEASED_PIECES = 4;
@@ -24,6 +27,8 @@
     private final SidecarBehaviour behaviour;
     private final AskQueue queue;
     private final Link link;
+    private final LinkReservation reservation;
+    private final Map<DecodeStream, Long> promisedBytes = new HashMap<>();
     private final LaggingLoad lagging;
     private final Map<DecodeStream, Integer> held = new LinkedHashMap<>();
     private final List<DecodeStream> running = new ArrayList<>();
@@ -50,6 +55,8 @@
         this.behaviour = behaviour;
         this.queue = new AskQueue(behaviour);
         this.link = new Link(fleet.link().bytesPerMilli());
+        long longestWaitMillis = Math.round(fleet.prefill().resultLifeMillis() * LINK_SHARE_OF_RESULT_LIFE);
+        this.reservation = new LinkReservation(longestWaitMillis, ASSUMED_BYTES_PER_MILLI);
         this.lagging =
                 new LaggingLoad(TimeUnit.MILLISECONDS.toMicros(fleet.reports().loadLagMillis()), load());
     }
@@ -87,6 +94,7 @@
             return;
         }
         held.put(stream, pieces);
+        promisedBytes.put(stream, result.bytes());
         long startMicros = Math.max(
                 time.nowMicros(),
                 Math.max(link.freeAtMicros(), result.holder().link().freeAtMicros()));
@@ -99,16 +107,21 @@
         long endMicros = startMicros + link.micros(result.bytes());
         link.occupyUntil(endMicros);
         result.holder().link().occupyUntil(endMicros);
-        time.after(endMicros - time.nowMicros(), () -> join(stream));
+        long transferMillis = TimeUnit.MICROSECONDS.toMillis(endMicros - startMicros);
+        time.after(endMicros - time.nowMicros(), () -> transferred(stream, transferMillis));
     }
 
     /**
-     * Gives back the memory of a grant that was not executed.
+     * Gives back a grant that was not executed.
      *
      * @param pieces pieces of the grant
+     * @param tokens prompt tokens of the grant
      */
-    public void release(int pieces) {
-        FakeNetwork.send(time, () -> free(pieces));
+    public void release(int pieces, long tokens) {
+        FakeNetwork.send(time, () -> {
+            reservation.release(bytes(tokens));
+            free(pieces);
+        });
     }
 
     /**
@@ -160,19 +173,12 @@
 
     private boolean fits(Ask ask) {
         boolean memory = reservedPieces + ask.pieces() <= fleet.decode().pieces();
-        return memory && linkHoldMicros() <= 0;
-    }
-
-    private long linkHoldMicros() {
-        if (behaviour == SidecarBehaviour.FIRST_COME) {
-            return 0;
-        }
-        long lifeMicros = TimeUnit.MILLISECONDS.toMicros(fleet.prefill().resultLifeMillis());
-        return link.backlogMicros(time.nowMicros()) - Math.round(lifeMicros * LINK_SHARE_OF_RESULT_LIFE);
+        return memory && (behaviour == SidecarBehaviour.FIRST_COME || reservation.hasRoom());
     }
 
     private void grant(Ask ask) {
         reservedPieces += ask.pieces();
+        reservation.reserve(bytes(ask.tokens()));
         LoadObservation load = load();
         changed();
         if (ask.close()) {
@@ -194,9 +200,6 @@
             grant(next.get());
             next = queue.next();
         }
-        if (alive && next.isPresent() && linkHoldMicros() > 0) {
-            time.after(linkHoldMicros(), this::grantWaiting);
-        }
     }
 
     private long waitMicros(Ask ask) {
@@ -205,7 +208,7 @@
                 + ask.pieces()
                 - fleet.decode().pieces();
         long memoryMicros = Math.round(Math.max(0, missing) / releasedPiecesPerMicro);
-        return Math.max(memoryMicros, linkHoldMicros());
+        return Math.max(memoryMicros, TimeUnit.MILLISECONDS.toMicros(reservation.waitMillis()));
     }
 
     private void free(int pieces) {
@@ -225,6 +228,27 @@
 
     // ------------------------------------------------------------------ internals: streams
 
+    private void transferred(DecodeStream stream, long millis) {
+        Long bytes = promisedBytes.get(stream);
+        if (bytes != null) {
+            reservation.observe(bytes, millis);
+        }
+        releasePromise(stream);
+        join(stream);
+        grantWaiting();
+    }
+
+    private void releasePromise(DecodeStream stream) {
+        Long bytes = promisedBytes.remove(stream);
+        if (bytes != null) {
+            reservation.release(bytes);
+        }
+    }
+
+    private long bytes(long tokens) {
+        return tokens * fleet.link().bytesPerToken();
+    }
+
     private void join(DecodeStream stream) {
         if (!alive || !held.containsKey(stream)) {
             return;
@@ -264,6 +288,7 @@
     private void end(DecodeStream stream) {
         Integer pieces = held.remove(stream);
         running.remove(stream);
+        releasePromise(stream);
         if (pieces != null) {
             free(pieces);
         }
--- a/replay/src/main/java/org/merlinwood/replay/policy/ModelDispatch.java
+++ b/replay/src/main/java/org/merlinwood/replay/policy/ModelDispatch.java
@@ -75,7 +75,7 @@
         openAsk = Optional.empty();
         decisions.observe(InstanceRole.DECODE, name, load);
         if (run.isEnded()) {
-            fleet.decode(name).release(run.decodePieces());
+            fleet.decode(name).release(run.decodePieces(), run.promptTokens());
             return;
         }
         decodeGranted = true;
@@ -237,7 +237,7 @@
         openAsk.ifPresent(Ask::withdraw);
         decodeInUse.ifPresent(name -> {
             if (decodeGranted && !decodeExecuting) {
-                fleet.decode(name).release(run.decodePieces());
+                fleet.decode(name).release(run.decodePieces(), run.promptTokens());
             }
         });
         endDecodeUse();
