Promise the export link of a prefill instance when a prefill begins

Change: the prefill sidecar reserves its link when a prefill begins and releases when the transfer ends; the next prefill waits while what is promised takes longer than half the life of a result and its own prefill.

--- a/replay/src/main/java/org/merlinwood/replay/fake/FakeDecode.java
+++ b/replay/src/main/java/org/merlinwood/replay/fake/FakeDecode.java
@@ -91,6 +91,7 @@
     public void execute(DecodeStream stream, int pieces, PrefillResult result) {
         if (!alive) {
             FakeNetwork.broken(time, stream::lost);
+            result.holder().forget(result.bytes(), 0);
             return;
         }
         held.put(stream, pieces);
@@ -101,14 +102,20 @@
         long evictedMicros = result.doneMicros()
                 + TimeUnit.MILLISECONDS.toMicros(fleet.prefill().resultLifeMillis());
         if (startMicros > evictedMicros || !result.holder().isAlive()) {
-            time.after(evictedMicros - time.nowMicros(), () -> missing(stream));
+            time.after(evictedMicros - time.nowMicros(), () -> {
+                result.holder().forget(result.bytes(), 0);
+                missing(stream);
+            });
             return;
         }
         long endMicros = startMicros + link.micros(result.bytes());
         link.occupyUntil(endMicros);
         result.holder().link().occupyUntil(endMicros);
         long transferMillis = TimeUnit.MICROSECONDS.toMillis(endMicros - startMicros);
-        time.after(endMicros - time.nowMicros(), () -> transferred(stream, transferMillis));
+        time.after(endMicros - time.nowMicros(), () -> {
+            result.holder().forget(result.bytes(), transferMillis);
+            transferred(stream, transferMillis);
+        });
     }
 
     /**
--- a/replay/src/main/java/org/merlinwood/replay/fake/FakePrefill.java
+++ b/replay/src/main/java/org/merlinwood/replay/fake/FakePrefill.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.merlinwood.configuration.inventory.Instance;
+import org.merlinwood.decision.admission.LinkReservation;
 import org.merlinwood.decision.placement.LoadObservation;
 import org.merlinwood.replay.trace.Fleet;
 
@@ -12,6 +13,7 @@
 public final class FakePrefill {
 
     private static final double LINK_SHARE_OF_RESULT_LIFE = 0.5;
+    private static final double ASSUMED_BYTES_PER_MILLI = 5_000_000;
 
     private final VirtualTime time;
     private final Instance instance;
@@ -21,12 +23,12 @@
     private final Map<Ask, PrefillWork> works = new HashMap<>();
     private final PrefixCache cache;
     private final Link link;
+    private final LinkReservation reservation;
     private final LaggingLoad lagging;
     private final CacheListener cacheListener;
     private Optional<PrefillWork> running = Optional.empty();
     private long busyUntilMicros;
     private boolean alive = true;
-    private boolean wakeScheduled;
 
     // ------------------------------------------------------------------ life-cycle
 
@@ -48,6 +50,8 @@
         this.queue = new AskQueue(behaviour);
         this.cache = new PrefixCache(fleet.prefill().cacheTokens());
         this.link = new Link(fleet.link().bytesPerMilli());
+        long longestWaitMillis = Math.round(fleet.prefill().resultLifeMillis() * LINK_SHARE_OF_RESULT_LIFE);
+        this.reservation = new LinkReservation(longestWaitMillis, ASSUMED_BYTES_PER_MILLI);
         this.lagging =
                 new LaggingLoad(TimeUnit.MILLISECONDS.toMicros(fleet.reports().loadLagMillis()), load());
         this.cacheListener = cacheListener;
@@ -92,6 +96,18 @@
         return instance;
     }
 
+    /**
+     * Forgets a result that was transferred or is not wanted any more.
+     *
+     * @param bytes its size
+     * @param transferMillis how long it used the link, 0 if it was not transferred
+     */
+    public void forget(long bytes, long transferMillis) {
+        reservation.release(bytes);
+        reservation.observe(bytes, transferMillis);
+        startNext();
+    }
+
     boolean isAlive() {
         return alive;
     }
@@ -136,35 +152,16 @@
             return;
         }
         Optional<Ask> next = queue.next();
-        if (next.isEmpty()) {
-            return;
-        }
-        long tooEarlyMicros = linkHoldMicros(next.get());
-        if (tooEarlyMicros > 0) {
-            wakeAfter(tooEarlyMicros);
+        if (next.isEmpty() || awaitsLink(next.get())) {
             return;
         }
         queue.remove(next.get());
         start(next.get(), works.remove(next.get()));
     }
 
-    private long linkHoldMicros(Ask ask) {
-        if (behaviour == SidecarBehaviour.FIRST_COME) {
-            return 0;
-        }
-        long lifeMicros = TimeUnit.MILLISECONDS.toMicros(fleet.prefill().resultLifeMillis());
-        long allowedMicros = Math.round(lifeMicros * LINK_SHARE_OF_RESULT_LIFE);
-        return link.backlogMicros(time.nowMicros()) - micros(ask.tokens()) - allowedMicros;
-    }
-
-    private void wakeAfter(long micros) {
-        if (!wakeScheduled) {
-            wakeScheduled = true;
-            time.after(micros, () -> {
-                wakeScheduled = false;
-                startNext();
-            });
-        }
+    private boolean awaitsLink(Ask ask) {
+        long waitMicros = TimeUnit.MILLISECONDS.toMicros(reservation.waitMillis());
+        return behaviour == SidecarBehaviour.BY_TARGET && waitMicros > micros(ask.tokens());
     }
 
     private void start(Ask ask, PrefillWork work) {
@@ -172,6 +169,7 @@
         long computedTokens = Math.max(1, work.promptTokens() - cache.cachedTokens(work.blocks()));
         work.started().accept(computedTokens);
         running = Optional.of(work);
+        reservation.reserve(bytes(work));
         long workMicros = micros(computedTokens);
         busyUntilMicros = time.nowMicros() + workMicros;
         long begunMicros = time.nowMicros();
@@ -185,13 +183,17 @@
         running = Optional.empty();
         cache.store(work.blocks());
         cacheListener.stored(instance.name(), work.blocks());
-        long bytes = work.promptTokens() * fleet.link().bytesPerToken();
+        long bytes = bytes(work);
         PrefillResult result = new PrefillResult(this, computedTokens, bytes, begunMicros, time.nowMicros());
         FakeNetwork.send(time, () -> work.done().accept(result));
         startNext();
         changed();
     }
 
+    private long bytes(PrefillWork work) {
+        return work.promptTokens() * fleet.link().bytesPerToken();
+    }
+
     private LoadObservation load() {
         long queuedTokens = queue.tokens() + remainingTokens();
         long waitMillis = TimeUnit.MICROSECONDS.toMillis(micros(queuedTokens));
--- a/replay/src/main/java/org/merlinwood/replay/policy/ModelDispatch.java
+++ b/replay/src/main/java/org/merlinwood/replay/policy/ModelDispatch.java
@@ -168,6 +168,7 @@
         decisions.prefilled(done.holder().instance().name(), run, done.computedTokens(), millis);
         endPrefillUse();
         if (run.isEnded()) {
+            done.holder().forget(done.bytes(), 0);
             return;
         }
         result = Optional.of(done);
