--- a/proving/src/main/java/org/merlinwood/proving/prove/KeyedCalls.java
+++ b/proving/src/main/java/org/merlinwood/proving/prove/KeyedCalls.java
@@ -127,8 +127,12 @@
 
         /** Says what the ledgers contradict. */
         List<String> faults(int runs) {
+            return faults(key, runs, answers());
+        }
+
+        /** Says what the number of runs contradicts. */
+        static List<String> faults(String key, int runs, List<CallerAnswer> answers) {
             List<String> faults = new ArrayList<>();
-            List<CallerAnswer> answers = answers();
             if (runs > 1) {
                 faults.add(key + " ran " + runs + " times, answers " + codes(answers));
             }
@@ -143,12 +147,12 @@
             if (texts.size() > 1) {
                 faults.add(key + " has several answers " + texts);
             }
-            faults.addAll(falseRefusals(runs, answers));
+            faults.addAll(falseRefusals(key, runs, answers));
             return faults;
         }
 
         /** Refusals that say of all attempts with the key that none ran, though one did. */
-        private List<String> falseRefusals(int runs, List<CallerAnswer> answers) {
+        private static List<String> falseRefusals(String key, int runs, List<CallerAnswer> answers) {
             return answers.stream()
                     .filter(answer -> runs > 0 && answer.execution().equals(NOT_RUN))
                     .filter(answer -> answer.resultCode().orElse(0) != KEY_HOME_UNREACHABLE)
--- /dev/null
+++ b/proving/src/test/java/org/merlinwood/proving/prove/JudgementTest.java
@@ -0,0 +1,106 @@
+package org.merlinwood.proving.prove;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.Arrays;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.merlinwood.proving.caller.CallerAnswer;
+import org.merlinwood.proving.prove.KeyedCalls.Booking;
+import org.merlinwood.proving.prove.StreamSet.Stream;
+import org.merlinwood.standin.engine.ExpectedAnswer;
+
+/** The judges of the proofs see each fault that they are there for. */
+final class JudgementTest {
+
+    private static final String PROMPT = "a report";
+    private static final int TOKENS = 5;
+
+    @ParameterizedTest
+    @CsvSource({"1,0,RAN,0", "0,2001,NOT_RUN,0", "1,3001,UNKNOWN,0", "0,3001,UNKNOWN,0", "1,3002,NOT_RUN,0"})
+    void acceptsWhatTheLedgersBear(int runs, int code, String execution, int faults) {
+        assertThat(faultsOf(runs, answer(code, execution, "one"))).hasSize(faults);
+    }
+
+    @ParameterizedTest
+    @CsvSource({"2,0,RAN", "2,3001,UNKNOWN", "0,0,RAN", "1,2001,NOT_RUN", "1,4001,NOT_RUN"})
+    void refusesWhatTheLedgersContradict(int runs, int code, String execution) {
+        assertThat(faultsOf(runs, answer(code, execution, "one"))).isNotEmpty();
+    }
+
+    @Test
+    void refusesTwoAnswersToOneKey() {
+        assertThat(faultsOf(1, answer(0, "RAN", "one"), answer(0, "RAN", "two")))
+                .hasSize(1);
+    }
+
+    @Test
+    void acceptsTheWholeAnswer() {
+        assertThat(streamFault(ExpectedAnswer.text(PROMPT, TOKENS), 1, true)).isEmpty();
+    }
+
+    @Test
+    void refusesAnAnswerWithAHole() {
+        List<String> tokens = ExpectedAnswer.tokens(PROMPT, TOKENS);
+        assertThat(streamFault(String.join("", tokens.subList(1, TOKENS)), 1, true))
+                .isNotEmpty();
+    }
+
+    @Test
+    void refusesTheAnswerOfAnotherPrompt() {
+        assertThat(streamFault(ExpectedAnswer.text("another report", TOKENS), 1, true))
+                .isNotEmpty();
+    }
+
+    @Test
+    void refusesTwoEnds() {
+        assertThat(streamFault(ExpectedAnswer.text(PROMPT, TOKENS), 2, true)).isNotEmpty();
+    }
+
+    @Test
+    void refusesAnAnswerWithoutItsEnd() {
+        assertThat(streamFault(ExpectedAnswer.text(PROMPT, TOKENS), 1, false)).isNotEmpty();
+    }
+
+    private static List<String> faultsOf(int runs, CallerAnswer... answers) {
+        return Booking.faults("key", runs, Arrays.asList(answers));
+    }
+
+    private static String streamFault(String text, int ends, boolean whole) {
+        CallerAnswer answer = new CallerAnswer(
+                200,
+                OptionalInt.of(0),
+                "",
+                false,
+                whole,
+                ends,
+                text,
+                "length",
+                Optional.empty(),
+                1,
+                TimeUnit.SECONDS.toMillis(1),
+                Optional.empty());
+        return new Stream(PROMPT, TOKENS, null).fault(answer);
+    }
+
+    private static CallerAnswer answer(int code, String execution, String text) {
+        return new CallerAnswer(
+                code == 0 ? 201 : 503,
+                OptionalInt.of(code),
+                execution,
+                false,
+                true,
+                1,
+                text,
+                "",
+                Optional.empty(),
+                0,
+                1,
+                Optional.empty());
+    }
+}
