--- a/proving/src/main/java/org/merlinwood/proving/demo/DemoMain.java
+++ b/proving/src/main/java/org/merlinwood/proving/demo/DemoMain.java
@@ -49,6 +49,10 @@
         try (Fleet fleet = Fleet.start(plan());
                 CallerClient client = new CallerClient()) {
             return keep ? keepRunning(fleet) : sendAll(fleet, client);
+        } catch (IllegalStateException exception) {
+            output.println(exception.getMessage());
+            output.println("demo: 0 answered, 1 failed");
+            return FAILED_STATUS;
         }
     }
 
