--- a/proving/src/main/java/org/merlinwood/proving/prove/HeldMemory.java
+++ b/proving/src/main/java/org/merlinwood/proving/prove/HeldMemory.java
@@ -4,6 +4,7 @@
 import java.util.Set;
 import org.HdrHistogram.Histogram;
 import org.merlinwood.configuration.inventory.InstanceRole;
+import org.merlinwood.core.time.SystemMillisClock;
 import org.merlinwood.proving.fleet.Sidecar;
 import org.merlinwood.standin.engine.EngineRun;
 import org.merlinwood.standin.network.ForwardingDirection;
@@ -54,7 +55,7 @@
                 .forEach(sidecar -> sidecar.process().kill());
         streams.disconnectAll();
         bench.fleet().repair();
-        return judge(bench, streams.promptDigests(), System.currentTimeMillis());
+        return judge(bench, streams.promptDigests(), SystemMillisClock.shared().wallMillis());
     }
 
     // ------------------------------------------------------------------ internals
@@ -68,7 +69,7 @@
         if (!streams.awaitFirstTokens() || streams.open() < STREAMS) {
             return notStarted(streams);
         }
-        long goneAtMillis = System.currentTimeMillis();
+        long goneAtMillis = SystemMillisClock.shared().wallMillis();
         departure.happen(streams);
         return judge(bench, streams.promptDigests(), goneAtMillis);
     }
@@ -95,7 +96,7 @@
     }
 
     private static long heldMillis(EngineRun run, long goneAtMillis) {
-        long end = run.endedAtMillis() == 0 ? System.currentTimeMillis() : run.endedAtMillis();
+        long end = run.endedAtMillis() == 0 ? SystemMillisClock.shared().wallMillis() : run.endedAtMillis();
         return end - goneAtMillis;
     }
 
--- a/proving/src/main/java/org/merlinwood/proving/prove/InventoryInForce.java
+++ b/proving/src/main/java/org/merlinwood/proving/prove/InventoryInForce.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.stream.Stream;
+import org.merlinwood.core.time.SystemMillisClock;
 import org.merlinwood.proving.fleet.Entry;
 import org.merlinwood.proving.fleet.FleetProcess;
 import org.merlinwood.proving.fleet.Sidecar;
@@ -22,13 +23,13 @@
     static ProofResult everywhere(Workbench bench) throws InterruptedException {
         long slowestMillis = 0;
         for (int change = 0; change < CHANGES; change++) {
-            long publishedMillis = System.currentTimeMillis();
+            long publishedMillis = SystemMillisClock.shared().wallMillis();
             long revision = bench.fleet().publish(bench.fleet().instances());
             if (!Workbench.await(RECOVERY_MILLIS, () -> lowestRevision(bench) >= revision)) {
                 return ProofResult.fail(
                         "revision " + revision + " is not in force everywhere, lowest " + lowestRevision(bench));
             }
-            slowestMillis = Math.max(slowestMillis, System.currentTimeMillis() - publishedMillis);
+            slowestMillis = Math.max(slowestMillis, SystemMillisClock.shared().wallMillis() - publishedMillis);
         }
         return ProofResult.of(
                 slowestMillis <= IN_FORCE_MILLIS,
--- a/proving/src/main/java/org/merlinwood/proving/prove/Leaving.java
+++ b/proving/src/main/java/org/merlinwood/proving/prove/Leaving.java
@@ -4,6 +4,7 @@
 import org.merlinwood.configuration.inventory.Instance;
 import org.merlinwood.configuration.inventory.InstanceRole;
 import org.merlinwood.configuration.inventory.InstanceState;
+import org.merlinwood.core.time.SystemMillisClock;
 import org.merlinwood.proving.fleet.FleetProcess;
 import org.merlinwood.proving.fleet.Sidecar;
 import org.merlinwood.standin.engine.EngineRun;
@@ -30,7 +31,7 @@
         }
         bench.fleet().publish(withState(bench, leaving, InstanceState.DRAINING));
         Thread.sleep(SECONDS_ALLOWED_MILLIS);
-        long sinceMillis = System.currentTimeMillis();
+        long sinceMillis = SystemMillisClock.shared().wallMillis();
         StreamSet after = new StreamSet(bench).send(LATER_STREAMS, SHORT_TOKENS);
         List<String> faults = after.faults();
         long late = startedSince(bench, leaving, sinceMillis);
