--- a/proving/src/main/java/org/merlinwood/proving/demo/DemoMain.java
+++ b/proving/src/main/java/org/merlinwood/proving/demo/DemoMain.java
@@ -13,7 +13,7 @@
 import org.merlinwood.proving.fleet.FleetDocuments;
 import org.merlinwood.proving.fleet.FleetPlan;
 import org.merlinwood.proving.fleet.FleetPlan.PlainPool;
-import org.merlinwood.standin.impl.Addresses;
+import org.merlinwood.standin.network.Addresses;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
@@ -49,6 +49,10 @@
         try (Fleet fleet = Fleet.start(plan());
                 CallerClient client = new CallerClient()) {
             return keep ? keepRunning(fleet) : sendAll(fleet, client);
+        } catch (IllegalStateException exception) {
+            output.println(exception.getMessage());
+            output.println("demo: 0 answered, 1 failed");
+            return FAILED_STATUS;
         }
     }
 
