--- a/proving/src/main/java/org/merlinwood/proving/fleet/Fleet.java
+++ b/proving/src/main/java/org/merlinwood/proving/fleet/Fleet.java
@@ -177,7 +177,7 @@
      */
     public void repair() {
         sidecars.forEach(Fleet::passAll);
-        processes.stream().filter(FleetProcess::isAlive).forEach(FleetProcess::thaw);
+        thawAll();
         processes.forEach(FleetProcess::start);
         awaitListening(platform.process(), platform.administration());
         sidecars.forEach(sidecar ->
@@ -188,6 +188,11 @@
         awaitReady();
     }
 
+    /** Lets every frozen process go on. */
+    public void thawAll() {
+        processes.stream().filter(FleetProcess::isAlive).forEach(FleetProcess::thaw);
+    }
+
     private static void passAll(Sidecar sidecar) {
         Stream.concat(sidecar.peerForwarder().stream(), sidecar.upstreamForwarder().stream())
                 .forEach(forwarder -> forwarder.mode(ForwardingMode.PASS, ForwardingDirection.BOTH, 0));
--- a/proving/src/main/java/org/merlinwood/proving/prove/HeldMemory.java
+++ b/proving/src/main/java/org/merlinwood/proving/prove/HeldMemory.java
@@ -75,7 +75,7 @@
 
     private static ProofResult judge(Workbench bench, Set<String> prompts, long goneAtMillis)
             throws InterruptedException {
-        Workbench.await(NONE_AFTER_MILLIS, () -> stillHeld(bench.engineRuns(prompts)) == 0);
+        Workbench.await(NONE_AFTER_MILLIS, () -> bench.stillHeld(prompts) == 0);
         List<EngineRun> runs = bench.engineRuns(prompts);
         Histogram held = new Histogram(HISTOGRAM_DIGITS);
         runs.stream()
--- a/proving/src/main/java/org/merlinwood/proving/prove/Promises.java
+++ b/proving/src/main/java/org/merlinwood/proving/prove/Promises.java
@@ -62,6 +62,7 @@
                         new Proof("shutdown-cuts-nothing-sidecar", Leaving::sidecarTerminated),
                         new Proof("shutdown-cuts-nothing-entry", Leaving::entryTerminated),
                         new Proof("inventory-in-force", InventoryInForce::everywhere),
-                        new Proof("inventory-never-reverts", InventoryInForce::neverReverts)));
+                        new Proof("inventory-never-reverts", InventoryInForce::neverReverts),
+                        new Proof("all-under-two-failures", Combined::twoAtATime)));
     }
 }
--- a/proving/src/main/java/org/merlinwood/proving/prove/StreamSet.java
+++ b/proving/src/main/java/org/merlinwood/proving/prove/StreamSet.java
@@ -86,6 +86,15 @@
                 .toList();
     }
 
+    /** Waits for all answers and says which were given as whole but are not. */
+    List<String> wrongAnswers() {
+        return streams.stream()
+                .filter(stream -> CallerClient.await(stream.underway).isOk())
+                .map(stream -> stream.fault(CallerClient.await(stream.underway)))
+                .filter(fault -> !fault.isEmpty())
+                .toList();
+    }
+
     /** Waits for all answers and returns them. */
     List<CallerAnswer> answers() {
         return streams.stream()
--- a/proving/src/main/java/org/merlinwood/proving/prove/Workbench.java
+++ b/proving/src/main/java/org/merlinwood/proving/prove/Workbench.java
@@ -53,6 +53,13 @@
                 .toList();
     }
 
+    /** Returns how many runs of engines with one of these prompts hold memory. */
+    long stillHeld(Set<String> promptDigests) {
+        return engineRuns(promptDigests).stream()
+                .filter(run -> run.endedAtMillis() == 0)
+                .count();
+    }
+
     /** Returns all runs of plain calls with this body. */
     List<PlainRun> plainRuns(String body) {
         String digest = DigestUtils.sha256Hex(body);
--- a/stand-ins/src/main/java/org/merlinwood/standin/engine/impl/WorkRegistry.java
+++ b/stand-ins/src/main/java/org/merlinwood/standin/engine/impl/WorkRegistry.java
@@ -29,6 +29,7 @@
         this.memory = memory;
         this.ledger = ledger;
         this.clock = clock;
+        endRunsOfEarlierProcess();
     }
 
     /**
@@ -65,6 +66,12 @@
         return Optional.of(work);
     }
 
+    private void endRunsOfEarlierProcess() {
+        ledger.all().stream()
+                .filter(run -> run.outcome() == EngineRun.Outcome.RUNNING)
+                .forEach(run -> ledger.record(run.ended(EngineRun.Outcome.CRASHED, run.tokens(), clock.wallMillis())));
+    }
+
     synchronized void ended(EngineWork work, EngineRun.Outcome outcome) {
         open.remove(work);
         memory.free(work.run().pieces());
