Entry: reconnect once before another instance is asked, bounds on slow bodies and readers

Cause: an open connection can go silent while new ones work, and a connection that ended says nothing of the engine behind it. Change: the machine asks the same instance once more on another connection, with a new attempt, and resumes there without a prefill; what was started on the lost connection is cancelled on another. A wait for revisions that ends in vain gives a final answer. Answers without a valid status count as malformed.

--- a/entry/src/main/java/org/merlinwood/entry/caller/CallerExchange.java
+++ b/entry/src/main/java/org/merlinwood/entry/caller/CallerExchange.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.merlinwood.core.result.ResultCode;
 import org.merlinwood.http.HttpHeader;
@@ -33,7 +34,11 @@
     /** How often it is looked whether the caller has gone. */
     static final long WATCH_PERIOD_MILLIS = 200;
 
+    /** How long a caller may take to read the rest of an answer that is complete. */
+    static final long READ_LIMIT_MILLIS = 30_000;
+
     private final HttpServerExchange exchange;
+    private final BooleanSupplier draining;
     private final Consumer<ResultCode> onLost;
     private final AtomicBoolean lost = new AtomicBoolean();
     private final AtomicLong pendingBytes = new AtomicLong();
@@ -48,10 +53,12 @@
      * Takes over an exchange whose request was read whole.
      *
      * @param exchange the exchange, dispatched
+     * @param draining tells whether the connection is to be closed after the answer
      * @param onLost called at most once, if the caller goes or reads too slowly
      */
-    CallerExchange(HttpServerExchange exchange, Consumer<ResultCode> onLost) {
+    CallerExchange(HttpServerExchange exchange, BooleanSupplier draining, Consumer<ResultCode> onLost) {
         this.exchange = exchange;
+        this.draining = draining;
         this.onLost = onLost;
     }
 
@@ -70,6 +77,7 @@
                 return;
             }
             finished = true;
+            closeLater();
             setHead(status, headers);
             exchange.getResponseSender().send(ByteBuffer.wrap(body), IoCallback.END_EXCHANGE);
         });
@@ -102,6 +110,7 @@
     void endStream() {
         exchange.getIoThread().execute(() -> {
             ending = true;
+            closeLater();
             if (!isOver() && !writing) {
                 writePending();
             }
@@ -120,10 +129,25 @@
     // ------------------------------------------------------------------ internals: writing
 
     private void setHead(int status, List<HttpHeader> headers) {
+        if (draining.getAsBoolean()) {
+            exchange.setPersistent(false);
+        }
         exchange.setStatusCode(status);
         headers.forEach(header -> exchange.getResponseHeaders().add(new HttpString(header.name()), header.value()));
     }
 
+    private void closeLater() {
+        var unused = exchange.getIoThread()
+                .executeAfter(
+                        () -> {
+                            if (!exchange.isComplete()) {
+                                IoUtils.safeClose(exchange.getConnection());
+                            }
+                        },
+                        READ_LIMIT_MILLIS,
+                        TimeUnit.MILLISECONDS);
+    }
+
     private void writePending() {
         if (writing) {
             return;
--- a/entry/src/main/java/org/merlinwood/entry/caller/CallerHandler.java
+++ b/entry/src/main/java/org/merlinwood/entry/caller/CallerHandler.java
@@ -12,6 +12,8 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Supplier;
 import org.merlinwood.configuration.rules.Rules;
@@ -28,6 +30,7 @@
 import org.merlinwood.entry.request.ClassifiedRequest;
 import org.merlinwood.following.ConfigurationInForce;
 import org.merlinwood.http.HttpHeader;
+import org.xnio.IoUtils;
 
 /**
  * Accepts requests: reads them whole within the limits, passes them through identify and classify, and hands them to
@@ -41,6 +44,9 @@
     /** Size of all headers of one request at most, names and values together. */
     static final int MAXIMUM_HEADER_BYTES = 32 * 1024;
 
+    /** How long a caller may take to send a body. */
+    static final long BODY_LIMIT_MILLIS = 30_000;
+
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
     /** When a caller is told to come back to an entry that has no configuration yet, in milliseconds. */
@@ -99,16 +105,35 @@
             return;
         }
         ConfigurationInForce inForce = checked.get();
+        AtomicBoolean isRead = new AtomicBoolean();
+        limitReading(exchange, isRead);
         Receiver receiver = exchange.getRequestReceiver();
         receiver.setMaxBufferSize(inForce.rules().limits().bodyBytes());
         receiver.receiveFullBytes(
-                (source, body) ->
-                        source.dispatch(SameThreadExecutor.INSTANCE, () -> accept(source, identifier, body, inForce)),
-                (source, exception) -> refuse(source, identifier, bodyFailure(exception, inForce.rules())));
+                (source, body) -> {
+                    isRead.set(true);
+                    source.dispatch(SameThreadExecutor.INSTANCE, () -> accept(source, identifier, body, inForce));
+                },
+                (source, exception) -> {
+                    isRead.set(true);
+                    refuse(source, identifier, bodyFailure(exception, inForce.rules()));
+                });
     }
 
     // ------------------------------------------------------------------ internals
 
+    private static void limitReading(HttpServerExchange exchange, AtomicBoolean isRead) {
+        var unused = exchange.getIoThread()
+                .executeAfter(
+                        () -> {
+                            if (!isRead.get()) {
+                                IoUtils.safeClose(exchange.getConnection());
+                            }
+                        },
+                        BODY_LIMIT_MILLIS,
+                        TimeUnit.MILLISECONDS);
+    }
+
     private void accept(
             HttpServerExchange exchange, RequestIdentifier identifier, byte[] body, ConfigurationInForce inForce) {
         Either<Failure, ClassifiedRequest> classified = classify(accepted(exchange, identifier, body), inForce);
@@ -117,7 +142,9 @@
             return;
         }
         CallerExchange callerExchange = new CallerExchange(
-                exchange, code -> dispatcher.giveUp(identifier, Failure.of(code, "the caller closed or did not read")));
+                exchange,
+                () -> draining,
+                code -> dispatcher.giveUp(identifier, Failure.of(code, "the caller closed or did not read")));
         callerExchange.watch();
         dispatcher.dispatch(classified.get(), new CallerSink(classified.get(), callerExchange, clock));
     }
@@ -194,7 +221,7 @@
         if (judged.code() == ResultCode.BODY_TOO_LARGE) {
             exchange.setPersistent(false);
         }
-        CallerExchange callerExchange = new CallerExchange(exchange, code -> {});
+        CallerExchange callerExchange = new CallerExchange(exchange, () -> draining, code -> {});
         exchange.dispatch(
                 SameThreadExecutor.INSTANCE,
                 () -> callerExchange.respond(
--- a/entry/src/main/java/org/merlinwood/entry/dispatch/AnswerAssembly.java
+++ b/entry/src/main/java/org/merlinwood/entry/dispatch/AnswerAssembly.java
@@ -66,7 +66,7 @@
 
     /** Tells whether the current attempt has delivered everything up to a length. */
     synchronized boolean isWhole(int attempt, long incarnation, long length) {
-        return !isForeign(attempt, incarnation) && (tokens.size() == length || body.size() == length);
+        return !isForeign(attempt, incarnation) && Math.max(tokens.size(), body.size()) == length;
     }
 
     synchronized List<String> tokensSoFar() {
--- a/entry/src/main/java/org/merlinwood/entry/dispatch/RequestMachines.java
+++ b/entry/src/main/java/org/merlinwood/entry/dispatch/RequestMachines.java
@@ -24,8 +24,8 @@
         return switch (key) {
             case KeyUse.NotNeeded none -> PlainMachine.Binding.ANY_REPEATED;
             case KeyUse.MintedForCall minted -> PlainMachine.Binding.ANY_ONCE;
-            case KeyUse.Own own -> PlainMachine.Binding.ONE_ONCE;
-            case KeyUse.Minted minted -> PlainMachine.Binding.ONE_ONCE;
+            case KeyUse.Own own -> PlainMachine.Binding.KEY_HOME;
+            case KeyUse.Minted minted -> PlainMachine.Binding.MINTED_INSTANCE;
         };
     }
 }
--- a/entry/src/main/java/org/merlinwood/entry/dispatch/RequestRunner.java
+++ b/entry/src/main/java/org/merlinwood/entry/dispatch/RequestRunner.java
@@ -46,6 +46,9 @@
     /** How long awaited revisions are waited for. */
     private static final long REVISIONS_WAIT_MILLIS = 2_000;
 
+    private static final int LOWEST_STATUS = 200;
+    private static final int HIGHEST_STATUS = 599;
+
     private final ClassifiedRequest request;
     private final long grantWaitMillis;
     private final RequestSink sink;
@@ -154,6 +157,8 @@
     public void onAnswerEnd(UpstreamAttempt attempt, AnswerEnd end) {
         if (end.getCode() != ResultCode.OK.number()) {
             answerFailed(attempt, WireValues.fromWire(end));
+        } else if (request instanceof ClassifiedRequest.PlainCall && !hasPossibleStatus(assembly.head())) {
+            answerFailed(attempt, Failure.of(ResultCode.UPSTREAM_MALFORMED, "the answer has no valid status"));
         } else if (assembly.isWhole(attempt.number(), end.getIncarnation(), end.getLength())) {
             finishReason = end.getFinishReason();
             onEvent(attempt, new RequestEvent.AnswerWhole(attempt.number()));
@@ -273,7 +278,7 @@
     private void awaitRevisions(long untilAgeMillis) {
         boolean reached = !parts.revisions().get().isBehind(awaited);
         if (reached || ageMillis() >= untilAgeMillis) {
-            run(machine.on(new RequestEvent.RevisionsAwaited()));
+            run(machine.on(new RequestEvent.RevisionsAwaited(reached)));
             return;
         }
         var unused = parts.control().schedule(REVISIONS_POLL_MILLIS, () -> awaitRevisions(untilAgeMillis));
@@ -305,6 +310,10 @@
         }
     }
 
+    private static boolean hasPossibleStatus(AnswerHead head) {
+        return head.getStatus() >= LOWEST_STATUS && head.getStatus() <= HIGHEST_STATUS;
+    }
+
     private PlainAnswer plainAnswer() {
         AnswerHead head = assembly.head();
         List<HttpHeader> headers = head.getHeadersList().stream()
--- a/entry/src/main/java/org/merlinwood/entry/dispatch/UpstreamAttempt.java
+++ b/entry/src/main/java/org/merlinwood/entry/dispatch/UpstreamAttempt.java
@@ -21,6 +21,7 @@
 import org.merlinwood.wire.GrantRequest;
 import org.merlinwood.wire.GrantUse;
 import org.merlinwood.wire.Granted;
+import org.merlinwood.wire.Load;
 import org.merlinwood.wire.Refused;
 import org.merlinwood.wire.Release;
 import org.merlinwood.wire.RequestIdentity;
@@ -40,6 +41,14 @@
     /** How long past its own wait a queued grant is waited for, and a cancelled attempt is kept to give grants back. */
     static final long GRACE_MILLIS = 1_000;
 
+    private static final ExchangeListener IGNORING = new ExchangeListener() {
+        @Override
+        public void onFrame(Exchange exchange, Frame frame) {}
+
+        @Override
+        public void onClosed(Exchange exchange, ResultCode code) {}
+    };
+
     private final int number;
     private final InstanceRole role;
     private final Instance instance;
@@ -55,7 +64,6 @@
     private GrantUse grantUse = GrantUse.getDefaultInstance();
     private long grantExpiresInMillis;
     private long waitMillis;
-    private boolean isSecondConnection;
 
     /** How far the attempt is. */
     enum Phase {
@@ -178,9 +186,8 @@
 
     private void connect() {
         timer = control.schedule(GRANT_ANSWER_TIMEOUT_MILLIS, this::answerTimedOut);
-        InetSocketAddress address = new InetSocketAddress(
-                instance.address().host(), instance.address().port());
-        var unused = endpoint.connect(address).whenComplete((result, none) -> control.execute(() -> connected(result)));
+        var unused =
+                endpoint.connect(address()).whenComplete((result, none) -> control.execute(() -> connected(result)));
     }
 
     private void connected(Either<Failure, PeerConnection> result) {
@@ -196,29 +203,17 @@
         exchange.send(Frame.newBuilder().setGrantRequest(grantRequest.apply(connection)));
     }
 
-    /** Something between the two ends may have lost track of the connection: another one is tried once. */
+    /** A connection that does not answer is closed; that it has closed ends the attempt. */
     private void answerTimedOut() {
         if (phase != Phase.ASKING) {
             return;
         }
-        if (exchange == null || isSecondConnection) {
-            giveUpConnection();
-            lose(Failure.of(ResultCode.PEER_SILENT, "the sidecar did not answer the request for a grant"));
+        if (exchange == null) {
+            lose(Failure.of(ResultCode.UPSTREAM_UNREACHABLE, "no connection to the sidecar in time"));
             return;
         }
-        isSecondConnection = true;
-        giveUpConnection();
-        connect();
-    }
-
-    private void giveUpConnection() {
-        if (exchange != null) {
-            Exchange silent = exchange;
-            exchange = null;
-            silent.finish();
-            silent.connection().close(ResultCode.PEER_SILENT);
-            metrics.silentConnection();
-        }
+        metrics.silentConnection();
+        exchange.connection().close(ResultCode.PEER_SILENT);
     }
 
     // ------------------------------------------------------------------ internals: frames
@@ -239,12 +234,14 @@
                     phase = Phase.QUEUED;
                     restartTimer(waitMillis + GRACE_MILLIS, this::queueTimedOut);
                 }
-                listener.onLoad(this, frame.getQueued().getLoad());
+                observe(frame.getQueued().hasLoad(), frame.getQueued().getLoad());
             }
             case REFUSED -> refused(frame.getRefused());
             case PREFILL_DONE -> {
                 if (isOwn(frame.getPrefillDone().getRequest()) && phase == Phase.EXECUTING) {
-                    listener.onLoad(this, frame.getPrefillDone().getLoad());
+                    observe(
+                            frame.getPrefillDone().hasLoad(),
+                            frame.getPrefillDone().getLoad());
                     end();
                     listener.onEvent(
                             this,
@@ -254,7 +251,7 @@
             }
             case ANSWER_END -> {
                 if (isOwn(frame.getAnswerEnd().getRequest()) && phase == Phase.EXECUTING) {
-                    listener.onLoad(this, frame.getAnswerEnd().getLoad());
+                    observe(frame.getAnswerEnd().hasLoad(), frame.getAnswerEnd().getLoad());
                     end();
                     listener.onAnswerEnd(this, frame.getAnswerEnd());
                 }
@@ -287,22 +284,26 @@
                 .setRequest(identity)
                 .build();
         grantExpiresInMillis = granted.getExpiresInMillis();
-        listener.onLoad(this, granted.getLoad());
+        observe(granted.hasLoad(), granted.getLoad());
         listener.onRevisions(this, granted.getRevisions());
         listener.onEvent(this, new RequestEvent.Granted(number));
     }
 
     private void refused(Refused refused) {
         Failure failure = WireValues.fromWire(refused);
-        if (refused.hasLoad()) {
-            listener.onLoad(this, refused.getLoad());
-        }
+        observe(refused.hasLoad(), refused.getLoad());
         listener.onRevisions(this, refused.getRevisions());
         end();
         listener.onFailure(this, failure);
         listener.onEvent(this, new RequestEvent.Refused(number, failure));
     }
 
+    private void observe(boolean isPresent, Load load) {
+        if (isPresent) {
+            listener.onLoad(this, load);
+        }
+    }
+
     private boolean isOwn(RequestIdentity received) {
         boolean own = received.equals(identity);
         if (!own) {
@@ -333,7 +334,11 @@
     }
 
     private void lose(Failure failure) {
+        boolean isLeftBehind = exchange != null && role != InstanceRole.PLAIN;
         end();
+        if (isLeftBehind) {
+            cancelElsewhere();
+        }
         listener.onFailure(this, failure);
         listener.onEvent(this, new RequestEvent.Lost(number, failure));
     }
@@ -348,6 +353,21 @@
 
     // ------------------------------------------------------------------ internals: sending
 
+    /** What was started on a connection that ended is cancelled on another one; nobody waits for that. */
+    private void cancelElsewhere() {
+        var unused = endpoint.connect(address())
+                .thenAccept(result -> result.peek(connection -> {
+                    Exchange cancelling = connection.open(IGNORING);
+                    cancelling.send(cancelFrame(ResultCode.CONNECTION_LOST));
+                    cancelling.finish();
+                }));
+    }
+
+    private InetSocketAddress address() {
+        return new InetSocketAddress(
+                instance.address().host(), instance.address().port());
+    }
+
     private void sendRelease(long grant) {
         exchange.send(Frame.newBuilder()
                 .setRelease(Release.newBuilder().setGrant(grant).build()));
--- a/entry/src/main/java/org/merlinwood/entry/machine/ModelMachine.java
+++ b/entry/src/main/java/org/merlinwood/entry/machine/ModelMachine.java
@@ -33,8 +33,9 @@
  *
  * <p>The decode grant comes first, since decode memory is scarce; then a prefill grant, the prefill, and at once the
  * decode. A prefill that fails gives the decode grant back, and the request begins again. A decode that fails begins
- * again as well, behind the tokens that the caller has. Each beginning after the first and each further candidate
- * spends the budget for repeated attempts. Not thread-safe: used by the control thread only.
+ * again as well, behind the tokens that the caller has. An instance whose connection ended is asked once more on
+ * another connection. Apart from that, each beginning after the first and each further candidate spends the budget for
+ * repeated attempts. Not thread-safe: used by the control thread only.
  */
 public final class ModelMachine implements RequestMachine {
 
@@ -48,10 +49,12 @@
     private final RefusalSummary refusals;
     private final Set<InstanceName> excludedDecodes = new HashSet<>();
     private final Set<InstanceName> excludedPrefills = new HashSet<>();
+    private final Set<InstanceName> reconnected = new HashSet<>();
     private final List<RequestAction> actions = new ArrayList<>();
     private State state = new State.Created();
     private int attempts;
     private int failedTransfers;
+    private Optional<InstanceName> resumedAt = Optional.empty();
     private ExecutionState execution = ExecutionState.NOT_RUN;
 
     // ------------------------------------------------------------------ life-cycle
@@ -106,7 +109,7 @@
             case Refused refused
             when refused.attempt() == asking.decode().attempt() -> decodeRefused(asking.decode(), refused.failure());
             case Lost lost
-            when lost.attempt() == asking.decode().attempt() -> nextDecode(asking.decode(), lost.failure());
+            when lost.attempt() == asking.decode().attempt() -> decodeUnreached(asking.decode(), lost.failure());
             default -> {}
         }
     }
@@ -121,7 +124,8 @@
             }
             case Refused refused
             when refused.attempt() == asking.prefill().attempt() -> nextPrefill(asking, refused.failure());
-            case Lost lost when lost.attempt() == asking.prefill().attempt() -> nextPrefill(asking, lost.failure());
+            case Lost lost
+            when lost.attempt() == asking.prefill().attempt() -> prefillUnreached(asking, lost.failure());
             case Refused refused
             when refused.attempt() == asking.decode().attempt() ->
                 decodeLapsed(asking.decode(), asking.prefill(), refused.failure());
@@ -164,14 +168,16 @@
             case Refused refused
             when refused.attempt() == decoding.decode().attempt() -> decodeFailed(decoding.decode(), refused.failure());
             case Lost lost
-            when lost.attempt() == decoding.decode().attempt() -> decodeFailed(decoding.decode(), lost.failure());
+            when lost.attempt() == decoding.decode().attempt() -> decodeLost(decoding.decode(), lost.failure());
             default -> {}
         }
     }
 
     private void onAwaitingRevisions(RequestEvent event) {
-        if (event instanceof RevisionsAwaited) {
-            retryDecode();
+        if (event instanceof RevisionsAwaited awaited && awaited.inForce()) {
+            askDecode();
+        } else if (event instanceof RevisionsAwaited) {
+            settle(Optional.of(refusals.noneLeft(execution)));
         }
     }
 
@@ -187,7 +193,9 @@
     }
 
     private void decodeGranted(Attempt decode) {
-        if (failedTransfers >= TRANSFERS_BEFORE_OWN_PREFILL) {
+        boolean isResumedInPlace =
+                resumedAt.filter(decode.instance().name()::equals).isPresent();
+        if (isResumedInPlace || failedTransfers >= TRANSFERS_BEFORE_OWN_PREFILL) {
             decode(decode, Optional.empty());
         } else {
             askPrefill(decode);
@@ -220,7 +228,34 @@
         }
     }
 
+    private void decodeUnreached(Attempt decode, Failure failure) {
+        if (mayReconnect(decode, failure)) {
+            state = new State.AskingDecode(askAgain(decode, InstanceRole.DECODE));
+        } else {
+            nextDecode(decode, failure);
+        }
+    }
+
+    private void prefillUnreached(State.AskingPrefill asking, Failure failure) {
+        if (mayReconnect(asking.prefill(), failure)) {
+            state = new State.AskingPrefill(asking.decode(), askAgain(asking.prefill(), InstanceRole.PREFILL));
+        } else {
+            nextPrefill(asking, failure);
+        }
+    }
+
+    /** The engine may still have the request's cache, so its sidecar is asked first, on another connection. */
+    private void decodeLost(Attempt decode, Failure failure) {
+        if (mayReconnect(decode, failure)) {
+            resumedAt = Optional.of(decode.instance().name());
+            state = new State.AskingDecode(askAgain(decode, InstanceRole.DECODE));
+        } else {
+            decodeFailed(decode, failure);
+        }
+    }
+
     private void nextDecode(Attempt decode, Failure failure) {
+        resumedAt = Optional.empty();
         excludedDecodes.add(decode.instance().name());
         beginAgain(failure);
     }
@@ -256,6 +291,7 @@
 
     /** Earlier exclusions end here: what was full when the request began may have room by now. */
     private void decodeFailed(Attempt decode, Failure failure) {
+        resumedAt = Optional.empty();
         excludedDecodes.clear();
         excludedPrefills.clear();
         switch (failure.code()) {
@@ -295,6 +331,19 @@
         actions.add(new Settle(failure));
     }
 
+    /** Something between the two ends may have lost track of the connection: another one is tried once. */
+    private boolean mayReconnect(Attempt attempt, Failure failure) {
+        return RefusalSummary.isConnectionEnd(failure)
+                && attempts < MAXIMUM_ATTEMPTS
+                && reconnected.add(attempt.instance().name());
+    }
+
+    private Attempt askAgain(Attempt lost, InstanceRole role) {
+        Attempt again = new Attempt(++attempts, lost.instance());
+        actions.add(new Ask(again.attempt(), role, again.instance()));
+        return again;
+    }
+
     private Optional<Attempt> ask(InstanceRole role, Set<InstanceName> excluded) {
         if (attempts >= MAXIMUM_ATTEMPTS) {
             return Optional.empty();
--- a/entry/src/main/java/org/merlinwood/entry/machine/PlainMachine.java
+++ b/entry/src/main/java/org/merlinwood/entry/machine/PlainMachine.java
@@ -40,6 +40,7 @@
     private final Binding binding;
     private final RefusalSummary refusals;
     private final Set<InstanceName> excluded = new HashSet<>();
+    private final Set<InstanceName> reconnected = new HashSet<>();
     private final List<RequestAction> actions = new ArrayList<>();
     private State state = new State.Created();
     private int attempts;
@@ -51,8 +52,10 @@
         ANY_REPEATED,
         /** Any instance until one is told to execute. */
         ANY_ONCE,
-        /** Only the instance that the placement names, and once. */
-        ONE_ONCE
+        /** Only the home of the caller's own key, and once. */
+        KEY_HOME,
+        /** Only the instance that a minted key names, and once. */
+        MINTED_INSTANCE
     }
 
     // ------------------------------------------------------------------ life-cycle
@@ -60,7 +63,7 @@
     /**
      * Creates the machine of one request.
      *
-     * @param placement the decisions; for {@link Binding#ONE_ONCE} it names the one instance
+     * @param placement the decisions; where the key allows one instance only it names that
      * @param binding what the request's key allows
      */
     public PlainMachine(Placement placement, Binding binding) {
@@ -130,8 +133,10 @@
     }
 
     private void onAwaitingRevisions(RequestEvent event) {
-        if (event instanceof RevisionsAwaited) {
-            retry();
+        if (event instanceof RevisionsAwaited awaited && awaited.inForce()) {
+            ask();
+        } else if (event instanceof RevisionsAwaited) {
+            settle(Optional.of(refusals.noneLeft(execution)));
         }
     }
 
@@ -144,16 +149,34 @@
             settle(Optional.of(noneLeft()));
             return;
         }
+        ask(instance.get());
+    }
+
+    private void ask(Instance instance) {
         attempts++;
-        state = new State.Asking(attempts, instance.get());
-        actions.add(new Ask(attempts, InstanceRole.PLAIN, instance.get()));
+        state = new State.Asking(attempts, instance);
+        actions.add(new Ask(attempts, InstanceRole.PLAIN, instance));
+    }
+
+    /** Something between the two ends may have lost track of the connection: another one is tried once. */
+    private boolean mayReconnect(Instance instance, Failure failure) {
+        return RefusalSummary.isConnectionEnd(failure)
+                && attempts < MAXIMUM_ATTEMPTS
+                && reconnected.add(instance.name());
+    }
+
+    private boolean isBound() {
+        return binding == Binding.KEY_HOME || binding == Binding.MINTED_INSTANCE;
     }
 
     private Failure noneLeft() {
-        return binding == Binding.ONE_ONCE
-                ? homeUnreachable(
-                        Failure.of(ResultCode.NO_INSTANCE, "the inventory does not name the instance of the key"))
-                : refusals.noneLeft(execution);
+        return switch (binding) {
+            case ANY_REPEATED, ANY_ONCE -> refusals.noneLeft(execution);
+            case KEY_HOME ->
+                homeUnreachable(Failure.of(ResultCode.NO_INSTANCE, "the inventory names no instance for the key"));
+            case MINTED_INSTANCE ->
+                Failure.of(ResultCode.OUTCOME_UNKNOWN, "the instance that the key names has left the inventory");
+        };
     }
 
     private void refusedBeforeExecute(State.Asking asking, Failure failure) {
@@ -161,7 +184,7 @@
             refusals.add(failure);
             actions.add(new AwaitRevisions());
             state = new State.AwaitingRevisions();
-        } else if (binding == Binding.ONE_ONCE || RefusalSummary.isFinal(failure)) {
+        } else if (isBound() || RefusalSummary.isFinal(failure)) {
             settle(Optional.of(spread(failure)));
         } else {
             next(asking.instance(), failure);
@@ -169,7 +192,9 @@
     }
 
     private void lostBeforeExecute(State.Asking asking, Failure failure) {
-        if (binding == Binding.ONE_ONCE) {
+        if (mayReconnect(asking.instance(), failure)) {
+            ask(asking.instance());
+        } else if (isBound()) {
             settle(Optional.of(homeUnreachable(failure)));
         } else {
             next(asking.instance(), failure);
@@ -217,7 +242,7 @@
 
     /** An earlier request may have had the key that a caller sent, and only the instance of the key knows of it. */
     private ExecutionState beforeExecute() {
-        return binding == Binding.ONE_ONCE ? ExecutionState.UNKNOWN : ExecutionState.NOT_RUN;
+        return isBound() ? ExecutionState.UNKNOWN : ExecutionState.NOT_RUN;
     }
 
     private Failure spread(Failure failure) {
--- a/entry/src/main/java/org/merlinwood/entry/machine/RefusalSummary.java
+++ b/entry/src/main/java/org/merlinwood/entry/machine/RefusalSummary.java
@@ -19,6 +19,9 @@
 
     private static final Set<ResultCode> FULL = EnumSet.of(ResultCode.NO_CAPACITY, ResultCode.DEADLINE_UNREACHABLE);
 
+    private static final Set<ResultCode> CONNECTION_END =
+            EnumSet.of(ResultCode.CONNECTION_LOST, ResultCode.PEER_SILENT);
+
     private final Placement placement;
     private ResultCode code = ResultCode.NO_INSTANCE;
     private String detail = "no instance may be used now";
@@ -32,6 +35,11 @@
         return FINAL.contains(failure.code());
     }
 
+    /** Tells whether a connection that had been open ended, which says nothing about the process behind it. */
+    static boolean isConnectionEnd(Failure failure) {
+        return CONNECTION_END.contains(failure.code());
+    }
+
     /** Keeps the refusal that tells the caller most: lack of capacity before anything else, later before earlier. */
     void add(Failure failure) {
         if (!FULL.contains(code) || FULL.contains(failure.code())) {
--- a/entry/src/main/java/org/merlinwood/entry/machine/RequestEvent.java
+++ b/entry/src/main/java/org/merlinwood/entry/machine/RequestEvent.java
@@ -52,8 +52,12 @@
      */
     record AnswerFailed(int attempt, Failure failure) implements RequestEvent {}
 
-    /** The revisions that were waited for are in force, or the wait for them has ended. */
-    record RevisionsAwaited() implements RequestEvent {}
+    /**
+     * The wait for revisions has ended.
+     *
+     * @param inForce false if they did not come into force in time
+     */
+    record RevisionsAwaited(boolean inForce) implements RequestEvent {}
 
     /**
      * The caller has gone or reads too slowly, the deadline has passed, or the process ends.
