--- a/following/src/test/java/org/merlinwood/following/impl/ServiceFollowingTest.java
+++ b/following/src/test/java/org/merlinwood/following/impl/ServiceFollowingTest.java
@@ -3,12 +3,14 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import com.codahale.metrics.MetricRegistry;
+import com.google.protobuf.ByteString;
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.merlinwood.core.identity.Revisions;
 import org.merlinwood.core.time.ManualMillisClock;
 import org.merlinwood.following.ConfigurationInForce;
@@ -72,6 +74,22 @@
         assertThat(heard).hasSize(1);
     }
 
+    @ParameterizedTest
+    @ValueSource(longs = {1, 4})
+    void aLowerRevisionThatTheServiceOrAPeerInsistsOnIsRejected(long revision) {
+        String text = TestDocuments.inventory(4);
+        core.onDocument(DocumentKind.INVENTORY, new ServiceAnswer.Published(revision, text));
+        core.store()
+                .apply(
+                        new DocumentUpdate(
+                                DocumentKind.INVENTORY, revision, Revisions.NONE, ByteString.copyFromUtf8(text)),
+                        "peer");
+
+        assertThat(core.revisions().inventory()).isEqualTo(5);
+        assertThat(heard).hasSize(1);
+        assertThat(metrics.counter("following.documents.stale").getCount()).isEqualTo(2);
+    }
+
     @Test
     void anInvalidDocumentIsRejectedWholeAndShownWithItsPlace() {
         service.publish("inventory", 6, TestDocuments.invalidInventory());
