Sidecar: grants, executions and cancellation beside one upstream

The thin path whole: settings, exclusive slot, follower, peers, operator port; grants on the control thread, prefill, decode and plain calls on I/O threads; cancel confirmed by the engine before units come free; old streams ended before the first grant and compared with the engine's list ever after. The kept result of a prefill stays accounted for until the engine doesn't list it any more, since its memory is held so long.

Tested end to end against the stand-ins: a prefill whose cache a decode engine fetches, a resumed decode, a plain call.

--- a/decision/src/main/java/org/merlinwood/decision/grant/GrantBook.java
+++ b/decision/src/main/java/org/merlinwood/decision/grant/GrantBook.java
@@ -259,6 +259,16 @@
                 draining);
     }
 
+    /**
+     * Tells whether an attempt waits or holds units.
+     *
+     * @param attempt the attempt
+     * @return true if so
+     */
+    public boolean knows(AttemptIdentity attempt) {
+        return queue.contains(attempt) || holdings.of(attempt).isPresent();
+    }
+
     /**
      * Tells whether any attempt of a request holds units.
      *
--- /dev/null
+++ b/sidecar/src/main/java/org/merlinwood/sidecar/SidecarExchanges.java
@@ -0,0 +1,106 @@
+package org.merlinwood.sidecar;
+
+import org.merlinwood.core.result.Failure;
+import org.merlinwood.core.result.ResultCode;
+import org.merlinwood.operation.control.ControlLoop;
+import org.merlinwood.protocol.BaseProtocolObserver;
+import org.merlinwood.protocol.Exchange;
+import org.merlinwood.protocol.ExchangeListener;
+import org.merlinwood.protocol.PeerConnection;
+import org.merlinwood.protocol.PeerEndpoint;
+import org.merlinwood.sidecar.admission.ExecutionFactory;
+import org.merlinwood.sidecar.admission.ExecutionStage;
+import org.merlinwood.sidecar.admission.GrantStage;
+import org.merlinwood.wire.Cancel;
+import org.merlinwood.wire.Frame;
+import org.merlinwood.wire.RequestIdentity;
+
+/** Hands frames of exchanges from the event loops to the control thread, in their order. Thread-safe. */
+final class SidecarExchanges extends BaseProtocolObserver {
+
+    private final ControlLoop loop;
+    private final GrantStage grants;
+    private final ExecutionStage executions;
+
+    SidecarExchanges(ControlLoop loop, GrantStage grants, ExecutionStage executions) {
+        this.loop = loop;
+        this.grants = grants;
+        this.executions = executions;
+    }
+
+    /** Accepts the exchanges of entries. */
+    void install(PeerEndpoint.Builder endpoint) {
+        endpoint.acceptor(Frame.BodyCase.GRANT_REQUEST, this::acceptDemand)
+                .acceptor(Frame.BodyCase.EXECUTE_PREFILL, this::acceptLostExecute)
+                .acceptor(Frame.BodyCase.EXECUTE_DECODE, this::acceptLostExecute)
+                .acceptor(Frame.BodyCase.EXECUTE_PLAIN, this::acceptLostExecute)
+                .acceptor(Frame.BodyCase.CANCEL, this::acceptCancel);
+    }
+
+    @Override
+    public void onClosed(PeerConnection connection, ResultCode code) {
+        loop.execute(() -> grants.closed(connection));
+    }
+
+    // ------------------------------------------------------------------ internals
+
+    private ExchangeListener acceptDemand(Exchange exchange, Frame first) {
+        loop.execute(() -> grants.demand(exchange, first.getGrantRequest()));
+        return new GrantedExchange(first.getGrantRequest().getRequest());
+    }
+
+    private ExchangeListener acceptLostExecute(Exchange exchange, Frame first) {
+        loop.execute(() -> grants.useElsewhere(exchange, ExecutionFactory.useOf(first)));
+        return new IgnoredExchange();
+    }
+
+    private ExchangeListener acceptCancel(Exchange exchange, Frame first) {
+        loop.execute(() -> {
+            grants.cancel(first.getCancel().getRequest(), cancelled(first.getCancel()));
+            exchange.finish();
+        });
+        return new IgnoredExchange();
+    }
+
+    private static Failure cancelled(Cancel cancel) {
+        ResultCode reason = ResultCode.ofNumber(cancel.getReasonCode())
+                .filter(code -> code != ResultCode.OK)
+                .orElse(ResultCode.CANCELLED);
+        return Failure.of(ResultCode.CANCELLED, "the entry cancelled it: " + reason);
+    }
+
+    /** Frames that follow a demand. */
+    private final class GrantedExchange implements ExchangeListener {
+
+        private final RequestIdentity identity;
+
+        private GrantedExchange(RequestIdentity identity) {
+            this.identity = identity;
+        }
+
+        @Override
+        public void onFrame(Exchange exchange, Frame frame) {
+            switch (frame.getBodyCase()) {
+                case EXECUTE_PREFILL, EXECUTE_DECODE, EXECUTE_PLAIN ->
+                    loop.execute(() -> executions.execute(exchange, frame));
+                case RELEASE -> loop.execute(() -> grants.release(exchange, identity));
+                case CANCEL -> loop.execute(() -> grants.cancel(identity, cancelled(frame.getCancel())));
+                default -> exchange.connection().close(ResultCode.PROTOCOL_VIOLATION);
+            }
+        }
+
+        /** The end of the whole connection is heard of once, by {@link SidecarExchanges#onClosed}. */
+        @Override
+        public void onClosed(Exchange exchange, ResultCode code) {}
+    }
+
+    /** Nothing more is due. */
+    private static final class IgnoredExchange implements ExchangeListener {
+
+        @Override
+        public void onFrame(Exchange exchange, Frame frame) {}
+
+        @Override
+        public void onClosed(Exchange exchange, ResultCode code) {}
+    }
+}
--- /dev/null
+++ b/sidecar/src/main/java/org/merlinwood/sidecar/SidecarProcess.java
@@ -0,0 +1,301 @@
+package org.merlinwood.sidecar;
+
+import com.codahale.metrics.Gauge;
+import com.codahale.metrics.MetricRegistry;
+import com.google.common.flogger.FluentLogger;
+import java.net.InetSocketAddress;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+import org.merlinwood.configuration.inventory.InstanceRole;
+import org.merlinwood.configuration.inventory.NetworkAddress;
+import org.merlinwood.configuration.settings.ProcessSettings;
+import org.merlinwood.configuration.settings.SidecarSettings;
+import org.merlinwood.core.identity.Incarnation;
+import org.merlinwood.core.time.MillisClock;
+import org.merlinwood.core.time.SystemMillisClock;
+import org.merlinwood.decision.grant.AttemptIdentity;
+import org.merlinwood.decision.grant.GrantBook;
+import org.merlinwood.decision.retry.RetryDelay;
+import org.merlinwood.following.ConfigurationFollower;
+import org.merlinwood.following.ConfigurationInForce;
+import org.merlinwood.http.HttpClient;
+import org.merlinwood.operation.control.ControlLoop;
+import org.merlinwood.operation.port.OperatorServer;
+import org.merlinwood.operation.port.StateSection;
+import org.merlinwood.protocol.AuthenticationKey;
+import org.merlinwood.protocol.PeerEndpoint;
+import org.merlinwood.protocol.PeerIdentity;
+import org.merlinwood.protocol.PeerRole;
+import org.merlinwood.protocol.ProtocolLimits;
+import org.merlinwood.sidecar.admission.ExecutionFactory;
+import org.merlinwood.sidecar.admission.ExecutionStage;
+import org.merlinwood.sidecar.admission.GrantStage;
+import org.merlinwood.sidecar.admission.OrphanSweep;
+import org.merlinwood.sidecar.admission.ServingView;
+import org.merlinwood.sidecar.admission.UpstreamGate;
+import org.merlinwood.sidecar.upstream.EngineClient;
+import org.merlinwood.sidecar.upstream.StreamReaper;
+
+/**
+ * One sidecar: the only way to its upstream, and the one place that decides what may run there.
+ *
+ * <p>Made, started, drained and closed once. All control state belongs to one thread; event loops and I/O threads carry
+ * the traffic.
+ */
+public final class SidecarProcess implements AutoCloseable {
+
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+    private static final int UPSTREAM_THREADS = 2;
+    private static final long ADVANCE_PERIOD_MILLIS = 20;
+    private static final long DRAIN_POLL_MILLIS = 20;
+    private static final long DEFAULT_DRAIN_MILLIS = 60_000;
+    private static final long STATE_PATIENCE_MILLIS = 2_000;
+
+    private final MillisClock clock = SystemMillisClock.shared();
+    private final SidecarSettings settings;
+    private final ExclusiveSlot slot;
+    private final Incarnation incarnation;
+    private final MetricRegistry metrics = new MetricRegistry();
+    private final ControlLoop loop = new ControlLoop("sidecar-control");
+    private final HttpClient client = HttpClient.create("sidecar-upstream", UPSTREAM_THREADS);
+    private final ConfigurationFollower follower;
+    private final UpstreamGate gate = new UpstreamGate(clock, false);
+    private final StreamReaper reaper;
+    private final GrantStage grants;
+    private final ExecutionStage executions;
+    private final OrphanSweep sweep;
+    private final PeerEndpoint endpoint;
+    private final OperatorServer operator;
+    private boolean sweeping;
+    private volatile boolean serving;
+    private volatile boolean leaving;
+
+    // ------------------------------------------------------------------ configuration
+
+    /**
+     * Takes the slot beside the upstream and assembles the process; nothing is served before {@link #start()}.
+     *
+     * @param settings the settings
+     * @param onDrainRequested called when an operator asks for a graceful shutdown
+     * @throws java.io.UncheckedIOException if another sidecar runs beside the upstream
+     */
+    public SidecarProcess(SidecarSettings settings, Runnable onDrainRequested) {
+        this.settings = settings;
+        this.slot = new ExclusiveSlot(settings.guardPort());
+        UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create();
+        this.incarnation = new Incarnation(random.nextLong() | 1);
+        this.follower = ConfigurationFollower.builder(settings.process(), client)
+                .metrics(metrics)
+                .build();
+        EngineClient engine = new EngineClient(client, socketAddress(settings.upstreamAddress()));
+        this.reaper = new StreamReaper(loop, engine, metrics);
+        this.grants = new GrantStage(
+                new GrantBook(clock, new RetryDelay(random)),
+                gate,
+                incarnation,
+                metrics,
+                this::abandon,
+                connection -> logger.atInfo().log("%s knows a higher revision", connection.peer()));
+        ExecutionFactory factory = new ExecutionFactory(client, engine, settings.upstreamAddress(), loop);
+        this.executions = new ExecutionStage(grants, factory, reaper, gate, loop, clock, metrics);
+        this.sweep = new OrphanSweep(loop, clock, engine, reaper, executions, gate, metrics);
+        this.endpoint = endpoint();
+        this.operator = operatorServer(onDrainRequested);
+        registerGauges();
+    }
+
+    // ------------------------------------------------------------------ life-cycle
+
+    /**
+     * Starts to follow the configuration and to listen.
+     *
+     * @throws RuntimeException if an address can't be bound
+     */
+    @SuppressWarnings("FutureReturnValueIgnored") // the repetition ends with the loop
+    public void start() {
+        operator.start();
+        endpoint.start();
+        follower.addListener(inForce -> loop.execute(() -> configure(inForce)));
+        follower.start();
+        loop.repeat(ADVANCE_PERIOD_MILLIS, this::advance);
+        logger.atInfo().log(
+                "sidecar %s, incarnation %s, beside %s",
+                settings.process().instance(), incarnation, settings.upstreamAddress());
+    }
+
+    /**
+     * Refuses new work and waits until what was granted has ended, or the drain limit of the rules has passed.
+     *
+     * @return true if nothing was left
+     */
+    public boolean drain() {
+        leaving = true;
+        loop.execute(grants::leave);
+        long limitMillis = follower.current()
+                .map(inForce -> inForce.rules().limits().drainMillis())
+                .orElse(DEFAULT_DRAIN_MILLIS);
+        long deadlineMillis = clock.monotonicMillis() + limitMillis;
+        while (!isIdle()) {
+            if (clock.monotonicMillis() >= deadlineMillis) {
+                logger.atWarning().log("work is left after the drain limit of %d ms", limitMillis);
+                return false;
+            }
+            pause();
+        }
+        return true;
+    }
+
+    @Override
+    public void close() {
+        endpoint.close();
+        operator.close();
+        follower.close();
+        loop.close();
+        client.close();
+        slot.close();
+    }
+
+    // ------------------------------------------------------------------ public API
+
+    /**
+     * Tells whether grants are given.
+     *
+     * @return true once inventory and rules are in force and the upstream is free of old streams, until draining begins
+     */
+    public boolean isReady() {
+        return serving && !leaving;
+    }
+
+    /**
+     * Returns where this process listens for its peers.
+     *
+     * @return the bound address
+     */
+    public InetSocketAddress peerAddress() {
+        return endpoint.boundAddress();
+    }
+
+    /**
+     * Returns the control state.
+     *
+     * @return a copy
+     */
+    public SidecarState state() {
+        CompletableFuture<SidecarState> state = loop.call(this::currentState);
+        return state.orTimeout(STATE_PATIENCE_MILLIS, TimeUnit.MILLISECONDS).join();
+    }
+
+    // ------------------------------------------------------------------ internals: assembly
+
+    private PeerEndpoint endpoint() {
+        ProcessSettings process = settings.process();
+        SidecarExchanges exchanges = new SidecarExchanges(loop, grants, executions);
+        PeerEndpoint.Builder builder = PeerEndpoint.builder()
+                .identity(new PeerIdentity(process.instance(), incarnation, PeerRole.SIDECAR))
+                .keys(process.keys().stream()
+                        .map(key -> new AuthenticationKey(key.identifier(), key.secretHexadecimal()))
+                        .toList())
+                .listenAddress(socketAddress(process.peerAddress()))
+                .limits(ProtocolLimits.defaults())
+                .revisions(follower::revisions)
+                .observer(exchanges);
+        exchanges.install(builder);
+        return builder.build();
+    }
+
+    private OperatorServer operatorServer(Runnable onDrainRequested) {
+        return OperatorServer.builder(socketAddress(settings.process().operatorAddress()), metrics)
+                .ready(this::isReady)
+                .drain(onDrainRequested)
+                .section(section())
+                .section(follower)
+                .build();
+    }
+
+    private StateSection section() {
+        return new StateSection() {
+            @Override
+            public String name() {
+                return "sidecar";
+            }
+
+            @Override
+            public SidecarState state() {
+                return SidecarProcess.this.state();
+            }
+        };
+    }
+
+    private void registerGauges() {
+        metrics.registerAll(() -> Map.of(
+                "load.free_units", gauge(() -> grants.load().getFreePieces()),
+                "load.running", gauge(() -> grants.load().getRunning()),
+                "load.queued", gauge(() -> grants.load().getQueued()),
+                "connections.open", gauge(endpoint::openConnections)));
+    }
+
+    private static Gauge<Integer> gauge(Gauge<Integer> value) {
+        return value;
+    }
+
+    // ------------------------------------------------------------------ internals: control thread
+
+    private void configure(ConfigurationInForce inForce) {
+        ServingView view = ServingView.of(inForce, settings.process().instance());
+        grants.configure(view);
+        Optional<InstanceRole> role = view.row().map(row -> row.role());
+        if (role.filter(InstanceRole.PLAIN::equals).isPresent()) {
+            gate.clear();
+        } else if (role.isPresent() && !sweeping) {
+            sweeping = true;
+            sweep.run();
+        }
+        logger.atInfo().log("inventory and rules in force: %s", inForce.revisions());
+    }
+
+    private void advance() {
+        grants.advance();
+        serving = grants.view().isPresent() && gate.isCleared();
+    }
+
+    private void abandon(AttemptIdentity attempt) {
+        executions.abandon(attempt);
+    }
+
+    private SidecarState currentState() {
+        return new SidecarState(
+                settings.process().instance().value(),
+                incarnation.toString(),
+                settings.upstreamAddress().toString(),
+                grants.revisions().inventory(),
+                grants.revisions().rules(),
+                leaving,
+                gate.isCleared(),
+                grants.state(),
+                executions.running(),
+                reaper.pending(),
+                endpoint.openConnections());
+    }
+
+    private boolean isIdle() {
+        return loop.call(() -> grants.isIdle() && reaper.pending().isEmpty()).join();
+    }
+
+    // ------------------------------------------------------------------ internals
+
+    private static void pause() {
+        try {
+            Thread.sleep(DRAIN_POLL_MILLIS);
+        } catch (InterruptedException exception) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private static InetSocketAddress socketAddress(NetworkAddress address) {
+        return new InetSocketAddress(address.host(), address.port());
+    }
+}
--- /dev/null
+++ b/sidecar/src/main/java/org/merlinwood/sidecar/admission/Demands.java
@@ -0,0 +1,70 @@
+package org.merlinwood.sidecar.admission;
+
+import org.merlinwood.configuration.inventory.InstanceRole;
+import org.merlinwood.core.identity.RequestIdentifier;
+import org.merlinwood.decision.grant.AttemptIdentity;
+import org.merlinwood.decision.grant.GrantDemand;
+import org.merlinwood.decision.grant.SessionNumber;
+import org.merlinwood.decision.placement.LoadObservation;
+import org.merlinwood.protocol.WireValues;
+import org.merlinwood.wire.GrantRequest;
+import org.merlinwood.wire.Load;
+import org.merlinwood.wire.RequestIdentity;
+import org.merlinwood.wire.WorkKind;
+
+/** Converts between the messages of grants and the values of the grant book. Stateless. */
+final class Demands {
+
+    private static final int LOWEST_PRIORITY = 9;
+
+    private Demands() {}
+
+    static AttemptIdentity attempt(RequestIdentity identity) {
+        RequestIdentifier request = WireValues.fromWire(identity);
+        return new AttemptIdentity(request, identity.getAttempt());
+    }
+
+    static GrantDemand demand(GrantRequest request, SessionNumber session) {
+        return new GrantDemand(
+                session,
+                attempt(request.getRequest()),
+                units(request),
+                request.getKind() == WorkKind.PREFILL ? promptTokens(request) : 0,
+                Math.clamp(Integer.toUnsignedLong(request.getPriority()), 0, LOWEST_PRIORITY),
+                Integer.toUnsignedLong(request.getWaitMillis()));
+    }
+
+    static boolean fits(WorkKind kind, ServingView view) {
+        return switch (kind) {
+            case PREFILL -> view.hasRole(InstanceRole.PREFILL);
+            case DECODE -> view.hasRole(InstanceRole.DECODE);
+            case PLAIN -> view.hasRole(InstanceRole.PLAIN);
+            case WORK_KIND_UNSPECIFIED, UNRECOGNIZED -> false;
+        };
+    }
+
+    static Load toWire(LoadObservation load) {
+        return Load.newBuilder()
+                .setFreePieces(load.freePieces())
+                .setTotalPieces(load.totalPieces())
+                .setRunning(load.running())
+                .setQueued(load.queued())
+                .setExpectedWaitMillis((int) Math.min(Integer.MAX_VALUE, load.expectedWaitMillis()))
+                .setQueuedTokens(load.queuedTokens())
+                .setDraining(load.draining())
+                .build();
+    }
+
+    private static int units(GrantRequest request) {
+        return switch (request.getKind()) {
+            case PREFILL -> GrantDemand.piecesOf(promptTokens(request));
+            case DECODE ->
+                GrantDemand.piecesOf(promptTokens(request) + Integer.toUnsignedLong(request.getMaximumTokens()));
+            case PLAIN, WORK_KIND_UNSPECIFIED, UNRECOGNIZED -> 1;
+        };
+    }
+
+    private static long promptTokens(GrantRequest request) {
+        return Integer.toUnsignedLong(request.getPromptTokens());
+    }
+}
--- /dev/null
+++ b/sidecar/src/main/java/org/merlinwood/sidecar/admission/GrantStage.java
@@ -0,0 +1,385 @@
+package org.merlinwood.sidecar.admission;
+
+import com.codahale.metrics.MetricRegistry;
+import io.vavr.control.Either;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.merlinwood.core.identity.Incarnation;
+import org.merlinwood.core.identity.Revisions;
+import org.merlinwood.core.result.ExecutionState;
+import org.merlinwood.core.result.Failure;
+import org.merlinwood.core.result.ResultCode;
+import org.merlinwood.decision.grant.AttemptIdentity;
+import org.merlinwood.decision.grant.Grant;
+import org.merlinwood.decision.grant.GrantBook;
+import org.merlinwood.decision.grant.GrantBookState;
+import org.merlinwood.decision.grant.GrantEvent;
+import org.merlinwood.decision.grant.SessionNumber;
+import org.merlinwood.protocol.Exchange;
+import org.merlinwood.protocol.PeerConnection;
+import org.merlinwood.protocol.WireValues;
+import org.merlinwood.sidecar.execution.AnswerChannel;
+import org.merlinwood.wire.Frame;
+import org.merlinwood.wire.GrantRequest;
+import org.merlinwood.wire.GrantUse;
+import org.merlinwood.wire.Granted;
+import org.merlinwood.wire.Load;
+import org.merlinwood.wire.Queued;
+import org.merlinwood.wire.RequestIdentity;
+
+/**
+ * Connects exchanges with the grant book. Used by the control thread only, except for {@link #load()} and
+ * {@link #revisions()}, which any thread may call.
+ */
+public final class GrantStage {
+
+    private static final long RETRY_MILLIS = 100;
+    private static final SessionNumber NO_SESSION = new SessionNumber(0);
+
+    private final GrantBook book;
+    private final UpstreamGate gate;
+    private final Incarnation incarnation;
+    private final MetricRegistry metrics;
+    private final Consumer<AttemptIdentity> onAbandoned;
+    private final Consumer<PeerConnection> onBehind;
+    private final Sessions sessions = new Sessions();
+    private final Map<AttemptIdentity, OpenAttempt> open = new HashMap<>();
+    private Optional<ServingView> view = Optional.empty();
+    private boolean leaving;
+    private volatile Load load = Load.getDefaultInstance();
+    private volatile Revisions revisions = new Revisions(Revisions.NONE, Revisions.NONE);
+
+    // ------------------------------------------------------------------ configuration
+
+    /**
+     * Creates a stage that grants nothing before it is configured.
+     *
+     * @param book the grants
+     * @param gate whether the upstream can take work
+     * @param incarnation of this process
+     * @param metrics counts decisions
+     * @param onAbandoned hears of attempts that run and have to be cancelled
+     * @param onBehind hears of peers that know a higher revision
+     */
+    public GrantStage(
+            GrantBook book,
+            UpstreamGate gate,
+            Incarnation incarnation,
+            MetricRegistry metrics,
+            Consumer<AttemptIdentity> onAbandoned,
+            Consumer<PeerConnection> onBehind) {
+        this.book = book;
+        this.gate = gate;
+        this.incarnation = incarnation;
+        this.metrics = metrics;
+        this.onAbandoned = onAbandoned;
+        this.onBehind = onBehind;
+    }
+
+    /**
+     * Puts inventory and rules in force.
+     *
+     * @param next what they say about this instance
+     */
+    public void configure(ServingView next) {
+        view = Optional.of(next);
+        revisions = next.revisions();
+        tell(book.configure(next.units(), next.limits().grantMillis()));
+        if (next.takesWork() && !leaving) {
+            book.resume();
+        } else {
+            tell(book.drain());
+        }
+        refreshLoad();
+    }
+
+    /** Starts to refuse demands, for good. */
+    public void leave() {
+        leaving = true;
+        tell(book.drain());
+    }
+
+    // ------------------------------------------------------------------ public API: demands
+
+    /**
+     * Takes a demand.
+     *
+     * @param exchange the exchange, opened by the demand
+     * @param request the demand
+     */
+    public void demand(Exchange exchange, GrantRequest request) {
+        SessionNumber session = sessions.of(exchange.connection());
+        AnswerChannel channel = channel(exchange, request.getRequest());
+        Optional<Failure> refusal = refusalOf(exchange, request);
+        AttemptIdentity attempt = Demands.attempt(request.getRequest());
+        if (refusal.isPresent()) {
+            count(refusal.get());
+            channel.failed(refusal.get());
+            return;
+        }
+        OpenAttempt earlier = open.put(attempt, new OpenAttempt(attempt, session, request, channel));
+        if (earlier != null) {
+            open.put(attempt, earlier);
+            channel.failed(Failure.of(ResultCode.PROTOCOL_VIOLATION, "the attempt was asked for twice"));
+            return;
+        }
+        tell(book.request(Demands.demand(request, session)));
+    }
+
+    /**
+     * Takes an unused grant back, or a demand out of the queue.
+     *
+     * @param exchange the exchange of the demand
+     * @param identity request and attempt of the demand
+     */
+    public void release(Exchange exchange, RequestIdentity identity) {
+        AttemptIdentity attempt = Demands.attempt(identity);
+        OpenAttempt released = open.get(attempt);
+        if (released == null || !released.session().equals(sessions.of(exchange.connection()))) {
+            return;
+        }
+        released.channel().drop();
+        cancel(identity, Failure.of(ResultCode.CANCELLED, "the entry gave the grant back"));
+    }
+
+    /**
+     * Cancels what a frame names.
+     *
+     * @param identity the request and its attempt; attempt 0 names all attempts
+     * @param why told to the entry
+     */
+    public void cancel(RequestIdentity identity, Failure why) {
+        AttemptIdentity attempt = Demands.attempt(identity);
+        tell(attempt.attempt() == 0 ? book.cancelAll(attempt.request(), why) : book.cancel(attempt, why));
+    }
+
+    /**
+     * Cancels everything of a connection.
+     *
+     * @param connection the connection, which is closed
+     */
+    public void closed(PeerConnection connection) {
+        sessions.closed(connection).ifPresent(session -> tell(book.closeSession(session)));
+    }
+
+    /** Lets grants lapse and gives up demands whose wait can't be met. */
+    public void advance() {
+        tell(book.advance());
+    }
+
+    // ------------------------------------------------------------------ public API: executions
+
+    /**
+     * Uses a grant on the exchange that it was granted on.
+     *
+     * @param exchange the exchange
+     * @param use the grant
+     * @return the attempt, or why nothing may be executed; the exchange is then ended
+     */
+    public Either<Failure, OpenAttempt> use(Exchange exchange, GrantUse use) {
+        AttemptIdentity attempt = Demands.attempt(use.getRequest());
+        boolean sameIncarnation = use.getIncarnation() == incarnation.value();
+        SessionNumber session = sameIncarnation ? sessions.of(exchange.connection()) : NO_SESSION;
+        Either<Failure, Grant> used = book.use(session, use.getGrant(), attempt);
+        used.peekLeft(failure -> endUnknown(sameIncarnation ? failure : otherIncarnation(failure)));
+        refreshLoad();
+        return used.map(grant -> open.get(attempt));
+    }
+
+    /**
+     * Judges an execute that came on another exchange than its grant. It is never run, and its grant is burnt.
+     *
+     * @param exchange the exchange
+     * @param use the grant
+     */
+    public void useElsewhere(Exchange exchange, GrantUse use) {
+        Either<Failure, Grant> used = book.use(NO_SESSION, use.getGrant(), Demands.attempt(use.getRequest()));
+        used.peekLeft(failure -> {
+            endUnknown(failure);
+            channel(exchange, use.getRequest()).failed(failure);
+        });
+        refreshLoad();
+    }
+
+    /**
+     * Keeps the units of an attempt whose upstream may still hold memory.
+     *
+     * @param attempt the attempt
+     */
+    public void stopping(AttemptIdentity attempt) {
+        open.remove(attempt);
+        book.stop(attempt);
+    }
+
+    /**
+     * Frees the units of an attempt.
+     *
+     * @param attempt the attempt
+     */
+    public void finished(AttemptIdentity attempt) {
+        open.remove(attempt);
+        tell(book.release(attempt));
+    }
+
+    // ------------------------------------------------------------------ public API: state
+
+    /**
+     * Returns the load as it was after the last decision. Thread-safe.
+     *
+     * @return the load
+     */
+    public Load load() {
+        return load;
+    }
+
+    /**
+     * Returns the revisions in force. Thread-safe.
+     *
+     * @return the revisions
+     */
+    public Revisions revisions() {
+        return revisions;
+    }
+
+    /**
+     * Returns what inventory and rules say about this instance.
+     *
+     * @return the view, empty before the first configuration
+     */
+    public Optional<ServingView> view() {
+        return view;
+    }
+
+    /**
+     * Tells whether nothing is granted, running or waiting.
+     *
+     * @return true if so
+     */
+    public boolean isIdle() {
+        return book.isIdle();
+    }
+
+    /**
+     * Returns the book, for the state dump.
+     *
+     * @return a copy
+     */
+    public GrantBookState state() {
+        return book.state();
+    }
+
+    // ------------------------------------------------------------------ internals: judging
+
+    private Optional<Failure> refusalOf(Exchange exchange, GrantRequest request) {
+        if (view.isEmpty()) {
+            return Optional.of(Failure.retryable(
+                    ResultCode.NOT_READY, "this process has no inventory and rules yet", RETRY_MILLIS));
+        }
+        if (revisions.isBehind(WireValues.fromWire(request.getRevisions()))) {
+            onBehind.accept(exchange.connection());
+            return Optional.of(Failure.retryable(
+                    ResultCode.REVISION_BEHIND, "this process has an older revision and catches up", RETRY_MILLIS));
+        }
+        return gate.refusal().or(() -> misplaced(view.get(), request));
+    }
+
+    private static Optional<Failure> misplaced(ServingView view, GrantRequest request) {
+        if (view.row().isEmpty()) {
+            return Optional.of(
+                    Failure.retryable(ResultCode.DRAINING, "the inventory does not list this instance", RETRY_MILLIS));
+        }
+        boolean fits = Demands.fits(request.getKind(), view)
+                && (request.getModel().isEmpty() || view.carries(request.getModel()));
+        return fits
+                ? Optional.empty()
+                : Optional.of(Failure.retryable(
+                        ResultCode.NO_INSTANCE, "the inventory gives this instance other work", RETRY_MILLIS));
+    }
+
+    private static Failure otherIncarnation(Failure failure) {
+        return failure.executionState() == ExecutionState.NOT_RUN
+                ? Failure.retryable(
+                        ResultCode.INCARNATION_MISMATCH, "the grant was given by another incarnation", RETRY_MILLIS)
+                : failure;
+    }
+
+    // ------------------------------------------------------------------ internals: telling
+
+    private void tell(List<GrantEvent> events) {
+        refreshLoad();
+        events.forEach(this::tell);
+    }
+
+    private void tell(GrantEvent event) {
+        switch (event) {
+            case GrantEvent.Given given ->
+                find(given).ifPresent(attempt -> attempt.channel().send(granted(given)));
+            case GrantEvent.Waiting waiting ->
+                find(waiting).ifPresent(attempt -> attempt.channel().send(queued(waiting)));
+            case GrantEvent.Denied denied -> {
+                count(denied.failure());
+                end(denied, denied.failure());
+            }
+            case GrantEvent.Abandoned abandoned -> {
+                end(abandoned, abandoned.failure());
+                onAbandoned.accept(abandoned.attempt());
+            }
+        }
+    }
+
+    private Optional<OpenAttempt> find(GrantEvent event) {
+        return Optional.ofNullable(open.get(event.attempt()));
+    }
+
+    private void end(GrantEvent event, Failure failure) {
+        OpenAttempt ended = open.remove(event.attempt());
+        if (ended != null) {
+            ended.channel().failed(failure);
+        }
+    }
+
+    /** Ends the exchanges of attempts that the book has just burnt. */
+    private void endUnknown(Failure failure) {
+        List<OpenAttempt> burnt = new ArrayList<>(open.values());
+        burnt.removeIf(attempt -> book.knows(attempt.attempt()));
+        burnt.forEach(attempt -> {
+            open.remove(attempt.attempt());
+            attempt.channel().failed(failure);
+        });
+    }
+
+    private Frame.Builder granted(GrantEvent.Given given) {
+        metrics.counter("grants.given").inc();
+        return Frame.newBuilder()
+                .setGranted(Granted.newBuilder()
+                        .setGrant(given.grant().number())
+                        .setIncarnation(incarnation.value())
+                        .setExpiresInMillis((int) given.expiresInMillis())
+                        .setLoad(load)
+                        .setRevisions(WireValues.toWire(revisions)));
+    }
+
+    private Frame.Builder queued(GrantEvent.Waiting waiting) {
+        metrics.counter("grants.queued").inc();
+        return Frame.newBuilder()
+                .setQueued(Queued.newBuilder()
+                        .setExpectedWaitMillis((int) waiting.expectedWaitMillis())
+                        .setLoad(load));
+    }
+
+    private AnswerChannel channel(Exchange exchange, RequestIdentity identity) {
+        return new AnswerChannel(exchange, identity, incarnation, this::load, this::revisions);
+    }
+
+    private void refreshLoad() {
+        load = Demands.toWire(book.load());
+    }
+
+    private void count(Failure failure) {
+        metrics.counter("grants.refused." + failure.code().name()).inc();
+    }
+}
--- /dev/null
+++ b/sidecar/src/main/java/org/merlinwood/sidecar/admission/ServingView.java
@@ -0,0 +1,120 @@
+package org.merlinwood.sidecar.admission;
+
+import java.util.Optional;
+import org.merlinwood.configuration.inventory.Instance;
+import org.merlinwood.configuration.inventory.InstanceRole;
+import org.merlinwood.configuration.inventory.InstanceState;
+import org.merlinwood.configuration.rules.Limits;
+import org.merlinwood.configuration.rules.RouteRule;
+import org.merlinwood.configuration.rules.ServiceRule;
+import org.merlinwood.core.identity.InstanceName;
+import org.merlinwood.core.identity.ModelName;
+import org.merlinwood.core.identity.Revisions;
+import org.merlinwood.following.ConfigurationInForce;
+
+/**
+ * What inventory and rules say about this instance. Immutable.
+ *
+ * @param inForce both documents
+ * @param row the row of this instance, empty while it is not listed
+ */
+public record ServingView(ConfigurationInForce inForce, Optional<Instance> row) {
+
+    private static final long DEFAULT_TIMEOUT_MILLIS = 30_000;
+
+    /**
+     * Looks an instance up.
+     *
+     * @param inForce both documents
+     * @param name the instance
+     * @return the view
+     */
+    public static ServingView of(ConfigurationInForce inForce, InstanceName name) {
+        return new ServingView(inForce, inForce.inventory().instance(name));
+    }
+
+    /**
+     * Returns the revisions of both documents.
+     *
+     * @return the revisions
+     */
+    public Revisions revisions() {
+        return inForce.revisions();
+    }
+
+    /**
+     * Returns the bounds for the whole fleet.
+     *
+     * @return the limits
+     */
+    public Limits limits() {
+        return inForce.rules().limits();
+    }
+
+    /**
+     * Tells whether the operators want this instance to take work.
+     *
+     * @return true if its row is there and active
+     */
+    public boolean takesWork() {
+        return row.map(instance -> instance.state() == InstanceState.ACTIVE).orElse(false);
+    }
+
+    /**
+     * Returns the units of capacity.
+     *
+     * @return pieces of engine memory, or slots of a plain service
+     */
+    public int units() {
+        return row.map(instance -> instance.role() == InstanceRole.PLAIN ? instance.concurrency() : instance.pieces())
+                .orElse(0);
+    }
+
+    /**
+     * Tells whether this instance does a kind of work.
+     *
+     * @param role the kind of work
+     * @return true if its row says so
+     */
+    public boolean hasRole(InstanceRole role) {
+        return row.map(instance -> instance.role() == role).orElse(false);
+    }
+
+    /**
+     * Tells whether this instance carries a model.
+     *
+     * @param model the model
+     * @return true if its row says so
+     */
+    public boolean carries(String model) {
+        return !model.isBlank()
+                && row.map(instance -> instance.models().contains(new ModelName(model)))
+                        .orElse(false);
+    }
+
+    /**
+     * Returns how long the upstream may take for one plain call or one gap between tokens.
+     *
+     * @return milliseconds
+     */
+    public long timeoutMillis() {
+        return row.flatMap(instance -> inForce.rules().service(instance.service()))
+                .map(ServiceRule::timeoutMillis)
+                .orElse(DEFAULT_TIMEOUT_MILLIS);
+    }
+
+    /**
+     * Finds the row of the routes that a plain call belongs to, among those of this service.
+     *
+     * @param method the method in capitals
+     * @param path the path, with or without a query
+     * @return the first row that matches
+     */
+    public Optional<RouteRule> route(String method, String path) {
+        int query = path.indexOf('?');
+        String plainPath = query < 0 ? path : path.substring(0, query);
+        return inForce.rules().routes().stream()
+                .filter(route -> route.matchesMethod(method) && route.matchesPath(plainPath))
+                .findFirst();
+    }
+}
--- /dev/null
+++ b/sidecar/src/main/java/org/merlinwood/sidecar/execution/DecodeExecution.java
@@ -0,0 +1,81 @@
+package org.merlinwood.sidecar.execution;
+
+import java.util.List;
+import org.merlinwood.core.result.Failure;
+import org.merlinwood.core.result.ResultCode;
+import org.merlinwood.http.HttpHeader;
+import org.merlinwood.http.HttpStream;
+import org.merlinwood.sidecar.upstream.DecodeAnswerReader;
+import org.merlinwood.sidecar.upstream.DecodeLine;
+import org.merlinwood.sidecar.upstream.EngineClient;
+import org.merlinwood.sidecar.upstream.EngineMessages;
+
+/** Streams tokens from the engine to the entry. */
+public final class DecodeExecution extends HttpExecution {
+
+    private static final int OK = 200;
+
+    private final EngineClient engine;
+    private final EngineMessages.DecodeCall call;
+    private final long silenceMillis;
+    private final AnswerChannel channel;
+    private final DecodeAnswerReader reader;
+    private int status;
+
+    /**
+     * Creates an execution that has not begun.
+     *
+     * @param engine the engine
+     * @param call what to generate
+     * @param silenceMillis how long the engine may be silent, in milliseconds
+     * @param channel the exchange
+     */
+    public DecodeExecution(
+            EngineClient engine, EngineMessages.DecodeCall call, long silenceMillis, AnswerChannel channel) {
+        this.engine = engine;
+        this.call = call;
+        this.silenceMillis = silenceMillis;
+        this.channel = channel;
+        this.reader = new DecodeAnswerReader(call.tokensSoFar().size());
+    }
+
+    @Override
+    HttpStream open() {
+        return engine.decode(call, silenceMillis, this);
+    }
+
+    @Override
+    public void onHead(int answerStatus, List<HttpHeader> headers) {
+        status = answerStatus;
+        if (status == OK) {
+            channel.head(status, List.of(), false);
+        }
+    }
+
+    @Override
+    public void onBytes(byte[] bytes) {
+        if (status == OK) {
+            reader.read(bytes).peek(lines -> lines.forEach(this::relay)).peekLeft(this::giveUp);
+        }
+    }
+
+    @Override
+    ExecutionOutcome answered() {
+        if (status != OK) {
+            return new ExecutionOutcome.Failed(EngineClient.refusal(status), false);
+        }
+        if (!reader.isWhole()) {
+            return failed(Failure.of(
+                    ResultCode.UPSTREAM_TRUNCATED,
+                    "the engine closed the answer after " + reader.nextOffset() + " tokens"));
+        }
+        return new ExecutionOutcome.Whole();
+    }
+
+    private void relay(DecodeLine line) {
+        switch (line) {
+            case DecodeLine.Tokens tokens -> channel.tokens(tokens.offset(), tokens.tokens());
+            case DecodeLine.End end -> channel.whole(end.length(), end.finishReason());
+        }
+    }
+}
--- /dev/null
+++ b/sidecar/src/main/java/org/merlinwood/sidecar/execution/Execution.java
@@ -0,0 +1,17 @@
+package org.merlinwood.sidecar.execution;
+
+import java.util.function.Consumer;
+
+/** One call to the upstream. Thread-safe. */
+public interface Execution {
+
+    /**
+     * Opens the call. Called once.
+     *
+     * @param onEnd called exactly once, on any thread, after the last part of the answer was sent
+     */
+    void start(Consumer<ExecutionOutcome> onEnd);
+
+    /** Gives the call up. The end is still reported. */
+    void cancel();
+}
--- /dev/null
+++ b/sidecar/src/main/java/org/merlinwood/sidecar/execution/ForwardedHeaders.java
@@ -0,0 +1,45 @@
+package org.merlinwood.sidecar.execution;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Set;
+import org.merlinwood.http.HttpHeader;
+
+/** Drops the headers that concern one connection only (RFC 9110, section 7.6.1). Stateless. */
+public final class ForwardedHeaders {
+
+    private static final String CONNECTION = "connection";
+    private static final Set<String> HOP_BY_HOP = Set.of(
+            CONNECTION,
+            "keep-alive",
+            "proxy-authenticate",
+            "proxy-authorization",
+            "proxy-connection",
+            "te",
+            "trailer",
+            "transfer-encoding",
+            "upgrade",
+            "host",
+            "content-length",
+            "expect");
+
+    private ForwardedHeaders() {}
+
+    /**
+     * Keeps what concerns both ends.
+     *
+     * @param headers headers as received
+     * @return headers to be sent on
+     */
+    public static List<HttpHeader> of(List<HttpHeader> headers) {
+        Set<String> dropped = new HashSet<>(HOP_BY_HOP);
+        headers.stream()
+                .filter(header -> header.name().equalsIgnoreCase(CONNECTION))
+                .flatMap(header -> List.of(header.value().split(",")).stream())
+                .forEach(name -> dropped.add(name.trim().toLowerCase(Locale.ROOT)));
+        return headers.stream()
+                .filter(header -> !dropped.contains(header.name().toLowerCase(Locale.ROOT)))
+                .toList();
+    }
+}
--- /dev/null
+++ b/sidecar/src/main/java/org/merlinwood/sidecar/package-info.java
@@ -0,0 +1,2 @@
+/** The process beside one upstream: assembly and life-cycle. */
+package org.merlinwood.sidecar;
--- /dev/null
+++ b/sidecar/src/main/java/org/merlinwood/sidecar/upstream/EngineMessages.java
@@ -0,0 +1,96 @@
+package org.merlinwood.sidecar.upstream;
+
+import com.fasterxml.jackson.annotation.JsonInclude;
+import java.util.List;
+import java.util.Optional;
+
+/** Bodies of a model engine's interface. Values only. */
+public final class EngineMessages {
+
+    private EngineMessages() {}
+
+    /**
+     * Body of {@code POST /v1/prefill}.
+     *
+     * @param request identifier of the request, 32 hexadecimal digits
+     * @param model name of the model
+     * @param prompt text of the prompt
+     * @param priority 0 comes first
+     */
+    public record PrefillCall(String request, String model, String prompt, int priority) {}
+
+    /**
+     * Answer of {@code POST /v1/prefill}.
+     *
+     * @param handle names the KV cache at the engine
+     * @param tokens tokens of the prompt
+     * @param computedTokens tokens that were not in the prefix cache
+     * @param bytes size of the KV cache, in bytes
+     * @param expiresInMillis how long the engine keeps it, in milliseconds
+     */
+    public record PrefillAnswer(String handle, int tokens, int computedTokens, long bytes, long expiresInMillis) {}
+
+    /**
+     * Names a KV cache at another engine.
+     *
+     * @param address address of the engine that holds it
+     * @param handle its name there
+     * @param tokens tokens of the prompt
+     * @param bytes its size, in bytes
+     */
+    public record CacheReference(String address, String handle, int tokens, long bytes) {}
+
+    /**
+     * Body of {@code POST /v1/decode}.
+     *
+     * @param request identifier of the request, 32 hexadecimal digits
+     * @param model name of the model
+     * @param prompt text of the prompt
+     * @param tokensSoFar tokens that the caller has already
+     * @param maximumTokens length of the whole answer at most, in tokens
+     * @param temperature temperature of the sampling
+     * @param seed seed of the sampling
+     * @param priority 0 comes first
+     * @param cache where the KV cache is, or null where the engine prefills on its own
+     */
+    @JsonInclude(JsonInclude.Include.NON_NULL)
+    public record DecodeCall(
+            String request,
+            String model,
+            String prompt,
+            List<String> tokensSoFar,
+            int maximumTokens,
+            double temperature,
+            long seed,
+            int priority,
+            CacheReference cache) {
+
+        /** Copies the list. */
+        public DecodeCall {
+            tokensSoFar = List.copyOf(tokensSoFar);
+        }
+    }
+
+    /**
+     * Answer of {@code GET /v1/streams}.
+     *
+     * @param streams everything that holds memory
+     */
+    public record Streams(List<StreamState> streams) {
+
+        /** Copies the list. */
+        public Streams {
+            streams = List.copyOf(Optional.ofNullable(streams).orElse(List.of()));
+        }
+    }
+
+    /**
+     * One stream, or the kept result of one prefill.
+     *
+     * @param request identifier of the request
+     * @param kind what runs
+     * @param pieces pieces of memory that it holds
+     * @param offset tokens produced so far
+     */
+    public record StreamState(String request, String kind, int pieces, long offset) {}
+}
--- /dev/null
+++ b/sidecar/src/test/java/org/merlinwood/sidecar/ThinPathTest.java
@@ -0,0 +1,104 @@
+package org.merlinwood.sidecar;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+import org.merlinwood.configuration.inventory.InstanceRole;
+import org.merlinwood.core.result.ResultCode;
+import org.merlinwood.protocol.PeerConnection;
+import org.merlinwood.standin.engine.EngineOptions;
+import org.merlinwood.standin.engine.ExpectedAnswer;
+import org.merlinwood.standin.engine.ModelEngine;
+import org.merlinwood.standin.plain.PlainService;
+import org.merlinwood.wire.AnswerEnd;
+import org.merlinwood.wire.CacheHandle;
+import org.merlinwood.wire.Execution;
+import org.merlinwood.wire.Frame;
+import org.merlinwood.wire.Granted;
+import org.merlinwood.wire.WorkKind;
+
+/** Grant and execute of each kind of work, end to end. */
+final class ThinPathTest {
+
+    private static final String PROMPT = "hydrant 12 leaks at the upper valve";
+
+    @Test
+    void prefillsThenDecodesFromTheTransferredCache() throws Exception {
+        try (ModelEngine prefillEngine = engine("PREFILL");
+                ModelEngine decodeEngine = engine("DECODE");
+                SidecarFixture prefill = new SidecarFixture(InstanceRole.PREFILL, prefillEngine.address());
+                SidecarFixture decode = new SidecarFixture(InstanceRole.DECODE, decodeEngine.address())) {
+            SidecarFixture.await(prefill.process()::isReady);
+            SidecarFixture.await(decode.process()::isReady);
+            ProbeExchange decoding = new ProbeExchange(decode.connect()).send(EntryFrames.demand(WorkKind.DECODE, 1));
+            Granted decodeGrant = decoding.next().getGranted();
+            CacheHandle cache = prefill(prefill.connect());
+            decoding.send(EntryFrames.withCache(EntryFrames.decode(decodeGrant, 1, PROMPT, 30), cache));
+            assertWholeAnswer(decoding.untilEnd(), 30, 0);
+            assertThat(decode.process().state().grants().load().freePieces()).isEqualTo(SidecarFixture.UNITS);
+        }
+    }
+
+    @Test
+    void resumesBehindTheTokensThatTheCallerHas() throws Exception {
+        try (ModelEngine engine = engine("DECODE");
+                SidecarFixture fixture = new SidecarFixture(InstanceRole.DECODE, engine.address())) {
+            SidecarFixture.await(fixture.process()::isReady);
+            ProbeExchange exchange = new ProbeExchange(fixture.connect()).send(EntryFrames.demand(WorkKind.DECODE, 1));
+            Granted granted = exchange.next().getGranted();
+            List<String> soFar = ExpectedAnswer.tokens(PROMPT, 20).subList(0, 12);
+            exchange.send(
+                    EntryFrames.frame(EntryFrames.decode(granted, 1, PROMPT, 20).addAllTokensSoFar(soFar)));
+            assertWholeAnswer(exchange.untilEnd(), 20, 12);
+        }
+    }
+
+    @Test
+    void relaysAPlainCall() throws Exception {
+        try (PlainService service = new PlainService(
+                        SidecarFixture.ANY_PORT,
+                        SidecarFixture.ANY_PORT,
+                        "ledger",
+                        4,
+                        Optional.empty(),
+                        PlainService.CrashMode.CLOSE_SERVER);
+                SidecarFixture fixture = new SidecarFixture(InstanceRole.PLAIN, service.address())) {
+            SidecarFixture.await(fixture.process()::isReady);
+            ProbeExchange exchange = new ProbeExchange(fixture.connect()).send(EntryFrames.demand(WorkKind.PLAIN, 1));
+            Granted granted = exchange.next().getGranted();
+            exchange.send(EntryFrames.plain(granted, 1, "GET", "/hydrants/12", ""));
+            List<Frame> frames = exchange.untilEnd();
+            assertThat(frames.getFirst().getAnswerHead().getStatus()).isEqualTo(200);
+            assertThat(frames.get(1).getAnswerPart().getBody().toStringUtf8()).contains("\"12\"");
+            assertThat(frames.getLast().getAnswerEnd().getExecution()).isEqualTo(Execution.RAN);
+        }
+    }
+
+    private static CacheHandle prefill(PeerConnection connection) throws InterruptedException {
+        ProbeExchange prefilling = new ProbeExchange(connection).send(EntryFrames.demand(WorkKind.PREFILL, 1));
+        Granted granted = prefilling.next().getGranted();
+        prefilling.send(EntryFrames.prefill(granted, 1, PROMPT));
+        return prefilling.untilEnd().getLast().getPrefillDone().getCache();
+    }
+
+    private static void assertWholeAnswer(List<Frame> frames, int length, int from) {
+        List<String> tokens = frames.stream()
+                .filter(Frame::hasAnswerPart)
+                .flatMap(frame -> frame.getAnswerPart().getTokensList().stream())
+                .toList();
+        assertThat(tokens).isEqualTo(ExpectedAnswer.tokens(PROMPT, length).subList(from, length));
+        AnswerEnd end = frames.getLast().getAnswerEnd();
+        assertThat(end.getCode()).isEqualTo(ResultCode.OK.number());
+        assertThat(end.getLength()).isEqualTo(length);
+    }
+
+    private static ModelEngine engine(String role) {
+        EngineOptions options = EngineOptions.builder()
+                .role(role)
+                .models(List.of(SidecarFixture.MODEL))
+                .build();
+        return new ModelEngine(SidecarFixture.ANY_PORT, SidecarFixture.ANY_PORT, options, Optional.empty());
+    }
+}
