--- a/replay/src/main/java/org/merlinwood/replay/policy/ModelDispatch.java
+++ b/replay/src/main/java/org/merlinwood/replay/policy/ModelDispatch.java
@@ -75,7 +75,7 @@
         openAsk = Optional.empty();
         decisions.observe(InstanceRole.DECODE, name, load);
         if (run.isEnded()) {
-            fleet.decode(name).release(run.decodePieces());
+            fleet.decode(name).release(run.decodePieces(), run.promptTokens());
             return;
         }
         decodeGranted = true;
@@ -164,8 +164,11 @@
     }
 
     private void prefillDone(PrefillResult done) {
+        long millis = TimeUnit.MICROSECONDS.toMillis(done.doneMicros() - done.begunMicros());
+        decisions.prefilled(done.holder().instance().name(), run, done.computedTokens(), millis);
         endPrefillUse();
         if (run.isEnded()) {
+            done.holder().forget(done.bytes(), 0);
             return;
         }
         result = Optional.of(done);
@@ -235,7 +238,7 @@
         openAsk.ifPresent(Ask::withdraw);
         decodeInUse.ifPresent(name -> {
             if (decodeGranted && !decodeExecuting) {
-                fleet.decode(name).release(run.decodePieces());
+                fleet.decode(name).release(run.decodePieces(), run.promptTokens());
             }
         });
         endDecodeUse();
