Sidecar under failure: cancels, lapses, restarts, drains

What is left after the drain limit is cancelled, since an engine must not hold memory for a process that is gone. Signal handlers are installed once the settings were read.

--- a/decision/src/main/java/org/merlinwood/decision/grant/GrantBook.java
+++ b/decision/src/main/java/org/merlinwood/decision/grant/GrantBook.java
@@ -219,6 +219,18 @@
         return cancelAll(attempts, Failure.of(ResultCode.CONNECTION_LOST, "the connection of the entry ended"));
     }
 
+    /**
+     * Cancels everything that waits, is granted or runs.
+     *
+     * @param why told to the entries
+     * @return what changed
+     */
+    public List<GrantEvent> cancelEverything(Failure why) {
+        List<AttemptIdentity> attempts = new ArrayList<>(queue.attempts(demand -> true));
+        attempts.addAll(holdings.attempts(holding -> true));
+        return cancelAll(attempts, why);
+    }
+
     /**
      * Lets grants lapse and gives up demands whose wait can't be met. To be called every few milliseconds.
      *
--- a/sidecar/src/main/java/org/merlinwood/sidecar/SidecarMain.java
+++ b/sidecar/src/main/java/org/merlinwood/sidecar/SidecarMain.java
@@ -50,12 +50,12 @@
 
     @Override
     public Integer call() throws InterruptedException {
-        lifecycle.installSignalHandlers();
         Either<String, SidecarSettings> settings = read();
         if (settings.isLeft()) {
             System.err.println(settings.getLeft());
             return ProcessLifecycle.EXIT_INVALID_SETTINGS;
         }
+        lifecycle.installSignalHandlers();
         return run(settings.get());
     }
 
--- a/sidecar/src/main/java/org/merlinwood/sidecar/SidecarProcess.java
+++ b/sidecar/src/main/java/org/merlinwood/sidecar/SidecarProcess.java
@@ -52,6 +52,7 @@
     private static final int UPSTREAM_THREADS = 2;
     private static final long ADVANCE_PERIOD_MILLIS = 20;
     private static final long DRAIN_POLL_MILLIS = 20;
+    private static final long CANCEL_PATIENCE_MILLIS = 1_000;
     private static final long DEFAULT_DRAIN_MILLIS = 60_000;
     private static final long STATE_PATIENCE_MILLIS = 2_000;
 
@@ -128,9 +129,10 @@
     }
 
     /**
-     * Refuses new work and waits until what was granted has ended, or the drain limit of the rules has passed.
+     * Refuses new work and waits until what was granted has ended. What is left after the drain limit of the rules is
+     * cancelled, so that the upstream holds nothing for a process that is gone.
      *
-     * @return true if nothing was left
+     * @return true if nothing had to be cancelled
      */
     public boolean drain() {
         leaving = true;
@@ -138,15 +140,13 @@
         long limitMillis = follower.current()
                 .map(inForce -> inForce.rules().limits().drainMillis())
                 .orElse(DEFAULT_DRAIN_MILLIS);
-        long deadlineMillis = clock.monotonicMillis() + limitMillis;
-        while (!isIdle()) {
-            if (clock.monotonicMillis() >= deadlineMillis) {
-                logger.atWarning().log("work is left after the drain limit of %d ms", limitMillis);
-                return false;
-            }
-            pause();
+        if (awaitIdle(limitMillis)) {
+            return true;
         }
-        return true;
+        logger.atWarning().log("work is left after the drain limit of %d ms and is cancelled", limitMillis);
+        loop.execute(grants::cancelEverything);
+        awaitIdle(CANCEL_PATIENCE_MILLIS);
+        return false;
     }
 
     @Override
@@ -287,6 +287,17 @@
 
     // ------------------------------------------------------------------ internals
 
+    private boolean awaitIdle(long limitMillis) {
+        long deadlineMillis = clock.monotonicMillis() + limitMillis;
+        while (!isIdle()) {
+            if (clock.monotonicMillis() >= deadlineMillis) {
+                return false;
+            }
+            pause();
+        }
+        return true;
+    }
+
     private static void pause() {
         try {
             Thread.sleep(DRAIN_POLL_MILLIS);
--- a/sidecar/src/main/java/org/merlinwood/sidecar/admission/GrantStage.java
+++ b/sidecar/src/main/java/org/merlinwood/sidecar/admission/GrantStage.java
@@ -166,6 +166,11 @@
         sessions.closed(connection).ifPresent(session -> tell(book.closeSession(session)));
     }
 
+    /** Cancels everything that is granted or runs. */
+    public void cancelEverything() {
+        tell(book.cancelEverything(Failure.of(ResultCode.DRAINING, "the drain limit has passed")));
+    }
+
     /** Lets grants lapse and gives up demands whose wait can't be met. */
     public void advance() {
         tell(book.advance());
--- /dev/null
+++ b/sidecar/src/test/java/org/merlinwood/sidecar/DecodeFixture.java
@@ -0,0 +1,61 @@
+package org.merlinwood.sidecar;
+
+import java.util.List;
+import java.util.Optional;
+import org.merlinwood.configuration.inventory.InstanceRole;
+import org.merlinwood.protocol.PeerConnection;
+import org.merlinwood.standin.engine.EngineOptions;
+import org.merlinwood.standin.engine.ModelEngine;
+import org.merlinwood.wire.Granted;
+import org.merlinwood.wire.WorkKind;
+
+/** A sidecar beside a slow decode engine, with one connection of an entry; closed by the test. */
+final class DecodeFixture implements AutoCloseable {
+
+    static final String PROMPT = "station 4 reports a broken hydrant";
+    static final int ENDLESS_TOKENS = 1_500;
+
+    final ModelEngine engine;
+    final SidecarFixture sidecar;
+    final PeerConnection connection;
+
+    DecodeFixture() throws Exception {
+        EngineOptions options = EngineOptions.builder()
+                .models(List.of(SidecarFixture.MODEL))
+                .stepMillis(20, 0)
+                .build();
+        engine = new ModelEngine(SidecarFixture.ANY_PORT, SidecarFixture.ANY_PORT, options, Optional.empty());
+        sidecar = new SidecarFixture(InstanceRole.DECODE, engine.address());
+        SidecarFixture.await(sidecar.process()::isReady);
+        connection = sidecar.connect();
+    }
+
+    /** Starts a decode that lasts longer than any test, and returns once it produces tokens. */
+    ProbeExchange startEndless(long request) throws InterruptedException {
+        return start(request, ENDLESS_TOKENS);
+    }
+
+    ProbeExchange start(long request, int tokens) throws InterruptedException {
+        ProbeExchange exchange = new ProbeExchange(connection).send(EntryFrames.demand(WorkKind.DECODE, request));
+        Granted granted = exchange.next().getGranted();
+        exchange.send(EntryFrames.frame(EntryFrames.decode(granted, request, PROMPT, tokens)));
+        while (!exchange.next().hasAnswerPart()) {
+            // the head comes first
+        }
+        return exchange;
+    }
+
+    void awaitNothingHeld() throws InterruptedException {
+        SidecarFixture.await(() -> engine.ledger().heldPieces() == 0);
+    }
+
+    void awaitAllUnitsFree() throws InterruptedException {
+        SidecarFixture.await(() -> sidecar.process().state().grants().load().freePieces() == SidecarFixture.UNITS);
+    }
+
+    @Override
+    public void close() {
+        sidecar.close();
+        engine.close();
+    }
+}
--- /dev/null
+++ b/sidecar/src/test/java/org/merlinwood/sidecar/HeldMemoryTest.java
@@ -0,0 +1,113 @@
+package org.merlinwood.sidecar;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.merlinwood.core.result.ResultCode;
+import org.merlinwood.protocol.PeerConnection;
+import org.merlinwood.wire.Frame;
+import org.merlinwood.wire.Granted;
+import org.merlinwood.wire.WorkKind;
+
+/** No memory stays held for a request whose caller, entry or sidecar is gone. */
+final class HeldMemoryTest {
+
+    private DecodeFixture fixture;
+
+    @BeforeEach
+    void open() throws Exception {
+        fixture = new DecodeFixture();
+    }
+
+    @AfterEach
+    void close() {
+        fixture.close();
+    }
+
+    @Test
+    void aCancelFreesTheMemoryAndEndsTheExchange() throws Exception {
+        ProbeExchange exchange = fixture.startEndless(1);
+        exchange.send(EntryFrames.cancel(1));
+        assertThat(exchange.untilEnd().getLast().getAnswerEnd().getCode()).isEqualTo(ResultCode.CANCELLED.number());
+        fixture.awaitNothingHeld();
+        fixture.awaitAllUnitsFree();
+    }
+
+    @Test
+    void aCancelOnAnotherConnectionFreesTheMemory() throws Exception {
+        fixture.startEndless(1);
+        PeerConnection other = fixture.sidecar.connect();
+        new ProbeExchange(other).send(EntryFrames.cancel(1));
+        fixture.awaitNothingHeld();
+    }
+
+    @Test
+    void aClosedConnectionFreesTheMemory() throws Exception {
+        fixture.startEndless(1);
+        fixture.connection.close(ResultCode.CONNECTION_LOST);
+        fixture.awaitNothingHeld();
+        fixture.awaitAllUnitsFree();
+    }
+
+    @Test
+    void aRestartedSidecarEndsTheStreamsOfItsPredecessorBeforeItServes() throws Exception {
+        fixture.startEndless(1);
+        fixture.sidecar.restart();
+        SidecarFixture.await(fixture.sidecar.process()::isReady);
+        assertThat(fixture.engine.ledger().heldPieces()).isZero();
+    }
+
+    @Test
+    void aCancelThatIsNotConfirmedIsRepeated() throws Exception {
+        ProbeExchange exchange = fixture.startEndless(1);
+        administer("/silent");
+        exchange.send(EntryFrames.cancel(1));
+        exchange.untilEnd();
+        SidecarFixture.await(() -> !fixture.sidecar.process().state().ending().isEmpty());
+        assertThat(fixture.engine.ledger().heldPieces()).isPositive();
+        administer("/audible");
+        fixture.awaitNothingHeld();
+        fixture.awaitAllUnitsFree();
+    }
+
+    @Test
+    void unitsStayReservedUntilTheEngineConfirms() throws Exception {
+        ProbeExchange exchange = fixture.startEndless(1);
+        administer("/silent");
+        exchange.send(EntryFrames.cancel(1));
+        exchange.untilEnd();
+        assertThat(fixture.sidecar.process().state().grants().load().freePieces())
+                .isLessThan(SidecarFixture.UNITS);
+        administer("/audible");
+        fixture.awaitAllUnitsFree();
+    }
+
+    @Test
+    void aCancelThatOvertakesItsExecuteBurnsTheGrant() throws Exception {
+        ProbeExchange exchange = new ProbeExchange(fixture.connection).send(EntryFrames.demand(WorkKind.DECODE, 1));
+        Granted granted = exchange.next().getGranted();
+        exchange.send(EntryFrames.cancel(1));
+        exchange.send(EntryFrames.frame(EntryFrames.decode(granted, 1, DecodeFixture.PROMPT, 10)));
+        Frame end = exchange.untilEnd().getLast();
+        assertThat(end.getRefused().getCode()).isEqualTo(ResultCode.CANCELLED.number());
+        fixture.start(2, 5).untilEnd();
+        assertThat(fixture.engine.ledger().runs()).hasSize(1);
+    }
+
+    private void administer(String path) throws Exception {
+        InetSocketAddress address = fixture.engine.administrationAddress();
+        URI uri = URI.create("http://127.0.0.1:" + address.getPort() + path);
+        HttpRequest request = HttpRequest.newBuilder(uri)
+                .POST(HttpRequest.BodyPublishers.noBody())
+                .build();
+        try (java.net.http.HttpClient client = java.net.http.HttpClient.newHttpClient()) {
+            client.send(request, HttpResponse.BodyHandlers.discarding());
+        }
+    }
+}
