--- a/proving/src/main/java/org/merlinwood/proving/prove/Promises.java
+++ b/proving/src/main/java/org/merlinwood/proving/prove/Promises.java
@@ -63,6 +63,8 @@
                         new Proof("shutdown-cuts-nothing-entry", Leaving::entryTerminated),
                         new Proof("inventory-in-force", InventoryInForce::everywhere),
                         new Proof("inventory-never-reverts", InventoryInForce::neverReverts),
+                        new Proof("crashing-request-at-prefill", CrashingRequest::atPrefill),
+                        new Proof("crashing-request-at-decode", CrashingRequest::atDecode),
                         new Proof("all-under-two-failures", Combined::twoAtATime)));
     }
 }
