--- a/proving/src/main/java/org/merlinwood/proving/fleet/Fleet.java
+++ b/proving/src/main/java/org/merlinwood/proving/fleet/Fleet.java
@@ -32,6 +32,7 @@
 
     private final Path folder;
     private final List<FleetProcess> processes = new ArrayList<>();
+    private final List<FleetProcess> passing = new ArrayList<>();
     private final List<StandIn> forwarders = new ArrayList<>();
     private final List<Entry> entries = new ArrayList<>();
     private final List<Sidecar> sidecars = new ArrayList<>();
@@ -188,6 +189,24 @@
         awaitReady();
     }
 
+    /**
+     * Starts a second sidecar beside the upstream of another, with ports of its own but the same guard port.
+     *
+     * @param sidecar the first sidecar
+     * @return the process, which is not started again by {@link #repair()}
+     */
+    public FleetProcess startBeside(Sidecar sidecar) {
+        FreePorts ports = new FreePorts();
+        List<String> arguments = SettingsFile.copyOf(folder, sidecar.instance(), "second")
+                .address("peerAddress", ports.next())
+                .address("operatorAddress", ports.next())
+                .write();
+        FleetProcess second = FleetAssembly.sidecarProcess(sidecar.name() + "-second", arguments, folder);
+        passing.add(second);
+        second.start();
+        return second;
+    }
+
     /** Lets every frozen process go on. */
     public void thawAll() {
         processes.stream().filter(FleetProcess::isAlive).forEach(FleetProcess::thaw);
@@ -235,6 +254,7 @@
 
     private void endAll() {
         processes.forEach(FleetProcess::kill);
+        passing.forEach(FleetProcess::kill);
         forwarders.forEach(StandIn::close);
     }
 
--- a/proving/src/main/java/org/merlinwood/proving/fleet/FleetAssembly.java
+++ b/proving/src/main/java/org/merlinwood/proving/fleet/FleetAssembly.java
@@ -1,6 +1,7 @@
 package org.merlinwood.proving.fleet;
 
 import java.net.InetSocketAddress;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -220,6 +221,11 @@
         return process;
     }
 
+    /** Creates a further sidecar process, not started. */
+    static FleetProcess sidecarProcess(String name, List<String> arguments, Path folder) {
+        return new FleetProcess(name, SERVING, SIDECAR, arguments, folder);
+    }
+
     private record Planned(
             InstanceRole role, Instance row, InetSocketAddress peerAddress, Optional<Forwarder> forwarder) {}
 }
--- a/proving/src/main/java/org/merlinwood/proving/fleet/SettingsFile.java
+++ b/proving/src/main/java/org/merlinwood/proving/fleet/SettingsFile.java
@@ -18,16 +18,32 @@
     private static final String SECRET = "5a".repeat(32);
     private static final int KEY_IDENTIFIER = 1;
 
-    private final ObjectNode settings = MAPPER.createObjectNode();
+    private final ObjectNode settings;
     private final Path file;
 
     SettingsFile(Path folder, Instance instance) {
-        this.file = folder.resolve(instance.name() + "-settings.json");
+        this(fileOf(folder, instance), MAPPER.createObjectNode());
         settings.put("instance", instance.name().value());
         settings.put("failureDomain", instance.failureDomain().value());
         settings.putArray("keys").addObject().put("identifier", KEY_IDENTIFIER).put("secretHexadecimal", SECRET);
     }
 
+    private SettingsFile(Path file, ObjectNode settings) {
+        this.file = file;
+        this.settings = settings;
+    }
+
+    /** Copies the settings that were written for an instance. */
+    static SettingsFile copyOf(Path folder, Instance instance, String suffix) {
+        try {
+            ObjectNode settings =
+                    (ObjectNode) MAPPER.readTree(fileOf(folder, instance).toFile());
+            return new SettingsFile(folder.resolve(instance.name() + "-" + suffix + ".json"), settings);
+        } catch (IOException exception) {
+            throw new UncheckedIOException("settings could not be read", exception);
+        }
+    }
+
     SettingsFile address(String field, InetSocketAddress address) {
         settings.put(field, Addresses.text(address));
         return this;
@@ -46,6 +62,10 @@
         return this;
     }
 
+    private static Path fileOf(Path folder, Instance instance) {
+        return folder.resolve(instance.name() + "-settings.json");
+    }
+
     /** Writes the file and returns the arguments that name it. */
     List<String> write() {
         try {
--- a/proving/src/main/java/org/merlinwood/proving/prove/AtMostOnce.java
+++ b/proving/src/main/java/org/merlinwood/proving/prove/AtMostOnce.java
@@ -1,7 +1,9 @@
 package org.merlinwood.proving.prove;
 
+import java.util.ArrayList;
 import java.util.List;
 import org.merlinwood.configuration.inventory.InstanceRole;
+import org.merlinwood.proving.fleet.FleetProcess;
 import org.merlinwood.proving.fleet.Sidecar;
 import org.merlinwood.proving.prove.KeyedCalls.Booking;
 import org.merlinwood.standin.network.ForwardingDirection;
@@ -12,6 +14,7 @@
 
     private static final int KEYS = 24;
     private static final long START_MILLIS = 5_000;
+    private static final long IN_FORCE_MILLIS = 2_000;
     private static final String SLOW = "[millis 700]";
     private static final String VERY_SLOW = "[millis 2000]";
     private static final String CRASH = "[fault CRASH_AFTER_RUN]";
@@ -99,6 +102,52 @@
         return calls.judge("connections silent, " + direction);
     }
 
+    /** An inventory change takes away the instance that ran a key, and gives it back. */
+    static ProofResult homeMoved(Workbench bench) throws InterruptedException {
+        KeyedCalls calls = new KeyedCalls(bench);
+        List<Booking> bookings = new ArrayList<>();
+        for (int number = 0; number < KEYS / 2; number++) {
+            bookings.add(number % 2 == 0 ? calls.timed("") : calls.timed(SLOW));
+        }
+        bookings.forEach(booking -> calls.send(booking, 0));
+        if (!awaitRunning(bench, bookings)) {
+            return ProofResult.unproved("the bookings did not start");
+        }
+        Sidecar moved = bench.choose(bench.fleet().sidecars(InstanceRole.PLAIN));
+        bench.fleet()
+                .publish(bench.fleet().instances().stream()
+                        .filter(row -> !row.name().equals(moved.instance().name()))
+                        .toList());
+        calls.sendAllThroughAll();
+        Thread.sleep(IN_FORCE_MILLIS);
+        calls.sendAllThroughAll();
+        calls.awaitAll();
+        bench.fleet().publish(bench.fleet().instances());
+        Thread.sleep(IN_FORCE_MILLIS);
+        calls.sendAllThroughAll();
+        return calls.judge(moved.name() + " taken from the inventory and given back");
+    }
+
+    /** A second sidecar is started beside an upstream whose sidecar is frozen. */
+    static ProofResult secondSidecar(Workbench bench) throws InterruptedException {
+        KeyedCalls calls = new KeyedCalls(bench);
+        Booking booking = calls.timed(VERY_SLOW);
+        calls.send(booking, 0);
+        if (!awaitRunning(bench, List.of(booking))) {
+            return ProofResult.unproved("the booking did not start");
+        }
+        Sidecar frozen = bench.sidecarsRunning(booking.body()).getFirst();
+        frozen.process().freeze();
+        FleetProcess second = bench.fleet().startBeside(frozen);
+        boolean ended = second.awaitEnd(START_MILLIS);
+        frozen.process().thaw();
+        calls.sendAllThroughAll();
+        calls.awaitAll();
+        ProofResult judged = calls.judge("second sidecar beside " + frozen.name());
+        second.kill();
+        return ended ? judged : ProofResult.fail("the second sidecar did not end; " + judged.detail());
+    }
+
     private static void silence(Sidecar sidecar, ForwardingDirection direction) {
         sidecar.peerForwarder().orElseThrow().mode(ForwardingMode.SILENT_EXISTING, direction, 0);
     }
--- a/proving/src/main/java/org/merlinwood/proving/prove/Promises.java
+++ b/proving/src/main/java/org/merlinwood/proving/prove/Promises.java
@@ -34,6 +34,8 @@
                         new Proof("at-most-once-upstream-killed", AtMostOnce::upstreamKilled),
                         new Proof("at-most-once-sidecar-killed", AtMostOnce::sidecarKilled),
                         new Proof("at-most-once-connection-silent", AtMostOnce::connectionSilent),
+                        new Proof("at-most-once-home-moved", AtMostOnce::homeMoved),
+                        new Proof("at-most-once-second-sidecar", AtMostOnce::secondSidecar),
                         new Proof("not-run-is-true", NotRun::refusalsUnderFailures)));
     }
 
