--- /dev/null
+++ b/benchmarks/src/main/java/org/merlinwood/benchmarks/DecisionBenchmark.java
@@ -0,0 +1,101 @@
+package org.merlinwood.benchmarks;
+
+import java.util.concurrent.TimeUnit;
+import org.apache.commons.rng.simple.RandomSource;
+import org.merlinwood.configuration.rules.CallerClass;
+import org.merlinwood.configuration.rules.ServiceKind;
+import org.merlinwood.configuration.rules.ServiceRule;
+import org.merlinwood.core.identity.CallerName;
+import org.merlinwood.decision.admission.Admission;
+import org.merlinwood.decision.admission.AdmissionDecision;
+import org.merlinwood.decision.admission.AdmissionQuery;
+import org.merlinwood.decision.fairness.CallerShares;
+import org.merlinwood.decision.placement.PlacementForecast;
+import org.merlinwood.decision.retry.RetryBudget;
+import org.merlinwood.decision.retry.RetryDelay;
+import org.openjdk.jmh.annotations.Benchmark;
+import org.openjdk.jmh.annotations.BenchmarkMode;
+import org.openjdk.jmh.annotations.Fork;
+import org.openjdk.jmh.annotations.Level;
+import org.openjdk.jmh.annotations.Measurement;
+import org.openjdk.jmh.annotations.Mode;
+import org.openjdk.jmh.annotations.OutputTimeUnit;
+import org.openjdk.jmh.annotations.Param;
+import org.openjdk.jmh.annotations.Scope;
+import org.openjdk.jmh.annotations.Setup;
+import org.openjdk.jmh.annotations.State;
+import org.openjdk.jmh.annotations.Warmup;
+
+/** The small decisions of each request, by callers with open requests. */
+@State(Scope.Thread)
+@BenchmarkMode(Mode.AverageTime)
+@OutputTimeUnit(TimeUnit.NANOSECONDS)
+@Warmup(iterations = 3, time = 300, timeUnit = TimeUnit.MILLISECONDS)
+@Measurement(iterations = 3, time = 500, timeUnit = TimeUnit.MILLISECONDS)
+@Fork(1)
+public class DecisionBenchmark {
+
+    /** Callers that have requests open at one entry. */
+    @Param({"838", "1675", "3350", "6700"})
+    public int callers;
+
+    private final CallerClass callerClass = PlannedFleet.callerClass();
+    private final RetryBudget budget = new RetryBudget(20);
+    private CallerShares shares;
+    private Admission admission;
+    private AdmissionQuery query;
+    private CallerName[] names;
+    private int next;
+
+    /** Opens a request for each caller. */
+    @Setup(Level.Trial)
+    public void fill() {
+        RetryDelay delay = new RetryDelay(RandomSource.XO_RO_SHI_RO_128_PP.create(1));
+        shares = new CallerShares(delay);
+        admission = new Admission(delay);
+        names = new CallerName[callers];
+        for (int number = 0; number < callers; number++) {
+            names[number] = new CallerName("workspace-" + number);
+            shares.enter(names[number], callerClass, false);
+        }
+        ServiceRule service = new ServiceRule(PlannedFleet.SERVICE, ServiceKind.MODEL, 1, 1, 30_000);
+        query = new AdmissionQuery(
+                callerClass, service, PlacementForecast.IMMEDIATE, new PlacementForecast(100, 300), 60, 0, 60_000);
+    }
+
+    /**
+     * Opens and closes a request of a caller.
+     *
+     * @return whether it was allowed
+     */
+    @Benchmark
+    public boolean share() {
+        next = (next + 1) % callers;
+        boolean allowed = shares.enter(names[next], callerClass, true).isRight();
+        if (allowed) {
+            shares.leave(names[next]);
+        }
+        return allowed;
+    }
+
+    /**
+     * Admits a request.
+     *
+     * @return the decision
+     */
+    @Benchmark
+    public AdmissionDecision admit() {
+        return admission.decide(query);
+    }
+
+    /**
+     * Counts a first attempt and asks for a repeated one.
+     *
+     * @return whether it was allowed
+     */
+    @Benchmark
+    public boolean retry() {
+        budget.firstAttempt();
+        return budget.tryRetry();
+    }
+}
--- /dev/null
+++ b/benchmarks/src/main/java/org/merlinwood/benchmarks/InventoryBenchmark.java
@@ -0,0 +1,84 @@
+package org.merlinwood.benchmarks;
+
+import io.vavr.control.Either;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.merlinwood.configuration.document.DocumentErrors;
+import org.merlinwood.configuration.document.InventoryReader;
+import org.merlinwood.configuration.document.InventoryWriter;
+import org.merlinwood.configuration.inventory.Instance;
+import org.merlinwood.configuration.inventory.InstanceRole;
+import org.merlinwood.configuration.inventory.Inventory;
+import org.merlinwood.core.identity.IdempotencyKey;
+import org.merlinwood.decision.idempotency.KeyHome;
+import org.merlinwood.decision.placement.UpstreamPool;
+import org.openjdk.jmh.annotations.Benchmark;
+import org.openjdk.jmh.annotations.BenchmarkMode;
+import org.openjdk.jmh.annotations.Fork;
+import org.openjdk.jmh.annotations.Level;
+import org.openjdk.jmh.annotations.Measurement;
+import org.openjdk.jmh.annotations.Mode;
+import org.openjdk.jmh.annotations.OutputTimeUnit;
+import org.openjdk.jmh.annotations.Param;
+import org.openjdk.jmh.annotations.Scope;
+import org.openjdk.jmh.annotations.Setup;
+import org.openjdk.jmh.annotations.State;
+import org.openjdk.jmh.annotations.Warmup;
+
+/** What a change of the inventory costs a process, by rows. */
+@State(Scope.Thread)
+@BenchmarkMode(Mode.AverageTime)
+@OutputTimeUnit(TimeUnit.NANOSECONDS)
+@Warmup(iterations = 3, time = 300, timeUnit = TimeUnit.MILLISECONDS)
+@Measurement(iterations = 3, time = 500, timeUnit = TimeUnit.MILLISECONDS)
+@Fork(1)
+public class InventoryBenchmark {
+
+    /** Rows of the inventory. */
+    @Param({"375", "750", "1500", "3000"})
+    public int rows;
+
+    private final IdempotencyKey key = new IdempotencyKey("01912d68-783e-7a9f-8f4e-2f5f0c1c9d11");
+    private Inventory inventory;
+    private String text;
+    private UpstreamPool pool;
+
+    /** Writes the document. */
+    @Setup(Level.Trial)
+    public void fill() {
+        inventory = PlannedFleet.mixed(rows);
+        text = InventoryWriter.write(inventory);
+        pool = PlannedFleet.pool(inventory, InstanceRole.DECODE);
+    }
+
+    /**
+     * Reads and checks the document.
+     *
+     * @return the inventory
+     */
+    @Benchmark
+    public Either<DocumentErrors, Inventory> read() {
+        return InventoryReader.read("inventory", 2, text);
+    }
+
+    /**
+     * Renews one pool.
+     *
+     * @return the successor
+     */
+    @Benchmark
+    public UpstreamPool renewPool() {
+        pool = pool.withInventory(inventory);
+        return pool;
+    }
+
+    /**
+     * Finds the home of a caller's own key.
+     *
+     * @return the instance
+     */
+    @Benchmark
+    public Optional<Instance> keyHome() {
+        return KeyHome.of(key, inventory, PlannedFleet.PLAIN_SERVICE);
+    }
+}
