--- a/entry/src/main/java/org/merlinwood/entry/machine/ModelMachine.java
+++ b/entry/src/main/java/org/merlinwood/entry/machine/ModelMachine.java
@@ -1,5 +1,6 @@
 package org.merlinwood.entry.machine;
 
+import io.vavr.control.Either;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
@@ -74,7 +75,7 @@
     @Override
     public List<RequestAction> start() {
         placement.firstAttempt();
-        askDecode();
+        askDecode(Turn.FIRST);
         return takeActions();
     }
 
@@ -175,7 +176,7 @@
 
     private void onAwaitingRevisions(RequestEvent event) {
         if (event instanceof RevisionsAwaited awaited && awaited.inForce()) {
-            askDecode();
+            askDecode(Turn.FIRST);
         } else if (event instanceof RevisionsAwaited) {
             settle(Optional.of(refusals.noneLeft(execution)));
         }
@@ -183,12 +184,12 @@
 
     // ------------------------------------------------------------------ internals: steps
 
-    private void askDecode() {
-        Optional<Attempt> attempt = ask(InstanceRole.DECODE, excludedDecodes);
-        if (attempt.isPresent()) {
-            state = new State.AskingDecode(attempt.get());
+    private void askDecode(Turn turn) {
+        Either<Failure, Attempt> asked = ask(InstanceRole.DECODE, excludedDecodes, turn);
+        if (asked.isRight()) {
+            state = new State.AskingDecode(asked.get());
         } else {
-            settle(Optional.of(refusals.noneLeft(execution)));
+            settle(Optional.of(asked.getLeft()));
         }
     }
 
@@ -198,17 +199,17 @@
         if (isResumedInPlace || failedTransfers >= TRANSFERS_BEFORE_OWN_PREFILL) {
             decode(decode, Optional.empty());
         } else {
-            askPrefill(decode);
+            askPrefill(decode, Turn.FIRST);
         }
     }
 
-    private void askPrefill(Attempt decode) {
-        Optional<Attempt> prefill = ask(InstanceRole.PREFILL, excludedPrefills);
-        if (prefill.isPresent()) {
-            state = new State.AskingPrefill(decode, prefill.get());
+    private void askPrefill(Attempt decode, Turn turn) {
+        Either<Failure, Attempt> asked = ask(InstanceRole.PREFILL, excludedPrefills, turn);
+        if (asked.isRight()) {
+            state = new State.AskingPrefill(decode, asked.get());
         } else {
             actions.add(new Release(decode.attempt()));
-            settle(Optional.of(refusals.noneLeft(execution)));
+            settle(Optional.of(asked.getLeft()));
         }
     }
 
@@ -266,11 +267,8 @@
         if (RefusalSummary.isFinal(failure)) {
             actions.add(new Release(asking.decode().attempt()));
             settle(Optional.of(failure.withExecutionState(execution)));
-        } else if (placement.tryRetry()) {
-            askPrefill(asking.decode());
         } else {
-            actions.add(new Release(asking.decode().attempt()));
-            settle(Optional.of(refusals.budgetSpent(execution)));
+            askPrefill(asking.decode(), Turn.REPEATED);
         }
     }
 
@@ -307,15 +305,7 @@
         if (RefusalSummary.isFinal(failure)) {
             settle(Optional.of(failure.withExecutionState(execution)));
         } else {
-            retryDecode();
-        }
-    }
-
-    private void retryDecode() {
-        if (placement.tryRetry()) {
-            askDecode();
-        } else {
-            settle(Optional.of(refusals.budgetSpent(execution)));
+            askDecode(Turn.REPEATED);
         }
     }
 
@@ -344,13 +334,17 @@
         return again;
     }
 
-    private Optional<Attempt> ask(InstanceRole role, Set<InstanceName> excluded) {
-        if (attempts >= MAXIMUM_ATTEMPTS) {
-            return Optional.empty();
+    private Either<Failure, Attempt> ask(InstanceRole role, Set<InstanceName> excluded, Turn turn) {
+        Optional<Instance> instance = attempts < MAXIMUM_ATTEMPTS ? placement.place(role, excluded) : Optional.empty();
+        if (instance.isEmpty()) {
+            return Either.left(refusals.noneLeft(execution));
+        }
+        if (turn == Turn.REPEATED && !placement.tryRetry()) {
+            return Either.left(refusals.budgetSpent(execution));
         }
-        Optional<Attempt> attempt = placement.place(role, excluded).map(instance -> new Attempt(++attempts, instance));
-        attempt.ifPresent(placed -> actions.add(new Ask(placed.attempt(), role, placed.instance())));
-        return attempt;
+        Attempt attempt = new Attempt(++attempts, instance.get());
+        actions.add(new Ask(attempt.attempt(), role, attempt.instance()));
+        return Either.right(attempt);
     }
 
     private List<RequestAction> takeActions() {
@@ -359,6 +353,12 @@
         return taken;
     }
 
+    /** Whether a grant that is asked for spends the budget for repeated attempts. */
+    private enum Turn {
+        FIRST,
+        REPEATED
+    }
+
     /** One grant that was asked for. */
     private record Attempt(int attempt, Instance instance) {}
 
--- a/entry/src/main/java/org/merlinwood/entry/machine/PlainMachine.java
+++ b/entry/src/main/java/org/merlinwood/entry/machine/PlainMachine.java
@@ -78,7 +78,7 @@
     @Override
     public List<RequestAction> start() {
         placement.firstAttempt();
-        ask();
+        place(false);
         return takeActions();
     }
 
@@ -134,7 +134,7 @@
 
     private void onAwaitingRevisions(RequestEvent event) {
         if (event instanceof RevisionsAwaited awaited && awaited.inForce()) {
-            ask();
+            place(false);
         } else if (event instanceof RevisionsAwaited) {
             settle(Optional.of(refusals.noneLeft(execution)));
         }
@@ -142,14 +142,16 @@
 
     // ------------------------------------------------------------------ internals: steps
 
-    private void ask() {
+    private void place(boolean isRepeated) {
         Optional<Instance> instance =
                 attempts < MAXIMUM_ATTEMPTS ? placement.place(InstanceRole.PLAIN, excluded) : Optional.empty();
         if (instance.isEmpty()) {
             settle(Optional.of(noneLeft()));
-            return;
+        } else if (isRepeated && !placement.tryRetry()) {
+            settle(Optional.of(refusals.budgetSpent(execution)));
+        } else {
+            ask(instance.get());
         }
-        ask(instance.get());
     }
 
     private void ask(Instance instance) {
@@ -224,15 +226,7 @@
     private void next(Instance instance, Failure failure) {
         refusals.add(failure);
         excluded.add(instance.name());
-        retry();
-    }
-
-    private void retry() {
-        if (placement.tryRetry()) {
-            ask();
-        } else {
-            settle(Optional.of(refusals.budgetSpent(execution)));
-        }
+        place(true);
     }
 
     private Failure homeUnreachable(Failure cause) {
--- a/entry/src/test/java/org/merlinwood/entry/EntryFixture.java
+++ b/entry/src/test/java/org/merlinwood/entry/EntryFixture.java
@@ -93,6 +93,19 @@
         return client.send(request(path, headers).GET().build(), HttpResponse.BodyHandlers.ofString());
     }
 
+    HttpResponse<String> send(HttpRequest request) throws Exception {
+        return client.send(request, HttpResponse.BodyHandlers.ofString());
+    }
+
+    /** Returns empty where the connection ended without an answer. */
+    Optional<HttpResponse<String>> trySend(HttpRequest request) throws InterruptedException {
+        try {
+            return Optional.of(client.send(request, HttpResponse.BodyHandlers.ofString()));
+        } catch (IOException exception) {
+            return Optional.empty();
+        }
+    }
+
     HttpRequest.Builder request(String path, String... headers) {
         HttpRequest.Builder builder = HttpRequest.newBuilder(
                         URI.create("http://127.0.0.1:" + entry.callerAddress().getPort() + path))
