--- a/entry/src/main/java/org/merlinwood/entry/dispatch/ControlState.java
+++ b/entry/src/main/java/org/merlinwood/entry/dispatch/ControlState.java
@@ -152,12 +152,12 @@
         pool(call, role).observe(name, observation, clock.monotonicMillis());
     }
 
-    /** Learns from a refusal or a lost attempt. */
+    /** Learns from a refusal, or from an attempt that was lost and did not only lose its connection. */
     void failed(ClassifiedRequest call, InstanceRole role, InstanceName name, Failure failure) {
         long nowMillis = clock.monotonicMillis();
         switch (failure.code()) {
             case DRAINING -> pool(call, role).avoid(name, nowMillis + DRAINING_MILLIS);
-            case UPSTREAM_UNREACHABLE, CONNECTION_LOST, PEER_SILENT, AUTHENTICATION_FAILED ->
+            case UPSTREAM_UNREACHABLE, PEER_SILENT, AUTHENTICATION_FAILED ->
                 pool(call, role).avoid(name, nowMillis + UNREACHABLE_MILLIS);
             case NO_CAPACITY -> contendedUntilMillis = nowMillis + CONTENTION_MILLIS;
             default -> {}
--- a/entry/src/main/java/org/merlinwood/entry/dispatch/RequestRunner.java
+++ b/entry/src/main/java/org/merlinwood/entry/dispatch/RequestRunner.java
@@ -181,7 +181,9 @@
 
     @Override
     public void onFailure(UpstreamAttempt attempt, Failure failure) {
-        state.failed(request, attempt.role(), attempt.instance().name(), failure);
+        if (failure.code() != ResultCode.PEER_SILENT || isRepeated(attempt)) {
+            state.failed(request, attempt.role(), attempt.instance().name(), failure);
+        }
     }
 
     @Override
@@ -329,6 +331,13 @@
         onEvent(attempt, new RequestEvent.AnswerFailed(attempt.number(), failure));
     }
 
+    /** A first connection that is silent says little of the process behind it, a second one much. */
+    private boolean isRepeated(UpstreamAttempt attempt) {
+        return attempts.values().stream()
+                .anyMatch(earlier -> earlier.number() < attempt.number()
+                        && earlier.instance().name().equals(attempt.instance().name()));
+    }
+
     private void failFromEventLoop(UpstreamAttempt attempt, ResultCode code, String detail) {
         parts.control().execute(() -> {
             if (attempt.isOpen()) {
--- a/entry/src/main/java/org/merlinwood/entry/machine/ModelMachine.java
+++ b/entry/src/main/java/org/merlinwood/entry/machine/ModelMachine.java
@@ -281,10 +281,11 @@
     /** The decode grant went away while the prefill was under way, which would be wasted now. */
     private void decodeLapsed(Attempt decode, Attempt prefill, Failure failure) {
         actions.add(new Cancel(prefill.attempt(), ResultCode.CANCELLED));
-        if (failure.code() != ResultCode.GRANT_EXPIRED) {
-            excludedDecodes.add(decode.instance().name());
+        if (failure.code() == ResultCode.GRANT_EXPIRED) {
+            beginAgain(failure);
+        } else {
+            decodeUnreached(decode, failure);
         }
-        beginAgain(failure);
     }
 
     /** Earlier exclusions end here: what was full when the request began may have room by now. */
