--- /dev/null
+++ b/entry/src/test/java/org/merlinwood/entry/CallerLeavesTest.java
@@ -0,0 +1,187 @@
+package org.merlinwood.entry;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.google.protobuf.ByteString;
+import java.util.concurrent.atomic.AtomicReference;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.merlinwood.configuration.inventory.InstanceRole;
+import org.merlinwood.core.result.ResultCode;
+import org.merlinwood.protocol.Exchange;
+import org.merlinwood.wire.ExecuteDecode;
+import org.merlinwood.wire.Frame;
+import org.merlinwood.wire.GrantUse;
+
+/** Callers that go or do not read: everything that was taken for them is given back at once. */
+class CallerLeavesTest {
+
+    private static final String LONG_TOKEN = "x".repeat(8_000);
+
+    private EntryFixture fixture;
+
+    @AfterEach
+    void close() {
+        fixture.close();
+    }
+
+    /** Where a model request can stand when its caller goes. */
+    enum Stage {
+        DECODE_GRANT,
+        PREFILL_GRANT,
+        PREFILL,
+        DECODE,
+        STREAM
+    }
+
+    @ParameterizedTest
+    @EnumSource(Stage.class)
+    void whatACallerWhoHasGoneHeldIsCancelled(Stage stage) throws Exception {
+        Stalling decode = new Stalling("decode-1", InstanceRole.DECODE, stage);
+        Stalling prefill = new Stalling("prefill-1", InstanceRole.PREFILL, stage);
+        fixture = new EntryFixture(decode, prefill);
+        RawCaller caller = new RawCaller(fixture);
+        caller.post("/v1/completions", EntryFixture.STREAMED);
+        EntryFixture.await(() -> decode.stalled.get() != null || prefill.stalled.get() != null);
+
+        caller.close();
+
+        EntryFixture.await(() -> decode.count(Frame.BodyCase.CANCEL) == 1);
+        EntryFixture.await(() -> fixture.entry.dispatcher().openRequests() == 0);
+        boolean isPrefillOpen = stage == Stage.PREFILL_GRANT || stage == Stage.PREFILL;
+        assertThat(prefill.count(Frame.BodyCase.CANCEL)).isEqualTo(isPrefillOpen ? 1 : 0);
+        assertThat(fixture.registry
+                        .meter("entry.requests." + ResultCode.CALLER_GONE.name())
+                        .getCount())
+                .isEqualTo(1);
+    }
+
+    @Test
+    void aGrantThatArrivesAfterItsCallerHasGoneIsGivenBack() throws Exception {
+        Stalling decode = new Stalling("decode-1", InstanceRole.DECODE, Stage.DECODE_GRANT);
+        decode.finishOnCancel = false;
+        fixture = new EntryFixture(decode, new FakeSidecar("prefill-1", InstanceRole.PREFILL));
+        RawCaller caller = new RawCaller(fixture);
+        caller.post("/v1/completions", EntryFixture.STREAMED);
+        EntryFixture.await(() -> decode.stalled.get() != null);
+        caller.close();
+        EntryFixture.await(() -> decode.count(Frame.BodyCase.CANCEL) == 1);
+
+        decode.grant(decode.stalled.get());
+
+        EntryFixture.await(() -> decode.count(Frame.BodyCase.RELEASE) == 1);
+    }
+
+    @Test
+    void aPlainCallOfACallerWhoHasGoneIsCancelled() throws Exception {
+        AtomicReference<Exchange> running = new AtomicReference<>();
+        FakeSidecar plain = new FakeSidecar("plain-1", InstanceRole.PLAIN) {
+            @Override
+            void onPlain(Exchange exchange, GrantUse use, ByteString body) {
+                running.set(exchange);
+            }
+        };
+        fixture = new EntryFixture(plain);
+        RawCaller caller = new RawCaller(fixture);
+        caller.post("/notes", "{}");
+        EntryFixture.await(() -> running.get() != null);
+
+        caller.close();
+
+        EntryFixture.await(() -> plain.count(Frame.BodyCase.CANCEL) == 1);
+    }
+
+    @Test
+    void aCallerWhoDoesNotReadIsCancelled() throws Exception {
+        FakeSidecar decode = new FakeSidecar("decode-1", InstanceRole.DECODE) {
+            @Override
+            void onDecode(Exchange exchange, ExecuteDecode execute) {
+                for (int offset = 0; offset < 2_000; offset++) {
+                    part(exchange, execute.getUse().getRequest(), offset, LONG_TOKEN);
+                }
+            }
+        };
+        fixture = new EntryFixture(decode, new FakeSidecar("prefill-1", InstanceRole.PREFILL));
+        try (RawCaller caller = new RawCaller(fixture)) {
+            caller.post("/v1/completions", EntryFixture.STREAMED);
+
+            EntryFixture.await(() -> decode.count(Frame.BodyCase.CANCEL) == 1);
+            EntryFixture.await(() -> fixture.entry.dispatcher().openRequests() == 0);
+        }
+        assertThat(fixture.registry
+                        .meter("entry.requests." + ResultCode.CALLER_TOO_SLOW.name())
+                        .getCount())
+                .isEqualTo(1);
+    }
+
+    @Test
+    void aRequestThatWasSentAheadIsAnsweredAfterTheFirst() throws Exception {
+        Stalling decode = new Stalling("decode-1", InstanceRole.DECODE, Stage.DECODE_GRANT);
+        FakeSidecar plain = new FakeSidecar("plain-1", InstanceRole.PLAIN);
+        fixture = new EntryFixture(decode, new FakeSidecar("prefill-1", InstanceRole.PREFILL), plain);
+        try (RawCaller caller = new RawCaller(fixture)) {
+            caller.post("/v1/completions", EntryFixture.STREAMED);
+            EntryFixture.await(() -> decode.stalled.get() != null);
+            caller.post("/notes", "{}");
+            java.util.concurrent.TimeUnit.MILLISECONDS.sleep(500);
+
+            decode.grant(decode.stalled.get());
+
+            assertThat(caller.readUntil("[DONE]")).contains("four");
+            assertThat(caller.readUntil("{\"ran\":true}")).contains("201");
+        }
+    }
+
+    /** Does not answer at one stage. */
+    private static final class Stalling extends FakeSidecar {
+
+        private final AtomicReference<Exchange> stalled = new AtomicReference<>();
+        private final Stage stage;
+        private volatile boolean finishOnCancel = true;
+
+        private Stalling(String name, InstanceRole role, Stage stage) {
+            super(name, role);
+            this.stage = stage;
+        }
+
+        @Override
+        void onGrantRequest(Exchange exchange, Frame frame) {
+            if (stage == (role == InstanceRole.DECODE ? Stage.DECODE_GRANT : Stage.PREFILL_GRANT)) {
+                queued(exchange);
+                stalled.set(exchange);
+            } else {
+                grant(exchange);
+            }
+        }
+
+        @Override
+        void onPrefill(Exchange exchange, GrantUse use) {
+            if (stage == Stage.PREFILL) {
+                stalled.set(exchange);
+            } else {
+                super.onPrefill(exchange, use);
+            }
+        }
+
+        @Override
+        void onDecode(Exchange exchange, ExecuteDecode execute) {
+            switch (stage) {
+                case DECODE -> stalled.set(exchange);
+                case STREAM -> {
+                    part(exchange, execute.getUse().getRequest(), 0, "one");
+                    stalled.set(exchange);
+                }
+                default -> super.onDecode(exchange, execute);
+            }
+        }
+
+        @Override
+        void onCancel(Exchange exchange) {
+            if (finishOnCancel) {
+                super.onCancel(exchange);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/entry/src/test/java/org/merlinwood/entry/DrainTest.java
@@ -0,0 +1,79 @@
+package org.merlinwood.entry;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import com.google.protobuf.ByteString;
+import java.io.IOException;
+import java.net.http.HttpResponse;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.merlinwood.configuration.inventory.InstanceRole;
+import org.merlinwood.protocol.Exchange;
+import org.merlinwood.wire.Frame;
+import org.merlinwood.wire.GrantUse;
+
+/** A graceful shutdown: what is open is answered, what is new goes elsewhere. */
+class DrainTest {
+
+    private final AtomicReference<Runnable> goOn = new AtomicReference<>();
+    private EntryFixture fixture;
+
+    @AfterEach
+    void close() {
+        fixture.close();
+    }
+
+    @Test
+    void aRunningRequestIsAnsweredAndItsConnectionClosed() throws Exception {
+        fixture = new EntryFixture(new FakeSidecar("plain-1", InstanceRole.PLAIN) {
+            @Override
+            void onPlain(Exchange exchange, GrantUse use, ByteString body) {
+                goOn.set(() -> super.onPlain(exchange, use, body));
+            }
+        });
+
+        assertAnsweredDuringDrain();
+    }
+
+    @Test
+    void aRequestThatWaitsForItsGrantIsAnsweredToo() throws Exception {
+        fixture = new EntryFixture(new FakeSidecar("plain-1", InstanceRole.PLAIN) {
+            @Override
+            void onGrantRequest(Exchange exchange, Frame frame) {
+                queued(exchange);
+                goOn.set(() -> grant(exchange));
+            }
+        });
+
+        assertAnsweredDuringDrain();
+    }
+
+    private void assertAnsweredDuringDrain() throws Exception {
+        CompletableFuture<HttpResponse<String>> open = fixture.postLater("/notes", "{}");
+        EntryFixture.await(() -> goOn.get() != null);
+        CompletableFuture<Void> drained = CompletableFuture.runAsync(fixture.entry::drain);
+        EntryFixture.await(this::isRefused);
+        assertThat(drained).isNotDone();
+
+        goOn.get().run();
+
+        HttpResponse<String> response = open.get(20, TimeUnit.SECONDS);
+        assertThat(response.statusCode()).isEqualTo(201);
+        assertThat(response.headers().firstValue("Connection")).contains("close");
+        drained.get(20, TimeUnit.SECONDS);
+        assertThatThrownBy(() -> new RawCaller(fixture)).isInstanceOf(IOException.class);
+    }
+
+    private boolean isRefused() {
+        try {
+            new RawCaller(fixture).close();
+            return false;
+        } catch (IOException refused) {
+            return true;
+        }
+    }
+}
--- a/entry/src/test/java/org/merlinwood/entry/FakeSidecar.java
+++ b/entry/src/test/java/org/merlinwood/entry/FakeSidecar.java
@@ -35,6 +35,7 @@
 import org.merlinwood.wire.Header;
 import org.merlinwood.wire.Load;
 import org.merlinwood.wire.PrefillDone;
+import org.merlinwood.wire.Queued;
 import org.merlinwood.wire.RequestIdentity;
 
 /** A sidecar that grants and answers everything; a test overrides a step to make it fail. */
@@ -107,6 +108,10 @@
         plainAnswer(exchange, use.getRequest(), "{\"ran\":true}");
     }
 
+    void onCancel(Exchange exchange) {
+        exchange.finish();
+    }
+
     void onClosed() {}
 
     // ------------------------------------------------------------------ what a step may send
@@ -120,6 +125,10 @@
                         .setLoad(Load.newBuilder().setFreePieces(10).setTotalPieces(20))));
     }
 
+    final void queued(Exchange exchange) {
+        exchange.send(Frame.newBuilder().setQueued(Queued.newBuilder().setExpectedWaitMillis(1_000)));
+    }
+
     final void refuse(Exchange exchange, Failure failure) {
         exchange.send(Frame.newBuilder().setRefused(WireValues.toRefused(failure)));
         exchange.finish();
@@ -218,7 +227,8 @@
                         exchange,
                         frame.getExecutePlain().getUse(),
                         frame.getExecutePlain().getBody());
-            case RELEASE, CANCEL -> exchange.finish();
+            case RELEASE -> exchange.finish();
+            case CANCEL -> onCancel(exchange);
             default -> throw new IllegalStateException("unexpected " + frame.getBodyCase());
         }
     }
--- /dev/null
+++ b/entry/src/test/java/org/merlinwood/entry/RawCaller.java
@@ -0,0 +1,56 @@
+package org.merlinwood.entry;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+
+/** A caller on a bare socket, which can stop reading or go at any moment. */
+final class RawCaller implements AutoCloseable {
+
+    private static final int RECEIVE_BUFFER_BYTES = 4_096;
+
+    private final Socket socket;
+
+    RawCaller(EntryFixture fixture) throws IOException {
+        socket = new Socket();
+        socket.setReceiveBufferSize(RECEIVE_BUFFER_BYTES);
+        socket.connect(new java.net.InetSocketAddress(
+                InetAddress.getLoopbackAddress(), fixture.entry.callerAddress().getPort()));
+        socket.setSoTimeout((int) EntryFixture.PATIENCE.toMillis());
+    }
+
+    void post(String path, String body, String... headers) throws IOException {
+        StringBuilder head = new StringBuilder("POST " + path + " HTTP/1.1\r\nHost: entry\r\n")
+                .append("Authorization: Bearer " + EntryFixture.TOKEN + "\r\n")
+                .append("Content-Length: " + body.getBytes(StandardCharsets.UTF_8).length + "\r\n");
+        for (int index = 0; index < headers.length; index += 2) {
+            head.append(headers[index] + ": " + headers[index + 1] + "\r\n");
+        }
+        send(head + "\r\n" + body);
+    }
+
+    void send(String text) throws IOException {
+        socket.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
+        socket.getOutputStream().flush();
+    }
+
+    /** Reads until the answer holds a text, or the connection ends. */
+    String readUntil(String expected) throws IOException {
+        StringBuilder answer = new StringBuilder();
+        InputStream input = socket.getInputStream();
+        for (int next = input.read(); next >= 0; next = input.read()) {
+            answer.append((char) next);
+            if (answer.toString().endsWith(expected)) {
+                break;
+            }
+        }
+        return answer.toString();
+    }
+
+    @Override
+    public void close() throws IOException {
+        socket.close();
+    }
+}
