--- a/proving/src/main/java/org/merlinwood/proving/prove/Promises.java
+++ b/proving/src/main/java/org/merlinwood/proving/prove/Promises.java
@@ -34,6 +34,8 @@
                         new Proof("at-most-once-upstream-killed", AtMostOnce::upstreamKilled),
                         new Proof("at-most-once-sidecar-killed", AtMostOnce::sidecarKilled),
                         new Proof("at-most-once-connection-silent", AtMostOnce::connectionSilent),
+                        new Proof("at-most-once-home-moved", AtMostOnce::homeMoved),
+                        new Proof("at-most-once-second-sidecar", AtMostOnce::secondSidecar),
                         new Proof("not-run-is-true", NotRun::refusalsUnderFailures)));
     }
 
@@ -63,6 +65,8 @@
                         new Proof("shutdown-cuts-nothing-entry", Leaving::entryTerminated),
                         new Proof("inventory-in-force", InventoryInForce::everywhere),
                         new Proof("inventory-never-reverts", InventoryInForce::neverReverts),
+                        new Proof("crashing-request-at-prefill", CrashingRequest::atPrefill),
+                        new Proof("crashing-request-at-decode", CrashingRequest::atDecode),
                         new Proof("all-under-two-failures", Combined::twoAtATime)));
     }
 }
