Learn the rate of a link only from transfers that can tell it

Cause: a transfer of 100 bytes taught a rate of 100 bytes a millisecond, after which 100 MB were predicted to take 100 s. Ruled out: the negative duration of the same test row, which is bounded already. Before: 1 of 10 rows of TransferTest failed; after: none.

--- a/decision/src/main/java/org/merlinwood/decision/admission/TransferRate.java
+++ b/decision/src/main/java/org/merlinwood/decision/admission/TransferRate.java
@@ -11,17 +11,18 @@
     private static final double DEFAULT_BYTES_PER_MILLI = 5_000_000;
     private static final double GAIN = 0.1;
     private static final double LEAST_VARIABLE_MILLIS = 1;
+    private static final long SMALLEST_TELLING_BYTES = 1_000_000;
 
     private double millisPerByte = 1 / DEFAULT_BYTES_PER_MILLI;
 
     /**
-     * Notes a transfer that led to a first token.
+     * Notes a transfer that led to a first token. One that is too small to tell the rate of the link is ignored.
      *
      * @param bytes size of the KV cache, in bytes
      * @param millis from the end of the prefill to the first token, in milliseconds
      */
     public void observe(long bytes, long millis) {
-        if (bytes <= 0) {
+        if (bytes < SMALLEST_TELLING_BYTES) {
             return;
         }
         double variableMillis = Math.max(LEAST_VARIABLE_MILLIS, millis - FIXED_MILLIS);
