HTTP client: fail at once where a pooled connection breaks under the request

Cause: Undertow's client throws a NullPointerException out of sendRequest when the first write on a pooled connection fails; the I/O thread logged it and the call ended only by its timeout of silence. Ruled out: a lost callback after the request was queued. Change: the exception ends the call as CONNECTION_LOST with an unknown outcome. The test resets a pooled connection; whether the write or the read notices first is up to the kernel, so it provokes the throw only on some runs.

--- a/http/src/main/java/org/merlinwood/http/impl/CallInProgress.java
+++ b/http/src/main/java/org/merlinwood/http/impl/CallInProgress.java
@@ -97,7 +97,16 @@
             return;
         }
         handedOver = true;
-        opened.sendRequest(request(), new ClientCallback<ClientExchange>() {
+        try {
+            opened.sendRequest(request(), exchangeListener());
+        } catch (RuntimeException exception) {
+            // The client throws where a pooled connection breaks under the first byte, and reports nothing then.
+            fail(Failure.of(ResultCode.CONNECTION_LOST, "the connection broke under the request"));
+        }
+    }
+
+    private ClientCallback<ClientExchange> exchangeListener() {
+        return new ClientCallback<>() {
             @Override
             public void completed(ClientExchange exchange) {
                 exchange.setResponseListener(responseListener());
@@ -108,7 +117,7 @@
             public void failed(IOException exception) {
                 fail(broken(exception));
             }
-        });
+        };
     }
 
     private ClientRequest request() {
--- a/http/src/test/java/org/merlinwood/http/HttpClientTest.java
+++ b/http/src/test/java/org/merlinwood/http/HttpClientTest.java
@@ -91,6 +91,17 @@
         }
     }
 
+    @Test
+    void failsAtOnceWhenAPooledConnectionWasReset() throws Exception {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            InetSocketAddress address = new InetSocketAddress("127.0.0.1", socket.getLocalPort());
+            Thread.ofVirtual().start(() -> answerOnceAndReset(socket));
+            HttpCall call = HttpCall.of("GET", address, "/", new byte[0]).withTimeouts(60_000, 60_000);
+            assertThat(await(call).get().status()).isEqualTo(200);
+            assertThat(await(call).isLeft()).isTrue();
+        }
+    }
+
     private Either<Failure, HttpAnswer> await(HttpCall call) throws Exception {
         return client.call(call).toCompletableFuture().get(PATIENCE_SECONDS, TimeUnit.SECONDS);
     }
@@ -108,6 +119,20 @@
         }
     }
 
+    private static void answerOnceAndReset(ServerSocket server) {
+        try (Socket socket = server.accept()) {
+            byte[] request = new byte[1024];
+            server.close();
+            if (socket.getInputStream().read(request) > 0) {
+                socket.getOutputStream()
+                        .write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n".getBytes(StandardCharsets.ISO_8859_1));
+                socket.setSoLinger(true, 0);
+            }
+        } catch (IOException exception) {
+            throw new IllegalStateException(exception);
+        }
+    }
+
     private static Undertow start(HttpHandler handler) {
         Undertow server = Undertow.builder()
                 .addHttpListener(0, "127.0.0.1")
