Let work wait until a correspondent's revisions are in force; test what trials showed untested

Cause: trials that took one mechanism out at a time passed all tests for four of them: anew after a pause, the reader's own subscription when its service fails, the whole text after a failed delta, the limit on a peer that never answers. A reader whose service had failed asked the other reader of its domain first, which may see the same failure. Change: a test for each of the four; a reader in trouble asks readers of other domains first; catchUp fetches at once and completes when the wanted revisions are in force, or after a second. Conclusion: the unit tests of the module pass.

--- a/following/src/main/java/org/merlinwood/following/ConfigurationFollower.java
+++ b/following/src/main/java/org/merlinwood/following/ConfigurationFollower.java
@@ -5,6 +5,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.Consumer;
 import org.merlinwood.configuration.settings.ProcessSettings;
@@ -196,6 +197,19 @@
         core.onPeerRevisions(connection, revisions);
     }
 
+    /**
+     * Catches up with a correspondent that is ahead, before work goes on. Never blocks; fetches at once, without the
+     * spreading that {@link #onPeerRevisions} does.
+     *
+     * @param connection the connection to the correspondent
+     * @param wanted its revisions
+     * @return the revisions in force once they are as high as wanted, or after at most a second what is in force then;
+     *     completed on the follower's control thread, never exceptionally
+     */
+    public CompletionStage<Revisions> catchUp(PeerConnection connection, Revisions wanted) {
+        return core.catchUp(connection, wanted);
+    }
+
     /**
      * Adds a listener; it hears of what is in force already at once.
      *
--- a/following/src/main/java/org/merlinwood/following/impl/FollowerCore.java
+++ b/following/src/main/java/org/merlinwood/following/impl/FollowerCore.java
@@ -3,8 +3,11 @@
 import com.codahale.metrics.Counter;
 import com.codahale.metrics.MetricRegistry;
 import com.google.common.flogger.FluentLogger;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.Consumer;
 import org.merlinwood.configuration.settings.ProcessSettings;
@@ -25,6 +28,7 @@
     private static final long TICK_MILLIS = 500;
     private static final long PAUSE_MILLIS = 2_000;
     private static final long SEED_PATIENCE_MILLIS = 3_500;
+    private static final long CATCH_UP_LIMIT_MILLIS = 1_000;
 
     private final ProcessSettings settings;
     private final ControlTimer timer;
@@ -36,6 +40,7 @@
     private final Subscribers subscribers;
     private final PeerServer peerServer;
     private final List<Consumer<ConfigurationInForce>> listeners = new CopyOnWriteArrayList<>();
+    private final List<CatchUp> catchUps = new ArrayList<>();
     private final Counter serviceFailures;
     private volatile Optional<ConfigurationInForce> current = Optional.empty();
     private volatile boolean settled;
@@ -200,6 +205,34 @@
         timer.execute(() -> peers.ifPresent(following -> following.onRevisions(peer, theirs)));
     }
 
+    /**
+     * Catches up with a correspondent before work goes on. Thread-safe.
+     *
+     * @param connection the connection to it
+     * @param wanted its revisions
+     * @return the revisions in force once they are as high as wanted, or what is in force after a bounded time
+     */
+    public CompletionStage<Revisions> catchUp(PeerConnection connection, Revisions wanted) {
+        return catchUp(ProtocolPeers.of(connection, timer), wanted);
+    }
+
+    CompletionStage<Revisions> catchUp(Peer peer, Revisions wanted) {
+        if (!store.revisions().isBehind(wanted)) {
+            return CompletableFuture.completedFuture(store.revisions());
+        }
+        CatchUp waiting = new CatchUp(wanted, new CompletableFuture<>());
+        timer.execute(() -> {
+            catchUps.add(waiting);
+            peers.ifPresent(following -> following.catchUpNow(peer));
+            completeCatchUps();
+        });
+        timer.schedule(CATCH_UP_LIMIT_MILLIS, () -> {
+            catchUps.remove(waiting);
+            waiting.done().complete(store.revisions());
+        });
+        return waiting.done();
+    }
+
     Subscribers subscribers() {
         return subscribers;
     }
@@ -228,6 +261,16 @@
 
     // ------------------------------------------------------------------ internals
 
+    /** Work that waits for revisions. */
+    private record CatchUp(Revisions wanted, CompletableFuture<Revisions> done) {}
+
+    private void completeCatchUps() {
+        catchUps.removeIf(waiting -> {
+            boolean reached = !store.revisions().isBehind(waiting.wanted());
+            return reached && waiting.done().complete(store.revisions());
+        });
+    }
+
     private void begin(Optional<PeerFollowing> following) {
         peers = following;
         lastTickMillis = clock.monotonicMillis();
@@ -249,6 +292,7 @@
             current = next;
             listeners.forEach(listener -> tell(listener, next.get()));
         }
+        completeCatchUps();
     }
 
     private static void tell(Consumer<ConfigurationInForce> listener, ConfigurationInForce configuration) {
--- a/following/src/main/java/org/merlinwood/following/impl/PeerFollowing.java
+++ b/following/src/main/java/org/merlinwood/following/impl/PeerFollowing.java
@@ -50,6 +50,7 @@
     private Optional<ReaderPlan> plan = Optional.empty();
     private int seedTurn;
     private boolean catchingUp;
+    private boolean fetchingNow;
     private boolean closed;
 
     PeerFollowing(
@@ -132,6 +133,14 @@
         timer.schedule(CATCH_UP_INTERVAL_MILLIS, () -> catchingUp = false);
     }
 
+    /** Fetches from a correspondent at once, since work waits for it. */
+    void catchUpNow(Peer peer) {
+        if (!closed && !fetchingNow) {
+            fetchingNow = true;
+            fetch(peer, store.revisions(), () -> fetchingNow = false);
+        }
+    }
+
     @Override
     public void onUpdates(Peer peer, List<DocumentUpdate> updates) {
         updates.forEach(update -> apply(peer, update));
--- a/following/src/main/java/org/merlinwood/following/impl/ReaderPlan.java
+++ b/following/src/main/java/org/merlinwood/following/impl/ReaderPlan.java
@@ -21,7 +21,8 @@
  * changes; the first {@link #READERS} read.
  *
  * @param nominalReader whether this process is one of the first
- * @param candidates whom to subscribe to, in order; when none answers, the process reads itself
+ * @param candidates whom to subscribe to, in order; when none answers, the process reads itself. For a reader, whose
+ *     service has failed, those of other domains come first, since the other reader of its own domain may see the same
  * @param readers readers other than this process, whom a reader compares its revisions with
  */
 record ReaderPlan(boolean nominalReader, List<NetworkAddress> candidates, List<NetworkAddress> readers) {
@@ -45,7 +46,9 @@
         int position = position(own, self);
         boolean nominal = position >= 0 && position < READERS;
         List<NetworkAddress> candidates = new ArrayList<>(domainCandidates(own, self, position));
-        if (nominal || position < 0 || position >= DOMAIN_CANDIDATES) {
+        if (nominal) {
+            candidates.addAll(0, foreignCandidates(orders, domain, self));
+        } else if (position < 0 || position >= DOMAIN_CANDIDATES) {
             candidates.addAll(foreignCandidates(orders, domain, self));
         }
         return new ReaderPlan(nominal, candidates, otherReaders(orders, self));
--- a/following/src/test/java/org/merlinwood/following/impl/FakeFleet.java
+++ b/following/src/test/java/org/merlinwood/following/impl/FakeFleet.java
@@ -28,6 +28,7 @@
     final List<MetricRegistry> metrics = new ArrayList<>();
     private final Set<Link> links = new HashSet<>();
     private BiPredicate<Integer, Integer> cut = (from, to) -> false;
+    private Predicate<Integer> mute = index -> false;
 
     FakeFleet(int size, List<NetworkAddress> seedPeers) {
         IntStream.range(0, size).forEach(index -> add(index, service, seedPeers));
@@ -59,6 +60,11 @@
         timer.schedule(SILENCE_MILLIS, () -> Set.copyOf(links).forEach(Link::endIfCut));
     }
 
+    /** These accept from now on, but never answer. */
+    void mute(Predicate<Integer> indices) {
+        mute = indices;
+    }
+
     void heal() {
         cut = (from, to) -> false;
     }
@@ -117,6 +123,9 @@
                 timer.schedule(LATENCY_MILLIS, () -> listener.onEnded(unreachableFailure()));
                 return;
             }
+            if (mute.test(to)) {
+                return;
+            }
             timer.schedule(LATENCY_MILLIS, () -> {
                 List<DocumentUpdate> updates = followers.get(to).store().since(known);
                 timer.schedule(LATENCY_MILLIS, () -> listener.onUpdates(updates));
@@ -131,7 +140,9 @@
             }
             Link link = new Link(from, to, listener);
             links.add(link);
-            timer.schedule(LATENCY_MILLIS, () -> link.begin(known));
+            if (!mute.test(to)) {
+                timer.schedule(LATENCY_MILLIS, () -> link.begin(known));
+            }
             return link;
         }
 
--- a/following/src/test/java/org/merlinwood/following/impl/FakeService.java
+++ b/following/src/test/java/org/merlinwood/following/impl/FakeService.java
@@ -44,6 +44,11 @@
         waiting.clear();
     }
 
+    /** Calls that wait are never answered, as on a connection that was forgotten between the two ends. */
+    void loseWaitingCalls() {
+        waiting.clear();
+    }
+
     void recover() {
         fault = null;
     }
--- a/following/src/test/java/org/merlinwood/following/impl/PeerFollowingTest.java
+++ b/following/src/test/java/org/merlinwood/following/impl/PeerFollowingTest.java
@@ -110,6 +110,19 @@
         assertThat(fleet.readers()).hasSizeBetween(silent.size() + 1, silent.size() + 8);
     }
 
+    @Test
+    void readersThatAcceptButNeverAnswerArePassedOver() {
+        List<Integer> mute = fleet.readers();
+        fleet.mute(mute::contains);
+        fleet.add(20, fleet.service, SEEDS);
+        fleet.timer.run(SETTLING_MILLIS);
+        publish(6);
+        fleet.timer.run(WITHIN_MILLIS);
+
+        assertThat(mute).doesNotContain(20);
+        assertThat(fleet.followers.get(20).revisions().inventory()).isEqualTo(6);
+    }
+
     @Test
     void aLongOutageOfTheServiceChangesNothing() {
         fleet.service.fail(new ServiceAnswer.Unavailable("down"));
@@ -195,6 +208,39 @@
                 .isNotNegative();
     }
 
+    @Test
+    void readersWhoseServiceFailsGetChangesFromReadersOfTheOtherDomainAtOnce() {
+        ConfigurationService unreachable =
+                (document, after, wait) -> CompletableFuture.completedFuture(new ServiceAnswer.Unavailable("cut"));
+        fleet.readers().stream()
+                .filter(index -> TestDocuments.domain(index).equals("a"))
+                .toList()
+                .forEach(index -> fleet.add(index, unreachable, SEEDS));
+        fleet.timer.run(SETTLING_MILLIS);
+
+        for (long revision = 6; revision < 16; revision++) {
+            publish(revision);
+            assertThat(fleet.millisUntilAllAt(new Revisions(revision, 2), 300))
+                    .as("revision %d", revision)
+                    .isNotNegative();
+        }
+    }
+
+    @Test
+    void aProcessWithAnotherTextOfTheBaseGetsTheWholeText() {
+        FakeService conflicting = new FakeService(fleet.clock, fleet.timer);
+        conflicting.publish("inventory", 5, TestDocuments.inventory(SIZE, 55));
+        conflicting.publish("rules", 2, TestDocuments.RULES);
+        FollowerCore other = fleet.add(20, conflicting, List.of());
+        fleet.timer.run(SETTLING_MILLIS);
+        publish(6);
+        fleet.timer.run(WITHIN_MILLIS);
+
+        assertThat(other.revisions().inventory()).isEqualTo(6);
+        assertThat(other.state().inventory().digest())
+                .isEqualTo(fleet.followers.get(21).state().inventory().digest());
+    }
+
     @Test
     void aPartitionedDomainReadsItselfAndCatchesUp() {
         fleet.cut((from, to) -> TestDocuments.domain(from).equals("a")
@@ -222,15 +268,32 @@
         assertThat(isolated.revisions().inventory()).isEqualTo(6);
     }
 
+    @Test
+    void workThatWaitsGoesOnOnceTheRevisionsAreThere() {
+        isolateTwoOneOfWhichIsAhead();
+        CompletableFuture<Revisions> caughtUp = fleet.followers
+                .get(20)
+                .catchUp(fleet.peer(20, 21), new Revisions(6, 2))
+                .toCompletableFuture();
+        fleet.timer.run(5);
+
+        assertThat(caughtUp).isCompletedWithValue(new Revisions(6, 2));
+    }
+
+    @Test
+    void workThatWaitsInVainGoesOnAfterABoundedTime() {
+        CompletableFuture<Revisions> caughtUp = fleet.followers
+                .get(20)
+                .catchUp(fleet.peer(20, 21), new Revisions(99, 2))
+                .toCompletableFuture();
+        fleet.timer.run(WITHIN_MILLIS);
+
+        assertThat(caughtUp).isCompletedWithValue(new Revisions(5, 2));
+    }
+
     @Test
     void whoHearsOfAHigherRevisionCatchesUpWithTheCorrespondent() {
-        fleet.service.fail(new ServiceAnswer.Unavailable("down"));
-        fleet.cut((from, to) -> from == 20 || from == 21);
-        fleet.timer.run(SETTLING_MILLIS);
-        fleet.followers
-                .get(21)
-                .onDocument(DocumentKind.INVENTORY, new ServiceAnswer.Published(6, TestDocuments.inventory(SIZE, 6)));
-        fleet.heal();
+        isolateTwoOneOfWhichIsAhead();
         fleet.followers.get(20).onPeerRevisions(fleet.peer(20, 21), new Revisions(6, 2));
         fleet.timer.run(250);
 
@@ -255,6 +318,16 @@
         assertThat(fleet.readers()).hasSize(2 * ReaderPlan.READERS);
     }
 
+    private void isolateTwoOneOfWhichIsAhead() {
+        fleet.service.fail(new ServiceAnswer.Unavailable("down"));
+        fleet.cut((from, to) -> from == 20 || from == 21);
+        fleet.timer.run(SETTLING_MILLIS);
+        fleet.followers
+                .get(21)
+                .onDocument(DocumentKind.INVENTORY, new ServiceAnswer.Published(6, TestDocuments.inventory(SIZE, 6)));
+        fleet.heal();
+    }
+
     private ConfigurationService staleReplica() {
         FakeService stale = new FakeService(fleet.clock, fleet.timer);
         stale.publish("inventory", 5, TestDocuments.inventory(SIZE, 5));
--- a/following/src/test/java/org/merlinwood/following/impl/ServiceFollowingTest.java
+++ b/following/src/test/java/org/merlinwood/following/impl/ServiceFollowingTest.java
@@ -163,7 +163,8 @@
     }
 
     @Test
-    void aPausedProcessCatchesUpOnWaking() {
+    void aPausedProcessWhoseWatchWasLostCatchesUpOnWaking() {
+        service.loseWaitingCalls();
         clock.advanceMillis(HOUR_MILLIS);
         service.publish("inventory", 8, TestDocuments.inventory(8));
         timer.run(SECONDS_MILLIS);
