--- a/proving/src/main/java/org/merlinwood/proving/fleet/Fleet.java
+++ b/proving/src/main/java/org/merlinwood/proving/fleet/Fleet.java
@@ -29,6 +29,7 @@
 public final class Fleet implements AutoCloseable {
 
     private static final long READY_MILLIS = 60_000;
+    private static final int MAXIMUM_STARTS = 4;
 
     private final Path folder;
     private final List<FleetProcess> processes = new ArrayList<>();
@@ -179,16 +180,33 @@
     public void repair() {
         sidecars.forEach(Fleet::passAll);
         thawAll();
-        processes.forEach(FleetProcess::start);
-        awaitListening(platform.process(), platform.administration());
-        sidecars.forEach(sidecar ->
-                awaitListening(sidecar.upstream().process(), sidecar.upstream().administration()));
+        startAll();
         probe.command(platform.administration(), "/up");
         probe.command(platform.administration(), "/stale/inventory");
         probe.command(platform.administration(), "/stale/rules");
         awaitReady();
     }
 
+    /** Starts what has ended, again if it ends at once, as an engine does that is sent a crashing request once more. */
+    private void startAll() {
+        for (int start = 1; start < MAXIMUM_STARTS; start++) {
+            processes.forEach(FleetProcess::start);
+            if (upstreamsListen()) {
+                return;
+            }
+        }
+        processes.forEach(FleetProcess::start);
+        sidecars.forEach(sidecar ->
+                awaitListening(sidecar.upstream().process(), sidecar.upstream().administration()));
+    }
+
+    private boolean upstreamsListen() {
+        awaitListening(platform.process(), platform.administration());
+        return sidecars.stream()
+                .map(Sidecar::upstream)
+                .allMatch(upstream -> probe.awaitAnswer(upstream.administration(), upstream.process(), READY_MILLIS));
+    }
+
     /**
      * Starts a second sidecar beside the upstream of another, with ports of its own but the same guard port.
      *
