--- a/sidecar/src/main/java/org/merlinwood/sidecar/SidecarExchanges.java
+++ b/sidecar/src/main/java/org/merlinwood/sidecar/SidecarExchanges.java
@@ -1,5 +1,7 @@
 package org.merlinwood.sidecar;
 
+import java.util.function.BiConsumer;
+import org.merlinwood.core.identity.Revisions;
 import org.merlinwood.core.result.Failure;
 import org.merlinwood.core.result.ResultCode;
 import org.merlinwood.operation.control.ControlLoop;
@@ -21,11 +23,17 @@
     private final ControlLoop loop;
     private final GrantStage grants;
     private final ExecutionStage executions;
+    private final BiConsumer<PeerConnection, Revisions> onPeerRevisions;
 
-    SidecarExchanges(ControlLoop loop, GrantStage grants, ExecutionStage executions) {
+    SidecarExchanges(
+            ControlLoop loop,
+            GrantStage grants,
+            ExecutionStage executions,
+            BiConsumer<PeerConnection, Revisions> onPeerRevisions) {
         this.loop = loop;
         this.grants = grants;
         this.executions = executions;
+        this.onPeerRevisions = onPeerRevisions;
     }
 
     /** Accepts the exchanges of entries. */
@@ -42,6 +50,11 @@
         loop.execute(() -> grants.closed(connection));
     }
 
+    @Override
+    public void onRevisions(PeerConnection connection, Revisions revisions) {
+        onPeerRevisions.accept(connection, revisions);
+    }
+
     // ------------------------------------------------------------------ internals
 
     private ExchangeListener acceptDemand(Exchange exchange, Frame first) {
--- a/sidecar/src/main/java/org/merlinwood/sidecar/SidecarProcess.java
+++ b/sidecar/src/main/java/org/merlinwood/sidecar/SidecarProcess.java
@@ -100,7 +100,7 @@
                 incarnation,
                 metrics,
                 this::abandon,
-                connection -> logger.atInfo().log("%s knows a higher revision", connection.peer()));
+                follower::onPeerRevisions);
         ExecutionFactory factory = new ExecutionFactory(client, engine, settings.upstreamAddress(), loop);
         this.executions = new ExecutionStage(grants, factory, reaper, gate, loop, clock, metrics);
         this.sweep = new OrphanSweep(loop, clock, engine, reaper, executions, gate, metrics);
@@ -121,7 +121,7 @@
         operator.start();
         endpoint.start();
         follower.addListener(inForce -> loop.execute(() -> configure(inForce)));
-        follower.start();
+        follower.start(endpoint);
         loop.repeat(ADVANCE_PERIOD_MILLIS, this::advance);
         logger.atInfo().log(
                 "sidecar %s, incarnation %s, beside %s",
@@ -193,7 +193,7 @@
 
     private PeerEndpoint endpoint() {
         ProcessSettings process = settings.process();
-        SidecarExchanges exchanges = new SidecarExchanges(loop, grants, executions);
+        SidecarExchanges exchanges = new SidecarExchanges(loop, grants, executions, follower::onPeerRevisions);
         PeerEndpoint.Builder builder = PeerEndpoint.builder()
                 .identity(new PeerIdentity(process.instance(), incarnation, PeerRole.SIDECAR))
                 .keys(process.keys().stream()
@@ -201,10 +201,9 @@
                         .toList())
                 .listenAddress(socketAddress(process.peerAddress()))
                 .limits(ProtocolLimits.defaults())
-                .revisions(follower::revisions)
                 .observer(exchanges);
         exchanges.install(builder);
-        return builder.build();
+        return follower.serve(builder).build();
     }
 
     private OperatorServer operatorServer(Runnable onDrainRequested) {
--- a/sidecar/src/main/java/org/merlinwood/sidecar/admission/GrantStage.java
+++ b/sidecar/src/main/java/org/merlinwood/sidecar/admission/GrantStage.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import org.merlinwood.core.identity.Incarnation;
 import org.merlinwood.core.identity.Revisions;
@@ -45,7 +46,7 @@
     private final Incarnation incarnation;
     private final MetricRegistry metrics;
     private final Consumer<AttemptIdentity> onAbandoned;
-    private final Consumer<PeerConnection> onBehind;
+    private final BiConsumer<PeerConnection, Revisions> onBehind;
     private final Sessions sessions = new Sessions();
     private final Map<AttemptIdentity, OpenAttempt> open = new HashMap<>();
     private Optional<ServingView> view = Optional.empty();
@@ -71,7 +72,7 @@
             Incarnation incarnation,
             MetricRegistry metrics,
             Consumer<AttemptIdentity> onAbandoned,
-            Consumer<PeerConnection> onBehind) {
+            BiConsumer<PeerConnection, Revisions> onBehind) {
         this.book = book;
         this.gate = gate;
         this.incarnation = incarnation;
@@ -284,8 +285,9 @@
             return Optional.of(Failure.retryable(
                     ResultCode.NOT_READY, "this process has no inventory and rules yet", RETRY_MILLIS));
         }
-        if (revisions.isBehind(WireValues.fromWire(request.getRevisions()))) {
-            onBehind.accept(exchange.connection());
+        Revisions known = WireValues.fromWire(request.getRevisions());
+        if (revisions.isBehind(known)) {
+            onBehind.accept(exchange.connection(), known);
             return Optional.of(Failure.retryable(
                     ResultCode.REVISION_BEHIND, "this process has an older revision and catches up", RETRY_MILLIS));
         }
