Entry resumes a broken answer also where the retry budget is spent

A larger percentage was ruled out: the 10 tokens bind, whatever the percentage.

Change: while a request resumes a broken answer its attempts spend nothing; they are bounded by the 12 attempts of a request. Refusals before the answer begins spend the budget as before.

--- a/entry/src/main/java/org/merlinwood/entry/machine/ModelMachine.java
+++ b/entry/src/main/java/org/merlinwood/entry/machine/ModelMachine.java
@@ -36,7 +36,8 @@
  * decode. A prefill that fails gives the decode grant back, and the request begins again. A decode that fails begins
  * again as well, behind the tokens that the caller has. An instance whose connection ended is asked once more on
  * another connection. Apart from that, each beginning after the first and each further candidate spends the budget for
- * repeated attempts. Not thread-safe: used by the control thread only.
+ * repeated attempts, except while a broken answer is resumed: one engine that ends breaks more answers at once than the
+ * budget holds, and each of them has to be whole. Not thread-safe: used by the control thread only.
  */
 public final class ModelMachine implements RequestMachine {
 
@@ -55,6 +56,7 @@
     private State state = new State.Created();
     private int attempts;
     private int failedTransfers;
+    private boolean resuming;
     private Optional<InstanceName> resumedAt = Optional.empty();
     private ExecutionState execution = ExecutionState.NOT_RUN;
 
@@ -248,6 +250,7 @@
     /** The engine may still have the request's cache, so its sidecar is asked first, on another connection. */
     private void decodeLost(Attempt decode, Failure failure) {
         if (mayReconnect(decode, failure)) {
+            resuming = true;
             resumedAt = Optional.of(decode.instance().name());
             state = new State.AskingDecode(askAgain(decode, InstanceRole.DECODE));
         } else {
@@ -296,7 +299,10 @@
         switch (failure.code()) {
             case TRANSFER_FAILED -> failedTransfers++;
             case GRANT_EXPIRED, GRANT_UNKNOWN -> {}
-            default -> excludedDecodes.add(decode.instance().name());
+            default -> {
+                resuming = true;
+                excludedDecodes.add(decode.instance().name());
+            }
         }
         beginAgain(failure);
     }
@@ -340,7 +346,7 @@
         if (instance.isEmpty()) {
             return Either.left(refusals.noneLeft(execution));
         }
-        if (turn == Turn.REPEATED && !placement.tryRetry()) {
+        if (turn == Turn.REPEATED && !resuming && !placement.tryRetry()) {
             return Either.left(refusals.budgetSpent(execution));
         }
         Attempt attempt = new Attempt(++attempts, instance.get());
--- a/entry/src/test/java/org/merlinwood/entry/ModelFailureTest.java
+++ b/entry/src/test/java/org/merlinwood/entry/ModelFailureTest.java
@@ -302,6 +302,26 @@
         }
     }
 
+    @Test
+    void aBrokenAnswerIsResumedAlsoWhereTheRetryBudgetIsSpent() throws Exception {
+        AtomicInteger broken = new AtomicInteger();
+        FlakyDecode first = new FlakyDecode("decode-1", (exchange, use) -> {});
+        FlakyDecode second = new FlakyDecode("decode-2", (exchange, use) -> {});
+        for (FlakyDecode sidecar : List.of(first, second)) {
+            sidecar.afterTwoTokens = (exchange, use) -> {
+                broken.incrementAndGet();
+                breakOff(sidecar, Break.TRUNCATED, exchange, use.getRequest());
+            };
+        }
+        fixture = new EntryFixture(0, first, second, new FakeSidecar("prefill-1", InstanceRole.PREFILL));
+
+        for (int request = 0; request < 30; request++) {
+            assertThat(text(fixture.post("/v1/completions", EntryFixture.COMPLETION)))
+                    .isEqualTo(WHOLE);
+        }
+        assertThat(broken.get()).isEqualTo(30);
+    }
+
     @Test
     void theRetryBudgetBoundsRepeatedAttempts() throws Exception {
         Refusing first = new Refusing("decode-1", InstanceRole.DECODE, Integer.MAX_VALUE);
