Entry reads up to 4,000 headers before it refuses a flood with its number

A request with 400 headers got 400 from the HTTP parser, without a result code. The parser's bound on bytes stays, which bounds memory; its bound on the count lies now where the refusal 1014 comes first.

--- a/entry/src/main/java/org/merlinwood/entry/caller/CallerServer.java
+++ b/entry/src/main/java/org/merlinwood/entry/caller/CallerServer.java
@@ -30,7 +30,7 @@
     private static final int REQUEST_PARSE_TIMEOUT_MILLIS = (int) TimeUnit.SECONDS.toMillis(10);
 
     /** Undertow's own bounds lie above those that are answered with a number. */
-    private static final int PARSER_MAXIMUM_HEADERS = 2 * CallerHandler.MAXIMUM_HEADERS;
+    private static final int PARSER_MAXIMUM_HEADERS = 40 * CallerHandler.MAXIMUM_HEADERS;
 
     private static final int PARSER_MAXIMUM_HEADER_BYTES = 2 * CallerHandler.MAXIMUM_HEADER_BYTES;
 
