--- a/benchmarks/src/main/java/org/merlinwood/benchmarks/PlannedDocuments.java
+++ b/benchmarks/src/main/java/org/merlinwood/benchmarks/PlannedDocuments.java
@@ -6,9 +6,6 @@
 /** Documents of the planned size, or a part of it. Stateless. */
 public final class PlannedDocuments {
 
-    private static final String ACTIVE = "ACTIVE";
-    private static final String DRAINING = "DRAINING";
-
     private PlannedDocuments() {}
 
     /**
@@ -28,9 +25,7 @@
      * @return the document
      */
     public static String inventoryWithOneChange(int rows) {
-        String document = inventory(rows);
-        int place = document.indexOf(ACTIVE, document.length() / 2);
-        return document.substring(0, place) + DRAINING + document.substring(place + ACTIVE.length());
+        return InventoryWriter.write(PlannedFleet.withOneDraining(PlannedFleet.mixed(rows)));
     }
 
     /**
--- a/benchmarks/src/main/java/org/merlinwood/benchmarks/PlannedFleet.java
+++ b/benchmarks/src/main/java/org/merlinwood/benchmarks/PlannedFleet.java
@@ -52,6 +52,32 @@
         return Inventory.of(1, instances, models());
     }
 
+    /** The same inventory in the next revision, with one row in the middle changed. */
+    static Inventory withOneDraining(Inventory inventory) {
+        List<Instance> instances = new ArrayList<>(inventory.instances().values());
+        int middle = instances.size() / 2;
+        instances.set(middle, draining(instances.get(middle)));
+        return Inventory.of(
+                inventory.revision() + 1,
+                instances,
+                List.copyOf(inventory.models().values()));
+    }
+
+    private static Instance draining(Instance row) {
+        return new Instance(
+                row.name(),
+                row.address(),
+                row.failureDomain(),
+                row.region(),
+                row.service(),
+                row.role(),
+                row.models(),
+                row.pieces(),
+                row.concurrency(),
+                row.orderFencing(),
+                InstanceState.DRAINING);
+    }
+
     /** Rows that are all candidates of one pool. */
     static Inventory onePool(int rows, InstanceRole role) {
         List<Instance> instances = new ArrayList<>();
--- a/decision/src/main/java/org/merlinwood/decision/placement/UpstreamPool.java
+++ b/decision/src/main/java/org/merlinwood/decision/placement/UpstreamPool.java
@@ -40,7 +40,7 @@
     /** Candidates of one pool at most. */
     public static final int MAXIMUM_CANDIDATES = 48;
 
-    private static final int PREFIX_ROWS = 1 << 16;
+    private static final int PREFIX_ROWS = 1 << 15;
     private static final long PREFIX_LIFE_MILLIS = 600_000;
     private static final double DEFAULT_PREFILL_TOKENS_PER_MILLI = 8;
     private static final long LEAST_TOKENS_FOR_RATE = 256;
