--- a/entry/src/main/java/org/merlinwood/entry/machine/PlainMachine.java
+++ b/entry/src/main/java/org/merlinwood/entry/machine/PlainMachine.java
@@ -44,7 +44,7 @@
     private final List<RequestAction> actions = new ArrayList<>();
     private State state = new State.Created();
     private int attempts;
-    private ExecutionState execution;
+    private boolean mayHaveRun;
 
     /** What the request's key allows. */
     public enum Binding {
@@ -70,7 +70,6 @@
         this.placement = placement;
         this.binding = binding;
         this.refusals = new RefusalSummary(placement);
-        this.execution = beforeExecute();
     }
 
     // ------------------------------------------------------------------ public API
@@ -110,7 +109,6 @@
             case Granted granted
             when granted.attempt() == asking.attempt() -> {
                 actions.add(new ExecutePlain(granted.attempt()));
-                execution = ExecutionState.UNKNOWN;
                 state = new State.Executing(asking.attempt(), asking.instance());
             }
             case Refused refused
@@ -136,7 +134,7 @@
         if (event instanceof RevisionsAwaited awaited && awaited.inForce()) {
             place(false);
         } else if (event instanceof RevisionsAwaited) {
-            settle(Optional.of(refusals.noneLeft(execution)));
+            settle(Optional.of(refusals.noneLeft(execution())));
         }
     }
 
@@ -148,7 +146,7 @@
         if (instance.isEmpty()) {
             settle(Optional.of(noneLeft()));
         } else if (isRepeated && !placement.tryRetry()) {
-            settle(Optional.of(refusals.budgetSpent(execution)));
+            settle(Optional.of(refusals.budgetSpent(execution())));
         } else {
             ask(instance.get());
         }
@@ -173,7 +171,7 @@
 
     private Failure noneLeft() {
         return switch (binding) {
-            case ANY_REPEATED, ANY_ONCE -> refusals.noneLeft(execution);
+            case ANY_REPEATED, ANY_ONCE -> refusals.noneLeft(execution());
             case KEY_HOME ->
                 homeUnreachable(Failure.of(ResultCode.NO_INSTANCE, "the inventory names no instance for the key"));
             case MINTED_INSTANCE ->
@@ -187,7 +185,7 @@
             actions.add(new AwaitRevisions());
             state = new State.AwaitingRevisions();
         } else if (isBound() || RefusalSummary.isFinal(failure)) {
-            settle(Optional.of(spread(failure)));
+            settle(Optional.of(told(failure)));
         } else {
             next(asking.instance(), failure);
         }
@@ -204,18 +202,19 @@
     }
 
     private void endedAfterExecute(State.Executing executing, Failure failure) {
+        mayHaveRun |= failure.executionState() != ExecutionState.NOT_RUN;
         if (binding == Binding.ANY_REPEATED && !RefusalSummary.isFinal(failure)) {
             next(executing.instance(), failure);
         } else {
-            settle(Optional.of(spread(failure)));
+            settle(Optional.of(told(failure)));
         }
     }
 
     private void lostAfterExecute(State.Executing executing, Failure failure) {
         if (failure.executionState() == ExecutionState.NOT_RUN) {
-            execution = beforeExecute();
             lostBeforeExecute(new State.Asking(executing.attempt(), executing.instance()), failure);
         } else if (binding == Binding.ANY_REPEATED) {
+            mayHaveRun = true;
             next(executing.instance(), failure);
         } else {
             settle(Optional.of(Failure.of(
@@ -231,16 +230,23 @@
 
     private Failure homeUnreachable(Failure cause) {
         return refusals.retryLater(
-                new Failure(ResultCode.KEY_HOME_UNREACHABLE, cause.detail(), execution, Failure.NO_RETRY));
+                new Failure(ResultCode.KEY_HOME_UNREACHABLE, cause.detail(), execution(), Failure.NO_RETRY));
     }
 
-    /** An earlier request may have had the key that a caller sent, and only the instance of the key knows of it. */
-    private ExecutionState beforeExecute() {
-        return isBound() ? ExecutionState.UNKNOWN : ExecutionState.NOT_RUN;
+    /**
+     * Returns what this machine knows on its own. An earlier request may have had the key that a caller sent, and only
+     * the instance of the key knows of it.
+     */
+    private ExecutionState execution() {
+        boolean isOpen = isBound() || mayHaveRun || state instanceof State.Executing;
+        return isOpen ? ExecutionState.UNKNOWN : ExecutionState.NOT_RUN;
     }
 
-    private Failure spread(Failure failure) {
-        return failure.retryAfterMillis() == Failure.NO_RETRY ? failure : refusals.retryLater(failure);
+    /** Passes on what a sidecar said. It speaks of its own attempt, or of all attempts with the key of the request. */
+    private Failure told(Failure failure) {
+        boolean isNarrower = !isBound() && mayHaveRun && failure.executionState() == ExecutionState.NOT_RUN;
+        Failure judged = isNarrower ? failure.withExecutionState(ExecutionState.UNKNOWN) : failure;
+        return judged.retryAfterMillis() == Failure.NO_RETRY ? judged : refusals.retryLater(judged);
     }
 
     private void giveUp(Failure failure) {
@@ -249,7 +255,7 @@
             case State.Executing executing -> actions.add(new Cancel(executing.attempt(), failure.code()));
             default -> {}
         }
-        settle(Optional.of(failure.withExecutionState(execution)));
+        settle(Optional.of(failure.withExecutionState(execution())));
     }
 
     private void settle(Optional<Failure> failure) {
