--- a/entry/src/main/java/org/merlinwood/entry/EntryMain.java
+++ b/entry/src/main/java/org/merlinwood/entry/EntryMain.java
@@ -48,7 +48,7 @@
             description = "Settings of this process: JSON with comments.")
     private Path settingsFile;
 
-    private EntryMain() {}
+    EntryMain() {}
 
     /**
      * Runs the process.
@@ -93,11 +93,10 @@
                         settings.process(),
                         socketAddress(settings.callerAddress()),
                         Optional.of(socketAddress(settings.process().peerAddress())),
-                        follower::current,
+                        ConfigurationSource.following(follower),
                         registry);
                 OperatorServer operators = operators(settings, registry, follower, entry, lifecycle)) {
             follower.addListener(entry::configure);
-            follower.start();
             entry.start();
             operators.start();
             logger.atInfo().log("listening for callers on %s", entry.callerAddress());
--- a/entry/src/main/java/org/merlinwood/entry/EntryProcess.java
+++ b/entry/src/main/java/org/merlinwood/entry/EntryProcess.java
@@ -7,7 +7,6 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
-import java.util.function.Supplier;
 import org.merlinwood.configuration.settings.ProcessSettings;
 import org.merlinwood.configuration.settings.SharedKey;
 import org.merlinwood.core.identity.Incarnation;
@@ -23,6 +22,8 @@
 import org.merlinwood.following.ConfigurationInForce;
 import org.merlinwood.operation.control.ControlLoop;
 import org.merlinwood.protocol.AuthenticationKey;
+import org.merlinwood.protocol.BaseProtocolObserver;
+import org.merlinwood.protocol.PeerConnection;
 import org.merlinwood.protocol.PeerEndpoint;
 import org.merlinwood.protocol.PeerIdentity;
 import org.merlinwood.protocol.PeerRole;
@@ -43,7 +44,7 @@
     private final PeerEndpoint endpoint;
     private final Dispatcher dispatcher;
     private final CallerServer callers;
-    private final Supplier<Optional<ConfigurationInForce>> configuration;
+    private final ConfigurationSource configuration;
 
     // ------------------------------------------------------------------ life-cycle
 
@@ -53,14 +54,14 @@
      * @param settings settings of the process
      * @param callerAddress where to listen for callers
      * @param peerAddress where to listen for peers, empty for nowhere
-     * @param configuration returns what is in force; called often
+     * @param configuration where inventory and rules come from
      * @param registry registry for the metrics
      */
     public EntryProcess(
             ProcessSettings settings,
             InetSocketAddress callerAddress,
             Optional<InetSocketAddress> peerAddress,
-            Supplier<Optional<ConfigurationInForce>> configuration,
+            ConfigurationSource configuration,
             MetricRegistry registry) {
         this.configuration = configuration;
         EntryMetrics metrics = new EntryMetrics(registry);
@@ -71,15 +72,17 @@
                 .clock(clock)
                 .metrics(metrics)
                 .revisions(this::revisions)
+                .peerRevisions(configuration::onPeerRevisions)
                 .keys(settings.keys())
                 .build();
         this.callers = new CallerServer(
-                callerAddress, configuration, new ClassifyFilter(settings.keys()), dispatcher, metrics, clock);
+                callerAddress, configuration::current, new ClassifyFilter(settings.keys()), dispatcher, metrics, clock);
     }
 
     /** Starts to listen for callers and peers. */
     public void start() {
         endpoint.start();
+        configuration.start(endpoint);
         callers.start();
     }
 
@@ -99,7 +102,7 @@
     public void drain() {
         callers.drain();
         long limitMillis = configuration
-                .get()
+                .current()
                 .map(inForce -> inForce.rules().limits().drainMillis())
                 .orElse(0L);
         awaitAnswered(limitMillis);
@@ -140,7 +143,14 @@
         PeerEndpoint.Builder builder = PeerEndpoint.builder()
                 .identity(new PeerIdentity(settings.instance(), randomIncarnation(), PeerRole.ENTRY))
                 .keys(authenticationKeys(settings.keys()))
-                .revisions(this::revisions);
+                .revisions(this::revisions)
+                .observer(new BaseProtocolObserver() {
+                    @Override
+                    public void onRevisions(PeerConnection connection, Revisions revisions) {
+                        configuration.onPeerRevisions(connection, revisions);
+                    }
+                });
+        configuration.serve(builder);
         peerAddress.ifPresent(builder::listenAddress);
         return builder.build();
     }
@@ -158,7 +168,7 @@
 
     private Revisions revisions() {
         return configuration
-                .get()
+                .current()
                 .map(ConfigurationInForce::revisions)
                 .orElseGet(() -> new Revisions(Revisions.NONE, Revisions.NONE));
     }
--- a/entry/src/main/java/org/merlinwood/entry/dispatch/AttemptListener.java
+++ b/entry/src/main/java/org/merlinwood/entry/dispatch/AttemptListener.java
@@ -1,12 +1,13 @@
 package org.merlinwood.entry.dispatch;
 
+import org.merlinwood.core.identity.Revisions;
 import org.merlinwood.core.result.Failure;
 import org.merlinwood.entry.machine.RequestEvent;
+import org.merlinwood.protocol.PeerConnection;
 import org.merlinwood.wire.AnswerEnd;
 import org.merlinwood.wire.AnswerHead;
 import org.merlinwood.wire.AnswerPart;
 import org.merlinwood.wire.Load;
-import org.merlinwood.wire.RevisionPair;
 
 /** Hears what one {@link UpstreamAttempt} receives. Called on the control thread unless said otherwise. */
 interface AttemptListener {
@@ -21,7 +22,7 @@
     void onLoad(UpstreamAttempt attempt, Load load);
 
     /** The sidecar told of its revisions. */
-    void onRevisions(UpstreamAttempt attempt, RevisionPair revisions);
+    void onRevisions(PeerConnection connection, Revisions revisions);
 
     /** The attempt failed before it ended as it should; called before the event. */
     void onFailure(UpstreamAttempt attempt, Failure failure);
--- a/entry/src/main/java/org/merlinwood/entry/dispatch/Dispatcher.java
+++ b/entry/src/main/java/org/merlinwood/entry/dispatch/Dispatcher.java
@@ -13,6 +13,7 @@
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.BiConsumer;
 import java.util.function.Supplier;
 import org.merlinwood.configuration.inventory.Instance;
 import org.merlinwood.configuration.inventory.InstanceRole;
@@ -63,6 +64,7 @@
                 builder.clock,
                 Objects.requireNonNull(builder.metrics, "metrics"),
                 builder.revisions,
+                builder.peerRevisions,
                 builder.keys);
         this.self = builder.self;
         this.failureDomain = builder.failureDomain;
@@ -90,6 +92,7 @@
         private MillisClock clock = SystemMillisClock.shared();
         private EntryMetrics metrics;
         private Supplier<Revisions> revisions = () -> new Revisions(Revisions.NONE, Revisions.NONE);
+        private BiConsumer<PeerConnection, Revisions> peerRevisions = (connection, told) -> {};
         private List<SharedKey> keys = List.of();
 
         private Builder(InstanceName self, FailureDomain failureDomain) {
@@ -157,6 +160,18 @@
             return this;
         }
 
+        /**
+         * Sets who hears of the revisions that ride on grants and refusals.
+         *
+         * @param value catches up with them if they are higher; must not block
+         * @return this builder
+         */
+        @CanIgnoreReturnValue
+        public Builder peerRevisions(BiConsumer<PeerConnection, Revisions> value) {
+            peerRevisions = value;
+            return this;
+        }
+
         /**
          * Sets the keys of the fleet.
          *
--- a/entry/src/main/java/org/merlinwood/entry/dispatch/RequestRunner.java
+++ b/entry/src/main/java/org/merlinwood/entry/dispatch/RequestRunner.java
@@ -22,13 +22,13 @@
 import org.merlinwood.entry.machine.RequestMachine;
 import org.merlinwood.entry.request.ClassifiedRequest;
 import org.merlinwood.http.HttpHeader;
+import org.merlinwood.protocol.PeerConnection;
 import org.merlinwood.protocol.WireValues;
 import org.merlinwood.wire.AnswerEnd;
 import org.merlinwood.wire.AnswerHead;
 import org.merlinwood.wire.AnswerPart;
 import org.merlinwood.wire.Load;
 import org.merlinwood.wire.RequestIdentity;
-import org.merlinwood.wire.RevisionPair;
 
 /**
  * Runs the state machine of one request: carries out its actions, and feeds it with what happens.
@@ -173,8 +173,8 @@
     }
 
     @Override
-    public void onRevisions(UpstreamAttempt attempt, RevisionPair revisions) {
-        Revisions told = WireValues.fromWire(revisions);
+    public void onRevisions(PeerConnection connection, Revisions told) {
+        parts.peerRevisions().accept(connection, told);
         awaited =
                 new Revisions(Math.max(awaited.inventory(), told.inventory()), Math.max(awaited.rules(), told.rules()));
     }
--- a/entry/src/main/java/org/merlinwood/entry/dispatch/UpstreamAttempt.java
+++ b/entry/src/main/java/org/merlinwood/entry/dispatch/UpstreamAttempt.java
@@ -25,6 +25,7 @@
 import org.merlinwood.wire.Refused;
 import org.merlinwood.wire.Release;
 import org.merlinwood.wire.RequestIdentity;
+import org.merlinwood.wire.RevisionPair;
 
 /**
  * One attempt at one sidecar: the grant that is asked for, and what is executed under it.
@@ -285,14 +286,14 @@
                 .build();
         grantExpiresInMillis = granted.getExpiresInMillis();
         observe(granted.hasLoad(), granted.getLoad());
-        listener.onRevisions(this, granted.getRevisions());
+        tellRevisions(granted.hasRevisions(), granted.getRevisions());
         listener.onEvent(this, new RequestEvent.Granted(number));
     }
 
     private void refused(Refused refused) {
         Failure failure = WireValues.fromWire(refused);
         observe(refused.hasLoad(), refused.getLoad());
-        listener.onRevisions(this, refused.getRevisions());
+        tellRevisions(refused.hasRevisions(), refused.getRevisions());
         end();
         listener.onFailure(this, failure);
         listener.onEvent(this, new RequestEvent.Refused(number, failure));
@@ -304,6 +305,12 @@
         }
     }
 
+    private void tellRevisions(boolean isPresent, RevisionPair revisions) {
+        if (isPresent) {
+            listener.onRevisions(exchange.connection(), WireValues.fromWire(revisions));
+        }
+    }
+
     private boolean isOwn(RequestIdentity received) {
         boolean own = received.equals(identity);
         if (!own) {
--- a/entry/src/test/java/org/merlinwood/entry/EntryFixture.java
+++ b/entry/src/test/java/org/merlinwood/entry/EntryFixture.java
@@ -35,8 +35,11 @@
 import org.merlinwood.core.identity.FailureDomain;
 import org.merlinwood.core.identity.InstanceName;
 import org.merlinwood.core.identity.ModelName;
+import org.merlinwood.core.identity.Revisions;
 import org.merlinwood.core.identity.ServiceName;
 import org.merlinwood.following.ConfigurationInForce;
+import org.merlinwood.protocol.PeerConnection;
+import org.merlinwood.protocol.PeerEndpoint;
 
 /** An entry in this process with fake sidecars, and a caller of it. Closed by the test. */
 final class EntryFixture implements AutoCloseable {
@@ -65,7 +68,11 @@
         this.sidecars = List.of(sidecars);
         this.inForce = Optional.of(configuration(1, retryBudgetPercent, sidecars));
         this.entry = new EntryProcess(
-                settings(), new InetSocketAddress("127.0.0.1", 0), Optional.empty(), () -> inForce, registry);
+                settings(),
+                new InetSocketAddress("127.0.0.1", 0),
+                Optional.empty(),
+                new FixedConfiguration(),
+                registry);
         entry.configure(inForce.get());
         entry.start();
     }
@@ -190,6 +197,24 @@
                 List.of(new SharedKey(1, SECRET)));
     }
 
+    /** What the test configured last; nobody is asked and nobody is told. */
+    private final class FixedConfiguration implements ConfigurationSource {
+
+        @Override
+        public Optional<ConfigurationInForce> current() {
+            return inForce;
+        }
+
+        @Override
+        public void serve(PeerEndpoint.Builder endpoint) {}
+
+        @Override
+        public void start(PeerEndpoint endpoint) {}
+
+        @Override
+        public void onPeerRevisions(PeerConnection connection, Revisions revisions) {}
+    }
+
     private static HttpRequest.BodyPublisher text(String body) {
         return HttpRequest.BodyPublishers.ofString(body);
     }
