--- a/entry/src/main/java/org/merlinwood/entry/caller/CallerHandler.java
+++ b/entry/src/main/java/org/merlinwood/entry/caller/CallerHandler.java
@@ -52,8 +52,6 @@
     /** When a caller is told to come back to an entry that has no configuration yet, in milliseconds. */
     private static final long NOT_READY_RETRY_MILLIS = 1_000;
 
-    private static final String KEY_HEADER = "Idempotency-Key";
-
     private final Supplier<Optional<ConfigurationInForce>> configuration;
     private final ClassifyFilter classifyFilter;
     private final Dispatcher dispatcher;
@@ -232,7 +230,7 @@
 
     /** An entry without a configuration can't tell whether an earlier request with the caller's key ran. */
     private static Failure judgeKey(HttpServerExchange exchange, Failure failure) {
-        boolean hasKey = exchange.getRequestHeaders().contains(KEY_HEADER);
+        boolean hasKey = exchange.getRequestHeaders().contains(AcceptedRequest.IDEMPOTENCY_KEY_HEADER);
         return hasKey && failure.code() == ResultCode.NOT_READY
                 ? failure.withExecutionState(ExecutionState.UNKNOWN)
                 : failure;
--- a/entry/src/main/java/org/merlinwood/entry/dispatch/Dispatcher.java
+++ b/entry/src/main/java/org/merlinwood/entry/dispatch/Dispatcher.java
@@ -53,6 +53,7 @@
     private final FailureDomain failureDomain;
     private final Map<RequestIdentifier, RequestRunner> runners = new LinkedHashMap<>();
     private final AtomicInteger openRequests = new AtomicInteger();
+    private final ModelKeys modelKeys = new ModelKeys();
     private Optional<ControlState> state = Optional.empty();
 
     // ------------------------------------------------------------------ configuration
@@ -282,26 +283,40 @@
 
     private void admitModel(ClassifiedRequest.ModelCall call, RequestSink sink, ControlState present, Runnable leave) {
         switch (present.admit(call)) {
-            case AdmissionDecision.Admit admitted -> run(call, admitted.waitMillis(), sink, present, leave);
-            case AdmissionDecision.Refuse refused -> {
-                parts.metrics().ended(refused.failure().code());
-                sink.failure(refused.failure());
-                leave.run();
-            }
+            case AdmissionDecision.Admit admitted ->
+                modelKeys
+                        .take(call, this::supersede)
+                        .ifPresentOrElse(
+                                reused -> refuseEntered(sink, reused, leave),
+                                () -> run(call, admitted.waitMillis(), sink, present, leave));
+            case AdmissionDecision.Refuse refused -> refuseEntered(sink, refused.failure(), leave);
         }
     }
 
+    private void refuseEntered(RequestSink sink, Failure failure, Runnable leave) {
+        parts.metrics().ended(failure.code());
+        sink.failure(failure);
+        leave.run();
+    }
+
     private void run(
             ClassifiedRequest request, long waitMillis, RequestSink sink, ControlState present, Runnable leave) {
         RequestIdentifier identifier = request.identified().accepted().identifier();
         RequestRunner runner = new RequestRunner(request, waitMillis, sink, parts, present, () -> {
             runners.remove(identifier);
+            modelKeys.release(request);
             leave.run();
         });
         runners.put(identifier, runner);
         runner.start();
     }
 
+    private void supersede(RequestIdentifier earlier) {
+        Optional.ofNullable(runners.get(earlier))
+                .ifPresent(runner -> runner.giveUp(
+                        Failure.of(ResultCode.SUPERSEDED, "the caller sent the request again, with the same key")));
+    }
+
     private Runnable leaveOnce(ControlState present, ClassifiedRequest request) {
         AtomicBoolean left = new AtomicBoolean();
         return () -> {
@@ -341,10 +356,11 @@
                     .millis(
                             ControlState.UNREACHABLE_MILLIS,
                             call.identified().callerClass().priority());
-            parts.metrics().ended(ResultCode.NO_INSTANCE);
-            sink.failure(Failure.retryable(
-                    ResultCode.NO_INSTANCE, "no instance of the service is reachable", retryAfterMillis));
-            leave.run();
+            refuseEntered(
+                    sink,
+                    Failure.retryable(
+                            ResultCode.NO_INSTANCE, "no instance of the service is reachable", retryAfterMillis),
+                    leave);
             return;
         }
         Instance instance = chosen.get();
--- a/entry/src/main/java/org/merlinwood/entry/filter/KeyFilter.java
+++ b/entry/src/main/java/org/merlinwood/entry/filter/KeyFilter.java
@@ -13,14 +13,13 @@
 import org.merlinwood.core.result.ResultCode;
 import org.merlinwood.decision.idempotency.MintedKey;
 import org.merlinwood.decision.idempotency.MintedKeys;
+import org.merlinwood.entry.request.AcceptedRequest;
 import org.merlinwood.entry.request.IdentifiedRequest;
 import org.merlinwood.entry.request.KeyUse;
 
 /** Judges the idempotency key of a plain call. Immutable and thread-safe. */
 final class KeyFilter {
 
-    static final String KEY_HEADER = "Idempotency-Key";
-
     private static final int MAXIMUM_OWN_KEY_CHARACTERS = 255;
     private static final String OWN_KEY_SHAPE = "[\\x21-\\x7e]{1," + MAXIMUM_OWN_KEY_CHARACTERS + "}";
 
@@ -31,8 +30,7 @@
     }
 
     Either<Failure, KeyUse> keyUse(IdentifiedRequest request, RouteRule route) {
-        Optional<String> text =
-                request.accepted().header(KEY_HEADER).map(String::strip).filter(value -> !value.isEmpty());
+        Optional<String> text = request.accepted().idempotencyKey();
         if (text.isEmpty()) {
             return withoutKey(route);
         }
@@ -48,7 +46,8 @@
 
     private static Either<Failure, KeyUse> withoutKey(RouteRule route) {
         if (route.keyDemand() == KeyDemand.REQUIRED) {
-            return Either.left(Failure.of(ResultCode.KEY_REQUIRED, "this call needs the header " + KEY_HEADER));
+            return Either.left(Failure.of(
+                    ResultCode.KEY_REQUIRED, "this call needs the header " + AcceptedRequest.IDEMPOTENCY_KEY_HEADER));
         }
         return Either.right(
                 switch (route.repeatability()) {
--- a/entry/src/main/java/org/merlinwood/entry/request/AcceptedRequest.java
+++ b/entry/src/main/java/org/merlinwood/entry/request/AcceptedRequest.java
@@ -26,11 +26,23 @@
         byte[] body,
         long arrivedMillis) {
 
+    /** Header with the caller's idempotency key. */
+    public static final String IDEMPOTENCY_KEY_HEADER = "Idempotency-Key";
+
     /** Copies the headers. */
     public AcceptedRequest {
         headers = List.copyOf(headers);
     }
 
+    /**
+     * Returns the caller's idempotency key.
+     *
+     * @return the key, not judged, or empty if there is none
+     */
+    public Optional<String> idempotencyKey() {
+        return header(IDEMPOTENCY_KEY_HEADER).map(String::strip).filter(key -> !key.isEmpty());
+    }
+
     /**
      * Finds the first header of a name.
      *
--- a/entry/src/test/java/org/merlinwood/entry/EntryFixture.java
+++ b/entry/src/test/java/org/merlinwood/entry/EntryFixture.java
@@ -153,7 +153,7 @@
 
     @Override
     public void close() {
-        client.close();
+        client.shutdownNow();
         entry.close();
         sidecars.forEach(FakeSidecar::close);
     }
