Table of keys, restart barrier and the chain of homes

The pure part of at most once. A key that the table knows is answered from it; one that it doesn't know runs only if nothing else can have run it: no earlier process here (barrier for the horizon, lifted by a minted key, by the time in a UUIDv7, or by a sealed table as far back as that is complete), no earlier home (each has to seal at a revision of the present home's run), no revision that was skipped (peers tell of it, or the horizon passes).

The messages of the handover say so: caller of an entry, custodians, spans of homes and how far back they are known.

--- a/decision/src/main/java/org/merlinwood/decision/idempotency/KeyHome.java
+++ b/decision/src/main/java/org/merlinwood/decision/idempotency/KeyHome.java
@@ -2,10 +2,14 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.merlinwood.configuration.inventory.Instance;
 import org.merlinwood.configuration.inventory.InstanceState;
 import org.merlinwood.configuration.inventory.Inventory;
 import org.merlinwood.core.identity.IdempotencyKey;
+import org.merlinwood.core.identity.InstanceName;
 import org.merlinwood.core.identity.ServiceName;
 
 /**
@@ -27,10 +31,40 @@
      * @return the only instance that may run the key, or empty if the service has no instance that is not retired
      */
     public static Optional<Instance> of(IdempotencyKey key, Inventory inventory, ServiceName service) {
-        return RendezvousOrder.first(
-                key.value().getBytes(StandardCharsets.UTF_8),
-                inventory.instances().values().stream()
-                        .filter(instance -> instance.service().equals(service))
-                        .filter(instance -> instance.state() != InstanceState.RETIRED));
+        return RendezvousOrder.first(subject(key), candidates(inventory, service));
+    }
+
+    /**
+     * Finds the home of a key among names.
+     *
+     * @param key a caller's own key
+     * @param homes the names that {@link #homes} gave for some inventory
+     * @return the only instance that may run the key, or empty if there is none
+     */
+    public static Optional<InstanceName> among(IdempotencyKey key, Set<InstanceName> homes) {
+        return RendezvousOrder.firstName(subject(key), homes.stream());
+    }
+
+    /**
+     * Lists the instances that may be homes.
+     *
+     * @param inventory the inventory
+     * @param service the service
+     * @return the names of all its instances that are not retired
+     */
+    public static Set<InstanceName> homes(Inventory inventory, ServiceName service) {
+        return candidates(inventory, service).map(Instance::name).collect(Collectors.toUnmodifiableSet());
+    }
+
+    // ------------------------------------------------------------------ internals
+
+    private static byte[] subject(IdempotencyKey key) {
+        return key.value().getBytes(StandardCharsets.UTF_8);
+    }
+
+    private static Stream<Instance> candidates(Inventory inventory, ServiceName service) {
+        return inventory.instances().values().stream()
+                .filter(instance -> instance.service().equals(service))
+                .filter(instance -> instance.state() != InstanceState.RETIRED);
     }
 }
--- a/decision/src/main/java/org/merlinwood/decision/idempotency/RendezvousOrder.java
+++ b/decision/src/main/java/org/merlinwood/decision/idempotency/RendezvousOrder.java
@@ -40,6 +40,18 @@
         return candidates.sorted(byScore(subject).reversed()).toList();
     }
 
+    /**
+     * Finds the first name for a subject.
+     *
+     * @param subject what is placed
+     * @param candidates the names, in any order
+     * @return the same name that {@link #first} gives for instances of these names, or empty if there is none
+     */
+    public static Optional<InstanceName> firstName(byte[] subject, Stream<InstanceName> candidates) {
+        return candidates.max(Comparator.<InstanceName>comparingLong(name -> score(subject, name))
+                .thenComparing(Comparator.naturalOrder()));
+    }
+
     private static Comparator<Instance> byScore(byte[] subject) {
         return Comparator.<Instance>comparingLong(instance -> score(subject, instance.name()))
                 .thenComparing(Instance::name);
--- /dev/null
+++ b/decision/src/test/java/org/merlinwood/decision/idempotency/KeyTableTest.java
@@ -0,0 +1,152 @@
+package org.merlinwood.decision.idempotency;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.merlinwood.core.identity.CallerName;
+import org.merlinwood.core.identity.IdempotencyKey;
+import org.merlinwood.core.result.ExecutionState;
+import org.merlinwood.core.result.Failure;
+import org.merlinwood.core.result.ResultCode;
+import org.merlinwood.core.time.ManualMillisClock;
+
+final class KeyTableTest {
+
+    private static final long HORIZON_MILLIS = 60_000;
+    private static final int ENTRIES = 5;
+    private static final int STORED_BYTES = 1_000;
+
+    private final ManualMillisClock clock = new ManualMillisClock(1_000_000);
+    private final KeyTable table = new KeyTable(clock);
+
+    @BeforeEach
+    void configure() {
+        table.configure(new KeyTableLimits(ENTRIES, STORED_BYTES, HORIZON_MILLIS));
+    }
+
+    @Test
+    void aStoredAnswerIsGivenAgain() {
+        run("a", 10);
+        assertThat(decision("a"))
+                .isInstanceOfSatisfying(
+                        KeyDecision.Replay.class,
+                        replay -> assertThat(replay.answer().status()).isEqualTo(201));
+    }
+
+    @Test
+    void aResendJoinsTheCallThatRuns() {
+        table.begin(call("a"));
+        assertThat(decision("a")).isInstanceOf(KeyDecision.Join.class);
+    }
+
+    @Test
+    void theSameKeyWithAnotherBodyIsRefused() {
+        run("a", 10);
+        KeyedCall other = new KeyedCall(call("a").key(), new Fingerprint("ff"));
+        assertThat(refusal(table.find(other)).code()).isEqualTo(ResultCode.KEY_REUSED);
+    }
+
+    @Test
+    void theSameKeyOfAnotherCallerIsAnotherKey() {
+        run("a", 10);
+        ScopedKey other = new ScopedKey(new CallerName("other"), new IdempotencyKey("a"));
+        assertThat(table.find(new KeyedCall(other, new Fingerprint("aa")))).isEmpty();
+    }
+
+    @Test
+    void aCallThatMayHaveRunStaysUnknownUntilTheHorizon() {
+        table.begin(call("a"));
+        table.unknown(call("a").key());
+        clock.advanceMillis(HORIZON_MILLIS - 1);
+        assertThat(refusal(table.find(call("a"))).code()).isEqualTo(ResultCode.OUTCOME_UNKNOWN);
+        clock.advanceMillis(1);
+        assertThat(table.find(call("a"))).isEmpty();
+    }
+
+    @Test
+    void aCallThatNeverLeftFreesItsKey() {
+        table.begin(call("a"));
+        table.notRun(call("a").key());
+        assertThat(table.find(call("a"))).isEmpty();
+    }
+
+    @Test
+    void evictedAnswersKeepTheirKeys() {
+        run("a", 500);
+        run("b", 500);
+        Failure failure = refusal(table.find(call("a")));
+        assertThat(failure.code()).isEqualTo(ResultCode.KEY_ANSWER_EVICTED);
+        assertThat(failure.executionState()).isEqualTo(ExecutionState.RAN);
+        assertThat(decision("b")).isInstanceOf(KeyDecision.Replay.class);
+        assertThat(table.state().storedBytes()).isLessThanOrEqualTo(STORED_BYTES);
+    }
+
+    @Test
+    void aFullTableRefusesNewKeysInsteadOfForgettingOldOnes() {
+        for (int number = 0; number < ENTRIES; number++) {
+            run("key-" + number, 1);
+        }
+        Failure failure = table.begin(call("one-more")).orElseThrow();
+        assertThat(failure.code()).isEqualTo(ResultCode.NO_CAPACITY);
+        assertThat(failure.executionState()).isEqualTo(ExecutionState.NOT_RUN);
+        assertThat(failure.retryAfterMillis()).isPositive();
+        assertThat(decision("key-0")).isInstanceOf(KeyDecision.Replay.class);
+        clock.advanceMillis(HORIZON_MILLIS);
+        assertThat(table.begin(call("one-more"))).isEmpty();
+    }
+
+    @Test
+    void aRunningKeyIsNeverForgotten() {
+        table.begin(call("a"));
+        clock.advanceMillis(2 * HORIZON_MILLIS);
+        table.forgetExpired();
+        assertThat(decision("a")).isInstanceOf(KeyDecision.Join.class);
+    }
+
+    @Test
+    void aHandedOverTableKnowsWhatTheOldOneKnew() {
+        run("ran", 10);
+        table.begin(call("running"));
+        table.begin(call("unknown"));
+        table.unknown(call("unknown").key());
+        KeyTable successor = new KeyTable(clock);
+        successor.configure(new KeyTableLimits(ENTRIES, STORED_BYTES, HORIZON_MILLIS));
+        successor.adopt(table.entries(key -> true));
+        assertThat(successor.find(call("ran")).orElseThrow()).isInstanceOf(KeyDecision.Replay.class);
+        assertThat(refusal(successor.find(call("unknown"))).code()).isEqualTo(ResultCode.OUTCOME_UNKNOWN);
+        assertThat(refusal(successor.find(call("running"))).code()).isEqualTo(ResultCode.OUTCOME_UNKNOWN);
+    }
+
+    @Test
+    void aHandedOverKeyKeepsItsAge() {
+        run("a", 10);
+        clock.advanceMillis(HORIZON_MILLIS - 10);
+        List<KeyTableEntry> entries = table.entries(key -> true);
+        KeyTable successor = new KeyTable(clock);
+        successor.configure(new KeyTableLimits(ENTRIES, STORED_BYTES, HORIZON_MILLIS));
+        successor.adopt(entries);
+        clock.advanceMillis(10);
+        assertThat(successor.find(call("a"))).isEmpty();
+    }
+
+    private void run(String key, int bodyBytes) {
+        assertThat(table.begin(call(key))).isEmpty();
+        table.ran(call(key).key(), new StoredAnswer(201, List.of(), new byte[bodyBytes]));
+    }
+
+    private KeyDecision decision(String key) {
+        return table.find(call(key)).orElseThrow();
+    }
+
+    private static Failure refusal(Optional<KeyDecision> decision) {
+        return ((KeyDecision.Refuse) decision.orElseThrow()).failure();
+    }
+
+    private static KeyedCall call(String key) {
+        return new KeyedCall(
+                new ScopedKey(new CallerName("station-7"), new IdempotencyKey(key)), new Fingerprint("aa"));
+    }
+}
--- a/wire-generated/src/main/java/org/merlinwood/wire/TableEntry.java
+++ b/wire-generated/src/main/java/org/merlinwood/wire/TableEntry.java
@@ -31,6 +31,7 @@
     key_ = "";
     fingerprint_ = com.google.protobuf.ByteString.EMPTY;
     body_ = com.google.protobuf.ByteString.EMPTY;
+    caller_ = "";
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -161,6 +162,45 @@
     return body_;
   }
 
+  public static final int CALLER_FIELD_NUMBER = 7;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object caller_ = "";
+  /**
+   * <code>string caller = 7;</code>
+   * @return The caller.
+   */
+  @java.lang.Override
+  public java.lang.String getCaller() {
+    java.lang.Object ref = caller_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      caller_ = s;
+      return s;
+    }
+  }
+  /**
+   * <code>string caller = 7;</code>
+   * @return The bytes for caller.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getCallerBytes() {
+    java.lang.Object ref = caller_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      caller_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -193,6 +233,9 @@
     if (!body_.isEmpty()) {
       output.writeBytes(6, body_);
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(caller_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 7, caller_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -220,6 +263,9 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBytesSize(6, body_);
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(caller_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(7, caller_);
+    }
     return size;
   }
   @java.lang.Override
@@ -259,6 +305,8 @@
     }
     if (!getBody()
         .equals(other.getBody())) return false;
+    if (!getCaller()
+        .equals(other.getCaller())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -285,6 +333,8 @@
     }
     hash = (37 * hash) + BODY_FIELD_NUMBER;
     hash = (53 * hash) + getBody().hashCode();
+    hash = (37 * hash) + CALLER_FIELD_NUMBER;
+    hash = (53 * hash) + getCaller().hashCode();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -432,6 +482,7 @@
         headBuilder_ = null;
       }
       body_ = com.google.protobuf.ByteString.EMPTY;
+      caller_ = "";
       return this;
     }
 
@@ -487,6 +538,9 @@
       if (((from_bitField0_ & 0x00000020) != 0)) {
         result.body_ = body_;
       }
+      if (((from_bitField0_ & 0x00000040) != 0)) {
+        result.caller_ = caller_;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -522,6 +576,11 @@
       if (!other.getBody().isEmpty()) {
         setBody(other.getBody());
       }
+      if (!other.getCaller().isEmpty()) {
+        caller_ = other.caller_;
+        bitField0_ |= 0x00000040;
+        onChanged();
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -578,6 +637,11 @@
               bitField0_ |= 0x00000020;
               break;
             } // case 50
+            case 58: {
+              caller_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000040;
+              break;
+            } // case 58
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -914,6 +978,78 @@
       return this;
     }
 
+    private java.lang.Object caller_ = "";
+    /**
+     * <code>string caller = 7;</code>
+     * @return The caller.
+     */
+    public java.lang.String getCaller() {
+      java.lang.Object ref = caller_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        caller_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <code>string caller = 7;</code>
+     * @return The bytes for caller.
+     */
+    public com.google.protobuf.ByteString
+        getCallerBytes() {
+      java.lang.Object ref = caller_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        caller_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <code>string caller = 7;</code>
+     * @param value The caller to set.
+     * @return This builder for chaining.
+     */
+    public Builder setCaller(
+        java.lang.String value) {
+      java.util.Objects.requireNonNull(value);
+      caller_ = value;
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string caller = 7;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearCaller() {
+      caller_ = getDefaultInstance().getCaller();
+      bitField0_ = (bitField0_ & ~0x00000040);
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string caller = 7;</code>
+     * @param value The bytes for caller to set.
+     * @return This builder for chaining.
+     */
+    public Builder setCallerBytes(
+        com.google.protobuf.ByteString value) {
+      java.util.Objects.requireNonNull(value);
+      checkByteStringIsUtf8(value);
+      caller_ = value;
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:merlinwood.wire.v1.TableEntry)
   }
 
--- a/wire-generated/src/main/java/org/merlinwood/wire/TableEntryOrBuilder.java
+++ b/wire-generated/src/main/java/org/merlinwood/wire/TableEntryOrBuilder.java
@@ -60,4 +60,16 @@
    * @return The body.
    */
   com.google.protobuf.ByteString getBody();
+
+  /**
+   * <code>string caller = 7;</code>
+   * @return The caller.
+   */
+  java.lang.String getCaller();
+  /**
+   * <code>string caller = 7;</code>
+   * @return The bytes for caller.
+   */
+  com.google.protobuf.ByteString
+      getCallerBytes();
 }
--- a/wire-generated/src/main/java/org/merlinwood/wire/TablePart.java
+++ b/wire-generated/src/main/java/org/merlinwood/wire/TablePart.java
@@ -30,6 +30,9 @@
   private TablePart() {
     home_ = "";
     entries_ = java.util.Collections.emptyList();
+    custodians_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
+    homes_ = java.util.Collections.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -166,6 +169,10 @@
   public static final int SERVED_SINCE_AGE_MILLIS_FIELD_NUMBER = 6;
   private long servedSinceAgeMillis_ = 0L;
   /**
+   * <pre>
+   * How far back the table is complete.
+   * </pre>
+   *
    * <code>sint64 served_since_age_millis = 6;</code>
    * @return The servedSinceAgeMillis.
    */
@@ -174,6 +181,130 @@
     return servedSinceAgeMillis_;
   }
 
+  public static final int CUSTODIANS_FIELD_NUMBER = 7;
+  @SuppressWarnings("serial")
+  private com.google.protobuf.LazyStringArrayList custodians_ =
+      com.google.protobuf.LazyStringArrayList.emptyList();
+  /**
+   * <pre>
+   * Instances that the sealed table was sent to; a successor asks each of them.
+   * </pre>
+   *
+   * <code>repeated string custodians = 7;</code>
+   * @return A list containing the custodians.
+   */
+  public com.google.protobuf.ProtocolStringList
+      getCustodiansList() {
+    return custodians_;
+  }
+  /**
+   * <pre>
+   * Instances that the sealed table was sent to; a successor asks each of them.
+   * </pre>
+   *
+   * <code>repeated string custodians = 7;</code>
+   * @return The count of custodians.
+   */
+  public int getCustodiansCount() {
+    return custodians_.size();
+  }
+  /**
+   * <pre>
+   * Instances that the sealed table was sent to; a successor asks each of them.
+   * </pre>
+   *
+   * <code>repeated string custodians = 7;</code>
+   * @param index The index of the element to return.
+   * @return The custodians at the given index.
+   */
+  public java.lang.String getCustodians(int index) {
+    return custodians_.get(index);
+  }
+  /**
+   * <pre>
+   * Instances that the sealed table was sent to; a successor asks each of them.
+   * </pre>
+   *
+   * <code>repeated string custodians = 7;</code>
+   * @param index The index of the value to return.
+   * @return The bytes of the custodians at the given index.
+   */
+  public com.google.protobuf.ByteString
+      getCustodiansBytes(int index) {
+    return custodians_.getByteString(index);
+  }
+
+  public static final int HOMES_FIELD_NUMBER = 8;
+  @SuppressWarnings("serial")
+  private java.util.List<org.merlinwood.wire.HomeSpan> homes_;
+  /**
+   * <code>repeated .merlinwood.wire.v1.HomeSpan homes = 8;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.merlinwood.wire.HomeSpan> getHomesList() {
+    return homes_;
+  }
+  /**
+   * <code>repeated .merlinwood.wire.v1.HomeSpan homes = 8;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.merlinwood.wire.HomeSpanOrBuilder> 
+      getHomesOrBuilderList() {
+    return homes_;
+  }
+  /**
+   * <code>repeated .merlinwood.wire.v1.HomeSpan homes = 8;</code>
+   */
+  @java.lang.Override
+  public int getHomesCount() {
+    return homes_.size();
+  }
+  /**
+   * <code>repeated .merlinwood.wire.v1.HomeSpan homes = 8;</code>
+   */
+  @java.lang.Override
+  public org.merlinwood.wire.HomeSpan getHomes(int index) {
+    return homes_.get(index);
+  }
+  /**
+   * <code>repeated .merlinwood.wire.v1.HomeSpan homes = 8;</code>
+   */
+  @java.lang.Override
+  public org.merlinwood.wire.HomeSpanOrBuilder getHomesOrBuilder(
+      int index) {
+    return homes_.get(index);
+  }
+
+  public static final int HOMES_KNOWN_AGE_MILLIS_FIELD_NUMBER = 9;
+  private long homesKnownAgeMillis_ = 0L;
+  /**
+   * <pre>
+   * How far back the sender knows every revision of the inventory.
+   * </pre>
+   *
+   * <code>sint64 homes_known_age_millis = 9;</code>
+   * @return The homesKnownAgeMillis.
+   */
+  @java.lang.Override
+  public long getHomesKnownAgeMillis() {
+    return homesKnownAgeMillis_;
+  }
+
+  public static final int INVENTORY_REVISION_FIELD_NUMBER = 10;
+  private long inventoryRevision_ = 0L;
+  /**
+   * <pre>
+   * Revision of the inventory under which the sender has sealed.
+   * </pre>
+   *
+   * <code>uint64 inventory_revision = 10;</code>
+   * @return The inventoryRevision.
+   */
+  @java.lang.Override
+  public long getInventoryRevision() {
+    return inventoryRevision_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -206,6 +337,18 @@
     if (servedSinceAgeMillis_ != 0L) {
       output.writeSInt64(6, servedSinceAgeMillis_);
     }
+    for (int i = 0; i < custodians_.size(); i++) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 7, custodians_.getRaw(i));
+    }
+    for (int i = 0; i < homes_.size(); i++) {
+      output.writeMessage(8, homes_.get(i));
+    }
+    if (homesKnownAgeMillis_ != 0L) {
+      output.writeSInt64(9, homesKnownAgeMillis_);
+    }
+    if (inventoryRevision_ != 0L) {
+      output.writeUInt64(10, inventoryRevision_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -238,6 +381,31 @@
       size += com.google.protobuf.CodedOutputStream
         .computeSInt64Size(6, servedSinceAgeMillis_);
     }
+    {
+      int dataSize = 0;
+      for (int i = 0; i < custodians_.size(); i++) {
+        dataSize += computeStringSizeNoTag(custodians_.getRaw(i));
+      }
+      size += dataSize;
+      size += 1 * getCustodiansList().size();
+    }
+
+        {
+          final int count = homes_.size();
+          for (int i = 0; i < count; i++) {
+            size += com.google.protobuf.CodedOutputStream
+              .computeMessageSizeNoTag(homes_.get(i));
+          }
+          size += 1 * count;
+        }
+    if (homesKnownAgeMillis_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeSInt64Size(9, homesKnownAgeMillis_);
+    }
+    if (inventoryRevision_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(10, inventoryRevision_);
+    }
     return size;
   }
   @java.lang.Override
@@ -274,6 +442,14 @@
         .equals(other.getEntriesList())) return false;
     if (getServedSinceAgeMillis()
         != other.getServedSinceAgeMillis()) return false;
+    if (!getCustodiansList()
+        .equals(other.getCustodiansList())) return false;
+    if (!getHomesList()
+        .equals(other.getHomesList())) return false;
+    if (getHomesKnownAgeMillis()
+        != other.getHomesKnownAgeMillis()) return false;
+    if (getInventoryRevision()
+        != other.getInventoryRevision()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -303,6 +479,20 @@
     hash = (37 * hash) + SERVED_SINCE_AGE_MILLIS_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getServedSinceAgeMillis());
+    if (getCustodiansCount() > 0) {
+      hash = (37 * hash) + CUSTODIANS_FIELD_NUMBER;
+      hash = (53 * hash) + getCustodiansList().hashCode();
+    }
+    if (getHomesCount() > 0) {
+      hash = (37 * hash) + HOMES_FIELD_NUMBER;
+      hash = (53 * hash) + getHomesList().hashCode();
+    }
+    hash = (37 * hash) + HOMES_KNOWN_AGE_MILLIS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getHomesKnownAgeMillis());
+    hash = (37 * hash) + INVENTORY_REVISION_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getInventoryRevision());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -446,6 +636,17 @@
       }
       bitField0_ = (bitField0_ & ~0x00000010);
       servedSinceAgeMillis_ = 0L;
+      custodians_ =
+          com.google.protobuf.LazyStringArrayList.emptyList();
+      if (homesBuilder_ == null) {
+        homes_ = java.util.Collections.emptyList();
+      } else {
+        homes_ = null;
+        homesBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000080);
+      homesKnownAgeMillis_ = 0L;
+      inventoryRevision_ = 0L;
       return this;
     }
 
@@ -488,6 +689,15 @@
       } else {
         result.entries_ = entriesBuilder_.build();
       }
+      if (homesBuilder_ == null) {
+        if (((bitField0_ & 0x00000080) != 0)) {
+          homes_ = java.util.Collections.unmodifiableList(homes_);
+          bitField0_ = (bitField0_ & ~0x00000080);
+        }
+        result.homes_ = homes_;
+      } else {
+        result.homes_ = homesBuilder_.build();
+      }
     }
 
     private void buildPartial0(org.merlinwood.wire.TablePart result) {
@@ -507,6 +717,16 @@
       if (((from_bitField0_ & 0x00000020) != 0)) {
         result.servedSinceAgeMillis_ = servedSinceAgeMillis_;
       }
+      if (((from_bitField0_ & 0x00000040) != 0)) {
+        custodians_.makeImmutable();
+        result.custodians_ = custodians_;
+      }
+      if (((from_bitField0_ & 0x00000100) != 0)) {
+        result.homesKnownAgeMillis_ = homesKnownAgeMillis_;
+      }
+      if (((from_bitField0_ & 0x00000200) != 0)) {
+        result.inventoryRevision_ = inventoryRevision_;
+      }
     }
 
     @java.lang.Override
@@ -564,6 +784,48 @@
       if (other.getServedSinceAgeMillis() != 0L) {
         setServedSinceAgeMillis(other.getServedSinceAgeMillis());
       }
+      if (!other.custodians_.isEmpty()) {
+        if (custodians_.isEmpty()) {
+          custodians_ = other.custodians_;
+          bitField0_ |= 0x00000040;
+        } else {
+          ensureCustodiansIsMutable();
+          custodians_.addAll(other.custodians_);
+        }
+        onChanged();
+      }
+      if (homesBuilder_ == null) {
+        if (!other.homes_.isEmpty()) {
+          if (homes_.isEmpty()) {
+            homes_ = other.homes_;
+            bitField0_ = (bitField0_ & ~0x00000080);
+          } else {
+            ensureHomesIsMutable();
+            homes_.addAll(other.homes_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.homes_.isEmpty()) {
+          if (homesBuilder_.isEmpty()) {
+            homesBuilder_.dispose();
+            homesBuilder_ = null;
+            homes_ = other.homes_;
+            bitField0_ = (bitField0_ & ~0x00000080);
+            homesBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetHomesFieldBuilder() : null;
+          } else {
+            homesBuilder_.addAllMessages(other.homes_);
+          }
+        }
+      }
+      if (other.getHomesKnownAgeMillis() != 0L) {
+        setHomesKnownAgeMillis(other.getHomesKnownAgeMillis());
+      }
+      if (other.getInventoryRevision() != 0L) {
+        setInventoryRevision(other.getInventoryRevision());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -626,6 +888,34 @@
               bitField0_ |= 0x00000020;
               break;
             } // case 48
+            case 58: {
+              ensureCustodiansIsMutable();
+              custodians_.add(input.readStringRequireUtf8());
+              break;
+            } // case 58
+            case 66: {
+              org.merlinwood.wire.HomeSpan m =
+                  input.readMessage(
+                      org.merlinwood.wire.HomeSpan.parser(),
+                      extensionRegistry);
+              if (homesBuilder_ == null) {
+                ensureHomesIsMutable();
+                homes_.add(m);
+              } else {
+                homesBuilder_.addMessage(m);
+              }
+              break;
+            } // case 66
+            case 72: {
+              homesKnownAgeMillis_ = input.readSInt64();
+              bitField0_ |= 0x00000100;
+              break;
+            } // case 72
+            case 80: {
+              inventoryRevision_ = input.readUInt64();
+              bitField0_ |= 0x00000200;
+              break;
+            } // case 80
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1047,6 +1337,10 @@
 
     private long servedSinceAgeMillis_ ;
     /**
+     * <pre>
+     * How far back the table is complete.
+     * </pre>
+     *
      * <code>sint64 served_since_age_millis = 6;</code>
      * @return The servedSinceAgeMillis.
      */
@@ -1055,6 +1349,10 @@
       return servedSinceAgeMillis_;
     }
     /**
+     * <pre>
+     * How far back the table is complete.
+     * </pre>
+     *
      * <code>sint64 served_since_age_millis = 6;</code>
      * @param value The servedSinceAgeMillis to set.
      * @return This builder for chaining.
@@ -1067,6 +1365,10 @@
       return this;
     }
     /**
+     * <pre>
+     * How far back the table is complete.
+     * </pre>
+     *
      * <code>sint64 served_since_age_millis = 6;</code>
      * @return This builder for chaining.
      */
@@ -1077,6 +1379,475 @@
       return this;
     }
 
+    private com.google.protobuf.LazyStringArrayList custodians_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
+    private void ensureCustodiansIsMutable() {
+      if (!custodians_.isModifiable()) {
+        custodians_ = new com.google.protobuf.LazyStringArrayList(custodians_);
+      }
+      bitField0_ |= 0x00000040;
+    }
+    /**
+     * <pre>
+     * Instances that the sealed table was sent to; a successor asks each of them.
+     * </pre>
+     *
+     * <code>repeated string custodians = 7;</code>
+     * @return A list containing the custodians.
+     */
+    public com.google.protobuf.ProtocolStringList
+        getCustodiansList() {
+      custodians_.makeImmutable();
+      return custodians_;
+    }
+    /**
+     * <pre>
+     * Instances that the sealed table was sent to; a successor asks each of them.
+     * </pre>
+     *
+     * <code>repeated string custodians = 7;</code>
+     * @return The count of custodians.
+     */
+    public int getCustodiansCount() {
+      return custodians_.size();
+    }
+    /**
+     * <pre>
+     * Instances that the sealed table was sent to; a successor asks each of them.
+     * </pre>
+     *
+     * <code>repeated string custodians = 7;</code>
+     * @param index The index of the element to return.
+     * @return The custodians at the given index.
+     */
+    public java.lang.String getCustodians(int index) {
+      return custodians_.get(index);
+    }
+    /**
+     * <pre>
+     * Instances that the sealed table was sent to; a successor asks each of them.
+     * </pre>
+     *
+     * <code>repeated string custodians = 7;</code>
+     * @param index The index of the value to return.
+     * @return The bytes of the custodians at the given index.
+     */
+    public com.google.protobuf.ByteString
+        getCustodiansBytes(int index) {
+      return custodians_.getByteString(index);
+    }
+    /**
+     * <pre>
+     * Instances that the sealed table was sent to; a successor asks each of them.
+     * </pre>
+     *
+     * <code>repeated string custodians = 7;</code>
+     * @param index The index to set the value at.
+     * @param value The custodians to set.
+     * @return This builder for chaining.
+     */
+    public Builder setCustodians(
+        int index, java.lang.String value) {
+      java.util.Objects.requireNonNull(value);
+      ensureCustodiansIsMutable();
+      custodians_.set(index, value);
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Instances that the sealed table was sent to; a successor asks each of them.
+     * </pre>
+     *
+     * <code>repeated string custodians = 7;</code>
+     * @param value The custodians to add.
+     * @return This builder for chaining.
+     */
+    public Builder addCustodians(
+        java.lang.String value) {
+      java.util.Objects.requireNonNull(value);
+      ensureCustodiansIsMutable();
+      custodians_.add(value);
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Instances that the sealed table was sent to; a successor asks each of them.
+     * </pre>
+     *
+     * <code>repeated string custodians = 7;</code>
+     * @param values The custodians to add.
+     * @return This builder for chaining.
+     */
+    public Builder addAllCustodians(
+        java.lang.Iterable<java.lang.String> values) {
+      ensureCustodiansIsMutable();
+      com.google.protobuf.AbstractMessageLite.Builder.addAll(
+          values, custodians_);
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Instances that the sealed table was sent to; a successor asks each of them.
+     * </pre>
+     *
+     * <code>repeated string custodians = 7;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearCustodians() {
+      custodians_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
+      bitField0_ = (bitField0_ & ~0x00000040);;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Instances that the sealed table was sent to; a successor asks each of them.
+     * </pre>
+     *
+     * <code>repeated string custodians = 7;</code>
+     * @param value The bytes of the custodians to add.
+     * @return This builder for chaining.
+     */
+    public Builder addCustodiansBytes(
+        com.google.protobuf.ByteString value) {
+      java.util.Objects.requireNonNull(value);
+      checkByteStringIsUtf8(value);
+      ensureCustodiansIsMutable();
+      custodians_.add(value);
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+
+    private java.util.List<org.merlinwood.wire.HomeSpan> homes_ =
+      java.util.Collections.emptyList();
+    private void ensureHomesIsMutable() {
+      if (!((bitField0_ & 0x00000080) != 0)) {
+        homes_ = new java.util.ArrayList<org.merlinwood.wire.HomeSpan>(homes_);
+        bitField0_ |= 0x00000080;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.merlinwood.wire.HomeSpan, org.merlinwood.wire.HomeSpan.Builder, org.merlinwood.wire.HomeSpanOrBuilder> homesBuilder_;
+
+    /**
+     * <code>repeated .merlinwood.wire.v1.HomeSpan homes = 8;</code>
+     */
+    public java.util.List<org.merlinwood.wire.HomeSpan> getHomesList() {
+      if (homesBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(homes_);
+      } else {
+        return homesBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <code>repeated .merlinwood.wire.v1.HomeSpan homes = 8;</code>
+     */
+    public int getHomesCount() {
+      if (homesBuilder_ == null) {
+        return homes_.size();
+      } else {
+        return homesBuilder_.getCount();
+      }
+    }
+    /**
+     * <code>repeated .merlinwood.wire.v1.HomeSpan homes = 8;</code>
+     */
+    public org.merlinwood.wire.HomeSpan getHomes(int index) {
+      if (homesBuilder_ == null) {
+        return homes_.get(index);
+      } else {
+        return homesBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <code>repeated .merlinwood.wire.v1.HomeSpan homes = 8;</code>
+     */
+    public Builder setHomes(
+        int index, org.merlinwood.wire.HomeSpan value) {
+      if (homesBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureHomesIsMutable();
+        homes_.set(index, value);
+        onChanged();
+      } else {
+        homesBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .merlinwood.wire.v1.HomeSpan homes = 8;</code>
+     */
+    public Builder setHomes(
+        int index, org.merlinwood.wire.HomeSpan.Builder builderForValue) {
+      if (homesBuilder_ == null) {
+        ensureHomesIsMutable();
+        homes_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        homesBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .merlinwood.wire.v1.HomeSpan homes = 8;</code>
+     */
+    public Builder addHomes(org.merlinwood.wire.HomeSpan value) {
+      if (homesBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureHomesIsMutable();
+        homes_.add(value);
+        onChanged();
+      } else {
+        homesBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .merlinwood.wire.v1.HomeSpan homes = 8;</code>
+     */
+    public Builder addHomes(
+        int index, org.merlinwood.wire.HomeSpan value) {
+      if (homesBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureHomesIsMutable();
+        homes_.add(index, value);
+        onChanged();
+      } else {
+        homesBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .merlinwood.wire.v1.HomeSpan homes = 8;</code>
+     */
+    public Builder addHomes(
+        org.merlinwood.wire.HomeSpan.Builder builderForValue) {
+      if (homesBuilder_ == null) {
+        ensureHomesIsMutable();
+        homes_.add(builderForValue.build());
+        onChanged();
+      } else {
+        homesBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .merlinwood.wire.v1.HomeSpan homes = 8;</code>
+     */
+    public Builder addHomes(
+        int index, org.merlinwood.wire.HomeSpan.Builder builderForValue) {
+      if (homesBuilder_ == null) {
+        ensureHomesIsMutable();
+        homes_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        homesBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .merlinwood.wire.v1.HomeSpan homes = 8;</code>
+     */
+    public Builder addAllHomes(
+        java.lang.Iterable<? extends org.merlinwood.wire.HomeSpan> values) {
+      if (homesBuilder_ == null) {
+        ensureHomesIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, homes_);
+        onChanged();
+      } else {
+        homesBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .merlinwood.wire.v1.HomeSpan homes = 8;</code>
+     */
+    public Builder clearHomes() {
+      if (homesBuilder_ == null) {
+        homes_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000080);
+        onChanged();
+      } else {
+        homesBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .merlinwood.wire.v1.HomeSpan homes = 8;</code>
+     */
+    public Builder removeHomes(int index) {
+      if (homesBuilder_ == null) {
+        ensureHomesIsMutable();
+        homes_.remove(index);
+        onChanged();
+      } else {
+        homesBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .merlinwood.wire.v1.HomeSpan homes = 8;</code>
+     */
+    public org.merlinwood.wire.HomeSpan.Builder getHomesBuilder(
+        int index) {
+      return internalGetHomesFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <code>repeated .merlinwood.wire.v1.HomeSpan homes = 8;</code>
+     */
+    public org.merlinwood.wire.HomeSpanOrBuilder getHomesOrBuilder(
+        int index) {
+      if (homesBuilder_ == null) {
+        return homes_.get(index);  } else {
+        return homesBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <code>repeated .merlinwood.wire.v1.HomeSpan homes = 8;</code>
+     */
+    public java.util.List<? extends org.merlinwood.wire.HomeSpanOrBuilder> 
+         getHomesOrBuilderList() {
+      if (homesBuilder_ != null) {
+        return homesBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(homes_);
+      }
+    }
+    /**
+     * <code>repeated .merlinwood.wire.v1.HomeSpan homes = 8;</code>
+     */
+    public org.merlinwood.wire.HomeSpan.Builder addHomesBuilder() {
+      return internalGetHomesFieldBuilder().addBuilder(
+          org.merlinwood.wire.HomeSpan.getDefaultInstance());
+    }
+    /**
+     * <code>repeated .merlinwood.wire.v1.HomeSpan homes = 8;</code>
+     */
+    public org.merlinwood.wire.HomeSpan.Builder addHomesBuilder(
+        int index) {
+      return internalGetHomesFieldBuilder().addBuilder(
+          index, org.merlinwood.wire.HomeSpan.getDefaultInstance());
+    }
+    /**
+     * <code>repeated .merlinwood.wire.v1.HomeSpan homes = 8;</code>
+     */
+    public java.util.List<org.merlinwood.wire.HomeSpan.Builder> 
+         getHomesBuilderList() {
+      return internalGetHomesFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.merlinwood.wire.HomeSpan, org.merlinwood.wire.HomeSpan.Builder, org.merlinwood.wire.HomeSpanOrBuilder> 
+        internalGetHomesFieldBuilder() {
+      if (homesBuilder_ == null) {
+        homesBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.merlinwood.wire.HomeSpan, org.merlinwood.wire.HomeSpan.Builder, org.merlinwood.wire.HomeSpanOrBuilder>(
+                homes_,
+                ((bitField0_ & 0x00000080) != 0),
+                getParentForChildren(),
+                isClean());
+        homes_ = null;
+      }
+      return homesBuilder_;
+    }
+
+    private long homesKnownAgeMillis_ ;
+    /**
+     * <pre>
+     * How far back the sender knows every revision of the inventory.
+     * </pre>
+     *
+     * <code>sint64 homes_known_age_millis = 9;</code>
+     * @return The homesKnownAgeMillis.
+     */
+    @java.lang.Override
+    public long getHomesKnownAgeMillis() {
+      return homesKnownAgeMillis_;
+    }
+    /**
+     * <pre>
+     * How far back the sender knows every revision of the inventory.
+     * </pre>
+     *
+     * <code>sint64 homes_known_age_millis = 9;</code>
+     * @param value The homesKnownAgeMillis to set.
+     * @return This builder for chaining.
+     */
+    public Builder setHomesKnownAgeMillis(long value) {
+
+      homesKnownAgeMillis_ = value;
+      bitField0_ |= 0x00000100;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * How far back the sender knows every revision of the inventory.
+     * </pre>
+     *
+     * <code>sint64 homes_known_age_millis = 9;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearHomesKnownAgeMillis() {
+      bitField0_ = (bitField0_ & ~0x00000100);
+      homesKnownAgeMillis_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private long inventoryRevision_ ;
+    /**
+     * <pre>
+     * Revision of the inventory under which the sender has sealed.
+     * </pre>
+     *
+     * <code>uint64 inventory_revision = 10;</code>
+     * @return The inventoryRevision.
+     */
+    @java.lang.Override
+    public long getInventoryRevision() {
+      return inventoryRevision_;
+    }
+    /**
+     * <pre>
+     * Revision of the inventory under which the sender has sealed.
+     * </pre>
+     *
+     * <code>uint64 inventory_revision = 10;</code>
+     * @param value The inventoryRevision to set.
+     * @return This builder for chaining.
+     */
+    public Builder setInventoryRevision(long value) {
+
+      inventoryRevision_ = value;
+      bitField0_ |= 0x00000200;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Revision of the inventory under which the sender has sealed.
+     * </pre>
+     *
+     * <code>uint64 inventory_revision = 10;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearInventoryRevision() {
+      bitField0_ = (bitField0_ & ~0x00000200);
+      inventoryRevision_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:merlinwood.wire.v1.TablePart)
   }
 
--- a/wire-generated/src/main/java/org/merlinwood/wire/TablePartOrBuilder.java
+++ b/wire-generated/src/main/java/org/merlinwood/wire/TablePartOrBuilder.java
@@ -65,8 +65,97 @@
       int index);
 
   /**
+   * <pre>
+   * How far back the table is complete.
+   * </pre>
+   *
    * <code>sint64 served_since_age_millis = 6;</code>
    * @return The servedSinceAgeMillis.
    */
   long getServedSinceAgeMillis();
+
+  /**
+   * <pre>
+   * Instances that the sealed table was sent to; a successor asks each of them.
+   * </pre>
+   *
+   * <code>repeated string custodians = 7;</code>
+   * @return A list containing the custodians.
+   */
+  java.util.List<java.lang.String>
+      getCustodiansList();
+  /**
+   * <pre>
+   * Instances that the sealed table was sent to; a successor asks each of them.
+   * </pre>
+   *
+   * <code>repeated string custodians = 7;</code>
+   * @return The count of custodians.
+   */
+  int getCustodiansCount();
+  /**
+   * <pre>
+   * Instances that the sealed table was sent to; a successor asks each of them.
+   * </pre>
+   *
+   * <code>repeated string custodians = 7;</code>
+   * @param index The index of the element to return.
+   * @return The custodians at the given index.
+   */
+  java.lang.String getCustodians(int index);
+  /**
+   * <pre>
+   * Instances that the sealed table was sent to; a successor asks each of them.
+   * </pre>
+   *
+   * <code>repeated string custodians = 7;</code>
+   * @param index The index of the value to return.
+   * @return The bytes of the custodians at the given index.
+   */
+  com.google.protobuf.ByteString
+      getCustodiansBytes(int index);
+
+  /**
+   * <code>repeated .merlinwood.wire.v1.HomeSpan homes = 8;</code>
+   */
+  java.util.List<org.merlinwood.wire.HomeSpan> 
+      getHomesList();
+  /**
+   * <code>repeated .merlinwood.wire.v1.HomeSpan homes = 8;</code>
+   */
+  org.merlinwood.wire.HomeSpan getHomes(int index);
+  /**
+   * <code>repeated .merlinwood.wire.v1.HomeSpan homes = 8;</code>
+   */
+  int getHomesCount();
+  /**
+   * <code>repeated .merlinwood.wire.v1.HomeSpan homes = 8;</code>
+   */
+  java.util.List<? extends org.merlinwood.wire.HomeSpanOrBuilder> 
+      getHomesOrBuilderList();
+  /**
+   * <code>repeated .merlinwood.wire.v1.HomeSpan homes = 8;</code>
+   */
+  org.merlinwood.wire.HomeSpanOrBuilder getHomesOrBuilder(
+      int index);
+
+  /**
+   * <pre>
+   * How far back the sender knows every revision of the inventory.
+   * </pre>
+   *
+   * <code>sint64 homes_known_age_millis = 9;</code>
+   * @return The homesKnownAgeMillis.
+   */
+  long getHomesKnownAgeMillis();
+
+  /**
+   * <pre>
+   * Revision of the inventory under which the sender has sealed.
+   * </pre>
+   *
+   * <code>uint64 inventory_revision = 10;</code>
+   * @return The inventoryRevision.
+   */
+  long getInventoryRevision();
 }
--- a/wire-generated/src/main/java/org/merlinwood/wire/TableRequest.java
+++ b/wire-generated/src/main/java/org/merlinwood/wire/TableRequest.java
@@ -6,6 +6,11 @@
 package org.merlinwood.wire;
 
 /**
+ * <pre>
+ * Asks the peer for its own table's keys that moved, if home names the peer, else for the sealed table of an instance
+ * that has ended and left it in the peer's custody; that table is then given away for good.
+ * </pre>
+ *
  * Protobuf type {@code merlinwood.wire.v1.TableRequest}
  */
 @com.google.protobuf.Generated
@@ -272,6 +277,11 @@
     return builder;
   }
   /**
+   * <pre>
+   * Asks the peer for its own table's keys that moved, if home names the peer, else for the sealed table of an instance
+   * that has ended and left it in the peer's custody; that table is then given away for good.
+   * </pre>
+   *
    * Protobuf type {@code merlinwood.wire.v1.TableRequest}
    */
   public static final class Builder extends
