A subscriber whose service fails as well goes on to other domains, and compares now and then

Cause: a process third or fourth in its domain's order had only the two readers as candidates; with them mute and its own service down it stayed behind though other domains had the news. A subscriber whose peer is cut off from all news had no other source. Change: backup candidates in other domains when the service fails; subscribers compare with a reader drawn at random at every tenth turn (about 15 s), readers at each. Ruled out: later ones of the own domain as backups, since two subscribers could then wait for each other.

--- a/following/src/main/java/org/merlinwood/following/impl/PeerFollowing.java
+++ b/following/src/main/java/org/merlinwood/following/impl/PeerFollowing.java
@@ -20,6 +20,7 @@
 final class PeerFollowing implements PeerSubscriber.Listener {
 
     private static final long COMPARE_MILLIS = 1_500;
+    private static final int SUBSCRIBER_COMPARE_TURNS = 10;
     private static final long CATCH_UP_JITTER_MILLIS = 200;
     private static final long CATCH_UP_INTERVAL_MILLIS = 1_000;
     private static final long SEED_RETRY_MILLIS = 2_000;
@@ -49,6 +50,7 @@
     private final List<NetworkAddress> seeds;
     private Optional<ReaderPlan> plan = Optional.empty();
     private int seedTurn;
+    private int compareTurn;
     private boolean catchingUp;
     private boolean fetchingNow;
     private boolean closed;
@@ -107,15 +109,10 @@
         if (closed || plan.isEmpty()) {
             return;
         }
-        if (!plan.get().nominalReader()) {
-            subscriber.follow(plan.get().candidates());
-            return;
-        }
-        watching.start();
-        if (watching.failures() >= FAILURES_BEFORE_BACKUP) {
-            subscriber.follow(plan.get().candidates());
-        } else if (watching.failures() == 0) {
-            subscriber.stop();
+        if (plan.get().nominalReader()) {
+            reconsiderAsReader(plan.get());
+        } else {
+            reconsiderAsSubscriber(plan.get());
         }
     }
 
@@ -166,6 +163,25 @@
 
     // ------------------------------------------------------------------ internals
 
+    private void reconsiderAsReader(ReaderPlan order) {
+        watching.start();
+        if (serviceFails()) {
+            subscriber.follow(order.backups());
+        } else if (watching.failures() == 0) {
+            subscriber.stop();
+        }
+    }
+
+    private void reconsiderAsSubscriber(ReaderPlan order) {
+        boolean onBackup =
+                subscriber.isSubscribedToOneOf(order.backups()) && !subscriber.isSubscribedToOneOf(order.candidates());
+        subscriber.follow(serviceFails() || onBackup ? order.backups() : order.candidates());
+    }
+
+    private boolean serviceFails() {
+        return watching.isRunning() && watching.failures() >= FAILURES_BEFORE_BACKUP;
+    }
+
     /** Asks one seed peer after the other, so that only the first sends whole documents. */
     private void askSeeds() {
         askSeed(0, ++seedTurn);
@@ -194,16 +210,20 @@
         timer.schedule(NEXT_SEED_MILLIS, next);
     }
 
+    /** A reader compares at each turn; a subscriber seldom, in case that its peer is cut off from all news itself. */
     private void compare() {
         if (!closed) {
-            compareNow();
+            compareTurn++;
+            if (watching.isRunning() || compareTurn % SUBSCRIBER_COMPARE_TURNS == 0) {
+                compareNow();
+            }
             timer.schedule(jitter.around(COMPARE_MILLIS), this::compare);
         }
     }
 
     private void compareNow() {
         List<NetworkAddress> readers = plan.map(ReaderPlan::readers).orElse(List.of());
-        if (watching.isRunning() && !readers.isEmpty()) {
+        if (!readers.isEmpty()) {
             fetch(peers.at(readers.get(jitter.index(readers.size()))), store.revisions());
         }
     }
--- a/following/src/main/java/org/merlinwood/following/impl/PeerSubscriber.java
+++ b/following/src/main/java/org/merlinwood/following/impl/PeerSubscriber.java
@@ -75,12 +75,8 @@
 
     // ------------------------------------------------------------------ state
 
-    boolean isRunning() {
-        return running;
-    }
-
-    boolean isSubscribed() {
-        return subscribedTo.isPresent();
+    boolean isSubscribedToOneOf(List<NetworkAddress> addresses) {
+        return subscribedTo.isPresent() && addresses.contains(subscribedTo.get());
     }
 
     /** Address of the peer, empty if none. */
--- a/following/src/main/java/org/merlinwood/following/impl/ReaderPlan.java
+++ b/following/src/main/java/org/merlinwood/following/impl/ReaderPlan.java
@@ -21,11 +21,16 @@
  * changes; the first {@link #READERS} read.
  *
  * @param nominalReader whether this process is one of the first
- * @param candidates whom to subscribe to, in order; when none answers, the process reads itself. For a reader, whose
- *     service has failed, those of other domains come first, since the other reader of its own domain may see the same
+ * @param candidates whom to subscribe to, in order; when none answers, the process reads itself
+ * @param backups whom to subscribe to when the service fails as well; for a reader those of other domains come first,
+ *     since the other reader of its own domain may see the same failure
  * @param readers readers other than this process, whom a reader compares its revisions with
  */
-record ReaderPlan(boolean nominalReader, List<NetworkAddress> candidates, List<NetworkAddress> readers) {
+record ReaderPlan(
+        boolean nominalReader,
+        List<NetworkAddress> candidates,
+        List<NetworkAddress> backups,
+        List<NetworkAddress> readers) {
 
     /** Readers in each failure domain. */
     static final int READERS = 2;
@@ -35,6 +40,7 @@
 
     ReaderPlan {
         candidates = List.copyOf(candidates);
+        backups = List.copyOf(backups);
         readers = List.copyOf(readers);
     }
 
@@ -45,13 +51,15 @@
         List<Instance> own = orders.getOrDefault(domain, List.of());
         int position = position(own, self);
         boolean nominal = position >= 0 && position < READERS;
-        List<NetworkAddress> candidates = new ArrayList<>(domainCandidates(own, self, position));
-        if (nominal) {
-            candidates.addAll(0, foreignCandidates(orders, domain, self));
-        } else if (position < 0 || position >= DOMAIN_CANDIDATES) {
-            candidates.addAll(foreignCandidates(orders, domain, self));
-        }
-        return new ReaderPlan(nominal, candidates, otherReaders(orders, self));
+        boolean amongFirst = position >= 0 && position < DOMAIN_CANDIDATES;
+        List<NetworkAddress> near = domainCandidates(own, self, position);
+        List<NetworkAddress> foreign = foreignCandidates(orders, domain, self);
+        List<NetworkAddress> nearFirst = joined(near, foreign);
+        return new ReaderPlan(
+                nominal,
+                amongFirst ? near : nearFirst,
+                nominal ? joined(foreign, near) : nearFirst,
+                otherReaders(orders, self));
     }
 
     // ------------------------------------------------------------------ internals
@@ -103,6 +111,12 @@
         return addresses(readers, self);
     }
 
+    private static List<NetworkAddress> joined(List<NetworkAddress> first, List<NetworkAddress> second) {
+        List<NetworkAddress> joined = new ArrayList<>(first);
+        joined.addAll(second);
+        return joined;
+    }
+
     private static List<NetworkAddress> addresses(List<Instance> instances, InstanceName self) {
         return instances.stream()
                 .filter(instance -> !instance.name().equals(self))
--- a/following/src/test/java/org/merlinwood/following/impl/FakeFleet.java
+++ b/following/src/test/java/org/merlinwood/following/impl/FakeFleet.java
@@ -29,6 +29,7 @@
     private final Set<Link> links = new HashSet<>();
     private BiPredicate<Integer, Integer> cut = (from, to) -> false;
     private Predicate<Integer> mute = index -> false;
+    private int losing = -1;
 
     FakeFleet(int size, List<NetworkAddress> seedPeers) {
         IntStream.range(0, size).forEach(index -> add(index, service, seedPeers));
@@ -65,6 +66,11 @@
         mute = indices;
     }
 
+    /** Updates that are sent to a subscriber's present subscriptions are lost from now on. */
+    void loseUpdatesTo(int index) {
+        losing = index;
+    }
+
     void heal() {
         cut = (from, to) -> false;
     }
@@ -169,7 +175,7 @@
         }
 
         private boolean send(List<DocumentUpdate> updates) {
-            if (!cut.test(from, to)) {
+            if (!cut.test(from, to) && from != losing) {
                 timer.schedule(LATENCY_MILLIS, () -> {
                     if (links.contains(this)) {
                         listener.onUpdates(updates);
--- a/following/src/test/java/org/merlinwood/following/impl/PeerFollowingTest.java
+++ b/following/src/test/java/org/merlinwood/following/impl/PeerFollowingTest.java
@@ -112,15 +112,32 @@
 
     @Test
     void readersThatAcceptButNeverAnswerArePassedOver() {
-        List<Integer> mute = fleet.readers();
+        ConfigurationService unreachable =
+                (document, after, wait) -> CompletableFuture.completedFuture(new ServiceAnswer.Unavailable("cut"));
+        List<Integer> mute = fleet.readers().stream()
+                .filter(index -> TestDocuments.domain(index).equals(TestDocuments.domain(20)))
+                .toList();
+        assertThat(mute).doesNotContain(20);
         fleet.mute(mute::contains);
-        fleet.add(20, fleet.service, SEEDS);
+        FollowerCore other = fleet.add(20, unreachable, SEEDS);
         fleet.timer.run(SETTLING_MILLIS);
         publish(6);
         fleet.timer.run(WITHIN_MILLIS);
 
-        assertThat(mute).doesNotContain(20);
-        assertThat(fleet.followers.get(20).revisions().inventory()).isEqualTo(6);
+        assertThat(other.revisions().inventory()).isEqualTo(6);
+    }
+
+    @Test
+    void aSubscriberWhosePeerIsCutOffFromAllNewsComparesWithAnother() {
+        List<Integer> readers = fleet.readers();
+        FollowerCore other = fleet.add(20, fleet.service, SEEDS);
+        fleet.timer.run(SETTLING_MILLIS);
+        fleet.loseUpdatesTo(20);
+        publish(6);
+        fleet.timer.run(SETTLING_MILLIS + SETTLING_MILLIS);
+
+        assertThat(readers).doesNotContain(20);
+        assertThat(other.revisions().inventory()).isEqualTo(6);
     }
 
     @Test
