At most once in the sidecar: claims, joins, replays, sealed handover

A key is claimed on the control thread at execute, after everything that may forbid it was judged there by the inventory and rules in force; from then on its call counts as one that may have run. A resend joins the call that runs, or gets its stored answer; a call whose connection is lost runs to its end, so that its outcome becomes known. What ended without a whole answer is told as OUTCOME_UNKNOWN.

A process that ends hands its table to two peers, which give it away once; its successor counts it only if every custodian gives it. Keys that an inventory moved are asked for at their old homes.

Ruled out while writing: a successor could have mistaken the table of an earlier process for its predecessor's, had one lived in between without reaching the custodians. The keys that such a process can have run are those made after the sealing, so these stay withheld for the horizon.

--- a/decision/src/main/java/org/merlinwood/decision/idempotency/KeyBarrier.java
+++ b/decision/src/main/java/org/merlinwood/decision/idempotency/KeyBarrier.java
@@ -33,7 +33,9 @@
     private KeyBarrierLimits limits = new KeyBarrierLimits(Long.MAX_VALUE / 4, 0);
     private Optional<ServiceName> service = Optional.empty();
     private Set<InstanceName> homes = Set.of();
+    private final long startedAtMillis;
     private long completeSinceMillis;
+    private long sealedAtMillis;
 
     // ------------------------------------------------------------------ configuration
 
@@ -53,7 +55,9 @@
         this.secrets = List.copyOf(secrets);
         this.clock = clock;
         this.chain = chain;
-        this.completeSinceMillis = clock.monotonicMillis();
+        this.startedAtMillis = clock.monotonicMillis();
+        this.completeSinceMillis = startedAtMillis;
+        this.sealedAtMillis = startedAtMillis;
     }
 
     /**
@@ -72,12 +76,13 @@
     /**
      * The sealed table of the process that ran here before was taken over whole.
      *
-     * @param predecessor its incarnation
-     * @param completeMillis how far back that process knew what was run here, in milliseconds
+     * @param table the table
      */
-    public void adopted(Incarnation predecessor, long completeMillis) {
-        adopted.add(predecessor);
-        completeSinceMillis = Math.min(completeSinceMillis, clock.monotonicMillis() - completeMillis);
+    public void adopted(SealedTable table) {
+        long now = clock.monotonicMillis();
+        adopted.add(table.incarnation());
+        completeSinceMillis = Math.min(startedAtMillis, now - table.completeMillis());
+        sealedAtMillis = Math.min(startedAtMillis, now - table.sealedMillis());
     }
 
     // ------------------------------------------------------------------ public API
@@ -180,15 +185,24 @@
     }
 
     private Optional<Failure> withheldAfterRestart(ScopedKey key) {
-        boolean ownKnown = completeSinceMillis <= chain.ownSinceMillis(key.key());
-        long ownSinceMillis = ownKnown ? Long.MIN_VALUE : completeSinceMillis;
-        long sinceMillis = Math.max(ownSinceMillis, chain.completeSinceMillis(key.key()));
+        boolean homeSinceStart = startedAtMillis <= chain.ownSinceMillis(key.key());
+        Optional<Failure> own =
+                homeSinceStart || isBetweenProcesses(key) ? Optional.empty() : olderThan(key, completeSinceMillis);
+        Optional<Failure> between =
+                !homeSinceStart && isBetweenProcesses(key) ? olderThan(key, startedAtMillis) : Optional.empty();
+        return own.or(() -> between).or(() -> olderThan(key, chain.completeSinceMillis(key.key())));
+    }
+
+    /** Withholds a key for the horizon unless it proves to be younger than what is known. */
+    private Optional<Failure> olderThan(ScopedKey key, long sinceMillis) {
         if (sinceMillis == Long.MIN_VALUE) {
             return Optional.empty();
         }
         long knownMillis = clock.monotonicMillis() - sinceMillis;
         long leftMillis = limits.horizonMillis() - knownMillis;
-        if (leftMillis <= 0 || isYoungerThan(key, clock.wallMillis() - knownMillis)) {
+        OptionalLong time = KeyTime.of(key.key());
+        boolean younger = time.isPresent() && time.getAsLong() > wallMillis(sinceMillis) + limits.clockBoundMillis();
+        if (leftMillis <= 0 || younger) {
             return Optional.empty();
         }
         return Optional.of(Failure.retryable(
@@ -197,9 +211,17 @@
                 leftMillis));
     }
 
-    private boolean isYoungerThan(ScopedKey key, long wallMillis) {
+    /**
+     * Tells whether a key was made after the predecessor had sealed its table. Another process may have lived between
+     * the two, and such a key is the only kind that it can have run.
+     */
+    private boolean isBetweenProcesses(ScopedKey key) {
         OptionalLong time = KeyTime.of(key.key());
-        return time.isPresent() && time.getAsLong() > wallMillis + limits.clockBoundMillis();
+        return time.isPresent() && time.getAsLong() >= wallMillis(sealedAtMillis) - limits.clockBoundMillis();
+    }
+
+    private long wallMillis(long monotonicMillis) {
+        return clock.wallMillis() - (clock.monotonicMillis() - monotonicMillis);
     }
 
     /** Judged early by the clock bound, so that no key is still accepted after the table has forgotten it. */
--- a/decision/src/test/java/org/merlinwood/decision/idempotency/KeyBarrierTest.java
+++ b/decision/src/test/java/org/merlinwood/decision/idempotency/KeyBarrierTest.java
@@ -22,6 +22,7 @@
 
     private static final long HORIZON_MILLIS = 600_000;
     private static final long CLOCK_BOUND_MILLIS = 2_000;
+    private static final long SEALED_MILLIS = 4_000;
     private static final ServiceName SERVICE = new ServiceName("ledger");
     private static final CallerName CALLER = new CallerName("station-7");
     private static final SharedKey SECRET = new SharedKey(1, "11".repeat(32));
@@ -56,7 +57,7 @@
 
     @Test
     void aMintedKeyOfAPredecessorWhoseTableWasTakenOverRuns() {
-        barrier.adopted(PREDECESSOR, HORIZON_MILLIS);
+        barrier.adopted(sealedTable(HORIZON_MILLIS));
         assertRuns(minted(SELF, PREDECESSOR));
     }
 
@@ -92,12 +93,21 @@
 
     @Test
     void aTakenOverTableLiftsTheBarrierAsFarBackAsItIsComplete() {
-        barrier.adopted(PREDECESSOR, HORIZON_MILLIS / 2);
+        barrier.adopted(sealedTable(HORIZON_MILLIS / 2));
         assertWithheld(new IdempotencyKey("booking-1"), ResultCode.KEY_WITHHELD_AFTER_RESTART);
         clock.advanceMillis(HORIZON_MILLIS / 2);
         assertRuns(new IdempotencyKey("booking-1"));
     }
 
+    @Test
+    void aKeyMadeBetweenTheSealingAndTheStartIsWithheld() {
+        barrier.adopted(sealedTable(HORIZON_MILLIS));
+        assertRuns(new IdempotencyKey("booking-1"));
+        assertRuns(versionSeven(clock.wallMillis() - SEALED_MILLIS - CLOCK_BOUND_MILLIS - 1));
+        assertWithheld(versionSeven(clock.wallMillis() - SEALED_MILLIS / 2), ResultCode.KEY_WITHHELD_AFTER_RESTART);
+        assertRuns(versionSeven(clock.wallMillis() + CLOCK_BOUND_MILLIS + 1));
+    }
+
     // ------------------------------------------------------------------ moves of homes
 
     @Test
@@ -196,6 +206,10 @@
 
     // ------------------------------------------------------------------ internals
 
+    private static SealedTable sealedTable(long completeMillis) {
+        return new SealedTable(SELF, PREDECESSOR, List.of(), completeMillis, SEALED_MILLIS, Set.of(OLD_HOME));
+    }
+
     /** This instance is listed from revision 7 on, long after its process began. */
     private void moveHere() {
         clock.advanceMillis(HORIZON_MILLIS);
--- /dev/null
+++ b/decision/src/test/java/org/merlinwood/decision/idempotency/SealedTableTest.java
@@ -0,0 +1,89 @@
+package org.merlinwood.decision.idempotency;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.Collections;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.merlinwood.core.identity.CallerName;
+import org.merlinwood.core.identity.IdempotencyKey;
+import org.merlinwood.core.identity.Incarnation;
+import org.merlinwood.core.identity.InstanceName;
+import org.merlinwood.core.time.ManualMillisClock;
+
+/** Custody of sealed tables, and what a successor may conclude from them. */
+final class SealedTableTest {
+
+    private static final InstanceName HOME = new InstanceName("ledger-1");
+    private static final InstanceName FIRST = new InstanceName("runner-1");
+    private static final InstanceName SECOND = new InstanceName("runner-2");
+    private static final Incarnation OLDER = new Incarnation(1);
+    private static final Incarnation NEWER = new Incarnation(2);
+    private static final long HORIZON_MILLIS = 60_000;
+
+    private final ManualMillisClock clock = new ManualMillisClock(0);
+    private final Custody custody = new Custody(clock);
+    private final PredecessorInquiry inquiry = new PredecessorInquiry(Set.of(FIRST));
+
+    @BeforeEach
+    void configure() {
+        custody.configure(new KeyTableLimits(10, 1_000, HORIZON_MILLIS));
+    }
+
+    @Test
+    void aTableIsGivenAwayOnceAndHasAged() {
+        custody.keep(table(OLDER, 5));
+        clock.advanceMillis(100);
+        SealedTable taken = custody.take(HOME).orElseThrow();
+        assertThat(taken.sealedMillis()).isEqualTo(105);
+        assertThat(taken.entries().getFirst().ageMillis()).isEqualTo(100);
+        assertThat(custody.take(HOME)).isEmpty();
+    }
+
+    @Test
+    void aTableIsForgottenAfterTheHorizon() {
+        custody.keep(table(OLDER, 5));
+        clock.advanceMillis(HORIZON_MILLIS);
+        assertThat(custody.take(HOME)).isEmpty();
+    }
+
+    @Test
+    void aTableOverTheBoundsIsNotTaken() {
+        SealedTable small = table(OLDER, 5);
+        SealedTable large = new SealedTable(
+                HOME, OLDER, Collections.nCopies(11, small.entries().getFirst()), 0, 0, Set.of());
+        assertThat(custody.keep(large)).isFalse();
+    }
+
+    @Test
+    void aTableCountsOnceEveryCustodianHasGivenIt() {
+        inquiry.answered(FIRST, Optional.of(table(OLDER, 5)));
+        assertThat(inquiry.open()).containsExactly(SECOND);
+        assertThat(inquiry.predecessor()).isEmpty();
+        inquiry.answered(SECOND, Optional.of(table(OLDER, 5)));
+        assertThat(inquiry.predecessor()).isPresent();
+    }
+
+    @Test
+    void aTableThatACustodianHasGivenAwayBeforeDoesNotCount() {
+        inquiry.answered(FIRST, Optional.of(table(OLDER, 5)));
+        inquiry.answered(SECOND, Optional.empty());
+        assertThat(inquiry.predecessor()).isEmpty();
+    }
+
+    @Test
+    void anOlderTableDoesNotCountWhereANewerOneIsIncomplete() {
+        inquiry.answered(FIRST, Optional.of(table(OLDER, 500)));
+        inquiry.answered(SECOND, Optional.of(table(NEWER, 5)));
+        assertThat(inquiry.predecessor()).isEmpty();
+    }
+
+    private static SealedTable table(Incarnation incarnation, long sealedMillis) {
+        ScopedKey key = new ScopedKey(new CallerName("station-7"), new IdempotencyKey("a"));
+        KeyTableEntry entry = new KeyTableEntry(key, new Fingerprint("aa"), KeyState.UNKNOWN, 0, Optional.empty());
+        return new SealedTable(HOME, incarnation, List.of(entry), 1_000, sealedMillis, Set.of(FIRST, SECOND));
+    }
+}
--- a/sidecar/src/main/java/org/merlinwood/sidecar/SidecarExchanges.java
+++ b/sidecar/src/main/java/org/merlinwood/sidecar/SidecarExchanges.java
@@ -1,5 +1,7 @@
 package org.merlinwood.sidecar;
 
+import java.util.ArrayList;
+import java.util.List;
 import java.util.function.BiConsumer;
 import org.merlinwood.core.identity.Revisions;
 import org.merlinwood.core.result.Failure;
@@ -13,26 +15,33 @@
 import org.merlinwood.sidecar.admission.ExecutionFactory;
 import org.merlinwood.sidecar.admission.ExecutionStage;
 import org.merlinwood.sidecar.admission.GrantStage;
+import org.merlinwood.sidecar.key.HandoverStage;
 import org.merlinwood.wire.Cancel;
 import org.merlinwood.wire.Frame;
 import org.merlinwood.wire.RequestIdentity;
+import org.merlinwood.wire.TablePart;
 
 /** Hands frames of exchanges from the event loops to the control thread, in their order. Thread-safe. */
 final class SidecarExchanges extends BaseProtocolObserver {
 
+    private static final int MAXIMUM_TABLE_PARTS = 256;
+
     private final ControlLoop loop;
     private final GrantStage grants;
     private final ExecutionStage executions;
+    private final HandoverStage handover;
     private final BiConsumer<PeerConnection, Revisions> onPeerRevisions;
 
     SidecarExchanges(
             ControlLoop loop,
             GrantStage grants,
             ExecutionStage executions,
+            HandoverStage handover,
             BiConsumer<PeerConnection, Revisions> onPeerRevisions) {
         this.loop = loop;
         this.grants = grants;
         this.executions = executions;
+        this.handover = handover;
         this.onPeerRevisions = onPeerRevisions;
     }
 
@@ -42,7 +51,9 @@
                 .acceptor(Frame.BodyCase.EXECUTE_PREFILL, this::acceptLostExecute)
                 .acceptor(Frame.BodyCase.EXECUTE_DECODE, this::acceptLostExecute)
                 .acceptor(Frame.BodyCase.EXECUTE_PLAIN, this::acceptLostExecute)
-                .acceptor(Frame.BodyCase.CANCEL, this::acceptCancel);
+                .acceptor(Frame.BodyCase.CANCEL, this::acceptCancel)
+                .acceptor(Frame.BodyCase.TABLE_REQUEST, this::acceptTableRequest)
+                .acceptor(Frame.BodyCase.TABLE_PART, this::acceptTable);
     }
 
     @Override
@@ -75,6 +86,17 @@
         return new IgnoredExchange();
     }
 
+    private ExchangeListener acceptTableRequest(Exchange exchange, Frame first) {
+        loop.execute(() -> handover.answer(exchange, first.getTableRequest()));
+        return new IgnoredExchange();
+    }
+
+    private ExchangeListener acceptTable(Exchange exchange, Frame first) {
+        TableExchange table = new TableExchange();
+        table.onFrame(exchange, first);
+        return table;
+    }
+
     private static Failure cancelled(Cancel cancel) {
         ResultCode reason = ResultCode.ofNumber(cancel.getReasonCode())
                 .filter(code -> code != ResultCode.OK)
@@ -107,6 +129,28 @@
         public void onClosed(Exchange exchange, ResultCode code) {}
     }
 
+    /** A sealed table that arrives in parts. Used by one event loop. */
+    private final class TableExchange implements ExchangeListener {
+
+        private final List<TablePart> parts = new ArrayList<>();
+
+        @Override
+        public void onFrame(Exchange exchange, Frame frame) {
+            if (!frame.hasTablePart() || parts.size() >= MAXIMUM_TABLE_PARTS) {
+                exchange.connection().close(ResultCode.PROTOCOL_VIOLATION);
+                return;
+            }
+            parts.add(frame.getTablePart());
+            if (frame.getTablePart().getLast()) {
+                List<TablePart> whole = List.copyOf(parts);
+                loop.execute(() -> handover.keep(exchange, whole));
+            }
+        }
+
+        @Override
+        public void onClosed(Exchange exchange, ResultCode code) {}
+    }
+
     /** Nothing more is due. */
     private static final class IgnoredExchange implements ExchangeListener {
 
--- a/sidecar/src/main/java/org/merlinwood/sidecar/SidecarProcess.java
+++ b/sidecar/src/main/java/org/merlinwood/sidecar/SidecarProcess.java
@@ -15,10 +15,14 @@
 import org.merlinwood.configuration.settings.ProcessSettings;
 import org.merlinwood.configuration.settings.SidecarSettings;
 import org.merlinwood.core.identity.Incarnation;
+import org.merlinwood.core.identity.InstanceName;
 import org.merlinwood.core.time.MillisClock;
 import org.merlinwood.core.time.SystemMillisClock;
 import org.merlinwood.decision.grant.AttemptIdentity;
 import org.merlinwood.decision.grant.GrantBook;
+import org.merlinwood.decision.idempotency.HomeChain;
+import org.merlinwood.decision.idempotency.KeyBarrier;
+import org.merlinwood.decision.idempotency.KeyTable;
 import org.merlinwood.decision.retry.RetryDelay;
 import org.merlinwood.following.ConfigurationFollower;
 import org.merlinwood.following.ConfigurationInForce;
@@ -37,6 +41,8 @@
 import org.merlinwood.sidecar.admission.OrphanSweep;
 import org.merlinwood.sidecar.admission.ServingView;
 import org.merlinwood.sidecar.admission.UpstreamGate;
+import org.merlinwood.sidecar.key.HandoverStage;
+import org.merlinwood.sidecar.key.KeyStage;
 import org.merlinwood.sidecar.upstream.EngineClient;
 import org.merlinwood.sidecar.upstream.StreamReaper;
 
@@ -53,6 +59,7 @@
     private static final long ADVANCE_PERIOD_MILLIS = 20;
     private static final long DRAIN_POLL_MILLIS = 20;
     private static final long CANCEL_PATIENCE_MILLIS = 1_000;
+    private static final long HANDOVER_PATIENCE_MILLIS = 2_500;
     private static final long DEFAULT_DRAIN_MILLIS = 60_000;
     private static final long STATE_PATIENCE_MILLIS = 2_000;
 
@@ -66,6 +73,8 @@
     private final ConfigurationFollower follower;
     private final UpstreamGate gate = new UpstreamGate(clock, false);
     private final StreamReaper reaper;
+    private final KeyStage keys;
+    private final HandoverStage handover;
     private final GrantStage grants;
     private final ExecutionStage executions;
     private final OrphanSweep sweep;
@@ -94,15 +103,23 @@
                 .build();
         EngineClient engine = new EngineClient(client, socketAddress(settings.upstreamAddress()));
         this.reaper = new StreamReaper(loop, engine, metrics);
+        InstanceName self = settings.process().instance();
+        KeyTable table = new KeyTable(clock);
+        HomeChain chain = new HomeChain(self, clock);
+        KeyBarrier barrier =
+                new KeyBarrier(self, incarnation, settings.process().keys(), clock, chain);
+        this.keys = new KeyStage(table, barrier, chain, metrics);
+        this.handover = new HandoverStage(self, incarnation, clock, loop, table, barrier, chain, keys, metrics);
         this.grants = new GrantStage(
                 new GrantBook(clock, new RetryDelay(random)),
                 gate,
+                keys,
                 incarnation,
                 metrics,
                 this::abandon,
                 follower::onPeerRevisions);
         ExecutionFactory factory = new ExecutionFactory(client, engine, settings.upstreamAddress(), loop);
-        this.executions = new ExecutionStage(grants, factory, reaper, gate, loop, clock, metrics);
+        this.executions = new ExecutionStage(grants, keys, factory, reaper, gate, loop, clock, metrics);
         this.sweep = new OrphanSweep(loop, clock, engine, reaper, executions, gate, metrics);
         this.endpoint = endpoint();
         this.operator = operatorServer(onDrainRequested);
@@ -123,6 +140,7 @@
         follower.addListener(inForce -> loop.execute(() -> configure(inForce)));
         follower.start(endpoint);
         loop.repeat(ADVANCE_PERIOD_MILLIS, this::advance);
+        handover.start(endpoint);
         logger.atInfo().log(
                 "sidecar %s, incarnation %s, beside %s",
                 settings.process().instance(), incarnation, settings.upstreamAddress());
@@ -140,21 +158,20 @@
         long limitMillis = follower.current()
                 .map(inForce -> inForce.rules().limits().drainMillis())
                 .orElse(DEFAULT_DRAIN_MILLIS);
-        if (awaitIdle(limitMillis)) {
-            return true;
+        boolean whole = awaitIdle(limitMillis);
+        if (!whole) {
+            cancelRest(limitMillis);
         }
-        logger.atWarning().log("work is left after the drain limit of %d ms and is cancelled", limitMillis);
-        loop.execute(grants::cancelEverything);
-        awaitIdle(CANCEL_PATIENCE_MILLIS);
-        return false;
+        handOver();
+        return whole;
     }
 
     @Override
     public void close() {
+        loop.close();
         endpoint.close();
         operator.close();
         follower.close();
-        loop.close();
         client.close();
         slot.close();
     }
@@ -193,7 +210,8 @@
 
     private PeerEndpoint endpoint() {
         ProcessSettings process = settings.process();
-        SidecarExchanges exchanges = new SidecarExchanges(loop, grants, executions, follower::onPeerRevisions);
+        SidecarExchanges exchanges =
+                new SidecarExchanges(loop, grants, executions, handover, follower::onPeerRevisions);
         PeerEndpoint.Builder builder = PeerEndpoint.builder()
                 .identity(new PeerIdentity(process.instance(), incarnation, PeerRole.SIDECAR))
                 .keys(process.keys().stream()
@@ -245,6 +263,8 @@
 
     private void configure(ConfigurationInForce inForce) {
         ServingView view = ServingView.of(inForce, settings.process().instance());
+        handover.configure(inForce);
+        view.row().ifPresent(row -> keys.configure(inForce, row));
         grants.configure(view);
         Optional<InstanceRole> role = view.row().map(row -> row.role());
         if (role.filter(InstanceRole.PLAIN::equals).isPresent()) {
@@ -275,6 +295,8 @@
                 leaving,
                 gate.isCleared(),
                 grants.state(),
+                keys.state(),
+                handover.custodySize(),
                 executions.running(),
                 reaper.pending(),
                 endpoint.openConnections());
@@ -286,6 +308,21 @@
 
     // ------------------------------------------------------------------ internals
 
+    private void cancelRest(long limitMillis) {
+        logger.atWarning().log("work is left after the drain limit of %d ms and is cancelled", limitMillis);
+        loop.execute(grants::cancelEverything);
+        awaitIdle(CANCEL_PATIENCE_MILLIS);
+    }
+
+    private void handOver() {
+        CompletableFuture<Boolean> handedOver = new CompletableFuture<>();
+        loop.execute(() -> handover.handOver(() -> handedOver.complete(true)));
+        boolean whole = handedOver
+                .completeOnTimeout(false, HANDOVER_PATIENCE_MILLIS, TimeUnit.MILLISECONDS)
+                .join();
+        logger.atInfo().log("the table of keys was handed over: %s", whole);
+    }
+
     private boolean awaitIdle(long limitMillis) {
         long deadlineMillis = clock.monotonicMillis() + limitMillis;
         while (!isIdle()) {
--- a/sidecar/src/main/java/org/merlinwood/sidecar/SidecarState.java
+++ b/sidecar/src/main/java/org/merlinwood/sidecar/SidecarState.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import org.merlinwood.decision.grant.GrantBookState;
+import org.merlinwood.decision.idempotency.KeyTableState;
 
 /**
  * Control state of a sidecar, for the state dump.
@@ -14,6 +15,8 @@
  * @param draining true once a graceful shutdown began
  * @param upstreamCleared false while streams of an earlier incarnation may run
  * @param grants grants and queue
+ * @param keys table of idempotency keys
+ * @param custody sealed tables of other instances
  * @param running attempts whose call to the upstream is open
  * @param ending streams that the engine has not confirmed to have ended
  * @param connections open connections of peers
@@ -27,6 +30,8 @@
         boolean draining,
         boolean upstreamCleared,
         GrantBookState grants,
+        KeyTableState keys,
+        int custody,
         List<String> running,
         List<String> ending,
         int connections) {}
--- a/sidecar/src/main/java/org/merlinwood/sidecar/admission/Demands.java
+++ b/sidecar/src/main/java/org/merlinwood/sidecar/admission/Demands.java
@@ -1,10 +1,15 @@
 package org.merlinwood.sidecar.admission;
 
 import org.merlinwood.configuration.inventory.InstanceRole;
+import org.merlinwood.core.identity.CallerName;
+import org.merlinwood.core.identity.IdempotencyKey;
 import org.merlinwood.core.identity.RequestIdentifier;
 import org.merlinwood.decision.grant.AttemptIdentity;
 import org.merlinwood.decision.grant.GrantDemand;
 import org.merlinwood.decision.grant.SessionNumber;
+import org.merlinwood.decision.idempotency.Fingerprint;
+import org.merlinwood.decision.idempotency.KeyedCall;
+import org.merlinwood.decision.idempotency.ScopedKey;
 import org.merlinwood.decision.placement.LoadObservation;
 import org.merlinwood.protocol.WireValues;
 import org.merlinwood.wire.GrantRequest;
@@ -16,6 +21,7 @@
 final class Demands {
 
     private static final int LOWEST_PRIORITY = 9;
+    private static final String UNNAMED_CALLER = "unnamed";
 
     private Demands() {}
 
@@ -24,11 +30,23 @@
         return new AttemptIdentity(request, identity.getAttempt());
     }
 
-    static GrantDemand demand(GrantRequest request, SessionNumber session) {
+    static boolean isKeyed(GrantRequest request) {
+        return request.getKind() == WorkKind.PLAIN
+                && (request.getNonIdempotent() || !request.getIdempotencyKey().isEmpty());
+    }
+
+    static KeyedCall keyedCall(GrantRequest request) {
+        ScopedKey key = new ScopedKey(
+                new CallerName(request.getCaller().isBlank() ? UNNAMED_CALLER : request.getCaller()),
+                new IdempotencyKey(request.getIdempotencyKey()));
+        return new KeyedCall(key, Fingerprint.of(request.getFingerprint().toByteArray()));
+    }
+
+    static GrantDemand demand(GrantRequest request, SessionNumber session, boolean needsCapacity) {
         return new GrantDemand(
                 session,
                 attempt(request.getRequest()),
-                units(request),
+                needsCapacity ? units(request) : 0,
                 request.getKind() == WorkKind.PREFILL ? promptTokens(request) : 0,
                 Math.clamp(Integer.toUnsignedLong(request.getPriority()), 0, LOWEST_PRIORITY),
                 Integer.toUnsignedLong(request.getWaitMillis()));
--- a/sidecar/src/main/java/org/merlinwood/sidecar/admission/ExecutionFactory.java
+++ b/sidecar/src/main/java/org/merlinwood/sidecar/admission/ExecutionFactory.java
@@ -143,7 +143,7 @@
         long ruleMillis = view.timeoutMillis();
         long asked = Integer.toUnsignedLong(execute.getTimeoutMillis());
         long timeoutMillis = asked == 0 ? ruleMillis : Math.min(asked, ruleMillis);
-        ConnectionUse use = attempt.request().getNonIdempotent() ? ConnectionUse.FRESH : ConnectionUse.POOLED;
+        ConnectionUse use = Demands.isKeyed(attempt.request()) ? ConnectionUse.FRESH : ConnectionUse.POOLED;
         HttpCall call = HttpCall.of(
                         execute.getMethod(),
                         new InetSocketAddress(upstream.host(), upstream.port()),
--- a/sidecar/src/main/java/org/merlinwood/sidecar/admission/ExecutionStage.java
+++ b/sidecar/src/main/java/org/merlinwood/sidecar/admission/ExecutionStage.java
@@ -7,18 +7,29 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
+import org.merlinwood.configuration.rules.Repeatability;
 import org.merlinwood.core.identity.RequestIdentifier;
+import org.merlinwood.core.identity.Revisions;
 import org.merlinwood.core.result.ExecutionState;
 import org.merlinwood.core.result.Failure;
 import org.merlinwood.core.result.ResultCode;
 import org.merlinwood.core.time.MillisClock;
 import org.merlinwood.decision.grant.AttemptIdentity;
+import org.merlinwood.decision.idempotency.KeyDecision;
+import org.merlinwood.decision.idempotency.KeyedCall;
+import org.merlinwood.decision.idempotency.ScopedKey;
 import org.merlinwood.operation.control.ControlLoop;
 import org.merlinwood.protocol.Exchange;
+import org.merlinwood.protocol.WireValues;
 import org.merlinwood.sidecar.execution.Execution;
 import org.merlinwood.sidecar.execution.ExecutionOutcome;
+import org.merlinwood.sidecar.execution.PlainExecution;
+import org.merlinwood.sidecar.key.KeyStage;
+import org.merlinwood.sidecar.key.StoredAnswers;
 import org.merlinwood.sidecar.upstream.StreamReaper;
+import org.merlinwood.wire.ExecutePlain;
 import org.merlinwood.wire.Frame;
 
 /**
@@ -30,7 +41,10 @@
 
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
+    private static final long RETRY_MILLIS = 100;
+
     private final GrantStage grants;
+    private final KeyStage keys;
     private final ExecutionFactory factory;
     private final StreamReaper reaper;
     private final UpstreamGate gate;
@@ -47,6 +61,7 @@
      * Creates a stage that runs nothing.
      *
      * @param grants the grants
+     * @param keys what ran under which key
      * @param factory makes executions
      * @param reaper ends streams of the engine
      * @param gate hears whether the upstream accepts connections
@@ -56,6 +71,7 @@
      */
     public ExecutionStage(
             GrantStage grants,
+            KeyStage keys,
             ExecutionFactory factory,
             StreamReaper reaper,
             UpstreamGate gate,
@@ -63,6 +79,7 @@
             MillisClock clock,
             MetricRegistry metrics) {
         this.grants = grants;
+        this.keys = keys;
         this.factory = factory;
         this.reaper = reaper;
         this.gate = gate;
@@ -140,34 +157,79 @@
     // ------------------------------------------------------------------ internals: beginning
 
     private void begin(OpenAttempt attempt, Frame frame) {
-        Either<Failure, Execution> created = grants.view()
-                .map(view -> factory.create(frame, attempt, view))
-                .orElseGet(() -> Either.left(Failure.of(ResultCode.NOT_READY, "there are no rules")));
-        created.peek(execution -> start(attempt, execution)).peekLeft(failure -> {
-            attempt.channel().failed(failure);
-            grants.finished(attempt.attempt());
-        });
+        ServingView view = grants.view().orElseThrow();
+        Either<Failure, Execution> created = keyMissing(frame, attempt, view)
+                .<Either<Failure, Execution>>map(Either::left)
+                .orElseGet(() -> factory.create(frame, attempt, view));
+        created.peek(execution -> claim(attempt, execution)).peekLeft(failure -> refuse(attempt, failure));
+    }
+
+    /** The rules that are in force here decide what may be repeated, whatever the entry thinks. */
+    private static Optional<Failure> keyMissing(Frame frame, OpenAttempt attempt, ServingView view) {
+        if (!frame.hasExecutePlain() || Demands.isKeyed(attempt.request())) {
+            return Optional.empty();
+        }
+        ExecutePlain call = frame.getExecutePlain();
+        boolean repeatable = view.route(call.getMethod(), call.getPath())
+                .filter(route -> route.repeatability() == Repeatability.IDEMPOTENT)
+                .isPresent();
+        if (repeatable) {
+            return Optional.empty();
+        }
+        Revisions known = WireValues.fromWire(attempt.request().getRevisions());
+        return Optional.of(
+                known.isBehind(view.revisions())
+                        ? Failure.retryable(
+                                ResultCode.REVISION_BEHIND, "newer rules forbid to repeat this call", RETRY_MILLIS)
+                        : Failure.of(ResultCode.KEY_REQUIRED, "a call that may not be repeated needs a key"));
+    }
+
+    private void claim(OpenAttempt attempt, Execution execution) {
+        if (!Demands.isKeyed(attempt.request())) {
+            start(attempt, execution);
+            return;
+        }
+        KeyedCall call = Demands.keyedCall(attempt.request());
+        switch (keys.claim(call)) {
+            case KeyDecision.Run ignored -> start(attempt, execution);
+            case KeyDecision.Join ignored -> {
+                keys.join(call.key(), attempt.channel());
+                grants.finished(attempt.attempt());
+            }
+            case KeyDecision.Replay replay -> {
+                metrics.counter("keys.replayed").inc();
+                StoredAnswers.replay(attempt.channel(), replay.answer());
+                grants.finished(attempt.attempt());
+            }
+            case KeyDecision.Refuse refuse -> refuse(attempt, refuse.failure());
+        }
+    }
+
+    private void refuse(OpenAttempt attempt, Failure failure) {
+        attempt.channel().refused(failure);
+        grants.finished(attempt.attempt());
     }
 
     private void start(OpenAttempt attempt, Execution execution) {
         metrics.counter("executions." + attempt.request().getKind().name()).inc();
         running.put(attempt.attempt(), new RunningAttempt(attempt, execution));
-        execution.start(outcome -> loop.execute(() -> ended(attempt, outcome)));
+        execution.start(outcome -> loop.execute(() -> ended(attempt, execution, outcome)));
     }
 
     // ------------------------------------------------------------------ internals: settling
 
     /** A call that may not be repeated goes on, so that its outcome becomes known. */
     private void cancel(AttemptIdentity attempt, RunningAttempt execution) {
-        if (!execution.attempt().request().getNonIdempotent()) {
+        if (!Demands.isKeyed(execution.attempt().request())) {
             abandoned.add(attempt);
             execution.execution().cancel();
         }
     }
 
-    private void ended(OpenAttempt attempt, ExecutionOutcome outcome) {
+    private void ended(OpenAttempt attempt, Execution execution, ExecutionOutcome outcome) {
         running.remove(attempt.attempt());
         boolean given = abandoned.remove(attempt.attempt());
+        settleKey(attempt, execution, outcome);
         switch (outcome) {
             case ExecutionOutcome.Whole ignored -> {
                 gate.reachable();
@@ -178,6 +240,26 @@
         }
     }
 
+    private void settleKey(OpenAttempt attempt, Execution execution, ExecutionOutcome outcome) {
+        if (!Demands.isKeyed(attempt.request())) {
+            return;
+        }
+        ScopedKey key = Demands.keyedCall(attempt.request()).key();
+        if (outcome instanceof ExecutionOutcome.Failed failed) {
+            keys.failed(key, told(attempt, failed.failure()));
+        } else if (execution instanceof PlainExecution plain) {
+            keys.ran(key, StoredAnswers.of(plain.answer()));
+        }
+    }
+
+    /** The caller of a call that may not be repeated is told what it may conclude, not what broke. */
+    private static Failure told(OpenAttempt attempt, Failure failure) {
+        boolean unknown = failure.executionState() != ExecutionState.NOT_RUN;
+        return unknown && Demands.isKeyed(attempt.request())
+                ? Failure.of(ResultCode.OUTCOME_UNKNOWN, "the call may have run: " + failure.detail())
+                : failure;
+    }
+
     private void keep(OpenAttempt attempt, boolean givenUp) {
         if (givenUp) {
             reap(attempt.attempt());
@@ -193,7 +275,7 @@
         if (failure.code() == ResultCode.UPSTREAM_UNREACHABLE) {
             gate.unreachable();
         }
-        attempt.channel().failed(failure);
+        attempt.channel().failed(told(attempt, failure));
         if (failed.upstreamHolds() && failure.executionState() != ExecutionState.NOT_RUN) {
             reap(attempt.attempt());
         } else {
--- a/sidecar/src/main/java/org/merlinwood/sidecar/admission/GrantStage.java
+++ b/sidecar/src/main/java/org/merlinwood/sidecar/admission/GrantStage.java
@@ -20,10 +20,12 @@
 import org.merlinwood.decision.grant.GrantBookState;
 import org.merlinwood.decision.grant.GrantEvent;
 import org.merlinwood.decision.grant.SessionNumber;
+import org.merlinwood.decision.idempotency.KeyDecision;
 import org.merlinwood.protocol.Exchange;
 import org.merlinwood.protocol.PeerConnection;
 import org.merlinwood.protocol.WireValues;
 import org.merlinwood.sidecar.execution.AnswerChannel;
+import org.merlinwood.sidecar.key.KeyStage;
 import org.merlinwood.wire.Frame;
 import org.merlinwood.wire.GrantRequest;
 import org.merlinwood.wire.GrantUse;
@@ -43,6 +45,7 @@
 
     private final GrantBook book;
     private final UpstreamGate gate;
+    private final KeyStage keys;
     private final Incarnation incarnation;
     private final MetricRegistry metrics;
     private final Consumer<AttemptIdentity> onAbandoned;
@@ -61,6 +64,7 @@
      *
      * @param book the grants
      * @param gate whether the upstream can take work
+     * @param keys judges calls with keys
      * @param incarnation of this process
      * @param metrics counts decisions
      * @param onAbandoned hears of attempts that run and have to be cancelled
@@ -69,12 +73,14 @@
     public GrantStage(
             GrantBook book,
             UpstreamGate gate,
+            KeyStage keys,
             Incarnation incarnation,
             MetricRegistry metrics,
             Consumer<AttemptIdentity> onAbandoned,
             BiConsumer<PeerConnection, Revisions> onBehind) {
         this.book = book;
         this.gate = gate;
+        this.keys = keys;
         this.incarnation = incarnation;
         this.metrics = metrics;
         this.onAbandoned = onAbandoned;
@@ -119,16 +125,16 @@
         AttemptIdentity attempt = Demands.attempt(request.getRequest());
         if (refusal.isPresent()) {
             count(refusal.get());
-            channel.failed(refusal.get());
+            channel.refused(refusal.get());
             return;
         }
         OpenAttempt earlier = open.put(attempt, new OpenAttempt(attempt, session, request, channel));
         if (earlier != null) {
             open.put(attempt, earlier);
-            channel.failed(Failure.of(ResultCode.PROTOCOL_VIOLATION, "the attempt was asked for twice"));
+            channel.refused(Failure.of(ResultCode.PROTOCOL_VIOLATION, "the attempt was asked for twice"));
             return;
         }
-        tell(book.request(Demands.demand(request, session)));
+        tell(book.request(Demands.demand(request, session, needsCapacity(request))));
     }
 
     /**
@@ -206,7 +212,7 @@
         Either<Failure, Grant> used = book.use(NO_SESSION, use.getGrant(), Demands.attempt(use.getRequest()));
         used.peekLeft(failure -> {
             endUnknown(failure);
-            channel(exchange, use.getRequest()).failed(failure);
+            channel(exchange, use.getRequest()).refused(failure);
         });
         refreshLoad();
     }
@@ -291,7 +297,24 @@
             return Optional.of(Failure.retryable(
                     ResultCode.REVISION_BEHIND, "this process has an older revision and catches up", RETRY_MILLIS));
         }
-        return gate.refusal().or(() -> misplaced(view.get(), request));
+        return gate.refusal().or(() -> misplaced(view.get(), request)).or(() -> keyRefusal(request));
+    }
+
+    private Optional<Failure> keyRefusal(GrantRequest request) {
+        if (!Demands.isKeyed(request)) {
+            return Optional.empty();
+        }
+        if (request.getIdempotencyKey().isBlank()) {
+            return Optional.of(Failure.of(ResultCode.KEY_REQUIRED, "a call that may not be repeated needs a key"));
+        }
+        return keys.judge(Demands.keyedCall(request)) instanceof KeyDecision.Refuse refuse
+                ? Optional.of(refuse.failure())
+                : Optional.empty();
+    }
+
+    /** An answer that is given again, or waited for together with the first call, takes nothing of the upstream. */
+    private boolean needsCapacity(GrantRequest request) {
+        return !Demands.isKeyed(request) || keys.judge(Demands.keyedCall(request)) instanceof KeyDecision.Run;
     }
 
     private static Optional<Failure> misplaced(ServingView view, GrantRequest request) {
@@ -329,10 +352,10 @@
                 find(waiting).ifPresent(attempt -> attempt.channel().send(queued(waiting)));
             case GrantEvent.Denied denied -> {
                 count(denied.failure());
-                end(denied, denied.failure());
+                take(denied).ifPresent(attempt -> attempt.channel().refused(denied.failure()));
             }
             case GrantEvent.Abandoned abandoned -> {
-                end(abandoned, abandoned.failure());
+                take(abandoned).ifPresent(attempt -> attempt.channel().failed(abandoned.failure()));
                 onAbandoned.accept(abandoned.attempt());
             }
         }
@@ -342,11 +365,8 @@
         return Optional.ofNullable(open.get(event.attempt()));
     }
 
-    private void end(GrantEvent event, Failure failure) {
-        OpenAttempt ended = open.remove(event.attempt());
-        if (ended != null) {
-            ended.channel().failed(failure);
-        }
+    private Optional<OpenAttempt> take(GrantEvent event) {
+        return Optional.ofNullable(open.remove(event.attempt()));
     }
 
     /** Ends the exchanges of attempts that the book has just burnt. */
@@ -355,7 +375,7 @@
         burnt.removeIf(attempt -> book.knows(attempt.attempt()));
         burnt.forEach(attempt -> {
             open.remove(attempt.attempt());
-            attempt.channel().failed(failure);
+            attempt.channel().refused(failure);
         });
     }
 
--- a/sidecar/src/main/java/org/merlinwood/sidecar/execution/AnswerChannel.java
+++ b/sidecar/src/main/java/org/merlinwood/sidecar/execution/AnswerChannel.java
@@ -148,7 +148,17 @@
      * @param failure the failure
      */
     public void failed(Failure failure) {
-        end(failure.executionState() == ExecutionState.NOT_RUN ? refused(failure) : failedEnd(failure));
+        end(failure.executionState() == ExecutionState.NOT_RUN ? refusal(failure) : failedEnd(failure));
+    }
+
+    /**
+     * Ends the exchange before anything was executed on it. What the failure says of execution may speak of earlier
+     * calls with the same key.
+     *
+     * @param failure the failure
+     */
+    public void refused(Failure failure) {
+        end(refusal(failure));
     }
 
     /** Ends the exchange without a word, where the entry itself has ended it. */
@@ -177,7 +187,7 @@
                 .setOffset(offset);
     }
 
-    private Frame.Builder refused(Failure failure) {
+    private Frame.Builder refusal(Failure failure) {
         Refused.Builder refused =
                 WireValues.toRefused(failure).setLoad(load.get()).setRevisions(WireValues.toWire(revisions.get()));
         return Frame.newBuilder().setRefused(refused);
--- a/wire-generated/src/main/java/org/merlinwood/wire/Merlinwood.java
+++ b/wire-generated/src/main/java/org/merlinwood/wire/Merlinwood.java
@@ -361,28 +361,28 @@
       "\022\014\n\004body\030\006 \001(\014\022\016\n\006caller\030\007 \001(\t\"_\n\010HomeSp" +
       "an\022\025\n\rfrom_revision\030\001 \001(\004\022\023\n\013to_revision" +
       "\030\002 \001(\004\022\r\n\005homes\030\003 \003(\t\022\030\n\020ended_age_milli" +
-      "s\030\004 \001(\022\"\233\002\n\tTablePart\022\014\n\004home\030\001 \001(\t\022\023\n\013i" +
+      "s\030\004 \001(\022\"\266\002\n\tTablePart\022\014\n\004home\030\001 \001(\t\022\023\n\013i" +
       "ncarnation\030\002 \001(\006\022\016\n\006sealed\030\003 \001(\010\022\014\n\004last" +
       "\030\004 \001(\010\022/\n\007entries\030\005 \003(\0132\036.merlinwood.wir" +
       "e.v1.TableEntry\022\037\n\027served_since_age_mill" +
       "is\030\006 \001(\022\022\022\n\ncustodians\030\007 \003(\t\022+\n\005homes\030\010 " +
       "\003(\0132\034.merlinwood.wire.v1.HomeSpan\022\036\n\026hom" +
       "es_known_age_millis\030\t \001(\022\022\032\n\022inventory_r" +
-      "evision\030\n \001(\004\"G\n\017SuspicionReport\022\023\n\013fing" +
-      "erprint\030\001 \001(\014\022\r\n\005alone\030\002 \001(\010\022\020\n\010instance" +
-      "\030\003 \001(\t\"x\n\017SuspicionAnswer\022\023\n\013fingerprint" +
-      "\030\001 \001(\014\022\017\n\007crashes\030\002 \001(\r\022\023\n\013quarantined\030\003" +
-      " \001(\010\022\017\n\007isolate\030\004 \001(\010\022\031\n\021expires_in_mill" +
-      "is\030\005 \001(\r\"[\n\nLoadReport\022\020\n\010instance\030\001 \001(\t" +
-      "\022\023\n\013incarnation\030\002 \001(\006\022&\n\004load\030\003 \001(\0132\030.me" +
-      "rlinwood.wire.v1.Load*P\n\013ProcessRole\022\034\n\030" +
-      "PROCESS_ROLE_UNSPECIFIED\020\000\022\t\n\005ENTRY\020\001\022\013\n" +
-      "\007SIDECAR\020\002\022\013\n\007COMMAND\020\003*I\n\010WorkKind\022\031\n\025W" +
-      "ORK_KIND_UNSPECIFIED\020\000\022\013\n\007PREFILL\020\001\022\n\n\006D" +
-      "ECODE\020\002\022\t\n\005PLAIN\020\003*I\n\tExecution\022\031\n\025EXECU" +
-      "TION_UNSPECIFIED\020\000\022\013\n\007NOT_RUN\020\001\022\013\n\007UNKNO" +
-      "WN\020\002\022\007\n\003RAN\020\003B\031\n\023org.merlinwood.wireH\001P\001" +
-      "b\006proto3"
+      "evision\030\n \001(\004\022\031\n\021sealed_age_millis\030\013 \001(\022" +
+      "\"G\n\017SuspicionReport\022\023\n\013fingerprint\030\001 \001(\014" +
+      "\022\r\n\005alone\030\002 \001(\010\022\020\n\010instance\030\003 \001(\t\"x\n\017Sus" +
+      "picionAnswer\022\023\n\013fingerprint\030\001 \001(\014\022\017\n\007cra" +
+      "shes\030\002 \001(\r\022\023\n\013quarantined\030\003 \001(\010\022\017\n\007isola" +
+      "te\030\004 \001(\010\022\031\n\021expires_in_millis\030\005 \001(\r\"[\n\nL" +
+      "oadReport\022\020\n\010instance\030\001 \001(\t\022\023\n\013incarnati" +
+      "on\030\002 \001(\006\022&\n\004load\030\003 \001(\0132\030.merlinwood.wire" +
+      ".v1.Load*P\n\013ProcessRole\022\034\n\030PROCESS_ROLE_" +
+      "UNSPECIFIED\020\000\022\t\n\005ENTRY\020\001\022\013\n\007SIDECAR\020\002\022\013\n" +
+      "\007COMMAND\020\003*I\n\010WorkKind\022\031\n\025WORK_KIND_UNSP" +
+      "ECIFIED\020\000\022\013\n\007PREFILL\020\001\022\n\n\006DECODE\020\002\022\t\n\005PL" +
+      "AIN\020\003*I\n\tExecution\022\031\n\025EXECUTION_UNSPECIF" +
+      "IED\020\000\022\013\n\007NOT_RUN\020\001\022\013\n\007UNKNOWN\020\002\022\007\n\003RAN\020\003" +
+      "B\031\n\023org.merlinwood.wireH\001P\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -597,7 +597,7 @@
     internal_static_merlinwood_wire_v1_TablePart_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_merlinwood_wire_v1_TablePart_descriptor,
-        new java.lang.String[] { "Home", "Incarnation", "Sealed", "Last", "Entries", "ServedSinceAgeMillis", "Custodians", "Homes", "HomesKnownAgeMillis", "InventoryRevision", });
+        new java.lang.String[] { "Home", "Incarnation", "Sealed", "Last", "Entries", "ServedSinceAgeMillis", "Custodians", "Homes", "HomesKnownAgeMillis", "InventoryRevision", "SealedAgeMillis", });
     internal_static_merlinwood_wire_v1_SuspicionReport_descriptor =
       getDescriptor().getMessageType(35);
     internal_static_merlinwood_wire_v1_SuspicionReport_fieldAccessorTable = new
--- a/wire-generated/src/main/java/org/merlinwood/wire/TablePart.java
+++ b/wire-generated/src/main/java/org/merlinwood/wire/TablePart.java
@@ -305,6 +305,17 @@
     return inventoryRevision_;
   }
 
+  public static final int SEALED_AGE_MILLIS_FIELD_NUMBER = 11;
+  private long sealedAgeMillis_ = 0L;
+  /**
+   * <code>sint64 sealed_age_millis = 11;</code>
+   * @return The sealedAgeMillis.
+   */
+  @java.lang.Override
+  public long getSealedAgeMillis() {
+    return sealedAgeMillis_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -349,6 +360,9 @@
     if (inventoryRevision_ != 0L) {
       output.writeUInt64(10, inventoryRevision_);
     }
+    if (sealedAgeMillis_ != 0L) {
+      output.writeSInt64(11, sealedAgeMillis_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -406,6 +420,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt64Size(10, inventoryRevision_);
     }
+    if (sealedAgeMillis_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeSInt64Size(11, sealedAgeMillis_);
+    }
     return size;
   }
   @java.lang.Override
@@ -450,6 +468,8 @@
         != other.getHomesKnownAgeMillis()) return false;
     if (getInventoryRevision()
         != other.getInventoryRevision()) return false;
+    if (getSealedAgeMillis()
+        != other.getSealedAgeMillis()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -493,6 +513,9 @@
     hash = (37 * hash) + INVENTORY_REVISION_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getInventoryRevision());
+    hash = (37 * hash) + SEALED_AGE_MILLIS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getSealedAgeMillis());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -647,6 +670,7 @@
       bitField0_ = (bitField0_ & ~0x00000080);
       homesKnownAgeMillis_ = 0L;
       inventoryRevision_ = 0L;
+      sealedAgeMillis_ = 0L;
       return this;
     }
 
@@ -727,6 +751,9 @@
       if (((from_bitField0_ & 0x00000200) != 0)) {
         result.inventoryRevision_ = inventoryRevision_;
       }
+      if (((from_bitField0_ & 0x00000400) != 0)) {
+        result.sealedAgeMillis_ = sealedAgeMillis_;
+      }
     }
 
     @java.lang.Override
@@ -826,6 +853,9 @@
       if (other.getInventoryRevision() != 0L) {
         setInventoryRevision(other.getInventoryRevision());
       }
+      if (other.getSealedAgeMillis() != 0L) {
+        setSealedAgeMillis(other.getSealedAgeMillis());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -916,6 +946,11 @@
               bitField0_ |= 0x00000200;
               break;
             } // case 80
+            case 88: {
+              sealedAgeMillis_ = input.readSInt64();
+              bitField0_ |= 0x00000400;
+              break;
+            } // case 88
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1848,6 +1883,38 @@
       return this;
     }
 
+    private long sealedAgeMillis_ ;
+    /**
+     * <code>sint64 sealed_age_millis = 11;</code>
+     * @return The sealedAgeMillis.
+     */
+    @java.lang.Override
+    public long getSealedAgeMillis() {
+      return sealedAgeMillis_;
+    }
+    /**
+     * <code>sint64 sealed_age_millis = 11;</code>
+     * @param value The sealedAgeMillis to set.
+     * @return This builder for chaining.
+     */
+    public Builder setSealedAgeMillis(long value) {
+
+      sealedAgeMillis_ = value;
+      bitField0_ |= 0x00000400;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>sint64 sealed_age_millis = 11;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearSealedAgeMillis() {
+      bitField0_ = (bitField0_ & ~0x00000400);
+      sealedAgeMillis_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:merlinwood.wire.v1.TablePart)
   }
 
--- a/wire-generated/src/main/java/org/merlinwood/wire/TablePartOrBuilder.java
+++ b/wire-generated/src/main/java/org/merlinwood/wire/TablePartOrBuilder.java
@@ -158,4 +158,10 @@
    * @return The inventoryRevision.
    */
   long getInventoryRevision();
+
+  /**
+   * <code>sint64 sealed_age_millis = 11;</code>
+   * @return The sealedAgeMillis.
+   */
+  long getSealedAgeMillis();
 }
