--- a/sidecar/src/test/java/org/merlinwood/sidecar/SidecarFixture.java
+++ b/sidecar/src/test/java/org/merlinwood/sidecar/SidecarFixture.java
@@ -66,14 +66,10 @@
 
     SidecarFixture(InstanceRole role, InetSocketAddress upstream) {
         this.role = role;
-        this.settings = settings(upstream);
+        this.settings = settings("upstream-1", upstream, configuration);
         publishInventory(InstanceState.ACTIVE);
         configuration.publish("rules", RulesWriter.write(rules(role)));
-        this.entry = PeerEndpoint.builder()
-                .identity(new PeerIdentity(new InstanceName("entry-1"), new Incarnation(7), PeerRole.ENTRY))
-                .keys(List.of(new AuthenticationKey(1, SECRET)))
-                .build();
-        entry.start();
+        this.entry = entry();
         this.process = startProcess();
     }
 
@@ -108,6 +104,40 @@
         configuration.publish("inventory", InventoryWriter.write(Inventory.of(1, rows, models)));
     }
 
+    /** Publishes these rows of plain instances, and nothing else. */
+    static String inventoryOf(List<SidecarSettings> listed, InstanceState state) {
+        List<Instance> rows = listed.stream()
+                .map(settings ->
+                        row(settings.process().instance(), settings.process().peerAddress(), InstanceRole.PLAIN, state))
+                .toList();
+        return InventoryWriter.write(Inventory.of(1, rows, List.of()));
+    }
+
+    static String plainRules() {
+        return RulesWriter.write(rules(InstanceRole.PLAIN));
+    }
+
+    static SidecarSettings settings(String name, InetSocketAddress upstream, ConfigurationService configuration) {
+        ProcessSettings common = new ProcessSettings(
+                new InstanceName(name),
+                new FailureDomain("lalitpur"),
+                freeAddress(),
+                freeAddress(),
+                List.of(address(configuration.address())),
+                List.of(),
+                List.of(new SharedKey(1, SECRET)));
+        return new SidecarSettings(common, address(upstream), freeAddress().port(), Optional.empty());
+    }
+
+    static PeerEndpoint entry() {
+        PeerEndpoint started = PeerEndpoint.builder()
+                .identity(new PeerIdentity(new InstanceName("entry-1"), new Incarnation(7), PeerRole.ENTRY))
+                .keys(List.of(new AuthenticationKey(1, SECRET)))
+                .build();
+        started.start();
+        return started;
+    }
+
     static void await(BooleanSupplier condition) throws InterruptedException {
         long deadlineNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(ProbeExchange.PATIENCE_SECONDS);
         while (!condition.getAsBoolean()) {
@@ -133,18 +163,6 @@
         return started;
     }
 
-    private SidecarSettings settings(InetSocketAddress upstream) {
-        ProcessSettings common = new ProcessSettings(
-                new InstanceName("upstream-1"),
-                new FailureDomain("lalitpur"),
-                freeAddress(),
-                freeAddress(),
-                List.of(address(configuration.address())),
-                List.of(),
-                List.of(new SharedKey(1, SECRET)));
-        return new SidecarSettings(common, address(upstream), freeAddress().port(), Optional.empty());
-    }
-
     private static Instance row(InstanceName name, NetworkAddress address, InstanceRole role, InstanceState state) {
         boolean plain = role == InstanceRole.PLAIN;
         return new Instance(
