Suspicion book: suspects run alone, two engines at most for one fingerprint

All that ran on an engine that ended are suspects and run again only alone, at one instance at a time; a crash while alone, or a second one in any company, convicts. Copies of one request that run at the same time before the first crash are not counted together: that would take a message for each request before it runs.

--- a/wire-generated/src/main/java/org/merlinwood/wire/SuspicionAnswer.java
+++ b/wire-generated/src/main/java/org/merlinwood/wire/SuspicionAnswer.java
@@ -104,6 +104,21 @@
     return expiresInMillis_;
   }
 
+  public static final int RETRY_AFTER_MILLIS_FIELD_NUMBER = 6;
+  private int retryAfterMillis_ = 0;
+  /**
+   * <pre>
+   * Not zero where the suspect is being run alone elsewhere.
+   * </pre>
+   *
+   * <code>uint32 retry_after_millis = 6;</code>
+   * @return The retryAfterMillis.
+   */
+  @java.lang.Override
+  public int getRetryAfterMillis() {
+    return retryAfterMillis_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -133,6 +148,9 @@
     if (expiresInMillis_ != 0) {
       output.writeUInt32(5, expiresInMillis_);
     }
+    if (retryAfterMillis_ != 0) {
+      output.writeUInt32(6, retryAfterMillis_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -157,6 +175,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt32Size(5, expiresInMillis_);
     }
+    if (retryAfterMillis_ != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt32Size(6, retryAfterMillis_);
+    }
     return size;
   }
   @java.lang.Override
@@ -191,6 +213,8 @@
         != other.getIsolate()) return false;
     if (getExpiresInMillis()
         != other.getExpiresInMillis()) return false;
+    if (getRetryAfterMillis()
+        != other.getRetryAfterMillis()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -214,6 +238,8 @@
         getIsolate());
     hash = (37 * hash) + EXPIRES_IN_MILLIS_FIELD_NUMBER;
     hash = (53 * hash) + getExpiresInMillis();
+    hash = (37 * hash) + RETRY_AFTER_MILLIS_FIELD_NUMBER;
+    hash = (53 * hash) + getRetryAfterMillis();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -350,6 +376,7 @@
       quarantined_ = false;
       isolate_ = false;
       expiresInMillis_ = 0;
+      retryAfterMillis_ = 0;
       return this;
     }
 
@@ -398,6 +425,9 @@
       if (((from_bitField0_ & 0x00000010) != 0)) {
         result.expiresInMillis_ = expiresInMillis_;
       }
+      if (((from_bitField0_ & 0x00000020) != 0)) {
+        result.retryAfterMillis_ = retryAfterMillis_;
+      }
     }
 
     @java.lang.Override
@@ -427,6 +457,9 @@
       if (other.getExpiresInMillis() != 0) {
         setExpiresInMillis(other.getExpiresInMillis());
       }
+      if (other.getRetryAfterMillis() != 0) {
+        setRetryAfterMillis(other.getRetryAfterMillis());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -476,6 +509,11 @@
               bitField0_ |= 0x00000010;
               break;
             } // case 40
+            case 48: {
+              retryAfterMillis_ = input.readUInt32();
+              bitField0_ |= 0x00000020;
+              break;
+            } // case 48
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -653,6 +691,50 @@
       return this;
     }
 
+    private int retryAfterMillis_ ;
+    /**
+     * <pre>
+     * Not zero where the suspect is being run alone elsewhere.
+     * </pre>
+     *
+     * <code>uint32 retry_after_millis = 6;</code>
+     * @return The retryAfterMillis.
+     */
+    @java.lang.Override
+    public int getRetryAfterMillis() {
+      return retryAfterMillis_;
+    }
+    /**
+     * <pre>
+     * Not zero where the suspect is being run alone elsewhere.
+     * </pre>
+     *
+     * <code>uint32 retry_after_millis = 6;</code>
+     * @param value The retryAfterMillis to set.
+     * @return This builder for chaining.
+     */
+    public Builder setRetryAfterMillis(int value) {
+
+      retryAfterMillis_ = value;
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Not zero where the suspect is being run alone elsewhere.
+     * </pre>
+     *
+     * <code>uint32 retry_after_millis = 6;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearRetryAfterMillis() {
+      bitField0_ = (bitField0_ & ~0x00000020);
+      retryAfterMillis_ = 0;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:merlinwood.wire.v1.SuspicionAnswer)
   }
 
--- a/wire-generated/src/main/java/org/merlinwood/wire/SuspicionAnswerOrBuilder.java
+++ b/wire-generated/src/main/java/org/merlinwood/wire/SuspicionAnswerOrBuilder.java
@@ -39,4 +39,14 @@
    * @return The expiresInMillis.
    */
   int getExpiresInMillis();
+
+  /**
+   * <pre>
+   * Not zero where the suspect is being run alone elsewhere.
+   * </pre>
+   *
+   * <code>uint32 retry_after_millis = 6;</code>
+   * @return The retryAfterMillis.
+   */
+  int getRetryAfterMillis();
 }
--- a/wire-generated/src/main/java/org/merlinwood/wire/SuspicionReport.java
+++ b/wire-generated/src/main/java/org/merlinwood/wire/SuspicionReport.java
@@ -30,6 +30,7 @@
   private SuspicionReport() {
     fingerprint_ = com.google.protobuf.ByteString.EMPTY;
     instance_ = "";
+    event_ = 0;
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -115,6 +116,24 @@
     }
   }
 
+  public static final int EVENT_FIELD_NUMBER = 4;
+  private int event_ = 0;
+  /**
+   * <code>.merlinwood.wire.v1.SuspicionEvent event = 4;</code>
+   * @return The enum numeric value on the wire for event.
+   */
+  @java.lang.Override public int getEventValue() {
+    return event_;
+  }
+  /**
+   * <code>.merlinwood.wire.v1.SuspicionEvent event = 4;</code>
+   * @return The event.
+   */
+  @java.lang.Override public org.merlinwood.wire.SuspicionEvent getEvent() {
+    org.merlinwood.wire.SuspicionEvent result = org.merlinwood.wire.SuspicionEvent.forNumber(event_);
+    return result == null ? org.merlinwood.wire.SuspicionEvent.UNRECOGNIZED : result;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -138,6 +157,9 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(instance_)) {
       com.google.protobuf.GeneratedMessage.writeString(output, 3, instance_);
     }
+    if (event_ != org.merlinwood.wire.SuspicionEvent.CRASHED.getNumber()) {
+      output.writeEnum(4, event_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -153,6 +175,10 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(instance_)) {
       size += com.google.protobuf.GeneratedMessage.computeStringSize(3, instance_);
     }
+    if (event_ != org.merlinwood.wire.SuspicionEvent.CRASHED.getNumber()) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeEnumSize(4, event_);
+    }
     return size;
   }
   @java.lang.Override
@@ -183,6 +209,7 @@
         != other.getAlone()) return false;
     if (!getInstance()
         .equals(other.getInstance())) return false;
+    if (event_ != other.event_) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -201,6 +228,8 @@
         getAlone());
     hash = (37 * hash) + INSTANCE_FIELD_NUMBER;
     hash = (53 * hash) + getInstance().hashCode();
+    hash = (37 * hash) + EVENT_FIELD_NUMBER;
+    hash = (53 * hash) + event_;
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -335,6 +364,7 @@
       fingerprint_ = com.google.protobuf.ByteString.EMPTY;
       alone_ = false;
       instance_ = "";
+      event_ = 0;
       return this;
     }
 
@@ -377,6 +407,9 @@
       if (((from_bitField0_ & 0x00000004) != 0)) {
         result.instance_ = instance_;
       }
+      if (((from_bitField0_ & 0x00000008) != 0)) {
+        result.event_ = event_;
+      }
     }
 
     @java.lang.Override
@@ -402,6 +435,9 @@
         bitField0_ |= 0x00000004;
         onChanged();
       }
+      if (other.event_ != 0) {
+        setEventValue(other.getEventValue());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -441,6 +477,11 @@
               bitField0_ |= 0x00000004;
               break;
             } // case 26
+            case 32: {
+              event_ = input.readEnum();
+              bitField0_ |= 0x00000008;
+              break;
+            } // case 32
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -606,6 +647,58 @@
       return this;
     }
 
+    private int event_ = 0;
+    /**
+     * <code>.merlinwood.wire.v1.SuspicionEvent event = 4;</code>
+     * @return The enum numeric value on the wire for event.
+     */
+    @java.lang.Override public int getEventValue() {
+      return event_;
+    }
+    /**
+     * <code>.merlinwood.wire.v1.SuspicionEvent event = 4;</code>
+     * @param value The enum numeric value on the wire for event to set.
+     * @return This builder for chaining.
+     */
+    public Builder setEventValue(int value) {
+      event_ = value;
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>.merlinwood.wire.v1.SuspicionEvent event = 4;</code>
+     * @return The event.
+     */
+    @java.lang.Override
+    public org.merlinwood.wire.SuspicionEvent getEvent() {
+      org.merlinwood.wire.SuspicionEvent result = org.merlinwood.wire.SuspicionEvent.forNumber(event_);
+      return result == null ? org.merlinwood.wire.SuspicionEvent.UNRECOGNIZED : result;
+    }
+    /**
+     * <code>.merlinwood.wire.v1.SuspicionEvent event = 4;</code>
+     * @param value The event to set.
+     * @throws IllegalArgumentException if UNRECOGNIZED is provided.
+     * @return This builder for chaining.
+     */
+    public Builder setEvent(org.merlinwood.wire.SuspicionEvent value) {
+      java.util.Objects.requireNonNull(value);
+      bitField0_ |= 0x00000008;
+      event_ = value.getNumber();
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>.merlinwood.wire.v1.SuspicionEvent event = 4;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearEvent() {
+      bitField0_ = (bitField0_ & ~0x00000008);
+      event_ = 0;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:merlinwood.wire.v1.SuspicionReport)
   }
 
--- a/wire-generated/src/main/java/org/merlinwood/wire/SuspicionReportOrBuilder.java
+++ b/wire-generated/src/main/java/org/merlinwood/wire/SuspicionReportOrBuilder.java
@@ -37,4 +37,15 @@
    */
   com.google.protobuf.ByteString
       getInstanceBytes();
+
+  /**
+   * <code>.merlinwood.wire.v1.SuspicionEvent event = 4;</code>
+   * @return The enum numeric value on the wire for event.
+   */
+  int getEventValue();
+  /**
+   * <code>.merlinwood.wire.v1.SuspicionEvent event = 4;</code>
+   * @return The event.
+   */
+  org.merlinwood.wire.SuspicionEvent getEvent();
 }
