Entry: resuming an answer that has begun does not spend the retry budget

Cause: with 20 streams on two decode engines the budget of ten saved attempts was spent by resumptions, and the rest of the streams ended with RETRY_BUDGET_SPENT in the middle of their answers. Ruled out: a larger budget, which would weaken the bound on repeated attempts of requests that have not begun.

--- a/entry/src/main/java/org/merlinwood/entry/dispatch/RequestRunner.java
+++ b/entry/src/main/java/org/merlinwood/entry/dispatch/RequestRunner.java
@@ -63,6 +63,7 @@
     private Revisions awaited = new Revisions(Revisions.NONE, Revisions.NONE);
     private String finishReason = "";
     private volatile long lastPartMillis;
+    private boolean answerBegan;
     private boolean settled;
 
     // ------------------------------------------------------------------ life-cycle
@@ -222,6 +223,7 @@
             }
             case RequestAction.ExecuteDecode execute -> {
                 UpstreamAttempt attempt = begin(execute.attempt());
+                answerBegan = true;
                 attempt.execute(wire.decode(attempt.grantUse(), execute.cache(), assembly.tokensSoFar()));
             }
             case RequestAction.ExecutePlain execute -> {
@@ -251,9 +253,13 @@
         attempt.start(connection -> wire.grantRequest(ask, connection, waitMillis), waitMillis);
     }
 
-    /** A prefill grant is worthless once the decode grant has lapsed. */
+    /**
+     * The target for the first token does not bind a begun answer. A prefill grant is worthless once the decode grant
+     * has lapsed.
+     */
     private long waitMillis(InstanceRole role) {
-        long waitMillis = Math.min(grantWaitMillis, Math.max(0, remainingMillis()));
+        long targetMillis = answerBegan ? Long.MAX_VALUE : grantWaitMillis;
+        long waitMillis = Math.min(targetMillis, Math.max(0, remainingMillis()));
         if (role != InstanceRole.PREFILL) {
             return waitMillis;
         }
--- a/entry/src/main/java/org/merlinwood/entry/machine/ModelMachine.java
+++ b/entry/src/main/java/org/merlinwood/entry/machine/ModelMachine.java
@@ -35,8 +35,8 @@
  * <p>The decode grant comes first, since decode memory is scarce; then a prefill grant, the prefill, and at once the
  * decode. A prefill that fails gives the decode grant back, and the request begins again. A decode that fails begins
  * again as well, behind the tokens that the caller has. An instance whose connection ended is asked once more on
- * another connection. Apart from that, each beginning after the first and each further candidate spends the budget for
- * repeated attempts. Not thread-safe: used by the control thread only.
+ * another connection. Apart from that, and from the first resumptions of an answer, each beginning after the first and
+ * each further candidate spends the budget for repeated attempts. Not thread-safe: used by the control thread only.
  */
 public final class ModelMachine implements RequestMachine {
 
@@ -46,6 +46,9 @@
     /** Failed transfers after which the decode engine is left to prefill on its own. */
     private static final int TRANSFERS_BEFORE_OWN_PREFILL = 2;
 
+    /** Resumptions of one answer that do not spend the budget for repeated attempts. */
+    private static final int OWED_RESUMPTIONS = 3;
+
     private final Placement placement;
     private final RefusalSummary refusals;
     private final Set<InstanceName> excludedDecodes = new HashSet<>();
@@ -55,6 +58,7 @@
     private State state = new State.Created();
     private int attempts;
     private int failedTransfers;
+    private int resumptions;
     private Optional<InstanceName> resumedAt = Optional.empty();
     private ExecutionState execution = ExecutionState.NOT_RUN;
 
@@ -75,7 +79,7 @@
     @Override
     public List<RequestAction> start() {
         placement.firstAttempt();
-        askDecode(Turn.FIRST);
+        askDecode(Charge.FREE);
         return takeActions();
     }
 
@@ -176,7 +180,7 @@
 
     private void onAwaitingRevisions(RequestEvent event) {
         if (event instanceof RevisionsAwaited awaited && awaited.inForce()) {
-            askDecode(Turn.FIRST);
+            askDecode(Charge.FREE);
         } else if (event instanceof RevisionsAwaited) {
             settle(Optional.of(refusals.noneLeft(execution)));
         }
@@ -184,8 +188,8 @@
 
     // ------------------------------------------------------------------ internals: steps
 
-    private void askDecode(Turn turn) {
-        Either<Failure, Attempt> asked = ask(InstanceRole.DECODE, excludedDecodes, turn);
+    private void askDecode(Charge charge) {
+        Either<Failure, Attempt> asked = ask(InstanceRole.DECODE, excludedDecodes, charge);
         if (asked.isRight()) {
             state = new State.AskingDecode(asked.get());
         } else {
@@ -199,12 +203,12 @@
         if (isResumedInPlace || failedTransfers >= TRANSFERS_BEFORE_OWN_PREFILL) {
             decode(decode, Optional.empty());
         } else {
-            askPrefill(decode, Turn.FIRST);
+            askPrefill(decode, Charge.FREE);
         }
     }
 
-    private void askPrefill(Attempt decode, Turn turn) {
-        Either<Failure, Attempt> asked = ask(InstanceRole.PREFILL, excludedPrefills, turn);
+    private void askPrefill(Attempt decode, Charge charge) {
+        Either<Failure, Attempt> asked = ask(InstanceRole.PREFILL, excludedPrefills, charge);
         if (asked.isRight()) {
             state = new State.AskingPrefill(decode, asked.get());
         } else {
@@ -248,6 +252,7 @@
     /** The engine may still have the request's cache, so its sidecar is asked first, on another connection. */
     private void decodeLost(Attempt decode, Failure failure) {
         if (mayReconnect(decode, failure)) {
+            resumptions++;
             resumedAt = Optional.of(decode.instance().name());
             state = new State.AskingDecode(askAgain(decode, InstanceRole.DECODE));
         } else {
@@ -268,7 +273,7 @@
             actions.add(new Release(asking.decode().attempt()));
             settle(Optional.of(failure.withExecutionState(execution)));
         } else {
-            askPrefill(asking.decode(), Turn.REPEATED);
+            askPrefill(asking.decode(), repeatedCharge());
         }
     }
 
@@ -290,6 +295,7 @@
 
     /** Earlier exclusions end here: what was full when the request began may have room by now. */
     private void decodeFailed(Attempt decode, Failure failure) {
+        resumptions++;
         resumedAt = Optional.empty();
         excludedDecodes.clear();
         excludedPrefills.clear();
@@ -301,12 +307,20 @@
         beginAgain(failure);
     }
 
+    /**
+     * A begun answer is owed to its caller, and each is resumed a few times at most, so it is not the budget's to end.
+     */
+    private Charge repeatedCharge() {
+        boolean isOwed = resumptions > 0 && resumptions <= OWED_RESUMPTIONS;
+        return isOwed ? Charge.FREE : Charge.BUDGET;
+    }
+
     private void beginAgain(Failure failure) {
         refusals.add(failure);
         if (RefusalSummary.isFinal(failure)) {
             settle(Optional.of(failure.withExecutionState(execution)));
         } else {
-            askDecode(Turn.REPEATED);
+            askDecode(repeatedCharge());
         }
     }
 
@@ -335,12 +349,12 @@
         return again;
     }
 
-    private Either<Failure, Attempt> ask(InstanceRole role, Set<InstanceName> excluded, Turn turn) {
+    private Either<Failure, Attempt> ask(InstanceRole role, Set<InstanceName> excluded, Charge charge) {
         Optional<Instance> instance = attempts < MAXIMUM_ATTEMPTS ? placement.place(role, excluded) : Optional.empty();
         if (instance.isEmpty()) {
             return Either.left(refusals.noneLeft(execution));
         }
-        if (turn == Turn.REPEATED && !placement.tryRetry()) {
+        if (charge == Charge.BUDGET && !placement.tryRetry()) {
             return Either.left(refusals.budgetSpent(execution));
         }
         Attempt attempt = new Attempt(++attempts, instance.get());
@@ -354,10 +368,12 @@
         return taken;
     }
 
-    /** Whether a grant that is asked for spends the budget for repeated attempts. */
-    private enum Turn {
-        FIRST,
-        REPEATED
+    /** What pays for a grant that is asked for. */
+    private enum Charge {
+        /** Nothing: the first of its kind, or part of a resumption that the caller of a begun answer is owed. */
+        FREE,
+        /** The budget for repeated attempts. */
+        BUDGET
     }
 
     /** One grant that was asked for. */
--- a/entry/src/test/java/org/merlinwood/entry/ModelFailureTest.java
+++ b/entry/src/test/java/org/merlinwood/entry/ModelFailureTest.java
@@ -89,6 +89,21 @@
         assertThat(resumed.getExecuteDecode().getTokensSoFarList()).containsExactly("one", " two");
     }
 
+    @Test
+    void resumingAnAnswerThatHasBegunDoesNotSpendTheRetryBudget() throws Exception {
+        FlakyDecode first = new FlakyDecode("decode-1", (exchange, use) -> {});
+        FlakyDecode second = new FlakyDecode("decode-2", (exchange, use) -> {});
+        for (FlakyDecode sidecar : List.of(first, second)) {
+            sidecar.afterTwoTokens = (exchange, use) -> breakOff(sidecar, Break.FAILED, exchange, use.getRequest());
+        }
+        fixture = new EntryFixture(0, first, second, new FakeSidecar("prefill-1", InstanceRole.PREFILL));
+
+        for (int request = 0; request < 15; request++) {
+            assertThat(text(fixture.post("/v1/completions", EntryFixture.COMPLETION)))
+                    .isEqualTo(WHOLE);
+        }
+    }
+
     @Test
     void anAnswerThatKeepsBreakingOffEndsWithItsCode() throws Exception {
         FakeSidecar decode = new FakeSidecar("decode-1", InstanceRole.DECODE) {
