--- a/entry/src/main/java/org/merlinwood/entry/machine/ModelMachine.java
+++ b/entry/src/main/java/org/merlinwood/entry/machine/ModelMachine.java
@@ -295,14 +295,16 @@
 
     /** Earlier exclusions end here: what was full when the request began may have room by now. */
     private void decodeFailed(Attempt decode, Failure failure) {
-        resumptions++;
         resumedAt = Optional.empty();
         excludedDecodes.clear();
         excludedPrefills.clear();
         switch (failure.code()) {
             case TRANSFER_FAILED -> failedTransfers++;
             case GRANT_EXPIRED, GRANT_UNKNOWN -> {}
-            default -> excludedDecodes.add(decode.instance().name());
+            default -> {
+                resumptions++;
+                excludedDecodes.add(decode.instance().name());
+            }
         }
         beginAgain(failure);
     }
