Crash-causing requests in the sidecar: reported, run alone, quarantined

Answers that break off are judged only once it is known whether the engine still serves: a broken connection is no crash. A suspect's grant takes all units. Only a decode that ends whole while alone clears a suspect, since a prefill passes where the decode ends the engine.

The test of the drain now closes the process after it: before, it passed without any waiting.

--- a/decision/src/main/java/org/merlinwood/decision/suspicion/SuspicionBook.java
+++ b/decision/src/main/java/org/merlinwood/decision/suspicion/SuspicionBook.java
@@ -3,7 +3,7 @@
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.Map;
-import org.merlinwood.core.identity.InstanceName;
+import org.merlinwood.core.identity.RequestIdentifier;
 import org.merlinwood.core.time.MillisClock;
 import org.merlinwood.decision.idempotency.Fingerprint;
 
@@ -50,13 +50,14 @@
     // ------------------------------------------------------------------ public API
 
     /**
-     * Judges a request that wants to run. A suspect is left to one instance at a time.
+     * Judges a request that wants to run. A suspect is left to one request at a time, with all the work that this
+     * takes.
      *
      * @param fingerprint of the request
-     * @param instance where it would run
+     * @param request the request, apart from resends of it
      * @return how it may run
      */
-    public SuspicionVerdict judge(Fingerprint fingerprint, InstanceName instance) {
+    public SuspicionVerdict judge(Fingerprint fingerprint, RequestIdentifier request) {
         Entry entry = entries.get(fingerprint);
         long now = clock.monotonicMillis();
         if (entry == null || now - entry.sinceMillis >= memoryMillis) {
@@ -66,10 +67,10 @@
         if (entry.convicted) {
             return new SuspicionVerdict.Quarantined(entry.crashes, entry.sinceMillis + memoryMillis - now);
         }
-        if (now < entry.leasedUntilMillis && !instance.equals(entry.leasedTo)) {
+        if (now < entry.leasedUntilMillis && !request.equals(entry.leasedTo)) {
             return new SuspicionVerdict.Wait(entry.leasedUntilMillis - now);
         }
-        entry.leasedTo = instance;
+        entry.leasedTo = request;
         entry.leasedUntilMillis = now + ISOLATION_LEASE_MILLIS;
         return new SuspicionVerdict.Isolate(entry.crashes);
     }
@@ -137,6 +138,6 @@
         private boolean convicted;
         private long sinceMillis;
         private long leasedUntilMillis;
-        private InstanceName leasedTo;
+        private RequestIdentifier leasedTo;
     }
 }
--- a/decision/src/test/java/org/merlinwood/decision/idempotency/KeyBarrierTest.java
+++ b/decision/src/test/java/org/merlinwood/decision/idempotency/KeyBarrierTest.java
@@ -130,6 +130,15 @@
         assertWithheld(key, ResultCode.KEY_WITHHELD_FOR_HANDOVER);
     }
 
+    @Test
+    void aKeyThatMovedAwayIsRefusedAtItsOldHomeFromTheNewRevisionOn() {
+        clock.advanceMillis(HORIZON_MILLIS);
+        IdempotencyKey key = keyOf(OLD_HOME, Set.of(SELF, OLD_HOME));
+        assertRuns(key);
+        inForce(6, Set.of(SELF, OLD_HOME));
+        assertThat(barrier.foreign(scoped(key)).orElseThrow().code()).isEqualTo(ResultCode.KEY_HOME_UNREACHABLE);
+    }
+
     @Test
     void aRetiredHomeIsNotWaitedFor() {
         IdempotencyKey key = keyMovedFrom(OLD_HOME, Set.of(OLD_HOME), Set.of(SELF, OLD_HOME));
@@ -245,6 +254,14 @@
                 .orElseThrow();
     }
 
+    private static IdempotencyKey keyOf(InstanceName home, Set<InstanceName> homes) {
+        return IntStream.range(0, 1_000)
+                .mapToObj(number -> new IdempotencyKey("booking-" + number))
+                .filter(key -> KeyHome.among(key, homes).orElseThrow().equals(home))
+                .findFirst()
+                .orElseThrow();
+    }
+
     private IdempotencyKey minted(InstanceName instance, Incarnation incarnation) {
         return MintedKeys.mint(SERVICE, instance, incarnation, CALLER, clock.wallMillis(), 9, SECRET);
     }
--- a/decision/src/test/java/org/merlinwood/decision/suspicion/SuspicionBookTest.java
+++ b/decision/src/test/java/org/merlinwood/decision/suspicion/SuspicionBookTest.java
@@ -6,7 +6,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
-import org.merlinwood.core.identity.InstanceName;
+import org.merlinwood.core.identity.RequestIdentifier;
 import org.merlinwood.core.time.ManualMillisClock;
 import org.merlinwood.decision.idempotency.Fingerprint;
 
@@ -14,8 +14,8 @@
 
     private static final Fingerprint CULPRIT = new Fingerprint("aa");
     private static final Fingerprint INNOCENT = new Fingerprint("bb");
-    private static final InstanceName FIRST = new InstanceName("runner-1");
-    private static final InstanceName SECOND = new InstanceName("runner-2");
+    private static final RequestIdentifier FIRST = new RequestIdentifier(0, 1);
+    private static final RequestIdentifier SECOND = new RequestIdentifier(0, 2);
     private static final long MEMORY_MILLIS = 3_600_000;
 
     private final ManualMillisClock clock = new ManualMillisClock(0);
@@ -65,7 +65,7 @@
     }
 
     @Test
-    void aSuspectRunsAtOneInstanceAtATime() {
+    void aSuspectIsLeftToOneRequestAtATime() {
         book.crashed(CULPRIT, false);
         book.judge(CULPRIT, FIRST);
         assertThat(book.judge(CULPRIT, SECOND)).isInstanceOf(SuspicionVerdict.Wait.class);
--- a/sidecar/src/main/java/org/merlinwood/sidecar/SidecarExchanges.java
+++ b/sidecar/src/main/java/org/merlinwood/sidecar/SidecarExchanges.java
@@ -16,6 +16,7 @@
 import org.merlinwood.sidecar.admission.ExecutionStage;
 import org.merlinwood.sidecar.admission.GrantStage;
 import org.merlinwood.sidecar.key.HandoverStage;
+import org.merlinwood.sidecar.suspicion.SuspicionStage;
 import org.merlinwood.wire.Cancel;
 import org.merlinwood.wire.Frame;
 import org.merlinwood.wire.RequestIdentity;
@@ -30,6 +31,7 @@
     private final GrantStage grants;
     private final ExecutionStage executions;
     private final HandoverStage handover;
+    private final SuspicionStage suspicion;
     private final BiConsumer<PeerConnection, Revisions> onPeerRevisions;
 
     SidecarExchanges(
@@ -37,11 +39,13 @@
             GrantStage grants,
             ExecutionStage executions,
             HandoverStage handover,
+            SuspicionStage suspicion,
             BiConsumer<PeerConnection, Revisions> onPeerRevisions) {
         this.loop = loop;
         this.grants = grants;
         this.executions = executions;
         this.handover = handover;
+        this.suspicion = suspicion;
         this.onPeerRevisions = onPeerRevisions;
     }
 
@@ -53,7 +57,8 @@
                 .acceptor(Frame.BodyCase.EXECUTE_PLAIN, this::acceptLostExecute)
                 .acceptor(Frame.BodyCase.CANCEL, this::acceptCancel)
                 .acceptor(Frame.BodyCase.TABLE_REQUEST, this::acceptTableRequest)
-                .acceptor(Frame.BodyCase.TABLE_PART, this::acceptTable);
+                .acceptor(Frame.BodyCase.TABLE_PART, this::acceptTable)
+                .acceptor(Frame.BodyCase.SUSPICION_REPORT, this::acceptSuspicion);
     }
 
     @Override
@@ -91,6 +96,11 @@
         return new IgnoredExchange();
     }
 
+    private ExchangeListener acceptSuspicion(Exchange exchange, Frame first) {
+        loop.execute(() -> suspicion.answer(exchange, first.getSuspicionReport()));
+        return new IgnoredExchange();
+    }
+
     private ExchangeListener acceptTable(Exchange exchange, Frame first) {
         TableExchange table = new TableExchange();
         table.onFrame(exchange, first);
--- a/sidecar/src/main/java/org/merlinwood/sidecar/SidecarProcess.java
+++ b/sidecar/src/main/java/org/merlinwood/sidecar/SidecarProcess.java
@@ -43,6 +43,7 @@
 import org.merlinwood.sidecar.admission.UpstreamGate;
 import org.merlinwood.sidecar.key.HandoverStage;
 import org.merlinwood.sidecar.key.KeyStage;
+import org.merlinwood.sidecar.suspicion.SuspicionStage;
 import org.merlinwood.sidecar.upstream.EngineClient;
 import org.merlinwood.sidecar.upstream.StreamReaper;
 
@@ -75,6 +76,7 @@
     private final StreamReaper reaper;
     private final KeyStage keys;
     private final HandoverStage handover;
+    private final SuspicionStage suspicion;
     private final GrantStage grants;
     private final ExecutionStage executions;
     private final OrphanSweep sweep;
@@ -110,16 +112,19 @@
                 new KeyBarrier(self, incarnation, settings.process().keys(), clock, chain);
         this.keys = new KeyStage(table, barrier, chain, metrics);
         this.handover = new HandoverStage(self, incarnation, clock, loop, table, barrier, chain, keys, metrics);
+        this.suspicion = new SuspicionStage(self, clock, loop, metrics);
         this.grants = new GrantStage(
                 new GrantBook(clock, new RetryDelay(random)),
                 gate,
                 keys,
+                suspicion,
                 incarnation,
                 metrics,
                 this::abandon,
                 follower::onPeerRevisions);
         ExecutionFactory factory = new ExecutionFactory(client, engine, settings.upstreamAddress(), loop);
-        this.executions = new ExecutionStage(grants, keys, factory, reaper, gate, loop, clock, metrics);
+        this.executions =
+                new ExecutionStage(grants, keys, factory, engine, reaper, suspicion, gate, loop, clock, metrics);
         this.sweep = new OrphanSweep(loop, clock, engine, reaper, executions, gate, metrics);
         this.endpoint = endpoint();
         this.operator = operatorServer(onDrainRequested);
@@ -141,6 +146,7 @@
         follower.start(endpoint);
         loop.repeat(ADVANCE_PERIOD_MILLIS, this::advance);
         handover.start(endpoint);
+        suspicion.start(endpoint);
         logger.atInfo().log(
                 "sidecar %s, incarnation %s, beside %s",
                 settings.process().instance(), incarnation, settings.upstreamAddress());
@@ -211,7 +217,7 @@
     private PeerEndpoint endpoint() {
         ProcessSettings process = settings.process();
         SidecarExchanges exchanges =
-                new SidecarExchanges(loop, grants, executions, handover, follower::onPeerRevisions);
+                new SidecarExchanges(loop, grants, executions, handover, suspicion, follower::onPeerRevisions);
         PeerEndpoint.Builder builder = PeerEndpoint.builder()
                 .identity(new PeerIdentity(process.instance(), incarnation, PeerRole.SIDECAR))
                 .keys(process.keys().stream()
@@ -264,7 +270,10 @@
     private void configure(ConfigurationInForce inForce) {
         ServingView view = ServingView.of(inForce, settings.process().instance());
         handover.configure(inForce);
-        view.row().ifPresent(row -> keys.configure(inForce, row));
+        view.row().ifPresent(row -> {
+            keys.configure(inForce, row);
+            suspicion.configure(inForce, row);
+        });
         grants.configure(view);
         Optional<InstanceRole> role = view.row().map(row -> row.role());
         if (role.filter(InstanceRole.PLAIN::equals).isPresent()) {
@@ -297,6 +306,7 @@
                 grants.state(),
                 keys.state(),
                 handover.custodySize(),
+                suspicion.state(),
                 executions.running(),
                 reaper.pending(),
                 endpoint.openConnections());
--- a/sidecar/src/main/java/org/merlinwood/sidecar/SidecarState.java
+++ b/sidecar/src/main/java/org/merlinwood/sidecar/SidecarState.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import org.merlinwood.decision.grant.GrantBookState;
 import org.merlinwood.decision.idempotency.KeyTableState;
+import org.merlinwood.decision.suspicion.SuspicionState;
 
 /**
  * Control state of a sidecar, for the state dump.
@@ -17,6 +18,7 @@
  * @param grants grants and queue
  * @param keys table of idempotency keys
  * @param custody sealed tables of other instances
+ * @param suspicion fingerprints that may end engines
  * @param running attempts whose call to the upstream is open
  * @param ending streams that the engine has not confirmed to have ended
  * @param connections open connections of peers
@@ -32,6 +34,7 @@
         GrantBookState grants,
         KeyTableState keys,
         int custody,
+        SuspicionState suspicion,
         List<String> running,
         List<String> ending,
         int connections) {}
--- a/sidecar/src/main/java/org/merlinwood/sidecar/admission/Demands.java
+++ b/sidecar/src/main/java/org/merlinwood/sidecar/admission/Demands.java
@@ -35,18 +35,22 @@
                 && (request.getNonIdempotent() || !request.getIdempotencyKey().isEmpty());
     }
 
+    static Fingerprint fingerprint(GrantRequest request) {
+        return Fingerprint.of(request.getFingerprint().toByteArray());
+    }
+
     static KeyedCall keyedCall(GrantRequest request) {
         ScopedKey key = new ScopedKey(
                 new CallerName(request.getCaller().isBlank() ? UNNAMED_CALLER : request.getCaller()),
                 new IdempotencyKey(request.getIdempotencyKey()));
-        return new KeyedCall(key, Fingerprint.of(request.getFingerprint().toByteArray()));
+        return new KeyedCall(key, fingerprint(request));
     }
 
-    static GrantDemand demand(GrantRequest request, SessionNumber session, boolean needsCapacity) {
+    static GrantDemand demand(GrantRequest request, SessionNumber session, int units) {
         return new GrantDemand(
                 session,
                 attempt(request.getRequest()),
-                needsCapacity ? units(request) : 0,
+                units,
                 request.getKind() == WorkKind.PREFILL ? promptTokens(request) : 0,
                 Math.clamp(Integer.toUnsignedLong(request.getPriority()), 0, LOWEST_PRIORITY),
                 Integer.toUnsignedLong(request.getWaitMillis()));
@@ -73,7 +77,7 @@
                 .build();
     }
 
-    private static int units(GrantRequest request) {
+    static int units(GrantRequest request) {
         return switch (request.getKind()) {
             case PREFILL -> GrantDemand.piecesOf(promptTokens(request));
             case DECODE ->
--- a/sidecar/src/main/java/org/merlinwood/sidecar/admission/ExecutionStage.java
+++ b/sidecar/src/main/java/org/merlinwood/sidecar/admission/ExecutionStage.java
@@ -28,9 +28,12 @@
 import org.merlinwood.sidecar.execution.PlainExecution;
 import org.merlinwood.sidecar.key.KeyStage;
 import org.merlinwood.sidecar.key.StoredAnswers;
+import org.merlinwood.sidecar.suspicion.SuspicionStage;
+import org.merlinwood.sidecar.upstream.EngineClient;
 import org.merlinwood.sidecar.upstream.StreamReaper;
 import org.merlinwood.wire.ExecutePlain;
 import org.merlinwood.wire.Frame;
+import org.merlinwood.wire.WorkKind;
 
 /**
  * Runs what was granted, and settles it: units are freed once the upstream holds nothing for it any more.
@@ -47,6 +50,8 @@
     private final KeyStage keys;
     private final ExecutionFactory factory;
     private final StreamReaper reaper;
+    private final SuspicionStage suspicion;
+    private final CrashWatch crashes;
     private final UpstreamGate gate;
     private final ControlLoop loop;
     private final MillisClock clock;
@@ -63,7 +68,9 @@
      * @param grants the grants
      * @param keys what ran under which key
      * @param factory makes executions
+     * @param engine is asked whether it has ended
      * @param reaper ends streams of the engine
+     * @param suspicion hears of requests that ran when the engine ended
      * @param gate hears whether the upstream accepts connections
      * @param loop the control thread
      * @param clock tells since when results are kept
@@ -73,7 +80,9 @@
             GrantStage grants,
             KeyStage keys,
             ExecutionFactory factory,
+            EngineClient engine,
             StreamReaper reaper,
+            SuspicionStage suspicion,
             UpstreamGate gate,
             ControlLoop loop,
             MillisClock clock,
@@ -82,6 +91,15 @@
         this.keys = keys;
         this.factory = factory;
         this.reaper = reaper;
+        this.suspicion = suspicion;
+        this.crashes = new CrashWatch(
+                loop,
+                clock,
+                engine,
+                suspicion,
+                running::size,
+                (attempt, failure) -> endFailed(attempt, failure, true),
+                metrics);
         this.gate = gate;
         this.loop = loop;
         this.clock = clock;
@@ -233,6 +251,7 @@
         switch (outcome) {
             case ExecutionOutcome.Whole ignored -> {
                 gate.reachable();
+                clearSuspicion(attempt);
                 grants.finished(attempt.attempt());
             }
             case ExecutionOutcome.Kept result -> keep(attempt, given);
@@ -240,6 +259,14 @@
         }
     }
 
+    /** Only the last step of a request tells that none of its steps ended an engine. */
+    private void clearSuspicion(OpenAttempt attempt) {
+        if (attempt.isolated() && attempt.request().getKind() == WorkKind.DECODE) {
+            suspicion.survived(
+                    Demands.fingerprint(attempt.request()), attempt.attempt().request());
+        }
+    }
+
     private void settleKey(OpenAttempt attempt, Execution execution, ExecutionOutcome outcome) {
         if (!Demands.isKeyed(attempt.request())) {
             return;
@@ -275,8 +302,16 @@
         if (failure.code() == ResultCode.UPSTREAM_UNREACHABLE) {
             gate.unreachable();
         }
+        if (failed.upstreamHolds() && failure.code() == ResultCode.UPSTREAM_TRUNCATED) {
+            crashes.lost(attempt, failure);
+            return;
+        }
+        endFailed(attempt, failure, failed.upstreamHolds());
+    }
+
+    private void endFailed(OpenAttempt attempt, Failure failure, boolean upstreamHolds) {
         attempt.channel().failed(told(attempt, failure));
-        if (failed.upstreamHolds() && failure.executionState() != ExecutionState.NOT_RUN) {
+        if (upstreamHolds && failure.executionState() != ExecutionState.NOT_RUN) {
             reap(attempt.attempt());
         } else {
             grants.finished(attempt.attempt());
--- a/sidecar/src/main/java/org/merlinwood/sidecar/admission/GrantStage.java
+++ b/sidecar/src/main/java/org/merlinwood/sidecar/admission/GrantStage.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import org.merlinwood.core.identity.Incarnation;
 import org.merlinwood.core.identity.Revisions;
 import org.merlinwood.core.result.ExecutionState;
@@ -20,12 +21,15 @@
 import org.merlinwood.decision.grant.GrantBookState;
 import org.merlinwood.decision.grant.GrantEvent;
 import org.merlinwood.decision.grant.SessionNumber;
+import org.merlinwood.decision.idempotency.Fingerprint;
 import org.merlinwood.decision.idempotency.KeyDecision;
+import org.merlinwood.decision.suspicion.SuspicionVerdict;
 import org.merlinwood.protocol.Exchange;
 import org.merlinwood.protocol.PeerConnection;
 import org.merlinwood.protocol.WireValues;
 import org.merlinwood.sidecar.execution.AnswerChannel;
 import org.merlinwood.sidecar.key.KeyStage;
+import org.merlinwood.sidecar.suspicion.SuspicionStage;
 import org.merlinwood.wire.Frame;
 import org.merlinwood.wire.GrantRequest;
 import org.merlinwood.wire.GrantUse;
@@ -33,6 +37,7 @@
 import org.merlinwood.wire.Load;
 import org.merlinwood.wire.Queued;
 import org.merlinwood.wire.RequestIdentity;
+import org.merlinwood.wire.WorkKind;
 
 /**
  * Connects exchanges with the grant book. Used by the control thread only, except for {@link #load()} and
@@ -46,11 +51,13 @@
     private final GrantBook book;
     private final UpstreamGate gate;
     private final KeyStage keys;
+    private final SuspicionStage suspicion;
     private final Incarnation incarnation;
     private final MetricRegistry metrics;
     private final Consumer<AttemptIdentity> onAbandoned;
     private final BiConsumer<PeerConnection, Revisions> onBehind;
     private final Sessions sessions = new Sessions();
+    private final Map<AttemptIdentity, OpenAttempt> unjudged = new HashMap<>();
     private final Map<AttemptIdentity, OpenAttempt> open = new HashMap<>();
     private Optional<ServingView> view = Optional.empty();
     private boolean leaving;
@@ -65,6 +72,7 @@
      * @param book the grants
      * @param gate whether the upstream can take work
      * @param keys judges calls with keys
+     * @param suspicion judges requests that may have ended engines
      * @param incarnation of this process
      * @param metrics counts decisions
      * @param onAbandoned hears of attempts that run and have to be cancelled
@@ -74,6 +82,7 @@
             GrantBook book,
             UpstreamGate gate,
             KeyStage keys,
+            SuspicionStage suspicion,
             Incarnation incarnation,
             MetricRegistry metrics,
             Consumer<AttemptIdentity> onAbandoned,
@@ -81,6 +90,7 @@
         this.book = book;
         this.gate = gate;
         this.keys = keys;
+        this.suspicion = suspicion;
         this.incarnation = incarnation;
         this.metrics = metrics;
         this.onAbandoned = onAbandoned;
@@ -128,13 +138,18 @@
             channel.refused(refusal.get());
             return;
         }
-        OpenAttempt earlier = open.put(attempt, new OpenAttempt(attempt, session, request, channel));
-        if (earlier != null) {
-            open.put(attempt, earlier);
+        if (unjudged.containsKey(attempt) || book.knows(attempt)) {
             channel.refused(Failure.of(ResultCode.PROTOCOL_VIOLATION, "the attempt was asked for twice"));
             return;
         }
-        tell(book.request(Demands.demand(request, session, needsCapacity(request))));
+        OpenAttempt opened = new OpenAttempt(attempt, session, request, channel, false);
+        Fingerprint fingerprint = Demands.fingerprint(request);
+        if (request.getKind() == WorkKind.PLAIN || fingerprint.isEmpty()) {
+            ask(opened, needsCapacity(request) ? Demands.units(request) : 0);
+            return;
+        }
+        unjudged.put(attempt, opened);
+        suspicion.inquire(fingerprint, attempt.request(), verdict -> judged(opened, verdict));
     }
 
     /**
@@ -145,7 +160,7 @@
      */
     public void release(Exchange exchange, RequestIdentity identity) {
         AttemptIdentity attempt = Demands.attempt(identity);
-        OpenAttempt released = open.get(attempt);
+        OpenAttempt released = open.getOrDefault(attempt, unjudged.get(attempt));
         if (released == null || !released.session().equals(sessions.of(exchange.connection()))) {
             return;
         }
@@ -161,7 +176,13 @@
      */
     public void cancel(RequestIdentity identity, Failure why) {
         AttemptIdentity attempt = Demands.attempt(identity);
-        tell(attempt.attempt() == 0 ? book.cancelAll(attempt.request(), why) : book.cancel(attempt, why));
+        boolean all = attempt.attempt() == 0;
+        refuseUnjudged(
+                other -> all
+                        ? other.attempt().request().equals(attempt.request())
+                        : other.attempt().equals(attempt),
+                why);
+        tell(all ? book.cancelAll(attempt.request(), why) : book.cancel(attempt, why));
     }
 
     /**
@@ -170,7 +191,12 @@
      * @param connection the connection, which is closed
      */
     public void closed(PeerConnection connection) {
-        sessions.closed(connection).ifPresent(session -> tell(book.closeSession(session)));
+        sessions.closed(connection).ifPresent(session -> {
+            refuseUnjudged(
+                    attempt -> attempt.session().equals(session),
+                    Failure.of(ResultCode.CONNECTION_LOST, "the connection of the entry ended"));
+            tell(book.closeSession(session));
+        });
     }
 
     /** Cancels everything that is granted or runs. */
@@ -284,6 +310,60 @@
         return book.state();
     }
 
+    // ------------------------------------------------------------------ internals: suspicion
+
+    private void judged(OpenAttempt attempt, SuspicionVerdict verdict) {
+        if (!unjudged.remove(attempt.attempt(), attempt)) {
+            return;
+        }
+        switch (verdict) {
+            case SuspicionVerdict.Free free -> ask(attempt, Demands.units(attempt.request()));
+            case SuspicionVerdict.Isolate isolate -> isolate(attempt);
+            case SuspicionVerdict.Wait wait ->
+                refuse(
+                        attempt,
+                        Failure.retryable(
+                                ResultCode.NO_CAPACITY,
+                                "a copy of the request is being run alone",
+                                wait.retryAfterMillis()));
+            case SuspicionVerdict.Quarantined quarantined ->
+                refuse(
+                        attempt,
+                        Failure.retryable(
+                                ResultCode.REQUEST_QUARANTINED,
+                                quarantined.crashes() + " engines ended while the request ran",
+                                quarantined.expiresInMillis()));
+        }
+    }
+
+    /** Runs alone: it takes all units. */
+    private void isolate(OpenAttempt attempt) {
+        metrics.counter("suspicion.isolated").inc();
+        int allUnits = view.map(ServingView::units).orElse(0);
+        ask(
+                new OpenAttempt(attempt.attempt(), attempt.session(), attempt.request(), attempt.channel(), true),
+                allUnits);
+    }
+
+    private void ask(OpenAttempt attempt, int units) {
+        open.put(attempt.attempt(), attempt);
+        tell(book.request(Demands.demand(attempt.request(), attempt.session(), units)));
+    }
+
+    private void refuse(OpenAttempt attempt, Failure failure) {
+        count(failure);
+        attempt.channel().refused(failure);
+    }
+
+    /** Attempts whose suspicion is being asked about are not in the book yet. */
+    private void refuseUnjudged(Predicate<OpenAttempt> attempts, Failure failure) {
+        List<OpenAttempt> refused = unjudged.values().stream().filter(attempts).toList();
+        refused.forEach(attempt -> {
+            unjudged.remove(attempt.attempt());
+            refuse(attempt, failure.withExecutionState(ExecutionState.NOT_RUN));
+        });
+    }
+
     // ------------------------------------------------------------------ internals: judging
 
     private Optional<Failure> refusalOf(Exchange exchange, GrantRequest request) {
--- a/sidecar/src/main/java/org/merlinwood/sidecar/admission/OpenAttempt.java
+++ b/sidecar/src/main/java/org/merlinwood/sidecar/admission/OpenAttempt.java
@@ -12,5 +12,11 @@
  * @param session the connection
  * @param request what was asked for
  * @param channel ends the exchange
+ * @param isolated true if nothing else may run beside it, since it may have ended an engine
  */
-record OpenAttempt(AttemptIdentity attempt, SessionNumber session, GrantRequest request, AnswerChannel channel) {}
+record OpenAttempt(
+        AttemptIdentity attempt,
+        SessionNumber session,
+        GrantRequest request,
+        AnswerChannel channel,
+        boolean isolated) {}
--- /dev/null
+++ b/sidecar/src/main/java/org/merlinwood/sidecar/suspicion/SuspicionConversation.java
@@ -0,0 +1,84 @@
+package org.merlinwood.sidecar.suspicion;
+
+import java.net.InetSocketAddress;
+import java.util.concurrent.Future;
+import java.util.function.Consumer;
+import org.merlinwood.configuration.inventory.Instance;
+import org.merlinwood.core.result.ResultCode;
+import org.merlinwood.decision.suspicion.SuspicionVerdict;
+import org.merlinwood.operation.control.ControlLoop;
+import org.merlinwood.protocol.Exchange;
+import org.merlinwood.protocol.ExchangeListener;
+import org.merlinwood.protocol.PeerConnection;
+import org.merlinwood.protocol.PeerEndpoint;
+import org.merlinwood.wire.Frame;
+import org.merlinwood.wire.SuspicionReport;
+
+/** One question to one home. Ends once, on the control thread; a home that is silent knows nothing. */
+final class SuspicionConversation implements ExchangeListener {
+
+    private static final long ANSWER_TIMEOUT_MILLIS = 300;
+
+    private final ControlLoop loop;
+    private final Consumer<SuspicionVerdict> onEnd;
+    private Exchange exchange;
+    private Future<?> timeout;
+    private boolean ended;
+
+    private SuspicionConversation(ControlLoop loop, Consumer<SuspicionVerdict> onEnd) {
+        this.loop = loop;
+        this.onEnd = onEnd;
+    }
+
+    /** Opens an exchange with a home. Called on the control thread. */
+    @SuppressWarnings("FutureReturnValueIgnored") // completed in the callback, never exceptionally
+    static void open(
+            PeerEndpoint endpoint,
+            ControlLoop loop,
+            Instance home,
+            SuspicionReport report,
+            Consumer<SuspicionVerdict> onEnd) {
+        SuspicionConversation conversation = new SuspicionConversation(loop, onEnd);
+        conversation.timeout =
+                loop.schedule(ANSWER_TIMEOUT_MILLIS, () -> conversation.end(new SuspicionVerdict.Free()));
+        InetSocketAddress address =
+                new InetSocketAddress(home.address().host(), home.address().port());
+        endpoint.connect(address)
+                .thenAccept(result -> loop.execute(() -> result.fold(
+                        failure -> conversation.end(new SuspicionVerdict.Free()),
+                        connection -> conversation.send(connection, report))));
+    }
+
+    // ------------------------------------------------------------------ internals
+
+    private boolean send(PeerConnection connection, SuspicionReport report) {
+        if (ended) {
+            return false;
+        }
+        exchange = connection.open(this);
+        return exchange.send(Frame.newBuilder().setSuspicionReport(report));
+    }
+
+    @Override
+    public void onFrame(Exchange source, Frame frame) {
+        loop.execute(() -> end(SuspicionStage.fromWire(frame.getSuspicionAnswer())));
+    }
+
+    @Override
+    public void onClosed(Exchange source, ResultCode code) {
+        loop.execute(() -> end(new SuspicionVerdict.Free()));
+    }
+
+    private boolean end(SuspicionVerdict verdict) {
+        if (ended) {
+            return false;
+        }
+        ended = true;
+        timeout.cancel(false);
+        if (exchange != null) {
+            exchange.finish();
+        }
+        onEnd.accept(verdict);
+        return true;
+    }
+}
--- /dev/null
+++ b/sidecar/src/main/java/org/merlinwood/sidecar/suspicion/package-info.java
@@ -0,0 +1,2 @@
+/** Requests that may crash engines: reports, inquiries and their answers between sidecars. */
+package org.merlinwood.sidecar.suspicion;
--- a/sidecar/src/test/java/org/merlinwood/sidecar/GrantRefusalTest.java
+++ b/sidecar/src/test/java/org/merlinwood/sidecar/GrantRefusalTest.java
@@ -102,7 +102,13 @@
     void aDrainWaitsForWhatRuns() throws Exception {
         ProbeExchange running = fixture.start(1, 60);
         assertThat(fixture.sidecar.process().drain()).isTrue();
+        fixture.sidecar.process().close();
         assertThat(running.untilEnd().getLast().getAnswerEnd().getCode()).isEqualTo(ResultCode.OK.number());
+    }
+
+    @Test
+    void aDrainedProcessStillAnswersItsPeers() throws Exception {
+        fixture.sidecar.process().drain();
         assertThat(demand(2).next().getRefused().getCode()).isEqualTo(ResultCode.DRAINING.number());
     }
 
--- a/wire-generated/src/main/java/org/merlinwood/wire/Merlinwood.java
+++ b/wire-generated/src/main/java/org/merlinwood/wire/Merlinwood.java
@@ -369,24 +369,25 @@
       "\003(\0132\034.merlinwood.wire.v1.HomeSpan\022\036\n\026hom" +
       "es_known_age_millis\030\t \001(\022\022\032\n\022inventory_r" +
       "evision\030\n \001(\004\022\031\n\021sealed_age_millis\030\013 \001(\022" +
-      "\"z\n\017SuspicionReport\022\023\n\013fingerprint\030\001 \001(\014" +
-      "\022\r\n\005alone\030\002 \001(\010\022\020\n\010instance\030\003 \001(\t\0221\n\005eve" +
-      "nt\030\004 \001(\0162\".merlinwood.wire.v1.SuspicionE" +
-      "vent\"\224\001\n\017SuspicionAnswer\022\023\n\013fingerprint\030" +
-      "\001 \001(\014\022\017\n\007crashes\030\002 \001(\r\022\023\n\013quarantined\030\003 " +
-      "\001(\010\022\017\n\007isolate\030\004 \001(\010\022\031\n\021expires_in_milli" +
-      "s\030\005 \001(\r\022\032\n\022retry_after_millis\030\006 \001(\r\"[\n\nL" +
-      "oadReport\022\020\n\010instance\030\001 \001(\t\022\023\n\013incarnati" +
-      "on\030\002 \001(\006\022&\n\004load\030\003 \001(\0132\030.merlinwood.wire" +
-      ".v1.Load*P\n\013ProcessRole\022\034\n\030PROCESS_ROLE_" +
-      "UNSPECIFIED\020\000\022\t\n\005ENTRY\020\001\022\013\n\007SIDECAR\020\002\022\013\n" +
-      "\007COMMAND\020\003*I\n\010WorkKind\022\031\n\025WORK_KIND_UNSP" +
-      "ECIFIED\020\000\022\013\n\007PREFILL\020\001\022\n\n\006DECODE\020\002\022\t\n\005PL" +
-      "AIN\020\003*I\n\tExecution\022\031\n\025EXECUTION_UNSPECIF" +
-      "IED\020\000\022\013\n\007NOT_RUN\020\001\022\013\n\007UNKNOWN\020\002\022\007\n\003RAN\020\003" +
-      "*8\n\016SuspicionEvent\022\013\n\007CRASHED\020\000\022\013\n\007INQUI" +
-      "RY\020\001\022\014\n\010SURVIVED\020\002B\031\n\023org.merlinwood.wir" +
-      "eH\001P\001b\006proto3"
+      "\"\260\001\n\017SuspicionReport\022\023\n\013fingerprint\030\001 \001(" +
+      "\014\022\r\n\005alone\030\002 \001(\010\022\020\n\010instance\030\003 \001(\t\0221\n\005ev" +
+      "ent\030\004 \001(\0162\".merlinwood.wire.v1.Suspicion" +
+      "Event\0224\n\007request\030\005 \001(\0132#.merlinwood.wire" +
+      ".v1.RequestIdentity\"\224\001\n\017SuspicionAnswer\022" +
+      "\023\n\013fingerprint\030\001 \001(\014\022\017\n\007crashes\030\002 \001(\r\022\023\n" +
+      "\013quarantined\030\003 \001(\010\022\017\n\007isolate\030\004 \001(\010\022\031\n\021e" +
+      "xpires_in_millis\030\005 \001(\r\022\032\n\022retry_after_mi" +
+      "llis\030\006 \001(\r\"[\n\nLoadReport\022\020\n\010instance\030\001 \001" +
+      "(\t\022\023\n\013incarnation\030\002 \001(\006\022&\n\004load\030\003 \001(\0132\030." +
+      "merlinwood.wire.v1.Load*P\n\013ProcessRole\022\034" +
+      "\n\030PROCESS_ROLE_UNSPECIFIED\020\000\022\t\n\005ENTRY\020\001\022" +
+      "\013\n\007SIDECAR\020\002\022\013\n\007COMMAND\020\003*I\n\010WorkKind\022\031\n" +
+      "\025WORK_KIND_UNSPECIFIED\020\000\022\013\n\007PREFILL\020\001\022\n\n" +
+      "\006DECODE\020\002\022\t\n\005PLAIN\020\003*I\n\tExecution\022\031\n\025EXE" +
+      "CUTION_UNSPECIFIED\020\000\022\013\n\007NOT_RUN\020\001\022\013\n\007UNK" +
+      "NOWN\020\002\022\007\n\003RAN\020\003*8\n\016SuspicionEvent\022\013\n\007CRA" +
+      "SHED\020\000\022\013\n\007INQUIRY\020\001\022\014\n\010SURVIVED\020\002B\031\n\023org" +
+      ".merlinwood.wireH\001P\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -607,7 +608,7 @@
     internal_static_merlinwood_wire_v1_SuspicionReport_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_merlinwood_wire_v1_SuspicionReport_descriptor,
-        new java.lang.String[] { "Fingerprint", "Alone", "Instance", "Event", });
+        new java.lang.String[] { "Fingerprint", "Alone", "Instance", "Event", "Request", });
     internal_static_merlinwood_wire_v1_SuspicionAnswer_descriptor =
       getDescriptor().getMessageType(36);
     internal_static_merlinwood_wire_v1_SuspicionAnswer_fieldAccessorTable = new
--- a/wire-generated/src/main/java/org/merlinwood/wire/SuspicionReport.java
+++ b/wire-generated/src/main/java/org/merlinwood/wire/SuspicionReport.java
@@ -51,6 +51,7 @@
             org.merlinwood.wire.SuspicionReport.class, org.merlinwood.wire.SuspicionReport.Builder.class);
   }
 
+  private int bitField0_;
   public static final int FINGERPRINT_FIELD_NUMBER = 1;
   private com.google.protobuf.ByteString fingerprint_ = com.google.protobuf.ByteString.EMPTY;
   /**
@@ -134,6 +135,32 @@
     return result == null ? org.merlinwood.wire.SuspicionEvent.UNRECOGNIZED : result;
   }
 
+  public static final int REQUEST_FIELD_NUMBER = 5;
+  private org.merlinwood.wire.RequestIdentity request_;
+  /**
+   * <code>.merlinwood.wire.v1.RequestIdentity request = 5;</code>
+   * @return Whether the request field is set.
+   */
+  @java.lang.Override
+  public boolean hasRequest() {
+    return ((bitField0_ & 0x00000001) != 0);
+  }
+  /**
+   * <code>.merlinwood.wire.v1.RequestIdentity request = 5;</code>
+   * @return The request.
+   */
+  @java.lang.Override
+  public org.merlinwood.wire.RequestIdentity getRequest() {
+    return request_ == null ? org.merlinwood.wire.RequestIdentity.getDefaultInstance() : request_;
+  }
+  /**
+   * <code>.merlinwood.wire.v1.RequestIdentity request = 5;</code>
+   */
+  @java.lang.Override
+  public org.merlinwood.wire.RequestIdentityOrBuilder getRequestOrBuilder() {
+    return request_ == null ? org.merlinwood.wire.RequestIdentity.getDefaultInstance() : request_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -160,6 +187,9 @@
     if (event_ != org.merlinwood.wire.SuspicionEvent.CRASHED.getNumber()) {
       output.writeEnum(4, event_);
     }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      output.writeMessage(5, getRequest());
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -179,6 +209,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeEnumSize(4, event_);
     }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(5, getRequest());
+    }
     return size;
   }
   @java.lang.Override
@@ -210,6 +244,11 @@
     if (!getInstance()
         .equals(other.getInstance())) return false;
     if (event_ != other.event_) return false;
+    if (hasRequest() != other.hasRequest()) return false;
+    if (hasRequest()) {
+      if (!getRequest()
+          .equals(other.getRequest())) return false;
+    }
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -230,6 +269,10 @@
     hash = (53 * hash) + getInstance().hashCode();
     hash = (37 * hash) + EVENT_FIELD_NUMBER;
     hash = (53 * hash) + event_;
+    if (hasRequest()) {
+      hash = (37 * hash) + REQUEST_FIELD_NUMBER;
+      hash = (53 * hash) + getRequest().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -349,13 +392,19 @@
 
     // Construct using org.merlinwood.wire.SuspicionReport.newBuilder()
     private Builder() {
-
+      maybeForceBuilderInitialization();
     }
 
     private Builder(
         com.google.protobuf.GeneratedMessage.BuilderParent parent) {
       super(parent);
-
+      maybeForceBuilderInitialization();
+    }
+    private void maybeForceBuilderInitialization() {
+      if (com.google.protobuf.GeneratedMessage
+              .alwaysUseFieldBuilders) {
+        internalGetRequestFieldBuilder();
+      }
     }
     @java.lang.Override
     public Builder clear() {
@@ -365,6 +414,11 @@
       alone_ = false;
       instance_ = "";
       event_ = 0;
+      request_ = null;
+      if (requestBuilder_ != null) {
+        requestBuilder_.dispose();
+        requestBuilder_ = null;
+      }
       return this;
     }
 
@@ -410,6 +464,14 @@
       if (((from_bitField0_ & 0x00000008) != 0)) {
         result.event_ = event_;
       }
+      int to_bitField0_ = 0;
+      if (((from_bitField0_ & 0x00000010) != 0)) {
+        result.request_ = requestBuilder_ == null
+            ? request_
+            : requestBuilder_.build();
+        to_bitField0_ |= 0x00000001;
+      }
+      result.bitField0_ |= to_bitField0_;
     }
 
     @java.lang.Override
@@ -438,6 +500,9 @@
       if (other.event_ != 0) {
         setEventValue(other.getEventValue());
       }
+      if (other.hasRequest()) {
+        mergeRequest(other.getRequest());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -482,6 +547,13 @@
               bitField0_ |= 0x00000008;
               break;
             } // case 32
+            case 42: {
+              input.readMessage(
+                  internalGetRequestFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bitField0_ |= 0x00000010;
+              break;
+            } // case 42
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -699,6 +771,125 @@
       return this;
     }
 
+    private org.merlinwood.wire.RequestIdentity request_;
+    private com.google.protobuf.SingleFieldBuilder<
+        org.merlinwood.wire.RequestIdentity, org.merlinwood.wire.RequestIdentity.Builder, org.merlinwood.wire.RequestIdentityOrBuilder> requestBuilder_;
+    /**
+     * <code>.merlinwood.wire.v1.RequestIdentity request = 5;</code>
+     * @return Whether the request field is set.
+     */
+    public boolean hasRequest() {
+      return ((bitField0_ & 0x00000010) != 0);
+    }
+    /**
+     * <code>.merlinwood.wire.v1.RequestIdentity request = 5;</code>
+     * @return The request.
+     */
+    public org.merlinwood.wire.RequestIdentity getRequest() {
+      if (requestBuilder_ == null) {
+        return request_ == null ? org.merlinwood.wire.RequestIdentity.getDefaultInstance() : request_;
+      } else {
+        return requestBuilder_.getMessage();
+      }
+    }
+    /**
+     * <code>.merlinwood.wire.v1.RequestIdentity request = 5;</code>
+     */
+    public Builder setRequest(org.merlinwood.wire.RequestIdentity value) {
+      if (requestBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        request_ = value;
+      } else {
+        requestBuilder_.setMessage(value);
+      }
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>.merlinwood.wire.v1.RequestIdentity request = 5;</code>
+     */
+    public Builder setRequest(
+        org.merlinwood.wire.RequestIdentity.Builder builderForValue) {
+      if (requestBuilder_ == null) {
+        request_ = builderForValue.build();
+      } else {
+        requestBuilder_.setMessage(builderForValue.build());
+      }
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>.merlinwood.wire.v1.RequestIdentity request = 5;</code>
+     */
+    public Builder mergeRequest(org.merlinwood.wire.RequestIdentity value) {
+      if (requestBuilder_ == null) {
+        if (((bitField0_ & 0x00000010) != 0) &&
+          request_ != null &&
+          request_ != org.merlinwood.wire.RequestIdentity.getDefaultInstance()) {
+          getRequestBuilder().mergeFrom(value);
+        } else {
+          request_ = value;
+        }
+      } else {
+        requestBuilder_.mergeFrom(value);
+      }
+      if (request_ != null) {
+        bitField0_ |= 0x00000010;
+        onChanged();
+      }
+      return this;
+    }
+    /**
+     * <code>.merlinwood.wire.v1.RequestIdentity request = 5;</code>
+     */
+    public Builder clearRequest() {
+      bitField0_ = (bitField0_ & ~0x00000010);
+      request_ = null;
+      if (requestBuilder_ != null) {
+        requestBuilder_.dispose();
+        requestBuilder_ = null;
+      }
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>.merlinwood.wire.v1.RequestIdentity request = 5;</code>
+     */
+    public org.merlinwood.wire.RequestIdentity.Builder getRequestBuilder() {
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return internalGetRequestFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.merlinwood.wire.v1.RequestIdentity request = 5;</code>
+     */
+    public org.merlinwood.wire.RequestIdentityOrBuilder getRequestOrBuilder() {
+      if (requestBuilder_ != null) {
+        return requestBuilder_.getMessageOrBuilder();
+      } else {
+        return request_ == null ?
+            org.merlinwood.wire.RequestIdentity.getDefaultInstance() : request_;
+      }
+    }
+    /**
+     * <code>.merlinwood.wire.v1.RequestIdentity request = 5;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.merlinwood.wire.RequestIdentity, org.merlinwood.wire.RequestIdentity.Builder, org.merlinwood.wire.RequestIdentityOrBuilder> 
+        internalGetRequestFieldBuilder() {
+      if (requestBuilder_ == null) {
+        requestBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.merlinwood.wire.RequestIdentity, org.merlinwood.wire.RequestIdentity.Builder, org.merlinwood.wire.RequestIdentityOrBuilder>(
+                getRequest(),
+                getParentForChildren(),
+                isClean());
+        request_ = null;
+      }
+      return requestBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:merlinwood.wire.v1.SuspicionReport)
   }
 
--- a/wire-generated/src/main/java/org/merlinwood/wire/SuspicionReportOrBuilder.java
+++ b/wire-generated/src/main/java/org/merlinwood/wire/SuspicionReportOrBuilder.java
@@ -48,4 +48,19 @@
    * @return The event.
    */
   org.merlinwood.wire.SuspicionEvent getEvent();
+
+  /**
+   * <code>.merlinwood.wire.v1.RequestIdentity request = 5;</code>
+   * @return Whether the request field is set.
+   */
+  boolean hasRequest();
+  /**
+   * <code>.merlinwood.wire.v1.RequestIdentity request = 5;</code>
+   * @return The request.
+   */
+  org.merlinwood.wire.RequestIdentity getRequest();
+  /**
+   * <code>.merlinwood.wire.v1.RequestIdentity request = 5;</code>
+   */
+  org.merlinwood.wire.RequestIdentityOrBuilder getRequestOrBuilder();
 }
