Orders: the engine converges on the inventory, one order at a time

The planner compares states and remembers no orders, so a lost, repeated or late one is found by the next comparison, also where the engine ignores fencing numbers. Numbers rise above what the engine reports. The weight store's time to come back is kept, spread over a range that doubles, which paces all sidecars without a coordinator.

--- a/sidecar/src/main/java/org/merlinwood/sidecar/SidecarProcess.java
+++ b/sidecar/src/main/java/org/merlinwood/sidecar/SidecarProcess.java
@@ -43,6 +43,7 @@
 import org.merlinwood.sidecar.admission.UpstreamGate;
 import org.merlinwood.sidecar.key.HandoverStage;
 import org.merlinwood.sidecar.key.KeyStage;
+import org.merlinwood.sidecar.order.OrderStage;
 import org.merlinwood.sidecar.suspicion.SuspicionStage;
 import org.merlinwood.sidecar.upstream.EngineClient;
 import org.merlinwood.sidecar.upstream.StreamReaper;
@@ -80,6 +81,7 @@
     private final GrantStage grants;
     private final ExecutionStage executions;
     private final OrphanSweep sweep;
+    private final Optional<OrderStage> orders;
     private final PeerEndpoint endpoint;
     private final OperatorServer operator;
     private boolean sweeping;
@@ -126,6 +128,8 @@
         this.executions =
                 new ExecutionStage(grants, keys, factory, engine, reaper, suspicion, gate, loop, clock, metrics);
         this.sweep = new OrphanSweep(loop, clock, engine, reaper, executions, gate, metrics);
+        this.orders = settings.weightStore()
+                .map(store -> new OrderStage(loop, clock, engine, store, executions::modelsInUse, random, metrics));
         this.endpoint = endpoint();
         this.operator = operatorServer(onDrainRequested);
         registerGauges();
@@ -273,6 +277,7 @@
         view.row().ifPresent(row -> {
             keys.configure(inForce, row);
             suspicion.configure(inForce, row);
+            orders.ifPresent(stage -> stage.configure(inForce.inventory(), row));
         });
         grants.configure(view);
         Optional<InstanceRole> role = view.row().map(row -> row.role());
@@ -281,6 +286,7 @@
         } else if (role.isPresent() && !sweeping) {
             sweeping = true;
             sweep.run();
+            orders.ifPresent(OrderStage::start);
         }
         logger.atInfo().log("inventory and rules in force: %s", inForce.revisions());
     }
--- a/sidecar/src/main/java/org/merlinwood/sidecar/admission/ExecutionStage.java
+++ b/sidecar/src/main/java/org/merlinwood/sidecar/admission/ExecutionStage.java
@@ -9,7 +9,9 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Collectors;
 import org.merlinwood.configuration.rules.Repeatability;
+import org.merlinwood.core.identity.ModelName;
 import org.merlinwood.core.identity.RequestIdentifier;
 import org.merlinwood.core.identity.Revisions;
 import org.merlinwood.core.result.ExecutionState;
@@ -163,6 +165,19 @@
         });
     }
 
+    /**
+     * Lists the models that something running uses.
+     *
+     * @return names of models
+     */
+    public Set<ModelName> modelsInUse() {
+        return running.values().stream()
+                .map(execution -> execution.attempt().request().getModel())
+                .filter(model -> !model.isBlank())
+                .map(ModelName::new)
+                .collect(Collectors.toUnmodifiableSet());
+    }
+
     /**
      * Returns the attempts that run, for the state dump.
      *
--- a/sidecar/src/main/java/org/merlinwood/sidecar/upstream/EngineClient.java
+++ b/sidecar/src/main/java/org/merlinwood/sidecar/upstream/EngineClient.java
@@ -6,9 +6,14 @@
 import io.vavr.control.Either;
 import java.net.InetSocketAddress;
 import java.util.concurrent.CompletionStage;
+import org.merlinwood.configuration.inventory.InstanceRole;
+import org.merlinwood.configuration.inventory.NetworkAddress;
+import org.merlinwood.core.identity.ModelName;
 import org.merlinwood.core.result.ExecutionState;
 import org.merlinwood.core.result.Failure;
 import org.merlinwood.core.result.ResultCode;
+import org.merlinwood.decision.order.EngineOrder;
+import org.merlinwood.decision.order.EngineState;
 import org.merlinwood.http.ConnectionUse;
 import org.merlinwood.http.HttpAnswer;
 import org.merlinwood.http.HttpCall;
@@ -20,6 +25,7 @@
 public final class EngineClient {
 
     private static final long CONTROL_TIMEOUT_MILLIS = 1_000;
+    private static final long ORDER_TIMEOUT_MILLIS = 60_000;
     private static final int OK = 200;
     private static final int FIRST_ERROR = 300;
     private static final int NOT_FOUND = 404;
@@ -123,6 +129,91 @@
                         result.flatMap(EngineClient::okBody).flatMap(body -> read(body, EngineMessages.Streams.class)));
     }
 
+    // ------------------------------------------------------------------ public API: orders
+
+    /**
+     * Reads role and models of the engine.
+     *
+     * @return the state or the failure
+     */
+    public CompletionStage<Either<Failure, EngineState>> state() {
+        return client.call(control("GET", "/v1/models"))
+                .thenApply(result -> result.flatMap(EngineClient::okBody)
+                        .flatMap(body -> read(body, EngineMessages.Models.class))
+                        .flatMap(EngineClient::toState));
+    }
+
+    /**
+     * Gives an order.
+     *
+     * @param order the order
+     * @param fencing its number
+     * @param weightStore where the engine fetches weights
+     * @return true once it was obeyed; a failure carries the time to come back if the weight store has told one
+     */
+    public CompletionStage<Either<Failure, Boolean>> order(
+            EngineOrder order, long fencing, NetworkAddress weightStore) {
+        HttpCall call = HttpCall.of("POST", address, "/v1/orders", write(orderCall(order, fencing, weightStore)))
+                .withTimeouts(CONTROL_TIMEOUT_MILLIS, ORDER_TIMEOUT_MILLIS)
+                .withConnectionUse(ConnectionUse.FRESH);
+        return client.call(call).thenApply(result -> result.flatMap(EngineClient::obeyed));
+    }
+
+    // ------------------------------------------------------------------ internals: orders
+
+    private static EngineMessages.OrderCall orderCall(EngineOrder order, long fencing, NetworkAddress weightStore) {
+        String store = weightStore.toString();
+        return switch (order) {
+            case EngineOrder.LoadModel load ->
+                new EngineMessages.OrderCall(
+                        fencing, "LOAD_MODEL", load.model().value(), load.version(), load.weights(), null, null, store);
+            case EngineOrder.LoadAdapter load ->
+                new EngineMessages.OrderCall(
+                        fencing, "LOAD_ADAPTER", load.model().value(), null, null, load.adapter(), null, store);
+            case EngineOrder.UnloadModel unload ->
+                new EngineMessages.OrderCall(
+                        fencing, "UNLOAD_MODEL", unload.model().value(), null, null, null, null, store);
+            case EngineOrder.ChangeRole change ->
+                new EngineMessages.OrderCall(
+                        fencing,
+                        "CHANGE_ROLE",
+                        null,
+                        null,
+                        null,
+                        null,
+                        change.role().name(),
+                        store);
+        };
+    }
+
+    private static Either<Failure, Boolean> obeyed(HttpAnswer answer) {
+        if (answer.status() == OK) {
+            return Either.right(true);
+        }
+        long retryAfterMillis = read(answer.body(), EngineMessages.Refusal.class)
+                .map(EngineMessages.Refusal::retryAfterMillis)
+                .getOrElse(0L);
+        String detail = "the engine refused the order with status " + answer.status();
+        return Either.left(
+                retryAfterMillis > 0
+                        ? Failure.retryable(ResultCode.NO_CAPACITY, detail, retryAfterMillis)
+                        : Failure.of(ResultCode.UPSTREAM_MALFORMED, detail));
+    }
+
+    private static Either<Failure, EngineState> toState(EngineMessages.Models models) {
+        try {
+            return Either.right(new EngineState(
+                    InstanceRole.valueOf(models.role()),
+                    models.highestFencing(),
+                    models.models().stream()
+                            .map(model -> new EngineState.LoadedModel(
+                                    new ModelName(model.name()), model.version(), model.adapters()))
+                            .toList()));
+        } catch (IllegalArgumentException | NullPointerException exception) {
+            return Either.left(malformed("the state of the engine has another shape"));
+        }
+    }
+
     // ------------------------------------------------------------------ internals
 
     private HttpCall work(String path, Object body, long silenceMillis) {
--- a/sidecar/src/main/java/org/merlinwood/sidecar/upstream/EngineMessages.java
+++ b/sidecar/src/main/java/org/merlinwood/sidecar/upstream/EngineMessages.java
@@ -93,4 +93,65 @@
      * @param offset tokens produced so far
      */
     public record StreamState(String request, String kind, int pieces, long offset) {}
+
+    /**
+     * Body of {@code POST /v1/orders}.
+     *
+     * @param fencing number of the order
+     * @param kind what is ordered
+     * @param model the model, or null
+     * @param version its version, or null
+     * @param weights name of its weights, or null
+     * @param adapter name of the adapter, or null
+     * @param role the new role, or null
+     * @param weightStore address of the weight store
+     */
+    @JsonInclude(JsonInclude.Include.NON_NULL)
+    public record OrderCall(
+            long fencing,
+            String kind,
+            String model,
+            String version,
+            String weights,
+            String adapter,
+            String role,
+            String weightStore) {}
+
+    /**
+     * Answer of {@code GET /v1/models}.
+     *
+     * @param role its role
+     * @param highestFencing highest fencing number that it has obeyed
+     * @param models what is loaded
+     */
+    public record Models(String role, long highestFencing, List<LoadedModel> models) {
+
+        /** Copies the list. */
+        public Models {
+            models = List.copyOf(Optional.ofNullable(models).orElse(List.of()));
+        }
+    }
+
+    /**
+     * One loaded model.
+     *
+     * @param name its name
+     * @param version its version
+     * @param adapters adapters loaded on top
+     */
+    public record LoadedModel(String name, String version, List<String> adapters) {
+
+        /** Copies the list. */
+        public LoadedModel {
+            adapters = List.copyOf(Optional.ofNullable(adapters).orElse(List.of()));
+        }
+    }
+
+    /**
+     * Body of a refusal.
+     *
+     * @param error what was refused
+     * @param retryAfterMillis when to come back, in milliseconds, or 0
+     */
+    public record Refusal(String error, long retryAfterMillis) {}
 }
