--- a/sidecar/src/test/java/org/merlinwood/sidecar/SidecarFixture.java
+++ b/sidecar/src/test/java/org/merlinwood/sidecar/SidecarFixture.java
@@ -65,8 +65,17 @@
     private SidecarProcess process;
 
     SidecarFixture(InstanceRole role, InetSocketAddress upstream) {
+        this(role, upstream, Optional.empty());
+    }
+
+    SidecarFixture(InstanceRole role, InetSocketAddress upstream, Optional<InetSocketAddress> weightStore) {
         this.role = role;
-        this.settings = settings("upstream-1", upstream, configuration);
+        SidecarSettings common = settings("upstream-1", upstream, configuration);
+        this.settings = new SidecarSettings(
+                common.process(),
+                common.upstreamAddress(),
+                common.guardPort(),
+                weightStore.map(SidecarFixture::address));
         publishInventory(InstanceState.ACTIVE);
         configuration.publish("rules", RulesWriter.write(rules(role)));
         this.entry = entry();
