--- a/sidecar/src/main/java/org/merlinwood/sidecar/SidecarProcess.java
+++ b/sidecar/src/main/java/org/merlinwood/sidecar/SidecarProcess.java
@@ -43,6 +43,8 @@
 import org.merlinwood.sidecar.admission.UpstreamGate;
 import org.merlinwood.sidecar.key.HandoverStage;
 import org.merlinwood.sidecar.key.KeyStage;
+import org.merlinwood.sidecar.order.OrderStage;
+import org.merlinwood.sidecar.suspicion.SuspicionStage;
 import org.merlinwood.sidecar.upstream.EngineClient;
 import org.merlinwood.sidecar.upstream.StreamReaper;
 
@@ -75,9 +77,11 @@
     private final StreamReaper reaper;
     private final KeyStage keys;
     private final HandoverStage handover;
+    private final SuspicionStage suspicion;
     private final GrantStage grants;
     private final ExecutionStage executions;
     private final OrphanSweep sweep;
+    private final Optional<OrderStage> orders;
     private final PeerEndpoint endpoint;
     private final OperatorServer operator;
     private boolean sweeping;
@@ -110,17 +114,22 @@
                 new KeyBarrier(self, incarnation, settings.process().keys(), clock, chain);
         this.keys = new KeyStage(table, barrier, chain, metrics);
         this.handover = new HandoverStage(self, incarnation, clock, loop, table, barrier, chain, keys, metrics);
+        this.suspicion = new SuspicionStage(self, clock, loop, metrics);
         this.grants = new GrantStage(
                 new GrantBook(clock, new RetryDelay(random)),
                 gate,
                 keys,
+                suspicion,
                 incarnation,
                 metrics,
                 this::abandon,
                 follower::onPeerRevisions);
         ExecutionFactory factory = new ExecutionFactory(client, engine, settings.upstreamAddress(), loop);
-        this.executions = new ExecutionStage(grants, keys, factory, reaper, gate, loop, clock, metrics);
+        this.executions =
+                new ExecutionStage(grants, keys, factory, engine, reaper, suspicion, gate, loop, clock, metrics);
         this.sweep = new OrphanSweep(loop, clock, engine, reaper, executions, gate, metrics);
+        this.orders = settings.weightStore()
+                .map(store -> new OrderStage(loop, clock, engine, store, executions::modelsInUse, random, metrics));
         this.endpoint = endpoint();
         this.operator = operatorServer(onDrainRequested);
         registerGauges();
@@ -141,6 +150,7 @@
         follower.start(endpoint);
         loop.repeat(ADVANCE_PERIOD_MILLIS, this::advance);
         handover.start(endpoint);
+        suspicion.start(endpoint);
         logger.atInfo().log(
                 "sidecar %s, incarnation %s, beside %s",
                 settings.process().instance(), incarnation, settings.upstreamAddress());
@@ -211,7 +221,7 @@
     private PeerEndpoint endpoint() {
         ProcessSettings process = settings.process();
         SidecarExchanges exchanges =
-                new SidecarExchanges(loop, grants, executions, handover, follower::onPeerRevisions);
+                new SidecarExchanges(loop, grants, executions, handover, suspicion, follower::onPeerRevisions);
         PeerEndpoint.Builder builder = PeerEndpoint.builder()
                 .identity(new PeerIdentity(process.instance(), incarnation, PeerRole.SIDECAR))
                 .keys(process.keys().stream()
@@ -264,7 +274,11 @@
     private void configure(ConfigurationInForce inForce) {
         ServingView view = ServingView.of(inForce, settings.process().instance());
         handover.configure(inForce);
-        view.row().ifPresent(row -> keys.configure(inForce, row));
+        view.row().ifPresent(row -> {
+            keys.configure(inForce, row);
+            suspicion.configure(inForce, row);
+            orders.ifPresent(stage -> stage.configure(inForce.inventory(), row));
+        });
         grants.configure(view);
         Optional<InstanceRole> role = view.row().map(row -> row.role());
         if (role.filter(InstanceRole.PLAIN::equals).isPresent()) {
@@ -272,6 +286,7 @@
         } else if (role.isPresent() && !sweeping) {
             sweeping = true;
             sweep.run();
+            orders.ifPresent(OrderStage::start);
         }
         logger.atInfo().log("inventory and rules in force: %s", inForce.revisions());
     }
@@ -297,6 +312,7 @@
                 grants.state(),
                 keys.state(),
                 handover.custodySize(),
+                suspicion.state(),
                 executions.running(),
                 reaper.pending(),
                 endpoint.openConnections());
