A sidecar's refusals stay true for keys that it ran before

Cause: an instance that an inventory change takes away (or that drains) refused a call with DRAINING and NOT_RUN before it looked at the key, though an earlier call with that key had run there. NOT_RUN speaks of all calls with the key, so a caller could have booked again.

Change: a refusal of a call with a key says UNKNOWN unless the key would have been run here for the first time.

--- a/sidecar/src/main/java/org/merlinwood/sidecar/admission/GrantStage.java
+++ b/sidecar/src/main/java/org/merlinwood/sidecar/admission/GrantStage.java
@@ -377,7 +377,18 @@
             return Optional.of(Failure.retryable(
                     ResultCode.REVISION_BEHIND, "this process has an older revision and catches up", RETRY_MILLIS));
         }
-        return gate.refusal().or(() -> misplaced(view.get(), request)).or(() -> keyRefusal(request));
+        return gate.refusal()
+                .or(() -> misplaced(view.get(), request))
+                .map(failure -> keptTrue(request, failure))
+                .or(() -> keyRefusal(request));
+    }
+
+    /** A refusal speaks of all calls with the same key, and an earlier one may have run. */
+    private Failure keptTrue(GrantRequest request, Failure failure) {
+        boolean hasKey =
+                Demands.isKeyed(request) && !request.getIdempotencyKey().isBlank();
+        boolean mayHaveRun = hasKey && !(keys.judge(Demands.keyedCall(request)) instanceof KeyDecision.Run);
+        return mayHaveRun ? failure.withExecutionState(ExecutionState.UNKNOWN) : failure;
     }
 
     private Optional<Failure> keyRefusal(GrantRequest request) {
