Fleets of one machine state a clock bound of 100 ms

Own keys made within the bound after a sidecar's start are withheld, truthfully so; with 2 s the demo's own key, made right after the start, got 3003. Now bin/demo ends with 'demo: 15 answered, 0 failed'.

--- a/proving/src/main/java/org/merlinwood/proving/fleet/FleetPlan.java
+++ b/proving/src/main/java/org/merlinwood/proving/fleet/FleetPlan.java
@@ -27,8 +27,9 @@
         List<String> engineOptions,
         Limits limits) {
 
-    private static final Limits DEFAULT_LIMITS =
-            new Limits(600_000, 10_000, 16L << 20, 2_000, 20_000, 20, 4 << 20, 60_000, 600_000, 2_000);
+    private static final long SAME_MACHINE_CLOCK_BOUND_MILLIS = 100;
+    private static final Limits DEFAULT_LIMITS = new Limits(
+            600_000, 10_000, 16L << 20, 2_000, 20_000, 20, 4 << 20, 60_000, 600_000, SAME_MACHINE_CLOCK_BOUND_MILLIS);
 
     /** Whether a forwarder stands in a path. */
     public enum Forwarding {
