Entry: minting and the states of a model request in files of their own, faults of the program answered with INTERNAL

Cause: an unexpected fault in a step of a request left its caller waiting for the deadline. Change: such a step cancels what the request holds and gives the final answer; the log names the fault.

--- a/entry/src/main/java/org/merlinwood/entry/dispatch/Dispatcher.java
+++ b/entry/src/main/java/org/merlinwood/entry/dispatch/Dispatcher.java
@@ -3,20 +3,15 @@
 import com.google.common.flogger.FluentLogger;
 import com.google.errorprone.annotations.CanIgnoreReturnValue;
 import io.vavr.control.Either;
-import java.net.InetSocketAddress;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BiConsumer;
 import java.util.function.Supplier;
-import org.merlinwood.configuration.inventory.Instance;
-import org.merlinwood.configuration.inventory.InstanceRole;
 import org.merlinwood.configuration.settings.SharedKey;
 import org.merlinwood.core.identity.FailureDomain;
 import org.merlinwood.core.identity.InstanceName;
@@ -46,7 +41,6 @@
 
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     private static final String SECTION = "requests";
-    private static final int MAXIMUM_MINTING_ATTEMPTS = 3;
 
     private final DispatchParts parts;
     private final InstanceName self;
@@ -217,7 +211,7 @@
      */
     public void dispatch(ClassifiedRequest request, RequestSink sink) {
         openRequests.incrementAndGet();
-        parts.control().execute(() -> admit(request, sink));
+        parts.control().execute(() -> admitGuarded(request, sink));
     }
 
     /**
@@ -262,6 +256,16 @@
 
     // ------------------------------------------------------------------ internals: admission
 
+    /** A fault of this program must not leave a caller without an answer. */
+    private void admitGuarded(ClassifiedRequest request, RequestSink sink) {
+        try {
+            admit(request, sink);
+        } catch (RuntimeException exception) {
+            logger.atSevere().withCause(exception).log("a request could not be admitted");
+            refuse(request, sink, RequestRunner.INTERNAL_FAULT);
+        }
+    }
+
     private void admit(ClassifiedRequest request, RequestSink sink) {
         if (state.isEmpty()) {
             refuse(request, sink, Failure.of(ResultCode.NOT_READY, "no inventory and rules are in force yet"));
@@ -277,7 +281,7 @@
         switch (request) {
             case ClassifiedRequest.ModelCall call -> admitModel(call, sink, present, leave);
             case ClassifiedRequest.PlainCall call -> run(call, Long.MAX_VALUE, sink, present, leave);
-            case ClassifiedRequest.MintCall call -> mint(call, sink, present, leave, new HashSet<>());
+            case ClassifiedRequest.MintCall call -> new KeyMinting(call, sink, parts, present, leave).start();
         }
     }
 
@@ -340,55 +344,6 @@
         return hasKey ? failure.withExecutionState(ExecutionState.UNKNOWN) : failure;
     }
 
-    // ------------------------------------------------------------------ internals: minting
-
-    private void mint(
-            ClassifiedRequest.MintCall call,
-            RequestSink sink,
-            ControlState present,
-            Runnable leave,
-            Set<InstanceName> tried) {
-        Optional<Instance> chosen = tried.size() < MAXIMUM_MINTING_ATTEMPTS
-                ? present.choose(call, InstanceRole.PLAIN, tried)
-                : Optional.empty();
-        if (chosen.isEmpty()) {
-            long retryAfterMillis = present.retryDelay()
-                    .millis(
-                            ControlState.UNREACHABLE_MILLIS,
-                            call.identified().callerClass().priority());
-            refuseEntered(
-                    sink,
-                    Failure.retryable(
-                            ResultCode.NO_INSTANCE, "no instance of the service is reachable", retryAfterMillis),
-                    leave);
-            return;
-        }
-        Instance instance = chosen.get();
-        tried.add(instance.name());
-        InetSocketAddress address = new InetSocketAddress(
-                instance.address().host(), instance.address().port());
-        var unused = parts.endpoint()
-                .connect(address)
-                .whenComplete((result, none) -> parts.control()
-                        .execute(() -> result.peek(connection -> minted(call, sink, leave, instance, connection))
-                                .peekLeft(failure -> {
-                                    present.failed(call, InstanceRole.PLAIN, instance.name(), failure);
-                                    mint(call, sink, present, leave, tried);
-                                })));
-    }
-
-    private void minted(
-            ClassifiedRequest.MintCall call,
-            RequestSink sink,
-            Runnable leave,
-            Instance instance,
-            PeerConnection connection) {
-        parts.metrics().ended(ResultCode.OK);
-        sink.mintedKey(WireRequests.mint(call, instance, connection, parts));
-        logger.atFine().log("minted a key for %s", instance.name());
-        leave.run();
-    }
-
     // ------------------------------------------------------------------ internals: dump
 
     private DispatchState describe() {
--- a/entry/src/main/java/org/merlinwood/entry/dispatch/RequestRunner.java
+++ b/entry/src/main/java/org/merlinwood/entry/dispatch/RequestRunner.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.concurrent.Future;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import org.merlinwood.configuration.inventory.Instance;
 import org.merlinwood.configuration.inventory.InstanceRole;
 import org.merlinwood.core.identity.InstanceName;
@@ -40,6 +41,9 @@
 
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
+    /** The final answer where this program itself is at fault. */
+    static final Failure INTERNAL_FAULT = Failure.of(ResultCode.INTERNAL, "an unexpected fault; the log names it");
+
     /** How often it is looked whether awaited revisions are in force. */
     private static final long REVISIONS_POLL_MILLIS = 20;
 
@@ -88,13 +92,13 @@
 
     void start() {
         deadline = Optional.of(parts.control().schedule(Math.max(0, remainingMillis()), this::deadlinePassed));
-        run(machine.start());
+        carryOut(machine::start);
     }
 
     // ------------------------------------------------------------------ public API
 
     void giveUp(Failure failure) {
-        run(machine.on(new RequestEvent.GivenUp(failure)));
+        carryOut(() -> machine.on(new RequestEvent.GivenUp(failure)));
     }
 
     OpenRequest describe() {
@@ -151,7 +155,7 @@
         if (!attempt.isOpen()) {
             state.ended(request, attempt.role(), attempt.instance().name());
         }
-        run(machine.on(event));
+        carryOut(() -> machine.on(event));
     }
 
     @Override
@@ -210,11 +214,24 @@
 
     // ------------------------------------------------------------------ internals: actions
 
-    private void run(List<RequestAction> actions) {
-        actions.forEach(this::run);
+    /** A fault of this program must not leave a caller without an answer, nor a sidecar with what it holds. */
+    private void carryOut(Supplier<List<RequestAction>> step) {
+        try {
+            step.get().forEach(this::carryOut);
+        } catch (RuntimeException exception) {
+            logger.atSevere().withCause(exception).log("request %s met an unexpected fault", identifier());
+            abandon();
+        }
+    }
+
+    private void abandon() {
+        if (!settled) {
+            List.copyOf(attempts.keySet()).forEach(number -> end(number, open -> open.cancel(ResultCode.INTERNAL)));
+            settle(Optional.of(INTERNAL_FAULT));
+        }
     }
 
-    private void run(RequestAction action) {
+    private void carryOut(RequestAction action) {
         switch (action) {
             case RequestAction.Ask ask -> ask(ask);
             case RequestAction.ExecutePrefill execute -> {
@@ -286,7 +303,7 @@
     private void awaitRevisions(long untilAgeMillis) {
         boolean reached = !parts.revisions().get().isBehind(awaited);
         if (reached || ageMillis() >= untilAgeMillis) {
-            run(machine.on(new RequestEvent.RevisionsAwaited(reached)));
+            carryOut(() -> machine.on(new RequestEvent.RevisionsAwaited(reached)));
             return;
         }
         var unused = parts.control().schedule(REVISIONS_POLL_MILLIS, () -> awaitRevisions(untilAgeMillis));
@@ -348,7 +365,7 @@
         parts.control().execute(() -> {
             if (attempt.isOpen()) {
                 end(attempt.number(), open -> open.cancel(code));
-                run(machine.on(new RequestEvent.AnswerFailed(attempt.number(), Failure.of(code, detail))));
+                carryOut(() -> machine.on(new RequestEvent.AnswerFailed(attempt.number(), Failure.of(code, detail))));
             }
         });
     }
--- a/entry/src/main/java/org/merlinwood/entry/machine/ModelMachine.java
+++ b/entry/src/main/java/org/merlinwood/entry/machine/ModelMachine.java
@@ -12,6 +12,7 @@
 import org.merlinwood.core.result.ExecutionState;
 import org.merlinwood.core.result.Failure;
 import org.merlinwood.core.result.ResultCode;
+import org.merlinwood.entry.machine.ModelState.Attempt;
 import org.merlinwood.entry.machine.RequestAction.Ask;
 import org.merlinwood.entry.machine.RequestAction.AwaitRevisions;
 import org.merlinwood.entry.machine.RequestAction.Cancel;
@@ -55,7 +56,7 @@
     private final Set<InstanceName> excludedPrefills = new HashSet<>();
     private final Set<InstanceName> reconnected = new HashSet<>();
     private final List<RequestAction> actions = new ArrayList<>();
-    private State state = new State.Created();
+    private ModelState state = new ModelState.Created();
     private int attempts;
     private int failedTransfers;
     private int resumptions;
@@ -85,18 +86,18 @@
 
     @Override
     public List<RequestAction> on(RequestEvent event) {
-        if (event instanceof GivenUp givenUp && !(state instanceof State.Settled)) {
+        if (event instanceof GivenUp givenUp && !(state instanceof ModelState.Settled)) {
             giveUp(givenUp.failure());
             return takeActions();
         }
         switch (state) {
-            case State.AskingDecode asking -> onAskingDecode(asking, event);
-            case State.AskingPrefill asking -> onAskingPrefill(asking, event);
-            case State.Prefilling prefilling -> onPrefilling(prefilling, event);
-            case State.Decoding decoding -> onDecoding(decoding, event);
-            case State.AwaitingRevisions awaiting -> onAwaitingRevisions(event);
-            case State.Created created -> throw new IllegalStateException("an event before the start: " + event);
-            case State.Settled settled -> {}
+            case ModelState.AskingDecode asking -> onAskingDecode(asking, event);
+            case ModelState.AskingPrefill asking -> onAskingPrefill(asking, event);
+            case ModelState.Prefilling prefilling -> onPrefilling(prefilling, event);
+            case ModelState.Decoding decoding -> onDecoding(decoding, event);
+            case ModelState.AwaitingRevisions awaiting -> onAwaitingRevisions(event);
+            case ModelState.Created created -> throw new IllegalStateException("an event before the start: " + event);
+            case ModelState.Settled settled -> {}
         }
         return takeActions();
     }
@@ -108,7 +109,7 @@
 
     // ------------------------------------------------------------------ internals: a method for each state
 
-    private void onAskingDecode(State.AskingDecode asking, RequestEvent event) {
+    private void onAskingDecode(ModelState.AskingDecode asking, RequestEvent event) {
         switch (event) {
             case Granted granted when granted.attempt() == asking.decode().attempt() -> decodeGranted(asking.decode());
             case Refused refused
@@ -119,13 +120,13 @@
         }
     }
 
-    private void onAskingPrefill(State.AskingPrefill asking, RequestEvent event) {
+    private void onAskingPrefill(ModelState.AskingPrefill asking, RequestEvent event) {
         switch (event) {
             case Granted granted
             when granted.attempt() == asking.prefill().attempt() -> {
                 actions.add(new ExecutePrefill(granted.attempt()));
                 execution = ExecutionState.UNKNOWN;
-                state = new State.Prefilling(asking.decode(), asking.prefill());
+                state = new ModelState.Prefilling(asking.decode(), asking.prefill());
             }
             case Refused refused
             when refused.attempt() == asking.prefill().attempt() -> nextPrefill(asking, refused.failure());
@@ -141,7 +142,7 @@
         }
     }
 
-    private void onPrefilling(State.Prefilling prefilling, RequestEvent event) {
+    private void onPrefilling(ModelState.Prefilling prefilling, RequestEvent event) {
         switch (event) {
             case PrefillDone done
             when done.attempt() == prefilling.prefill().attempt() ->
@@ -162,7 +163,7 @@
         }
     }
 
-    private void onDecoding(State.Decoding decoding, RequestEvent event) {
+    private void onDecoding(ModelState.Decoding decoding, RequestEvent event) {
         switch (event) {
             case AnswerWhole whole when whole.attempt() == decoding.decode().attempt() -> settle(Optional.empty());
             case AnswerFailed failed
@@ -191,7 +192,7 @@
     private void askDecode(Charge charge) {
         Either<Failure, Attempt> asked = ask(InstanceRole.DECODE, excludedDecodes, charge);
         if (asked.isRight()) {
-            state = new State.AskingDecode(asked.get());
+            state = new ModelState.AskingDecode(asked.get());
         } else {
             settle(Optional.of(asked.getLeft()));
         }
@@ -210,7 +211,7 @@
     private void askPrefill(Attempt decode, Charge charge) {
         Either<Failure, Attempt> asked = ask(InstanceRole.PREFILL, excludedPrefills, charge);
         if (asked.isRight()) {
-            state = new State.AskingPrefill(decode, asked.get());
+            state = new ModelState.AskingPrefill(decode, asked.get());
         } else {
             actions.add(new Release(decode.attempt()));
             settle(Optional.of(asked.getLeft()));
@@ -220,14 +221,14 @@
     private void decode(Attempt decode, Optional<CacheHandle> cache) {
         actions.add(new ExecuteDecode(decode.attempt(), cache));
         execution = ExecutionState.UNKNOWN;
-        state = new State.Decoding(decode);
+        state = new ModelState.Decoding(decode);
     }
 
     private void decodeRefused(Attempt decode, Failure failure) {
         if (failure.code() == ResultCode.REVISION_BEHIND) {
             refusals.add(failure);
             actions.add(new AwaitRevisions());
-            state = new State.AwaitingRevisions();
+            state = new ModelState.AwaitingRevisions();
         } else {
             nextDecode(decode, failure);
         }
@@ -235,15 +236,15 @@
 
     private void decodeUnreached(Attempt decode, Failure failure) {
         if (mayReconnect(decode, failure)) {
-            state = new State.AskingDecode(askAgain(decode, InstanceRole.DECODE));
+            state = new ModelState.AskingDecode(askAgain(decode, InstanceRole.DECODE));
         } else {
             nextDecode(decode, failure);
         }
     }
 
-    private void prefillUnreached(State.AskingPrefill asking, Failure failure) {
+    private void prefillUnreached(ModelState.AskingPrefill asking, Failure failure) {
         if (mayReconnect(asking.prefill(), failure)) {
-            state = new State.AskingPrefill(asking.decode(), askAgain(asking.prefill(), InstanceRole.PREFILL));
+            state = new ModelState.AskingPrefill(asking.decode(), askAgain(asking.prefill(), InstanceRole.PREFILL));
         } else {
             nextPrefill(asking, failure);
         }
@@ -254,7 +255,7 @@
         if (mayReconnect(decode, failure)) {
             resumptions++;
             resumedAt = Optional.of(decode.instance().name());
-            state = new State.AskingDecode(askAgain(decode, InstanceRole.DECODE));
+            state = new ModelState.AskingDecode(askAgain(decode, InstanceRole.DECODE));
         } else {
             decodeFailed(decode, failure);
         }
@@ -266,7 +267,7 @@
         beginAgain(failure);
     }
 
-    private void nextPrefill(State.AskingPrefill asking, Failure failure) {
+    private void nextPrefill(ModelState.AskingPrefill asking, Failure failure) {
         refusals.add(failure);
         excludedPrefills.add(asking.prefill().instance().name());
         if (RefusalSummary.isFinal(failure)) {
@@ -277,7 +278,7 @@
         }
     }
 
-    private void prefillFailed(State.Prefilling prefilling, Failure failure) {
+    private void prefillFailed(ModelState.Prefilling prefilling, Failure failure) {
         actions.add(new Release(prefilling.decode().attempt()));
         excludedPrefills.add(prefilling.prefill().instance().name());
         beginAgain(failure);
@@ -334,7 +335,7 @@
     }
 
     private void settle(Optional<Failure> failure) {
-        state = new State.Settled();
+        state = new ModelState.Settled();
         actions.add(new Settle(failure));
     }
 
@@ -377,50 +378,4 @@
         /** The budget for repeated attempts. */
         BUDGET
     }
-
-    /** One grant that was asked for. */
-    private record Attempt(int attempt, Instance instance) {}
-
-    /** Where the request stands. */
-    private sealed interface State {
-
-        /** Returns the attempts that a sidecar may still hold something for. */
-        default List<Attempt> openAttempts() {
-            return List.of();
-        }
-
-        record Created() implements State {}
-
-        record AskingDecode(Attempt decode) implements State {
-            @Override
-            public List<Attempt> openAttempts() {
-                return List.of(decode);
-            }
-        }
-
-        record AskingPrefill(Attempt decode, Attempt prefill) implements State {
-            @Override
-            public List<Attempt> openAttempts() {
-                return List.of(decode, prefill);
-            }
-        }
-
-        record Prefilling(Attempt decode, Attempt prefill) implements State {
-            @Override
-            public List<Attempt> openAttempts() {
-                return List.of(decode, prefill);
-            }
-        }
-
-        record Decoding(Attempt decode) implements State {
-            @Override
-            public List<Attempt> openAttempts() {
-                return List.of(decode);
-            }
-        }
-
-        record AwaitingRevisions() implements State {}
-
-        record Settled() implements State {}
-    }
 }
