--- a/entry/src/main/java/org/merlinwood/entry/dispatch/Dispatcher.java
+++ b/entry/src/main/java/org/merlinwood/entry/dispatch/Dispatcher.java
@@ -13,6 +13,7 @@
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.BiConsumer;
 import java.util.function.Supplier;
 import org.merlinwood.configuration.inventory.Instance;
 import org.merlinwood.configuration.inventory.InstanceRole;
@@ -52,6 +53,7 @@
     private final FailureDomain failureDomain;
     private final Map<RequestIdentifier, RequestRunner> runners = new LinkedHashMap<>();
     private final AtomicInteger openRequests = new AtomicInteger();
+    private final ModelKeys modelKeys = new ModelKeys();
     private Optional<ControlState> state = Optional.empty();
 
     // ------------------------------------------------------------------ configuration
@@ -63,6 +65,7 @@
                 builder.clock,
                 Objects.requireNonNull(builder.metrics, "metrics"),
                 builder.revisions,
+                builder.peerRevisions,
                 builder.keys);
         this.self = builder.self;
         this.failureDomain = builder.failureDomain;
@@ -90,6 +93,7 @@
         private MillisClock clock = SystemMillisClock.shared();
         private EntryMetrics metrics;
         private Supplier<Revisions> revisions = () -> new Revisions(Revisions.NONE, Revisions.NONE);
+        private BiConsumer<PeerConnection, Revisions> peerRevisions = (connection, told) -> {};
         private List<SharedKey> keys = List.of();
 
         private Builder(InstanceName self, FailureDomain failureDomain) {
@@ -157,6 +161,18 @@
             return this;
         }
 
+        /**
+         * Sets who hears of the revisions that ride on grants and refusals.
+         *
+         * @param value catches up with them if they are higher; must not block
+         * @return this builder
+         */
+        @CanIgnoreReturnValue
+        public Builder peerRevisions(BiConsumer<PeerConnection, Revisions> value) {
+            peerRevisions = value;
+            return this;
+        }
+
         /**
          * Sets the keys of the fleet.
          *
@@ -267,26 +283,40 @@
 
     private void admitModel(ClassifiedRequest.ModelCall call, RequestSink sink, ControlState present, Runnable leave) {
         switch (present.admit(call)) {
-            case AdmissionDecision.Admit admitted -> run(call, admitted.waitMillis(), sink, present, leave);
-            case AdmissionDecision.Refuse refused -> {
-                parts.metrics().ended(refused.failure().code());
-                sink.failure(refused.failure());
-                leave.run();
-            }
+            case AdmissionDecision.Admit admitted ->
+                modelKeys
+                        .take(call, this::supersede)
+                        .ifPresentOrElse(
+                                reused -> refuseEntered(sink, reused, leave),
+                                () -> run(call, admitted.waitMillis(), sink, present, leave));
+            case AdmissionDecision.Refuse refused -> refuseEntered(sink, refused.failure(), leave);
         }
     }
 
+    private void refuseEntered(RequestSink sink, Failure failure, Runnable leave) {
+        parts.metrics().ended(failure.code());
+        sink.failure(failure);
+        leave.run();
+    }
+
     private void run(
             ClassifiedRequest request, long waitMillis, RequestSink sink, ControlState present, Runnable leave) {
         RequestIdentifier identifier = request.identified().accepted().identifier();
         RequestRunner runner = new RequestRunner(request, waitMillis, sink, parts, present, () -> {
             runners.remove(identifier);
+            modelKeys.release(request);
             leave.run();
         });
         runners.put(identifier, runner);
         runner.start();
     }
 
+    private void supersede(RequestIdentifier earlier) {
+        Optional.ofNullable(runners.get(earlier))
+                .ifPresent(runner -> runner.giveUp(
+                        Failure.of(ResultCode.SUPERSEDED, "the caller sent the request again, with the same key")));
+    }
+
     private Runnable leaveOnce(ControlState present, ClassifiedRequest request) {
         AtomicBoolean left = new AtomicBoolean();
         return () -> {
@@ -326,10 +356,11 @@
                     .millis(
                             ControlState.UNREACHABLE_MILLIS,
                             call.identified().callerClass().priority());
-            parts.metrics().ended(ResultCode.NO_INSTANCE);
-            sink.failure(Failure.retryable(
-                    ResultCode.NO_INSTANCE, "no instance of the service is reachable", retryAfterMillis));
-            leave.run();
+            refuseEntered(
+                    sink,
+                    Failure.retryable(
+                            ResultCode.NO_INSTANCE, "no instance of the service is reachable", retryAfterMillis),
+                    leave);
             return;
         }
         Instance instance = chosen.get();
--- a/entry/src/main/java/org/merlinwood/entry/dispatch/RequestRunner.java
+++ b/entry/src/main/java/org/merlinwood/entry/dispatch/RequestRunner.java
@@ -22,13 +22,13 @@
 import org.merlinwood.entry.machine.RequestMachine;
 import org.merlinwood.entry.request.ClassifiedRequest;
 import org.merlinwood.http.HttpHeader;
+import org.merlinwood.protocol.PeerConnection;
 import org.merlinwood.protocol.WireValues;
 import org.merlinwood.wire.AnswerEnd;
 import org.merlinwood.wire.AnswerHead;
 import org.merlinwood.wire.AnswerPart;
 import org.merlinwood.wire.Load;
 import org.merlinwood.wire.RequestIdentity;
-import org.merlinwood.wire.RevisionPair;
 
 /**
  * Runs the state machine of one request: carries out its actions, and feeds it with what happens.
@@ -46,6 +46,9 @@
     /** How long awaited revisions are waited for. */
     private static final long REVISIONS_WAIT_MILLIS = 2_000;
 
+    private static final int LOWEST_STATUS = 200;
+    private static final int HIGHEST_STATUS = 599;
+
     private final ClassifiedRequest request;
     private final long grantWaitMillis;
     private final RequestSink sink;
@@ -60,6 +63,7 @@
     private Revisions awaited = new Revisions(Revisions.NONE, Revisions.NONE);
     private String finishReason = "";
     private volatile long lastPartMillis;
+    private boolean answerBegan;
     private boolean settled;
 
     // ------------------------------------------------------------------ life-cycle
@@ -154,6 +158,8 @@
     public void onAnswerEnd(UpstreamAttempt attempt, AnswerEnd end) {
         if (end.getCode() != ResultCode.OK.number()) {
             answerFailed(attempt, WireValues.fromWire(end));
+        } else if (request instanceof ClassifiedRequest.PlainCall && !hasPossibleStatus(assembly.head())) {
+            answerFailed(attempt, Failure.of(ResultCode.UPSTREAM_MALFORMED, "the answer has no valid status"));
         } else if (assembly.isWhole(attempt.number(), end.getIncarnation(), end.getLength())) {
             finishReason = end.getFinishReason();
             onEvent(attempt, new RequestEvent.AnswerWhole(attempt.number()));
@@ -168,15 +174,17 @@
     }
 
     @Override
-    public void onRevisions(UpstreamAttempt attempt, RevisionPair revisions) {
-        Revisions told = WireValues.fromWire(revisions);
+    public void onRevisions(PeerConnection connection, Revisions told) {
+        parts.peerRevisions().accept(connection, told);
         awaited =
                 new Revisions(Math.max(awaited.inventory(), told.inventory()), Math.max(awaited.rules(), told.rules()));
     }
 
     @Override
     public void onFailure(UpstreamAttempt attempt, Failure failure) {
-        state.failed(request, attempt.role(), attempt.instance().name(), failure);
+        if (failure.code() != ResultCode.PEER_SILENT || isRepeated(attempt)) {
+            state.failed(request, attempt.role(), attempt.instance().name(), failure);
+        }
     }
 
     @Override
@@ -215,6 +223,7 @@
             }
             case RequestAction.ExecuteDecode execute -> {
                 UpstreamAttempt attempt = begin(execute.attempt());
+                answerBegan = true;
                 attempt.execute(wire.decode(attempt.grantUse(), execute.cache(), assembly.tokensSoFar()));
             }
             case RequestAction.ExecutePlain execute -> {
@@ -244,9 +253,13 @@
         attempt.start(connection -> wire.grantRequest(ask, connection, waitMillis), waitMillis);
     }
 
-    /** A prefill grant is worthless once the decode grant has lapsed. */
+    /**
+     * The target for the first token does not bind a begun answer. A prefill grant is worthless once the decode grant
+     * has lapsed.
+     */
     private long waitMillis(InstanceRole role) {
-        long waitMillis = Math.min(grantWaitMillis, Math.max(0, remainingMillis()));
+        long targetMillis = answerBegan ? Long.MAX_VALUE : grantWaitMillis;
+        long waitMillis = Math.min(targetMillis, Math.max(0, remainingMillis()));
         if (role != InstanceRole.PREFILL) {
             return waitMillis;
         }
@@ -273,7 +286,7 @@
     private void awaitRevisions(long untilAgeMillis) {
         boolean reached = !parts.revisions().get().isBehind(awaited);
         if (reached || ageMillis() >= untilAgeMillis) {
-            run(machine.on(new RequestEvent.RevisionsAwaited()));
+            run(machine.on(new RequestEvent.RevisionsAwaited(reached)));
             return;
         }
         var unused = parts.control().schedule(REVISIONS_POLL_MILLIS, () -> awaitRevisions(untilAgeMillis));
@@ -305,6 +318,10 @@
         }
     }
 
+    private static boolean hasPossibleStatus(AnswerHead head) {
+        return head.getStatus() >= LOWEST_STATUS && head.getStatus() <= HIGHEST_STATUS;
+    }
+
     private PlainAnswer plainAnswer() {
         AnswerHead head = assembly.head();
         List<HttpHeader> headers = head.getHeadersList().stream()
@@ -320,6 +337,13 @@
         onEvent(attempt, new RequestEvent.AnswerFailed(attempt.number(), failure));
     }
 
+    /** A first connection that is silent says little of the process behind it, a second one much. */
+    private boolean isRepeated(UpstreamAttempt attempt) {
+        return attempts.values().stream()
+                .anyMatch(earlier -> earlier.number() < attempt.number()
+                        && earlier.instance().name().equals(attempt.instance().name()));
+    }
+
     private void failFromEventLoop(UpstreamAttempt attempt, ResultCode code, String detail) {
         parts.control().execute(() -> {
             if (attempt.isOpen()) {
--- a/entry/src/main/java/org/merlinwood/entry/machine/ModelMachine.java
+++ b/entry/src/main/java/org/merlinwood/entry/machine/ModelMachine.java
@@ -1,5 +1,6 @@
 package org.merlinwood.entry.machine;
 
+import io.vavr.control.Either;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
@@ -33,8 +34,9 @@
  *
  * <p>The decode grant comes first, since decode memory is scarce; then a prefill grant, the prefill, and at once the
  * decode. A prefill that fails gives the decode grant back, and the request begins again. A decode that fails begins
- * again as well, behind the tokens that the caller has. Each beginning after the first and each further candidate
- * spends the budget for repeated attempts. Not thread-safe: used by the control thread only.
+ * again as well, behind the tokens that the caller has. An instance whose connection ended is asked once more on
+ * another connection. Apart from that, and from the first resumptions of an answer, each beginning after the first and
+ * each further candidate spends the budget for repeated attempts. Not thread-safe: used by the control thread only.
  */
 public final class ModelMachine implements RequestMachine {
 
@@ -44,14 +46,20 @@
     /** Failed transfers after which the decode engine is left to prefill on its own. */
     private static final int TRANSFERS_BEFORE_OWN_PREFILL = 2;
 
+    /** Resumptions of one answer that do not spend the budget for repeated attempts. */
+    private static final int OWED_RESUMPTIONS = 3;
+
     private final Placement placement;
     private final RefusalSummary refusals;
     private final Set<InstanceName> excludedDecodes = new HashSet<>();
     private final Set<InstanceName> excludedPrefills = new HashSet<>();
+    private final Set<InstanceName> reconnected = new HashSet<>();
     private final List<RequestAction> actions = new ArrayList<>();
     private State state = new State.Created();
     private int attempts;
     private int failedTransfers;
+    private int resumptions;
+    private Optional<InstanceName> resumedAt = Optional.empty();
     private ExecutionState execution = ExecutionState.NOT_RUN;
 
     // ------------------------------------------------------------------ life-cycle
@@ -71,7 +79,7 @@
     @Override
     public List<RequestAction> start() {
         placement.firstAttempt();
-        askDecode();
+        askDecode(Charge.FREE);
         return takeActions();
     }
 
@@ -106,7 +114,7 @@
             case Refused refused
             when refused.attempt() == asking.decode().attempt() -> decodeRefused(asking.decode(), refused.failure());
             case Lost lost
-            when lost.attempt() == asking.decode().attempt() -> nextDecode(asking.decode(), lost.failure());
+            when lost.attempt() == asking.decode().attempt() -> decodeUnreached(asking.decode(), lost.failure());
             default -> {}
         }
     }
@@ -121,7 +129,8 @@
             }
             case Refused refused
             when refused.attempt() == asking.prefill().attempt() -> nextPrefill(asking, refused.failure());
-            case Lost lost when lost.attempt() == asking.prefill().attempt() -> nextPrefill(asking, lost.failure());
+            case Lost lost
+            when lost.attempt() == asking.prefill().attempt() -> prefillUnreached(asking, lost.failure());
             case Refused refused
             when refused.attempt() == asking.decode().attempt() ->
                 decodeLapsed(asking.decode(), asking.prefill(), refused.failure());
@@ -164,43 +173,47 @@
             case Refused refused
             when refused.attempt() == decoding.decode().attempt() -> decodeFailed(decoding.decode(), refused.failure());
             case Lost lost
-            when lost.attempt() == decoding.decode().attempt() -> decodeFailed(decoding.decode(), lost.failure());
+            when lost.attempt() == decoding.decode().attempt() -> decodeLost(decoding.decode(), lost.failure());
             default -> {}
         }
     }
 
     private void onAwaitingRevisions(RequestEvent event) {
-        if (event instanceof RevisionsAwaited) {
-            retryDecode();
+        if (event instanceof RevisionsAwaited awaited && awaited.inForce()) {
+            askDecode(Charge.FREE);
+        } else if (event instanceof RevisionsAwaited) {
+            settle(Optional.of(refusals.noneLeft(execution)));
         }
     }
 
     // ------------------------------------------------------------------ internals: steps
 
-    private void askDecode() {
-        Optional<Attempt> attempt = ask(InstanceRole.DECODE, excludedDecodes);
-        if (attempt.isPresent()) {
-            state = new State.AskingDecode(attempt.get());
+    private void askDecode(Charge charge) {
+        Either<Failure, Attempt> asked = ask(InstanceRole.DECODE, excludedDecodes, charge);
+        if (asked.isRight()) {
+            state = new State.AskingDecode(asked.get());
         } else {
-            settle(Optional.of(refusals.noneLeft(execution)));
+            settle(Optional.of(asked.getLeft()));
         }
     }
 
     private void decodeGranted(Attempt decode) {
-        if (failedTransfers >= TRANSFERS_BEFORE_OWN_PREFILL) {
+        boolean isResumedInPlace =
+                resumedAt.filter(decode.instance().name()::equals).isPresent();
+        if (isResumedInPlace || failedTransfers >= TRANSFERS_BEFORE_OWN_PREFILL) {
             decode(decode, Optional.empty());
         } else {
-            askPrefill(decode);
+            askPrefill(decode, Charge.FREE);
         }
     }
 
-    private void askPrefill(Attempt decode) {
-        Optional<Attempt> prefill = ask(InstanceRole.PREFILL, excludedPrefills);
-        if (prefill.isPresent()) {
-            state = new State.AskingPrefill(decode, prefill.get());
+    private void askPrefill(Attempt decode, Charge charge) {
+        Either<Failure, Attempt> asked = ask(InstanceRole.PREFILL, excludedPrefills, charge);
+        if (asked.isRight()) {
+            state = new State.AskingPrefill(decode, asked.get());
         } else {
             actions.add(new Release(decode.attempt()));
-            settle(Optional.of(refusals.noneLeft(execution)));
+            settle(Optional.of(asked.getLeft()));
         }
     }
 
@@ -220,7 +233,35 @@
         }
     }
 
+    private void decodeUnreached(Attempt decode, Failure failure) {
+        if (mayReconnect(decode, failure)) {
+            state = new State.AskingDecode(askAgain(decode, InstanceRole.DECODE));
+        } else {
+            nextDecode(decode, failure);
+        }
+    }
+
+    private void prefillUnreached(State.AskingPrefill asking, Failure failure) {
+        if (mayReconnect(asking.prefill(), failure)) {
+            state = new State.AskingPrefill(asking.decode(), askAgain(asking.prefill(), InstanceRole.PREFILL));
+        } else {
+            nextPrefill(asking, failure);
+        }
+    }
+
+    /** The engine may still have the request's cache, so its sidecar is asked first, on another connection. */
+    private void decodeLost(Attempt decode, Failure failure) {
+        if (mayReconnect(decode, failure)) {
+            resumptions++;
+            resumedAt = Optional.of(decode.instance().name());
+            state = new State.AskingDecode(askAgain(decode, InstanceRole.DECODE));
+        } else {
+            decodeFailed(decode, failure);
+        }
+    }
+
     private void nextDecode(Attempt decode, Failure failure) {
+        resumedAt = Optional.empty();
         excludedDecodes.add(decode.instance().name());
         beginAgain(failure);
     }
@@ -231,11 +272,8 @@
         if (RefusalSummary.isFinal(failure)) {
             actions.add(new Release(asking.decode().attempt()));
             settle(Optional.of(failure.withExecutionState(execution)));
-        } else if (placement.tryRetry()) {
-            askPrefill(asking.decode());
         } else {
-            actions.add(new Release(asking.decode().attempt()));
-            settle(Optional.of(refusals.budgetSpent(execution)));
+            askPrefill(asking.decode(), repeatedCharge());
         }
     }
 
@@ -248,38 +286,43 @@
     /** The decode grant went away while the prefill was under way, which would be wasted now. */
     private void decodeLapsed(Attempt decode, Attempt prefill, Failure failure) {
         actions.add(new Cancel(prefill.attempt(), ResultCode.CANCELLED));
-        if (failure.code() != ResultCode.GRANT_EXPIRED) {
-            excludedDecodes.add(decode.instance().name());
+        if (failure.code() == ResultCode.GRANT_EXPIRED) {
+            beginAgain(failure);
+        } else {
+            decodeUnreached(decode, failure);
         }
-        beginAgain(failure);
     }
 
     /** Earlier exclusions end here: what was full when the request began may have room by now. */
     private void decodeFailed(Attempt decode, Failure failure) {
+        resumedAt = Optional.empty();
         excludedDecodes.clear();
         excludedPrefills.clear();
         switch (failure.code()) {
             case TRANSFER_FAILED -> failedTransfers++;
             case GRANT_EXPIRED, GRANT_UNKNOWN -> {}
-            default -> excludedDecodes.add(decode.instance().name());
+            default -> {
+                resumptions++;
+                excludedDecodes.add(decode.instance().name());
+            }
         }
         beginAgain(failure);
     }
 
+    /**
+     * A begun answer is owed to its caller, and each is resumed a few times at most, so it is not the budget's to end.
+     */
+    private Charge repeatedCharge() {
+        boolean isOwed = resumptions > 0 && resumptions <= OWED_RESUMPTIONS;
+        return isOwed ? Charge.FREE : Charge.BUDGET;
+    }
+
     private void beginAgain(Failure failure) {
         refusals.add(failure);
         if (RefusalSummary.isFinal(failure)) {
             settle(Optional.of(failure.withExecutionState(execution)));
         } else {
-            retryDecode();
-        }
-    }
-
-    private void retryDecode() {
-        if (placement.tryRetry()) {
-            askDecode();
-        } else {
-            settle(Optional.of(refusals.budgetSpent(execution)));
+            askDecode(repeatedCharge());
         }
     }
 
@@ -295,13 +338,30 @@
         actions.add(new Settle(failure));
     }
 
-    private Optional<Attempt> ask(InstanceRole role, Set<InstanceName> excluded) {
-        if (attempts >= MAXIMUM_ATTEMPTS) {
-            return Optional.empty();
+    /** Something between the two ends may have lost track of the connection: another one is tried once. */
+    private boolean mayReconnect(Attempt attempt, Failure failure) {
+        return RefusalSummary.isConnectionEnd(failure)
+                && attempts < MAXIMUM_ATTEMPTS
+                && reconnected.add(attempt.instance().name());
+    }
+
+    private Attempt askAgain(Attempt lost, InstanceRole role) {
+        Attempt again = new Attempt(++attempts, lost.instance());
+        actions.add(new Ask(again.attempt(), role, again.instance()));
+        return again;
+    }
+
+    private Either<Failure, Attempt> ask(InstanceRole role, Set<InstanceName> excluded, Charge charge) {
+        Optional<Instance> instance = attempts < MAXIMUM_ATTEMPTS ? placement.place(role, excluded) : Optional.empty();
+        if (instance.isEmpty()) {
+            return Either.left(refusals.noneLeft(execution));
+        }
+        if (charge == Charge.BUDGET && !placement.tryRetry()) {
+            return Either.left(refusals.budgetSpent(execution));
         }
-        Optional<Attempt> attempt = placement.place(role, excluded).map(instance -> new Attempt(++attempts, instance));
-        attempt.ifPresent(placed -> actions.add(new Ask(placed.attempt(), role, placed.instance())));
-        return attempt;
+        Attempt attempt = new Attempt(++attempts, instance.get());
+        actions.add(new Ask(attempt.attempt(), role, attempt.instance()));
+        return Either.right(attempt);
     }
 
     private List<RequestAction> takeActions() {
@@ -310,6 +370,14 @@
         return taken;
     }
 
+    /** What pays for a grant that is asked for. */
+    private enum Charge {
+        /** Nothing: the first of its kind, or part of a resumption that the caller of a begun answer is owed. */
+        FREE,
+        /** The budget for repeated attempts. */
+        BUDGET
+    }
+
     /** One grant that was asked for. */
     private record Attempt(int attempt, Instance instance) {}
 
--- a/entry/src/main/java/org/merlinwood/entry/machine/PlainMachine.java
+++ b/entry/src/main/java/org/merlinwood/entry/machine/PlainMachine.java
@@ -40,10 +40,11 @@
     private final Binding binding;
     private final RefusalSummary refusals;
     private final Set<InstanceName> excluded = new HashSet<>();
+    private final Set<InstanceName> reconnected = new HashSet<>();
     private final List<RequestAction> actions = new ArrayList<>();
     private State state = new State.Created();
     private int attempts;
-    private ExecutionState execution;
+    private boolean mayHaveRun;
 
     /** What the request's key allows. */
     public enum Binding {
@@ -51,8 +52,10 @@
         ANY_REPEATED,
         /** Any instance until one is told to execute. */
         ANY_ONCE,
-        /** Only the instance that the placement names, and once. */
-        ONE_ONCE
+        /** Only the home of the caller's own key, and once. */
+        KEY_HOME,
+        /** Only the instance that a minted key names, and once. */
+        MINTED_INSTANCE
     }
 
     // ------------------------------------------------------------------ life-cycle
@@ -60,14 +63,13 @@
     /**
      * Creates the machine of one request.
      *
-     * @param placement the decisions; for {@link Binding#ONE_ONCE} it names the one instance
+     * @param placement the decisions; where the key allows one instance only it names that
      * @param binding what the request's key allows
      */
     public PlainMachine(Placement placement, Binding binding) {
         this.placement = placement;
         this.binding = binding;
         this.refusals = new RefusalSummary(placement);
-        this.execution = beforeExecute();
     }
 
     // ------------------------------------------------------------------ public API
@@ -75,7 +77,7 @@
     @Override
     public List<RequestAction> start() {
         placement.firstAttempt();
-        ask();
+        place(false);
         return takeActions();
     }
 
@@ -107,7 +109,6 @@
             case Granted granted
             when granted.attempt() == asking.attempt() -> {
                 actions.add(new ExecutePlain(granted.attempt()));
-                execution = ExecutionState.UNKNOWN;
                 state = new State.Executing(asking.attempt(), asking.instance());
             }
             case Refused refused
@@ -130,30 +131,52 @@
     }
 
     private void onAwaitingRevisions(RequestEvent event) {
-        if (event instanceof RevisionsAwaited) {
-            retry();
+        if (event instanceof RevisionsAwaited awaited && awaited.inForce()) {
+            place(false);
+        } else if (event instanceof RevisionsAwaited) {
+            settle(Optional.of(refusals.noneLeft(execution())));
         }
     }
 
     // ------------------------------------------------------------------ internals: steps
 
-    private void ask() {
+    private void place(boolean isRepeated) {
         Optional<Instance> instance =
                 attempts < MAXIMUM_ATTEMPTS ? placement.place(InstanceRole.PLAIN, excluded) : Optional.empty();
         if (instance.isEmpty()) {
             settle(Optional.of(noneLeft()));
-            return;
+        } else if (isRepeated && !placement.tryRetry()) {
+            settle(Optional.of(refusals.budgetSpent(execution())));
+        } else {
+            ask(instance.get());
         }
+    }
+
+    private void ask(Instance instance) {
         attempts++;
-        state = new State.Asking(attempts, instance.get());
-        actions.add(new Ask(attempts, InstanceRole.PLAIN, instance.get()));
+        state = new State.Asking(attempts, instance);
+        actions.add(new Ask(attempts, InstanceRole.PLAIN, instance));
+    }
+
+    /** Something between the two ends may have lost track of the connection: another one is tried once. */
+    private boolean mayReconnect(Instance instance, Failure failure) {
+        return RefusalSummary.isConnectionEnd(failure)
+                && attempts < MAXIMUM_ATTEMPTS
+                && reconnected.add(instance.name());
+    }
+
+    private boolean isBound() {
+        return binding == Binding.KEY_HOME || binding == Binding.MINTED_INSTANCE;
     }
 
     private Failure noneLeft() {
-        return binding == Binding.ONE_ONCE
-                ? homeUnreachable(
-                        Failure.of(ResultCode.NO_INSTANCE, "the inventory does not name the instance of the key"))
-                : refusals.noneLeft(execution);
+        return switch (binding) {
+            case ANY_REPEATED, ANY_ONCE -> refusals.noneLeft(execution());
+            case KEY_HOME ->
+                homeUnreachable(Failure.of(ResultCode.NO_INSTANCE, "the inventory names no instance for the key"));
+            case MINTED_INSTANCE ->
+                Failure.of(ResultCode.OUTCOME_UNKNOWN, "the instance that the key names has left the inventory");
+        };
     }
 
     private void refusedBeforeExecute(State.Asking asking, Failure failure) {
@@ -161,15 +184,17 @@
             refusals.add(failure);
             actions.add(new AwaitRevisions());
             state = new State.AwaitingRevisions();
-        } else if (binding == Binding.ONE_ONCE || RefusalSummary.isFinal(failure)) {
-            settle(Optional.of(spread(failure)));
+        } else if (isBound() || RefusalSummary.isFinal(failure)) {
+            settle(Optional.of(told(failure)));
         } else {
             next(asking.instance(), failure);
         }
     }
 
     private void lostBeforeExecute(State.Asking asking, Failure failure) {
-        if (binding == Binding.ONE_ONCE) {
+        if (mayReconnect(asking.instance(), failure)) {
+            ask(asking.instance());
+        } else if (isBound()) {
             settle(Optional.of(homeUnreachable(failure)));
         } else {
             next(asking.instance(), failure);
@@ -177,18 +202,19 @@
     }
 
     private void endedAfterExecute(State.Executing executing, Failure failure) {
+        mayHaveRun |= failure.executionState() != ExecutionState.NOT_RUN;
         if (binding == Binding.ANY_REPEATED && !RefusalSummary.isFinal(failure)) {
             next(executing.instance(), failure);
         } else {
-            settle(Optional.of(spread(failure)));
+            settle(Optional.of(told(failure)));
         }
     }
 
     private void lostAfterExecute(State.Executing executing, Failure failure) {
         if (failure.executionState() == ExecutionState.NOT_RUN) {
-            execution = beforeExecute();
             lostBeforeExecute(new State.Asking(executing.attempt(), executing.instance()), failure);
         } else if (binding == Binding.ANY_REPEATED) {
+            mayHaveRun = true;
             next(executing.instance(), failure);
         } else {
             settle(Optional.of(Failure.of(
@@ -199,29 +225,28 @@
     private void next(Instance instance, Failure failure) {
         refusals.add(failure);
         excluded.add(instance.name());
-        retry();
-    }
-
-    private void retry() {
-        if (placement.tryRetry()) {
-            ask();
-        } else {
-            settle(Optional.of(refusals.budgetSpent(execution)));
-        }
+        place(true);
     }
 
     private Failure homeUnreachable(Failure cause) {
         return refusals.retryLater(
-                new Failure(ResultCode.KEY_HOME_UNREACHABLE, cause.detail(), execution, Failure.NO_RETRY));
+                new Failure(ResultCode.KEY_HOME_UNREACHABLE, cause.detail(), execution(), Failure.NO_RETRY));
     }
 
-    /** An earlier request may have had the key that a caller sent, and only the instance of the key knows of it. */
-    private ExecutionState beforeExecute() {
-        return binding == Binding.ONE_ONCE ? ExecutionState.UNKNOWN : ExecutionState.NOT_RUN;
+    /**
+     * Returns what this machine knows on its own. An earlier request may have had the key that a caller sent, and only
+     * the instance of the key knows of it.
+     */
+    private ExecutionState execution() {
+        boolean isOpen = isBound() || mayHaveRun || state instanceof State.Executing;
+        return isOpen ? ExecutionState.UNKNOWN : ExecutionState.NOT_RUN;
     }
 
-    private Failure spread(Failure failure) {
-        return failure.retryAfterMillis() == Failure.NO_RETRY ? failure : refusals.retryLater(failure);
+    /** Passes on what a sidecar said. It speaks of its own attempt, or of all attempts with the key of the request. */
+    private Failure told(Failure failure) {
+        boolean isNarrower = !isBound() && mayHaveRun && failure.executionState() == ExecutionState.NOT_RUN;
+        Failure judged = isNarrower ? failure.withExecutionState(ExecutionState.UNKNOWN) : failure;
+        return judged.retryAfterMillis() == Failure.NO_RETRY ? judged : refusals.retryLater(judged);
     }
 
     private void giveUp(Failure failure) {
@@ -230,7 +255,7 @@
             case State.Executing executing -> actions.add(new Cancel(executing.attempt(), failure.code()));
             default -> {}
         }
-        settle(Optional.of(failure.withExecutionState(execution)));
+        settle(Optional.of(failure.withExecutionState(execution())));
     }
 
     private void settle(Optional<Failure> failure) {
--- a/following/src/test/java/org/merlinwood/following/impl/PeerFollowingTest.java
+++ b/following/src/test/java/org/merlinwood/following/impl/PeerFollowingTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -109,6 +110,19 @@
         assertThat(fleet.readers()).hasSizeBetween(silent.size() + 1, silent.size() + 8);
     }
 
+    @Test
+    void readersThatAcceptButNeverAnswerArePassedOver() {
+        List<Integer> mute = fleet.readers();
+        fleet.mute(mute::contains);
+        fleet.add(20, fleet.service, SEEDS);
+        fleet.timer.run(SETTLING_MILLIS);
+        publish(6);
+        fleet.timer.run(WITHIN_MILLIS);
+
+        assertThat(mute).doesNotContain(20);
+        assertThat(fleet.followers.get(20).revisions().inventory()).isEqualTo(6);
+    }
+
     @Test
     void aLongOutageOfTheServiceChangesNothing() {
         fleet.service.fail(new ServiceAnswer.Unavailable("down"));
@@ -154,6 +168,33 @@
         assertThat(restarted.revisions().inventory()).isEqualTo(6);
     }
 
+    @Test
+    void aSeedThatKnowsNothingItselfIsNotBelieved() {
+        publish(6);
+        fleet.timer.run(WITHIN_MILLIS);
+        ConfigurationService unreachable =
+                (document, after, wait) -> CompletableFuture.completedFuture(new ServiceAnswer.Unavailable("cut"));
+        fleet.cut((from, to) -> from == 0 && to != 20);
+        fleet.add(0, unreachable, List.of());
+        FollowerCore restarted = fleet.add(20, staleReplica(), SEEDS);
+        boolean wasReadyWithOldRevision = fleet.timer.runUntil(
+                () -> restarted.isReady() && restarted.revisions().inventory() < 6,
+                fleet.clock.monotonicMillis() + WITHIN_MILLIS);
+
+        assertThat(wasReadyWithOldRevision).isFalse();
+        assertThat(restarted.isReady()).isTrue();
+    }
+
+    @Test
+    void onlyOneSeedSendsWholeDocuments() {
+        FollowerCore restarted = fleet.add(20, new FakeService(fleet.clock, fleet.timer), SEEDS);
+        fleet.timer.run(WITHIN_MILLIS);
+
+        assertThat(restarted.isReady()).isTrue();
+        assertThat(fleet.metrics.get(20).counter("following.updates.whole").getCount())
+                .isEqualTo(2);
+    }
+
     @Test
     void readersWithAStaleReplicaLearnFromReadersOfTheOtherDomain() {
         fleet.readers().stream()
@@ -167,6 +208,39 @@
                 .isNotNegative();
     }
 
+    @Test
+    void readersWhoseServiceFailsGetChangesFromReadersOfTheOtherDomainAtOnce() {
+        ConfigurationService unreachable =
+                (document, after, wait) -> CompletableFuture.completedFuture(new ServiceAnswer.Unavailable("cut"));
+        fleet.readers().stream()
+                .filter(index -> TestDocuments.domain(index).equals("a"))
+                .toList()
+                .forEach(index -> fleet.add(index, unreachable, SEEDS));
+        fleet.timer.run(SETTLING_MILLIS);
+
+        for (long revision = 6; revision < 16; revision++) {
+            publish(revision);
+            assertThat(fleet.millisUntilAllAt(new Revisions(revision, 2), 300))
+                    .as("revision %d", revision)
+                    .isNotNegative();
+        }
+    }
+
+    @Test
+    void aProcessWithAnotherTextOfTheBaseGetsTheWholeText() {
+        FakeService conflicting = new FakeService(fleet.clock, fleet.timer);
+        conflicting.publish("inventory", 5, TestDocuments.inventory(SIZE, 55));
+        conflicting.publish("rules", 2, TestDocuments.RULES);
+        FollowerCore other = fleet.add(20, conflicting, List.of());
+        fleet.timer.run(SETTLING_MILLIS);
+        publish(6);
+        fleet.timer.run(WITHIN_MILLIS);
+
+        assertThat(other.revisions().inventory()).isEqualTo(6);
+        assertThat(other.state().inventory().digest())
+                .isEqualTo(fleet.followers.get(21).state().inventory().digest());
+    }
+
     @Test
     void aPartitionedDomainReadsItselfAndCatchesUp() {
         fleet.cut((from, to) -> TestDocuments.domain(from).equals("a")
@@ -194,15 +268,32 @@
         assertThat(isolated.revisions().inventory()).isEqualTo(6);
     }
 
+    @Test
+    void workThatWaitsGoesOnOnceTheRevisionsAreThere() {
+        isolateTwoOneOfWhichIsAhead();
+        CompletableFuture<Revisions> caughtUp = fleet.followers
+                .get(20)
+                .catchUp(fleet.peer(20, 21), new Revisions(6, 2))
+                .toCompletableFuture();
+        fleet.timer.run(5);
+
+        assertThat(caughtUp).isCompletedWithValue(new Revisions(6, 2));
+    }
+
+    @Test
+    void workThatWaitsInVainGoesOnAfterABoundedTime() {
+        CompletableFuture<Revisions> caughtUp = fleet.followers
+                .get(20)
+                .catchUp(fleet.peer(20, 21), new Revisions(99, 2))
+                .toCompletableFuture();
+        fleet.timer.run(WITHIN_MILLIS);
+
+        assertThat(caughtUp).isCompletedWithValue(new Revisions(5, 2));
+    }
+
     @Test
     void whoHearsOfAHigherRevisionCatchesUpWithTheCorrespondent() {
-        fleet.service.fail(new ServiceAnswer.Unavailable("down"));
-        fleet.cut((from, to) -> from == 20 || from == 21);
-        fleet.timer.run(SETTLING_MILLIS);
-        fleet.followers
-                .get(21)
-                .onDocument(DocumentKind.INVENTORY, new ServiceAnswer.Published(6, TestDocuments.inventory(SIZE, 6)));
-        fleet.heal();
+        isolateTwoOneOfWhichIsAhead();
         fleet.followers.get(20).onPeerRevisions(fleet.peer(20, 21), new Revisions(6, 2));
         fleet.timer.run(250);
 
@@ -227,6 +318,16 @@
         assertThat(fleet.readers()).hasSize(2 * ReaderPlan.READERS);
     }
 
+    private void isolateTwoOneOfWhichIsAhead() {
+        fleet.service.fail(new ServiceAnswer.Unavailable("down"));
+        fleet.cut((from, to) -> from == 20 || from == 21);
+        fleet.timer.run(SETTLING_MILLIS);
+        fleet.followers
+                .get(21)
+                .onDocument(DocumentKind.INVENTORY, new ServiceAnswer.Published(6, TestDocuments.inventory(SIZE, 6)));
+        fleet.heal();
+    }
+
     private ConfigurationService staleReplica() {
         FakeService stale = new FakeService(fleet.clock, fleet.timer);
         stale.publish("inventory", 5, TestDocuments.inventory(SIZE, 5));
--- a/proving/src/main/java/org/merlinwood/proving/fleet/Fleet.java
+++ b/proving/src/main/java/org/merlinwood/proving/fleet/Fleet.java
@@ -29,9 +29,11 @@
 public final class Fleet implements AutoCloseable {
 
     private static final long READY_MILLIS = 60_000;
+    private static final int MAXIMUM_STARTS = 4;
 
     private final Path folder;
     private final List<FleetProcess> processes = new ArrayList<>();
+    private final List<FleetProcess> passing = new ArrayList<>();
     private final List<StandIn> forwarders = new ArrayList<>();
     private final List<Entry> entries = new ArrayList<>();
     private final List<Sidecar> sidecars = new ArrayList<>();
@@ -177,17 +179,57 @@
      */
     public void repair() {
         sidecars.forEach(Fleet::passAll);
-        processes.stream().filter(FleetProcess::isAlive).forEach(FleetProcess::thaw);
-        processes.forEach(FleetProcess::start);
-        awaitListening(platform.process(), platform.administration());
-        sidecars.forEach(sidecar ->
-                awaitListening(sidecar.upstream().process(), sidecar.upstream().administration()));
+        thawAll();
+        startAll();
         probe.command(platform.administration(), "/up");
         probe.command(platform.administration(), "/stale/inventory");
         probe.command(platform.administration(), "/stale/rules");
         awaitReady();
     }
 
+    /** Starts what has ended, again if it ends at once, as an engine does that is sent a crashing request once more. */
+    private void startAll() {
+        for (int start = 1; start < MAXIMUM_STARTS; start++) {
+            processes.forEach(FleetProcess::start);
+            if (upstreamsListen()) {
+                return;
+            }
+        }
+        processes.forEach(FleetProcess::start);
+        sidecars.forEach(sidecar ->
+                awaitListening(sidecar.upstream().process(), sidecar.upstream().administration()));
+    }
+
+    private boolean upstreamsListen() {
+        awaitListening(platform.process(), platform.administration());
+        return sidecars.stream()
+                .map(Sidecar::upstream)
+                .allMatch(upstream -> probe.awaitAnswer(upstream.administration(), upstream.process(), READY_MILLIS));
+    }
+
+    /**
+     * Starts a second sidecar beside the upstream of another, with ports of its own but the same guard port.
+     *
+     * @param sidecar the first sidecar
+     * @return the process, which is not started again by {@link #repair()}
+     */
+    public FleetProcess startBeside(Sidecar sidecar) {
+        FreePorts ports = new FreePorts();
+        List<String> arguments = SettingsFile.copyOf(folder, sidecar.instance(), "second")
+                .address("peerAddress", ports.next())
+                .address("operatorAddress", ports.next())
+                .write();
+        FleetProcess second = FleetAssembly.sidecarProcess(sidecar.name() + "-second", arguments, folder);
+        passing.add(second);
+        second.start();
+        return second;
+    }
+
+    /** Lets every frozen process go on. */
+    public void thawAll() {
+        processes.stream().filter(FleetProcess::isAlive).forEach(FleetProcess::thaw);
+    }
+
     private static void passAll(Sidecar sidecar) {
         Stream.concat(sidecar.peerForwarder().stream(), sidecar.upstreamForwarder().stream())
                 .forEach(forwarder -> forwarder.mode(ForwardingMode.PASS, ForwardingDirection.BOTH, 0));
@@ -230,6 +272,7 @@
 
     private void endAll() {
         processes.forEach(FleetProcess::kill);
+        passing.forEach(FleetProcess::kill);
         forwarders.forEach(StandIn::close);
     }
 
--- /dev/null
+++ b/sidecar/src/main/java/org/merlinwood/sidecar/SidecarExchanges.java
@@ -0,0 +1,163 @@
+package org.merlinwood.sidecar;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.BiConsumer;
+import org.merlinwood.core.identity.Revisions;
+import org.merlinwood.core.result.Failure;
+import org.merlinwood.core.result.ResultCode;
+import org.merlinwood.operation.control.ControlLoop;
+import org.merlinwood.protocol.BaseProtocolObserver;
+import org.merlinwood.protocol.Exchange;
+import org.merlinwood.protocol.ExchangeListener;
+import org.merlinwood.protocol.PeerConnection;
+import org.merlinwood.protocol.PeerEndpoint;
+import org.merlinwood.sidecar.admission.ExecutionFactory;
+import org.merlinwood.sidecar.admission.ExecutionStage;
+import org.merlinwood.sidecar.admission.GrantStage;
+import org.merlinwood.sidecar.key.HandoverStage;
+import org.merlinwood.wire.Cancel;
+import org.merlinwood.wire.Frame;
+import org.merlinwood.wire.RequestIdentity;
+import org.merlinwood.wire.TablePart;
+
+/** Hands frames of exchanges from the event loops to the control thread, in their order. Thread-safe. */
+final class SidecarExchanges extends BaseProtocolObserver {
+
+    private static final int MAXIMUM_TABLE_PARTS = 256;
+
+    private final ControlLoop loop;
+    private final GrantStage grants;
+    private final ExecutionStage executions;
+    private final HandoverStage handover;
+    private final BiConsumer<PeerConnection, Revisions> onPeerRevisions;
+
+    SidecarExchanges(
+            ControlLoop loop,
+            GrantStage grants,
+            ExecutionStage executions,
+            HandoverStage handover,
+            BiConsumer<PeerConnection, Revisions> onPeerRevisions) {
+        this.loop = loop;
+        this.grants = grants;
+        this.executions = executions;
+        this.handover = handover;
+        this.onPeerRevisions = onPeerRevisions;
+    }
+
+    /** Accepts the exchanges of entries. */
+    void install(PeerEndpoint.Builder endpoint) {
+        endpoint.acceptor(Frame.BodyCase.GRANT_REQUEST, this::acceptDemand)
+                .acceptor(Frame.BodyCase.EXECUTE_PREFILL, this::acceptLostExecute)
+                .acceptor(Frame.BodyCase.EXECUTE_DECODE, this::acceptLostExecute)
+                .acceptor(Frame.BodyCase.EXECUTE_PLAIN, this::acceptLostExecute)
+                .acceptor(Frame.BodyCase.CANCEL, this::acceptCancel)
+                .acceptor(Frame.BodyCase.TABLE_REQUEST, this::acceptTableRequest)
+                .acceptor(Frame.BodyCase.TABLE_PART, this::acceptTable);
+    }
+
+    @Override
+    public void onClosed(PeerConnection connection, ResultCode code) {
+        loop.execute(() -> grants.closed(connection));
+    }
+
+    @Override
+    public void onRevisions(PeerConnection connection, Revisions revisions) {
+        onPeerRevisions.accept(connection, revisions);
+    }
+
+    // ------------------------------------------------------------------ internals
+
+    private ExchangeListener acceptDemand(Exchange exchange, Frame first) {
+        loop.execute(() -> grants.demand(exchange, first.getGrantRequest()));
+        return new GrantedExchange(first.getGrantRequest().getRequest());
+    }
+
+    private ExchangeListener acceptLostExecute(Exchange exchange, Frame first) {
+        loop.execute(() -> grants.useElsewhere(exchange, ExecutionFactory.useOf(first)));
+        return new IgnoredExchange();
+    }
+
+    private ExchangeListener acceptCancel(Exchange exchange, Frame first) {
+        loop.execute(() -> {
+            grants.cancel(first.getCancel().getRequest(), cancelled(first.getCancel()));
+            exchange.finish();
+        });
+        return new IgnoredExchange();
+    }
+
+    private ExchangeListener acceptTableRequest(Exchange exchange, Frame first) {
+        loop.execute(() -> handover.answer(exchange, first.getTableRequest()));
+        return new IgnoredExchange();
+    }
+
+    private ExchangeListener acceptTable(Exchange exchange, Frame first) {
+        TableExchange table = new TableExchange();
+        table.onFrame(exchange, first);
+        return table;
+    }
+
+    private static Failure cancelled(Cancel cancel) {
+        ResultCode reason = ResultCode.ofNumber(cancel.getReasonCode())
+                .filter(code -> code != ResultCode.OK)
+                .orElse(ResultCode.CANCELLED);
+        return Failure.of(ResultCode.CANCELLED, "the entry cancelled it: " + reason);
+    }
+
+    /** Frames that follow a demand. */
+    private final class GrantedExchange implements ExchangeListener {
+
+        private final RequestIdentity identity;
+
+        private GrantedExchange(RequestIdentity identity) {
+            this.identity = identity;
+        }
+
+        @Override
+        public void onFrame(Exchange exchange, Frame frame) {
+            switch (frame.getBodyCase()) {
+                case EXECUTE_PREFILL, EXECUTE_DECODE, EXECUTE_PLAIN ->
+                    loop.execute(() -> executions.execute(exchange, frame));
+                case RELEASE -> loop.execute(() -> grants.release(exchange, identity));
+                case CANCEL -> loop.execute(() -> grants.cancel(identity, cancelled(frame.getCancel())));
+                default -> exchange.connection().close(ResultCode.PROTOCOL_VIOLATION);
+            }
+        }
+
+        /** The end of the whole connection is heard of once, by {@link SidecarExchanges#onClosed}. */
+        @Override
+        public void onClosed(Exchange exchange, ResultCode code) {}
+    }
+
+    /** A sealed table that arrives in parts. Used by one event loop. */
+    private final class TableExchange implements ExchangeListener {
+
+        private final List<TablePart> parts = new ArrayList<>();
+
+        @Override
+        public void onFrame(Exchange exchange, Frame frame) {
+            if (!frame.hasTablePart() || parts.size() >= MAXIMUM_TABLE_PARTS) {
+                exchange.connection().close(ResultCode.PROTOCOL_VIOLATION);
+                return;
+            }
+            parts.add(frame.getTablePart());
+            if (frame.getTablePart().getLast()) {
+                List<TablePart> whole = List.copyOf(parts);
+                loop.execute(() -> handover.keep(exchange, whole));
+            }
+        }
+
+        @Override
+        public void onClosed(Exchange exchange, ResultCode code) {}
+    }
+
+    /** Nothing more is due. */
+    private static final class IgnoredExchange implements ExchangeListener {
+
+        @Override
+        public void onFrame(Exchange exchange, Frame frame) {}
+
+        @Override
+        public void onClosed(Exchange exchange, ResultCode code) {}
+    }
+}
