Heartbeats of all connections of an event loop on one timer

Cause: a connection with an open exchange had two timers of its own, each waking its event loop twice a second; the slope of docs/CAPACITY.md put an entry over its budget. Ruled out: the cost of the frames, 0.12 us each, and of exchanges, which showed no slope. Change: one timer for each event loop looks at all its sessions four times a second, sends heartbeats and closes what is silent. The longest quiet of a living peer rises from 500 to 750 ms, under the 1,500 ms after which a connection counts as lost.

--- a/protocol/src/main/java/org/merlinwood/protocol/impl/EndpointShared.java
+++ b/protocol/src/main/java/org/merlinwood/protocol/impl/EndpointShared.java
@@ -1,5 +1,6 @@
 package org.merlinwood.protocol.impl;
 
+import io.netty.util.concurrent.EventExecutor;
 import java.util.Map;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Supplier;
@@ -18,7 +19,17 @@
         Supplier<Revisions> revisions,
         ProtocolObserver observer,
         Map<Frame.BodyCase, ExchangeAcceptor> acceptors,
-        AtomicInteger unauthenticated) {
+        AtomicInteger unauthenticated,
+        Map<EventExecutor, SessionTimer> timers) {
+
+    /** Ticks for each period of heartbeats, so that the longest quiet is that of one and a half. */
+    private static final int TICKS_PER_HEARTBEAT = 2;
+
+    SessionTimer timer(EventExecutor loop) {
+        return timers.computeIfAbsent(
+                loop,
+                created -> new SessionTimer(created, Math.max(1, limits.heartbeatMillis() / TICKS_PER_HEARTBEAT)));
+    }
 
     boolean unauthenticatedBegan() {
         return unauthenticated.incrementAndGet() <= limits.maximumUnauthenticated();
--- a/protocol/src/main/java/org/merlinwood/protocol/impl/HandshakeHandler.java
+++ b/protocol/src/main/java/org/merlinwood/protocol/impl/HandshakeHandler.java
@@ -101,7 +101,8 @@
                 shared.limits(),
                 shared.observer(),
                 shared.acceptors());
-        SessionHandler session = new SessionHandler(connection, shared.limits(), shared.revisions(), connectingSide());
+        SessionHandler session = new SessionHandler(
+                connection, shared.limits(), shared.revisions(), connectingSide(), shared.timer(context.executor()));
         context.pipeline().replace(this, "session", session);
         shared.observer().onOpened(connection);
         return connection;
--- a/protocol/src/main/java/org/merlinwood/protocol/impl/NettyPeerConnection.java
+++ b/protocol/src/main/java/org/merlinwood/protocol/impl/NettyPeerConnection.java
@@ -39,6 +39,7 @@
     private final MillisClock clock = SystemMillisClock.shared();
     private volatile Revisions peerRevisions = new Revisions(Revisions.NONE, Revisions.NONE);
     private volatile long lastExchangeMillis;
+    private volatile long lastSentMillis;
     private long highestPeerNumber;
 
     // ------------------------------------------------------------------ life-cycle
@@ -58,6 +59,7 @@
         this.ownParity = connectingSide ? 1 : 0;
         this.nextNumber = new AtomicLong(connectingSide ? 1 : NUMBER_STEP);
         this.lastExchangeMillis = clock.monotonicMillis();
+        this.lastSentMillis = lastExchangeMillis;
     }
 
     @Override
@@ -111,6 +113,10 @@
         return exchanges.isEmpty() && clock.monotonicMillis() - lastExchangeMillis >= limits.idleMillis();
     }
 
+    long lastSentMillis() {
+        return lastSentMillis;
+    }
+
     boolean send(Frame frame) {
         if (!channel.isActive()) {
             return false;
@@ -119,6 +125,7 @@
             close(ResultCode.CALLER_TOO_SLOW);
             return false;
         }
+        lastSentMillis = clock.monotonicMillis();
         channel.writeAndFlush(frame, channel.voidPromise());
         return true;
     }
--- a/protocol/src/main/java/org/merlinwood/protocol/impl/NettyPeerEndpoint.java
+++ b/protocol/src/main/java/org/merlinwood/protocol/impl/NettyPeerEndpoint.java
@@ -12,7 +12,6 @@
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.timeout.IdleStateHandler;
 import io.netty.util.concurrent.DefaultThreadFactory;
 import io.netty.util.concurrent.GlobalEventExecutor;
 import io.vavr.control.Either;
@@ -25,6 +24,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Supplier;
@@ -79,7 +79,14 @@
             int threads,
             Map<Frame.BodyCase, ExchangeAcceptor> acceptors) {
         this.shared = new EndpointShared(
-                identity, new HandshakeProof(keys), limits, revisions, observer, acceptors, new AtomicInteger());
+                identity,
+                new HandshakeProof(keys),
+                limits,
+                revisions,
+                observer,
+                acceptors,
+                new AtomicInteger(),
+                new ConcurrentHashMap<>());
         this.listenAddress = listenAddress;
         this.loops = new MultiThreadIoEventLoopGroup(
                 threads, new DefaultThreadFactory("peer", true), NioIoHandler.newFactory());
@@ -201,8 +208,6 @@
         channels.add(channel);
         FrameCodec codec = new FrameCodec(shared.limits().maximumHandshakeFrameBytes());
         channel.pipeline().addLast(codec);
-        channel.pipeline()
-                .addLast(new IdleStateHandler(0, shared.limits().heartbeatMillis(), 0, TimeUnit.MILLISECONDS));
         return codec;
     }
 
--- a/protocol/src/main/java/org/merlinwood/protocol/impl/SessionHandler.java
+++ b/protocol/src/main/java/org/merlinwood/protocol/impl/SessionHandler.java
@@ -4,11 +4,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.TooLongFrameException;
-import io.netty.handler.timeout.IdleState;
-import io.netty.handler.timeout.IdleStateEvent;
-import io.netty.util.concurrent.ScheduledFuture;
 import java.io.IOException;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import org.merlinwood.core.identity.Revisions;
 import org.merlinwood.core.result.ResultCode;
@@ -31,30 +27,27 @@
     private final ProtocolLimits limits;
     private final Supplier<Revisions> revisions;
     private final boolean closesWhenIdle;
+    private final SessionTimer timer;
     private final MillisClock clock = SystemMillisClock.shared();
     private long lastReceivedMillis = clock.monotonicMillis();
     private boolean hadExchanges;
-    private ScheduledFuture<?> silenceCheck;
 
     SessionHandler(
             NettyPeerConnection connection,
             ProtocolLimits limits,
             Supplier<Revisions> revisions,
-            boolean closesWhenIdle) {
+            boolean closesWhenIdle,
+            SessionTimer timer) {
         this.connection = connection;
         this.limits = limits;
         this.revisions = revisions;
         this.closesWhenIdle = closesWhenIdle;
+        this.timer = timer;
     }
 
     @Override
     public void handlerAdded(ChannelHandlerContext context) {
-        silenceCheck = context.executor()
-                .scheduleAtFixedRate(
-                        () -> checkSilence(context),
-                        limits.heartbeatMillis(),
-                        limits.heartbeatMillis(),
-                        TimeUnit.MILLISECONDS);
+        timer.add(this);
     }
 
     @Override
@@ -68,17 +61,9 @@
         connection.received(frame);
     }
 
-    @Override
-    public void userEventTriggered(ChannelHandlerContext context, Object event) {
-        boolean quiet = event instanceof IdleStateEvent idle && idle.state() == IdleState.WRITER_IDLE;
-        if (quiet && connection.hasExchanges()) {
-            connection.send(heartbeat());
-        }
-    }
-
     @Override
     public void channelInactive(ChannelHandlerContext context) {
-        silenceCheck.cancel(false);
+        timer.remove(this);
         connection.closed();
     }
 
@@ -95,23 +80,32 @@
         return cause instanceof IOException ? ResultCode.CONNECTION_LOST : ResultCode.PROTOCOL_VIOLATION;
     }
 
-    private void checkSilence(ChannelHandlerContext context) {
-        if (!context.channel().isActive()) {
+    /** Called by the timer of the event loop. */
+    void tick() {
+        if (!connection.isOpen()) {
             return;
         }
         boolean hasExchanges = connection.hasExchanges();
-        long now = clock.monotonicMillis();
+        long nowMillis = clock.monotonicMillis();
         if (hasExchanges && !hadExchanges) {
-            lastReceivedMillis = now;
+            lastReceivedMillis = nowMillis;
         }
         hadExchanges = hasExchanges;
-        if (hasExchanges && now - lastReceivedMillis >= limits.silenceMillis()) {
-            connection.close(ResultCode.PEER_SILENT);
+        if (hasExchanges) {
+            checkBothDirections(nowMillis);
         } else if (closesWhenIdle && connection.isIdle()) {
             connection.close(ResultCode.CANCELLED);
         }
     }
 
+    private void checkBothDirections(long nowMillis) {
+        if (nowMillis - lastReceivedMillis >= limits.silenceMillis()) {
+            connection.close(ResultCode.PEER_SILENT);
+        } else if (nowMillis - connection.lastSentMillis() >= limits.heartbeatMillis()) {
+            connection.send(heartbeat());
+        }
+    }
+
     private Frame heartbeat() {
         Heartbeat body = Heartbeat.newBuilder()
                 .setRevisions(WireValues.toWire(revisions.get()))
