Test that a mute peer is passed over in time to push changes; quieter command line

Cause: the trial without a limit on a peer that never answers passed, since comparing makes up for it more slowly. Change: the test asks for each change within 300 ms of virtual time. The command line logs warnings only.

--- a/command/src/main/java/org/merlinwood/command/CheckCommand.java
+++ b/command/src/main/java/org/merlinwood/command/CheckCommand.java
@@ -126,7 +126,7 @@
             out().println(verdict.getLeft());
             return;
         }
-        out().println(file.name() + ": " + found + " is valid: " + verdict.get());
+        out().println(file.name() + ": valid " + found + ": " + verdict.get());
     }
 
     private void checkTogether(Path folder, Inventory inventory) {
--- a/command/src/main/java/org/merlinwood/command/MerlinwoodCommand.java
+++ b/command/src/main/java/org/merlinwood/command/MerlinwoodCommand.java
@@ -2,6 +2,8 @@
 
 import java.io.PrintWriter;
 import java.nio.charset.StandardCharsets;
+import java.util.logging.Level;
+import java.util.logging.Logger;
 import org.merlinwood.replay.ReplayCommand;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
@@ -43,6 +45,7 @@
      * @param arguments the arguments of the shell
      */
     public static void main(String[] arguments) {
+        Logger.getLogger("").setLevel(Level.WARNING);
         CommandLine commandLine = commandLine()
                 .setOut(new PrintWriter(System.out, true, StandardCharsets.UTF_8))
                 .setErr(new PrintWriter(System.err, true, StandardCharsets.UTF_8));
--- a/command/src/test/java/org/merlinwood/command/CheckCommandTest.java
+++ b/command/src/test/java/org/merlinwood/command/CheckCommandTest.java
@@ -28,7 +28,7 @@
             CommandRun run = CommandRun.of(arguments);
 
             assertThat(run.errors()).isEmpty();
-            assertThat(run.output().lines()).hasSize(arguments.length - 1).allMatch(line -> line.contains("is valid"));
+            assertThat(run.output().lines()).hasSize(arguments.length - 1).allMatch(line -> line.contains(": valid "));
             assertThat(run.status()).isEqualTo(ExitStatus.GOOD);
         }
     }
--- a/following/src/test/java/org/merlinwood/following/impl/PeerFollowingTest.java
+++ b/following/src/test/java/org/merlinwood/following/impl/PeerFollowingTest.java
@@ -17,6 +17,7 @@
     private static final int SIZE = 32;
     private static final long SETTLING_MILLIS = 20_000;
     private static final long WITHIN_MILLIS = 4_000;
+    private static final long AT_ONCE_MILLIS = 300;
     private static final long HOUR_MILLIS = 3_600_000;
     private static final List<NetworkAddress> SEEDS =
             List.of(NetworkAddress.parse(TestDocuments.address(0)), NetworkAddress.parse(TestDocuments.address(9)));
@@ -121,10 +122,12 @@
         fleet.mute(mute::contains);
         FollowerCore other = fleet.add(20, unreachable, SEEDS);
         fleet.timer.run(SETTLING_MILLIS);
-        publish(6);
-        fleet.timer.run(WITHIN_MILLIS);
 
-        assertThat(other.revisions().inventory()).isEqualTo(6);
+        for (long revision = 6; revision < 12; revision++) {
+            publish(revision);
+            fleet.timer.run(AT_ONCE_MILLIS);
+            assertThat(other.revisions().inventory()).isEqualTo(revision);
+        }
     }
 
     @Test
@@ -237,7 +240,7 @@
 
         for (long revision = 6; revision < 16; revision++) {
             publish(revision);
-            assertThat(fleet.millisUntilAllAt(new Revisions(revision, 2), 300))
+            assertThat(fleet.millisUntilAllAt(new Revisions(revision, 2), AT_ONCE_MILLIS))
                     .as("revision %d", revision)
                     .isNotNegative();
         }
