--- a/command/src/main/java/org/merlinwood/command/impl/KeyMoves.java
+++ b/command/src/main/java/org/merlinwood/command/impl/KeyMoves.java
@@ -1,6 +1,7 @@
 package org.merlinwood.command.impl;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -9,8 +10,10 @@
 import java.util.TreeMap;
 import org.merlinwood.configuration.inventory.Instance;
 import org.merlinwood.configuration.inventory.InstanceRole;
+import org.merlinwood.configuration.inventory.InstanceState;
 import org.merlinwood.configuration.inventory.Inventory;
 import org.merlinwood.core.identity.IdempotencyKey;
+import org.merlinwood.core.identity.InstanceName;
 import org.merlinwood.core.identity.ServiceName;
 import org.merlinwood.decision.idempotency.KeyHome;
 
@@ -25,26 +28,36 @@
     static List<String> lines(Inventory before, Inventory after) {
         List<String> lines = new ArrayList<>();
         for (ServiceName service : plainServices(before)) {
-            movesOf(service, before, after).forEach((move, count) -> lines.add(line(service, move, count)));
+            movesOf(service, before, after).forEach((move, count) -> lines.add(line(service, move, count, after)));
         }
         return lines;
     }
 
     // ------------------------------------------------------------------ internals
 
-    private static String line(ServiceName service, String move, int count) {
-        return "idempotency keys of " + service + ": about " + Math.round(count * PERCENT / SAMPLE_KEYS) + "% move "
-                + move + "; they are withheld until the old instance has handed them over";
+    /** A move of keys between two instances. */
+    private record Move(String oldHome, String newHome) {}
+
+    private static String line(ServiceName service, Move move, int count, Inventory after) {
+        boolean retired = after.instance(new InstanceName(move.oldHome()))
+                .filter(instance -> instance.state() == InstanceState.RETIRED)
+                .isPresent();
+        return "idempotency keys of " + service + ": about " + Math.round(count * PERCENT / SAMPLE_KEYS)
+                + "% move from " + move.oldHome() + " to " + move.newHome()
+                + (retired
+                        ? "; nobody waits for " + move.oldHome() + ", since it is retired"
+                        : "; they are withheld until " + move.oldHome() + " has handed them over");
     }
 
-    private static Map<String, Integer> movesOf(ServiceName service, Inventory before, Inventory after) {
-        Map<String, Integer> moves = new TreeMap<>();
+    private static Map<Move, Integer> movesOf(ServiceName service, Inventory before, Inventory after) {
+        Map<Move, Integer> moves =
+                new TreeMap<>(Comparator.comparing(Move::oldHome).thenComparing(Move::newHome));
         for (int index = 0; index < SAMPLE_KEYS; index++) {
             IdempotencyKey key = new IdempotencyKey("sample-" + index);
             Optional<String> oldHome = home(key, before, service);
             Optional<String> newHome = home(key, after, service);
             if (oldHome.isPresent() && !oldHome.equals(newHome)) {
-                moves.merge("from " + oldHome.get() + " to " + newHome.orElse("nowhere"), 1, Integer::sum);
+                moves.merge(new Move(oldHome.get(), newHome.orElse("nowhere")), 1, Integer::sum);
             }
         }
         return moves;
--- a/command/src/test/java/org/merlinwood/command/PlanCommandTest.java
+++ b/command/src/test/java/org/merlinwood/command/PlanCommandTest.java
@@ -25,7 +25,8 @@
             inventory.json | {"name": "entry-3"     | {"state": "draining", "name": "entry-3" | entry-3 drains
             inventory.json | {"name": "entry-3"     | {"state": "draining", "name": "entry-3" | entries that take work: 3 -> 2
             inventory.json | {"name": "ledger-3"    | {"state": "retired", "name": "ledger-3" | ledger-3 is retired
-            inventory.json | {"name": "ledger-3"    | {"state": "retired", "name": "ledger-3" | from ledger-3 to ledger-1
+            inventory.json | {"name": "ledger-3"    | {"state": "retired", "name": "ledger-3" | from ledger-3 to ledger-1; nobody waits for ledger-3
+            inventory.json | {"name": "ledger-3"    | {"name": "ledger-4"   | they are withheld until ledger-3 has handed them over
             inventory.json | {"name": "ledger-3"    | {"name": "ledger-4"   | ledger-4 joins: hydrant-ledger in kirtipur
             inventory.json | {"name": "ledger-3"    | {"name": "ledger-4"   | CAUTION: ledger-3 is not marked "retired"
             inventory.json | "concurrency": 32      | "concurrency": 40     | ledger-1: concurrency changes from 32 to 40
