--- a/sidecar/src/main/java/org/merlinwood/sidecar/SidecarProcess.java
+++ b/sidecar/src/main/java/org/merlinwood/sidecar/SidecarProcess.java
@@ -35,6 +35,7 @@
 import org.merlinwood.protocol.PeerIdentity;
 import org.merlinwood.protocol.PeerRole;
 import org.merlinwood.protocol.ProtocolLimits;
+import org.merlinwood.sidecar.admission.DemandFilter;
 import org.merlinwood.sidecar.admission.ExecutionFactory;
 import org.merlinwood.sidecar.admission.ExecutionStage;
 import org.merlinwood.sidecar.admission.GrantStage;
@@ -117,13 +118,11 @@
         this.suspicion = new SuspicionStage(self, clock, loop, metrics);
         this.grants = new GrantStage(
                 new GrantBook(clock, new RetryDelay(random)),
-                gate,
-                keys,
+                new DemandFilter(gate, keys, follower::onPeerRevisions),
                 suspicion,
                 incarnation,
                 metrics,
-                this::abandon,
-                follower::onPeerRevisions);
+                this::abandon);
         ExecutionFactory factory = new ExecutionFactory(client, engine, settings.upstreamAddress(), loop);
         this.executions =
                 new ExecutionStage(grants, keys, factory, engine, reaper, suspicion, gate, loop, clock, metrics);
--- /dev/null
+++ b/sidecar/src/main/java/org/merlinwood/sidecar/admission/DemandFilter.java
@@ -0,0 +1,115 @@
+package org.merlinwood.sidecar.admission;
+
+import java.util.Optional;
+import java.util.function.BiConsumer;
+import org.merlinwood.core.identity.Revisions;
+import org.merlinwood.core.result.Failure;
+import org.merlinwood.core.result.ResultCode;
+import org.merlinwood.decision.idempotency.KeyDecision;
+import org.merlinwood.protocol.PeerConnection;
+import org.merlinwood.protocol.WireValues;
+import org.merlinwood.sidecar.key.KeyStage;
+import org.merlinwood.wire.GrantRequest;
+
+/**
+ * Judges a demand by itself, before the grant book weighs it against others: revisions, the state of the upstream, the
+ * work that the inventory gives this instance, the key.
+ *
+ * <p>Used by the control thread only.
+ */
+public final class DemandFilter {
+
+    private static final long RETRY_MILLIS = 100;
+
+    private final UpstreamGate gate;
+    private final KeyStage keys;
+    private final BiConsumer<PeerConnection, Revisions> onBehind;
+    private Optional<ServingView> view = Optional.empty();
+
+    /**
+     * Creates a filter that refuses everything before it is configured.
+     *
+     * @param gate whether the upstream can take work
+     * @param keys judges calls with keys
+     * @param onBehind hears of peers that know a higher revision
+     */
+    public DemandFilter(UpstreamGate gate, KeyStage keys, BiConsumer<PeerConnection, Revisions> onBehind) {
+        this.gate = gate;
+        this.keys = keys;
+        this.onBehind = onBehind;
+    }
+
+    /**
+     * Puts inventory and rules in force.
+     *
+     * @param next what they say about this instance
+     */
+    void configure(ServingView next) {
+        view = Optional.of(next);
+    }
+
+    /**
+     * Judges a demand.
+     *
+     * @param connection the connection that carried it
+     * @param request the demand
+     * @return why it is refused, or empty
+     */
+    Optional<Failure> refusal(PeerConnection connection, GrantRequest request) {
+        if (view.isEmpty()) {
+            return Optional.of(Failure.retryable(
+                    ResultCode.NOT_READY, "this process has no inventory and rules yet", RETRY_MILLIS));
+        }
+        return behind(connection, request)
+                .or(gate::refusal)
+                .or(() -> misplaced(view.get(), request))
+                .or(() -> keyRefusal(request));
+    }
+
+    /**
+     * Tells whether a demand takes anything of the upstream.
+     *
+     * @param request a demand that is not refused
+     * @return false for an answer that is given again, or waited for together with the first call
+     */
+    boolean needsCapacity(GrantRequest request) {
+        return !Demands.isKeyed(request) || keys.judge(Demands.keyedCall(request)) instanceof KeyDecision.Run;
+    }
+
+    // ------------------------------------------------------------------ internals
+
+    private Optional<Failure> behind(PeerConnection connection, GrantRequest request) {
+        Revisions known = WireValues.fromWire(request.getRevisions());
+        if (!view.get().revisions().isBehind(known)) {
+            return Optional.empty();
+        }
+        onBehind.accept(connection, known);
+        return Optional.of(Failure.retryable(
+                ResultCode.REVISION_BEHIND, "this process has an older revision and catches up", RETRY_MILLIS));
+    }
+
+    private static Optional<Failure> misplaced(ServingView view, GrantRequest request) {
+        if (view.row().isEmpty()) {
+            return Optional.of(
+                    Failure.retryable(ResultCode.DRAINING, "the inventory does not list this instance", RETRY_MILLIS));
+        }
+        boolean fits = Demands.fits(request.getKind(), view)
+                && (request.getModel().isEmpty() || view.carries(request.getModel()));
+        return fits
+                ? Optional.empty()
+                : Optional.of(Failure.retryable(
+                        ResultCode.NO_INSTANCE, "the inventory gives this instance other work", RETRY_MILLIS));
+    }
+
+    private Optional<Failure> keyRefusal(GrantRequest request) {
+        if (!Demands.isKeyed(request)) {
+            return Optional.empty();
+        }
+        if (request.getIdempotencyKey().isBlank()) {
+            return Optional.of(Failure.of(ResultCode.KEY_REQUIRED, "a call that may not be repeated needs a key"));
+        }
+        return keys.judge(Demands.keyedCall(request)) instanceof KeyDecision.Refuse refuse
+                ? Optional.of(refuse.failure())
+                : Optional.empty();
+    }
+}
--- a/sidecar/src/main/java/org/merlinwood/sidecar/admission/GrantStage.java
+++ b/sidecar/src/main/java/org/merlinwood/sidecar/admission/GrantStage.java
@@ -7,7 +7,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
 import org.merlinwood.core.identity.Incarnation;
@@ -22,13 +21,11 @@
 import org.merlinwood.decision.grant.GrantEvent;
 import org.merlinwood.decision.grant.SessionNumber;
 import org.merlinwood.decision.idempotency.Fingerprint;
-import org.merlinwood.decision.idempotency.KeyDecision;
 import org.merlinwood.decision.suspicion.SuspicionVerdict;
 import org.merlinwood.protocol.Exchange;
 import org.merlinwood.protocol.PeerConnection;
 import org.merlinwood.protocol.WireValues;
 import org.merlinwood.sidecar.execution.AnswerChannel;
-import org.merlinwood.sidecar.key.KeyStage;
 import org.merlinwood.sidecar.suspicion.SuspicionStage;
 import org.merlinwood.wire.Frame;
 import org.merlinwood.wire.GrantRequest;
@@ -49,13 +46,11 @@
     private static final SessionNumber NO_SESSION = new SessionNumber(0);
 
     private final GrantBook book;
-    private final UpstreamGate gate;
-    private final KeyStage keys;
+    private final DemandFilter filter;
     private final SuspicionStage suspicion;
     private final Incarnation incarnation;
     private final MetricRegistry metrics;
     private final Consumer<AttemptIdentity> onAbandoned;
-    private final BiConsumer<PeerConnection, Revisions> onBehind;
     private final Sessions sessions = new Sessions();
     private final Map<AttemptIdentity, OpenAttempt> unjudged = new HashMap<>();
     private final Map<AttemptIdentity, OpenAttempt> open = new HashMap<>();
@@ -70,31 +65,25 @@
      * Creates a stage that grants nothing before it is configured.
      *
      * @param book the grants
-     * @param gate whether the upstream can take work
-     * @param keys judges calls with keys
+     * @param filter judges demands by themselves
      * @param suspicion judges requests that may have ended engines
      * @param incarnation of this process
      * @param metrics counts decisions
      * @param onAbandoned hears of attempts that run and have to be cancelled
-     * @param onBehind hears of peers that know a higher revision
      */
     public GrantStage(
             GrantBook book,
-            UpstreamGate gate,
-            KeyStage keys,
+            DemandFilter filter,
             SuspicionStage suspicion,
             Incarnation incarnation,
             MetricRegistry metrics,
-            Consumer<AttemptIdentity> onAbandoned,
-            BiConsumer<PeerConnection, Revisions> onBehind) {
+            Consumer<AttemptIdentity> onAbandoned) {
         this.book = book;
-        this.gate = gate;
-        this.keys = keys;
+        this.filter = filter;
         this.suspicion = suspicion;
         this.incarnation = incarnation;
         this.metrics = metrics;
         this.onAbandoned = onAbandoned;
-        this.onBehind = onBehind;
     }
 
     /**
@@ -104,6 +93,7 @@
      */
     public void configure(ServingView next) {
         view = Optional.of(next);
+        filter.configure(next);
         revisions = next.revisions();
         tell(book.configure(next.units(), next.limits().grantMillis()));
         if (next.takesWork() && !leaving) {
@@ -131,7 +121,7 @@
     public void demand(Exchange exchange, GrantRequest request) {
         SessionNumber session = sessions.of(exchange.connection());
         AnswerChannel channel = channel(exchange, request.getRequest());
-        Optional<Failure> refusal = refusalOf(exchange, request);
+        Optional<Failure> refusal = filter.refusal(exchange.connection(), request);
         AttemptIdentity attempt = Demands.attempt(request.getRequest());
         if (refusal.isPresent()) {
             count(refusal.get());
@@ -145,7 +135,7 @@
         OpenAttempt opened = new OpenAttempt(attempt, session, request, channel, false);
         Fingerprint fingerprint = Demands.fingerprint(request);
         if (request.getKind() == WorkKind.PLAIN || fingerprint.isEmpty()) {
-            ask(opened, needsCapacity(request) ? Demands.units(request) : 0);
+            ask(opened, filter.needsCapacity(request) ? Demands.units(request) : 0);
             return;
         }
         unjudged.put(attempt, opened);
@@ -366,61 +356,6 @@
 
     // ------------------------------------------------------------------ internals: judging
 
-    private Optional<Failure> refusalOf(Exchange exchange, GrantRequest request) {
-        if (view.isEmpty()) {
-            return Optional.of(Failure.retryable(
-                    ResultCode.NOT_READY, "this process has no inventory and rules yet", RETRY_MILLIS));
-        }
-        Revisions known = WireValues.fromWire(request.getRevisions());
-        if (revisions.isBehind(known)) {
-            onBehind.accept(exchange.connection(), known);
-            return Optional.of(Failure.retryable(
-                    ResultCode.REVISION_BEHIND, "this process has an older revision and catches up", RETRY_MILLIS));
-        }
-        return gate.refusal()
-                .or(() -> misplaced(view.get(), request))
-                .map(failure -> keptTrue(request, failure))
-                .or(() -> keyRefusal(request));
-    }
-
-    /** A refusal speaks of all calls with the same key, and an earlier one may have run. */
-    private Failure keptTrue(GrantRequest request, Failure failure) {
-        boolean hasKey =
-                Demands.isKeyed(request) && !request.getIdempotencyKey().isBlank();
-        boolean mayHaveRun = hasKey && !(keys.judge(Demands.keyedCall(request)) instanceof KeyDecision.Run);
-        return mayHaveRun ? failure.withExecutionState(ExecutionState.UNKNOWN) : failure;
-    }
-
-    private Optional<Failure> keyRefusal(GrantRequest request) {
-        if (!Demands.isKeyed(request)) {
-            return Optional.empty();
-        }
-        if (request.getIdempotencyKey().isBlank()) {
-            return Optional.of(Failure.of(ResultCode.KEY_REQUIRED, "a call that may not be repeated needs a key"));
-        }
-        return keys.judge(Demands.keyedCall(request)) instanceof KeyDecision.Refuse refuse
-                ? Optional.of(refuse.failure())
-                : Optional.empty();
-    }
-
-    /** An answer that is given again, or waited for together with the first call, takes nothing of the upstream. */
-    private boolean needsCapacity(GrantRequest request) {
-        return !Demands.isKeyed(request) || keys.judge(Demands.keyedCall(request)) instanceof KeyDecision.Run;
-    }
-
-    private static Optional<Failure> misplaced(ServingView view, GrantRequest request) {
-        if (view.row().isEmpty()) {
-            return Optional.of(
-                    Failure.retryable(ResultCode.DRAINING, "the inventory does not list this instance", RETRY_MILLIS));
-        }
-        boolean fits = Demands.fits(request.getKind(), view)
-                && (request.getModel().isEmpty() || view.carries(request.getModel()));
-        return fits
-                ? Optional.empty()
-                : Optional.of(Failure.retryable(
-                        ResultCode.NO_INSTANCE, "the inventory gives this instance other work", RETRY_MILLIS));
-    }
-
     private static Failure otherIncarnation(Failure failure) {
         return failure.executionState() == ExecutionState.NOT_RUN
                 ? Failure.retryable(
