--- a/sidecar/src/main/java/org/merlinwood/sidecar/SidecarProcess.java
+++ b/sidecar/src/main/java/org/merlinwood/sidecar/SidecarProcess.java
@@ -4,6 +4,7 @@
 import com.codahale.metrics.MetricRegistry;
 import com.google.common.flogger.FluentLogger;
 import java.net.InetSocketAddress;
+import java.security.SecureRandom;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
@@ -102,7 +103,7 @@
         this.settings = settings;
         this.slot = new ExclusiveSlot(settings.guardPort());
         UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create();
-        this.incarnation = new Incarnation(random.nextLong() | 1);
+        this.incarnation = new Incarnation(new SecureRandom().nextLong() | 1);
         this.follower = ConfigurationFollower.builder(settings.process(), client)
                 .metrics(metrics)
                 .build();
--- a/sidecar/src/main/java/org/merlinwood/sidecar/key/HandoverStage.java
+++ b/sidecar/src/main/java/org/merlinwood/sidecar/key/HandoverStage.java
@@ -165,7 +165,7 @@
      * @param onEnd called once each of them has confirmed it or not answered in time
      */
     public void handOver(Runnable onEnd) {
-        List<Instance> custodians = custodians(CUSTODIANS);
+        List<Instance> custodians = runsKeys() ? custodians(CUSTODIANS) : List.of();
         Set<InstanceName> names = custodians.stream().map(Instance::name).collect(Collectors.toSet());
         SealedTable whole =
                 new SealedTable(self, incarnation, table.entries(key -> true), barrier.completeMillis(), 0, names);
@@ -233,7 +233,7 @@
     // ------------------------------------------------------------------ internals: asking
 
     private void advance() {
-        if (inForce.isEmpty() || ownRow().isEmpty()) {
+        if (!runsKeys()) {
             return;
         }
         keys.advance();
@@ -325,8 +325,11 @@
 
     // ------------------------------------------------------------------ internals: peers
 
-    private Optional<Instance> ownRow() {
-        return inForce.flatMap(documents -> documents.inventory().instance(self));
+    /** Only plain services have keys; a sidecar of an engine may keep the tables of others. */
+    private boolean runsKeys() {
+        return inForce.flatMap(documents -> documents.inventory().instance(self))
+                .map(row -> row.role() == InstanceRole.PLAIN)
+                .orElse(false);
     }
 
     /** The instances that keep the table of this one, in the order of rendezvous hashing over all sidecars. */
