Proofs resend refused bookings, and restart engines that crash at once

Callers that are refused send again; so does the proof now, which only adds attempts that could run twice.

The platform starts crashed engines again; now the proof does so at once.

--- a/proving/src/main/java/org/merlinwood/proving/prove/AtMostOnce.java
+++ b/proving/src/main/java/org/merlinwood/proving/prove/AtMostOnce.java
@@ -13,7 +13,9 @@
 final class AtMostOnce {
 
     private static final int KEYS = 24;
-    private static final long START_MILLIS = 5_000;
+    private static final long START_MILLIS = 1_000;
+    private static final int MAXIMUM_SENDS = 6;
+    private static final long END_MILLIS = 5_000;
     private static final long IN_FORCE_MILLIS = 2_000;
     private static final String SLOW = "[millis 700]";
     private static final String VERY_SLOW = "[millis 2000]";
@@ -39,7 +41,7 @@
         KeyedCalls calls = new KeyedCalls(bench);
         List<Booking> bookings = List.of(calls.minted(SLOW), calls.minted(SLOW), calls.timed(SLOW), calls.timed(SLOW));
         bookings.forEach(booking -> calls.send(booking, 0));
-        if (!awaitRunning(bench, bookings)) {
+        if (!awaitRunning(bench, calls, bookings)) {
             return ProofResult.unproved("the bookings did not start");
         }
         bench.entry(0).process().kill();
@@ -70,7 +72,7 @@
         List<Booking> bookings = List.of(
                 calls.minted(SLOW), calls.minted(SLOW), calls.timed(SLOW), calls.timed(SLOW), calls.timed(SLOW));
         bookings.forEach(booking -> calls.send(booking, 0));
-        if (!awaitRunning(bench, bookings)) {
+        if (!awaitRunning(bench, calls, bookings)) {
             return ProofResult.unproved("the bookings did not start");
         }
         bench.fleet()
@@ -90,7 +92,7 @@
         List<Booking> bookings = List.of(
                 calls.minted(VERY_SLOW), calls.timed(VERY_SLOW), calls.minted(VERY_SLOW), calls.timed(VERY_SLOW));
         bookings.forEach(booking -> calls.send(booking, 0));
-        if (!awaitRunning(bench, bookings)) {
+        if (!awaitRunning(bench, calls, bookings)) {
             return ProofResult.unproved("the bookings did not start");
         }
         ForwardingDirection direction =
@@ -110,7 +112,7 @@
             bookings.add(number % 2 == 0 ? calls.timed("") : calls.timed(SLOW));
         }
         bookings.forEach(booking -> calls.send(booking, 0));
-        if (!awaitRunning(bench, bookings)) {
+        if (!awaitRunning(bench, calls, bookings)) {
             return ProofResult.unproved("the bookings did not start");
         }
         Sidecar moved = bench.choose(bench.fleet().sidecars(InstanceRole.PLAIN));
@@ -133,13 +135,13 @@
         KeyedCalls calls = new KeyedCalls(bench);
         Booking booking = calls.timed(VERY_SLOW);
         calls.send(booking, 0);
-        if (!awaitRunning(bench, List.of(booking))) {
+        if (!awaitRunning(bench, calls, List.of(booking))) {
             return ProofResult.unproved("the booking did not start");
         }
         Sidecar frozen = bench.sidecarsRunning(booking.body()).getFirst();
         frozen.process().freeze();
         FleetProcess second = bench.fleet().startBeside(frozen);
-        boolean ended = second.awaitEnd(START_MILLIS);
+        boolean ended = second.awaitEnd(END_MILLIS);
         frozen.process().thaw();
         calls.sendAllThroughAll();
         calls.awaitAll();
@@ -160,10 +162,21 @@
         }
     }
 
-    private static boolean awaitRunning(Workbench bench, List<Booking> bookings) throws InterruptedException {
-        return Workbench.await(
-                START_MILLIS,
-                () -> bookings.stream()
-                        .noneMatch(booking -> bench.plainRuns(booking.body()).isEmpty()));
+    /** Sends bookings again, as callers do that are refused, until all run. */
+    private static boolean awaitRunning(Workbench bench, KeyedCalls calls, List<Booking> bookings)
+            throws InterruptedException {
+        for (int send = 0; send < MAXIMUM_SENDS; send++) {
+            if (Workbench.await(START_MILLIS, () -> waiting(bench, bookings).isEmpty())) {
+                return true;
+            }
+            waiting(bench, bookings).forEach(booking -> calls.send(booking, 0));
+        }
+        return false;
+    }
+
+    private static List<Booking> waiting(Workbench bench, List<Booking> bookings) {
+        return bookings.stream()
+                .filter(booking -> bench.plainRuns(booking.body()).isEmpty())
+                .toList();
     }
 }
--- a/proving/src/main/java/org/merlinwood/proving/prove/CrashingRequest.java
+++ b/proving/src/main/java/org/merlinwood/proving/prove/CrashingRequest.java
@@ -4,7 +4,9 @@
 import java.util.List;
 import java.util.Set;
 import org.merlinwood.proving.caller.CallerAnswer;
+import org.merlinwood.proving.caller.CallerClient;
 import org.merlinwood.proving.caller.CallerRequest;
+import org.merlinwood.proving.caller.RequestUnderway;
 import org.merlinwood.proving.fleet.FleetDocuments;
 import org.merlinwood.standin.engine.EngineRun;
 import org.merlinwood.standin.engine.ExpectedAnswer;
@@ -17,6 +19,7 @@
     private static final int INNOCENT_TOKENS = 150;
     private static final int TOKENS = 40;
     private static final int LOST_ENGINES_ALLOWED = 2;
+    private static final long RESTART_MILLIS = 500;
     private static final int FAULTS_SHOWN = 4;
 
     private CrashingRequest() {}
@@ -42,7 +45,9 @@
             if (!innocents.awaitFirstTokens()) {
                 return ProofResult.fail("the other streams did not start");
             }
-            CallerAnswer answer = bench.client().answer(bench.caller(resend), request);
+            RequestUnderway crashing = bench.client().send(bench.caller(resend), request);
+            restartEnginesUntilAnswered(bench, innocents, crashing);
+            CallerAnswer answer = CallerClient.await(crashing);
             codes.add(answer.codeText());
             innocents.answers();
             bench.fleet().repair();
@@ -50,6 +55,17 @@
         return judge(bench, prompt, innocents, codes);
     }
 
+    /** The platform starts engines again that have ended. */
+    private static void restartEnginesUntilAnswered(Workbench bench, StreamSet innocents, RequestUnderway crashing)
+            throws InterruptedException {
+        while (innocents.open() > 0 || !crashing.answer().isDone()) {
+            Thread.sleep(RESTART_MILLIS);
+            bench.fleet()
+                    .sidecars()
+                    .forEach(sidecar -> sidecar.upstream().process().start());
+        }
+    }
+
     private static ProofResult judge(Workbench bench, String prompt, StreamSet innocents, List<String> codes) {
         long lost = bench.engineRuns(Set.of(ExpectedAnswer.promptDigest(prompt))).stream()
                 .filter(run -> run.outcome() == EngineRun.Outcome.CRASHED)
