Replay drives the sidecar's grant book

Cause: the product's policy was replayed against fake sidecars of its own, so that the verdict did not cover GrantBook, which the processes use. Change: fakes give capacity through GrantBook for the product, first come, first served for the baselines. An instance that is lost closes its desk: without that the book of a lost instance was advanced for ever and the replay did not end.

--- a/replay/src/main/java/org/merlinwood/replay/fake/FakeDecode.java
+++ b/replay/src/main/java/org/merlinwood/replay/fake/FakeDecode.java
@@ -1,11 +1,11 @@
 package org.merlinwood.replay.fake;
 
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.merlinwood.configuration.inventory.Instance;
 import org.merlinwood.decision.admission.LinkReservation;
@@ -17,26 +17,21 @@
 
     private static final double LINK_SHARE_OF_RESULT_LIFE = 0.5;
     private static final double ASSUMED_BYTES_PER_MILLI = 5_000_000;
-    private static final double RELEASE_GAIN = 0.1;
-    private static final double FIRST_RELEASE_GAP_MICROS = 500_000;
-    private static final int FIRST_RELEASED_PIECES = 4;
 
     private final VirtualTime time;
     private final Instance instance;
     private final Fleet fleet;
     private final SidecarBehaviour behaviour;
-    private final AskQueue queue;
+    private final CapacityDesk desk;
     private final Link link;
     private final LinkReservation reservation;
-    private final Map<DecodeStream, Long> promisedBytes = new HashMap<>();
     private final LaggingLoad lagging;
-    private final Map<DecodeStream, Integer> held = new LinkedHashMap<>();
+    private final Map<Ask, Long> promisedBytes = new LinkedHashMap<>();
+    private final Map<DecodeStream, Ask> executing = new LinkedHashMap<>();
     private final List<DecodeStream> running = new ArrayList<>();
-    private int reservedPieces;
+    private final Set<Ask> openAsks = new LinkedHashSet<>();
     private boolean alive = true;
     private boolean stepping;
-    private double releasedPiecesPerMicro = FIRST_RELEASED_PIECES / FIRST_RELEASE_GAP_MICROS;
-    private long lastReleaseMicros;
 
     // ------------------------------------------------------------------ life-cycle
 
@@ -53,20 +48,22 @@
         this.instance = instance;
         this.fleet = fleet;
         this.behaviour = behaviour;
-        this.queue = new AskQueue(behaviour);
+        this.desk = CapacityDesk.of(behaviour, time, fleet.decode().pieces(), this::given, this::denied);
         this.link = new Link(fleet.link().bytesPerMilli());
         long longestWaitMillis = Math.round(fleet.prefill().resultLifeMillis() * LINK_SHARE_OF_RESULT_LIFE);
         this.reservation = new LinkReservation(longestWaitMillis, ASSUMED_BYTES_PER_MILLI);
         this.lagging =
-                new LaggingLoad(TimeUnit.MILLISECONDS.toMicros(fleet.reports().loadLagMillis()), load());
+                new LaggingLoad(TimeUnit.MILLISECONDS.toMicros(fleet.reports().loadLagMillis()), desk.load());
     }
 
     /** Ends the instance with everything that it holds. */
     public void lose() {
         alive = false;
-        queue.drain().forEach(ask -> FakeNetwork.silence(time, ask));
-        held.keySet().forEach(stream -> FakeNetwork.broken(time, stream::lost));
-        held.clear();
+        openAsks.forEach(ask -> FakeNetwork.silence(time, ask));
+        openAsks.clear();
+        desk.close();
+        executing.keySet().forEach(stream -> FakeNetwork.broken(time, stream::lost));
+        executing.clear();
         running.clear();
     }
 
@@ -85,59 +82,32 @@
      * Pulls a KV cache under a grant and begins to generate.
      *
      * @param stream gets the tokens
-     * @param pieces pieces of the grant
+     * @param ask the request that was granted
      * @param result the KV cache
      */
-    public void execute(DecodeStream stream, int pieces, PrefillResult result) {
+    public void execute(DecodeStream stream, Ask ask, PrefillResult result) {
         if (!alive) {
             FakeNetwork.broken(time, stream::lost);
             result.holder().forget(result.bytes(), 0);
             return;
         }
-        held.put(stream, pieces);
-        promisedBytes.put(stream, result.bytes());
-        long startMicros = Math.max(
-                time.nowMicros(),
-                Math.max(link.freeAtMicros(), result.holder().link().freeAtMicros()));
-        long evictedMicros = result.doneMicros()
-                + TimeUnit.MILLISECONDS.toMicros(fleet.prefill().resultLifeMillis());
-        if (startMicros > evictedMicros || !result.holder().isAlive()) {
-            time.after(evictedMicros - time.nowMicros(), () -> {
-                result.holder().forget(result.bytes(), 0);
-                missing(stream);
-            });
+        if (!desk.use(ask)) {
+            release(ask);
+            result.holder().forget(result.bytes(), 0);
+            FakeNetwork.send(time, stream::cacheMissing);
             return;
         }
-        long endMicros = startMicros + link.micros(result.bytes());
-        link.occupyUntil(endMicros);
-        result.holder().link().occupyUntil(endMicros);
-        long transferMillis = TimeUnit.MICROSECONDS.toMillis(endMicros - startMicros);
-        time.after(endMicros - time.nowMicros(), () -> {
-            result.holder().forget(result.bytes(), transferMillis);
-            transferred(stream, transferMillis);
-        });
+        executing.put(stream, ask);
+        transfer(stream, result);
     }
 
     /**
      * Gives back a grant that was not executed.
      *
-     * @param pieces pieces of the grant
-     * @param tokens prompt tokens of the grant
+     * @param ask the request that was granted
      */
-    public void release(int pieces, long tokens) {
-        FakeNetwork.send(time, () -> {
-            reservation.release(bytes(tokens));
-            free(pieces);
-        });
-    }
-
-    /**
-     * Ends a stream whose caller is gone.
-     *
-     * @param stream the stream
-     */
-    public void cancel(DecodeStream stream) {
-        FakeNetwork.send(time, () -> end(stream));
+    public void release(Ask ask) {
+        FakeNetwork.send(time, () -> free(ask));
     }
 
     /**
@@ -165,107 +135,93 @@
             FakeNetwork.silence(time, ask);
             return;
         }
-        if (queue.size() == 0 && fits(ask)) {
-            grant(ask);
-            return;
-        }
-        if (behaviour == SidecarBehaviour.BY_TARGET && waitMicros(ask) > ask.latestStartMicros() - time.nowMicros()) {
-            FakeNetwork.refuse(time, ask, load());
-            return;
-        }
-        queue.add(ask);
-        time.after(ask.latestStartMicros() - time.nowMicros(), () -> expire(ask));
-        changed();
-    }
-
-    private boolean fits(Ask ask) {
-        boolean memory = reservedPieces + ask.pieces() <= fleet.decode().pieces();
-        return memory && (behaviour == SidecarBehaviour.FIRST_COME || reservation.hasRoom());
-    }
-
-    private void grant(Ask ask) {
-        reservedPieces += ask.pieces();
-        reservation.reserve(bytes(ask.tokens()));
-        LoadObservation load = load();
-        changed();
-        if (ask.close()) {
-            FakeNetwork.send(time, () -> ask.listener().granted(load));
+        long holdMicros = linkHoldMicros();
+        if (holdMicros == 0) {
+            openAsks.add(ask);
+            desk.request(ask, ask.pieces());
+            changed();
+        } else if (time.nowMicros() + holdMicros > ask.latestStartMicros()) {
+            denied(ask, desk.load());
+        } else {
+            time.after(holdMicros, () -> arrive(ask));
         }
     }
 
-    private void expire(Ask ask) {
-        if (!ask.isClosed()) {
-            queue.remove(ask);
-            FakeNetwork.refuse(time, ask, load());
-        }
+    private long linkHoldMicros() {
+        return behaviour == SidecarBehaviour.FIRST_COME ? 0 : TimeUnit.MILLISECONDS.toMicros(reservation.waitMillis());
     }
 
-    private void grantWaiting() {
-        Optional<Ask> next = queue.next();
-        while (alive && next.isPresent() && fits(next.get())) {
-            queue.remove(next.get());
-            grant(next.get());
-            next = queue.next();
+    private void given(Ask ask) {
+        openAsks.remove(ask);
+        if (ask.isClosed()) {
+            desk.release(ask);
+            return;
         }
+        promisedBytes.put(ask, ask.tokens() * fleet.link().bytesPerToken());
+        reservation.reserve(promisedBytes.get(ask));
+        ask.close();
+        LoadObservation load = desk.load();
+        FakeNetwork.send(time, () -> ask.listener().granted(load));
     }
 
-    private long waitMicros(Ask ask) {
-        int missing = reservedPieces
-                + queue.piecesBefore(ask)
-                + ask.pieces()
-                - fleet.decode().pieces();
-        long memoryMicros = Math.round(Math.max(0, missing) / releasedPiecesPerMicro);
-        return Math.max(memoryMicros, TimeUnit.MILLISECONDS.toMicros(reservation.waitMillis()));
+    private void denied(Ask ask, LoadObservation load) {
+        openAsks.remove(ask);
+        FakeNetwork.refuse(time, ask, load);
     }
 
-    private void free(int pieces) {
-        reservedPieces -= pieces;
-        learnReleases(pieces);
-        grantWaiting();
+    private void free(Ask ask) {
+        releasePromise(ask);
+        desk.release(ask);
         changed();
     }
 
-    private void learnReleases(int pieces) {
-        long gapMicros = Math.max(1, time.nowMicros() - lastReleaseMicros);
-        lastReleaseMicros = time.nowMicros();
-        double gapPerPiece = (double) gapMicros / pieces;
-        double known = 1 / releasedPiecesPerMicro;
-        releasedPiecesPerMicro = 1 / (known + RELEASE_GAIN * (gapPerPiece - known));
-    }
-
-    // ------------------------------------------------------------------ internals: streams
-
-    private void transferred(DecodeStream stream, long millis) {
-        Long bytes = promisedBytes.get(stream);
-        if (bytes != null) {
-            reservation.observe(bytes, millis);
-        }
-        releasePromise(stream);
-        join(stream);
-        grantWaiting();
-    }
-
-    private void releasePromise(DecodeStream stream) {
-        Long bytes = promisedBytes.remove(stream);
+    private void releasePromise(Ask ask) {
+        Long bytes = promisedBytes.remove(ask);
         if (bytes != null) {
             reservation.release(bytes);
         }
     }
 
-    private long bytes(long tokens) {
-        return tokens * fleet.link().bytesPerToken();
+    // ------------------------------------------------------------------ internals: streams
+
+    private void transfer(DecodeStream stream, PrefillResult result) {
+        Link export = result.holder().link();
+        long startMicros = Math.max(time.nowMicros(), Math.max(link.freeAtMicros(), export.freeAtMicros()));
+        long evictedMicros = result.doneMicros()
+                + TimeUnit.MILLISECONDS.toMicros(fleet.prefill().resultLifeMillis());
+        if (startMicros > evictedMicros || !result.holder().isAlive()) {
+            time.after(evictedMicros - time.nowMicros(), () -> missing(stream, result));
+            return;
+        }
+        long endMicros = startMicros + link.micros(result.bytes());
+        link.occupyUntil(endMicros);
+        export.occupyUntil(endMicros);
+        long transferMillis = TimeUnit.MICROSECONDS.toMillis(endMicros - startMicros);
+        time.after(endMicros - time.nowMicros(), () -> transferred(stream, result, transferMillis));
     }
 
-    private void join(DecodeStream stream) {
-        if (!alive || !held.containsKey(stream)) {
+    private void transferred(DecodeStream stream, PrefillResult result, long millis) {
+        result.holder().forget(result.bytes(), millis);
+        reservation.observe(result.bytes(), millis);
+        Ask ask = executing.get(stream);
+        if (!alive || ask == null) {
             return;
         }
+        releasePromise(ask);
         running.add(stream);
         if (!stepping) {
             step();
         }
     }
 
+    private void missing(DecodeStream stream, PrefillResult result) {
+        result.holder().forget(result.bytes(), 0);
+        if (alive && executing.containsKey(stream)) {
+            end(stream);
+            FakeNetwork.send(time, stream::cacheMissing);
+        }
+    }
+
     private void step() {
         stepping = alive && !running.isEmpty();
         if (!stepping) {
@@ -278,39 +234,22 @@
 
     private void finishStep(List<DecodeStream> batch) {
         for (DecodeStream stream : batch) {
-            if (held.containsKey(stream) && !stream.token(time.nowMicros())) {
+            if (executing.containsKey(stream) && !stream.token(time.nowMicros())) {
                 end(stream);
             }
         }
         step();
     }
 
-    private void missing(DecodeStream stream) {
-        if (alive && held.containsKey(stream)) {
-            end(stream);
-            FakeNetwork.send(time, stream::cacheMissing);
-        }
-    }
-
     private void end(DecodeStream stream) {
-        Integer pieces = held.remove(stream);
+        Ask ask = executing.remove(stream);
         running.remove(stream);
-        releasePromise(stream);
-        if (pieces != null) {
-            free(pieces);
+        if (ask != null) {
+            free(ask);
         }
     }
 
-    private LoadObservation load() {
-        int free = fleet.decode().pieces() - reservedPieces;
-        int missing = Math.max(1, queue.pieces() + 1 - free);
-        long waitMillis = free > 0 && queue.size() == 0
-                ? 0
-                : TimeUnit.MICROSECONDS.toMillis(Math.round(missing / releasedPiecesPerMicro));
-        return new LoadObservation(free, fleet.decode().pieces(), running.size(), queue.size(), waitMillis, 0, false);
-    }
-
     private void changed() {
-        lagging.changed(load(), time.nowMicros());
+        lagging.changed(desk.load(), time.nowMicros());
     }
 }
--- a/replay/src/main/java/org/merlinwood/replay/fake/FakePrefill.java
+++ b/replay/src/main/java/org/merlinwood/replay/fake/FakePrefill.java
@@ -1,8 +1,10 @@
 package org.merlinwood.replay.fake;
 
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.merlinwood.configuration.inventory.Instance;
 import org.merlinwood.decision.admission.LinkReservation;
@@ -12,6 +14,7 @@
 /** A prefill engine with its sidecar: computes one prompt after the other and keeps a prefix cache. */
 public final class FakePrefill {
 
+    private static final int PROMPTS_AT_ONCE = 1;
     private static final double LINK_SHARE_OF_RESULT_LIFE = 0.5;
     private static final double ASSUMED_BYTES_PER_MILLI = 5_000_000;
 
@@ -19,15 +22,16 @@
     private final Instance instance;
     private final Fleet fleet;
     private final SidecarBehaviour behaviour;
-    private final AskQueue queue;
+    private final CapacityDesk desk;
     private final Map<Ask, PrefillWork> works = new HashMap<>();
     private final PrefixCache cache;
     private final Link link;
     private final LinkReservation reservation;
     private final LaggingLoad lagging;
     private final CacheListener cacheListener;
+    private Optional<Ask> awaitsLink = Optional.empty();
     private Optional<PrefillWork> running = Optional.empty();
-    private long busyUntilMicros;
+    private final Set<Ask> openAsks = new LinkedHashSet<>();
     private boolean alive = true;
 
     // ------------------------------------------------------------------ life-cycle
@@ -47,21 +51,24 @@
         this.instance = instance;
         this.fleet = fleet;
         this.behaviour = behaviour;
-        this.queue = new AskQueue(behaviour);
+        this.desk = CapacityDesk.of(behaviour, time, PROMPTS_AT_ONCE, this::given, this::denied);
         this.cache = new PrefixCache(fleet.prefill().cacheTokens());
         this.link = new Link(fleet.link().bytesPerMilli());
         long longestWaitMillis = Math.round(fleet.prefill().resultLifeMillis() * LINK_SHARE_OF_RESULT_LIFE);
         this.reservation = new LinkReservation(longestWaitMillis, ASSUMED_BYTES_PER_MILLI);
         this.lagging =
-                new LaggingLoad(TimeUnit.MILLISECONDS.toMicros(fleet.reports().loadLagMillis()), load());
+                new LaggingLoad(TimeUnit.MILLISECONDS.toMicros(fleet.reports().loadLagMillis()), desk.load());
         this.cacheListener = cacheListener;
     }
 
     /** Ends the instance with everything that it holds. */
     public void lose() {
         alive = false;
-        queue.drain().forEach(ask -> FakeNetwork.silence(time, ask));
-        works.clear();
+        openAsks.forEach(ask -> FakeNetwork.silence(time, ask));
+        openAsks.clear();
+        desk.close();
+        awaitsLink.ifPresent(ask -> FakeNetwork.silence(time, ask));
+        awaitsLink = Optional.empty();
         running.ifPresent(work -> FakeNetwork.broken(time, work.lost()));
         running = Optional.empty();
     }
@@ -78,6 +85,18 @@
         FakeNetwork.send(time, () -> arrive(ask, work));
     }
 
+    /**
+     * Forgets a result that was transferred or is not wanted any more.
+     *
+     * @param bytes its size
+     * @param transferMillis how long it used the link, 0 if it was not transferred
+     */
+    public void forget(long bytes, long transferMillis) {
+        reservation.release(bytes);
+        reservation.observe(bytes, transferMillis);
+        startHeld();
+    }
+
     /**
      * Returns the load that the engine reports, with its lag.
      *
@@ -96,18 +115,6 @@
         return instance;
     }
 
-    /**
-     * Forgets a result that was transferred or is not wanted any more.
-     *
-     * @param bytes its size
-     * @param transferMillis how long it used the link, 0 if it was not transferred
-     */
-    public void forget(long bytes, long transferMillis) {
-        reservation.release(bytes);
-        reservation.observe(bytes, transferMillis);
-        startNext();
-    }
-
     boolean isAlive() {
         return alive;
     }
@@ -123,70 +130,74 @@
             FakeNetwork.silence(time, ask);
             return;
         }
-        if (behaviour == SidecarBehaviour.BY_TARGET && startsTooLate(ask)) {
-            FakeNetwork.refuse(time, ask, load());
-            return;
-        }
         works.put(ask, work);
-        queue.add(ask);
-        time.after(ask.latestStartMicros() - time.nowMicros(), () -> expire(ask));
-        startNext();
+        openAsks.add(ask);
+        desk.request(ask, 1);
         changed();
     }
 
-    private boolean startsTooLate(Ask ask) {
-        long waitMicros = micros(queue.tokensBefore(ask)) + Math.max(0, busyUntilMicros - time.nowMicros());
-        return time.nowMicros() + waitMicros > ask.latestStartMicros();
+    private void denied(Ask ask, LoadObservation load) {
+        openAsks.remove(ask);
+        works.remove(ask);
+        FakeNetwork.refuse(time, ask, load);
     }
 
-    private void expire(Ask ask) {
-        if (!ask.isClosed()) {
-            queue.remove(ask);
-            works.remove(ask);
-            FakeNetwork.refuse(time, ask, load());
+    private void given(Ask ask) {
+        openAsks.remove(ask);
+        awaitsLink = Optional.of(ask);
+        long patienceMicros = ask.latestStartMicros() - time.nowMicros();
+        time.after(patienceMicros, () -> refuseHeld(ask));
+        startHeld();
+    }
+
+    private void refuseHeld(Ask ask) {
+        if (awaitsLink.equals(Optional.of(ask))) {
+            awaitsLink = Optional.empty();
+            denied(ask, desk.load());
+            desk.release(ask);
         }
     }
 
-    private void startNext() {
-        if (!alive || running.isPresent()) {
+    private void startHeld() {
+        if (!alive || awaitsLink.isEmpty() || isLinkPromised(awaitsLink.get())) {
             return;
         }
-        Optional<Ask> next = queue.next();
-        if (next.isEmpty() || awaitsLink(next.get())) {
-            return;
+        Ask ask = awaitsLink.get();
+        awaitsLink = Optional.empty();
+        PrefillWork work = works.remove(ask);
+        if (ask.isClosed()) {
+            desk.release(ask);
+        } else {
+            start(ask, work);
         }
-        queue.remove(next.get());
-        start(next.get(), works.remove(next.get()));
     }
 
-    private boolean awaitsLink(Ask ask) {
+    private boolean isLinkPromised(Ask ask) {
         long waitMicros = TimeUnit.MILLISECONDS.toMicros(reservation.waitMillis());
-        return behaviour == SidecarBehaviour.BY_TARGET && waitMicros > micros(ask.tokens());
+        return behaviour == SidecarBehaviour.GRANT_BOOK && waitMicros > micros(ask.tokens());
     }
 
     private void start(Ask ask, PrefillWork work) {
-        FakeNetwork.grant(time, ask, load());
+        desk.use(ask);
+        FakeNetwork.grant(time, ask, desk.load());
         long computedTokens = Math.max(1, work.promptTokens() - cache.cachedTokens(work.blocks()));
         work.started().accept(computedTokens);
         running = Optional.of(work);
         reservation.reserve(bytes(work));
-        long workMicros = micros(computedTokens);
-        busyUntilMicros = time.nowMicros() + workMicros;
         long begunMicros = time.nowMicros();
-        time.after(workMicros, () -> finish(work, computedTokens, begunMicros));
+        time.after(micros(computedTokens), () -> finish(ask, work, computedTokens, begunMicros));
     }
 
-    private void finish(PrefillWork work, long computedTokens, long begunMicros) {
+    private void finish(Ask ask, PrefillWork work, long computedTokens, long begunMicros) {
         if (!alive) {
             return;
         }
         running = Optional.empty();
         cache.store(work.blocks());
         cacheListener.stored(instance.name(), work.blocks());
-        long bytes = bytes(work);
-        PrefillResult result = new PrefillResult(this, computedTokens, bytes, begunMicros, time.nowMicros());
+        PrefillResult result = new PrefillResult(this, computedTokens, bytes(work), begunMicros, time.nowMicros());
         FakeNetwork.send(time, () -> work.done().accept(result));
-        startNext();
+        desk.release(ask);
         changed();
     }
 
@@ -194,21 +205,8 @@
         return work.promptTokens() * fleet.link().bytesPerToken();
     }
 
-    private LoadObservation load() {
-        long queuedTokens = queue.tokens() + remainingTokens();
-        long waitMillis = TimeUnit.MICROSECONDS.toMillis(micros(queuedTokens));
-        int busy = running.isPresent() ? 1 : 0;
-        return new LoadObservation(
-                instance.pieces(), instance.pieces(), busy, queue.size(), waitMillis, queuedTokens, false);
-    }
-
-    private long remainingTokens() {
-        long remainingMicros = Math.max(0, busyUntilMicros - time.nowMicros());
-        return Math.round(remainingMicros * fleet.prefill().tokensPerMilli() / 1_000);
-    }
-
     private void changed() {
-        lagging.changed(load(), time.nowMicros());
+        lagging.changed(desk.load(), time.nowMicros());
     }
 
     private long micros(long tokens) {
--- a/replay/src/main/java/org/merlinwood/replay/fake/SidecarBehaviour.java
+++ b/replay/src/main/java/org/merlinwood/replay/fake/SidecarBehaviour.java
@@ -5,8 +5,8 @@
     /** First come, first served; a request waits until its caller leaves. */
     FIRST_COME,
     /**
-     * By priority and latest start; refuses at once what can't start in time, and grants only what the link can carry
-     * before the result is evicted.
+     * The grant book of the product's sidecar: by priority; refuses at once what can't start in time. A link is
+     * promised to a KV cache only if it can be carried before it is evicted.
      */
-    BY_TARGET
+    GRANT_BOOK
 }
--- a/replay/src/main/java/org/merlinwood/replay/measure/Replay.java
+++ b/replay/src/main/java/org/merlinwood/replay/measure/Replay.java
@@ -52,7 +52,7 @@
         this.policy = policy;
         this.random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
         SidecarBehaviour behaviour =
-                policy == PolicyName.MERLINWOOD ? SidecarBehaviour.BY_TARGET : SidecarBehaviour.FIRST_COME;
+                policy == PolicyName.MERLINWOOD ? SidecarBehaviour.GRANT_BOOK : SidecarBehaviour.FIRST_COME;
         this.fleet = new FleetFakes(time, trace.header().fleet(), behaviour, this::cacheEvent);
         for (int entry = 0; entry < trace.header().fleet().entries(); entry++) {
             entries.add(new FakeEntry(fleet, decisions(entry)));
--- a/replay/src/main/java/org/merlinwood/replay/policy/ModelDispatch.java
+++ b/replay/src/main/java/org/merlinwood/replay/policy/ModelDispatch.java
@@ -24,6 +24,7 @@
     private final Set<InstanceName> triedPrefills = new HashSet<>();
     private final Set<InstanceName> triedDecodes = new HashSet<>();
     private Optional<Ask> openAsk = Optional.empty();
+    private Optional<Ask> decodeAsk = Optional.empty();
     private Optional<InstanceName> prefillInUse = Optional.empty();
     private Optional<InstanceName> decodeInUse = Optional.empty();
     private boolean decodeGranted;
@@ -68,6 +69,7 @@
         decodeInUse = Optional.of(name);
         decisions.started(InstanceRole.DECODE, name, run.decodePieces());
         Ask ask = ask(InstanceRole.DECODE, run.decodePieces(), new DecodeAnswer(name));
+        decodeAsk = Optional.of(ask);
         fleet.decode(name).ask(ask);
     }
 
@@ -75,7 +77,7 @@
         openAsk = Optional.empty();
         decisions.observe(InstanceRole.DECODE, name, load);
         if (run.isEnded()) {
-            fleet.decode(name).release(run.decodePieces(), run.promptTokens());
+            fleet.decode(name).release(decodeAsk.orElseThrow());
             return;
         }
         decodeGranted = true;
@@ -104,7 +106,7 @@
         PrefillResult cache = result.orElseThrow();
         decodeExecuting = true;
         boolean measured = !run.hasTokens();
-        fleet.decode(name).execute(new MeasuredStream(run, measured, cache, decisions), run.decodePieces(), cache);
+        fleet.decode(name).execute(new MeasuredStream(run, measured, cache, decisions), decodeAsk.orElseThrow(), cache);
     }
 
     private void cacheMissing() {
@@ -238,7 +240,7 @@
         openAsk.ifPresent(Ask::withdraw);
         decodeInUse.ifPresent(name -> {
             if (decodeGranted && !decodeExecuting) {
-                fleet.decode(name).release(run.decodePieces(), run.promptTokens());
+                fleet.decode(name).release(decodeAsk.orElseThrow());
             }
         });
         endDecodeUse();
