--- /dev/null
+++ b/benchmarks/src/main/java/org/merlinwood/benchmarks/GrantBookBenchmark.java
@@ -0,0 +1,76 @@
+package org.merlinwood.benchmarks;
+
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.apache.commons.rng.simple.RandomSource;
+import org.merlinwood.core.identity.RequestIdentifier;
+import org.merlinwood.core.time.ManualMillisClock;
+import org.merlinwood.decision.grant.AttemptIdentity;
+import org.merlinwood.decision.grant.GrantBook;
+import org.merlinwood.decision.grant.GrantDemand;
+import org.merlinwood.decision.grant.GrantEvent;
+import org.merlinwood.decision.grant.SessionNumber;
+import org.merlinwood.decision.retry.RetryDelay;
+import org.openjdk.jmh.annotations.Benchmark;
+import org.openjdk.jmh.annotations.BenchmarkMode;
+import org.openjdk.jmh.annotations.Fork;
+import org.openjdk.jmh.annotations.Level;
+import org.openjdk.jmh.annotations.Measurement;
+import org.openjdk.jmh.annotations.Mode;
+import org.openjdk.jmh.annotations.OutputTimeUnit;
+import org.openjdk.jmh.annotations.Param;
+import org.openjdk.jmh.annotations.Scope;
+import org.openjdk.jmh.annotations.Setup;
+import org.openjdk.jmh.annotations.State;
+import org.openjdk.jmh.annotations.Warmup;
+
+/** The grants of a sidecar, by grants that are held. */
+@State(Scope.Thread)
+@BenchmarkMode(Mode.AverageTime)
+@OutputTimeUnit(TimeUnit.NANOSECONDS)
+@Warmup(iterations = 3, time = 300, timeUnit = TimeUnit.MILLISECONDS)
+@Measurement(iterations = 3, time = 500, timeUnit = TimeUnit.MILLISECONDS)
+@Fork(1)
+public class GrantBookBenchmark {
+
+    private static final int PIECES = 3;
+    private static final long TOKENS = 5_632;
+    private static final long WAIT_MILLIS = 900;
+    private static final long UNUSED_MILLIS = 3_000;
+    private static final SessionNumber SESSION = new SessionNumber(1);
+
+    /** Grants that are held. */
+    @Param({"8", "16", "32", "64"})
+    public int held;
+
+    private GrantBook book;
+    private long lastRequest;
+
+    /** Gives the grants. */
+    @Setup(Level.Trial)
+    public void fill() {
+        RetryDelay delay = new RetryDelay(RandomSource.XO_RO_SHI_RO_128_PP.create(1));
+        book = new GrantBook(new ManualMillisClock(1), delay);
+        book.configure((held + 1) * PIECES, UNUSED_MILLIS);
+        for (int number = 0; number < held; number++) {
+            book.request(demand());
+        }
+    }
+
+    /**
+     * Asks for a grant and gives it back.
+     *
+     * @return what changed
+     */
+    @Benchmark
+    public List<GrantEvent> grantAndRelease() {
+        GrantDemand demand = demand();
+        book.request(demand);
+        return book.release(demand.attempt());
+    }
+
+    private GrantDemand demand() {
+        AttemptIdentity attempt = new AttemptIdentity(new RequestIdentifier(0, ++lastRequest), 1);
+        return new GrantDemand(SESSION, attempt, PIECES, TOKENS, 1, WAIT_MILLIS);
+    }
+}
--- a/benchmarks/src/main/java/org/merlinwood/benchmarks/MemorySlopes.java
+++ b/benchmarks/src/main/java/org/merlinwood/benchmarks/MemorySlopes.java
@@ -15,6 +15,7 @@
 public final class MemorySlopes {
 
     private static final int EIGHTHS = 8;
+    private static final int PLANNED_KEYS = 10_000;
     private static final int COLLECTIONS = 4;
     private static final long SETTLE_MILLIS = 50;
 
@@ -32,6 +33,7 @@
         print("inventory as text, rows", PlannedFleet.INSTANCES, PlannedDocuments::inventory);
         print("rules as text, callers", PlannedFleet.CALLERS, PlannedDocuments::rules);
         print("shares, callers with open requests", PlannedFleet.CALLERS, MemorySlopes::shares);
+        print("keys with answers of 512 bytes", PLANNED_KEYS, KeyTables::of);
         Inventory inventory = PlannedFleet.mixed(PlannedFleet.INSTANCES);
         print("prefill pools", EIGHTHS, pools -> pools(inventory, InstanceRole.PREFILL, pools));
         print("decode pools", EIGHTHS, pools -> pools(inventory, InstanceRole.DECODE, pools));
