--- a/replay/src/test/java/org/merlinwood/replay/measure/ReplayTest.java
+++ b/replay/src/test/java/org/merlinwood/replay/measure/ReplayTest.java
@@ -25,6 +25,10 @@
     private static final long SEED = 1;
     private static final int WRONG_ARGUMENTS = 2;
 
+    static List<Trace> traces() {
+        return TraceGenerator.all();
+    }
+
     static Stream<Arguments> replays() {
         return TraceGenerator.all().stream()
                 .flatMap(trace -> Arrays.stream(PolicyName.values()).map(policy -> Arguments.of(trace, policy)));
@@ -39,6 +43,15 @@
         assertThat(first.wastedPrefill()).isBetween(0.0, 1.0);
     }
 
+    @ParameterizedTest
+    @MethodSource("traces")
+    void keepsTheOutcomesThatTheTraceDemands(Trace trace) {
+        List<Measurement> measurements = Arrays.stream(PolicyName.values())
+                .map(policy -> new Replay(trace, policy, SEED).run())
+                .toList();
+        assertThat(Bounds.of(trace.header().outcomes(), measurements)).allMatch(Bound::isMet);
+    }
+
     @ParameterizedTest
     @CsvSource({"0.5,0.01,3,0", "0.49,0.01,3,1", "0.5,0.021,3,1", "0.6,0.03,1,2"})
     void countsMissedBounds(double goodput, double waste, int prefillFirstWasteTenths, int missed) {
