--- a/sidecar/src/main/java/org/merlinwood/sidecar/SidecarProcess.java
+++ b/sidecar/src/main/java/org/merlinwood/sidecar/SidecarProcess.java
@@ -4,6 +4,7 @@
 import com.codahale.metrics.MetricRegistry;
 import com.google.common.flogger.FluentLogger;
 import java.net.InetSocketAddress;
+import java.security.SecureRandom;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
@@ -35,6 +36,7 @@
 import org.merlinwood.protocol.PeerIdentity;
 import org.merlinwood.protocol.PeerRole;
 import org.merlinwood.protocol.ProtocolLimits;
+import org.merlinwood.sidecar.admission.DemandFilter;
 import org.merlinwood.sidecar.admission.ExecutionFactory;
 import org.merlinwood.sidecar.admission.ExecutionStage;
 import org.merlinwood.sidecar.admission.GrantStage;
@@ -101,7 +103,7 @@
         this.settings = settings;
         this.slot = new ExclusiveSlot(settings.guardPort());
         UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create();
-        this.incarnation = new Incarnation(random.nextLong() | 1);
+        this.incarnation = new Incarnation(new SecureRandom().nextLong() | 1);
         this.follower = ConfigurationFollower.builder(settings.process(), client)
                 .metrics(metrics)
                 .build();
@@ -117,13 +119,11 @@
         this.suspicion = new SuspicionStage(self, clock, loop, metrics);
         this.grants = new GrantStage(
                 new GrantBook(clock, new RetryDelay(random)),
-                gate,
-                keys,
+                new DemandFilter(gate, keys, follower::onPeerRevisions),
                 suspicion,
                 incarnation,
                 metrics,
-                this::abandon,
-                follower::onPeerRevisions);
+                this::abandon);
         ExecutionFactory factory = new ExecutionFactory(client, engine, settings.upstreamAddress(), loop);
         this.executions =
                 new ExecutionStage(grants, keys, factory, engine, reaper, suspicion, gate, loop, clock, metrics);
