--- a/sidecar/src/test/java/org/merlinwood/sidecar/AtMostOnceTest.java
+++ b/sidecar/src/test/java/org/merlinwood/sidecar/AtMostOnceTest.java
@@ -73,7 +73,7 @@
         ProbeExchange first = execute(connection, 1, key, "[millis 400]");
         SidecarFixture.await(() -> !service.ledger().runs().isEmpty());
         ProbeExchange second = execute(connection, 2, key, "[millis 400]");
-        assertThat(first.untilEnd().getLast().getAnswerEnd().getCode()).isEqualTo(ResultCode.OK.number());
+        assertThat(first.untilEnd().getLast().getAnswerEnd().getExecution()).isEqualTo(Execution.RAN);
         assertThat(second.untilEnd().getFirst().getAnswerHead().getReplayed()).isTrue();
         assertThat(service.ledger().runs()).hasSize(1);
     }
@@ -87,7 +87,7 @@
         lost.close(ResultCode.CONNECTION_LOST);
         SidecarFixture.await(() -> !lost.isOpen());
         List<Frame> frames = book(2, key, "[millis 300]");
-        assertThat(frames.getLast().getAnswerEnd().getCode()).isEqualTo(ResultCode.OK.number());
+        assertThat(frames.getLast().getAnswerEnd().getExecution()).isEqualTo(Execution.RAN);
         assertThat(service.ledger().runs()).hasSize(1);
     }
 
--- a/sidecar/src/test/java/org/merlinwood/sidecar/GrantRefusalTest.java
+++ b/sidecar/src/test/java/org/merlinwood/sidecar/GrantRefusalTest.java
@@ -91,7 +91,7 @@
         Refused refused = demand(2).next().getRefused();
         assertThat(refused.getCode()).isEqualTo(ResultCode.DRAINING.number());
         assertThat(refused.getRetryAfterMillis()).isPositive();
-        assertThat(running.untilEnd().getLast().getAnswerEnd().getCode()).isEqualTo(ResultCode.OK.number());
+        assertThat(running.untilEnd().getLast().getAnswerEnd().getExecution()).isEqualTo(Execution.RAN);
         fixture.sidecar.publishInventory(InstanceState.ACTIVE);
         SidecarFixture.await(
                 () -> !fixture.sidecar.process().state().grants().load().draining());
@@ -103,7 +103,7 @@
         ProbeExchange running = fixture.start(1, 60);
         assertThat(fixture.sidecar.process().drain()).isTrue();
         fixture.sidecar.process().close();
-        assertThat(running.untilEnd().getLast().getAnswerEnd().getCode()).isEqualTo(ResultCode.OK.number());
+        assertThat(running.untilEnd().getLast().getAnswerEnd().getExecution()).isEqualTo(Execution.RAN);
     }
 
     @Test
