A crash of the engine ends every call to it at once

In whole-answer-upstream-killed 4 of 20 streams, and in crashing-request-at-decode 3 of 60, ended after 30 s with UPSTREAM_TIMEOUT: these calls did not notice that their engine had ended. Why their connections told nothing was not found. Now the first call that notices ends the others.

--- a/sidecar/src/main/java/org/merlinwood/sidecar/admission/CrashWatch.java
+++ b/sidecar/src/main/java/org/merlinwood/sidecar/admission/CrashWatch.java
@@ -34,6 +34,7 @@
     private final EngineClient engine;
     private final SuspicionStage suspicion;
     private final IntSupplier running;
+    private final Runnable onCrash;
     private final BiConsumer<OpenAttempt, Failure> onJudged;
     private final MetricRegistry metrics;
     private List<Lost> lost = new ArrayList<>();
@@ -45,6 +46,7 @@
             EngineClient engine,
             SuspicionStage suspicion,
             IntSupplier running,
+            Runnable onCrash,
             BiConsumer<OpenAttempt, Failure> onJudged,
             MetricRegistry metrics) {
         this.loop = loop;
@@ -52,6 +54,7 @@
         this.engine = engine;
         this.suspicion = suspicion;
         this.running = running;
+        this.onCrash = onCrash;
         this.onJudged = onJudged;
         this.metrics = metrics;
     }
@@ -105,6 +108,7 @@
         metrics.counter("engine.crashes").inc(first ? 1 : 0);
         logger.atWarning().log("the engine ended while %d requests ran", judged.size() + running.getAsInt());
         judged.forEach(each -> report(each, alone));
+        onCrash.run();
     }
 
     private void report(Lost each, boolean alone) {
--- a/sidecar/src/main/java/org/merlinwood/sidecar/admission/ExecutionStage.java
+++ b/sidecar/src/main/java/org/merlinwood/sidecar/admission/ExecutionStage.java
@@ -100,6 +100,7 @@
                 engine,
                 suspicion,
                 running::size,
+                this::abortAll,
                 (attempt, failure) -> endFailed(attempt, failure, true),
                 metrics);
         this.gate = gate;
@@ -251,6 +252,12 @@
 
     // ------------------------------------------------------------------ internals: settling
 
+    /** A connection may not tell that the engine behind it has ended. */
+    private void abortAll() {
+        Failure failure = Failure.of(ResultCode.UPSTREAM_TRUNCATED, "the engine has ended");
+        List.copyOf(running.values()).forEach(attempt -> attempt.execution().abort(failure));
+    }
+
     /** A call that may not be repeated goes on, so that its outcome becomes known. */
     private void cancel(AttemptIdentity attempt, RunningAttempt execution) {
         if (!Demands.isKeyed(execution.attempt().request())) {
--- a/sidecar/src/main/java/org/merlinwood/sidecar/execution/Execution.java
+++ b/sidecar/src/main/java/org/merlinwood/sidecar/execution/Execution.java
@@ -1,6 +1,7 @@
 package org.merlinwood.sidecar.execution;
 
 import java.util.function.Consumer;
+import org.merlinwood.core.result.Failure;
 
 /** One call to the upstream. Thread-safe. */
 public interface Execution {
@@ -14,4 +15,11 @@
 
     /** Gives the call up. The end is still reported. */
     void cancel();
+
+    /**
+     * Gives the call up because its upstream has ended.
+     *
+     * @param failure reported as the end
+     */
+    void abort(Failure failure);
 }
--- a/sidecar/src/main/java/org/merlinwood/sidecar/execution/HttpExecution.java
+++ b/sidecar/src/main/java/org/merlinwood/sidecar/execution/HttpExecution.java
@@ -55,6 +55,11 @@
         }
     }
 
+    @Override
+    public final void abort(Failure failure) {
+        giveUp(failure);
+    }
+
     @Override
     public void onHead(int status, List<HttpHeader> headers) {}
 
