Entry: a begun answer may reconnect to its engine three times

Cause: an answer whose connection ended was asked for at the same sidecar once; where no other engine could be used, a second end of a connection ended the answer (CONNECTION_LOST). Change: once something was executed for the request, up to three reconnections for each instance. Test: the only engine's connection ends twice; failed by design before, since one reconnection was the bound.

--- a/entry/src/main/java/org/merlinwood/entry/machine/ModelMachine.java
+++ b/entry/src/main/java/org/merlinwood/entry/machine/ModelMachine.java
@@ -2,8 +2,10 @@
 
 import io.vavr.control.Either;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import org.merlinwood.configuration.inventory.Instance;
@@ -54,7 +56,7 @@
     private final RefusalSummary refusals;
     private final Set<InstanceName> excludedDecodes = new HashSet<>();
     private final Set<InstanceName> excludedPrefills = new HashSet<>();
-    private final Set<InstanceName> reconnected = new HashSet<>();
+    private final Map<InstanceName, Integer> reconnections = new HashMap<>();
     private final List<RequestAction> actions = new ArrayList<>();
     private ModelState state = new ModelState.Created();
     private int attempts;
@@ -339,11 +341,18 @@
         actions.add(new Settle(failure));
     }
 
-    /** Something between the two ends may have lost track of the connection: another one is tried once. */
+    /**
+     * Something between the two ends may have lost track of the connection: another one is tried once, and a few times
+     * for an answer that has begun.
+     */
     private boolean mayReconnect(Attempt attempt, Failure failure) {
         return RefusalSummary.isConnectionEnd(failure)
                 && attempts < MAXIMUM_ATTEMPTS
-                && reconnected.add(attempt.instance().name());
+                && reconnections.merge(attempt.instance().name(), 1, Integer::sum) <= allowedReconnections();
+    }
+
+    private int allowedReconnections() {
+        return execution == ExecutionState.NOT_RUN ? 1 : OWED_RESUMPTIONS;
     }
 
     private Attempt askAgain(Attempt lost, InstanceRole role) {
--- a/entry/src/test/java/org/merlinwood/entry/ModelFailureTest.java
+++ b/entry/src/test/java/org/merlinwood/entry/ModelFailureTest.java
@@ -89,6 +89,25 @@
         assertThat(resumed.getExecuteDecode().getTokensSoFarList()).containsExactly("one", " two");
     }
 
+    @Test
+    void anAnswerIsResumedAtTheOnlyEngineAlsoWhenItsNextConnectionEndsToo() throws Exception {
+        AtomicInteger decodes = new AtomicInteger();
+        FakeSidecar decode = new FakeSidecar("decode-1", InstanceRole.DECODE) {
+            @Override
+            void onDecode(Exchange exchange, ExecuteDecode execute) {
+                if (decodes.getAndIncrement() < 2) {
+                    exchange.connection().close(ResultCode.CONNECTION_LOST);
+                } else {
+                    super.onDecode(exchange, execute);
+                }
+            }
+        };
+        fixture = new EntryFixture(decode, new FakeSidecar("prefill-1", InstanceRole.PREFILL));
+
+        assertThat(text(fixture.post("/v1/completions", EntryFixture.COMPLETION)))
+                .isEqualTo(WHOLE);
+    }
+
     @Test
     void anAnswerThatKeepsBreakingOffEndsWithItsCode() throws Exception {
         FakeSidecar decode = new FakeSidecar("decode-1", InstanceRole.DECODE) {
