--- a/entry/src/test/java/org/merlinwood/entry/CallerLeavesTest.java
+++ b/entry/src/test/java/org/merlinwood/entry/CallerLeavesTest.java
@@ -51,6 +51,7 @@
         EntryFixture.await(() -> decode.count(Frame.BodyCase.CANCEL) == 1);
         EntryFixture.await(() -> fixture.entry.dispatcher().openRequests() == 0);
         boolean isPrefillOpen = stage == Stage.PREFILL_GRANT || stage == Stage.PREFILL;
+        EntryFixture.await(() -> prefill.count(Frame.BodyCase.CANCEL) >= (isPrefillOpen ? 1 : 0));
         assertThat(prefill.count(Frame.BodyCase.CANCEL)).isEqualTo(isPrefillOpen ? 1 : 0);
         assertThat(fixture.registry
                         .meter("entry.requests." + ResultCode.CALLER_GONE.name())
