HTTP client: test that a server which ends later is noticed at once

Eight ways of ending, twenty calls at a time, none waits for its timeout. Looked for as the cause of calls that ended by the timeout of silence after an engine had died; ruled out as far as this goes.

--- a/http/src/test/java/org/merlinwood/http/HttpClientTest.java
+++ b/http/src/test/java/org/merlinwood/http/HttpClientTest.java
@@ -12,10 +12,14 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.merlinwood.core.result.ExecutionState;
 import org.merlinwood.core.result.Failure;
@@ -24,6 +28,8 @@
 final class HttpClientTest {
 
     private static final int PATIENCE_SECONDS = 20;
+    private static final int CONCURRENT_CALLS = 20;
+    private static final long LATER_MILLIS = 200;
 
     private final HttpClient client = HttpClient.create("test", 2);
 
@@ -80,6 +86,35 @@
         }
     }
 
+    @ParameterizedTest
+    @CsvSource({
+        "false, ''",
+        "true, ''",
+        "false, 'HTTP/1.1 200 OK~Transfer-Encoding: chunked~~4~half~'",
+        "true, 'HTTP/1.1 200 OK~Transfer-Encoding: chunked~~4~half~'",
+        "false, 'HTTP/1.1 200 OK~Transfer-Encoding: chunked~~8~half'",
+        "true, 'HTTP/1.1 200 OK~Content-Length: 10~~half'",
+        "true, 'HTTP/1.1 200 OK~Transfer-Encoding: chunked~~'",
+        "true, 'HTTP/1.1 200 OK~Transf'"
+    })
+    void noticesAtOnceThatTheServerEndsLater(boolean reset, String answer) throws Exception {
+        try (ServerSocket socket = new ServerSocket(0, 64, InetAddress.getLoopbackAddress())) {
+            InetSocketAddress address = new InetSocketAddress("127.0.0.1", socket.getLocalPort());
+            List<CompletableFuture<Either<Failure, HttpAnswer>>> calls = new ArrayList<>();
+            for (int call = 0; call < CONCURRENT_CALLS; call++) {
+                Thread.ofVirtual().start(() -> answerAndEndLater(socket, answer.replace("~", "\r\n"), reset));
+                calls.add(client.call(
+                                HttpCall.of("GET", address, "/", new byte[0]).withTimeouts(60_000, 60_000))
+                        .toCompletableFuture());
+            }
+            for (CompletableFuture<Either<Failure, HttpAnswer>> call : calls) {
+                Failure failure = call.get(PATIENCE_SECONDS, TimeUnit.SECONDS).getLeft();
+                assertThat(failure.executionState()).isEqualTo(ExecutionState.UNKNOWN);
+                assertThat(failure.code()).isNotEqualTo(ResultCode.UPSTREAM_TIMEOUT);
+            }
+        }
+    }
+
     @Test
     void givesUpOnASilentServer() throws Exception {
         try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
@@ -119,6 +154,19 @@
         }
     }
 
+    private static void answerAndEndLater(ServerSocket server, String answer, boolean reset) {
+        try (Socket socket = server.accept()) {
+            byte[] request = new byte[1024];
+            if (socket.getInputStream().read(request) > 0) {
+                socket.getOutputStream().write(answer.getBytes(StandardCharsets.ISO_8859_1));
+                Thread.sleep(LATER_MILLIS);
+                socket.setSoLinger(reset, 0);
+            }
+        } catch (IOException | InterruptedException exception) {
+            throw new IllegalStateException(exception);
+        }
+    }
+
     private static void answerOnceAndReset(ServerSocket server) {
         try (Socket socket = server.accept()) {
             byte[] request = new byte[1024];
