Grant prefill by prompts computed at once, not by pieces

Change: the units of a prefill instance are its `concurrency` (1 if its row leaves it out; rows of decode instances still must). A prefill takes one unit whatever its length. The unit is free once the prompt is computed; the attempt stays in the grant book without units while the engine keeps the result, so that it can be cancelled and blocks later attempts. A cancelled or failed one keeps its unit until the engine confirms. A prompt larger than the engine is refused as too long by the filter of demands, as the book can't tell any more.

Ruled out: keeping the unit until the result is fetched. With one unit the engine would idle during each transfer and until the next list of streams.

--- a/configuration/src/main/java/org/merlinwood/configuration/document/InventoryWriter.java
+++ b/configuration/src/main/java/org/merlinwood/configuration/document/InventoryWriter.java
@@ -52,10 +52,14 @@
             row.put("pieces", instance.pieces());
             row.put("orderFencing", DocumentWords.word(instance.orderFencing()));
         }
-        if (instance.role() == InstanceRole.PLAIN) {
+        if (instance.role() == InstanceRole.PLAIN || isPrefillWithConcurrency(instance)) {
             row.put("concurrency", instance.concurrency());
         }
         row.put("state", DocumentWords.word(instance.state()));
         return row;
     }
+
+    private static boolean isPrefillWithConcurrency(Instance instance) {
+        return instance.role() == InstanceRole.PREFILL && instance.concurrency() > 0;
+    }
 }
--- a/configuration/src/main/java/org/merlinwood/configuration/document/impl/InventoryDocument.java
+++ b/configuration/src/main/java/org/merlinwood/configuration/document/impl/InventoryDocument.java
@@ -109,13 +109,17 @@
                 role,
                 row.texts("models").stream().map(ModelName::new).toList(),
                 (int) row.whole("pieces", 0, MAXIMUM_PIECES, 0),
-                (int) row.whole("concurrency", 0, MAXIMUM_CONCURRENCY, 0),
+                (int) row.whole("concurrency", 0, MAXIMUM_CONCURRENCY, defaultConcurrency(role)),
                 row.word("orderFencing", OrderFencing.class, OrderFencing.CHECKED),
                 row.word("state", InstanceState.class, InstanceState.ACTIVE));
         row.refuseUnknown();
         rows.add(new ReadRow(row, instance));
     }
 
+    private static int defaultConcurrency(InstanceRole role) {
+        return role == InstanceRole.PREFILL ? Instance.DEFAULT_PREFILL_CONCURRENCY : 0;
+    }
+
     // ------------------------------------------------------------------ checks of the whole table
 
     private void refuseDuplicates() {
@@ -177,7 +181,21 @@
                             role + " has no engine memory",
                             "write how many pieces of 2,000 tokens the engine holds, at least 1");
         }
-        refuseConcurrency(row, role);
+        if (instance.role() == InstanceRole.PREFILL) {
+            refuseIdlePrefill(row, role);
+        } else {
+            refuseConcurrency(row, role);
+        }
+    }
+
+    private static void refuseIdlePrefill(ReadRow row, String role) {
+        if (row.instance().concurrency() == 0) {
+            row.reader()
+                    .refuse(
+                            "concurrency",
+                            role + " computes no prompt",
+                            "write how many prompts it computes at once, at least 1, or leave the column out");
+        }
     }
 
     private static void refuseForPlain(ReadRow row) {
--- a/configuration/src/main/java/org/merlinwood/configuration/inventory/Instance.java
+++ b/configuration/src/main/java/org/merlinwood/configuration/inventory/Instance.java
@@ -17,7 +17,8 @@
  * @param role what the instance does
  * @param models models that the instance is to carry, empty for plain services and entries
  * @param pieces engine memory in pieces, 0 for plain services and entries
- * @param concurrency how many calls a plain service takes at once, 0 for engines and entries
+ * @param concurrency how many calls a plain service takes at once, or how many prompts a prefill engine computes at
+ *     once (0 means {@link #DEFAULT_PREFILL_CONCURRENCY}); 0 for decode engines and entries
  * @param orderFencing whether the engine checks fencing numbers
  * @param state what the operators want of the instance
  */
@@ -34,6 +35,9 @@
         OrderFencing orderFencing,
         InstanceState state) {
 
+    /** Prompts that a prefill engine computes at once if its row doesn't say. */
+    public static final int DEFAULT_PREFILL_CONCURRENCY = 1;
+
     /** Copies the list. */
     public Instance {
         models = List.copyOf(models);
--- a/configuration/src/test/java/org/merlinwood/configuration/document/InventoryReaderTest.java
+++ b/configuration/src/test/java/org/merlinwood/configuration/document/InventoryReaderTest.java
@@ -7,6 +7,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.merlinwood.configuration.inventory.Inventory;
+import org.merlinwood.core.identity.InstanceName;
 
 /** What an inventory is refused for, and where the message points. */
 class InventoryReaderTest {
@@ -52,6 +53,8 @@
             "concurrency": 4  | "concurrency": 4, "pieces": ^3 | instances[3].pieces | has no engine memory
             "concurrency": 4  | "concurrency": 4, "models": ^["m"] | instances[3].models | carries no models
             "concurrency": 4  | "concurrency": 4, "orderFencing": ^"ignored" | instances[3].orderFencing | no orders
+            "pieces": 8       | "pieces": 8, "concurrency": ^0 | instances[1].concurrency | computes no prompt
+            "pieces": 9       | "pieces": 9, "concurrency": ^2 | instances[2].concurrency | does not apply
             "name": "l1"      | "name": ^"d1"      | instances[3].name    | stands in an earlier row
             "10.0.0.4:1"      | ^"10.0.0.3:1"      | instances[3].address | stands in an earlier row
             "10.0.0.4:1"      | ^"ledger:1"        | instances[3].address | not a numeric IP
@@ -79,6 +82,20 @@
         });
     }
 
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', textBlock = """
+            "pieces": 8                    | 1
+            "pieces": 8, "concurrency": 3  | 3
+            """)
+    void aPrefillRowMayStateHowManyPromptsItComputesAtOnce(String columns, int concurrency) {
+        Inventory inventory = read(DOCUMENT.replace("\"pieces\": 8", columns)).get();
+        Inventory writtenAndRead = read(InventoryWriter.write(inventory)).get();
+
+        assertThat(inventory.instance(new InstanceName("p1")).orElseThrow().concurrency())
+                .isEqualTo(concurrency);
+        assertThat(writtenAndRead).isEqualTo(inventory);
+    }
+
     @Test
     void reportsAllFaultsInTheOrderOfTheDocument() {
         String text = DOCUMENT.replace("\"pieces\": 8", "\"pieces\": -8")
--- a/decision/src/main/java/org/merlinwood/decision/grant/GrantBook.java
+++ b/decision/src/main/java/org/merlinwood/decision/grant/GrantBook.java
@@ -169,6 +169,20 @@
         return serveQueue();
     }
 
+    /**
+     * Frees the units of an attempt that has computed its result, while its upstream keeps the result. The attempt can
+     * be cancelled, and blocks later attempts of its request, until {@link #release}.
+     *
+     * @param attempt the attempt
+     * @return what changed for others
+     */
+    public List<GrantEvent> computed(AttemptIdentity attempt) {
+        holdings.of(attempt)
+                .filter(holding -> holding.phase() == Holding.Phase.RUNNING)
+                .ifPresent(this::keep);
+        return serveQueue();
+    }
+
     /**
      * Keeps the units of an attempt that failed until {@link #release}, and blocks later attempts of its request so
      * long.
@@ -468,7 +482,20 @@
             return;
         }
         holdings.remove(holding.grant().demand().attempt());
-        estimate.observe(holding.grant().demand().units(), clock.monotonicMillis() - holding.sinceMillis());
+        observe(holding);
+    }
+
+    private void keep(Holding holding) {
+        observe(holding);
+        holdings.replace(holding.kept());
+    }
+
+    /** What holds no unit tells nothing about how long units are held. */
+    private void observe(Holding holding) {
+        int units = holding.grant().demand().units();
+        if (units > 0) {
+            estimate.observe(units, clock.monotonicMillis() - holding.sinceMillis());
+        }
     }
 
     // ------------------------------------------------------------------ internals: failures
--- a/decision/src/main/java/org/merlinwood/decision/grant/GrantDemand.java
+++ b/decision/src/main/java/org/merlinwood/decision/grant/GrantDemand.java
@@ -7,8 +7,8 @@
  *
  * @param session the connection that asked
  * @param attempt the attempt
- * @param units units of capacity that the work takes: pieces of engine memory, or slots of a plain service; 0 for work
- *     that needs no capacity, such as giving a stored answer again
+ * @param units units of capacity that the work takes: a prompt of a prefill engine, pieces of a decode engine's memory,
+ *     or a slot of a plain service; 0 for work that needs no capacity, such as giving a stored answer again
  * @param tokens prompt tokens that would be prefilled, 0 for other work
  * @param priority 0 is served first
  * @param waitMillis how long the demand may wait for its grant, in milliseconds
@@ -28,6 +28,15 @@
         }
     }
 
+    /**
+     * Returns this demand for work whose units are free again and whose tokens are prefilled.
+     *
+     * @return a copy
+     */
+    public GrantDemand withoutUnits() {
+        return new GrantDemand(session, attempt, 0, 0, priority, waitMillis);
+    }
+
     /**
      * Computes the pieces of engine memory that a number of tokens takes.
      *
--- a/decision/src/main/java/org/merlinwood/decision/grant/impl/Holding.java
+++ b/decision/src/main/java/org/merlinwood/decision/grant/impl/Holding.java
@@ -17,6 +17,8 @@
         UNUSED,
         /** Executed, not ended. */
         RUNNING,
+        /** Computed; the upstream keeps the result, and no unit is reserved any more. */
+        KEPT,
         /** To be cancelled; the upstream has not confirmed that its memory is free. */
         STOPPING
     }
@@ -30,4 +32,14 @@
     public Holding in(Phase next) {
         return new Holding(grant, next, sinceMillis);
     }
+
+    /**
+     * Returns this holding without units, for a result that the upstream keeps.
+     *
+     * @return a copy
+     */
+    public Holding kept() {
+        Grant unitless = new Grant(grant.number(), grant.demand().withoutUnits(), grant.expiresAtMillis());
+        return new Holding(unitless, Phase.KEPT, sinceMillis);
+    }
 }
--- a/decision/src/main/java/org/merlinwood/decision/grant/impl/Holdings.java
+++ b/decision/src/main/java/org/merlinwood/decision/grant/impl/Holdings.java
@@ -31,12 +31,18 @@
     }
 
     /**
-     * Replaces the holding of the same attempt.
+     * Replaces the holding of the same attempt, in its place.
      *
      * @param holding the holding in its new phase
      */
     public void replace(Holding holding) {
-        byAttempt.replace(holding.grant().demand().attempt(), holding);
+        Holding replaced = byAttempt.replace(holding.grant().demand().attempt(), holding);
+        if (replaced != null) {
+            units +=
+                    holding.grant().demand().units() - replaced.grant().demand().units();
+            tokens += holding.grant().demand().tokens()
+                    - replaced.grant().demand().tokens();
+        }
     }
 
     /**
--- a/decision/src/test/java/org/merlinwood/decision/grant/GrantQueueTest.java
+++ b/decision/src/test/java/org/merlinwood/decision/grant/GrantQueueTest.java
@@ -41,6 +41,45 @@
         assertThat(book.load().freePieces()).isEqualTo(UNITS);
     }
 
+    @Test
+    void aComputedResultFreesItsUnitsForTheNextDemand() {
+        fixture.run(demand(1, UNITS));
+        assertThat(given(book.request(demand(2, UNITS)), attempt(2, 1))).isEmpty();
+        assertThat(given(book.computed(attempt(1, 1)), attempt(2, 1))).isPresent();
+        book.release(attempt(1, 1));
+        assertThat(book.load().freePieces()).isZero();
+    }
+
+    @Test
+    void aKeptResultCanBeCancelledAndBlocksLaterAttempts() {
+        fixture.run(demand(1, UNITS));
+        book.computed(attempt(1, 1));
+        List<GrantEvent> events = book.request(new GrantDemand(SESSION, attempt(1, 2), UNITS, 0, 5, LONG_WAIT_MILLIS));
+        assertThat(events).hasAtLeastOneElementOfType(GrantEvent.Abandoned.class);
+        assertThat(given(events, attempt(1, 2))).isEmpty();
+        assertThat(given(book.release(attempt(1, 1)), attempt(1, 2))).isPresent();
+    }
+
+    @Test
+    void unitsOfACancelledAttemptStayReservedThoughItsResultIsComputed() {
+        fixture.run(demand(1, UNITS));
+        book.cancel(attempt(1, 1), CANCELLED);
+        book.computed(attempt(1, 1));
+        assertThat(book.load().freePieces()).isZero();
+    }
+
+    @Test
+    void theTimeThatAResultIsKeptDoesNotLengthenTheExpectedWait() {
+        fixture.run(demand(1, UNITS));
+        fixture.clock.advanceMillis(100);
+        book.computed(attempt(1, 1));
+        fixture.run(demand(2, UNITS));
+        long expectedMillis = book.load().expectedWaitMillis();
+        fixture.clock.advanceMillis(60_000);
+        book.release(attempt(1, 1));
+        assertThat(book.load().expectedWaitMillis()).isEqualTo(expectedMillis);
+    }
+
     @Test
     void servesByPriorityThenArrival() {
         fixture.run(demand(1, UNITS));
--- a/sidecar/src/main/java/org/merlinwood/sidecar/admission/DemandFilter.java
+++ b/sidecar/src/main/java/org/merlinwood/sidecar/admission/DemandFilter.java
@@ -96,11 +96,20 @@
         boolean fits = Demands.fits(request.getKind(), view)
                 && (request.getModel().isEmpty() || view.carries(request.getModel()));
         return fits
-                ? Optional.empty()
+                ? tooLong(view, request)
                 : Optional.of(Failure.retryable(
                         ResultCode.NO_INSTANCE, "the inventory gives this instance other work", RETRY_MILLIS));
     }
 
+    /** A prefill takes one unit whatever its length, so the grant book can't tell. */
+    private static Optional<Failure> tooLong(ServingView view, GrantRequest request) {
+        return Demands.exceedsMemory(request, view)
+                ? Optional.of(Failure.of(
+                        ResultCode.PROMPT_TOO_LONG,
+                        "the prompt takes more than all " + view.pieces() + " pieces of the engine"))
+                : Optional.empty();
+    }
+
     private Optional<Failure> keyRefusal(GrantRequest request) {
         if (!Demands.isKeyed(request)) {
             return Optional.empty();
--- a/sidecar/src/main/java/org/merlinwood/sidecar/admission/Demands.java
+++ b/sidecar/src/main/java/org/merlinwood/sidecar/admission/Demands.java
@@ -79,13 +79,16 @@
 
     static int units(GrantRequest request) {
         return switch (request.getKind()) {
-            case PREFILL -> GrantDemand.piecesOf(promptTokens(request));
             case DECODE ->
                 GrantDemand.piecesOf(promptTokens(request) + Integer.toUnsignedLong(request.getMaximumTokens()));
-            case PLAIN, WORK_KIND_UNSPECIFIED, UNRECOGNIZED -> 1;
+            case PREFILL, PLAIN, WORK_KIND_UNSPECIFIED, UNRECOGNIZED -> 1;
         };
     }
 
+    static boolean exceedsMemory(GrantRequest request, ServingView view) {
+        return request.getKind() == WorkKind.PREFILL && GrantDemand.piecesOf(promptTokens(request)) > view.pieces();
+    }
+
     private static long promptTokens(GrantRequest request) {
         return Integer.toUnsignedLong(request.getPromptTokens());
     }
--- a/sidecar/src/main/java/org/merlinwood/sidecar/admission/ExecutionStage.java
+++ b/sidecar/src/main/java/org/merlinwood/sidecar/admission/ExecutionStage.java
@@ -315,6 +315,7 @@
             return;
         }
         kept.put(attempt.attempt().request(), new KeptResult(attempt.attempt(), clock.monotonicMillis()));
+        grants.computed(attempt.attempt());
     }
 
     private void settle(OpenAttempt attempt, ExecutionOutcome.Failed failed) {
--- a/sidecar/src/main/java/org/merlinwood/sidecar/admission/GrantStage.java
+++ b/sidecar/src/main/java/org/merlinwood/sidecar/admission/GrantStage.java
@@ -243,6 +243,15 @@
         book.stop(attempt);
     }
 
+    /**
+     * Frees the units of a prefill whose prompt is computed; its result is still kept.
+     *
+     * @param attempt the attempt
+     */
+    public void computed(AttemptIdentity attempt) {
+        tell(book.computed(attempt));
+    }
+
     /**
      * Frees the units of an attempt.
      *
--- a/sidecar/src/main/java/org/merlinwood/sidecar/admission/ServingView.java
+++ b/sidecar/src/main/java/org/merlinwood/sidecar/admission/ServingView.java
@@ -63,11 +63,28 @@
     /**
      * Returns the units of capacity.
      *
-     * @return pieces of engine memory, or slots of a plain service
+     * @return prompts that a prefill engine computes at once, pieces of memory of a decode engine, or slots of a plain
+     *     service
      */
     public int units() {
-        return row.map(instance -> instance.role() == InstanceRole.PLAIN ? instance.concurrency() : instance.pieces())
-                .orElse(0);
+        return row.map(ServingView::units).orElse(0);
+    }
+
+    private static int units(Instance instance) {
+        return switch (instance.role()) {
+            case PREFILL -> instance.concurrency() == 0 ? Instance.DEFAULT_PREFILL_CONCURRENCY : instance.concurrency();
+            case PLAIN -> instance.concurrency();
+            case DECODE, ENTRY -> instance.pieces();
+        };
+    }
+
+    /**
+     * Returns the memory of the engine.
+     *
+     * @return pieces, 0 for a plain service
+     */
+    public int pieces() {
+        return row.map(Instance::pieces).orElse(0);
     }
 
     /**
