Keep expiry and eviction of idempotency keys in order of age

Cause: KeyTable.begin went through all keys to forget the old ones, and eviction of answers went through all that were evicted before.

Change: settled keys and stored answers stand in sets ordered by age. begin looks at the oldest only. Answers that were handed over are evicted by their age, no longer after the younger ones that this table had itself. A key that settles twice no longer counts its answer twice.

Ruled out: stopping the scan of the map at the first young key. What was handed over stands behind younger keys, and open calls before settled ones.

--- a/decision/src/main/java/org/merlinwood/decision/idempotency/KeyTable.java
+++ b/decision/src/main/java/org/merlinwood/decision/idempotency/KeyTable.java
@@ -1,11 +1,12 @@
 package org.merlinwood.decision.idempotency;
 
 import java.util.ArrayList;
-import java.util.Iterator;
+import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.TreeSet;
 import java.util.function.Predicate;
 import org.merlinwood.core.result.ExecutionState;
 import org.merlinwood.core.result.Failure;
@@ -17,8 +18,8 @@
  *
  * <p>Bounds: at most {@link KeyTableLimits#entries()} keys, and {@link KeyTableLimits#storedBytes()} of stored answers.
  * Eviction: a key is forgotten only once it is older than the horizon; when the table is full, new keys are refused as
- * not run. Stored answers are evicted oldest first, and their keys stay, so that they never run again. Not thread-safe:
- * used by the control thread only.
+ * not run. Stored answers are evicted oldest first, and their keys stay, so that they never run again. Beginning and
+ * settling a call takes time by the logarithm of the number of keys. Not thread-safe: used by the control thread only.
  */
 public final class KeyTable {
 
@@ -26,11 +27,16 @@
     public static final long MAXIMUM_ANSWER_BYTES = 1 << 20;
 
     private static final long IN_PROGRESS_RETRY_MILLIS = 500;
+    private static final Comparator<Entry> OLDEST_FIRST =
+            Comparator.<Entry>comparingLong(entry -> entry.sinceMillis).thenComparingLong(entry -> entry.sequence);
 
     private final MillisClock clock;
     private final Map<ScopedKey, Entry> entries = new LinkedHashMap<>();
+    private final TreeSet<Entry> settledOldestFirst = new TreeSet<>(OLDEST_FIRST);
+    private final TreeSet<Entry> answeredOldestFirst = new TreeSet<>(OLDEST_FIRST);
     private KeyTableLimits limits = new KeyTableLimits(0, 0, 0);
     private long storedBytes;
+    private long lastSequence;
 
     // ------------------------------------------------------------------ configuration
 
@@ -91,7 +97,8 @@
             return Optional.of(Failure.retryable(
                     ResultCode.NO_CAPACITY, "the table of keys is full", Math.max(1, oldestLeavesInMillis())));
         }
-        entries.put(call.key(), new Entry(call.fingerprint(), KeyState.RUNNING, clock.monotonicMillis()));
+        forget(call.key());
+        entries.put(call.key(), entry(call.key(), call.fingerprint(), KeyState.RUNNING, clock.monotonicMillis()));
         return Optional.empty();
     }
 
@@ -106,7 +113,7 @@
     public void ran(ScopedKey key, StoredAnswer answer) {
         settle(key, KeyState.RAN).ifPresent(entry -> {
             entry.answer = Optional.of(answer);
-            storedBytes += answer.bytes();
+            index(entry);
             if (answer.bytes() > MAXIMUM_ANSWER_BYTES) {
                 evict(entry);
             }
@@ -120,7 +127,7 @@
      * @param key its key
      */
     public void unknown(ScopedKey key) {
-        settle(key, KeyState.UNKNOWN);
+        settle(key, KeyState.UNKNOWN).ifPresent(this::index);
     }
 
     /**
@@ -129,18 +136,13 @@
      * @param key its key
      */
     public void notRun(ScopedKey key) {
-        entries.remove(key);
+        forget(key);
     }
 
     /** Forgets keys older than the horizon. To be called now and then. */
     public void forgetExpired() {
-        Iterator<Entry> oldestFirst = entries.values().iterator();
-        while (oldestFirst.hasNext()) {
-            Entry entry = oldestFirst.next();
-            if (isExpired(entry)) {
-                storedBytes -= entry.storedBytes();
-                oldestFirst.remove();
-            }
+        while (!settledOldestFirst.isEmpty() && isExpired(settledOldestFirst.first())) {
+            forget(settledOldestFirst.first().key);
         }
     }
 
@@ -183,10 +185,10 @@
     public void adopt(List<KeyTableEntry> handedOver) {
         long now = clock.monotonicMillis();
         for (KeyTableEntry copy : handedOver) {
-            Entry entry = new Entry(copy.fingerprint(), copy.state(), now - copy.ageMillis());
+            Entry entry = entry(copy.key(), copy.fingerprint(), copy.state(), now - copy.ageMillis());
             entry.answer = copy.answer();
             if (entries.putIfAbsent(copy.key(), entry) == null) {
-                storedBytes += entry.storedBytes();
+                index(entry);
             }
         }
         evictAnswers();
@@ -211,11 +213,20 @@
 
     // ------------------------------------------------------------------ internals
 
+    private void forget(ScopedKey key) {
+        Entry entry = entries.remove(key);
+        if (entry != null) {
+            unindex(entry);
+        }
+    }
+
     private Optional<Entry> settle(ScopedKey key, KeyState state) {
         Entry entry = entries.remove(key);
         if (entry == null) {
             return Optional.empty();
         }
+        unindex(entry);
+        entry.answer = Optional.empty();
         entry.state = state;
         entry.sinceMillis = clock.monotonicMillis();
         entries.put(key, entry);
@@ -228,25 +239,44 @@
 
     private long oldestLeavesInMillis() {
         long now = clock.monotonicMillis();
-        return entries.values().stream()
-                .filter(entry -> entry.state != KeyState.RUNNING)
-                .mapToLong(entry -> entry.sinceMillis + limits.horizonMillis() - now)
-                .min()
-                .orElse(IN_PROGRESS_RETRY_MILLIS);
+        return settledOldestFirst.isEmpty()
+                ? IN_PROGRESS_RETRY_MILLIS
+                : settledOldestFirst.first().sinceMillis + limits.horizonMillis() - now;
     }
 
     private void evictAnswers() {
-        Iterator<Entry> oldestFirst = entries.values().iterator();
-        while (storedBytes > limits.storedBytes() && oldestFirst.hasNext()) {
-            evict(oldestFirst.next());
+        while (storedBytes > limits.storedBytes() && !answeredOldestFirst.isEmpty()) {
+            evict(answeredOldestFirst.first());
         }
     }
 
     private void evict(Entry entry) {
+        answeredOldestFirst.remove(entry);
+        storedBytes -= entry.storedBytes();
+        entry.answer = Optional.empty();
+        entry.state = KeyState.RAN_EVICTED;
+    }
+
+    private Entry entry(ScopedKey key, Fingerprint fingerprint, KeyState state, long sinceMillis) {
+        return new Entry(key, ++lastSequence, fingerprint, state, sinceMillis);
+    }
+
+    /** To be called whenever age and state of a settled entry are set. */
+    private void index(Entry entry) {
+        if (entry.state != KeyState.RUNNING) {
+            settledOldestFirst.add(entry);
+        }
         if (entry.state == KeyState.RAN) {
+            answeredOldestFirst.add(entry);
+            storedBytes += entry.storedBytes();
+        }
+    }
+
+    /** To be called before age or state of an entry change. */
+    private void unindex(Entry entry) {
+        settledOldestFirst.remove(entry);
+        if (answeredOldestFirst.remove(entry)) {
             storedBytes -= entry.storedBytes();
-            entry.answer = Optional.empty();
-            entry.state = KeyState.RAN_EVICTED;
         }
     }
 
@@ -262,12 +292,16 @@
     /** One key; the map is ordered by {@code sinceMillis} but for what was handed over. */
     private static final class Entry {
 
+        private final ScopedKey key;
+        private final long sequence;
         private final Fingerprint fingerprint;
         private KeyState state;
         private long sinceMillis;
         private Optional<StoredAnswer> answer = Optional.empty();
 
-        private Entry(Fingerprint fingerprint, KeyState state, long sinceMillis) {
+        private Entry(ScopedKey key, long sequence, Fingerprint fingerprint, KeyState state, long sinceMillis) {
+            this.key = key;
+            this.sequence = sequence;
             this.fingerprint = fingerprint;
             this.state = state;
             this.sinceMillis = sinceMillis;
--- a/decision/src/test/java/org/merlinwood/decision/idempotency/KeyTableTest.java
+++ b/decision/src/test/java/org/merlinwood/decision/idempotency/KeyTableTest.java
@@ -4,14 +4,18 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.merlinwood.core.identity.CallerName;
 import org.merlinwood.core.identity.IdempotencyKey;
 import org.merlinwood.core.result.ExecutionState;
 import org.merlinwood.core.result.Failure;
 import org.merlinwood.core.result.ResultCode;
 import org.merlinwood.core.time.ManualMillisClock;
+import org.merlinwood.core.time.MillisClock;
 
 final class KeyTableTest {
 
@@ -132,6 +136,59 @@
         assertThat(successor.find(call("a"))).isEmpty();
     }
 
+    @Test
+    void handedOverKeysExpireByTheirAgeAndNotByTheOrderOfTheirArrival() {
+        run("older", 10);
+        clock.advanceMillis(100);
+        KeyTable successor = successorWithYounger(400);
+        clock.advanceMillis(HORIZON_MILLIS - 100);
+        successor.forgetExpired();
+        assertThat(successor.state().entries()).isEqualTo(1);
+        assertThat(successor.find(call("older"))).isEmpty();
+    }
+
+    @Test
+    void handedOverAnswersAreEvictedByTheirAge() {
+        run("older", 400);
+        clock.advanceMillis(100);
+        KeyTable successor = successorWithYounger(700);
+        assertThat(refusal(successor.find(call("older"))).code()).isEqualTo(ResultCode.KEY_ANSWER_EVICTED);
+        assertThat(successor.find(call("younger")).orElseThrow()).isInstanceOf(KeyDecision.Replay.class);
+    }
+
+    @Test
+    void forgettingAKeyFreesTheBytesOfItsAnswer() {
+        run("a", 400);
+        clock.advanceMillis(HORIZON_MILLIS);
+        table.begin(call("b"));
+        assertThat(table.state().storedBytes()).isZero();
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {10, 1_000})
+    void aNewKeyLooksAtTheOldestKeyOnly(int entries) {
+        AtomicInteger readings = new AtomicInteger();
+        KeyTable counted = new KeyTable(new CountingClock(readings));
+        counted.configure(new KeyTableLimits(2 * entries, STORED_BYTES, HORIZON_MILLIS));
+        for (int number = 0; number < entries; number++) {
+            counted.begin(call("key-" + number));
+            counted.unknown(call("key-" + number).key());
+        }
+        readings.set(0);
+        counted.begin(call("one-more"));
+        assertThat(readings).hasValueLessThanOrEqualTo(2);
+    }
+
+    /** A table that ran a call itself before it took over what the other one knows. */
+    private KeyTable successorWithYounger(int bodyBytes) {
+        KeyTable successor = new KeyTable(clock);
+        successor.configure(new KeyTableLimits(ENTRIES, STORED_BYTES, HORIZON_MILLIS));
+        successor.begin(call("younger"));
+        successor.ran(call("younger").key(), new StoredAnswer(201, List.of(), new byte[bodyBytes]));
+        successor.adopt(table.entries(key -> true));
+        return successor;
+    }
+
     private void run(String key, int bodyBytes) {
         assertThat(table.begin(call(key))).isEmpty();
         table.ran(call(key).key(), new StoredAnswer(201, List.of(), new byte[bodyBytes]));
@@ -149,4 +206,19 @@
         return new KeyedCall(
                 new ScopedKey(new CallerName("station-7"), new IdempotencyKey(key)), new Fingerprint("aa"));
     }
+
+    /** Stands still, and counts how often it is read. */
+    private record CountingClock(AtomicInteger readings) implements MillisClock {
+
+        @Override
+        public long monotonicMillis() {
+            readings.incrementAndGet();
+            return 0;
+        }
+
+        @Override
+        public long wallMillis() {
+            return 0;
+        }
+    }
 }
