Tests of sidecars take ports below those of outgoing connections

Cause: a free port that the system had chosen was taken by an outgoing connection between the choice and the bind; one test of the sidecar failed with the address in use. Change: the chooser of the proofs, which stays below the ephemeral range, serves the sidecar's tests as well; the test of the dump binds port 0.

--- a/command/src/test/java/org/merlinwood/command/DumpCommandTest.java
+++ b/command/src/test/java/org/merlinwood/command/DumpCommandTest.java
@@ -19,13 +19,13 @@
     private record State(int answer) {}
 
     @Test
-    void printsTheStateOfAProcess() throws IOException {
-        InetSocketAddress address = new InetSocketAddress("127.0.0.1", freePort());
+    void printsTheStateOfAProcess() {
+        InetSocketAddress address = new InetSocketAddress("127.0.0.1", 0);
         try (OperatorServer server = OperatorServer.builder(address, new MetricRegistry())
                 .section(new Section("example", new State(42)))
                 .build()) {
             server.start();
-            CommandRun run = CommandRun.of("dump", "127.0.0.1:" + address.getPort());
+            CommandRun run = CommandRun.of("dump", "127.0.0.1:" + server.boundAddress().getPort());
 
             assertThat(run.status()).isEqualTo(ExitStatus.GOOD);
             assertThat(run.output()).contains("\"answer\" : 42");
--- a/proving/src/main/java/org/merlinwood/proving/fleet/Fleet.java
+++ b/proving/src/main/java/org/merlinwood/proving/fleet/Fleet.java
@@ -19,6 +19,7 @@
 import org.merlinwood.standin.StandIn;
 import org.merlinwood.standin.network.ForwardingDirection;
 import org.merlinwood.standin.network.ForwardingMode;
+import org.merlinwood.standin.network.FreePorts;
 
 /**
  * Entries, sidecars and stand-ins as processes on the loopback interface. Thread-safe.
--- a/proving/src/main/java/org/merlinwood/proving/fleet/FleetAssembly.java
+++ b/proving/src/main/java/org/merlinwood/proving/fleet/FleetAssembly.java
@@ -18,6 +18,7 @@
 import org.merlinwood.proving.fleet.FleetPlan.PlainPool;
 import org.merlinwood.standin.network.Addresses;
 import org.merlinwood.standin.network.Forwarder;
+import org.merlinwood.standin.network.FreePorts;
 
 /** Starts the processes of one plan in their order. Used by one thread, once. */
 final class FleetAssembly {
--- a/proving/src/test/java/org/merlinwood/proving/fleet/FleetProcessTest.java
+++ b/proving/src/test/java/org/merlinwood/proving/fleet/FleetProcessTest.java
@@ -10,6 +10,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.merlinwood.standin.network.Addresses;
+import org.merlinwood.standin.network.FreePorts;
 
 final class FleetProcessTest {
 
--- a/sidecar/src/test/java/org/merlinwood/sidecar/SidecarFixture.java
+++ b/sidecar/src/test/java/org/merlinwood/sidecar/SidecarFixture.java
@@ -1,10 +1,6 @@
 package org.merlinwood.sidecar;
 
-import java.io.IOException;
-import java.io.UncheckedIOException;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -42,11 +38,14 @@
 import org.merlinwood.protocol.PeerEndpoint;
 import org.merlinwood.protocol.PeerIdentity;
 import org.merlinwood.protocol.PeerRole;
+import org.merlinwood.standin.network.FreePorts;
 import org.merlinwood.standin.platform.ConfigurationService;
 
 /** A configuration service, sidecars of one row each, and the connections of an entry; closed by the test. */
 final class SidecarFixture implements AutoCloseable {
 
+    private static final FreePorts FREE_PORTS = new FreePorts();
+
     static final String MODEL = "summary";
     static final int UNITS = 4;
     static final long GRANT_MILLIS = 3_000;
@@ -213,10 +212,6 @@
     }
 
     private static NetworkAddress freeAddress() {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return new NetworkAddress("127.0.0.1", socket.getLocalPort());
-        } catch (IOException exception) {
-            throw new UncheckedIOException(exception);
-        }
+        return address(FREE_PORTS.next());
     }
 }
--- a/proving/src/main/java/org/merlinwood/proving/fleet/FreePorts.java
+++ b/stand-ins/src/main/java/org/merlinwood/standin/network/FreePorts.java
@@ -1,4 +1,4 @@
-package org.merlinwood.proving.fleet;
+package org.merlinwood.standin.network;
 
 import java.io.IOException;
 import java.net.InetAddress;
@@ -13,7 +13,7 @@
  *
  * <p>A process that is started again listens on the same port, so ports have to be known before.
  */
-final class FreePorts {
+public final class FreePorts {
 
     private static final int LOWEST = 11_000;
     private static final int HIGHEST = 31_000;
@@ -21,8 +21,13 @@
 
     private final Set<Integer> taken = new HashSet<>();
 
-    /** Returns an address of the loopback interface whose port is free. */
-    InetSocketAddress next() {
+    /**
+     * Finds a port that was not returned before.
+     *
+     * @return an address of the loopback interface whose port is free
+     * @throws IllegalStateException if none is found
+     */
+    public InetSocketAddress next() {
         for (int tries = 0; tries < MAXIMUM_TRIES; tries++) {
             int port = ThreadLocalRandom.current().nextInt(LOWEST, HIGHEST);
             if (!taken.contains(port) && isFree(port)) {
