entry: learn from prefills, transfers and refusals as the replay does

Cause: the replay called prefilled, TransferRate and observe in an order that the entry did not, so its figures did not hold for the processes.

Change: PrefillDone teaches the prefill rate and the cached prefixes; the first token after a transfer teaches the transfer rate, which admission predicts with; a refusal's load is read after the attempt's work has ended; a refusal by admission counts as contention. Requests for grants carry no prefix hashes any more. The instances that may be homes of keys are listed once for each inventory (KeyHomes), and each is scored once for a key.

--- a/decision/src/main/java/org/merlinwood/decision/idempotency/KeyHome.java
+++ b/decision/src/main/java/org/merlinwood/decision/idempotency/KeyHome.java
@@ -6,7 +6,6 @@
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
 import org.merlinwood.configuration.inventory.Instance;
-import org.merlinwood.configuration.inventory.InstanceState;
 import org.merlinwood.configuration.inventory.Inventory;
 import org.merlinwood.core.identity.IdempotencyKey;
 import org.merlinwood.core.identity.InstanceName;
@@ -63,8 +62,7 @@
     }
 
     private static Stream<Instance> candidates(Inventory inventory, ServiceName service) {
-        return inventory.instances().values().stream()
-                .filter(instance -> instance.service().equals(service))
-                .filter(instance -> instance.state() != InstanceState.RETIRED);
+        return KeyHomes.candidates(inventory)
+                .filter(instance -> instance.service().equals(service));
     }
 }
--- /dev/null
+++ b/decision/src/main/java/org/merlinwood/decision/idempotency/KeyHomes.java
@@ -0,0 +1,57 @@
+package org.merlinwood.decision.idempotency;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+import org.merlinwood.configuration.inventory.Instance;
+import org.merlinwood.configuration.inventory.InstanceState;
+import org.merlinwood.configuration.inventory.Inventory;
+import org.merlinwood.core.identity.IdempotencyKey;
+import org.merlinwood.core.identity.ServiceName;
+
+/**
+ * The instances of one inventory that may be homes of keys, listed for each service once. Gives the same home as
+ * {@link KeyHome}. Lives as long as its inventory is in force. Immutable, thread-safe.
+ */
+public final class KeyHomes {
+
+    private final Map<ServiceName, List<Instance>> byService;
+
+    private KeyHomes(Map<ServiceName, List<Instance>> byService) {
+        this.byService = byService;
+    }
+
+    /**
+     * Lists the instances of an inventory.
+     *
+     * @param inventory the inventory
+     * @return the lists
+     */
+    public static KeyHomes of(Inventory inventory) {
+        return new KeyHomes(candidates(inventory)
+                .collect(Collectors.groupingBy(Instance::service, Collectors.toUnmodifiableList())));
+    }
+
+    // ------------------------------------------------------------------ public API
+
+    /**
+     * Finds the home of a key.
+     *
+     * @param key a caller's own key; a minted key names its instance itself
+     * @param service the service that the call is for
+     * @return the only instance that may run the key, or empty if the service has no instance that is not retired
+     */
+    public Optional<Instance> of(IdempotencyKey key, ServiceName service) {
+        byte[] subject = key.value().getBytes(StandardCharsets.UTF_8);
+        return RendezvousOrder.first(subject, byService.getOrDefault(service, List.of()).stream());
+    }
+
+    // ------------------------------------------------------------------ internals
+
+    static Stream<Instance> candidates(Inventory inventory) {
+        return inventory.instances().values().stream().filter(instance -> instance.state() != InstanceState.RETIRED);
+    }
+}
--- a/decision/src/main/java/org/merlinwood/decision/idempotency/RendezvousOrder.java
+++ b/decision/src/main/java/org/merlinwood/decision/idempotency/RendezvousOrder.java
@@ -26,7 +26,10 @@
      * @return the instance with the highest score, or empty if there is no candidate
      */
     public static Optional<Instance> first(byte[] subject, Stream<Instance> candidates) {
-        return candidates.max(byScore(subject));
+        return candidates
+                .map(instance -> new Scored(instance, score(subject, instance.name())))
+                .max(Scored.ORDER)
+                .map(Scored::instance);
     }
 
     /**
@@ -66,4 +69,11 @@
                 .array();
         return MurmurHash3.hash128x64(input)[0];
     }
+
+    /** An instance with its score, which is computed once. */
+    private record Scored(Instance instance, long score) {
+
+        static final Comparator<Scored> ORDER = Comparator.comparingLong(Scored::score)
+                .thenComparing(scored -> scored.instance().name());
+    }
 }
--- a/decision/src/test/java/org/merlinwood/decision/idempotency/KeyHomeTest.java
+++ b/decision/src/test/java/org/merlinwood/decision/idempotency/KeyHomeTest.java
@@ -57,6 +57,19 @@
         assertThat(anyAtFirst).isEqualTo(state != InstanceState.RETIRED);
     }
 
+    @ParameterizedTest
+    @EnumSource(InstanceState.class)
+    void theListsOfAnInventoryGiveTheSameHomes(InstanceState state) {
+        List<Instance> rows = new ArrayList<>(rows(5, InstanceState.ACTIVE));
+        rows.set(0, row(1, state));
+        Inventory inventory = Inventory.of(1, rows, List.of());
+        KeyHomes homes = KeyHomes.of(inventory);
+        assertThat(keys())
+                .allSatisfy(key ->
+                        assertThat(homes.of(key, SERVICE)).isPresent().isEqualTo(KeyHome.of(key, inventory, SERVICE)));
+        assertThat(homes.of(new IdempotencyKey("a"), new ServiceName("other"))).isEmpty();
+    }
+
     @Test
     void aServiceWithoutInstancesHasNoHome() {
         Inventory inventory = Inventory.of(1, rows(2, InstanceState.RETIRED), List.of());
--- a/entry/src/main/java/org/merlinwood/entry/dispatch/AttemptListener.java
+++ b/entry/src/main/java/org/merlinwood/entry/dispatch/AttemptListener.java
@@ -1,5 +1,6 @@
 package org.merlinwood.entry.dispatch;
 
+import java.util.Optional;
 import org.merlinwood.core.identity.Revisions;
 import org.merlinwood.core.result.Failure;
 import org.merlinwood.entry.machine.RequestEvent;
@@ -8,6 +9,7 @@
 import org.merlinwood.wire.AnswerHead;
 import org.merlinwood.wire.AnswerPart;
 import org.merlinwood.wire.Load;
+import org.merlinwood.wire.PrefillDone;
 
 /** Hears what one {@link UpstreamAttempt} receives. Called on the control thread unless said otherwise. */
 interface AttemptListener {
@@ -18,7 +20,13 @@
     /** The answer of the attempt ended; {@code onPart} has had all of its parts. */
     void onAnswerEnd(UpstreamAttempt attempt, AnswerEnd end);
 
-    /** The sidecar told of its load. */
+    /** The prefill of the attempt is done, and the attempt has ended. */
+    void onPrefillDone(UpstreamAttempt attempt, PrefillDone done);
+
+    /** The sidecar refused, and the attempt has ended; the load, if any, is without the work of the attempt. */
+    void onRefused(UpstreamAttempt attempt, Optional<Load> load, Failure failure);
+
+    /** The sidecar told of its load, which has the work of the attempt in it. */
     void onLoad(UpstreamAttempt attempt, Load load);
 
     /** The sidecar told of its revisions. */
--- a/entry/src/main/java/org/merlinwood/entry/dispatch/ControlState.java
+++ b/entry/src/main/java/org/merlinwood/entry/dispatch/ControlState.java
@@ -21,7 +21,9 @@
 import org.merlinwood.decision.admission.Admission;
 import org.merlinwood.decision.admission.AdmissionDecision;
 import org.merlinwood.decision.admission.AdmissionQuery;
+import org.merlinwood.decision.admission.TransferRate;
 import org.merlinwood.decision.fairness.CallerShares;
+import org.merlinwood.decision.idempotency.KeyHomes;
 import org.merlinwood.decision.placement.LoadObservation;
 import org.merlinwood.decision.placement.PlacementForecast;
 import org.merlinwood.decision.placement.PlacementQuery;
@@ -49,8 +51,6 @@
     /** How long a refusal for lack of capacity counts as contention. */
     static final long CONTENTION_MILLIS = 1_000;
 
-    private static final double TRANSFER_BYTES_PER_MILLI = 100_000;
-
     private final InstanceName self;
     private final FailureDomain failureDomain;
     private final MillisClock clock;
@@ -59,7 +59,9 @@
     private final CallerShares shares;
     private final Admission admission;
     private final Map<PoolName, UpstreamPool> pools = new HashMap<>();
+    private final TransferRate transferRate = new TransferRate();
     private ConfigurationInForce configuration;
+    private KeyHomes keyHomes;
     private long contendedUntilMillis;
 
     // ------------------------------------------------------------------ life-cycle
@@ -70,6 +72,7 @@
         this.failureDomain = failureDomain;
         this.clock = clock;
         this.configuration = configuration;
+        this.keyHomes = KeyHomes.of(configuration.inventory());
         this.retryDelay = new RetryDelay(RandomSource.XO_RO_SHI_RO_128_PP.create());
         this.retryBudget = new RetryBudget(configuration.rules().limits().retryBudgetPercent());
         this.shares = new CallerShares(retryDelay);
@@ -79,6 +82,7 @@
 
     void configure(ConfigurationInForce changed) {
         configuration = changed;
+        keyHomes = KeyHomes.of(changed.inventory());
         retryBudget.setPercent(changed.rules().limits().retryBudgetPercent());
         pools.replaceAll((name, pool) -> pool.withInventory(changed.inventory()));
     }
@@ -93,6 +97,10 @@
         return configuration.inventory();
     }
 
+    KeyHomes keyHomes() {
+        return keyHomes;
+    }
+
     RetryBudget retryBudget() {
         return retryBudget;
     }
@@ -118,7 +126,7 @@
         }
         long nowMillis = clock.monotonicMillis();
         IdentifiedRequest request = call.identified();
-        return admission.decide(new AdmissionQuery(
+        AdmissionDecision decision = admission.decide(new AdmissionQuery(
                 request.callerClass(),
                 call.service(),
                 decode.get(),
@@ -126,6 +134,10 @@
                 transferMillis(call),
                 nowMillis - request.accepted().arrivedMillis(),
                 request.deadlineMillis() - nowMillis));
+        if (decision instanceof AdmissionDecision.Refuse) {
+            contendedUntilMillis = nowMillis + CONTENTION_MILLIS;
+        }
+        return decision;
     }
 
     Optional<Instance> choose(ClassifiedRequest call, InstanceRole role, Set<InstanceName> excluded) {
@@ -152,6 +164,17 @@
         pool(call, role).observe(name, observation, clock.monotonicMillis());
     }
 
+    /** Learns where the prefixes of a prompt are cached now, and how fast its prefill was. */
+    void prefilled(ClassifiedRequest.ModelCall call, InstanceName name, long computedTokens, long millis) {
+        pool(call, InstanceRole.PREFILL)
+                .prefilled(name, call.blocks(), computedTokens, millis, clock.monotonicMillis());
+    }
+
+    /** Learns how long a KV cache took from the end of its prefill to the first token. */
+    void transferred(long bytes, long millis) {
+        transferRate.observe(bytes, millis);
+    }
+
     /** Learns from a refusal, or from an attempt that was lost and did not only lose its connection. */
     void failed(ClassifiedRequest call, InstanceRole role, InstanceName name, Failure failure) {
         long nowMillis = clock.monotonicMillis();
@@ -192,7 +215,7 @@
     private long transferMillis(ClassifiedRequest.ModelCall call) {
         long bytesPerToken =
                 inventory().model(call.model()).map(Model::cacheBytesPerToken).orElse(0L);
-        return (long) (bytesPerToken * call.promptTokens() / TRANSFER_BYTES_PER_MILLI);
+        return transferRate.millis(bytesPerToken * call.promptTokens());
     }
 
     private UpstreamPool pool(ClassifiedRequest call, InstanceRole role) {
--- a/entry/src/main/java/org/merlinwood/entry/dispatch/RequestRunner.java
+++ b/entry/src/main/java/org/merlinwood/entry/dispatch/RequestRunner.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.Future;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.merlinwood.configuration.inventory.Instance;
@@ -28,7 +29,9 @@
 import org.merlinwood.wire.AnswerEnd;
 import org.merlinwood.wire.AnswerHead;
 import org.merlinwood.wire.AnswerPart;
+import org.merlinwood.wire.CacheHandle;
 import org.merlinwood.wire.Load;
+import org.merlinwood.wire.PrefillDone;
 import org.merlinwood.wire.RequestIdentity;
 
 /**
@@ -63,6 +66,9 @@
     private final RequestMachine machine;
     private final Runnable onSettled;
     private final Map<Integer, UpstreamAttempt> attempts = new HashMap<>();
+    private final AtomicReference<Transfer> transfer = new AtomicReference<>();
+    private Optional<Prefilled> prefilled = Optional.empty();
+    private long prefillBegunMillis;
     private Optional<Future<?>> deadline = Optional.empty();
     private Revisions awaited = new Revisions(Revisions.NONE, Revisions.NONE);
     private String finishReason = "";
@@ -172,6 +178,26 @@
         }
     }
 
+    @Override
+    public void onPrefillDone(UpstreamAttempt attempt, PrefillDone done) {
+        long nowMillis = parts.clock().monotonicMillis();
+        prefilled = Optional.of(new Prefilled(done.getCache(), nowMillis));
+        state.prefilled(
+                (ClassifiedRequest.ModelCall) request,
+                attempt.instance().name(),
+                done.getComputedTokens(),
+                nowMillis - prefillBegunMillis);
+        onEvent(attempt, new RequestEvent.PrefillDone(attempt.number(), done.getCache()));
+    }
+
+    @Override
+    public void onRefused(UpstreamAttempt attempt, Optional<Load> load, Failure failure) {
+        state.ended(request, attempt.role(), attempt.instance().name());
+        load.ifPresent(present -> onLoad(attempt, present));
+        onFailure(attempt, failure);
+        carryOut(() -> machine.on(new RequestEvent.Refused(attempt.number(), failure)));
+    }
+
     @Override
     public void onLoad(UpstreamAttempt attempt, Load load) {
         state.observe(request, attempt.role(), attempt.instance().name(), load);
@@ -236,11 +262,13 @@
             case RequestAction.Ask ask -> ask(ask);
             case RequestAction.ExecutePrefill execute -> {
                 UpstreamAttempt attempt = attempts.get(execute.attempt());
+                prefillBegunMillis = parts.clock().monotonicMillis();
                 attempt.execute(wire.prefill(attempt.grantUse()));
             }
             case RequestAction.ExecuteDecode execute -> {
                 UpstreamAttempt attempt = begin(execute.attempt());
                 answerBegan = true;
+                transfer.set(transferOf(execute));
                 attempt.execute(wire.decode(attempt.grantUse(), execute.cache(), assembly.tokensSoFar()));
             }
             case RequestAction.ExecutePlain execute -> {
@@ -286,6 +314,14 @@
                 .reduce(waitMillis, Math::min);
     }
 
+    /** Returns null where the decode engine gets no result of a prefill of which the end is known. */
+    private Transfer transferOf(RequestAction.ExecuteDecode execute) {
+        return prefilled
+                .filter(done -> execute.cache().filter(done.cache()::equals).isPresent())
+                .map(done -> new Transfer(execute.attempt(), done.cache().getBytes(), done.doneMillis()))
+                .orElse(null);
+    }
+
     private UpstreamAttempt begin(int number) {
         UpstreamAttempt attempt = attempts.get(number);
         assembly.begin(number, attempt.grantUse().getIncarnation());
@@ -385,6 +421,7 @@
             return;
         }
         long nowMillis = parts.clock().monotonicMillis();
+        noteTransfer(part.getRequest().getAttempt(), nowMillis);
         if (lastPartMillis == 0) {
             parts.metrics().firstToken(ageMillis());
         } else {
@@ -393,6 +430,13 @@
         lastPartMillis = nowMillis;
     }
 
+    private void noteTransfer(int attempt, long nowMillis) {
+        Transfer pending = transfer.get();
+        if (pending != null && pending.attempt() == attempt && transfer.compareAndSet(pending, null)) {
+            parts.control().execute(() -> state.transferred(pending.bytes(), nowMillis - pending.doneMillis()));
+        }
+    }
+
     private boolean isThisRequest(RequestIdentity received) {
         return WireValues.fromWire(received).equals(identifier());
     }
@@ -408,4 +452,10 @@
     private long remainingMillis() {
         return request.identified().deadlineMillis() - parts.clock().monotonicMillis();
     }
+
+    /** The result of a prefill, and when it was done. */
+    private record Prefilled(CacheHandle cache, long doneMillis) {}
+
+    /** A KV cache on its way to the decode engine of an attempt that has given no token yet. */
+    private record Transfer(int attempt, long bytes, long doneMillis) {}
 }
--- a/entry/src/main/java/org/merlinwood/entry/dispatch/UpstreamAttempt.java
+++ b/entry/src/main/java/org/merlinwood/entry/dispatch/UpstreamAttempt.java
@@ -2,6 +2,7 @@
 
 import io.vavr.control.Either;
 import java.net.InetSocketAddress;
+import java.util.Optional;
 import java.util.concurrent.Future;
 import java.util.function.Function;
 import org.merlinwood.configuration.inventory.Instance;
@@ -244,10 +245,7 @@
                             frame.getPrefillDone().hasLoad(),
                             frame.getPrefillDone().getLoad());
                     end();
-                    listener.onEvent(
-                            this,
-                            new RequestEvent.PrefillDone(
-                                    number, frame.getPrefillDone().getCache()));
+                    listener.onPrefillDone(this, frame.getPrefillDone());
                 }
             }
             case ANSWER_END -> {
@@ -292,11 +290,9 @@
 
     private void refused(Refused refused) {
         Failure failure = WireValues.fromWire(refused);
-        observe(refused.hasLoad(), refused.getLoad());
         tellRevisions(refused.hasRevisions(), refused.getRevisions());
         end();
-        listener.onFailure(this, failure);
-        listener.onEvent(this, new RequestEvent.Refused(number, failure));
+        listener.onRefused(this, refused.hasLoad() ? Optional.of(refused.getLoad()) : Optional.empty(), failure);
     }
 
     private void observe(boolean isPresent, Load load) {
--- a/entry/src/main/java/org/merlinwood/entry/dispatch/WireRequests.java
+++ b/entry/src/main/java/org/merlinwood/entry/dispatch/WireRequests.java
@@ -9,7 +9,6 @@
 import org.merlinwood.configuration.inventory.Instance;
 import org.merlinwood.configuration.inventory.InstanceRole;
 import org.merlinwood.core.identity.IdempotencyKey;
-import org.merlinwood.decision.idempotency.KeyHome;
 import org.merlinwood.decision.idempotency.MintedKeys;
 import org.merlinwood.entry.machine.RequestAction;
 import org.merlinwood.entry.request.AcceptedRequest;
@@ -65,8 +64,7 @@
         }
         return switch (call.key()) {
             case KeyUse.Own own ->
-                Optional.of(
-                        KeyHome.of(own.key(), state.inventory(), call.service().name()));
+                Optional.of(state.keyHomes().of(own.key(), call.service().name()));
             case KeyUse.Minted minted -> Optional.of(state.inventory().instance(minted.instance()));
             case KeyUse.NotNeeded none -> Optional.empty();
             case KeyUse.MintedForCall minted -> Optional.empty();
@@ -88,7 +86,6 @@
                 message.setModel(call.model().value())
                         .setPromptTokens(call.promptTokens())
                         .setMaximumTokens(call.sampling().maximumTokens())
-                        .addAllPrefixBlocks(call.blocks().hashes())
                         .setFingerprint(call.fingerprint());
             case ClassifiedRequest.PlainCall call -> {
                 Optional<IdempotencyKey> key = key(call, ask.instance(), connection);
--- /dev/null
+++ b/entry/src/test/java/org/merlinwood/entry/LearningTest.java
@@ -0,0 +1,200 @@
+package org.merlinwood.entry;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.net.http.HttpResponse;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.merlinwood.configuration.inventory.InstanceRole;
+import org.merlinwood.configuration.inventory.Inventory;
+import org.merlinwood.configuration.inventory.Model;
+import org.merlinwood.core.identity.ModelName;
+import org.merlinwood.core.result.Failure;
+import org.merlinwood.core.result.ResultCode;
+import org.merlinwood.following.ConfigurationInForce;
+import org.merlinwood.protocol.Exchange;
+import org.merlinwood.protocol.WireValues;
+import org.merlinwood.wire.CacheHandle;
+import org.merlinwood.wire.ExecuteDecode;
+import org.merlinwood.wire.Frame;
+import org.merlinwood.wire.GrantUse;
+import org.merlinwood.wire.Granted;
+import org.merlinwood.wire.Load;
+import org.merlinwood.wire.PrefillDone;
+
+/** What an entry learns from the requests that it runs, and what it decides with that. */
+class LearningTest {
+
+    private static final String PATH = "/v1/completions";
+    private static final int LONG_PROMPT_BYTES = 28_000;
+    private static final int REPETITIONS = 10;
+    private static final int THREE_PIECES_TOKENS = 5_000;
+
+    private EntryFixture fixture;
+
+    @AfterEach
+    void close() {
+        fixture.close();
+    }
+
+    @Test
+    void afterASlowPrefillALongPromptIsRefusedAtOnceWithATimeToComeBack() throws Exception {
+        fixture = new EntryFixture(
+                new FakeSidecar("decode-1", InstanceRole.DECODE), new TellingPrefill("prefill-1", 256, 0, 800));
+        assertThat(fixture.post(PATH, EntryFixture.COMPLETION).statusCode()).isEqualTo(200);
+
+        assertRefused(fixture.post(PATH, prompt(LONG_PROMPT_BYTES, 8)));
+    }
+
+    @Test
+    void afterASlowTransferALargeCacheIsRefusedAtOnceWithATimeToComeBack() throws Exception {
+        FakeSidecar decode = new FakeSidecar("decode-1", InstanceRole.DECODE) {
+            @Override
+            void onDecode(Exchange exchange, ExecuteDecode execute) {
+                pause(500);
+                super.onDecode(exchange, execute);
+            }
+        };
+        FakeSidecar prefill = new TellingPrefill("prefill-1", 0, 1_000_000, 0);
+        fixture = new EntryFixture(decode, prefill);
+        fixture.configure(Optional.of(withLargeCaches(decode, prefill)));
+        assertThat(fixture.post(PATH, EntryFixture.COMPLETION).statusCode()).isEqualTo(200);
+
+        assertRefused(fixture.post(PATH, prompt(LONG_PROMPT_BYTES, 8)));
+    }
+
+    @Test
+    void aPromptGoesToTheInstanceThatComputedItsPrefixes() throws Exception {
+        FakeSidecar first = new FakeSidecar("prefill-1", InstanceRole.PREFILL);
+        FakeSidecar second = new FakeSidecar("prefill-2", InstanceRole.PREFILL);
+        fixture = new EntryFixture(new FakeSidecar("decode-1", InstanceRole.DECODE), first, second);
+
+        for (int repetition = 0; repetition < REPETITIONS; repetition++) {
+            assertThat(fixture.post(PATH, prompt(LONG_PROMPT_BYTES, 8)).statusCode())
+                    .isEqualTo(200);
+        }
+
+        assertThat(List.of(first.count(Frame.BodyCase.EXECUTE_PREFILL), second.count(Frame.BodyCase.EXECUTE_PREFILL)))
+                .containsExactlyInAnyOrder(0L, (long) REPETITIONS);
+    }
+
+    /**
+     * The load of a grant has the three granted pieces in it, that of a refusal has not: the one that refused has no
+     * room for three, the other one has as soon as its work has ended.
+     */
+    @Test
+    void loadsAreReadWithOrWithoutTheWorkOfTheAttempt() throws Exception {
+        FakeSidecar full = new FakeSidecar("decode-1", InstanceRole.DECODE) {
+            @Override
+            void onGrantRequest(Exchange exchange, Frame frame) {
+                refuseWithLoad(exchange, 2);
+            }
+        };
+        FakeSidecar free = new FakeSidecar("decode-2", InstanceRole.DECODE) {
+            @Override
+            void onGrantRequest(Exchange exchange, Frame frame) {
+                if (full.count(Frame.BodyCase.GRANT_REQUEST) == 0) {
+                    refuseWithLoad(exchange, 10);
+                } else {
+                    exchange.send(Frame.newBuilder()
+                            .setGranted(Granted.newBuilder()
+                                    .setGrant(1 + count(Frame.BodyCase.GRANT_REQUEST))
+                                    .setIncarnation(incarnation)
+                                    .setExpiresInMillis(5_000)
+                                    .setLoad(load(0))));
+                }
+            }
+        };
+        fixture = new EntryFixture(full, free, new FakeSidecar("prefill-1", InstanceRole.PREFILL));
+
+        fixture.post(PATH, prompt(4, THREE_PIECES_TOKENS));
+        fixture.post(PATH, prompt(4, THREE_PIECES_TOKENS));
+        HttpResponse<String> last = fixture.post(PATH, prompt(4, THREE_PIECES_TOKENS));
+
+        assertThat(last.statusCode()).isEqualTo(200);
+        assertThat(full.count(Frame.BodyCase.GRANT_REQUEST)).isEqualTo(1);
+    }
+
+    @Test
+    void aRequestForAGrantCarriesNoPrefixes() throws Exception {
+        FakeSidecar decode = new FakeSidecar("decode-1", InstanceRole.DECODE);
+        FakeSidecar prefill = new FakeSidecar("prefill-1", InstanceRole.PREFILL);
+        fixture = new EntryFixture(decode, prefill);
+
+        fixture.post(PATH, prompt(LONG_PROMPT_BYTES, 8));
+
+        for (FakeSidecar sidecar : List.of(decode, prefill)) {
+            assertThat(sidecar.received.getFirst().getGrantRequest().getPrefixBlocksCount())
+                    .isZero();
+        }
+    }
+
+    // ------------------------------------------------------------------ helpers
+
+    private static void assertRefused(HttpResponse<String> response) {
+        assertThat(EntryFixture.code(response)).isEqualTo(ResultCode.DEADLINE_UNREACHABLE.number());
+        assertThat(response.headers().firstValue("Retry-After")).isPresent();
+    }
+
+    private static String prompt(int bytes, int maximumTokens) {
+        return "{\"model\":\"model\",\"prompt\":\"%s\",\"max_tokens\":%d}".formatted("x".repeat(bytes), maximumTokens);
+    }
+
+    private static void refuseWithLoad(Exchange exchange, int freePieces) {
+        exchange.send(Frame.newBuilder()
+                .setRefused(WireValues.toRefused(Failure.retryable(ResultCode.NO_CAPACITY, "full", 10))
+                        .setLoad(load(freePieces))));
+        exchange.finish();
+    }
+
+    private static Load.Builder load(int freePieces) {
+        return Load.newBuilder().setFreePieces(freePieces).setTotalPieces(20);
+    }
+
+    private static ConfigurationInForce withLargeCaches(FakeSidecar... sidecars) {
+        ConfigurationInForce usual = EntryFixture.configuration(2, 20, sidecars);
+        Inventory inventory = Inventory.of(
+                2,
+                List.copyOf(usual.inventory().instances().values()),
+                List.of(new Model(new ModelName("model"), "1", "weights", List.of(), 8_000, 100_000)));
+        return new ConfigurationInForce(inventory, usual.rules());
+    }
+
+    private static void pause(long millis) {
+        try {
+            TimeUnit.MILLISECONDS.sleep(millis);
+        } catch (InterruptedException exception) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** Tells how much it computed, after a time. */
+    private static final class TellingPrefill extends FakeSidecar {
+
+        private final int computedTokens;
+        private final long cacheBytes;
+        private final long durationMillis;
+
+        TellingPrefill(String name, int computedTokens, long cacheBytes, long durationMillis) {
+            super(name, InstanceRole.PREFILL);
+            this.computedTokens = computedTokens;
+            this.cacheBytes = cacheBytes;
+            this.durationMillis = durationMillis;
+        }
+
+        @Override
+        void onPrefill(Exchange exchange, GrantUse use) {
+            pause(durationMillis);
+            exchange.send(Frame.newBuilder()
+                    .setPrefillDone(PrefillDone.newBuilder()
+                            .setRequest(use.getRequest())
+                            .setComputedTokens(computedTokens)
+                            .setCache(
+                                    CacheHandle.newBuilder().setHandle("cache").setBytes(cacheBytes))));
+            exchange.finish();
+        }
+    }
+}
