entry: predict the wait of each grant anew, and count a prefill by its prompt

Cause: the wait was computed once at admission and named for the decode and the prefill grant alike, so that the time gone by was not taken off; and work at a prefill instance was counted with the pieces of its answer.

Change: ControlState.grantWaitMillis is asked for every grant before the answer has begun; a prefill counts GrantDemand.piecesOf its prompt, as the sidecar's own book does.

--- a/entry/src/main/java/org/merlinwood/entry/dispatch/ControlState.java
+++ b/entry/src/main/java/org/merlinwood/entry/dispatch/ControlState.java
@@ -23,6 +23,7 @@
 import org.merlinwood.decision.admission.AdmissionQuery;
 import org.merlinwood.decision.admission.TransferRate;
 import org.merlinwood.decision.fairness.CallerShares;
+import org.merlinwood.decision.grant.GrantDemand;
 import org.merlinwood.decision.idempotency.KeyHomes;
 import org.merlinwood.decision.placement.LoadObservation;
 import org.merlinwood.decision.placement.PlacementForecast;
@@ -119,8 +120,9 @@
     }
 
     AdmissionDecision admit(ClassifiedRequest.ModelCall call) {
-        Optional<PlacementForecast> decode = pool(call, InstanceRole.DECODE).forecast(query(call));
-        Optional<PlacementForecast> prefill = pool(call, InstanceRole.PREFILL).forecast(query(call));
+        Optional<PlacementForecast> decode = pool(call, InstanceRole.DECODE).forecast(query(call, InstanceRole.DECODE));
+        Optional<PlacementForecast> prefill =
+                pool(call, InstanceRole.PREFILL).forecast(query(call, InstanceRole.PREFILL));
         if (decode.isEmpty() || prefill.isEmpty()) {
             return new AdmissionDecision.Refuse(noInstance(call));
         }
@@ -140,16 +142,34 @@
         return decision;
     }
 
+    /**
+     * Returns how long a grant may be waited for that a request asks for now: the target for its first token, less what
+     * is predicted to come after the grant. Not negative.
+     */
+    long grantWaitMillis(ClassifiedRequest.ModelCall call, InstanceRole role) {
+        PlacementForecast prefill = pool(call, InstanceRole.PREFILL)
+                .forecast(query(call, InstanceRole.PREFILL))
+                .orElse(PlacementForecast.IMMEDIATE);
+        long workMillis = prefill.serviceMillis() + transferMillis(call);
+        if (role == InstanceRole.DECODE) {
+            workMillis += prefill.waitMillis();
+        }
+        IdentifiedRequest request = call.identified();
+        double allowedMillis = request.callerClass().firstTokenTargetMillis() * Admission.targetShare(call.service());
+        long untilMillis = request.accepted().arrivedMillis() + Math.round(allowedMillis) - workMillis;
+        return Math.max(0, untilMillis - clock.monotonicMillis());
+    }
+
     Optional<Instance> choose(ClassifiedRequest call, InstanceRole role, Set<InstanceName> excluded) {
-        return pool(call, role).choose(query(call), excluded);
+        return pool(call, role).choose(query(call, role), excluded);
     }
 
     void started(ClassifiedRequest call, InstanceRole role, InstanceName name) {
-        pool(call, role).started(name, pieces(call));
+        pool(call, role).started(name, pieces(call, role));
     }
 
     void ended(ClassifiedRequest call, InstanceRole role, InstanceName name) {
-        pool(call, role).ended(name, pieces(call));
+        pool(call, role).ended(name, pieces(call, role));
     }
 
     void observe(ClassifiedRequest call, InstanceRole role, InstanceName name, Load load) {
@@ -226,12 +246,12 @@
                         inventory(), absent.service(), absent.role(), absent.model(), self, failureDomain));
     }
 
-    private PlacementQuery query(ClassifiedRequest call) {
+    private PlacementQuery query(ClassifiedRequest call, InstanceRole role) {
         long nowMillis = clock.monotonicMillis();
         int priority = call.identified().callerClass().priority();
         return switch (call) {
             case ClassifiedRequest.ModelCall model ->
-                new PlacementQuery(model.pieces(), model.promptTokens(), model.blocks(), nowMillis, priority);
+                new PlacementQuery(pieces(model, role), model.promptTokens(), model.blocks(), nowMillis, priority);
             case ClassifiedRequest.PlainCall plain -> plainQuery(nowMillis, priority);
             case ClassifiedRequest.MintCall mint -> plainQuery(nowMillis, priority);
         };
@@ -241,8 +261,12 @@
         return new PlacementQuery(1, 0, PrefixBlocks.NONE, nowMillis, priority);
     }
 
-    private static int pieces(ClassifiedRequest call) {
-        return call instanceof ClassifiedRequest.ModelCall model ? model.pieces() : 1;
+    /** A prefill takes memory for the prompt, a decode for the answer as well. */
+    private static int pieces(ClassifiedRequest call, InstanceRole role) {
+        if (!(call instanceof ClassifiedRequest.ModelCall model)) {
+            return 1;
+        }
+        return role == InstanceRole.PREFILL ? GrantDemand.piecesOf(model.promptTokens()) : model.pieces();
     }
 
     /** Tells pools apart. */
--- a/entry/src/main/java/org/merlinwood/entry/dispatch/Dispatcher.java
+++ b/entry/src/main/java/org/merlinwood/entry/dispatch/Dispatcher.java
@@ -280,7 +280,7 @@
         Runnable leave = leaveOnce(present, request);
         switch (request) {
             case ClassifiedRequest.ModelCall call -> admitModel(call, sink, present, leave);
-            case ClassifiedRequest.PlainCall call -> run(call, Long.MAX_VALUE, sink, present, leave);
+            case ClassifiedRequest.PlainCall call -> run(call, sink, present, leave);
             case ClassifiedRequest.MintCall call -> new KeyMinting(call, sink, parts, present, leave).start();
         }
     }
@@ -291,8 +291,7 @@
                 modelKeys
                         .take(call, this::supersede)
                         .ifPresentOrElse(
-                                reused -> refuseEntered(sink, reused, leave),
-                                () -> run(call, admitted.waitMillis(), sink, present, leave));
+                                reused -> refuseEntered(sink, reused, leave), () -> run(call, sink, present, leave));
             case AdmissionDecision.Refuse refused -> refuseEntered(sink, refused.failure(), leave);
         }
     }
@@ -303,10 +302,9 @@
         leave.run();
     }
 
-    private void run(
-            ClassifiedRequest request, long waitMillis, RequestSink sink, ControlState present, Runnable leave) {
+    private void run(ClassifiedRequest request, RequestSink sink, ControlState present, Runnable leave) {
         RequestIdentifier identifier = request.identified().accepted().identifier();
-        RequestRunner runner = new RequestRunner(request, waitMillis, sink, parts, present, () -> {
+        RequestRunner runner = new RequestRunner(request, sink, parts, present, () -> {
             runners.remove(identifier);
             modelKeys.release(request);
             leave.run();
--- a/entry/src/main/java/org/merlinwood/entry/dispatch/RequestRunner.java
+++ b/entry/src/main/java/org/merlinwood/entry/dispatch/RequestRunner.java
@@ -57,7 +57,6 @@
     private static final int HIGHEST_STATUS = 599;
 
     private final ClassifiedRequest request;
-    private final long grantWaitMillis;
     private final RequestSink sink;
     private final DispatchParts parts;
     private final ControlState state;
@@ -79,14 +78,8 @@
     // ------------------------------------------------------------------ life-cycle
 
     RequestRunner(
-            ClassifiedRequest request,
-            long grantWaitMillis,
-            RequestSink sink,
-            DispatchParts parts,
-            ControlState state,
-            Runnable onSettled) {
+            ClassifiedRequest request, RequestSink sink, DispatchParts parts, ControlState state, Runnable onSettled) {
         this.request = request;
-        this.grantWaitMillis = grantWaitMillis;
         this.sink = sink;
         this.parts = parts;
         this.state = state;
@@ -303,7 +296,7 @@
      * has lapsed.
      */
     private long waitMillis(InstanceRole role) {
-        long targetMillis = answerBegan ? Long.MAX_VALUE : grantWaitMillis;
+        long targetMillis = targetMillis(role);
         long waitMillis = Math.min(targetMillis, Math.max(0, remainingMillis()));
         if (role != InstanceRole.PREFILL) {
             return waitMillis;
@@ -314,6 +307,11 @@
                 .reduce(waitMillis, Math::min);
     }
 
+    private long targetMillis(InstanceRole role) {
+        boolean isBound = !answerBegan && request instanceof ClassifiedRequest.ModelCall;
+        return isBound ? state.grantWaitMillis((ClassifiedRequest.ModelCall) request, role) : Long.MAX_VALUE;
+    }
+
     /** Returns null where the decode engine gets no result of a prefill of which the end is known. */
     private Transfer transferOf(RequestAction.ExecuteDecode execute) {
         return prefilled
--- a/entry/src/test/java/org/merlinwood/entry/LearningTest.java
+++ b/entry/src/test/java/org/merlinwood/entry/LearningTest.java
@@ -31,6 +31,7 @@
     private static final String PATH = "/v1/completions";
     private static final int LONG_PROMPT_BYTES = 28_000;
     private static final int REPETITIONS = 10;
+    private static final int WAITING_REQUESTS = 15;
     private static final int THREE_PIECES_TOKENS = 5_000;
 
     private EntryFixture fixture;
@@ -118,6 +119,52 @@
         assertThat(full.count(Frame.BodyCase.GRANT_REQUEST)).isEqualTo(1);
     }
 
+    /** The time that the decode grant took is gone for the prefill. */
+    @Test
+    void aPrefillMayWaitForWhatIsLeftOfTheTarget() throws Exception {
+        FakeSidecar decode = new FakeSidecar("decode-1", InstanceRole.DECODE) {
+            @Override
+            void onGrantRequest(Exchange exchange, Frame frame) {
+                pause(300);
+                exchange.send(Frame.newBuilder()
+                        .setGranted(Granted.newBuilder()
+                                .setGrant(1)
+                                .setIncarnation(incarnation)
+                                .setExpiresInMillis(60_000)
+                                .setLoad(load(10))));
+            }
+        };
+        FakeSidecar prefill = new FakeSidecar("prefill-1", InstanceRole.PREFILL);
+        fixture = new EntryFixture(decode, prefill);
+
+        fixture.post(PATH, EntryFixture.COMPLETION);
+
+        assertThat(waitMillis(decode) - waitMillis(prefill)).isGreaterThanOrEqualTo(300);
+    }
+
+    /** Each of them takes one piece for its prompt; with its answer it would take three. */
+    @Test
+    void prefillsThatWaitAreCountedWithoutTheirAnswers() throws Exception {
+        FakeSidecar prefill = new FakeSidecar("prefill-1", InstanceRole.PREFILL) {
+            @Override
+            void onGrantRequest(Exchange exchange, Frame frame) {
+                if (count(Frame.BodyCase.GRANT_REQUEST) <= WAITING_REQUESTS) {
+                    queued(exchange);
+                } else {
+                    grant(exchange);
+                }
+            }
+        };
+        fixture = new EntryFixture(new FakeSidecar("decode-1", InstanceRole.DECODE), prefill);
+        for (int request = 1; request <= WAITING_REQUESTS; request++) {
+            int asked = request;
+            var unused = fixture.postLater(PATH, prompt(4, THREE_PIECES_TOKENS));
+            EntryFixture.await(() -> prefill.count(Frame.BodyCase.GRANT_REQUEST) == asked);
+        }
+
+        assertThat(fixture.post(PATH, EntryFixture.COMPLETION).statusCode()).isEqualTo(200);
+    }
+
     @Test
     void aRequestForAGrantCarriesNoPrefixes() throws Exception {
         FakeSidecar decode = new FakeSidecar("decode-1", InstanceRole.DECODE);
@@ -143,6 +190,10 @@
         return "{\"model\":\"model\",\"prompt\":\"%s\",\"max_tokens\":%d}".formatted("x".repeat(bytes), maximumTokens);
     }
 
+    private static int waitMillis(FakeSidecar sidecar) {
+        return sidecar.received.getFirst().getGrantRequest().getWaitMillis();
+    }
+
     private static void refuseWithLoad(Exchange exchange, int freePieces) {
         exchange.send(Frame.newBuilder()
                 .setRefused(WireValues.toRefused(Failure.retryable(ResultCode.NO_CAPACITY, "full", 10))
