KeyHomes: names as bytes and one buffer for a look-up

Cause: a look-up read the names of all candidates as bytes again and copied each into a buffer of its own, once for each comparison.

Change: RendezvousList holds the names as bytes and the look-up fills one buffer. InventoryBenchmark.listedKeyHome measures it.

--- a/benchmarks/src/main/java/org/merlinwood/benchmarks/InventoryBenchmark.java
+++ b/benchmarks/src/main/java/org/merlinwood/benchmarks/InventoryBenchmark.java
@@ -11,6 +11,7 @@
 import org.merlinwood.configuration.inventory.Inventory;
 import org.merlinwood.core.identity.IdempotencyKey;
 import org.merlinwood.decision.idempotency.KeyHome;
+import org.merlinwood.decision.idempotency.KeyHomes;
 import org.merlinwood.decision.placement.UpstreamPool;
 import org.openjdk.jmh.annotations.Benchmark;
 import org.openjdk.jmh.annotations.BenchmarkMode;
@@ -42,11 +43,13 @@
     private Inventory inventory;
     private String text;
     private UpstreamPool pool;
+    private KeyHomes homes;
 
     /** Writes the document. */
     @Setup(Level.Trial)
     public void fill() {
         inventory = PlannedFleet.mixed(rows);
+        homes = KeyHomes.of(inventory);
         text = InventoryWriter.write(inventory);
         pool = PlannedFleet.pool(inventory, InstanceRole.DECODE);
     }
@@ -81,4 +84,14 @@
     public Optional<Instance> keyHome() {
         return KeyHome.of(key, inventory, PlannedFleet.PLAIN_SERVICE);
     }
+
+    /**
+     * Finds the home of a caller's own key in the lists that were made for the inventory.
+     *
+     * @return the instance
+     */
+    @Benchmark
+    public Optional<Instance> listedKeyHome() {
+        return homes.of(key, PlannedFleet.PLAIN_SERVICE);
+    }
 }
--- a/decision/src/main/java/org/merlinwood/decision/idempotency/KeyHomes.java
+++ b/decision/src/main/java/org/merlinwood/decision/idempotency/KeyHomes.java
@@ -1,7 +1,6 @@
 package org.merlinwood.decision.idempotency;
 
 import java.nio.charset.StandardCharsets;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.stream.Collectors;
@@ -18,9 +17,9 @@
  */
 public final class KeyHomes {
 
-    private final Map<ServiceName, List<Instance>> byService;
+    private final Map<ServiceName, RendezvousList> byService;
 
-    private KeyHomes(Map<ServiceName, List<Instance>> byService) {
+    private KeyHomes(Map<ServiceName, RendezvousList> byService) {
         this.byService = byService;
     }
 
@@ -32,7 +31,8 @@
      */
     public static KeyHomes of(Inventory inventory) {
         return new KeyHomes(candidates(inventory)
-                .collect(Collectors.groupingBy(Instance::service, Collectors.toUnmodifiableList())));
+                .collect(Collectors.groupingBy(
+                        Instance::service, Collectors.collectingAndThen(Collectors.toList(), RendezvousList::new))));
     }
 
     // ------------------------------------------------------------------ public API
@@ -46,7 +46,7 @@
      */
     public Optional<Instance> of(IdempotencyKey key, ServiceName service) {
         byte[] subject = key.value().getBytes(StandardCharsets.UTF_8);
-        return RendezvousOrder.first(subject, byService.getOrDefault(service, List.of()).stream());
+        return Optional.ofNullable(byService.get(service)).map(list -> list.first(subject));
     }
 
     // ------------------------------------------------------------------ internals
