--- a/entry/src/main/java/org/merlinwood/entry/dispatch/ControlState.java
+++ b/entry/src/main/java/org/merlinwood/entry/dispatch/ControlState.java
@@ -21,7 +21,10 @@
 import org.merlinwood.decision.admission.Admission;
 import org.merlinwood.decision.admission.AdmissionDecision;
 import org.merlinwood.decision.admission.AdmissionQuery;
+import org.merlinwood.decision.admission.TransferRate;
 import org.merlinwood.decision.fairness.CallerShares;
+import org.merlinwood.decision.grant.GrantDemand;
+import org.merlinwood.decision.idempotency.KeyHomes;
 import org.merlinwood.decision.placement.LoadObservation;
 import org.merlinwood.decision.placement.PlacementForecast;
 import org.merlinwood.decision.placement.PlacementQuery;
@@ -49,8 +52,6 @@
     /** How long a refusal for lack of capacity counts as contention. */
     static final long CONTENTION_MILLIS = 1_000;
 
-    private static final double TRANSFER_BYTES_PER_MILLI = 100_000;
-
     private final InstanceName self;
     private final FailureDomain failureDomain;
     private final MillisClock clock;
@@ -59,7 +60,9 @@
     private final CallerShares shares;
     private final Admission admission;
     private final Map<PoolName, UpstreamPool> pools = new HashMap<>();
+    private final TransferRate transferRate = new TransferRate();
     private ConfigurationInForce configuration;
+    private KeyHomes keyHomes;
     private long contendedUntilMillis;
 
     // ------------------------------------------------------------------ life-cycle
@@ -70,6 +73,7 @@
         this.failureDomain = failureDomain;
         this.clock = clock;
         this.configuration = configuration;
+        this.keyHomes = KeyHomes.of(configuration.inventory());
         this.retryDelay = new RetryDelay(RandomSource.XO_RO_SHI_RO_128_PP.create());
         this.retryBudget = new RetryBudget(configuration.rules().limits().retryBudgetPercent());
         this.shares = new CallerShares(retryDelay);
@@ -79,6 +83,7 @@
 
     void configure(ConfigurationInForce changed) {
         configuration = changed;
+        keyHomes = KeyHomes.of(changed.inventory());
         retryBudget.setPercent(changed.rules().limits().retryBudgetPercent());
         pools.replaceAll((name, pool) -> pool.withInventory(changed.inventory()));
     }
@@ -93,6 +98,10 @@
         return configuration.inventory();
     }
 
+    KeyHomes keyHomes() {
+        return keyHomes;
+    }
+
     RetryBudget retryBudget() {
         return retryBudget;
     }
@@ -111,14 +120,15 @@
     }
 
     AdmissionDecision admit(ClassifiedRequest.ModelCall call) {
-        Optional<PlacementForecast> decode = pool(call, InstanceRole.DECODE).forecast(query(call));
-        Optional<PlacementForecast> prefill = pool(call, InstanceRole.PREFILL).forecast(query(call));
+        Optional<PlacementForecast> decode = pool(call, InstanceRole.DECODE).forecast(query(call, InstanceRole.DECODE));
+        Optional<PlacementForecast> prefill =
+                pool(call, InstanceRole.PREFILL).forecast(query(call, InstanceRole.PREFILL));
         if (decode.isEmpty() || prefill.isEmpty()) {
             return new AdmissionDecision.Refuse(noInstance(call));
         }
         long nowMillis = clock.monotonicMillis();
         IdentifiedRequest request = call.identified();
-        return admission.decide(new AdmissionQuery(
+        AdmissionDecision decision = admission.decide(new AdmissionQuery(
                 request.callerClass(),
                 call.service(),
                 decode.get(),
@@ -126,18 +136,40 @@
                 transferMillis(call),
                 nowMillis - request.accepted().arrivedMillis(),
                 request.deadlineMillis() - nowMillis));
+        if (decision instanceof AdmissionDecision.Refuse) {
+            contendedUntilMillis = nowMillis + CONTENTION_MILLIS;
+        }
+        return decision;
+    }
+
+    /**
+     * Returns how long a grant may be waited for that a request asks for now: the target for its first token, less what
+     * is predicted to come after the grant. Not negative.
+     */
+    long grantWaitMillis(ClassifiedRequest.ModelCall call, InstanceRole role) {
+        PlacementForecast prefill = pool(call, InstanceRole.PREFILL)
+                .forecast(query(call, InstanceRole.PREFILL))
+                .orElse(PlacementForecast.IMMEDIATE);
+        long workMillis = prefill.serviceMillis() + transferMillis(call);
+        if (role == InstanceRole.DECODE) {
+            workMillis += prefill.waitMillis();
+        }
+        IdentifiedRequest request = call.identified();
+        double allowedMillis = request.callerClass().firstTokenTargetMillis() * Admission.targetShare(call.service());
+        long untilMillis = request.accepted().arrivedMillis() + Math.round(allowedMillis) - workMillis;
+        return Math.max(0, untilMillis - clock.monotonicMillis());
     }
 
     Optional<Instance> choose(ClassifiedRequest call, InstanceRole role, Set<InstanceName> excluded) {
-        return pool(call, role).choose(query(call), excluded);
+        return pool(call, role).choose(query(call, role), excluded);
     }
 
     void started(ClassifiedRequest call, InstanceRole role, InstanceName name) {
-        pool(call, role).started(name, pieces(call));
+        pool(call, role).started(name, pieces(call, role));
     }
 
     void ended(ClassifiedRequest call, InstanceRole role, InstanceName name) {
-        pool(call, role).ended(name, pieces(call));
+        pool(call, role).ended(name, pieces(call, role));
     }
 
     void observe(ClassifiedRequest call, InstanceRole role, InstanceName name, Load load) {
@@ -152,6 +184,17 @@
         pool(call, role).observe(name, observation, clock.monotonicMillis());
     }
 
+    /** Learns where the prefixes of a prompt are cached now, and how fast its prefill was. */
+    void prefilled(ClassifiedRequest.ModelCall call, InstanceName name, long computedTokens, long millis) {
+        pool(call, InstanceRole.PREFILL)
+                .prefilled(name, call.blocks(), computedTokens, millis, clock.monotonicMillis());
+    }
+
+    /** Learns how long a KV cache took from the end of its prefill to the first token. */
+    void transferred(long bytes, long millis) {
+        transferRate.observe(bytes, millis);
+    }
+
     /** Learns from a refusal, or from an attempt that was lost and did not only lose its connection. */
     void failed(ClassifiedRequest call, InstanceRole role, InstanceName name, Failure failure) {
         long nowMillis = clock.monotonicMillis();
@@ -192,7 +235,7 @@
     private long transferMillis(ClassifiedRequest.ModelCall call) {
         long bytesPerToken =
                 inventory().model(call.model()).map(Model::cacheBytesPerToken).orElse(0L);
-        return (long) (bytesPerToken * call.promptTokens() / TRANSFER_BYTES_PER_MILLI);
+        return transferRate.millis(bytesPerToken * call.promptTokens());
     }
 
     private UpstreamPool pool(ClassifiedRequest call, InstanceRole role) {
@@ -203,12 +246,12 @@
                         inventory(), absent.service(), absent.role(), absent.model(), self, failureDomain));
     }
 
-    private PlacementQuery query(ClassifiedRequest call) {
+    private PlacementQuery query(ClassifiedRequest call, InstanceRole role) {
         long nowMillis = clock.monotonicMillis();
         int priority = call.identified().callerClass().priority();
         return switch (call) {
             case ClassifiedRequest.ModelCall model ->
-                new PlacementQuery(model.pieces(), model.promptTokens(), model.blocks(), nowMillis, priority);
+                new PlacementQuery(pieces(model, role), model.promptTokens(), model.blocks(), nowMillis, priority);
             case ClassifiedRequest.PlainCall plain -> plainQuery(nowMillis, priority);
             case ClassifiedRequest.MintCall mint -> plainQuery(nowMillis, priority);
         };
@@ -218,8 +261,12 @@
         return new PlacementQuery(1, 0, PrefixBlocks.NONE, nowMillis, priority);
     }
 
-    private static int pieces(ClassifiedRequest call) {
-        return call instanceof ClassifiedRequest.ModelCall model ? model.pieces() : 1;
+    /** A prefill takes memory for the prompt, a decode for the answer as well. */
+    private static int pieces(ClassifiedRequest call, InstanceRole role) {
+        if (!(call instanceof ClassifiedRequest.ModelCall model)) {
+            return 1;
+        }
+        return role == InstanceRole.PREFILL ? GrantDemand.piecesOf(model.promptTokens()) : model.pieces();
     }
 
     /** Tells pools apart. */
