Try suspects one at a time beside other work instead of alone

Cause: each suspect took all units of an engine until its whole answer was done, so those of a killed engine ran one after another on the engine left, some silent for more than 30 s.

Change: a suspect takes its own units. One suspect at most is on trial on an engine, until its decode has given 8 tokens or its prefill is done. If the engine ends during a trial, the one on trial is charged (convicted by its second crash), others become suspects, and suspects that had passed are not charged.

Cost against the bound of two engines: it holds for a request that crashes within its first 8 tokens of an attempt. One that crashes later may end a third engine or more if each such crash falls into the trial of another suspect there, which is then charged instead. Written down as a known limit; no test or proof covers it. CrashWatch's sparing of passed suspects has no unit test of its own.

--- a/decision/src/main/java/org/merlinwood/decision/grant/GrantBook.java
+++ b/decision/src/main/java/org/merlinwood/decision/grant/GrantBook.java
@@ -41,6 +41,7 @@
     private final WaitingQueue queue = new WaitingQueue();
     private final WaitEstimate estimate = new WaitEstimate();
     private final Set<Long> burntUnused = new LinkedHashSet<>();
+    private final Set<AttemptIdentity> trials = new LinkedHashSet<>();
     private long lastGrant;
     private int capacityUnits;
     private long grantMillis;
@@ -176,9 +177,20 @@
      * @param attempt the attempt
      */
     public void stop(AttemptIdentity attempt) {
+        trials.remove(attempt);
         holdings.of(attempt).ifPresent(holding -> holdings.replace(holding.in(Holding.Phase.STOPPING)));
     }
 
+    /**
+     * Ends the trial of an attempt that has run without ending its engine; its units stay reserved.
+     *
+     * @param attempt the attempt
+     * @return what changed for others
+     */
+    public List<GrantEvent> passTrial(AttemptIdentity attempt) {
+        return trials.remove(attempt) ? serveQueue() : List.of();
+    }
+
     // ------------------------------------------------------------------ public API: giving up
 
     /**
@@ -281,6 +293,16 @@
         return queue.contains(attempt) || holdings.of(attempt).isPresent();
     }
 
+    /**
+     * Tells whether an attempt holds units and has not passed its trial.
+     *
+     * @param attempt the attempt
+     * @return true if so
+     */
+    public boolean isOnTrial(AttemptIdentity attempt) {
+        return trials.contains(attempt) && holdings.of(attempt).isPresent();
+    }
+
     /**
      * Tells whether any attempt of a request holds units.
      *
@@ -371,7 +393,7 @@
         long unitsAhead = 0;
         for (WaitingDemand waiting : queue.inOrder()) {
             GrantDemand demand = waiting.demand();
-            boolean blocked = holdings.holdsAny(demand.attempt().request());
+            boolean blocked = holdings.holdsAny(demand.attempt().request()) || (demand.onTrial() && isTrialUnderWay());
             boolean fits = demand.units() == 0 || (unitsAhead == 0 && demand.units() <= freeUnits());
             if (!blocked && fits) {
                 events.add(give(waiting, now));
@@ -391,8 +413,16 @@
         return capacityUnits == 0 ? 0 : estimate.waitMillis(unitsAhead + demand.units() - freeUnits(), capacityUnits);
     }
 
+    private boolean isTrialUnderWay() {
+        trials.removeIf(attempt -> holdings.of(attempt).isEmpty());
+        return !trials.isEmpty();
+    }
+
     private GrantEvent give(WaitingDemand waiting, long now) {
         GrantDemand demand = waiting.demand();
+        if (demand.onTrial()) {
+            trials.add(demand.attempt());
+        }
         queue.remove(demand.attempt());
         Grant grant = new Grant(++lastGrant, demand, now + grantMillis);
         holdings.add(new Holding(grant, Holding.Phase.UNUSED, now));
--- a/decision/src/main/java/org/merlinwood/decision/grant/GrantDemand.java
+++ b/decision/src/main/java/org/merlinwood/decision/grant/GrantDemand.java
@@ -12,9 +12,16 @@
  * @param tokens prompt tokens that would be prefilled, 0 for other work
  * @param priority 0 is served first
  * @param waitMillis how long the demand may wait for its grant, in milliseconds
+ * @param onTrial true if the work may have ended an engine, so that no other such work may run beside it
  */
 public record GrantDemand(
-        SessionNumber session, AttemptIdentity attempt, int units, long tokens, int priority, long waitMillis) {
+        SessionNumber session,
+        AttemptIdentity attempt,
+        int units,
+        long tokens,
+        int priority,
+        long waitMillis,
+        boolean onTrial) {
 
     /** Tokens that one piece of engine memory holds. */
     public static final int TOKENS_PER_PIECE = 2_000;
@@ -28,6 +35,30 @@
         }
     }
 
+    /**
+     * Creates a demand for work that nothing is known against.
+     *
+     * @param session the connection that asked
+     * @param attempt the attempt
+     * @param units units of capacity
+     * @param tokens prompt tokens
+     * @param priority 0 is served first
+     * @param waitMillis how long the demand may wait, in milliseconds
+     */
+    public GrantDemand(
+            SessionNumber session, AttemptIdentity attempt, int units, long tokens, int priority, long waitMillis) {
+        this(session, attempt, units, tokens, priority, waitMillis, false);
+    }
+
+    /**
+     * Returns this demand for work that may have ended an engine.
+     *
+     * @return a copy
+     */
+    public GrantDemand asTrial() {
+        return new GrantDemand(session, attempt, units, tokens, priority, waitMillis, true);
+    }
+
     /**
      * Computes the pieces of engine memory that a number of tokens takes.
      *
--- a/decision/src/main/java/org/merlinwood/decision/suspicion/SuspicionBook.java
+++ b/decision/src/main/java/org/merlinwood/decision/suspicion/SuspicionBook.java
@@ -10,10 +10,10 @@
 /**
  * What is known against the fingerprints whose home this process is.
  *
- * <p>When an engine ends, all that ran on it are suspects, and may run again only alone. One that ends an engine while
- * alone, or a second engine in any company, is convicted: so no fingerprint ends more than {@value #MAXIMUM_CRASHES}
- * engines one after another. Suspicion and conviction expire. At most {@value #MAXIMUM_ENTRIES} fingerprints are
- * remembered; the oldest is forgotten first. Not thread-safe: used by the control thread only.
+ * <p>When an engine ends, all that ran on it are suspects, and may run again only on trial. One that is reported to
+ * have ended an engine while alone, or a second engine in any company, is convicted: so no fingerprint is charged with
+ * more than {@value #MAXIMUM_CRASHES} engines. Suspicion and conviction expire. At most {@value #MAXIMUM_ENTRIES}
+ * fingerprints are remembered; the oldest is forgotten first. Not thread-safe: used by the control thread only.
  */
 public final class SuspicionBook {
 
--- a/sidecar/src/main/java/org/merlinwood/sidecar/admission/CrashWatch.java
+++ b/sidecar/src/main/java/org/merlinwood/sidecar/admission/CrashWatch.java
@@ -6,10 +6,13 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.BiConsumer;
+import java.util.function.BooleanSupplier;
 import java.util.function.IntSupplier;
+import java.util.function.Predicate;
 import org.merlinwood.core.result.Failure;
 import org.merlinwood.core.result.ResultCode;
 import org.merlinwood.core.time.MillisClock;
+import org.merlinwood.decision.grant.AttemptIdentity;
 import org.merlinwood.decision.idempotency.Fingerprint;
 import org.merlinwood.operation.control.ControlLoop;
 import org.merlinwood.sidecar.suspicion.SuspicionStage;
@@ -34,11 +37,14 @@
     private final EngineClient engine;
     private final SuspicionStage suspicion;
     private final IntSupplier running;
+    private final Predicate<AttemptIdentity> onTrial;
+    private final BooleanSupplier anyRunsOnTrial;
     private final Runnable onCrash;
     private final BiConsumer<OpenAttempt, Failure> onJudged;
     private final MetricRegistry metrics;
     private List<Lost> lost = new ArrayList<>();
     private long lastCrashMillis = Long.MIN_VALUE / 2;
+    private boolean trialCut;
 
     CrashWatch(
             ControlLoop loop,
@@ -46,6 +52,8 @@
             EngineClient engine,
             SuspicionStage suspicion,
             IntSupplier running,
+            Predicate<AttemptIdentity> onTrial,
+            BooleanSupplier anyRunsOnTrial,
             Runnable onCrash,
             BiConsumer<OpenAttempt, Failure> onJudged,
             MetricRegistry metrics) {
@@ -54,6 +62,8 @@
         this.engine = engine;
         this.suspicion = suspicion;
         this.running = running;
+        this.onTrial = onTrial;
+        this.anyRunsOnTrial = anyRunsOnTrial;
         this.onCrash = onCrash;
         this.onJudged = onJudged;
         this.metrics = metrics;
@@ -105,6 +115,9 @@
         boolean first = now - lastCrashMillis >= SAME_CRASH_MILLIS;
         boolean alone = first && judged.size() == 1 && running.getAsInt() == 0;
         lastCrashMillis = now;
+        boolean anyOnTrial =
+                anyRunsOnTrial.getAsBoolean() || judged.stream().anyMatch(each -> onTrial.test(each.attempt.attempt()));
+        trialCut = anyOnTrial || (trialCut && !first);
         metrics.counter("engine.crashes").inc(first ? 1 : 0);
         logger.atWarning().log("the engine ended while %d requests ran", judged.size() + running.getAsInt());
         judged.forEach(each -> report(each, alone));
@@ -119,7 +132,7 @@
                 each.failure.retryAfterMillis());
         Fingerprint fingerprint =
                 Fingerprint.of(each.attempt.request().getFingerprint().toByteArray());
-        if (fingerprint.isEmpty()) {
+        if (fingerprint.isEmpty() || isOutweighed(each.attempt)) {
             onJudged.accept(each.attempt, failure);
             return;
         }
@@ -130,5 +143,10 @@
                 verdict -> onJudged.accept(each.attempt, failure));
     }
 
+    /** A suspect that has passed its trial is not charged beside one that has not; it stays a suspect. */
+    private boolean isOutweighed(OpenAttempt attempt) {
+        return trialCut && attempt.isolated() && !onTrial.test(attempt.attempt());
+    }
+
     private record Lost(OpenAttempt attempt, Failure failure) {}
 }
--- a/sidecar/src/main/java/org/merlinwood/sidecar/admission/ExecutionFactory.java
+++ b/sidecar/src/main/java/org/merlinwood/sidecar/admission/ExecutionFactory.java
@@ -91,16 +91,17 @@
      * @param frame the frame
      * @param attempt the attempt that it belongs to
      * @param view what inventory and rules say
+     * @param onProof called once a decode has gone on for some tokens, on any thread
      * @return the execution, or why the frame can't be executed
      */
-    Either<Failure, Execution> create(Frame frame, OpenAttempt attempt, ServingView view) {
+    Either<Failure, Execution> create(Frame frame, OpenAttempt attempt, ServingView view, Runnable onProof) {
         if (kindOf(frame) != attempt.request().getKind()) {
             return Either.left(notRun(ResultCode.PROTOCOL_VIOLATION, "the grant was given for other work"));
         }
         AnswerChannel channel = attempt.channel();
         return switch (kindOf(frame)) {
             case PREFILL -> Either.right(prefill(frame.getExecutePrefill(), attempt, view));
-            case DECODE -> Either.right(decode(frame.getExecuteDecode(), attempt, view));
+            case DECODE -> Either.right(decode(frame.getExecuteDecode(), attempt, view, onProof));
             default -> plain(frame.getExecutePlain(), attempt, view, channel);
         };
     }
@@ -113,7 +114,7 @@
         return new PrefillExecution(engine, upstream, call, view.timeoutMillis(), attempt.channel());
     }
 
-    private Execution decode(ExecuteDecode execute, OpenAttempt attempt, ServingView view) {
+    private Execution decode(ExecuteDecode execute, OpenAttempt attempt, ServingView view, Runnable onProof) {
         EngineMessages.DecodeCall call = new EngineMessages.DecodeCall(
                 attempt.attempt().request().toString(),
                 execute.getModel(),
@@ -124,7 +125,7 @@
                 execute.getSampling().getSeed(),
                 execute.getPriority(),
                 execute.hasCache() ? cache(execute.getCache()) : null);
-        return new DecodeExecution(engine, call, view.timeoutMillis(), attempt.channel());
+        return new DecodeExecution(engine, call, view.timeoutMillis(), attempt.channel(), onProof);
     }
 
     private static EngineMessages.CacheReference cache(CacheHandle handle) {
--- a/sidecar/src/main/java/org/merlinwood/sidecar/admission/ExecutionStage.java
+++ b/sidecar/src/main/java/org/merlinwood/sidecar/admission/ExecutionStage.java
@@ -100,6 +100,8 @@
                 engine,
                 suspicion,
                 running::size,
+                grants::isOnTrial,
+                this::anyRunsOnTrial,
                 this::abortAll,
                 (attempt, failure) -> endFailed(attempt, failure, true),
                 metrics);
@@ -192,9 +194,10 @@
 
     private void begin(OpenAttempt attempt, Frame frame) {
         ServingView view = grants.view().orElseThrow();
+        Runnable onProof = () -> loop.execute(() -> grants.passTrial(attempt.attempt()));
         Either<Failure, Execution> created = keyMissing(frame, attempt, view)
                 .<Either<Failure, Execution>>map(Either::left)
-                .orElseGet(() -> factory.create(frame, attempt, view));
+                .orElseGet(() -> factory.create(frame, attempt, view, onProof));
         created.peek(execution -> claim(attempt, execution)).peekLeft(failure -> refuse(attempt, failure));
     }
 
@@ -258,6 +261,10 @@
         List.copyOf(running.values()).forEach(attempt -> attempt.execution().abort(failure));
     }
 
+    private boolean anyRunsOnTrial() {
+        return running.keySet().stream().anyMatch(grants::isOnTrial);
+    }
+
     /** A call that may not be repeated goes on, so that its outcome becomes known. */
     private void cancel(AttemptIdentity attempt, RunningAttempt execution) {
         if (!Demands.isKeyed(execution.attempt().request())) {
@@ -314,6 +321,7 @@
             reap(attempt.attempt());
             return;
         }
+        grants.passTrial(attempt.attempt());
         kept.put(attempt.attempt().request(), new KeptResult(attempt.attempt(), clock.monotonicMillis()));
     }
 
--- a/sidecar/src/main/java/org/merlinwood/sidecar/admission/GrantStage.java
+++ b/sidecar/src/main/java/org/merlinwood/sidecar/admission/GrantStage.java
@@ -18,6 +18,7 @@
 import org.merlinwood.decision.grant.Grant;
 import org.merlinwood.decision.grant.GrantBook;
 import org.merlinwood.decision.grant.GrantBookState;
+import org.merlinwood.decision.grant.GrantDemand;
 import org.merlinwood.decision.grant.GrantEvent;
 import org.merlinwood.decision.grant.SessionNumber;
 import org.merlinwood.decision.idempotency.Fingerprint;
@@ -243,6 +244,25 @@
         book.stop(attempt);
     }
 
+    /**
+     * Lets other suspects run beside an attempt that has not ended its engine so far.
+     *
+     * @param attempt the attempt
+     */
+    public void passTrial(AttemptIdentity attempt) {
+        tell(book.passTrial(attempt));
+    }
+
+    /**
+     * Tells whether an attempt is a suspect that has not passed its trial.
+     *
+     * @param attempt the attempt
+     * @return true if so
+     */
+    public boolean isOnTrial(AttemptIdentity attempt) {
+        return book.isOnTrial(attempt);
+    }
+
     /**
      * Frees the units of an attempt.
      *
@@ -326,18 +346,18 @@
         }
     }
 
-    /** Runs alone: it takes all units. */
+    /** No other suspect runs beside it before it has passed its trial. */
     private void isolate(OpenAttempt attempt) {
         metrics.counter("suspicion.isolated").inc();
-        int allUnits = view.map(ServingView::units).orElse(0);
         ask(
                 new OpenAttempt(attempt.attempt(), attempt.session(), attempt.request(), attempt.channel(), true),
-                allUnits);
+                Demands.units(attempt.request()));
     }
 
     private void ask(OpenAttempt attempt, int units) {
         open.put(attempt.attempt(), attempt);
-        tell(book.request(Demands.demand(attempt.request(), attempt.session(), units)));
+        GrantDemand demand = Demands.demand(attempt.request(), attempt.session(), units);
+        tell(book.request(attempt.isolated() ? demand.asTrial() : demand));
     }
 
     private void refuse(OpenAttempt attempt, Failure failure) {
--- a/sidecar/src/main/java/org/merlinwood/sidecar/admission/OpenAttempt.java
+++ b/sidecar/src/main/java/org/merlinwood/sidecar/admission/OpenAttempt.java
@@ -12,7 +12,7 @@
  * @param session the connection
  * @param request what was asked for
  * @param channel ends the exchange
- * @param isolated true if nothing else may run beside it, since it may have ended an engine
+ * @param isolated true if it may have ended an engine, so that no other suspect runs beside it until its trial is over
  */
 record OpenAttempt(
         AttemptIdentity attempt,
--- a/sidecar/src/main/java/org/merlinwood/sidecar/execution/DecodeExecution.java
+++ b/sidecar/src/main/java/org/merlinwood/sidecar/execution/DecodeExecution.java
@@ -15,12 +15,17 @@
 
     private static final int OK = 200;
 
+    /** An engine that a request ends at its first steps has ended before so many tokens. */
+    private static final int PROOF_TOKENS = 8;
+
     private final EngineClient engine;
     private final EngineMessages.DecodeCall call;
     private final long silenceMillis;
     private final AnswerChannel channel;
     private final DecodeAnswerReader reader;
+    private final Runnable onProof;
     private int status;
+    private int tokensLeftToProof = PROOF_TOKENS;
 
     /**
      * Creates an execution that has not begun.
@@ -29,13 +34,20 @@
      * @param call what to generate
      * @param silenceMillis how long the engine may be silent, in milliseconds
      * @param channel the exchange
+     * @param onProof called once, on any thread, when the engine has lived through the first {@value #PROOF_TOKENS}
+     *     tokens
      */
     public DecodeExecution(
-            EngineClient engine, EngineMessages.DecodeCall call, long silenceMillis, AnswerChannel channel) {
+            EngineClient engine,
+            EngineMessages.DecodeCall call,
+            long silenceMillis,
+            AnswerChannel channel,
+            Runnable onProof) {
         this.engine = engine;
         this.call = call;
         this.silenceMillis = silenceMillis;
         this.channel = channel;
+        this.onProof = onProof;
         this.reader = new DecodeAnswerReader(call.tokensSoFar().size());
     }
 
@@ -72,9 +84,20 @@
         return new ExecutionOutcome.Whole();
     }
 
+    private void prove(int tokens) {
+        boolean before = tokensLeftToProof > 0;
+        tokensLeftToProof -= before ? tokens : 0;
+        if (before && tokensLeftToProof <= 0) {
+            onProof.run();
+        }
+    }
+
     private void relay(DecodeLine line) {
         switch (line) {
-            case DecodeLine.Tokens tokens -> channel.tokens(tokens.offset(), tokens.tokens());
+            case DecodeLine.Tokens tokens -> {
+                channel.tokens(tokens.offset(), tokens.tokens());
+                prove(tokens.tokens().size());
+            }
             case DecodeLine.End end -> channel.whole(end.length(), end.finishReason());
         }
     }
