--- a/command/src/test/java/org/merlinwood/command/DumpCommandTest.java
+++ b/command/src/test/java/org/merlinwood/command/DumpCommandTest.java
@@ -25,7 +25,8 @@
                 .section(new Section("example", new State(42)))
                 .build()) {
             server.start();
-            CommandRun run = CommandRun.of("dump", "127.0.0.1:" + server.boundAddress().getPort());
+            CommandRun run =
+                    CommandRun.of("dump", "127.0.0.1:" + server.boundAddress().getPort());
 
             assertThat(run.status()).isEqualTo(ExitStatus.GOOD);
             assertThat(run.output()).contains("\"answer\" : 42");
