Refusals say what is true of every call with the key, also after a wait

Change: the rule stands in the filter, and holds for demands that the grant book denies later as well. A test of its own holds it for draining and retired instances. Names that stood with their package in the code are imported.

--- a/architecture-tests/src/test/java/org/merlinwood/architecture/DependencyTest.java
+++ b/architecture-tests/src/test/java/org/merlinwood/architecture/DependencyTest.java
@@ -1,5 +1,7 @@
 package org.merlinwood.architecture;
 
+import java.time.Instant;
+
 import static com.tngtech.archunit.base.DescribedPredicate.not;
 import static com.tngtech.archunit.core.domain.JavaClass.Predicates.resideInAPackage;
 import static com.tngtech.archunit.core.domain.JavaClass.Predicates.resideInAnyPackage;
@@ -104,7 +106,7 @@
         return Stream.of(
                 Arguments.of(System.class, "currentTimeMillis"),
                 Arguments.of(System.class, "nanoTime"),
-                Arguments.of(java.time.Instant.class, "now"));
+                Arguments.of(Instant.class, "now"));
     }
 
     @Test
--- a/command/src/test/java/org/merlinwood/command/CheckCommandTest.java
+++ b/command/src/test/java/org/merlinwood/command/CheckCommandTest.java
@@ -1,5 +1,7 @@
 package org.merlinwood.command;
 
+import java.util.stream.Stream;
+
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.io.IOException;
@@ -22,8 +24,8 @@
     @Test
     void allExamplesAreGood() throws IOException {
         try (var files = Files.walk(BAGMATI.getParent())) {
-            Object[] arguments = java.util.stream.Stream.concat(
-                            java.util.stream.Stream.of("check"), files.filter(Files::isRegularFile))
+            Object[] arguments = Stream.concat(
+                            Stream.of("check"), files.filter(Files::isRegularFile))
                     .toArray();
             CommandRun run = CommandRun.of(arguments);
 
--- a/command/src/test/java/org/merlinwood/command/CommandRun.java
+++ b/command/src/test/java/org/merlinwood/command/CommandRun.java
@@ -1,5 +1,7 @@
 package org.merlinwood.command;
 
+import java.util.Arrays;
+
 import java.io.PrintWriter;
 import java.io.StringWriter;
 import picocli.CommandLine;
@@ -14,7 +16,7 @@
                 .setOut(new PrintWriter(output, true))
                 .setErr(new PrintWriter(errors, true));
         String[] texts =
-                java.util.Arrays.stream(arguments).map(Object::toString).toArray(String[]::new);
+                Arrays.stream(arguments).map(Object::toString).toArray(String[]::new);
         int status = commandLine.execute(texts);
         return new CommandRun(status, output.toString(), errors.toString());
     }
--- a/configuration/src/main/java/org/merlinwood/configuration/document/CrossCheck.java
+++ b/configuration/src/main/java/org/merlinwood/configuration/document/CrossCheck.java
@@ -1,5 +1,7 @@
 package org.merlinwood.configuration.document;
 
+import java.util.Comparator;
+
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -53,7 +55,7 @@
         rules.services().forEach(check::checkRule);
         inventory.models().keySet().forEach(check::checkModel);
         return check.findings.stream()
-                .sorted(java.util.Comparator.comparing(CrossFinding::severity))
+                .sorted(Comparator.comparing(CrossFinding::severity))
                 .toList();
     }
 
--- a/configuration/src/main/java/org/merlinwood/configuration/document/impl/InventoryDocument.java
+++ b/configuration/src/main/java/org/merlinwood/configuration/document/impl/InventoryDocument.java
@@ -1,5 +1,8 @@
 package org.merlinwood.configuration.document.impl;
 
+import java.util.Locale;
+import java.util.TreeSet;
+
 import io.vavr.control.Either;
 import java.util.ArrayList;
 import java.util.EnumSet;
@@ -146,7 +149,7 @@
                                 "no row of \"models\" defines '" + model + "'",
                                 modelNames.isEmpty()
                                         ? "add a row to \"models\""
-                                        : "defined are " + RowReader.joined(new java.util.TreeSet<>(modelNames)));
+                                        : "defined are " + RowReader.joined(new TreeSet<>(modelNames)));
             }
         }
     }
@@ -169,7 +172,7 @@
 
     private static void refuseForEngine(ReadRow row) {
         Instance instance = row.instance();
-        String role = "a " + instance.role().name().toLowerCase(java.util.Locale.ROOT) + " instance";
+        String role = "a " + instance.role().name().toLowerCase(Locale.ROOT) + " instance";
         refuseReservedService(row);
         if (instance.models().isEmpty()) {
             row.reader().refuse("models", role + " carries no model", "list at least one model");
@@ -250,7 +253,7 @@
                         .refuse(
                                 "role",
                                 "the service '" + row.instance().service() + "' has the role '"
-                                        + first.instance().role().name().toLowerCase(java.util.Locale.ROOT)
+                                        + first.instance().role().name().toLowerCase(Locale.ROOT)
                                         + "' in the row of " + first.instance().name(),
                                 "a service is either plain, or prefill and decode");
             }
--- a/configuration/src/main/java/org/merlinwood/configuration/document/impl/RowReader.java
+++ b/configuration/src/main/java/org/merlinwood/configuration/document/impl/RowReader.java
@@ -1,5 +1,7 @@
 package org.merlinwood.configuration.document.impl;
 
+import java.util.Map;
+
 import java.math.BigDecimal;
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -192,7 +194,7 @@
             return new RowReader(errors, pathOf(column), object);
         }
         value.ifPresent(other -> refuse(column, "it is " + other.kind(), "write an object in braces"));
-        return new RowReader(errors, pathOf(column), new LocatedValue.ObjectValue(row.position(), java.util.Map.of()));
+        return new RowReader(errors, pathOf(column), new LocatedValue.ObjectValue(row.position(), Map.of()));
     }
 
     // ------------------------------------------------------------------ internals
--- a/configuration/src/main/java/org/merlinwood/configuration/inventory/Inventory.java
+++ b/configuration/src/main/java/org/merlinwood/configuration/inventory/Inventory.java
@@ -1,5 +1,7 @@
 package org.merlinwood.configuration.inventory;
 
+import java.util.Collections;
+
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -18,8 +20,8 @@
 
     /** Copies the tables, keeping their order. */
     public Inventory {
-        instances = java.util.Collections.unmodifiableMap(new LinkedHashMap<>(instances));
-        models = java.util.Collections.unmodifiableMap(new LinkedHashMap<>(models));
+        instances = Collections.unmodifiableMap(new LinkedHashMap<>(instances));
+        models = Collections.unmodifiableMap(new LinkedHashMap<>(models));
     }
 
     /**
--- a/entry/src/test/java/org/merlinwood/entry/AnswerTest.java
+++ b/entry/src/test/java/org/merlinwood/entry/AnswerTest.java
@@ -1,5 +1,7 @@
 package org.merlinwood.entry;
 
+import java.util.stream.Stream;
+
 import static org.assertj.core.api.Assertions.assertThat;
 
 import com.fasterxml.jackson.databind.JsonNode;
@@ -48,7 +50,7 @@
 
     @Test
     void streamsACompletionAsEvents() throws Exception {
-        HttpResponse<java.util.stream.Stream<String>> response =
+        HttpResponse<Stream<String>> response =
                 fixture.stream("/v1/completions", EntryFixture.STREAMED);
 
         List<String> events =
--- a/entry/src/test/java/org/merlinwood/entry/CallerLeavesTest.java
+++ b/entry/src/test/java/org/merlinwood/entry/CallerLeavesTest.java
@@ -1,5 +1,7 @@
 package org.merlinwood.entry;
 
+import java.util.concurrent.TimeUnit;
+
 import static org.assertj.core.api.Assertions.assertThat;
 
 import com.google.protobuf.ByteString;
@@ -126,7 +128,7 @@
             caller.post("/v1/completions", EntryFixture.STREAMED);
             EntryFixture.await(() -> decode.stalled.get() != null);
             caller.post("/notes", "{}");
-            java.util.concurrent.TimeUnit.MILLISECONDS.sleep(500);
+            TimeUnit.MILLISECONDS.sleep(500);
 
             decode.grant(decode.stalled.get());
 
--- a/entry/src/test/java/org/merlinwood/entry/ModelFailureTest.java
+++ b/entry/src/test/java/org/merlinwood/entry/ModelFailureTest.java
@@ -1,5 +1,8 @@
 package org.merlinwood.entry;
 
+import java.io.IOException;
+import java.io.UncheckedIOException;
+
 import static org.assertj.core.api.Assertions.assertThat;
 
 import com.fasterxml.jackson.databind.JsonNode;
@@ -412,8 +415,8 @@
     private static String textOfPart(String json) {
         try {
             return EntryFixture.json(json).at("/choices/0/text").asText();
-        } catch (java.io.IOException exception) {
-            throw new java.io.UncheckedIOException(exception);
+        } catch (IOException exception) {
+            throw new UncheckedIOException(exception);
         }
     }
 
--- a/entry/src/test/java/org/merlinwood/entry/PlainFailureTest.java
+++ b/entry/src/test/java/org/merlinwood/entry/PlainFailureTest.java
@@ -1,5 +1,10 @@
 package org.merlinwood.entry;
 
+import java.util.Optional;
+import org.merlinwood.protocol.WireValues;
+import org.merlinwood.wire.AnswerHead;
+import org.merlinwood.wire.RevisionPair;
+
 import static org.assertj.core.api.Assertions.assertThat;
 
 import com.fasterxml.jackson.databind.JsonNode;
@@ -100,7 +105,7 @@
             void onPlain(Exchange exchange, GrantUse use, ByteString body) {
                 executions.incrementAndGet();
                 exchange.send(Frame.newBuilder()
-                        .setAnswerHead(org.merlinwood.wire.AnswerHead.newBuilder()
+                        .setAnswerHead(AnswerHead.newBuilder()
                                 .setRequest(use.getRequest())
                                 .setIncarnation(incarnation)
                                 .setStatus(200)));
@@ -168,7 +173,7 @@
         String key = EntryFixture.json(fixture.post("/merlinwood/keys", "{\"service\":\"ledger\"}"))
                 .path("key")
                 .textValue();
-        fixture.configure(java.util.Optional.of(EntryFixture.configuration(2, 20, second)));
+        fixture.configure(Optional.of(EntryFixture.configuration(2, 20, second)));
 
         HttpResponse<String> response = fixture.post("/bookings", "{}", "Idempotency-Key", key);
 
@@ -237,9 +242,9 @@
             void onGrantRequest(Exchange exchange, Frame frame) {
                 if (frame.getGrantRequest().getRevisions().getInventory() < 2) {
                     exchange.send(Frame.newBuilder()
-                            .setRefused(org.merlinwood.protocol.WireValues.toRefused(Failure.retryable(
+                            .setRefused(WireValues.toRefused(Failure.retryable(
                                             ResultCode.REVISION_BEHIND, "revision 2 is in force here", 10))
-                                    .setRevisions(org.merlinwood.wire.RevisionPair.newBuilder()
+                                    .setRevisions(RevisionPair.newBuilder()
                                             .setInventory(2)
                                             .setRules(2))));
                     exchange.finish();
@@ -251,7 +256,7 @@
         };
         fixture = new EntryFixture(sidecar);
         ConfigurationInForce later = EntryFixture.configuration(2, 20, sidecar);
-        publish.set(() -> fixture.configure(java.util.Optional.of(later)));
+        publish.set(() -> fixture.configure(Optional.of(later)));
 
         assertThat(fixture.post("/bookings", "{}", OWN_KEY).statusCode()).isEqualTo(201);
     }
--- a/entry/src/test/java/org/merlinwood/entry/RawCaller.java
+++ b/entry/src/test/java/org/merlinwood/entry/RawCaller.java
@@ -1,5 +1,7 @@
 package org.merlinwood.entry;
 
+import java.net.InetSocketAddress;
+
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.InetAddress;
@@ -16,7 +18,7 @@
     RawCaller(EntryFixture fixture) throws IOException {
         socket = new Socket();
         socket.setReceiveBufferSize(RECEIVE_BUFFER_BYTES);
-        socket.connect(new java.net.InetSocketAddress(
+        socket.connect(new InetSocketAddress(
                 InetAddress.getLoopbackAddress(), fixture.entry.callerAddress().getPort()));
         socket.setSoTimeout((int) EntryFixture.PATIENCE.toMillis());
     }
--- a/following/src/main/java/org/merlinwood/following/impl/HttpConfigurationService.java
+++ b/following/src/main/java/org/merlinwood/following/impl/HttpConfigurationService.java
@@ -1,5 +1,7 @@
 package org.merlinwood.following.impl;
 
+import java.io.IOException;
+
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -79,7 +81,7 @@
             }
         } catch (JsonProcessingException exception) {
             return new ServiceAnswer.Unavailable("the service's answer is not JSON");
-        } catch (java.io.IOException exception) {
+        } catch (IOException exception) {
             return new ServiceAnswer.Unavailable("the service's answer can't be read");
         }
         return new ServiceAnswer.Unavailable("the service's answer has no revision and content");
--- a/following/src/main/java/org/merlinwood/following/impl/ReaderPlan.java
+++ b/following/src/main/java/org/merlinwood/following/impl/ReaderPlan.java
@@ -1,5 +1,7 @@
 package org.merlinwood.following.impl;
 
+import java.nio.charset.StandardCharsets;
+
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.Comparator;
@@ -125,6 +127,6 @@
     }
 
     private static int score(InstanceName name) {
-        return MurmurHash3.hash32x86(name.value().getBytes(java.nio.charset.StandardCharsets.UTF_8));
+        return MurmurHash3.hash32x86(name.value().getBytes(StandardCharsets.UTF_8));
     }
 }
--- a/following/src/test/java/org/merlinwood/following/impl/PeerFollowingTest.java
+++ b/following/src/test/java/org/merlinwood/following/impl/PeerFollowingTest.java
@@ -276,7 +276,7 @@
     @Test
     void aProcessCutOffFromPeersAndServiceCatchesUpAfterwards() {
         ConfigurationService unreachable = (document, after, wait) ->
-                java.util.concurrent.CompletableFuture.completedFuture(new ServiceAnswer.Unavailable("cut"));
+                CompletableFuture.completedFuture(new ServiceAnswer.Unavailable("cut"));
         FollowerCore isolated = fleet.add(20, unreachable, SEEDS);
         fleet.timer.run(SETTLING_MILLIS);
         fleet.cut((from, to) -> from == 20);
--- a/http/src/main/java/org/merlinwood/http/impl/UndertowHttpClient.java
+++ b/http/src/main/java/org/merlinwood/http/impl/UndertowHttpClient.java
@@ -1,5 +1,8 @@
 package org.merlinwood.http.impl;
 
+import org.xnio.IoUtils;
+import org.xnio.XnioIoThread;
+
 import io.undertow.client.ClientCallback;
 import io.undertow.client.ClientConnection;
 import io.undertow.client.UndertowClient;
@@ -91,7 +94,7 @@
     // ------------------------------------------------------------------ internals
 
     private void connect(HttpCall call, CallInProgress progress) {
-        org.xnio.XnioIoThread thread = worker.getIoThread();
+        XnioIoThread thread = worker.getIoThread();
         progress.limitConnecting(thread);
         UndertowClient.getInstance()
                 .connect(
@@ -116,7 +119,7 @@
         if (call.connectionUse() == ConnectionUse.POOLED) {
             pool.give(call.address(), connection);
         } else {
-            org.xnio.IoUtils.safeClose(connection);
+            IoUtils.safeClose(connection);
         }
     }
 
--- a/operation/src/main/java/org/merlinwood/operation/log/JsonLogs.java
+++ b/operation/src/main/java/org/merlinwood/operation/log/JsonLogs.java
@@ -1,5 +1,7 @@
 package org.merlinwood.operation.log;
 
+import java.util.logging.LogRecord;
+
 import java.util.logging.Handler;
 import java.util.logging.Level;
 import java.util.logging.Logger;
@@ -36,7 +38,7 @@
         }
 
         @Override
-        public synchronized void publish(java.util.logging.LogRecord logRecord) {
+        public synchronized void publish(LogRecord logRecord) {
             super.publish(logRecord);
             flush();
         }
--- a/protocol/src/main/java/org/merlinwood/protocol/impl/HandshakeHandler.java
+++ b/protocol/src/main/java/org/merlinwood/protocol/impl/HandshakeHandler.java
@@ -1,5 +1,7 @@
 package org.merlinwood.protocol.impl;
 
+import org.merlinwood.protocol.WireValues;
+
 import com.google.common.flogger.FluentLogger;
 import com.google.protobuf.ByteString;
 import io.netty.channel.ChannelHandlerContext;
@@ -204,7 +206,7 @@
                 return;
             }
             NettyPeerConnection connection = succeed(context, acceptingIdentity);
-            connection.revisionsReceived(org.merlinwood.protocol.WireValues.fromWire(welcome.getRevisions()));
+            connection.revisionsReceived(WireValues.fromWire(welcome.getRevisions()));
             result.succeeded(connection);
         }
     }
@@ -280,7 +282,7 @@
             }
             shared.unauthenticatedEnded();
             Welcome welcome = Welcome.newBuilder()
-                    .setRevisions(org.merlinwood.protocol.WireValues.toWire(
+                    .setRevisions(WireValues.toWire(
                             shared.revisions().get()))
                     .build();
             context.writeAndFlush(Frame.newBuilder().setWelcome(welcome).build(), context.voidPromise());
--- a/protocol/src/test/java/org/merlinwood/protocol/PeerEndpointTest.java
+++ b/protocol/src/test/java/org/merlinwood/protocol/PeerEndpointTest.java
@@ -1,5 +1,7 @@
 package org.merlinwood.protocol;
 
+import java.nio.charset.StandardCharsets;
+
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.net.Socket;
@@ -119,7 +121,7 @@
                     Socket stranger = new Socket(
                             "127.0.0.1", pair.accepting.boundAddress().getPort());
                     strangers.add(stranger);
-                    stranger.getOutputStream().write(nonsense.getBytes(java.nio.charset.StandardCharsets.ISO_8859_1));
+                    stranger.getOutputStream().write(nonsense.getBytes(StandardCharsets.ISO_8859_1));
                 }
                 RecordingListener listener = new RecordingListener();
                 pair.connect().open(listener).send(release(7));
--- a/proving/src/main/java/org/merlinwood/proving/caller/RequestUnderway.java
+++ b/proving/src/main/java/org/merlinwood/proving/caller/RequestUnderway.java
@@ -1,5 +1,7 @@
 package org.merlinwood.proving.caller;
 
+import java.util.OptionalInt;
+
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
@@ -100,8 +102,8 @@
                 status,
                 read.code()
                         .or(() -> header("Merlinwood-Result-Code").map(Integer::valueOf))
-                        .map(java.util.OptionalInt::of)
-                        .orElse(java.util.OptionalInt.empty()),
+                        .map(OptionalInt::of)
+                        .orElse(OptionalInt.empty()),
                 read.execution().or(() -> header("Merlinwood-Execution")).orElse(""),
                 header("Merlinwood-Replayed").filter("true"::equals).isPresent(),
                 whole,
--- a/proving/src/main/java/org/merlinwood/proving/demo/DemoMain.java
+++ b/proving/src/main/java/org/merlinwood/proving/demo/DemoMain.java
@@ -1,5 +1,7 @@
 package org.merlinwood.proving.demo;
 
+import java.util.logging.LogManager;
+
 import java.io.IOException;
 import java.io.PrintStream;
 import java.net.InetSocketAddress;
@@ -142,6 +144,6 @@
     }
 
     private static void quietLogs() {
-        java.util.logging.LogManager.getLogManager().reset();
+        LogManager.getLogManager().reset();
     }
 }
--- a/proving/src/main/java/org/merlinwood/proving/fleet/FleetProbe.java
+++ b/proving/src/main/java/org/merlinwood/proving/fleet/FleetProbe.java
@@ -1,5 +1,7 @@
 package org.merlinwood.proving.fleet;
 
+import java.util.function.BooleanSupplier;
+
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -114,7 +116,7 @@
         return await(process, millis, () -> send("GET", address, "/", "").isPresent());
     }
 
-    private static boolean await(FleetProcess process, long millis, java.util.function.BooleanSupplier condition) {
+    private static boolean await(FleetProcess process, long millis, BooleanSupplier condition) {
         long deadlineMillis = SystemMillisClock.shared().monotonicMillis() + millis;
         while (SystemMillisClock.shared().monotonicMillis() < deadlineMillis && process.isAlive()) {
             if (condition.getAsBoolean()) {
--- a/proving/src/main/java/org/merlinwood/proving/prove/WholeAnswer.java
+++ b/proving/src/main/java/org/merlinwood/proving/prove/WholeAnswer.java
@@ -1,5 +1,7 @@
 package org.merlinwood.proving.prove;
 
+import java.util.Set;
+
 import java.util.List;
 import org.merlinwood.configuration.inventory.InstanceRole;
 import org.merlinwood.proving.caller.CallerAnswer;
@@ -100,7 +102,7 @@
     }
 
     private static long finished(Workbench bench, String digest) {
-        return bench.engineRuns(java.util.Set.of(digest)).stream()
+        return bench.engineRuns(Set.of(digest)).stream()
                 .filter(run -> run.outcome() == EngineRun.Outcome.FINISHED)
                 .count();
     }
--- a/proving/src/test/java/org/merlinwood/proving/caller/EventStreamReaderTest.java
+++ b/proving/src/test/java/org/merlinwood/proving/caller/EventStreamReaderTest.java
@@ -1,5 +1,7 @@
 package org.merlinwood.proving.caller;
 
+import java.util.Arrays;
+
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.nio.charset.StandardCharsets;
@@ -25,7 +27,7 @@
     void joinsTheTextOfAWholeStream(int partBytes) {
         byte[] bytes = STREAM.getBytes(StandardCharsets.UTF_8);
         for (int start = 0; start < bytes.length; start += partBytes) {
-            reader.read(java.util.Arrays.copyOfRange(bytes, start, Math.min(bytes.length, start + partBytes)));
+            reader.read(Arrays.copyOfRange(bytes, start, Math.min(bytes.length, start + partBytes)));
         }
         assertThat(reader.body().text()).isEqualTo(" one two");
         assertThat(reader.body().finishReason()).isEqualTo("length");
--- a/replay/src/main/java/org/merlinwood/replay/policy/FleetFakes.java
+++ b/replay/src/main/java/org/merlinwood/replay/policy/FleetFakes.java
@@ -1,5 +1,7 @@
 package org.merlinwood.replay.policy;
 
+import java.util.Locale;
+
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -129,7 +131,7 @@
         String domain =
                 fleet.failureDomains().get(number % fleet.failureDomains().size());
         return new Instance(
-                new InstanceName(role.name().toLowerCase(java.util.Locale.ROOT) + "-" + number),
+                new InstanceName(role.name().toLowerCase(Locale.ROOT) + "-" + number),
                 new NetworkAddress("127.0.0.1", PORT),
                 new FailureDomain(domain),
                 REGION,
--- a/replay/src/main/java/org/merlinwood/replay/policy/ModelDispatch.java
+++ b/replay/src/main/java/org/merlinwood/replay/policy/ModelDispatch.java
@@ -1,5 +1,7 @@
 package org.merlinwood.replay.policy;
 
+import org.merlinwood.replay.fake.DecodeStream;
+
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
@@ -301,7 +303,7 @@
     }
 
     /** Tells the decisions how long the transfer took, at the first token. */
-    private static final class MeasuredStream implements org.merlinwood.replay.fake.DecodeStream {
+    private static final class MeasuredStream implements DecodeStream {
         private final ModelRun run;
         private final PrefillResult cache;
         private final RoutingDecisions decisions;
--- a/sidecar/src/main/java/org/merlinwood/sidecar/admission/DemandFilter.java
+++ b/sidecar/src/main/java/org/merlinwood/sidecar/admission/DemandFilter.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 import java.util.function.BiConsumer;
 import org.merlinwood.core.identity.Revisions;
+import org.merlinwood.core.result.ExecutionState;
 import org.merlinwood.core.result.Failure;
 import org.merlinwood.core.result.ResultCode;
 import org.merlinwood.decision.idempotency.KeyDecision;
@@ -63,9 +64,25 @@
         return behind(connection, request)
                 .or(gate::refusal)
                 .or(() -> misplaced(view.get(), request))
+                .map(failure -> truthful(request, failure))
                 .or(() -> keyRefusal(request));
     }
 
+    /**
+     * Narrows what a refusal says of execution. It speaks of all calls with the same key, of which an earlier one may
+     * have run here.
+     *
+     * @param request the demand that is refused
+     * @param failure why
+     * @return the failure, with an unknown outcome unless the key would run here for the first time
+     */
+    Failure truthful(GrantRequest request, Failure failure) {
+        boolean hasKey =
+                Demands.isKeyed(request) && !request.getIdempotencyKey().isBlank();
+        boolean mayHaveRun = hasKey && !(keys.judge(Demands.keyedCall(request)) instanceof KeyDecision.Run);
+        return mayHaveRun ? failure.withExecutionState(ExecutionState.UNKNOWN) : failure;
+    }
+
     /**
      * Tells whether a demand takes anything of the upstream.
      *
--- a/sidecar/src/main/java/org/merlinwood/sidecar/admission/GrantStage.java
+++ b/sidecar/src/main/java/org/merlinwood/sidecar/admission/GrantStage.java
@@ -371,7 +371,7 @@
 
     private void refuse(OpenAttempt attempt, Failure failure) {
         count(failure);
-        attempt.channel().refused(failure);
+        attempt.channel().refused(filter.truthful(attempt.request(), failure));
     }
 
     /** Attempts whose suspicion is being asked about are not in the book yet. */
@@ -406,8 +406,7 @@
             case GrantEvent.Waiting waiting ->
                 find(waiting).ifPresent(attempt -> attempt.channel().send(queued(waiting)));
             case GrantEvent.Denied denied -> {
-                count(denied.failure());
-                take(denied).ifPresent(attempt -> attempt.channel().refused(denied.failure()));
+                take(denied).ifPresent(attempt -> refuse(attempt, denied.failure()));
             }
             case GrantEvent.Abandoned abandoned -> {
                 take(abandoned).ifPresent(attempt -> attempt.channel().failed(abandoned.failure()));
@@ -430,7 +429,7 @@
         burnt.removeIf(attempt -> book.knows(attempt.attempt()));
         burnt.forEach(attempt -> {
             open.remove(attempt.attempt());
-            attempt.channel().refused(failure);
+            refuse(attempt, failure);
         });
     }
 
--- a/sidecar/src/main/java/org/merlinwood/sidecar/upstream/EngineClient.java
+++ b/sidecar/src/main/java/org/merlinwood/sidecar/upstream/EngineClient.java
@@ -1,5 +1,7 @@
 package org.merlinwood.sidecar.upstream;
 
+import java.io.IOException;
+
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -244,7 +246,7 @@
     private static <T> Either<Failure, T> read(byte[] body, Class<T> type) {
         try {
             return Either.right(MAPPER.readValue(body, type));
-        } catch (java.io.IOException exception) {
+        } catch (IOException exception) {
             return Either.left(malformed("it is not the JSON that was due"));
         }
     }
--- a/sidecar/src/test/java/org/merlinwood/sidecar/AtMostOnceTest.java
+++ b/sidecar/src/test/java/org/merlinwood/sidecar/AtMostOnceTest.java
@@ -10,8 +10,10 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.merlinwood.configuration.inventory.InstanceRole;
+import org.merlinwood.configuration.inventory.InstanceState;
 import org.merlinwood.configuration.settings.SharedKey;
 import org.merlinwood.core.identity.Incarnation;
 import org.merlinwood.core.identity.ServiceName;
@@ -120,6 +122,20 @@
         assertThat(sidecar.process().state().keys().entries()).isZero();
     }
 
+    @ParameterizedTest
+    @EnumSource(
+            value = InstanceState.class,
+            names = {"DRAINING", "RETIRED"})
+    void anInstanceThatTakesNoWorkDoesNotDenyWhatItRan(InstanceState state) throws Exception {
+        String ran = mint();
+        String unused = mint();
+        book(1, ran, "");
+        sidecar.publishInventory(state);
+        SidecarFixture.await(() -> sidecar.process().state().inventoryRevision() == 2);
+        assertThat(refusal(ran).getExecution()).isEqualTo(Execution.UNKNOWN);
+        assertThat(refusal(unused).getExecution()).isEqualTo(Execution.NOT_RUN);
+    }
+
     @Test
     void aNonIdempotentCallWithoutAKeyIsRefused() throws Exception {
         assertThat(refusal(request(1, "").setNonIdempotent(true)).getCode())
--- a/sidecar/src/test/java/org/merlinwood/sidecar/HeldMemoryTest.java
+++ b/sidecar/src/test/java/org/merlinwood/sidecar/HeldMemoryTest.java
@@ -1,5 +1,7 @@
 package org.merlinwood.sidecar;
 
+import java.net.http.HttpClient;
+
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.net.InetSocketAddress;
@@ -106,7 +108,7 @@
         HttpRequest request = HttpRequest.newBuilder(uri)
                 .POST(HttpRequest.BodyPublishers.noBody())
                 .build();
-        try (java.net.http.HttpClient client = java.net.http.HttpClient.newHttpClient()) {
+        try (HttpClient client = HttpClient.newHttpClient()) {
             client.send(request, HttpResponse.BodyHandlers.discarding());
         }
     }
--- a/stand-ins/src/main/java/org/merlinwood/standin/engine/impl/PrefillQueue.java
+++ b/stand-ins/src/main/java/org/merlinwood/standin/engine/impl/PrefillQueue.java
@@ -1,5 +1,7 @@
 package org.merlinwood.standin.engine.impl;
 
+import java.util.concurrent.ExecutionException;
+
 import java.util.Comparator;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.PriorityBlockingQueue;
@@ -48,7 +50,7 @@
         work.onEnd(() -> job.done.complete(false));
         try {
             return job.done.get();
-        } catch (java.util.concurrent.ExecutionException exception) {
+        } catch (ExecutionException exception) {
             return false;
         } finally {
             work.onEnd(() -> {});
--- a/stand-ins/src/main/java/org/merlinwood/standin/impl/Ledger.java
+++ b/stand-ins/src/main/java/org/merlinwood/standin/impl/Ledger.java
@@ -1,5 +1,7 @@
 package org.merlinwood.standin.impl;
 
+import java.nio.charset.StandardCharsets;
+
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.nio.file.Files;
@@ -72,7 +74,7 @@
     private void load(Path path, Class<R> type) {
         try {
             Files.readAllLines(path).stream()
-                    .map(line -> Json.read(line.getBytes(java.nio.charset.StandardCharsets.UTF_8), type))
+                    .map(line -> Json.read(line.getBytes(StandardCharsets.UTF_8), type))
                     .forEach(run -> runs.put(run.sequence(), run));
         } catch (IOException exception) {
             throw new UncheckedIOException("the ledger could not be read", exception);
--- a/stand-ins/src/main/java/org/merlinwood/standin/impl/StandInServer.java
+++ b/stand-ins/src/main/java/org/merlinwood/standin/impl/StandInServer.java
@@ -1,5 +1,7 @@
 package org.merlinwood.standin.impl;
 
+import io.undertow.UndertowOptions;
+
 import io.undertow.Undertow;
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
@@ -52,7 +54,7 @@
                 .setIoThreads(IO_THREADS)
                 .setWorkerThreads(1)
                 .setBufferSize(BUFFER_BYTES)
-                .setServerOption(io.undertow.UndertowOptions.MAX_ENTITY_SIZE, MAXIMUM_BODY_BYTES)
+                .setServerOption(UndertowOptions.MAX_ENTITY_SIZE, MAXIMUM_BODY_BYTES)
                 .setHandler(this::dispatch)
                 .build();
         server.start();
--- a/stand-ins/src/main/java/org/merlinwood/standin/platform/ConfigurationService.java
+++ b/stand-ins/src/main/java/org/merlinwood/standin/platform/ConfigurationService.java
@@ -1,5 +1,7 @@
 package org.merlinwood.standin.platform;
 
+import java.util.List;
+
 import io.undertow.Handlers;
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
@@ -172,7 +174,7 @@
         }
         TimedList first = lists.peekFirst();
         boolean shown = first != null && first.shownFromMillis <= now;
-        return shown ? first.list : new InstanceList(java.util.List.of());
+        return shown ? first.list : new InstanceList(List.of());
     }
 
     private TimedList second() {
--- a/stand-ins/src/test/java/org/merlinwood/standin/network/ForwarderTest.java
+++ b/stand-ins/src/test/java/org/merlinwood/standin/network/ForwarderTest.java
@@ -1,5 +1,7 @@
 package org.merlinwood.standin.network;
 
+import java.net.InetSocketAddress;
+
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
@@ -28,7 +30,7 @@
     void start() throws IOException {
         target = new ServerSocket(0, 16, InetAddress.getLoopbackAddress());
         Thread.ofVirtual().start(this::echoAll);
-        forwarder = new Forwarder(Addresses.anyLoopback(), Addresses.anyLoopback(), (java.net.InetSocketAddress)
+        forwarder = new Forwarder(Addresses.anyLoopback(), Addresses.anyLoopback(), (InetSocketAddress)
                 target.getLocalSocketAddress());
     }
 
