A prefill instance that has computed nothing yet refuses no short queue

Cause: with one unit for each prompt computed at once, the grant book took 500 ms for each unit until it had learned otherwise, so of 12 prompts that came together it refused 8, though each takes milliseconds; entries spent their budgets for repeated attempts. Ruled out: the entry's forecasts, without which the same 8 of 24 streams started. Change: the assumption before the first hold is 50 ms for a prompt, and a unit out of few teaches as much as its share.

--- a/decision/src/main/java/org/merlinwood/decision/grant/GrantBook.java
+++ b/decision/src/main/java/org/merlinwood/decision/grant/GrantBook.java
@@ -73,6 +73,15 @@
         return serveQueue();
     }
 
+    /**
+     * Sets how long a unit is taken to be held until the first hold has ended; ignored afterwards.
+     *
+     * @param millis milliseconds
+     */
+    public void assumeHold(long millis) {
+        estimate.assume(millis);
+    }
+
     // ------------------------------------------------------------------ life-cycle
 
     /**
@@ -524,7 +533,7 @@
     private void observe(Holding holding) {
         int units = holding.grant().demand().units();
         if (units > 0) {
-            estimate.observe(units, clock.monotonicMillis() - holding.sinceMillis());
+            estimate.observe(units, clock.monotonicMillis() - holding.sinceMillis(), capacityUnits);
         }
     }
 
--- a/decision/src/main/java/org/merlinwood/decision/grant/impl/WaitEstimate.java
+++ b/decision/src/main/java/org/merlinwood/decision/grant/impl/WaitEstimate.java
@@ -12,16 +12,31 @@
     private static final double WEIGHT_OF_ONE_UNIT = 0.05;
     private static final double MAXIMUM_WEIGHT = 0.3;
 
+    private boolean isKnown;
     private double holdMillis = INITIAL_HOLD_MILLIS;
 
+    /**
+     * Sets what is assumed until the first hold has ended; ignored afterwards.
+     *
+     * @param millis how long a unit is taken to be held, in milliseconds
+     */
+    public void assume(long millis) {
+        if (!isKnown) {
+            holdMillis = millis;
+        }
+    }
+
     /**
      * Learns from a hold that ended.
      *
      * @param units units that were held
      * @param heldMillis how long, in milliseconds
+     * @param capacityUnits units in all, positive; one of few tells more than one of many
      */
-    public void observe(int units, long heldMillis) {
-        double weight = Math.min(MAXIMUM_WEIGHT, WEIGHT_OF_ONE_UNIT * units);
+    public void observe(int units, long heldMillis, int capacityUnits) {
+        isKnown = true;
+        double shareWeight = MAXIMUM_WEIGHT * units / Math.max(1, capacityUnits);
+        double weight = Math.min(MAXIMUM_WEIGHT, Math.max(shareWeight, WEIGHT_OF_ONE_UNIT * units));
         holdMillis += weight * (heldMillis - holdMillis);
     }
 
--- a/sidecar/src/main/java/org/merlinwood/sidecar/admission/GrantStage.java
+++ b/sidecar/src/main/java/org/merlinwood/sidecar/admission/GrantStage.java
@@ -96,6 +96,7 @@
         view = Optional.of(next);
         filter.configure(next);
         revisions = next.revisions();
+        next.firstHoldMillis().ifPresent(book::assumeHold);
         tell(book.configure(next.units(), next.limits().grantMillis()));
         if (next.takesWork() && !leaving) {
             book.resume();
--- a/sidecar/src/main/java/org/merlinwood/sidecar/admission/ServingView.java
+++ b/sidecar/src/main/java/org/merlinwood/sidecar/admission/ServingView.java
@@ -1,6 +1,7 @@
 package org.merlinwood.sidecar.admission;
 
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.merlinwood.configuration.inventory.Instance;
 import org.merlinwood.configuration.inventory.InstanceRole;
 import org.merlinwood.configuration.inventory.InstanceState;
@@ -21,6 +22,7 @@
 public record ServingView(ConfigurationInForce inForce, Optional<Instance> row) {
 
     private static final long DEFAULT_TIMEOUT_MILLIS = 30_000;
+    private static final long FIRST_PROMPT_MILLIS = 50;
 
     /**
      * Looks an instance up.
@@ -87,6 +89,16 @@
         return row.map(Instance::pieces).orElse(0);
     }
 
+    /**
+     * Returns how long a unit is taken to be held before the first was, where that is known to differ from the grant
+     * book's own assumption.
+     *
+     * @return milliseconds for a prompt that is computed, empty for other work
+     */
+    public OptionalLong firstHoldMillis() {
+        return hasRole(InstanceRole.PREFILL) ? OptionalLong.of(FIRST_PROMPT_MILLIS) : OptionalLong.empty();
+    }
+
     /**
      * Tells whether this instance does a kind of work.
      *
--- a/sidecar/src/main/java/org/merlinwood/sidecar/upstream/EngineClient.java
+++ b/sidecar/src/main/java/org/merlinwood/sidecar/upstream/EngineClient.java
@@ -1,11 +1,10 @@
 package org.merlinwood.sidecar.upstream;
 
-import java.io.IOException;
-
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import io.vavr.control.Either;
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.concurrent.CompletionStage;
 import org.merlinwood.configuration.inventory.InstanceRole;
--- a/sidecar/src/test/java/org/merlinwood/sidecar/HeldMemoryTest.java
+++ b/sidecar/src/test/java/org/merlinwood/sidecar/HeldMemoryTest.java
@@ -1,11 +1,10 @@
 package org.merlinwood.sidecar;
 
-import java.net.http.HttpClient;
-
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.net.InetSocketAddress;
 import java.net.URI;
+import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import org.junit.jupiter.api.AfterEach;
