--- a/decision/src/test/java/org/merlinwood/decision/grant/GrantQueueTest.java
+++ b/decision/src/test/java/org/merlinwood/decision/grant/GrantQueueTest.java
@@ -125,6 +125,18 @@
         assertThat(denied(book.advance(), attempt(2, 1))).isPresent();
     }
 
+    @ParameterizedTest
+    @CsvSource({"50, true", "500, false"})
+    void whatIsAssumedOfTheFirstHoldDecidesTheFirstQueue(long assumedMillis, boolean queued) {
+        book.configure(1, 1_000);
+        book.assumeHold(assumedMillis);
+        fixture.run(demand(1, 1));
+        for (int request = 2; request <= 12; request++) {
+            List<GrantEvent> events = book.request(new GrantDemand(SESSION, attempt(request, 1), 1, 0, 0, 1_000));
+            assertThat(denied(events, attempt(request, 1)).isEmpty()).isEqualTo(queued || request <= 3);
+        }
+    }
+
     @Test
     void refusesWhatNeverFits() {
         assertThat(denied(book.request(demand(1, UNITS + 1)), attempt(1, 1))
