--- a/architecture-tests/src/test/java/org/merlinwood/architecture/DependencyTest.java
+++ b/architecture-tests/src/test/java/org/merlinwood/architecture/DependencyTest.java
@@ -1,7 +1,5 @@
 package org.merlinwood.architecture;
 
-import java.time.Instant;
-
 import static com.tngtech.archunit.base.DescribedPredicate.not;
 import static com.tngtech.archunit.core.domain.JavaClass.Predicates.resideInAPackage;
 import static com.tngtech.archunit.core.domain.JavaClass.Predicates.resideInAnyPackage;
@@ -12,6 +10,7 @@
 import com.tngtech.archunit.core.domain.JavaClasses;
 import com.tngtech.archunit.core.importer.ClassFileImporter;
 import com.tngtech.archunit.core.importer.ImportOption;
+import java.time.Instant;
 import java.util.Arrays;
 import java.util.List;
 import java.util.stream.Stream;
--- a/command/src/test/java/org/merlinwood/command/CheckCommandTest.java
+++ b/command/src/test/java/org/merlinwood/command/CheckCommandTest.java
@@ -1,12 +1,11 @@
 package org.merlinwood.command;
 
-import java.util.stream.Stream;
-
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -24,8 +23,7 @@
     @Test
     void allExamplesAreGood() throws IOException {
         try (var files = Files.walk(BAGMATI.getParent())) {
-            Object[] arguments = Stream.concat(
-                            Stream.of("check"), files.filter(Files::isRegularFile))
+            Object[] arguments = Stream.concat(Stream.of("check"), files.filter(Files::isRegularFile))
                     .toArray();
             CommandRun run = CommandRun.of(arguments);
 
--- a/command/src/test/java/org/merlinwood/command/CommandRun.java
+++ b/command/src/test/java/org/merlinwood/command/CommandRun.java
@@ -1,9 +1,8 @@
 package org.merlinwood.command;
 
-import java.util.Arrays;
-
 import java.io.PrintWriter;
 import java.io.StringWriter;
+import java.util.Arrays;
 import picocli.CommandLine;
 
 /** One run of the command line and what it printed. */
@@ -15,8 +14,7 @@
         CommandLine commandLine = MerlinwoodCommand.commandLine()
                 .setOut(new PrintWriter(output, true))
                 .setErr(new PrintWriter(errors, true));
-        String[] texts =
-                Arrays.stream(arguments).map(Object::toString).toArray(String[]::new);
+        String[] texts = Arrays.stream(arguments).map(Object::toString).toArray(String[]::new);
         int status = commandLine.execute(texts);
         return new CommandRun(status, output.toString(), errors.toString());
     }
--- a/configuration/src/main/java/org/merlinwood/configuration/document/CrossCheck.java
+++ b/configuration/src/main/java/org/merlinwood/configuration/document/CrossCheck.java
@@ -1,8 +1,7 @@
 package org.merlinwood.configuration.document;
 
-import java.util.Comparator;
-
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
--- a/configuration/src/main/java/org/merlinwood/configuration/document/impl/InventoryDocument.java
+++ b/configuration/src/main/java/org/merlinwood/configuration/document/impl/InventoryDocument.java
@@ -1,17 +1,16 @@
 package org.merlinwood.configuration.document.impl;
 
-import java.util.Locale;
-import java.util.TreeSet;
-
 import io.vavr.control.Either;
 import java.util.ArrayList;
 import java.util.EnumSet;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.TreeSet;
 import org.merlinwood.configuration.document.DocumentErrors;
 import org.merlinwood.configuration.inventory.Instance;
 import org.merlinwood.configuration.inventory.InstanceRole;
--- a/configuration/src/main/java/org/merlinwood/configuration/document/impl/RowReader.java
+++ b/configuration/src/main/java/org/merlinwood/configuration/document/impl/RowReader.java
@@ -1,13 +1,12 @@
 package org.merlinwood.configuration.document.impl;
 
-import java.util.Map;
-
 import java.math.BigDecimal;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Function;
--- a/configuration/src/main/java/org/merlinwood/configuration/inventory/Inventory.java
+++ b/configuration/src/main/java/org/merlinwood/configuration/inventory/Inventory.java
@@ -1,7 +1,6 @@
 package org.merlinwood.configuration.inventory;
 
 import java.util.Collections;
-
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
--- a/entry/src/test/java/org/merlinwood/entry/AnswerTest.java
+++ b/entry/src/test/java/org/merlinwood/entry/AnswerTest.java
@@ -1,12 +1,11 @@
 package org.merlinwood.entry;
 
-import java.util.stream.Stream;
-
 import static org.assertj.core.api.Assertions.assertThat;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.net.http.HttpResponse;
 import java.util.List;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.merlinwood.configuration.inventory.InstanceRole;
@@ -50,8 +49,7 @@
 
     @Test
     void streamsACompletionAsEvents() throws Exception {
-        HttpResponse<Stream<String>> response =
-                fixture.stream("/v1/completions", EntryFixture.STREAMED);
+        HttpResponse<Stream<String>> response = fixture.stream("/v1/completions", EntryFixture.STREAMED);
 
         List<String> events =
                 response.body().filter(line -> line.startsWith("data: ")).toList();
--- a/entry/src/test/java/org/merlinwood/entry/CallerLeavesTest.java
+++ b/entry/src/test/java/org/merlinwood/entry/CallerLeavesTest.java
@@ -1,10 +1,9 @@
 package org.merlinwood.entry;
 
-import java.util.concurrent.TimeUnit;
-
 import static org.assertj.core.api.Assertions.assertThat;
 
 import com.google.protobuf.ByteString;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
--- a/entry/src/test/java/org/merlinwood/entry/ModelFailureTest.java
+++ b/entry/src/test/java/org/merlinwood/entry/ModelFailureTest.java
@@ -1,11 +1,10 @@
 package org.merlinwood.entry;
 
-import java.io.IOException;
-import java.io.UncheckedIOException;
-
 import static org.assertj.core.api.Assertions.assertThat;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.http.HttpResponse;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
--- a/entry/src/test/java/org/merlinwood/entry/PlainFailureTest.java
+++ b/entry/src/test/java/org/merlinwood/entry/PlainFailureTest.java
@@ -1,15 +1,11 @@
 package org.merlinwood.entry;
 
-import java.util.Optional;
-import org.merlinwood.protocol.WireValues;
-import org.merlinwood.wire.AnswerHead;
-import org.merlinwood.wire.RevisionPair;
-
 import static org.assertj.core.api.Assertions.assertThat;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.google.protobuf.ByteString;
 import java.net.http.HttpResponse;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -27,8 +23,11 @@
 import org.merlinwood.decision.idempotency.KeyHome;
 import org.merlinwood.following.ConfigurationInForce;
 import org.merlinwood.protocol.Exchange;
+import org.merlinwood.protocol.WireValues;
+import org.merlinwood.wire.AnswerHead;
 import org.merlinwood.wire.Frame;
 import org.merlinwood.wire.GrantUse;
+import org.merlinwood.wire.RevisionPair;
 
 /** What a caller of a plain service gets when sidecars and connections fail, and how often the call is executed. */
 class PlainFailureTest {
--- a/entry/src/test/java/org/merlinwood/entry/RawCaller.java
+++ b/entry/src/test/java/org/merlinwood/entry/RawCaller.java
@@ -1,10 +1,9 @@
 package org.merlinwood.entry;
 
-import java.net.InetSocketAddress;
-
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 
--- a/following/src/main/java/org/merlinwood/following/impl/HttpConfigurationService.java
+++ b/following/src/main/java/org/merlinwood/following/impl/HttpConfigurationService.java
@@ -1,11 +1,10 @@
 package org.merlinwood.following.impl;
 
-import java.io.IOException;
-
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import io.vavr.control.Either;
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.concurrent.CompletionStage;
--- a/following/src/main/java/org/merlinwood/following/impl/ReaderPlan.java
+++ b/following/src/main/java/org/merlinwood/following/impl/ReaderPlan.java
@@ -1,7 +1,6 @@
 package org.merlinwood.following.impl;
 
 import java.nio.charset.StandardCharsets;
-
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.Comparator;
--- a/following/src/test/java/org/merlinwood/following/impl/PeerFollowingTest.java
+++ b/following/src/test/java/org/merlinwood/following/impl/PeerFollowingTest.java
@@ -275,8 +275,8 @@
 
     @Test
     void aProcessCutOffFromPeersAndServiceCatchesUpAfterwards() {
-        ConfigurationService unreachable = (document, after, wait) ->
-                CompletableFuture.completedFuture(new ServiceAnswer.Unavailable("cut"));
+        ConfigurationService unreachable =
+                (document, after, wait) -> CompletableFuture.completedFuture(new ServiceAnswer.Unavailable("cut"));
         FollowerCore isolated = fleet.add(20, unreachable, SEEDS);
         fleet.timer.run(SETTLING_MILLIS);
         fleet.cut((from, to) -> from == 20);
--- a/http/src/main/java/org/merlinwood/http/impl/UndertowHttpClient.java
+++ b/http/src/main/java/org/merlinwood/http/impl/UndertowHttpClient.java
@@ -1,8 +1,5 @@
 package org.merlinwood.http.impl;
 
-import org.xnio.IoUtils;
-import org.xnio.XnioIoThread;
-
 import io.undertow.client.ClientCallback;
 import io.undertow.client.ClientConnection;
 import io.undertow.client.UndertowClient;
@@ -25,9 +22,11 @@
 import org.merlinwood.http.HttpClient;
 import org.merlinwood.http.HttpListener;
 import org.merlinwood.http.HttpStream;
+import org.xnio.IoUtils;
 import org.xnio.OptionMap;
 import org.xnio.Options;
 import org.xnio.Xnio;
+import org.xnio.XnioIoThread;
 import org.xnio.XnioWorker;
 
 /** The client on Undertow. Thread-safe; owns its I/O threads from construction to {@link #close()}. */
--- a/operation/src/main/java/org/merlinwood/operation/log/JsonLogs.java
+++ b/operation/src/main/java/org/merlinwood/operation/log/JsonLogs.java
@@ -1,9 +1,8 @@
 package org.merlinwood.operation.log;
 
-import java.util.logging.LogRecord;
-
 import java.util.logging.Handler;
 import java.util.logging.Level;
+import java.util.logging.LogRecord;
 import java.util.logging.Logger;
 import java.util.logging.StreamHandler;
 
--- a/protocol/src/main/java/org/merlinwood/protocol/impl/HandshakeHandler.java
+++ b/protocol/src/main/java/org/merlinwood/protocol/impl/HandshakeHandler.java
@@ -1,7 +1,5 @@
 package org.merlinwood.protocol.impl;
 
-import org.merlinwood.protocol.WireValues;
-
 import com.google.common.flogger.FluentLogger;
 import com.google.protobuf.ByteString;
 import io.netty.channel.ChannelHandlerContext;
@@ -15,6 +13,7 @@
 import org.merlinwood.protocol.AuthenticationKey;
 import org.merlinwood.protocol.PeerIdentity;
 import org.merlinwood.protocol.PeerRole;
+import org.merlinwood.protocol.WireValues;
 import org.merlinwood.wire.Challenge;
 import org.merlinwood.wire.Frame;
 import org.merlinwood.wire.Hello;
@@ -282,8 +281,7 @@
             }
             shared.unauthenticatedEnded();
             Welcome welcome = Welcome.newBuilder()
-                    .setRevisions(WireValues.toWire(
-                            shared.revisions().get()))
+                    .setRevisions(WireValues.toWire(shared.revisions().get()))
                     .build();
             context.writeAndFlush(Frame.newBuilder().setWelcome(welcome).build(), context.voidPromise());
             succeed(context, hello.getIdentity());
--- a/protocol/src/test/java/org/merlinwood/protocol/PeerEndpointTest.java
+++ b/protocol/src/test/java/org/merlinwood/protocol/PeerEndpointTest.java
@@ -1,10 +1,9 @@
 package org.merlinwood.protocol;
 
-import java.nio.charset.StandardCharsets;
-
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
--- a/proving/src/main/java/org/merlinwood/proving/caller/RequestUnderway.java
+++ b/proving/src/main/java/org/merlinwood/proving/caller/RequestUnderway.java
@@ -1,11 +1,10 @@
 package org.merlinwood.proving.caller;
 
-import java.util.OptionalInt;
-
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import org.merlinwood.core.result.Failure;
--- a/proving/src/main/java/org/merlinwood/proving/demo/DemoMain.java
+++ b/proving/src/main/java/org/merlinwood/proving/demo/DemoMain.java
@@ -1,7 +1,5 @@
 package org.merlinwood.proving.demo;
 
-import java.util.logging.LogManager;
-
 import java.io.IOException;
 import java.io.PrintStream;
 import java.net.InetSocketAddress;
@@ -9,6 +7,7 @@
 import java.util.Optional;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CountDownLatch;
+import java.util.logging.LogManager;
 import org.merlinwood.proving.caller.CallerAnswer;
 import org.merlinwood.proving.caller.CallerClient;
 import org.merlinwood.proving.fleet.Fleet;
--- a/proving/src/main/java/org/merlinwood/proving/fleet/FleetProbe.java
+++ b/proving/src/main/java/org/merlinwood/proving/fleet/FleetProbe.java
@@ -1,7 +1,5 @@
 package org.merlinwood.proving.fleet;
 
-import java.util.function.BooleanSupplier;
-
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -11,6 +9,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
 import java.util.concurrent.ExecutionException;
+import java.util.function.BooleanSupplier;
 import org.merlinwood.core.time.SystemMillisClock;
 import org.merlinwood.http.ConnectionUse;
 import org.merlinwood.http.HttpAnswer;
--- a/proving/src/main/java/org/merlinwood/proving/prove/WholeAnswer.java
+++ b/proving/src/main/java/org/merlinwood/proving/prove/WholeAnswer.java
@@ -1,8 +1,7 @@
 package org.merlinwood.proving.prove;
 
-import java.util.Set;
-
 import java.util.List;
+import java.util.Set;
 import org.merlinwood.configuration.inventory.InstanceRole;
 import org.merlinwood.proving.caller.CallerAnswer;
 import org.merlinwood.proving.fleet.Sidecar;
--- a/proving/src/test/java/org/merlinwood/proving/caller/EventStreamReaderTest.java
+++ b/proving/src/test/java/org/merlinwood/proving/caller/EventStreamReaderTest.java
@@ -1,10 +1,9 @@
 package org.merlinwood.proving.caller;
 
-import java.util.Arrays;
-
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
--- a/replay/src/main/java/org/merlinwood/replay/policy/FleetFakes.java
+++ b/replay/src/main/java/org/merlinwood/replay/policy/FleetFakes.java
@@ -1,10 +1,9 @@
 package org.merlinwood.replay.policy;
 
-import java.util.Locale;
-
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import org.merlinwood.configuration.inventory.Instance;
 import org.merlinwood.configuration.inventory.InstanceRole;
--- a/replay/src/main/java/org/merlinwood/replay/policy/ModelDispatch.java
+++ b/replay/src/main/java/org/merlinwood/replay/policy/ModelDispatch.java
@@ -1,7 +1,5 @@
 package org.merlinwood.replay.policy;
 
-import org.merlinwood.replay.fake.DecodeStream;
-
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
@@ -11,6 +9,7 @@
 import org.merlinwood.core.identity.InstanceName;
 import org.merlinwood.decision.placement.LoadObservation;
 import org.merlinwood.replay.fake.Ask;
+import org.merlinwood.replay.fake.DecodeStream;
 import org.merlinwood.replay.fake.GrantListener;
 import org.merlinwood.replay.fake.PrefillResult;
 import org.merlinwood.replay.fake.PrefillWork;
--- a/stand-ins/src/main/java/org/merlinwood/standin/engine/impl/PrefillQueue.java
+++ b/stand-ins/src/main/java/org/merlinwood/standin/engine/impl/PrefillQueue.java
@@ -1,9 +1,8 @@
 package org.merlinwood.standin.engine.impl;
 
-import java.util.concurrent.ExecutionException;
-
 import java.util.Comparator;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.PriorityBlockingQueue;
 import java.util.concurrent.atomic.AtomicLong;
 import org.merlinwood.standin.impl.Sleep;
--- a/stand-ins/src/main/java/org/merlinwood/standin/impl/Ledger.java
+++ b/stand-ins/src/main/java/org/merlinwood/standin/impl/Ledger.java
@@ -1,9 +1,8 @@
 package org.merlinwood.standin.impl;
 
-import java.nio.charset.StandardCharsets;
-
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardOpenOption;
--- a/stand-ins/src/main/java/org/merlinwood/standin/impl/StandInServer.java
+++ b/stand-ins/src/main/java/org/merlinwood/standin/impl/StandInServer.java
@@ -1,8 +1,7 @@
 package org.merlinwood.standin.impl;
 
-import io.undertow.UndertowOptions;
-
 import io.undertow.Undertow;
+import io.undertow.UndertowOptions;
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.server.ServerConnection;
--- a/stand-ins/src/main/java/org/merlinwood/standin/platform/ConfigurationService.java
+++ b/stand-ins/src/main/java/org/merlinwood/standin/platform/ConfigurationService.java
@@ -1,7 +1,5 @@
 package org.merlinwood.standin.platform;
 
-import java.util.List;
-
 import io.undertow.Handlers;
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
@@ -10,6 +8,7 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import org.merlinwood.core.time.MillisClock;
--- a/stand-ins/src/test/java/org/merlinwood/standin/network/ForwarderTest.java
+++ b/stand-ins/src/test/java/org/merlinwood/standin/network/ForwarderTest.java
@@ -1,12 +1,11 @@
 package org.merlinwood.standin.network;
 
-import java.net.InetSocketAddress;
-
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import java.io.IOException;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
@@ -30,8 +29,8 @@
     void start() throws IOException {
         target = new ServerSocket(0, 16, InetAddress.getLoopbackAddress());
         Thread.ofVirtual().start(this::echoAll);
-        forwarder = new Forwarder(Addresses.anyLoopback(), Addresses.anyLoopback(), (InetSocketAddress)
-                target.getLocalSocketAddress());
+        forwarder = new Forwarder(
+                Addresses.anyLoopback(), Addresses.anyLoopback(), (InetSocketAddress) target.getLocalSocketAddress());
     }
 
     @AfterEach
