--- a/sidecar/src/test/java/org/merlinwood/sidecar/AtMostOnceTest.java
+++ b/sidecar/src/test/java/org/merlinwood/sidecar/AtMostOnceTest.java
@@ -36,6 +36,7 @@
 
     private PlainService service;
     private SidecarFixture sidecar;
+    private int mintedKeys;
 
     @BeforeEach
     void open() throws Exception {
@@ -220,7 +221,7 @@
                         incarnation,
                         SidecarFixture.CALLER,
                         System.currentTimeMillis(),
-                        9,
+                        ++mintedKeys,
                         SECRET)
                 .value();
     }
