Gateway: an entry before upstreams that admit work by themselves, and the users' platform as its adapter

The product so far reaches upstreams through sidecars only. On the users' platform each runner admits work by itself, so the entry speaks to it directly: reserve memory, compute the prompt elsewhere, generate, with each call bound to one life of the runner.

gateway holds routes, fleet state, the follower of the store, decisions and the courses of requests; platform holds names and formats.

--- /dev/null
+++ b/gateway/src/main/java/org/merlinwood/gateway/fleet/package-info.java
@@ -0,0 +1,2 @@
+/** The upstream instances that the registry names, and the newest state of each. */
+package org.merlinwood.gateway.fleet;
--- /dev/null
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/PlainCourse.java
@@ -0,0 +1,196 @@
+package org.merlinwood.gateway.front;
+
+import java.io.ByteArrayOutputStream;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import org.merlinwood.core.result.ExecutionState;
+import org.merlinwood.core.result.Failure;
+import org.merlinwood.core.result.ResultCode;
+import org.merlinwood.gateway.decision.AttemptOutcome;
+import org.merlinwood.gateway.decision.CrashBook;
+import org.merlinwood.gateway.decision.NextStep;
+import org.merlinwood.gateway.decision.RepeatPolicy;
+import org.merlinwood.gateway.fleet.UpstreamInstance;
+import org.merlinwood.gateway.request.CallerRequest;
+import org.merlinwood.gateway.route.Route;
+import org.merlinwood.gateway.upstream.AnswerHead;
+import org.merlinwood.gateway.upstream.RunTerms;
+import org.merlinwood.http.HttpCall;
+import org.merlinwood.http.HttpHeader;
+import org.merlinwood.http.HttpListener;
+import org.merlinwood.http.HttpStream;
+
+/** The course of a plain request: one call at a time, its answer read whole before the caller sees any of it. */
+final class PlainCourse extends Course {
+
+    /** Longest time for a connection, in milliseconds: many round trips within a region, and lost packets aside. */
+    private static final long CONNECT_LIMIT_MILLIS = 120;
+
+    /** Least silence before an idempotent call is tried elsewhere, in milliseconds. */
+    private static final long LEAST_SILENCE_MILLIS = 300;
+
+    /** When to come back after a refusal, in milliseconds: a pause of an instance ends meanwhile. */
+    private static final long RETRY_AFTER_MILLIS = 150;
+
+    private final Set<String> tried = new HashSet<>();
+    private int sent;
+    private int unreached;
+    private Optional<Call> current = Optional.empty();
+
+    PlainCourse(CourseContext context, CallerRequest request, Route route, CallerChannel channel) {
+        super(context, request, route, channel);
+    }
+
+    @Override
+    void advance() {
+        Optional<UpstreamInstance> choice = context.pool().choosePlain(service, tried);
+        if (choice.isEmpty()) {
+            fail(ResultCode.NO_INSTANCE, RETRY_AFTER_MILLIS, "no instance is left to try");
+            return;
+        }
+        send(choice.get());
+    }
+
+    @Override
+    void abandon() {
+        current.ifPresent(Call::cancel);
+    }
+
+    @Override
+    ResultCode codeAtTimeout() {
+        return sent == 0 && current.isEmpty() ? ResultCode.NO_CAPACITY : ResultCode.DEADLINE_PASSED;
+    }
+
+    private void send(UpstreamInstance instance) {
+        tried.add(instance.identifier());
+        note("send")
+                .with("instance", instance.identifier())
+                .with("attemptsBefore", sent)
+                .write();
+        RunTerms terms = new RunTerms(timeForUpstream(), Optional.empty(), Optional.empty(), OptionalLong.empty());
+        HttpCall call =
+                context.protocol().run(instance, request, terms).withTimeouts(CONNECT_LIMIT_MILLIS, silenceLimit());
+        Call next = new Call(instance);
+        current = Optional.of(next);
+        context.pool().begin(instance.identifier(), 1);
+        next.stream = Optional.of(context.client().send(call, next));
+    }
+
+    /** A call that can be tried elsewhere isn't waited for to the end. */
+    private long silenceLimit() {
+        boolean canRepeat = route.repeatable() && sent + 1 < route.maximumAttempts();
+        return canRepeat ? Math.max(LEAST_SILENCE_MILLIS, timeLeft() / 2) : Math.max(1, timeLeft());
+    }
+
+    private void settle(Call call, AttemptOutcome outcome) {
+        current = Optional.empty();
+        if (isOver()) {
+            return;
+        }
+        if (outcome instanceof AttemptOutcome.Unreached) {
+            unreached++;
+        } else {
+            sent++;
+        }
+        NextStep step = RepeatPolicy.after(
+                outcome, route, sent, unreached, () -> context.allowance().take(service));
+        note("attempt ended")
+                .with("instance", call.instance.identifier())
+                .with("outcome", outcome.toString())
+                .with("next", step.toString())
+                .write();
+        switch (step) {
+            case NextStep.Deliver deliver ->
+                deliver(call.head.status(), call.head.forwardedHeaders(), call.body.toByteArray(), call.instance);
+            case NextStep.Repeat repeat -> advance();
+            case NextStep.Fail failure -> fail(failure.code(), RETRY_AFTER_MILLIS, outcome.toString());
+        }
+    }
+
+    /** One call to one instance. */
+    private final class Call implements HttpListener {
+
+        private final UpstreamInstance instance;
+        private final long startedMillis = context.clock().monotonicMillis();
+        private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+        private Optional<HttpStream> stream = Optional.empty();
+        private AnswerHead head;
+        private boolean ended;
+
+        private Call(UpstreamInstance instance) {
+            this.instance = instance;
+        }
+
+        private void cancel() {
+            stream.ifPresent(HttpStream::cancel);
+        }
+
+        @Override
+        public void onHead(int status, List<HttpHeader> headers) {
+            head = context.protocol().readHead(status, headers);
+            head.load().ifPresent(load -> context.pool().told(instance.identifier(), load));
+        }
+
+        @Override
+        public void onBytes(byte[] bytes) {
+            body.writeBytes(bytes);
+        }
+
+        @Override
+        public void onEnd() {
+            if (!release()) {
+                return;
+            }
+            settle(this, judge());
+        }
+
+        private AttemptOutcome judge() {
+            if (head.notRun()) {
+                return new AttemptOutcome.Declined(head.status());
+            }
+            boolean ours = head.attempt().equals(request.attempt()) && head.signed() && !head.encoded();
+            if (!ours) {
+                context.pool().answeredError(instance.identifier());
+                return new AttemptOutcome.Broken(
+                        Failure.of(ResultCode.UPSTREAM_MALFORMED, "the answer is not one to this request"));
+            }
+            if (head.status() >= 500) {
+                context.pool().answeredError(instance.identifier());
+            } else {
+                context.pool().succeeded(instance.identifier(), context.clock().monotonicMillis() - startedMillis);
+                context.crashes().survived(CrashBook.fingerprint(request));
+            }
+            return new AttemptOutcome.Answered(head.status());
+        }
+
+        @Override
+        public void onFailure(Failure failure) {
+            if (!release() || isOver()) {
+                return;
+            }
+            long pause = context.pool().failed(instance.identifier());
+            note("instance paused")
+                    .with("instance", instance.identifier())
+                    .with("pauseMillis", pause)
+                    .with("reason", failure.detail())
+                    .write();
+            boolean notRun = failure.executionState() == ExecutionState.NOT_RUN;
+            if (!notRun && failure.code() != ResultCode.UPSTREAM_TIMEOUT) {
+                context.crashes().lost(CrashBook.fingerprint(request), instance.identifier());
+            }
+            settle(this, notRun ? new AttemptOutcome.Unreached(failure) : new AttemptOutcome.Broken(failure));
+        }
+
+        private boolean release() {
+            if (ended) {
+                return false;
+            }
+            ended = true;
+            context.pool().end(instance.identifier(), 1);
+            return true;
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/RequestDesk.java
@@ -0,0 +1,81 @@
+package org.merlinwood.gateway.front;
+
+import java.util.Optional;
+import org.merlinwood.core.result.ResultCode;
+import org.merlinwood.gateway.decision.CrashBook;
+import org.merlinwood.gateway.request.CallerRequest;
+import org.merlinwood.gateway.request.Prompt;
+import org.merlinwood.gateway.route.RequestKind;
+import org.merlinwood.gateway.route.Route;
+import org.merlinwood.gateway.route.RouteTable;
+import org.merlinwood.gateway.route.UpstreamService;
+
+/** Gives each request that was read whole its course. Used by the event loop alone. */
+final class RequestDesk {
+
+    /** When to come back to an entry that knows no routes yet, in milliseconds: it reads them in a few round trips. */
+    private static final long NOT_READY_RETRY_MILLIS = 200;
+
+    private final CourseContext context;
+
+    RequestDesk(CourseContext context) {
+        this.context = context;
+    }
+
+    void accept(CallerRequest request, CallerChannel channel) {
+        Optional<RouteTable> routes = context.fleet().routes();
+        if (routes.isEmpty()) {
+            refuse(request, channel, ResultCode.NOT_READY, NOT_READY_RETRY_MILLIS);
+            return;
+        }
+        Optional<Route> route = routes.get().match(request.host(), request.path());
+        if (route.isEmpty()) {
+            refuse(request, channel, ResultCode.UNKNOWN_ROUTE, 0);
+            return;
+        }
+        if (context.crashes().barred(CrashBook.fingerprint(request))) {
+            refuse(request, channel, ResultCode.NO_INSTANCE, 0);
+            return;
+        }
+        start(request, channel, routes.get(), route.get());
+    }
+
+    private void start(CallerRequest request, CallerChannel channel, RouteTable routes, Route route) {
+        context.log()
+                .line("accepted")
+                .with("request", request.attempt())
+                .with("route", route.name())
+                .with("routesVersion", routes.version())
+                .with("timeLeftMillis", request.timeLeftMillis().orElse(-1))
+                .write();
+        Optional<Prompt> prompt = request.prompt();
+        if (route.kind() == RequestKind.STREAM && prompt.isPresent()) {
+            UpstreamService service = routes.services().get(route.serviceFor(request.attempt()));
+            new StreamCourse(
+                            context,
+                            request,
+                            route,
+                            channel,
+                            prompt.get(),
+                            Optional.ofNullable(service).flatMap(UpstreamService::engine))
+                    .start();
+        } else {
+            new PlainCourse(context, request, route, channel).start();
+        }
+    }
+
+    private void refuse(CallerRequest request, CallerChannel channel, ResultCode code, long retryAfterMillis) {
+        context.log()
+                .line("refused")
+                .with("request", request.attempt())
+                .with("host", request.host())
+                .with("path", request.path())
+                .with("code", code.number())
+                .with(
+                        "routesVersion",
+                        context.fleet().routes().map(RouteTable::version).orElse(-1L))
+                .write();
+        context.metrics().count("refused_" + code.name());
+        Course.Refusal.send(channel, code, retryAfterMillis);
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/StreamCourse.java
@@ -0,0 +1,508 @@
+package org.merlinwood.gateway.front;
+
+import io.vavr.control.Either;
+import java.io.ByteArrayOutputStream;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import org.merlinwood.core.result.ExecutionState;
+import org.merlinwood.core.result.Failure;
+import org.merlinwood.core.result.ResultCode;
+import org.merlinwood.gateway.decision.AttemptOutcome;
+import org.merlinwood.gateway.decision.CrashBook;
+import org.merlinwood.gateway.decision.NextStep;
+import org.merlinwood.gateway.decision.RepeatPolicy;
+import org.merlinwood.gateway.decision.StreamPatience;
+import org.merlinwood.gateway.fleet.UpstreamInstance;
+import org.merlinwood.gateway.request.CallerRequest;
+import org.merlinwood.gateway.request.Prompt;
+import org.merlinwood.gateway.route.EngineLimits;
+import org.merlinwood.gateway.route.Route;
+import org.merlinwood.gateway.upstream.AnswerHead;
+import org.merlinwood.gateway.upstream.PrefillResult;
+import org.merlinwood.gateway.upstream.RunTerms;
+import org.merlinwood.http.HttpAnswer;
+import org.merlinwood.http.HttpCall;
+import org.merlinwood.http.HttpHeader;
+import org.merlinwood.http.HttpListener;
+import org.merlinwood.http.HttpStream;
+
+/**
+ * The course of a streamed request: reserve memory where the answer is generated, have the prompt computed, generate.
+ *
+ * <p>Memory is reserved first because it is what is scarce: a computed prompt without a place to go is wasted. A stream
+ * that breaks goes on at another instance behind its last whole event where its route allows that.
+ */
+final class StreamCourse extends Course {
+
+    /** Longest time for a connection, in milliseconds: many round trips within a region. */
+    private static final long CONNECT_LIMIT_MILLIS = 120;
+
+    /** Longest silence of a reservation, in milliseconds: it needs no slot and no work. */
+    private static final long HOLD_LIMIT_MILLIS = 200;
+
+    /** Longest silence of a prefill beyond its own work, in milliseconds. */
+    private static final long PREFILL_SLACK_MILLIS = 400;
+
+    /** Tokens that a prefill instance computes in a millisecond at least, with a few prompts in its queue. */
+    private static final long PREFILL_TOKENS_PER_MILLI = 10;
+
+    /** Silence after which a stream that may be resumed is taken elsewhere, in milliseconds. */
+    private static final long SILENCE_LIMIT_MILLIS = 1_200;
+
+    private final Prompt prompt;
+    private final long holdMillis;
+    private final EventSplitter events = new EventSplitter();
+    private final Set<String> full = new HashSet<>();
+    private final Set<String> triedPrefills = new HashSet<>();
+    private Optional<HttpStream> call = Optional.empty();
+    private Optional<Work> work = Optional.empty();
+    private Optional<Hold> hold = Optional.empty();
+    private Optional<PrefillResult> prefill = Optional.empty();
+    private int sent;
+    private int unreached;
+    private boolean begun;
+    private boolean running;
+    private long interruptedMillis;
+
+    /** A reservation that was not used yet. */
+    private record Hold(UpstreamInstance instance, String name) {}
+
+    /** Work that counts as this entry's load at an instance. */
+    private record Work(String instance, int tokens) {}
+
+    StreamCourse(
+            CourseContext context,
+            CallerRequest request,
+            Route route,
+            CallerChannel channel,
+            Prompt prompt,
+            Optional<EngineLimits> limits) {
+        super(context, request, route, channel);
+        this.prompt = prompt;
+        this.holdMillis = limits.map(EngineLimits::holdMillis).orElse(0L);
+    }
+
+    // ------------------------------------------------------------------ memory
+
+    @Override
+    void advance() {
+        Optional<UpstreamInstance> choice = context.pool().chooseDecode(service, prompt.totalTokens(), full);
+        if (choice.isEmpty()) {
+            waitForRoom();
+        } else if (holdMillis > 0) {
+            reserve(choice.get());
+        } else {
+            computePrompt(choice.get());
+        }
+    }
+
+    private void reserve(UpstreamInstance instance) {
+        HttpCall reservation = context.protocol()
+                .hold(instance, prompt.totalTokens(), holdMillis)
+                .withTimeouts(CONNECT_LIMIT_MILLIS, HOLD_LIMIT_MILLIS);
+        beginWork(instance, prompt.totalTokens());
+        call = Optional.of(context.client().call(reservation, result -> onReservation(instance, result)));
+    }
+
+    private void onReservation(UpstreamInstance instance, Either<Failure, HttpAnswer> result) {
+        if (isOver()) {
+            result.forEach(
+                    answer -> context.protocol().readHold(answer).ifPresent(name -> release(new Hold(instance, name))));
+            return;
+        }
+        call = Optional.empty();
+        result.peekLeft(failure -> pause(instance, failure));
+        Optional<String> name = result.fold(failure -> Optional.empty(), context.protocol()::readHold);
+        note(name.isPresent() ? "memory reserved" : "no memory")
+                .with("instance", instance.identifier())
+                .with("tokens", prompt.totalTokens())
+                .with("answer", result.fold(Failure::detail, answer -> "status " + answer.status()))
+                .write();
+        if (name.isEmpty()) {
+            endWork();
+            full.add(instance.identifier());
+            advance();
+            return;
+        }
+        hold = Optional.of(new Hold(instance, name.get()));
+        if (prefill.isPresent()) {
+            generate(instance);
+        } else {
+            computePrompt(instance);
+        }
+    }
+
+    private void waitForRoom() {
+        StreamPatience.Verdict verdict = StreamPatience.judge(
+                elapsed(),
+                route.targetMillis(),
+                timeLeft(),
+                interruptedFor(),
+                context.clock().monotonicMillis());
+        note("no room")
+                .with("instancesTried", full.size())
+                .with("next", verdict.toString())
+                .write();
+        full.clear();
+        switch (verdict) {
+            case StreamPatience.Verdict.AskAgain again ->
+                context.loop().schedule(again.afterMillis(), () -> {
+                    if (!isOver()) {
+                        advance();
+                    }
+                });
+            case StreamPatience.Verdict.Refuse refuse -> giveUp(refuse.retryAfterMillis());
+        }
+    }
+
+    /** Milliseconds since a stream that has begun was interrupted, or -1. */
+    private long interruptedFor() {
+        return begun ? context.clock().monotonicMillis() - interruptedMillis : -1;
+    }
+
+    private void giveUp(long retryAfterMillis) {
+        if (begun) {
+            breakOff("no instance has room to go on");
+        } else {
+            fail(ResultCode.NO_CAPACITY, retryAfterMillis, "no instance has room");
+        }
+    }
+
+    // ------------------------------------------------------------------ prompt
+
+    private void computePrompt(UpstreamInstance decode) {
+        Optional<UpstreamInstance> choice =
+                context.pool().choosePrefill(service, decode.domain(), prompt.promptTokens(), triedPrefills);
+        boolean repeated = !triedPrefills.isEmpty();
+        if (choice.isEmpty() || (repeated && !context.allowance().take(service))) {
+            generate(decode);
+            return;
+        }
+        UpstreamInstance instance = choice.get();
+        triedPrefills.add(instance.identifier());
+        note("prefill")
+                .with("instance", instance.identifier())
+                .with("for", decode.identifier())
+                .write();
+        long startedMillis = context.clock().monotonicMillis();
+        HttpCall prefillCall = context.protocol()
+                .prefill(instance, request, Math.max(1, timeLeft()))
+                .withTimeouts(
+                        CONNECT_LIMIT_MILLIS, PREFILL_SLACK_MILLIS + prompt.promptTokens() / PREFILL_TOKENS_PER_MILLI);
+        context.pool().begin(instance.identifier(), prompt.promptTokens());
+        call = Optional.of(context.client().call(prefillCall, result -> {
+            context.pool().end(instance.identifier(), prompt.promptTokens());
+            onPrompt(decode, instance, context.clock().monotonicMillis() - startedMillis, result);
+        }));
+    }
+
+    private void onPrompt(
+            UpstreamInstance decode, UpstreamInstance instance, long tookMillis, Either<Failure, HttpAnswer> result) {
+        Optional<PrefillResult> computed = result.fold(
+                failure -> Optional.empty(), answer -> context.protocol().readPrefill(instance, answer));
+        if (isOver()) {
+            computed.ifPresent(this::release);
+            return;
+        }
+        call = Optional.empty();
+        result.peekLeft(failure -> pause(instance, failure));
+        note(computed.isPresent() ? "prompt computed" : "prefill failed")
+                .with("instance", instance.identifier())
+                .with("tookMillis", tookMillis)
+                .with("answer", result.fold(Failure::detail, answer -> "status " + answer.status()))
+                .write();
+        prefill = computed;
+        if (computed.isEmpty()) {
+            computePrompt(decode);
+            return;
+        }
+        context.pool().succeeded(instance.identifier(), tookMillis);
+        context.metrics().took("prefill_milliseconds", tookMillis);
+        generate(decode);
+    }
+
+    // ------------------------------------------------------------------ answer
+
+    private void generate(UpstreamInstance instance) {
+        if (context.crashes().barred(CrashBook.fingerprint(request))) {
+            fail(ResultCode.NO_INSTANCE, 0, "earlier runs of this request lost their instances");
+            return;
+        }
+        RunTerms terms = new RunTerms(
+                timeForUpstream(),
+                hold.map(Hold::name),
+                prefill,
+                begun ? events.lastEvent().isPresent() ? events.lastEvent() : OptionalLong.of(0) : request.lastEvent());
+        note("send")
+                .with("instance", instance.identifier())
+                .with("attemptsBefore", sent)
+                .with(
+                        "prefill",
+                        prefill.map(result -> result.instance().identifier()).orElse("none"))
+                .with("behindEvent", terms.lastEvent().orElse(-1))
+                .write();
+        HttpCall run = context.protocol()
+                .run(instance, request, terms)
+                .withTimeouts(CONNECT_LIMIT_MILLIS, route.resumable() ? SILENCE_LIMIT_MILLIS : Math.max(1, timeLeft()));
+        if (work.isEmpty()) {
+            beginWork(instance, prompt.totalTokens());
+        }
+        running = true;
+        Generation generation = new Generation(instance, prefill);
+        hold = Optional.empty();
+        prefill = Optional.empty();
+        call = Optional.of(context.client().send(run, generation));
+    }
+
+    private void settle(Generation generation, AttemptOutcome outcome) {
+        call = Optional.empty();
+        running = false;
+        interruptedMillis = context.clock().monotonicMillis();
+        endWork();
+        if (isOver()) {
+            return;
+        }
+        boolean handleLost = outcome instanceof AttemptOutcome.Declined && generation.source.isPresent();
+        if (outcome instanceof AttemptOutcome.Unreached) {
+            unreached++;
+            prefill = generation.source;
+            full.add(generation.instance.identifier());
+        } else if (!handleLost) {
+            sent++;
+        }
+        NextStep step = handleLost
+                ? afterLostPrompt()
+                : RepeatPolicy.after(
+                        outcome,
+                        route,
+                        sent,
+                        unreached,
+                        () -> context.allowance().take(service));
+        note("attempt ended")
+                .with("instance", generation.instance.identifier())
+                .with("outcome", outcome.toString())
+                .with("next", step.toString())
+                .write();
+        follow(generation, outcome, step, handleLost);
+    }
+
+    private void follow(Generation generation, AttemptOutcome outcome, NextStep step, boolean handleLost) {
+        switch (step) {
+            case NextStep.Deliver deliver ->
+                deliver(
+                        generation.head.status(),
+                        generation.head.forwardedHeaders(),
+                        generation.body.toByteArray(),
+                        generation.instance);
+            case NextStep.Repeat repeat -> {
+                if (handleLost) {
+                    generate(generation.instance);
+                } else {
+                    triedPrefills.clear();
+                    advance();
+                }
+            }
+            case NextStep.Fail failure -> {
+                if (begun) {
+                    breakOff(outcome.toString());
+                } else {
+                    fail(
+                            failure.code(),
+                            StreamPatience.retryAfterMillis(
+                                    timeLeft(), context.clock().monotonicMillis()),
+                            outcome.toString());
+                }
+            }
+        }
+    }
+
+    /** The instance declined since the computed prompt was gone: it may compute the prompt by itself. */
+    private NextStep afterLostPrompt() {
+        return context.allowance().take(service)
+                ? new NextStep.Repeat()
+                : new NextStep.Fail(ResultCode.TRANSFER_FAILED);
+    }
+
+    private void breakOff(String reason) {
+        if (finish()) {
+            abandon();
+            note("broken off").with("reason", reason).write();
+            context.metrics().count("streams_broken_off");
+            channel.breakOff();
+        }
+    }
+
+    private void complete(Generation generation) {
+        context.crashes().survived(CrashBook.fingerprint(request));
+        context.pool().succeeded(generation.instance.identifier(), generation.millisPerEvent());
+        if (!finish()) {
+            return;
+        }
+        endWork();
+        note("answered")
+                .with("status", generation.head.status())
+                .with("instance", generation.instance.identifier())
+                .with("events", generation.eventsSeen)
+                .with("firstEventMillis", generation.firstEventMillis)
+                .write();
+        context.metrics().ended(route.kind(), generation.head.status(), elapsed());
+        byte[] rest = events.rest();
+        if (rest.length > 0) {
+            channel.write(rest);
+        }
+        channel.end();
+    }
+
+    // ------------------------------------------------------------------ ends
+
+    @Override
+    void abandon() {
+        call.ifPresent(HttpStream::cancel);
+        call = Optional.empty();
+        endWork();
+        hold.ifPresent(this::release);
+        prefill.ifPresent(this::release);
+    }
+
+    @Override
+    ResultCode codeAtTimeout() {
+        return running || sent > 0 ? ResultCode.DEADLINE_PASSED : ResultCode.NO_CAPACITY;
+    }
+
+    private void release(Hold unused) {
+        context.client()
+                .call(
+                        context.protocol().releaseHold(unused.instance(), unused.name()),
+                        result -> result.peekLeft(failure -> note("reservation not released")
+                                .with("reason", failure.detail())
+                                .write()));
+    }
+
+    private void release(PrefillResult unused) {
+        context.client()
+                .call(
+                        context.protocol().releasePrefill(unused),
+                        result -> result.peekLeft(failure -> note("prompt not released")
+                                .with("reason", failure.detail())
+                                .write()));
+    }
+
+    private void pause(UpstreamInstance instance, Failure failure) {
+        if (failure.code() == ResultCode.CANCELLED) {
+            return;
+        }
+        long pause = context.pool().failed(instance.identifier());
+        note("instance paused")
+                .with("instance", instance.identifier())
+                .with("pauseMillis", pause)
+                .with("reason", failure.detail())
+                .write();
+    }
+
+    private void beginWork(UpstreamInstance instance, int tokens) {
+        work = Optional.of(new Work(instance.identifier(), tokens));
+        context.pool().begin(instance.identifier(), tokens);
+    }
+
+    private void endWork() {
+        work.ifPresent(ended -> context.pool().end(ended.instance(), ended.tokens()));
+        work = Optional.empty();
+    }
+
+    /** One run at one instance. */
+    private final class Generation implements HttpListener {
+
+        private final UpstreamInstance instance;
+        private final Optional<PrefillResult> source;
+        private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+        private AnswerHead head;
+        private boolean streaming;
+        private long firstEventMillis = -1;
+        private long firstEventAt;
+        private int eventsSeen;
+
+        private Generation(UpstreamInstance instance, Optional<PrefillResult> source) {
+            this.instance = instance;
+            this.source = source;
+        }
+
+        /** Time between events, as a measure of the instance's speed; at least 1. */
+        private long millisPerEvent() {
+            long took = context.clock().monotonicMillis() - firstEventAt;
+            return Math.max(1, took / Math.max(1, eventsSeen));
+        }
+
+        @Override
+        public void onHead(int status, List<HttpHeader> headers) {
+            head = context.protocol().readHead(status, headers);
+            head.load().ifPresent(load -> context.pool().told(instance.identifier(), load));
+            streaming = head.success() && ours();
+            if (streaming && !begun && !isOver()) {
+                begun = true;
+                channel.begin(status, head.forwardedHeaders());
+            }
+        }
+
+        private boolean ours() {
+            return head.attempt().equals(request.attempt()) && head.signed() && !head.encoded();
+        }
+
+        @Override
+        public void onBytes(byte[] bytes) {
+            if (!streaming) {
+                body.writeBytes(bytes);
+                return;
+            }
+            byte[] whole = events.take(bytes);
+            if (whole.length == 0 || isOver()) {
+                return;
+            }
+            eventsSeen++;
+            if (firstEventMillis < 0) {
+                firstEventMillis = elapsed();
+                firstEventAt = context.clock().monotonicMillis();
+                context.metrics().took("first_event_milliseconds", firstEventMillis);
+            }
+            channel.write(whole);
+        }
+
+        @Override
+        public void onEnd() {
+            if (streaming) {
+                complete(this);
+                return;
+            }
+            settle(this, judge());
+        }
+
+        private AttemptOutcome judge() {
+            if (head.notRun()) {
+                return new AttemptOutcome.Declined(head.status());
+            }
+            if (!ours() || begun) {
+                context.pool().answeredError(instance.identifier());
+                return new AttemptOutcome.Broken(
+                        Failure.of(ResultCode.UPSTREAM_MALFORMED, "the answer is not one to this request"));
+            }
+            context.pool().answeredError(instance.identifier());
+            return new AttemptOutcome.Answered(head.status());
+        }
+
+        @Override
+        public void onFailure(Failure failure) {
+            events.rest();
+            if (isOver()) {
+                return;
+            }
+            pause(instance, failure);
+            boolean notRun = failure.executionState() == ExecutionState.NOT_RUN;
+            if (!notRun && failure.code() != ResultCode.UPSTREAM_TIMEOUT) {
+                context.crashes().lost(CrashBook.fingerprint(request), instance.identifier());
+            }
+            settle(this, notRun ? new AttemptOutcome.Unreached(failure) : new AttemptOutcome.Broken(failure));
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/merlinwood/gateway/peer/package-info.java
@@ -0,0 +1,2 @@
+/** Sessions between entries: membership and relayed changes. */
+package org.merlinwood.gateway.peer;
--- /dev/null
+++ b/gateway/src/main/java/org/merlinwood/gateway/process/GatewayProcess.java
@@ -0,0 +1,245 @@
+package org.merlinwood.gateway.process;
+
+import com.codahale.metrics.MetricRegistry;
+import io.undertow.Undertow;
+import io.undertow.UndertowOptions;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.Headers;
+import io.undertow.util.StatusCodes;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.Optional;
+import org.merlinwood.core.time.MillisClock;
+import org.merlinwood.core.time.SystemMillisClock;
+import org.merlinwood.gateway.decision.CrashBook;
+import org.merlinwood.gateway.decision.InstancePool;
+import org.merlinwood.gateway.decision.RetryAllowance;
+import org.merlinwood.gateway.fleet.FleetState;
+import org.merlinwood.gateway.fleet.UpstreamInstance;
+import org.merlinwood.gateway.follow.StoreChange;
+import org.merlinwood.gateway.follow.StoreFollower;
+import org.merlinwood.gateway.follow.StoreListener;
+import org.merlinwood.gateway.follow.StoreProtocol;
+import org.merlinwood.gateway.front.FrontServer;
+import org.merlinwood.gateway.front.OpenRequests;
+import org.merlinwood.gateway.front.RequestMetrics;
+import org.merlinwood.gateway.loop.EventLoop;
+import org.merlinwood.gateway.loop.IoThreadLoop;
+import org.merlinwood.gateway.request.CallerProtocol;
+import org.merlinwood.gateway.route.RouteTable;
+import org.merlinwood.gateway.upstream.UpstreamProtocol;
+import org.merlinwood.http.HttpClient;
+import org.merlinwood.operation.log.DecisionLog;
+import org.merlinwood.operation.metric.MetricsText;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioWorker;
+
+/** One entry: started once, drained once. Everything but the sessions with peers runs on one I/O thread. */
+public final class GatewayProcess {
+
+    /** How often the end of the drain is looked for, in milliseconds. */
+    private static final long DRAIN_POLL_MILLIS = 50;
+
+    /** How long a leaving entry still takes requests at least, in milliseconds: two questions of the platform. */
+    private static final long LEAST_DRAIN_MILLIS = 2_500;
+
+    /** Time before the forced end at which a leaving entry ends by itself, in milliseconds. */
+    private static final long DRAIN_MARGIN_MILLIS = 300;
+
+    /** Longest time that a connection may stay idle, in milliseconds; above any limit that operators set. */
+    private static final int IDLE_LIMIT_MILLIS = 120_000;
+
+    private final GatewaySettings settings;
+    private final MillisClock clock = SystemMillisClock.shared();
+    private final DecisionLog log;
+    private final MetricRegistry metrics = new MetricRegistry();
+    private final FleetState fleet = new FleetState();
+    private final OpenRequests open = new OpenRequests();
+    private final StoreProtocol storeProtocol;
+    private final XnioWorker worker;
+    private final EventLoop loop;
+    private final InstancePool pool;
+    private final StoreFollower follower;
+    private final Undertow server;
+    private volatile boolean leaving;
+
+    /**
+     * Creates the parts; nothing listens before {@link #start()}.
+     *
+     * @param settings the settings
+     * @param callerProtocol reads requests
+     * @param upstreamProtocol writes calls to upstreams
+     * @param storeProtocol writes calls to the store
+     */
+    public GatewayProcess(
+            GatewaySettings settings,
+            CallerProtocol callerProtocol,
+            UpstreamProtocol upstreamProtocol,
+            StoreProtocol storeProtocol) {
+        this.settings = settings;
+        this.storeProtocol = storeProtocol;
+        this.log = new DecisionLog(settings.instance(), clock, System.out);
+        this.worker = createWorker();
+        this.loop = new IoThreadLoop(worker.getIoThread());
+        HttpClient client = HttpClient.on(worker);
+        this.pool = new InstancePool(fleet, clock, settings.domain());
+        this.follower = new StoreFollower(storeProtocol, client, loop, clock, new FleetUpdates());
+        RetryAllowance allowance = new RetryAllowance(
+                clock, settings.repeatWindowMillis(), settings.repeatRatio(), settings.repeatFixed(), 8);
+        FrontServer front = new FrontServer(
+                loop,
+                clock,
+                client,
+                upstreamProtocol,
+                fleet,
+                pool,
+                allowance,
+                new CrashBook(clock),
+                log,
+                new RequestMetrics(metrics));
+        this.server = Undertow.builder()
+                .setWorker(worker)
+                .setServerOption(UndertowOptions.DECODE_URL, false)
+                .setServerOption(UndertowOptions.ALWAYS_SET_DATE, false)
+                .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, IDLE_LIMIT_MILLIS)
+                .addHttpListener(
+                        settings.callerAddress().getPort(),
+                        settings.callerAddress().getHostString(),
+                        front.handler(callerProtocol, () -> leaving, open))
+                .addHttpListener(
+                        settings.readyAddress().getPort(),
+                        settings.readyAddress().getHostString(),
+                        this::answerOperator)
+                .build();
+    }
+
+    private static XnioWorker createWorker() {
+        try {
+            return Xnio.getInstance()
+                    .createWorker(OptionMap.builder()
+                            .set(Options.WORKER_NAME, "gateway")
+                            .set(Options.WORKER_IO_THREADS, 1)
+                            .set(Options.WORKER_TASK_CORE_THREADS, 1)
+                            .set(Options.WORKER_TASK_MAX_THREADS, 1)
+                            .set(Options.TCP_NODELAY, true)
+                            .getMap());
+        } catch (IOException exception) {
+            throw new UncheckedIOException("the I/O thread could not be started", exception);
+        }
+    }
+
+    // ------------------------------------------------------------------ life-cycle
+
+    /** Listens and begins to read the store. */
+    public void start() {
+        server.start();
+        loop.execute(follower::start);
+        log.line("start")
+                .with("callers", settings.callerAddress().toString())
+                .with("store", settings.storeAddress().toString())
+                .write();
+    }
+
+    /**
+     * Leaves: says that it is not ready, finishes what is open, and ends the process.
+     *
+     * @param end ends the process
+     */
+    public void drain(Runnable end) {
+        loop.execute(() -> {
+            if (leaving) {
+                return;
+            }
+            leaving = true;
+            log.line("drain").with("openRequests", open.count()).write();
+            awaitEnd(clock.monotonicMillis(), end);
+        });
+    }
+
+    private void awaitEnd(long sinceMillis, Runnable end) {
+        long took = clock.monotonicMillis() - sinceMillis;
+        boolean finished = took >= LEAST_DRAIN_MILLIS && open.count() == 0;
+        if (finished || took >= settings.graceMillis() - DRAIN_MARGIN_MILLIS) {
+            log.line("stop")
+                    .with("openRequests", open.count())
+                    .with("drainMillis", took)
+                    .write();
+            loop.schedule(DRAIN_POLL_MILLIS, end);
+            return;
+        }
+        loop.schedule(DRAIN_POLL_MILLIS, () -> awaitEnd(sinceMillis, end));
+    }
+
+    // ------------------------------------------------------------------ internals
+
+    private void answerOperator(HttpServerExchange exchange) {
+        if (exchange.getRequestPath().endsWith("/metrics")) {
+            exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, MetricsText.CONTENT_TYPE);
+            exchange.getResponseSender().send(MetricsText.write(metrics));
+            return;
+        }
+        boolean ready = fleet.usable() && !leaving;
+        exchange.setStatusCode(ready ? StatusCodes.OK : StatusCodes.SERVICE_UNAVAILABLE);
+        exchange.endExchange();
+    }
+
+    /** Turns changes of the store into routes and instances. */
+    private final class FleetUpdates implements StoreListener {
+
+        @Override
+        public void onChange(StoreChange change) {
+            if (storeProtocol.isConfiguration(change.key())) {
+                change.value().flatMap(storeProtocol::readRoutes).ifPresent(this::replaceRoutes);
+                return;
+            }
+            Optional<UpstreamInstance> instance =
+                    change.value().flatMap(value -> storeProtocol.readInstance(change.key(), value));
+            if (instance.isPresent()) {
+                put(instance.get(), change.revision());
+            } else {
+                remove(change);
+            }
+        }
+
+        private void replaceRoutes(RouteTable routes) {
+            boolean inForce = fleet.replaceRoutes(routes);
+            log.line(inForce ? "routes in force" : "older routes left out")
+                    .with("version", routes.version())
+                    .with("hosts", routes.routesByHost().size())
+                    .write();
+        }
+
+        private void put(UpstreamInstance instance, long revision) {
+            Optional<UpstreamInstance> before = fleet.put(instance);
+            if (!before.equals(Optional.of(instance))) {
+                log.line("instance registered")
+                        .with("instance", instance.identifier())
+                        .with("service", instance.service())
+                        .with("address", instance.address().toString())
+                        .with("stage", instance.stage().name())
+                        .with("leaving", String.valueOf(instance.leaving()))
+                        .with("revision", revision)
+                        .write();
+            }
+        }
+
+        private void remove(StoreChange change) {
+            storeProtocol.instanceOf(change.key()).flatMap(fleet::remove).ifPresent(gone -> {
+                pool.forget(gone.identifier());
+                log.line("instance gone")
+                        .with("instance", gone.identifier())
+                        .with("revision", change.revision())
+                        .write();
+            });
+        }
+
+        @Override
+        public void onReachable(boolean reachable, String reason) {
+            log.line(reachable ? "store regained" : "store lost")
+                    .with("reason", reason)
+                    .write();
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/merlinwood/gateway/request/package-info.java
@@ -0,0 +1,2 @@
+/** One request of a caller, decoded. */
+package org.merlinwood.gateway.request;
--- /dev/null
+++ b/gateway/src/main/java/org/merlinwood/gateway/route/EngineLimits.java
@@ -0,0 +1,12 @@
+package org.merlinwood.gateway.route;
+
+/**
+ * What each instance of a model service holds.
+ *
+ * @param slots requests that run at once
+ * @param memoryTokens tokens of KV cache
+ * @param tokensPerEvent tokens that one event of an answer stands for, at least 1
+ * @param handleMillis how long a computed prompt is kept for a transfer, in milliseconds
+ * @param holdMillis longest lease of reserved memory, in milliseconds
+ */
+public record EngineLimits(int slots, int memoryTokens, int tokensPerEvent, long handleMillis, long holdMillis) {}
--- /dev/null
+++ b/gateway/src/main/java/org/merlinwood/gateway/route/RouteTable.java
@@ -0,0 +1,63 @@
+package org.merlinwood.gateway.route;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.stream.Collectors;
+
+/**
+ * All routes and services of one version of the configuration. Immutable.
+ *
+ * @param version number of the version; a higher one replaces a lower one
+ * @param routesByHost routes of each host, the longest prefix first
+ * @param services services by name
+ * @param maximumBodyBytes largest body of a caller, in bytes
+ */
+public record RouteTable(
+        long version,
+        Map<String, List<Route>> routesByHost,
+        Map<String, UpstreamService> services,
+        long maximumBodyBytes) {
+
+    /**
+     * Builds a table.
+     *
+     * @param version number of the version
+     * @param routes all routes, in any order
+     * @param services all services
+     * @param maximumBodyBytes largest body of a caller, in bytes
+     * @return the table
+     */
+    public static RouteTable of(
+            long version, List<Route> routes, List<UpstreamService> services, long maximumBodyBytes) {
+        Map<String, List<Route>> byHost = new HashMap<>();
+        routes.stream()
+                .collect(Collectors.groupingBy(Route::host))
+                .forEach((host, group) -> byHost.put(host, longestPrefixFirst(group)));
+        Map<String, UpstreamService> byName = services.stream()
+                .collect(Collectors.toUnmodifiableMap(
+                        UpstreamService::name, service -> service, (first, same) -> first));
+        return new RouteTable(version, Map.copyOf(byHost), byName, maximumBodyBytes);
+    }
+
+    /**
+     * Finds the route of a request.
+     *
+     * @param host host header, in lower case
+     * @param path path without its query
+     * @return the route with the longest matching prefix, or empty
+     */
+    public Optional<Route> match(String host, String path) {
+        return routesByHost.getOrDefault(host, List.of()).stream()
+                .filter(route -> path.startsWith(route.prefix()))
+                .findFirst();
+    }
+
+    private static List<Route> longestPrefixFirst(List<Route> routes) {
+        return routes.stream()
+                .sorted((one, other) ->
+                        Integer.compare(other.prefix().length(), one.prefix().length()))
+                .toList();
+    }
+}
--- a/http/src/main/java/org/merlinwood/http/HttpCall.java
+++ b/http/src/main/java/org/merlinwood/http/HttpCall.java
@@ -10,7 +10,7 @@
  * @param method the method in capitals
  * @param address numeric address of the server
  * @param path path and query, beginning with {@code /}
- * @param headers headers besides those that the client sets itself (Host, Content-Length)
+ * @param headers headers besides Content-Length, which the client sets; without a Host among them, the address is sent
  * @param body the body, empty for none
  * @param connectTimeoutMillis how long connecting may take, in milliseconds
  * @param silenceTimeoutMillis how long the server may send nothing, in milliseconds
--- a/http/src/main/java/org/merlinwood/http/HttpClient.java
+++ b/http/src/main/java/org/merlinwood/http/HttpClient.java
@@ -2,8 +2,10 @@
 
 import io.vavr.control.Either;
 import java.util.concurrent.CompletionStage;
+import java.util.function.Consumer;
 import org.merlinwood.core.result.Failure;
 import org.merlinwood.http.impl.UndertowHttpClient;
+import org.xnio.XnioWorker;
 
 /**
  * Sends calls over HTTP/1.1. Thread-safe; one instance serves a whole process until it is closed.
@@ -23,6 +25,16 @@
         return new UndertowHttpClient(name, ioThreads);
     }
 
+    /**
+     * Creates a client that shares the I/O threads of a server.
+     *
+     * @param worker the threads; left running when the client is closed
+     * @return the client
+     */
+    static HttpClient on(XnioWorker worker) {
+        return new UndertowHttpClient(worker);
+    }
+
     /**
      * Sends a call and streams its answer.
      *
@@ -40,6 +52,15 @@
      */
     CompletionStage<Either<Failure, HttpAnswer>> call(HttpCall call);
 
+    /**
+     * Sends a call that can be cancelled, and collects its answer.
+     *
+     * @param call the call
+     * @param consumer receives the answer or the failure, once, on an I/O thread
+     * @return a handle to cancel it
+     */
+    HttpStream call(HttpCall call, Consumer<Either<Failure, HttpAnswer>> consumer);
+
     /** Closes all connections and ends the I/O threads. */
     @Override
     void close();
--- a/http/src/main/java/org/merlinwood/http/impl/AnswerCollector.java
+++ b/http/src/main/java/org/merlinwood/http/impl/AnswerCollector.java
@@ -3,7 +3,7 @@
 import io.vavr.control.Either;
 import java.io.ByteArrayOutputStream;
 import java.util.List;
-import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
 import org.merlinwood.core.result.Failure;
 import org.merlinwood.http.HttpAnswer;
 import org.merlinwood.http.HttpHeader;
@@ -13,12 +13,12 @@
 final class AnswerCollector implements HttpListener {
 
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
-    private final CompletableFuture<Either<Failure, HttpAnswer>> result = new CompletableFuture<>();
+    private final Consumer<Either<Failure, HttpAnswer>> consumer;
     private int status;
     private List<HttpHeader> headers = List.of();
 
-    CompletableFuture<Either<Failure, HttpAnswer>> result() {
-        return result;
+    AnswerCollector(Consumer<Either<Failure, HttpAnswer>> consumer) {
+        this.consumer = consumer;
     }
 
     @Override
@@ -34,11 +34,11 @@
 
     @Override
     public void onEnd() {
-        result.complete(Either.right(new HttpAnswer(status, headers, body.toByteArray())));
+        consumer.accept(Either.right(new HttpAnswer(status, headers, body.toByteArray())));
     }
 
     @Override
     public void onFailure(Failure failure) {
-        result.complete(Either.left(failure));
+        consumer.accept(Either.left(failure));
     }
 }
--- a/http/src/main/java/org/merlinwood/http/impl/CallInProgress.java
+++ b/http/src/main/java/org/merlinwood/http/impl/CallInProgress.java
@@ -12,6 +12,7 @@
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
@@ -39,6 +40,9 @@
 
     private static final int READ_BUFFER_BYTES = 16 * 1024;
 
+    /** Methods whose calls say nothing of a body where they have none. */
+    private static final Set<String> BODILESS_METHODS = Set.of("GET", "HEAD", "DELETE");
+
     private final HttpCall call;
     private final HttpListener listener;
     private final Consumer<ClientConnection> onReusable;
@@ -127,12 +131,16 @@
         call.headers()
                 .forEach(header ->
                         request.getRequestHeaders().add(HttpString.tryFromString(header.name()), header.value()));
-        request.getRequestHeaders()
-                .put(
-                        Headers.HOST,
-                        call.address().getAddress().getHostAddress() + ":"
-                                + call.address().getPort());
-        request.getRequestHeaders().put(Headers.CONTENT_LENGTH, String.valueOf(call.body().length));
+        if (!request.getRequestHeaders().contains(Headers.HOST)) {
+            request.getRequestHeaders()
+                    .put(
+                            Headers.HOST,
+                            call.address().getAddress().getHostAddress() + ":"
+                                    + call.address().getPort());
+        }
+        if (call.body().length > 0 || !BODILESS_METHODS.contains(call.method())) {
+            request.getRequestHeaders().put(Headers.CONTENT_LENGTH, String.valueOf(call.body().length));
+        }
         return request;
     }
 
--- a/http/src/main/java/org/merlinwood/http/impl/UndertowHttpClient.java
+++ b/http/src/main/java/org/merlinwood/http/impl/UndertowHttpClient.java
@@ -11,7 +11,9 @@
 import java.net.InetSocketAddress;
 import java.net.URI;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.function.Consumer;
 import org.merlinwood.core.result.ExecutionState;
 import org.merlinwood.core.result.Failure;
 import org.merlinwood.core.result.ResultCode;
@@ -36,6 +38,7 @@
     private static final int MAXIMUM_POOLED_BUFFERS = 256;
 
     private final XnioWorker worker;
+    private final boolean ownsWorker;
     private final ByteBufferPool buffers = new DefaultByteBufferPool(true, BUFFER_BYTES, MAXIMUM_POOLED_BUFFERS, 0);
     private final ConnectionPool pool = new ConnectionPool(SystemMillisClock.shared());
 
@@ -55,6 +58,7 @@
                 .set(Options.WORKER_TASK_MAX_THREADS, 1)
                 .set(Options.THREAD_DAEMON, true)
                 .getMap();
+        ownsWorker = true;
         try {
             this.worker = Xnio.getInstance().createWorker(options);
         } catch (IOException exception) {
@@ -62,10 +66,22 @@
         }
     }
 
+    /**
+     * Creates a client that works on threads which belong to another.
+     *
+     * @param worker the threads; left running at the end
+     */
+    public UndertowHttpClient(XnioWorker worker) {
+        this.worker = worker;
+        ownsWorker = false;
+    }
+
     @Override
     public void close() {
         pool.closeAll();
-        worker.shutdown();
+        if (ownsWorker) {
+            worker.shutdown();
+        }
     }
 
     // ------------------------------------------------------------------ public API
@@ -85,9 +101,14 @@
 
     @Override
     public CompletionStage<Either<Failure, HttpAnswer>> call(HttpCall call) {
-        AnswerCollector collector = new AnswerCollector();
-        send(call, collector);
-        return collector.result();
+        CompletableFuture<Either<Failure, HttpAnswer>> result = new CompletableFuture<>();
+        send(call, new AnswerCollector(result::complete));
+        return result;
+    }
+
+    @Override
+    public HttpStream call(HttpCall call, Consumer<Either<Failure, HttpAnswer>> consumer) {
+        return send(call, new AnswerCollector(consumer));
     }
 
     // ------------------------------------------------------------------ internals
--- a/operation/src/main/java/org/merlinwood/operation/lifecycle/ProcessLifecycle.java
+++ b/operation/src/main/java/org/merlinwood/operation/lifecycle/ProcessLifecycle.java
@@ -31,6 +31,16 @@
         TerminationSignals.handle(this::signalled);
     }
 
+    /**
+     * Installs a handler that is called for every SIGTERM and SIGINT, for processes that end by themselves once
+     * drained.
+     *
+     * @param handler called on a thread of the JDK, each time
+     */
+    public static void onEachSignal(Runnable handler) {
+        TerminationSignals.handle(handler);
+    }
+
     /** Asks for a graceful shutdown, as a signal does. Idempotent. */
     public void requestDrain() {
         drainRequested.countDown();
