--- a/gateway/src/main/java/org/merlinwood/gateway/decision/CrashBook.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/decision/CrashBook.java
@@ -1,11 +1,14 @@
 package org.merlinwood.gateway.decision;
 
+import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import org.merlinwood.core.time.MillisClock;
+import org.merlinwood.gateway.peer.PeerNews;
 import org.merlinwood.gateway.request.CallerRequest;
 
 /**
@@ -25,6 +28,7 @@
     private static final int MAXIMUM_REQUESTS = 4_096;
 
     private final MillisClock clock;
+    private final List<PeerNews.LostRun> untold = new ArrayList<>();
     private final Map<Long, Losses> losses = new LinkedHashMap<>() {
         @Override
         protected boolean removeEldestEntry(Map.Entry<Long, Losses> eldest) {
@@ -58,6 +62,17 @@
      * @param instance the instance that was lost
      */
     public void lost(long fingerprint, String instance) {
+        untold.add(new PeerNews.LostRun(fingerprint, instance));
+        heard(fingerprint, instance);
+    }
+
+    /**
+     * Notes what another entry told of such a run.
+     *
+     * @param fingerprint the request
+     * @param instance the instance that was lost
+     */
+    public void heard(long fingerprint, String instance) {
         Losses known = losses.get(fingerprint);
         if (known == null || clock.monotonicMillis() - known.lastMillis > MEMORY_MILLIS) {
             known = new Losses();
@@ -67,6 +82,17 @@
         known.lastMillis = clock.monotonicMillis();
     }
 
+    /**
+     * Returns the losses that other entries were not told of yet.
+     *
+     * @return the losses since the last call
+     */
+    public List<PeerNews.LostRun> takeNews() {
+        List<PeerNews.LostRun> news = List.copyOf(untold);
+        untold.clear();
+        return news;
+    }
+
     /**
      * Notes that a request was answered whole.
      *
--- a/gateway/src/main/java/org/merlinwood/gateway/decision/InstancePool.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/decision/InstancePool.java
@@ -11,6 +11,9 @@
 import org.merlinwood.gateway.fleet.FleetState;
 import org.merlinwood.gateway.fleet.Stage;
 import org.merlinwood.gateway.fleet.UpstreamInstance;
+import org.merlinwood.gateway.peer.PeerNews;
+import org.merlinwood.gateway.request.Prompt;
+import org.merlinwood.gateway.route.EngineLimits;
 import org.merlinwood.gateway.upstream.UpstreamLoad;
 
 /**
@@ -28,6 +31,9 @@
     /** How strongly an error share above that of the other instances counts. */
     private static final double ERROR_WEIGHT = 12;
 
+    /** Part of an instance's memory that forecasts may fill: lengths are expected, not known. */
+    private static final double USED_MEMORY_PART = 0.92;
+
     private final FleetState fleet;
     private final MillisClock clock;
     private final String ownDomain;
@@ -63,25 +69,38 @@
     }
 
     /**
-     * Chooses the instance that is to generate an answer.
+     * Chooses the instance that is to generate an answer: one whose memory will hold it beside the answers under way.
      *
      * @param service name of the service
-     * @param tokens memory that the request needs
+     * @param prompt what is asked
+     * @param limits what each instance holds
      * @param excluded identifiers of instances that were tried already
-     * @return the best instance, or empty if none is left
+     * @return the best instance, or empty if none has room
      */
-    public Optional<UpstreamInstance> chooseDecode(String service, int tokens, Set<String> excluded) {
+    public Optional<UpstreamInstance> chooseDecode(
+            String service, Prompt prompt, EngineLimits limits, Set<String> excluded) {
         List<UpstreamInstance> candidates = candidates(service, Stage.DECODE, excluded);
         double lowestError = lowestErrorShare(candidates);
         double meanMillis = meanMillis(candidates);
-        return best(candidates, instance -> {
+        Map<String, Long> peaks = new HashMap<>();
+        candidates.forEach(instance -> peaks.put(instance.identifier(), peakWith(instance, prompt)));
+        List<UpstreamInstance> roomy = candidates.stream()
+                .filter(instance -> peaks.get(instance.identifier()) <= limits.memoryTokens() * USED_MEMORY_PART)
+                .filter(instance -> record(instance.identifier()).allAnswers().size() < limits.slots())
+                .toList();
+        return best(roomy, instance -> {
             InstanceRecord record = record(instance.identifier());
-            double memory = record.allTokens() + tokens;
-            return memory * slowness(record, meanMillis) * errorFactor(record, lowestError)
-                    + distance(instance, ownDomain) * tokens;
+            return peaks.get(instance.identifier()) * slowness(record, meanMillis) * errorFactor(record, lowestError)
+                    + distance(instance, ownDomain) * prompt.promptTokens();
         });
     }
 
+    private long peakWith(UpstreamInstance instance, Prompt prompt) {
+        List<MemoryForecast.Growth> answers = record(instance.identifier()).allAnswers();
+        answers.add(new MemoryForecast.Growth(prompt.promptTokens(), AnswerLength.remainingTokens(prompt, 0)));
+        return MemoryForecast.peakTokens(answers);
+    }
+
     /**
      * Chooses the instance that is to compute a prompt.
      *
@@ -97,41 +116,71 @@
         double meanMillis = meanMillis(candidates);
         return best(candidates, instance -> {
             InstanceRecord record = record(instance.identifier());
-            return (record.allTokens() + tokens) * slowness(record, meanMillis)
+            return (record.allPromptTokens() + tokens) * slowness(record, meanMillis)
                     + distance(instance, nearDomain) * tokens;
         });
     }
 
+    // ------------------------------------------------------------------ work and health
+
     /**
-     * Counts the places of a model service.
+     * Notes that a plain call was sent to an instance.
      *
-     * @param service name of the service
-     * @return instances that generate answers and take work
+     * @param identifier the instance
      */
-    public int decodeInstances(String service) {
-        return candidates(service, Stage.DECODE, Set.of()).size();
+    public void beginCall(String identifier) {
+        record(identifier).beginCall();
     }
 
-    // ------------------------------------------------------------------ work and health
+    /**
+     * Notes that a plain call ended.
+     *
+     * @param identifier the instance
+     */
+    public void endCall(String identifier) {
+        record(identifier).endCall();
+    }
 
     /**
-     * Notes that work was sent to an instance.
+     * Notes that a prompt was sent to an instance.
      *
      * @param identifier the instance
-     * @param tokens memory or prompt length of the work
+     * @param tokens its length
      */
-    public void begin(String identifier, int tokens) {
-        record(identifier).begin(tokens);
+    public void beginPrompt(String identifier, int tokens) {
+        record(identifier).beginPrompt(tokens);
     }
 
     /**
-     * Notes that work at an instance ended.
+     * Notes that the computation of a prompt ended.
      *
      * @param identifier the instance
-     * @param tokens as given to {@link #begin}
+     * @param tokens as given to {@link #beginPrompt}
      */
-    public void end(String identifier, int tokens) {
-        record(identifier).end(tokens);
+    public void endPrompt(String identifier, int tokens) {
+        record(identifier).endPrompt(tokens);
+    }
+
+    /**
+     * Notes that an answer is to be generated by an instance.
+     *
+     * @param identifier the instance
+     * @param prompt what was asked
+     * @return the answer, to be told of its growth
+     */
+    public AnswerWork beginAnswer(String identifier, Prompt prompt) {
+        AnswerWork answer = new AnswerWork(identifier, prompt);
+        record(identifier).beginAnswer(answer);
+        return answer;
+    }
+
+    /**
+     * Notes that an answer ended, in whatever way.
+     *
+     * @param answer the answer; ending it again has no effect
+     */
+    public void endAnswer(AnswerWork answer) {
+        record(answer.instance()).endAnswer(answer);
     }
 
     /**
@@ -174,14 +223,22 @@
     }
 
     /**
-     * Notes the work of all other entries at an instance.
+     * Notes the work of another entry.
      *
-     * @param identifier the instance
-     * @param running their requests
-     * @param tokens their tokens
+     * @param news its news
      */
-    public void peers(String identifier, int running, int tokens) {
-        record(identifier).peers(running, tokens);
+    public void peer(PeerNews news) {
+        forgetPeer(news.address());
+        news.work().forEach(work -> record(work.instance()).peer(news.address(), work));
+    }
+
+    /**
+     * Forgets the work of another entry.
+     *
+     * @param address its peer address
+     */
+    public void forgetPeer(String address) {
+        records.values().forEach(record -> record.forgetPeer(address));
     }
 
     /**
@@ -191,35 +248,21 @@
      */
     public void forget(String identifier) {
         InstanceRecord known = records.get(identifier);
-        if (known != null && known.running() == 0) {
+        if (known != null && known.idle()) {
             records.remove(identifier);
         }
     }
 
     /**
-     * Visits the work of this entry, for its peers.
+     * Returns the work of this entry, for its peers.
      *
-     * @param visitor gets identifier, requests and tokens of each instance with work
+     * @return the work at each instance that has some
      */
-    public void visitWork(WorkVisitor visitor) {
-        records.forEach((identifier, known) -> {
-            if (known.running() > 0) {
-                visitor.visit(identifier, known.running(), known.tokens());
-            }
-        });
-    }
-
-    /** Receives the work at one instance. */
-    @FunctionalInterface
-    public interface WorkVisitor {
-        /**
-         * Visits one instance.
-         *
-         * @param identifier the instance
-         * @param running requests there
-         * @param tokens tokens of those requests
-         */
-        void visit(String identifier, int running, int tokens);
+    public List<PeerNews.InstanceWork> work() {
+        return records.entrySet().stream()
+                .filter(entry -> !entry.getValue().idle())
+                .map(entry -> entry.getValue().work(entry.getKey()))
+                .toList();
     }
 
     // ------------------------------------------------------------------ internals
--- a/gateway/src/main/java/org/merlinwood/gateway/decision/InstanceRecord.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/decision/InstanceRecord.java
@@ -1,8 +1,13 @@
 package org.merlinwood.gateway.decision;
 
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.merlinwood.gateway.peer.PeerNews;
 import org.merlinwood.gateway.upstream.UpstreamLoad;
 
-/** What this entry knows of one instance: the work that it sent there, told load, and how calls ended. */
+/** What this entry knows of one instance: its own work there, that of its peers, told load, and how calls ended. */
 final class InstanceRecord {
 
     /** Weight of one more answer in the moving averages. */
@@ -18,9 +23,9 @@
     private static final long LOAD_AGE_MILLIS = 500;
 
     private int running;
-    private int tokens;
-    private int peersRunning;
-    private int peersTokens;
+    private int promptTokens;
+    private final List<AnswerWork> answers = new ArrayList<>();
+    private final Map<String, PeerNews.InstanceWork> peers = new HashMap<>();
     private int toldOthers;
     private long toldMillis = Long.MIN_VALUE / 2;
     private int failuresInRow;
@@ -30,19 +35,41 @@
 
     // ------------------------------------------------------------------ work
 
-    void begin(int addedTokens) {
+    void beginCall() {
         running++;
-        tokens += addedTokens;
     }
 
-    void end(int removedTokens) {
+    void endCall() {
         running--;
-        tokens -= removedTokens;
     }
 
-    void peers(int othersRunning, int othersTokens) {
-        peersRunning = othersRunning;
-        peersTokens = othersTokens;
+    void beginPrompt(int tokens) {
+        running++;
+        promptTokens += tokens;
+    }
+
+    void endPrompt(int tokens) {
+        running--;
+        promptTokens -= tokens;
+    }
+
+    void beginAnswer(AnswerWork answer) {
+        running++;
+        answers.add(answer);
+    }
+
+    void endAnswer(AnswerWork answer) {
+        if (answers.remove(answer)) {
+            running--;
+        }
+    }
+
+    void peer(String address, PeerNews.InstanceWork work) {
+        peers.put(address, work);
+    }
+
+    void forgetPeer(String address) {
+        peers.remove(address);
     }
 
     void told(UpstreamLoad load, long nowMillis) {
@@ -50,22 +77,39 @@
         toldMillis = nowMillis;
     }
 
-    int running() {
-        return running;
+    boolean idle() {
+        return running == 0;
     }
 
-    int tokens() {
-        return tokens;
+    /** Work of this entry, for its peers. */
+    PeerNews.InstanceWork work(String identifier) {
+        return new PeerNews.InstanceWork(
+                identifier,
+                running,
+                promptTokens,
+                answers.stream().map(AnswerWork::growth).toList());
     }
 
     /** Requests at the instance, those of other entries included as far as they are known. */
     int allRunning(long nowMillis) {
-        int others = nowMillis - toldMillis <= LOAD_AGE_MILLIS ? Math.max(toldOthers, peersRunning) : peersRunning;
-        return running + others;
+        int heard =
+                peers.values().stream().mapToInt(PeerNews.InstanceWork::running).sum();
+        return running + (nowMillis - toldMillis <= LOAD_AGE_MILLIS ? Math.max(toldOthers, heard) : heard);
+    }
+
+    int allPromptTokens() {
+        return promptTokens
+                + peers.values().stream()
+                        .mapToInt(PeerNews.InstanceWork::promptTokens)
+                        .sum();
     }
 
-    int allTokens() {
-        return tokens + peersTokens;
+    /** Answers under way, those of other entries included as far as they are known. */
+    List<MemoryForecast.Growth> allAnswers() {
+        List<MemoryForecast.Growth> all = new ArrayList<>();
+        answers.forEach(answer -> all.add(answer.growth()));
+        peers.values().forEach(work -> all.addAll(work.answers()));
+        return all;
     }
 
     // ------------------------------------------------------------------ health
--- a/gateway/src/main/java/org/merlinwood/gateway/follow/StoreFollower.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/follow/StoreFollower.java
@@ -34,6 +34,9 @@
     /** Pause after a failure, in milliseconds. */
     static final long FAILURE_PAUSE_MILLIS = 300;
 
+    /** How long this process waits for its own watch before it asks a peer that knows more, in milliseconds. */
+    static final long LAG_MILLIS = 400;
+
     /** The time for which the store counts as troubled after a failure, in milliseconds. */
     static final long TROUBLE_MILLIS = 3_000;
 
@@ -48,6 +51,7 @@
     private final StoreCopy copy = new StoreCopy();
     private final Map<String, StoreChange> delayedRemovals = new HashMap<>();
     private long lastTroubleMillis = Long.MIN_VALUE / 2;
+    private long advancedMillis;
     private boolean reachable;
     private boolean listed;
 
@@ -87,6 +91,16 @@
                 .reduce(copy.revision(), (one, other) -> Math.min(one, other - 1));
     }
 
+    /**
+     * Tells whether a peer has known more of the store for a while.
+     *
+     * @param peerRevision revision that the peer knows
+     * @return true if the peer is to be asked for its changes
+     */
+    public boolean lacks(long peerRevision) {
+        return peerRevision > revision() && clock.monotonicMillis() - advancedMillis > LAG_MILLIS;
+    }
+
     /**
      * Returns what a peer lacks.
      *
@@ -105,7 +119,7 @@
      */
     public void relay(List<StoreChange> changes, long revision) {
         changes.forEach(this::applyNow);
-        copy.advance(revision);
+        advance(revision);
     }
 
     /**
@@ -157,7 +171,7 @@
 
     private void finishListing(Listing listing) {
         copy.missingFrom(listing.keys, listing.startRevision).forEach(this::apply);
-        copy.advance(listing.startRevision);
+        advance(listing.startRevision);
         listed = true;
         watch(listing.startRevision);
     }
@@ -175,7 +189,7 @@
         switch (answer) {
             case StoreAnswer.Changes changes -> {
                 changes.changes().forEach(this::apply);
-                copy.advance(changes.revision());
+                advance(changes.revision());
                 loop.schedule(WATCH_PAUSE_MILLIS, () -> watch(Math.max(after, changes.revision())));
             }
             case StoreAnswer.HistoryGone gone -> {
@@ -218,6 +232,13 @@
         }
     }
 
+    private void advance(long revision) {
+        if (revision > copy.revision()) {
+            advancedMillis = clock.monotonicMillis();
+        }
+        copy.advance(revision);
+    }
+
     private void apply(StoreChange change) {
         boolean troubled = clock.monotonicMillis() - lastTroubleMillis < TROUBLE_MILLIS;
         if (change.value().isEmpty() && troubled) {
--- a/gateway/src/main/java/org/merlinwood/gateway/front/PlainCourse.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/PlainCourse.java
@@ -75,7 +75,7 @@
                 context.protocol().run(instance, request, terms).withTimeouts(CONNECT_LIMIT_MILLIS, silenceLimit());
         Call next = new Call(instance);
         current = Optional.of(next);
-        context.pool().begin(instance.identifier(), 1);
+        context.pool().beginCall(instance.identifier());
         next.stream = Optional.of(context.client().send(call, next));
     }
 
@@ -189,7 +189,7 @@
                 return false;
             }
             ended = true;
-            context.pool().end(instance.identifier(), 1);
+            context.pool().endCall(instance.identifier());
             return true;
         }
     }
--- a/gateway/src/main/java/org/merlinwood/gateway/front/RequestDesk.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/RequestDesk.java
@@ -5,7 +5,7 @@
 import org.merlinwood.gateway.decision.CrashBook;
 import org.merlinwood.gateway.request.CallerRequest;
 import org.merlinwood.gateway.request.Prompt;
-import org.merlinwood.gateway.route.RequestKind;
+import org.merlinwood.gateway.route.EngineLimits;
 import org.merlinwood.gateway.route.Route;
 import org.merlinwood.gateway.route.RouteTable;
 import org.merlinwood.gateway.route.UpstreamService;
@@ -48,17 +48,11 @@
                 .with("routesVersion", routes.version())
                 .with("timeLeftMillis", request.timeLeftMillis().orElse(-1))
                 .write();
+        Optional<EngineLimits> engine = Optional.ofNullable(routes.services().get(route.serviceFor(request.attempt())))
+                .flatMap(UpstreamService::engine);
         Optional<Prompt> prompt = request.prompt();
-        if (route.kind() == RequestKind.STREAM && prompt.isPresent()) {
-            UpstreamService service = routes.services().get(route.serviceFor(request.attempt()));
-            new StreamCourse(
-                            context,
-                            request,
-                            route,
-                            channel,
-                            prompt.get(),
-                            Optional.ofNullable(service).flatMap(UpstreamService::engine))
-                    .start();
+        if (prompt.isPresent() && engine.isPresent()) {
+            new StreamCourse(context, request, route, channel, prompt.get(), engine.get()).start();
         } else {
             new PlainCourse(context, request, route, channel).start();
         }
--- a/gateway/src/main/java/org/merlinwood/gateway/front/StreamCourse.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/StreamCourse.java
@@ -10,6 +10,7 @@
 import org.merlinwood.core.result.ExecutionState;
 import org.merlinwood.core.result.Failure;
 import org.merlinwood.core.result.ResultCode;
+import org.merlinwood.gateway.decision.AnswerWork;
 import org.merlinwood.gateway.decision.AttemptOutcome;
 import org.merlinwood.gateway.decision.CrashBook;
 import org.merlinwood.gateway.decision.NextStep;
@@ -49,16 +50,19 @@
     /** Tokens that a prefill instance computes in a millisecond at least, with a few prompts in its queue. */
     private static final long PREFILL_TOKENS_PER_MILLI = 10;
 
+    /** Events of the answer whose memory is reserved with the prompt's. */
+    private static final int RESERVED_EVENTS = 8;
+
     /** Silence after which a stream that may be resumed is taken elsewhere, in milliseconds. */
     private static final long SILENCE_LIMIT_MILLIS = 1_200;
 
     private final Prompt prompt;
-    private final long holdMillis;
+    private final EngineLimits limits;
     private final EventSplitter events = new EventSplitter();
     private final Set<String> full = new HashSet<>();
     private final Set<String> triedPrefills = new HashSet<>();
     private Optional<HttpStream> call = Optional.empty();
-    private Optional<Work> work = Optional.empty();
+    private Optional<AnswerWork> work = Optional.empty();
     private Optional<Hold> hold = Optional.empty();
     private Optional<PrefillResult> prefill = Optional.empty();
     private int sent;
@@ -70,40 +74,42 @@
     /** A reservation that was not used yet. */
     private record Hold(UpstreamInstance instance, String name) {}
 
-    /** Work that counts as this entry's load at an instance. */
-    private record Work(String instance, int tokens) {}
-
     StreamCourse(
             CourseContext context,
             CallerRequest request,
             Route route,
             CallerChannel channel,
             Prompt prompt,
-            Optional<EngineLimits> limits) {
+            EngineLimits limits) {
         super(context, request, route, channel);
         this.prompt = prompt;
-        this.holdMillis = limits.map(EngineLimits::holdMillis).orElse(0L);
+        this.limits = limits;
     }
 
     // ------------------------------------------------------------------ memory
 
     @Override
     void advance() {
-        Optional<UpstreamInstance> choice = context.pool().chooseDecode(service, prompt.totalTokens(), full);
+        Optional<UpstreamInstance> choice = context.pool().chooseDecode(service, prompt, limits, full);
         if (choice.isEmpty()) {
             waitForRoom();
-        } else if (holdMillis > 0) {
+        } else if (limits.holdMillis() > 0) {
             reserve(choice.get());
         } else {
             computePrompt(choice.get());
         }
     }
 
+    /** The forecast keeps room for the growth of answers; the reservation secures the beginning. */
+    private int reservedTokens() {
+        return prompt.promptTokens() + limits.tokensPerEvent() * RESERVED_EVENTS;
+    }
+
     private void reserve(UpstreamInstance instance) {
         HttpCall reservation = context.protocol()
-                .hold(instance, prompt.totalTokens(), holdMillis)
+                .hold(instance, reservedTokens(), limits.holdMillis())
                 .withTimeouts(CONNECT_LIMIT_MILLIS, HOLD_LIMIT_MILLIS);
-        beginWork(instance, prompt.totalTokens());
+        beginWork(instance);
         call = Optional.of(context.client().call(reservation, result -> onReservation(instance, result)));
     }
 
@@ -118,7 +124,7 @@
         Optional<String> name = result.fold(failure -> Optional.empty(), context.protocol()::readHold);
         note(name.isPresent() ? "memory reserved" : "no memory")
                 .with("instance", instance.identifier())
-                .with("tokens", prompt.totalTokens())
+                .with("tokens", reservedTokens())
                 .with("answer", result.fold(Failure::detail, answer -> "status " + answer.status()))
                 .write();
         if (name.isEmpty()) {
@@ -192,9 +198,9 @@
                 .prefill(instance, request, Math.max(1, timeLeft()))
                 .withTimeouts(
                         CONNECT_LIMIT_MILLIS, PREFILL_SLACK_MILLIS + prompt.promptTokens() / PREFILL_TOKENS_PER_MILLI);
-        context.pool().begin(instance.identifier(), prompt.promptTokens());
+        context.pool().beginPrompt(instance.identifier(), prompt.promptTokens());
         call = Optional.of(context.client().call(prefillCall, result -> {
-            context.pool().end(instance.identifier(), prompt.promptTokens());
+            context.pool().endPrompt(instance.identifier(), prompt.promptTokens());
             onPrompt(decode, instance, context.clock().monotonicMillis() - startedMillis, result);
         }));
     }
@@ -248,7 +254,7 @@
                 .run(instance, request, terms)
                 .withTimeouts(CONNECT_LIMIT_MILLIS, route.resumable() ? SILENCE_LIMIT_MILLIS : Math.max(1, timeLeft()));
         if (work.isEmpty()) {
-            beginWork(instance, prompt.totalTokens());
+            beginWork(instance);
         }
         running = true;
         Generation generation = new Generation(instance, prefill);
@@ -341,11 +347,15 @@
         if (!finish()) {
             return;
         }
+        int generatedTokens = work.map(AnswerWork::generatedTokens).orElse(0);
         endWork();
         note("answered")
                 .with("status", generation.head.status())
                 .with("instance", generation.instance.identifier())
                 .with("events", generation.eventsSeen)
+                .with("generatedTokens", generatedTokens)
+                .with("lengthHint", prompt.lengthHint().orElse(-1))
+                .with("longestTokens", prompt.outputTokens())
                 .with("firstEventMillis", generation.firstEventMillis)
                 .write();
         context.metrics().ended(route.kind(), generation.head.status(), elapsed());
@@ -402,13 +412,12 @@
                 .write();
     }
 
-    private void beginWork(UpstreamInstance instance, int tokens) {
-        work = Optional.of(new Work(instance.identifier(), tokens));
-        context.pool().begin(instance.identifier(), tokens);
+    private void beginWork(UpstreamInstance instance) {
+        work = Optional.of(context.pool().beginAnswer(instance.identifier(), prompt));
     }
 
     private void endWork() {
-        work.ifPresent(ended -> context.pool().end(ended.instance(), ended.tokens()));
+        work.ifPresent(context.pool()::endAnswer);
         work = Optional.empty();
     }
 
@@ -461,6 +470,7 @@
                 return;
             }
             eventsSeen++;
+            work.ifPresent(answer -> answer.grew(limits.tokensPerEvent()));
             if (firstEventMillis < 0) {
                 firstEventMillis = elapsed();
                 firstEventAt = context.clock().monotonicMillis();
--- /dev/null
+++ b/gateway/src/main/java/org/merlinwood/gateway/peer/PeerMessages.java
@@ -0,0 +1,90 @@
+package org.merlinwood.gateway.peer;
+
+import com.google.protobuf.ByteString;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.merlinwood.gateway.decision.MemoryForecast;
+import org.merlinwood.gateway.follow.StoreChange;
+import org.merlinwood.wire.EntryNews;
+import org.merlinwood.wire.Frame;
+import org.merlinwood.wire.InstanceWork;
+import org.merlinwood.wire.LostRun;
+import org.merlinwood.wire.StoreChanges;
+import org.merlinwood.wire.StoreChangesRequest;
+import org.merlinwood.wire.StoreKey;
+
+/** Turns what entries tell each other into frames and back. Stateless. */
+final class PeerMessages {
+
+    private PeerMessages() {}
+
+    static Frame.Builder news(PeerNews news) {
+        EntryNews.Builder builder = EntryNews.newBuilder()
+                .setAddress(news.address())
+                .addAllMembers(news.members())
+                .setStoreRevision(news.storeRevision());
+        news.work().forEach(work -> builder.addWork(work(work)));
+        news.lostRuns()
+                .forEach(run -> builder.addLostRuns(
+                        LostRun.newBuilder().setFingerprint(run.fingerprint()).setInstance(run.instance())));
+        return Frame.newBuilder().setEntryNews(builder);
+    }
+
+    static PeerNews news(EntryNews wire) {
+        return new PeerNews(
+                wire.getAddress(),
+                List.copyOf(wire.getMembersList()),
+                wire.getStoreRevision(),
+                wire.getWorkList().stream().map(PeerMessages::work).toList(),
+                wire.getLostRunsList().stream()
+                        .map(run -> new PeerNews.LostRun(run.getFingerprint(), run.getInstance()))
+                        .toList());
+    }
+
+    static Frame.Builder changesRequest(long after) {
+        return Frame.newBuilder()
+                .setStoreChangesRequest(StoreChangesRequest.newBuilder().setAfter(after));
+    }
+
+    static Frame.Builder changes(List<StoreChange> changes, long revision) {
+        StoreChanges.Builder builder = StoreChanges.newBuilder().setRevision(revision);
+        changes.forEach(change -> builder.addKeys(StoreKey.newBuilder()
+                .setKey(change.key())
+                .setRevision(change.revision())
+                .setRemoved(change.value().isEmpty())
+                .setValue(change.value().map(ByteString::copyFrom).orElse(ByteString.EMPTY))));
+        return Frame.newBuilder().setStoreChanges(builder);
+    }
+
+    static List<StoreChange> changes(StoreChanges wire) {
+        return wire.getKeysList().stream()
+                .map(key -> new StoreChange(
+                        key.getKey(),
+                        key.getRevision(),
+                        key.getRemoved()
+                                ? Optional.empty()
+                                : Optional.of(key.getValue().toByteArray())))
+                .toList();
+    }
+
+    private static InstanceWork.Builder work(PeerNews.InstanceWork work) {
+        InstanceWork.Builder builder = InstanceWork.newBuilder()
+                .setInstance(work.instance())
+                .setRunning(work.running())
+                .setPromptTokens(work.promptTokens());
+        work.answers()
+                .forEach(answer ->
+                        builder.addHeldTokens(answer.heldTokens()).addRemainingTokens(answer.remainingTokens()));
+        return builder;
+    }
+
+    private static PeerNews.InstanceWork work(InstanceWork wire) {
+        List<MemoryForecast.Growth> answers = new ArrayList<>();
+        int count = Math.min(wire.getHeldTokensCount(), wire.getRemainingTokensCount());
+        for (int index = 0; index < count; index++) {
+            answers.add(new MemoryForecast.Growth(wire.getHeldTokens(index), wire.getRemainingTokens(index)));
+        }
+        return new PeerNews.InstanceWork(wire.getInstance(), wire.getRunning(), wire.getPromptTokens(), answers);
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/merlinwood/gateway/peer/PeerSessions.java
@@ -0,0 +1,255 @@
+package org.merlinwood.gateway.peer;
+
+import io.vavr.control.Either;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Function;
+import org.merlinwood.core.identity.Incarnation;
+import org.merlinwood.core.identity.InstanceName;
+import org.merlinwood.core.result.Failure;
+import org.merlinwood.core.result.ResultCode;
+import org.merlinwood.core.time.MillisClock;
+import org.merlinwood.gateway.loop.EventLoop;
+import org.merlinwood.operation.log.DecisionLog;
+import org.merlinwood.protocol.AuthenticationKey;
+import org.merlinwood.protocol.Exchange;
+import org.merlinwood.protocol.ExchangeListener;
+import org.merlinwood.protocol.PeerConnection;
+import org.merlinwood.protocol.PeerEndpoint;
+import org.merlinwood.protocol.PeerIdentity;
+import org.merlinwood.protocol.PeerRole;
+import org.merlinwood.wire.Frame;
+
+/**
+ * Sessions with the other entries: finds them from the seeds, tells them news, and asks those that know more of the
+ * store for what this entry lacks.
+ *
+ * <p>Each entry connects to every other and tells its news on the connection that it opened. Frames come on the event
+ * loops of the protocol and are handed to the entry's own loop, which owns all state here.
+ */
+public final class PeerSessions {
+
+    /** Time between news, in milliseconds: a tenth of the time that a new answer takes to its first event. */
+    private static final long NEWS_MILLIS = 100;
+
+    /** Time between attempts to reach an entry, in milliseconds. */
+    private static final long RECONNECT_MILLIS = 500;
+
+    /** How long an address that no seed names is tried in vain, in milliseconds. */
+    private static final long FORGET_MILLIS = 20_000;
+
+    /** Silence after which the work of another entry counts no more, in milliseconds. */
+    private static final long SILENCE_MILLIS = 1_000;
+
+    private final String ownAddress;
+    private final List<String> seeds;
+    private final Function<String, InetSocketAddress> parser;
+    private final EventLoop loop;
+    private final MillisClock clock;
+    private final PeerListener listener;
+    private final DecisionLog log;
+    private final PeerEndpoint endpoint;
+    private final Map<String, Member> members = new HashMap<>();
+    private final Map<String, Long> heardMillis = new HashMap<>();
+
+    /**
+     * Creates the sessions.
+     *
+     * @param instance name of this instance
+     * @param listenAddress where to accept sessions
+     * @param key secret of the fleet
+     * @param seeds addresses of some entries
+     * @param parser reads IP:PORT
+     * @param loop owns all state
+     * @param clock the time
+     * @param listener the entry
+     * @param log a line for each decision
+     */
+    public PeerSessions(
+            String instance,
+            InetSocketAddress listenAddress,
+            AuthenticationKey key,
+            List<InetSocketAddress> seeds,
+            Function<String, InetSocketAddress> parser,
+            EventLoop loop,
+            MillisClock clock,
+            PeerListener listener,
+            DecisionLog log) {
+        this.ownAddress = text(listenAddress);
+        this.seeds = seeds.stream().map(PeerSessions::text).toList();
+        this.parser = parser;
+        this.loop = loop;
+        this.clock = clock;
+        this.listener = listener;
+        this.log = log;
+        long life = clock.wallMillis() * 1_000_003 + instance.hashCode();
+        this.endpoint = PeerEndpoint.builder()
+                .identity(new PeerIdentity(
+                        new InstanceName(instance), new Incarnation(life == 0 ? 1 : life), PeerRole.ENTRY))
+                .keys(List.of(key))
+                .listenAddress(listenAddress)
+                .threads(1)
+                .acceptor(Frame.BodyCase.ENTRY_NEWS, this::accept)
+                .build();
+    }
+
+    // ------------------------------------------------------------------ life-cycle
+
+    /** Listens, and begins to look for the others. */
+    public void start() {
+        endpoint.start();
+        loop.execute(() -> {
+            seeds.forEach(this::learn);
+            tellNews();
+        });
+    }
+
+    /** Ends all sessions. */
+    public void close() {
+        endpoint.close();
+    }
+
+    // ------------------------------------------------------------------ members
+
+    private final class Member implements ExchangeListener {
+
+        private final String address;
+        private final boolean seed;
+        private Optional<Exchange> exchange = Optional.empty();
+        private boolean connecting;
+        private long lastTryMillis = Long.MIN_VALUE / 2;
+        private long lastOpenMillis = clock.monotonicMillis();
+
+        private Member(String address) {
+            this.address = address;
+            this.seed = seeds.contains(address);
+        }
+
+        private void connect() {
+            if (connecting || clock.monotonicMillis() - lastTryMillis < RECONNECT_MILLIS) {
+                return;
+            }
+            connecting = true;
+            lastTryMillis = clock.monotonicMillis();
+            endpoint.connect(parser.apply(address)).thenAccept(result -> loop.execute(() -> onConnected(result)));
+        }
+
+        private void onConnected(Either<Failure, PeerConnection> result) {
+            connecting = false;
+            result.forEach(connection -> {
+                exchange = Optional.of(connection.open(this));
+                lastOpenMillis = clock.monotonicMillis();
+                log.line("peer connected").with("peer", address).write();
+            });
+        }
+
+        private boolean forgettable() {
+            return !seed && exchange.isEmpty() && clock.monotonicMillis() - lastOpenMillis > FORGET_MILLIS;
+        }
+
+        @Override
+        public void onFrame(Exchange source, Frame frame) {
+            if (frame.hasStoreChanges()) {
+                loop.execute(() -> listener.onChanges(
+                        PeerMessages.changes(frame.getStoreChanges()),
+                        frame.getStoreChanges().getRevision()));
+            }
+        }
+
+        @Override
+        public void onClosed(Exchange source, ResultCode code) {
+            loop.execute(() -> {
+                exchange = Optional.empty();
+                lastOpenMillis = clock.monotonicMillis();
+                log.line("peer lost")
+                        .with("peer", address)
+                        .with("code", code.number())
+                        .write();
+            });
+        }
+    }
+
+    private void learn(String address) {
+        if (!address.equals(ownAddress)) {
+            members.computeIfAbsent(address, Member::new);
+        }
+    }
+
+    private void tellNews() {
+        members.values().removeIf(Member::forgettable);
+        List<String> connected = members.values().stream()
+                .filter(member -> member.exchange.isPresent())
+                .map(member -> member.address)
+                .toList();
+        Frame.Builder frame = PeerMessages.news(listener.news(ownAddress, connected));
+        for (Member member : members.values()) {
+            member.exchange.ifPresentOrElse(exchange -> exchange.send(frame.clone()), member::connect);
+        }
+        dropSilent();
+        loop.schedule(NEWS_MILLIS, this::tellNews);
+    }
+
+    private void dropSilent() {
+        long oldest = clock.monotonicMillis() - SILENCE_MILLIS;
+        List<String> silent = new ArrayList<>();
+        heardMillis.forEach((address, millis) -> {
+            if (millis < oldest) {
+                silent.add(address);
+            }
+        });
+        silent.forEach(address -> {
+            heardMillis.remove(address);
+            listener.onLost(address);
+        });
+    }
+
+    // ------------------------------------------------------------------ news of others
+
+    private ExchangeListener accept(Exchange exchange, Frame first) {
+        loop.execute(() -> onNews(first));
+        return new ExchangeListener() {
+            @Override
+            public void onFrame(Exchange source, Frame frame) {
+                switch (frame.getBodyCase()) {
+                    case ENTRY_NEWS -> loop.execute(() -> onNews(frame));
+                    case STORE_CHANGES_REQUEST ->
+                        loop.execute(() -> sendChanges(
+                                source, frame.getStoreChangesRequest().getAfter()));
+                    default -> source.connection().close(ResultCode.PROTOCOL_VIOLATION);
+                }
+            }
+
+            @Override
+            public void onClosed(Exchange source, ResultCode code) {
+                // The sender's silence is noticed by its news.
+            }
+        };
+    }
+
+    private void onNews(Frame frame) {
+        PeerNews news = PeerMessages.news(frame.getEntryNews());
+        heardMillis.put(news.address(), clock.monotonicMillis());
+        learn(news.address());
+        news.members().forEach(this::learn);
+        listener.onNews(news);
+        if (listener.lacks(news)) {
+            Member member = members.get(news.address());
+            if (member != null) {
+                member.exchange.ifPresent(
+                        exchange -> exchange.send(PeerMessages.changesRequest(listener.storeRevision())));
+            }
+        }
+    }
+
+    private void sendChanges(Exchange exchange, long after) {
+        exchange.send(PeerMessages.changes(listener.changesAfter(after), listener.storeRevision()));
+    }
+
+    private static String text(InetSocketAddress address) {
+        return address.getAddress().getHostAddress() + ":" + address.getPort();
+    }
+}
--- a/gateway/src/main/java/org/merlinwood/gateway/process/GatewayProcess.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/process/GatewayProcess.java
@@ -8,6 +8,7 @@
 import io.undertow.util.StatusCodes;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.util.List;
 import java.util.Optional;
 import org.merlinwood.core.time.MillisClock;
 import org.merlinwood.core.time.SystemMillisClock;
@@ -25,6 +26,9 @@
 import org.merlinwood.gateway.front.RequestMetrics;
 import org.merlinwood.gateway.loop.EventLoop;
 import org.merlinwood.gateway.loop.IoThreadLoop;
+import org.merlinwood.gateway.peer.PeerListener;
+import org.merlinwood.gateway.peer.PeerNews;
+import org.merlinwood.gateway.peer.PeerSessions;
 import org.merlinwood.gateway.request.CallerProtocol;
 import org.merlinwood.gateway.route.RouteTable;
 import org.merlinwood.gateway.upstream.UpstreamProtocol;
@@ -62,6 +66,8 @@
     private final EventLoop loop;
     private final InstancePool pool;
     private final StoreFollower follower;
+    private final PeerSessions peers;
+    private final CrashBook crashes = new CrashBook(clock);
     private final Undertow server;
     private volatile boolean leaving;
 
@@ -99,6 +105,16 @@
                 new CrashBook(clock),
                 log,
                 new RequestMetrics(metrics));
+        this.peers = new PeerSessions(
+                settings.instance(),
+                settings.peerAddress(),
+                settings.peerKey(),
+                settings.seeds(),
+                settings.addressParser(),
+                loop,
+                clock,
+                new PeerUpdates(),
+                log);
         this.server = Undertow.builder()
                 .setWorker(worker)
                 .setServerOption(UndertowOptions.DECODE_URL, false)
@@ -136,6 +152,7 @@
     public void start() {
         server.start();
         loop.execute(follower::start);
+        peers.start();
         log.line("start")
                 .with("callers", settings.callerAddress().toString())
                 .with("store", settings.storeAddress().toString())
@@ -185,6 +202,52 @@
         exchange.endExchange();
     }
 
+    /** What the sessions with other entries need of this one. */
+    private final class PeerUpdates implements PeerListener {
+
+        @Override
+        public PeerNews news(String address, List<String> members) {
+            return new PeerNews(address, members, follower.revision(), pool.work(), crashes.takeNews());
+        }
+
+        @Override
+        public void onNews(PeerNews news) {
+            pool.peer(news);
+            news.lostRuns().forEach(run -> crashes.heard(run.fingerprint(), run.instance()));
+        }
+
+        @Override
+        public void onLost(String address) {
+            pool.forgetPeer(address);
+            log.line("peer silent").with("peer", address).write();
+        }
+
+        @Override
+        public boolean lacks(PeerNews news) {
+            return follower.lacks(news.storeRevision());
+        }
+
+        @Override
+        public long storeRevision() {
+            return follower.revision();
+        }
+
+        @Override
+        public List<StoreChange> changesAfter(long after) {
+            return follower.changesAfter(after);
+        }
+
+        @Override
+        public void onChanges(List<StoreChange> changes, long revision) {
+            log.line("changes relayed")
+                    .with("changes", changes.size())
+                    .with("from", follower.revision())
+                    .with("to", revision)
+                    .write();
+            follower.relay(changes, revision);
+        }
+    }
+
     /** Turns changes of the store into routes and instances. */
     private final class FleetUpdates implements StoreListener {
 
--- a/gateway/src/main/java/org/merlinwood/gateway/process/GatewaySettings.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/process/GatewaySettings.java
@@ -2,6 +2,8 @@
 
 import java.net.InetSocketAddress;
 import java.util.List;
+import java.util.function.Function;
+import org.merlinwood.protocol.AuthenticationKey;
 
 /**
  * Settings of one entry. Immutable.
@@ -11,7 +13,9 @@
  * @param callerAddress where callers connect
  * @param readyAddress where the platform asks whether the entry takes callers, and operators read metrics
  * @param peerAddress where other entries connect
+ * @param peerKey secret of the sessions between entries
  * @param seeds peer addresses of some entries, possibly stale
+ * @param addressParser reads IP:PORT as other entries send it
  * @param storeAddress address of the configuration store
  * @param graceMillis time from the termination signal to the forced end, in milliseconds
  * @param repeatRatio repeats that all entries may send for each request of a service
@@ -24,7 +28,9 @@
         InetSocketAddress callerAddress,
         InetSocketAddress readyAddress,
         InetSocketAddress peerAddress,
+        AuthenticationKey peerKey,
         List<InetSocketAddress> seeds,
+        Function<String, InetSocketAddress> addressParser,
         InetSocketAddress storeAddress,
         long graceMillis,
         double repeatRatio,
--- a/gateway/src/main/java/org/merlinwood/gateway/request/Prompt.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/request/Prompt.java
@@ -1,6 +1,7 @@
 package org.merlinwood.gateway.request;
 
 import java.util.List;
+import java.util.OptionalInt;
 
 /**
  * What a model request asks of an engine.
@@ -8,21 +9,13 @@
  * @param model name of the model
  * @param promptTokens length of the prompt in tokens
  * @param outputTokens largest length of the answer in tokens
+ * @param lengthHint the caller's estimate of that length in tokens; right at the median, often far off
  * @param parts the parts of the prompt in order; may be empty
  */
-public record Prompt(String model, int promptTokens, int outputTokens, List<PromptPart> parts) {
+public record Prompt(String model, int promptTokens, int outputTokens, OptionalInt lengthHint, List<PromptPart> parts) {
 
     /** Copies the parts. */
     public Prompt {
         parts = List.copyOf(parts);
     }
-
-    /**
-     * Returns the memory that the request needs at its end.
-     *
-     * @return tokens of prompt and answer together
-     */
-    public int totalTokens() {
-        return promptTokens + outputTokens;
-    }
 }
--- a/wire-generated/src/main/java/org/merlinwood/wire/Frame.java
+++ b/wire-generated/src/main/java/org/merlinwood/wire/Frame.java
@@ -80,6 +80,9 @@
     SUSPICION_REPORT(70),
     SUSPICION_ANSWER(71),
     LOAD_REPORT(80),
+    ENTRY_NEWS(90),
+    STORE_CHANGES_REQUEST(91),
+    STORE_CHANGES(92),
     BODY_NOT_SET(0);
     private final int value;
     private BodyCase(int value) {
@@ -123,6 +126,9 @@
         case 70: return SUSPICION_REPORT;
         case 71: return SUSPICION_ANSWER;
         case 80: return LOAD_REPORT;
+        case 90: return ENTRY_NEWS;
+        case 91: return STORE_CHANGES_REQUEST;
+        case 92: return STORE_CHANGES;
         case 0: return BODY_NOT_SET;
         default: return null;
       }
@@ -960,6 +966,99 @@
     return org.merlinwood.wire.LoadReport.getDefaultInstance();
   }
 
+  public static final int ENTRY_NEWS_FIELD_NUMBER = 90;
+  /**
+   * <code>.merlinwood.wire.v1.EntryNews entry_news = 90;</code>
+   * @return Whether the entryNews field is set.
+   */
+  @java.lang.Override
+  public boolean hasEntryNews() {
+    return bodyCase_ == 90;
+  }
+  /**
+   * <code>.merlinwood.wire.v1.EntryNews entry_news = 90;</code>
+   * @return The entryNews.
+   */
+  @java.lang.Override
+  public org.merlinwood.wire.EntryNews getEntryNews() {
+    if (bodyCase_ == 90) {
+       return (org.merlinwood.wire.EntryNews) body_;
+    }
+    return org.merlinwood.wire.EntryNews.getDefaultInstance();
+  }
+  /**
+   * <code>.merlinwood.wire.v1.EntryNews entry_news = 90;</code>
+   */
+  @java.lang.Override
+  public org.merlinwood.wire.EntryNewsOrBuilder getEntryNewsOrBuilder() {
+    if (bodyCase_ == 90) {
+       return (org.merlinwood.wire.EntryNews) body_;
+    }
+    return org.merlinwood.wire.EntryNews.getDefaultInstance();
+  }
+
+  public static final int STORE_CHANGES_REQUEST_FIELD_NUMBER = 91;
+  /**
+   * <code>.merlinwood.wire.v1.StoreChangesRequest store_changes_request = 91;</code>
+   * @return Whether the storeChangesRequest field is set.
+   */
+  @java.lang.Override
+  public boolean hasStoreChangesRequest() {
+    return bodyCase_ == 91;
+  }
+  /**
+   * <code>.merlinwood.wire.v1.StoreChangesRequest store_changes_request = 91;</code>
+   * @return The storeChangesRequest.
+   */
+  @java.lang.Override
+  public org.merlinwood.wire.StoreChangesRequest getStoreChangesRequest() {
+    if (bodyCase_ == 91) {
+       return (org.merlinwood.wire.StoreChangesRequest) body_;
+    }
+    return org.merlinwood.wire.StoreChangesRequest.getDefaultInstance();
+  }
+  /**
+   * <code>.merlinwood.wire.v1.StoreChangesRequest store_changes_request = 91;</code>
+   */
+  @java.lang.Override
+  public org.merlinwood.wire.StoreChangesRequestOrBuilder getStoreChangesRequestOrBuilder() {
+    if (bodyCase_ == 91) {
+       return (org.merlinwood.wire.StoreChangesRequest) body_;
+    }
+    return org.merlinwood.wire.StoreChangesRequest.getDefaultInstance();
+  }
+
+  public static final int STORE_CHANGES_FIELD_NUMBER = 92;
+  /**
+   * <code>.merlinwood.wire.v1.StoreChanges store_changes = 92;</code>
+   * @return Whether the storeChanges field is set.
+   */
+  @java.lang.Override
+  public boolean hasStoreChanges() {
+    return bodyCase_ == 92;
+  }
+  /**
+   * <code>.merlinwood.wire.v1.StoreChanges store_changes = 92;</code>
+   * @return The storeChanges.
+   */
+  @java.lang.Override
+  public org.merlinwood.wire.StoreChanges getStoreChanges() {
+    if (bodyCase_ == 92) {
+       return (org.merlinwood.wire.StoreChanges) body_;
+    }
+    return org.merlinwood.wire.StoreChanges.getDefaultInstance();
+  }
+  /**
+   * <code>.merlinwood.wire.v1.StoreChanges store_changes = 92;</code>
+   */
+  @java.lang.Override
+  public org.merlinwood.wire.StoreChangesOrBuilder getStoreChangesOrBuilder() {
+    if (bodyCase_ == 92) {
+       return (org.merlinwood.wire.StoreChanges) body_;
+    }
+    return org.merlinwood.wire.StoreChanges.getDefaultInstance();
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -1055,6 +1154,15 @@
     if (bodyCase_ == 80) {
       output.writeMessage(80, (org.merlinwood.wire.LoadReport) body_);
     }
+    if (bodyCase_ == 90) {
+      output.writeMessage(90, (org.merlinwood.wire.EntryNews) body_);
+    }
+    if (bodyCase_ == 91) {
+      output.writeMessage(91, (org.merlinwood.wire.StoreChangesRequest) body_);
+    }
+    if (bodyCase_ == 92) {
+      output.writeMessage(92, (org.merlinwood.wire.StoreChanges) body_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -1167,6 +1275,18 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(80, (org.merlinwood.wire.LoadReport) body_);
     }
+    if (bodyCase_ == 90) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(90, (org.merlinwood.wire.EntryNews) body_);
+    }
+    if (bodyCase_ == 91) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(91, (org.merlinwood.wire.StoreChangesRequest) body_);
+    }
+    if (bodyCase_ == 92) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(92, (org.merlinwood.wire.StoreChanges) body_);
+    }
     return size;
   }
   @java.lang.Override
@@ -1299,6 +1419,18 @@
         if (!getLoadReport()
             .equals(other.getLoadReport())) return false;
         break;
+      case 90:
+        if (!getEntryNews()
+            .equals(other.getEntryNews())) return false;
+        break;
+      case 91:
+        if (!getStoreChangesRequest()
+            .equals(other.getStoreChangesRequest())) return false;
+        break;
+      case 92:
+        if (!getStoreChanges()
+            .equals(other.getStoreChanges())) return false;
+        break;
       case 0:
       default:
     }
@@ -1421,6 +1553,18 @@
         hash = (37 * hash) + LOAD_REPORT_FIELD_NUMBER;
         hash = (53 * hash) + getLoadReport().hashCode();
         break;
+      case 90:
+        hash = (37 * hash) + ENTRY_NEWS_FIELD_NUMBER;
+        hash = (53 * hash) + getEntryNews().hashCode();
+        break;
+      case 91:
+        hash = (37 * hash) + STORE_CHANGES_REQUEST_FIELD_NUMBER;
+        hash = (53 * hash) + getStoreChangesRequest().hashCode();
+        break;
+      case 92:
+        hash = (37 * hash) + STORE_CHANGES_FIELD_NUMBER;
+        hash = (53 * hash) + getStoreChanges().hashCode();
+        break;
       case 0:
       default:
     }
@@ -1634,6 +1778,15 @@
       if (loadReportBuilder_ != null) {
         loadReportBuilder_.clear();
       }
+      if (entryNewsBuilder_ != null) {
+        entryNewsBuilder_.clear();
+      }
+      if (storeChangesRequestBuilder_ != null) {
+        storeChangesRequestBuilder_.clear();
+      }
+      if (storeChangesBuilder_ != null) {
+        storeChangesBuilder_.clear();
+      }
       bodyCase_ = 0;
       body_ = null;
       return this;
@@ -1782,6 +1935,18 @@
           loadReportBuilder_ != null) {
         result.body_ = loadReportBuilder_.build();
       }
+      if (bodyCase_ == 90 &&
+          entryNewsBuilder_ != null) {
+        result.body_ = entryNewsBuilder_.build();
+      }
+      if (bodyCase_ == 91 &&
+          storeChangesRequestBuilder_ != null) {
+        result.body_ = storeChangesRequestBuilder_.build();
+      }
+      if (bodyCase_ == 92 &&
+          storeChangesBuilder_ != null) {
+        result.body_ = storeChangesBuilder_.build();
+      }
     }
 
     @java.lang.Override
@@ -1904,6 +2069,18 @@
           mergeLoadReport(other.getLoadReport());
           break;
         }
+        case ENTRY_NEWS: {
+          mergeEntryNews(other.getEntryNews());
+          break;
+        }
+        case STORE_CHANGES_REQUEST: {
+          mergeStoreChangesRequest(other.getStoreChangesRequest());
+          break;
+        }
+        case STORE_CHANGES: {
+          mergeStoreChanges(other.getStoreChanges());
+          break;
+        }
         case BODY_NOT_SET: {
           break;
         }
@@ -2119,6 +2296,27 @@
               bodyCase_ = 80;
               break;
             } // case 642
+            case 722: {
+              input.readMessage(
+                  internalGetEntryNewsFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 90;
+              break;
+            } // case 722
+            case 730: {
+              input.readMessage(
+                  internalGetStoreChangesRequestFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 91;
+              break;
+            } // case 730
+            case 738: {
+              input.readMessage(
+                  internalGetStoreChangesFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 92;
+              break;
+            } // case 738
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -5838,6 +6036,426 @@
       return loadReportBuilder_;
     }
 
+    private com.google.protobuf.SingleFieldBuilder<
+        org.merlinwood.wire.EntryNews, org.merlinwood.wire.EntryNews.Builder, org.merlinwood.wire.EntryNewsOrBuilder> entryNewsBuilder_;
+    /**
+     * <code>.merlinwood.wire.v1.EntryNews entry_news = 90;</code>
+     * @return Whether the entryNews field is set.
+     */
+    @java.lang.Override
+    public boolean hasEntryNews() {
+      return bodyCase_ == 90;
+    }
+    /**
+     * <code>.merlinwood.wire.v1.EntryNews entry_news = 90;</code>
+     * @return The entryNews.
+     */
+    @java.lang.Override
+    public org.merlinwood.wire.EntryNews getEntryNews() {
+      if (entryNewsBuilder_ == null) {
+        if (bodyCase_ == 90) {
+          return (org.merlinwood.wire.EntryNews) body_;
+        }
+        return org.merlinwood.wire.EntryNews.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 90) {
+          return entryNewsBuilder_.getMessage();
+        }
+        return org.merlinwood.wire.EntryNews.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.merlinwood.wire.v1.EntryNews entry_news = 90;</code>
+     */
+    public Builder setEntryNews(org.merlinwood.wire.EntryNews value) {
+      if (entryNewsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        body_ = value;
+        onChanged();
+      } else {
+        entryNewsBuilder_.setMessage(value);
+      }
+      bodyCase_ = 90;
+      return this;
+    }
+    /**
+     * <code>.merlinwood.wire.v1.EntryNews entry_news = 90;</code>
+     */
+    public Builder setEntryNews(
+        org.merlinwood.wire.EntryNews.Builder builderForValue) {
+      if (entryNewsBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        entryNewsBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 90;
+      return this;
+    }
+    /**
+     * <code>.merlinwood.wire.v1.EntryNews entry_news = 90;</code>
+     */
+    public Builder mergeEntryNews(org.merlinwood.wire.EntryNews value) {
+      if (entryNewsBuilder_ == null) {
+        if (bodyCase_ == 90 &&
+            body_ != org.merlinwood.wire.EntryNews.getDefaultInstance()) {
+          body_ = org.merlinwood.wire.EntryNews.newBuilder((org.merlinwood.wire.EntryNews) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 90) {
+          entryNewsBuilder_.mergeFrom(value);
+        } else {
+          entryNewsBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 90;
+      return this;
+    }
+    /**
+     * <code>.merlinwood.wire.v1.EntryNews entry_news = 90;</code>
+     */
+    public Builder clearEntryNews() {
+      if (entryNewsBuilder_ == null) {
+        if (bodyCase_ == 90) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 90) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        entryNewsBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.merlinwood.wire.v1.EntryNews entry_news = 90;</code>
+     */
+    public org.merlinwood.wire.EntryNews.Builder getEntryNewsBuilder() {
+      return internalGetEntryNewsFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.merlinwood.wire.v1.EntryNews entry_news = 90;</code>
+     */
+    @java.lang.Override
+    public org.merlinwood.wire.EntryNewsOrBuilder getEntryNewsOrBuilder() {
+      if ((bodyCase_ == 90) && (entryNewsBuilder_ != null)) {
+        return entryNewsBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 90) {
+          return (org.merlinwood.wire.EntryNews) body_;
+        }
+        return org.merlinwood.wire.EntryNews.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.merlinwood.wire.v1.EntryNews entry_news = 90;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.merlinwood.wire.EntryNews, org.merlinwood.wire.EntryNews.Builder, org.merlinwood.wire.EntryNewsOrBuilder> 
+        internalGetEntryNewsFieldBuilder() {
+      if (entryNewsBuilder_ == null) {
+        if (!(bodyCase_ == 90)) {
+          body_ = org.merlinwood.wire.EntryNews.getDefaultInstance();
+        }
+        entryNewsBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.merlinwood.wire.EntryNews, org.merlinwood.wire.EntryNews.Builder, org.merlinwood.wire.EntryNewsOrBuilder>(
+                (org.merlinwood.wire.EntryNews) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 90;
+      onChanged();
+      return entryNewsBuilder_;
+    }
+
+    private com.google.protobuf.SingleFieldBuilder<
+        org.merlinwood.wire.StoreChangesRequest, org.merlinwood.wire.StoreChangesRequest.Builder, org.merlinwood.wire.StoreChangesRequestOrBuilder> storeChangesRequestBuilder_;
+    /**
+     * <code>.merlinwood.wire.v1.StoreChangesRequest store_changes_request = 91;</code>
+     * @return Whether the storeChangesRequest field is set.
+     */
+    @java.lang.Override
+    public boolean hasStoreChangesRequest() {
+      return bodyCase_ == 91;
+    }
+    /**
+     * <code>.merlinwood.wire.v1.StoreChangesRequest store_changes_request = 91;</code>
+     * @return The storeChangesRequest.
+     */
+    @java.lang.Override
+    public org.merlinwood.wire.StoreChangesRequest getStoreChangesRequest() {
+      if (storeChangesRequestBuilder_ == null) {
+        if (bodyCase_ == 91) {
+          return (org.merlinwood.wire.StoreChangesRequest) body_;
+        }
+        return org.merlinwood.wire.StoreChangesRequest.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 91) {
+          return storeChangesRequestBuilder_.getMessage();
+        }
+        return org.merlinwood.wire.StoreChangesRequest.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.merlinwood.wire.v1.StoreChangesRequest store_changes_request = 91;</code>
+     */
+    public Builder setStoreChangesRequest(org.merlinwood.wire.StoreChangesRequest value) {
+      if (storeChangesRequestBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        body_ = value;
+        onChanged();
+      } else {
+        storeChangesRequestBuilder_.setMessage(value);
+      }
+      bodyCase_ = 91;
+      return this;
+    }
+    /**
+     * <code>.merlinwood.wire.v1.StoreChangesRequest store_changes_request = 91;</code>
+     */
+    public Builder setStoreChangesRequest(
+        org.merlinwood.wire.StoreChangesRequest.Builder builderForValue) {
+      if (storeChangesRequestBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        storeChangesRequestBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 91;
+      return this;
+    }
+    /**
+     * <code>.merlinwood.wire.v1.StoreChangesRequest store_changes_request = 91;</code>
+     */
+    public Builder mergeStoreChangesRequest(org.merlinwood.wire.StoreChangesRequest value) {
+      if (storeChangesRequestBuilder_ == null) {
+        if (bodyCase_ == 91 &&
+            body_ != org.merlinwood.wire.StoreChangesRequest.getDefaultInstance()) {
+          body_ = org.merlinwood.wire.StoreChangesRequest.newBuilder((org.merlinwood.wire.StoreChangesRequest) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 91) {
+          storeChangesRequestBuilder_.mergeFrom(value);
+        } else {
+          storeChangesRequestBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 91;
+      return this;
+    }
+    /**
+     * <code>.merlinwood.wire.v1.StoreChangesRequest store_changes_request = 91;</code>
+     */
+    public Builder clearStoreChangesRequest() {
+      if (storeChangesRequestBuilder_ == null) {
+        if (bodyCase_ == 91) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 91) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        storeChangesRequestBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.merlinwood.wire.v1.StoreChangesRequest store_changes_request = 91;</code>
+     */
+    public org.merlinwood.wire.StoreChangesRequest.Builder getStoreChangesRequestBuilder() {
+      return internalGetStoreChangesRequestFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.merlinwood.wire.v1.StoreChangesRequest store_changes_request = 91;</code>
+     */
+    @java.lang.Override
+    public org.merlinwood.wire.StoreChangesRequestOrBuilder getStoreChangesRequestOrBuilder() {
+      if ((bodyCase_ == 91) && (storeChangesRequestBuilder_ != null)) {
+        return storeChangesRequestBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 91) {
+          return (org.merlinwood.wire.StoreChangesRequest) body_;
+        }
+        return org.merlinwood.wire.StoreChangesRequest.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.merlinwood.wire.v1.StoreChangesRequest store_changes_request = 91;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.merlinwood.wire.StoreChangesRequest, org.merlinwood.wire.StoreChangesRequest.Builder, org.merlinwood.wire.StoreChangesRequestOrBuilder> 
+        internalGetStoreChangesRequestFieldBuilder() {
+      if (storeChangesRequestBuilder_ == null) {
+        if (!(bodyCase_ == 91)) {
+          body_ = org.merlinwood.wire.StoreChangesRequest.getDefaultInstance();
+        }
+        storeChangesRequestBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.merlinwood.wire.StoreChangesRequest, org.merlinwood.wire.StoreChangesRequest.Builder, org.merlinwood.wire.StoreChangesRequestOrBuilder>(
+                (org.merlinwood.wire.StoreChangesRequest) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 91;
+      onChanged();
+      return storeChangesRequestBuilder_;
+    }
+
+    private com.google.protobuf.SingleFieldBuilder<
+        org.merlinwood.wire.StoreChanges, org.merlinwood.wire.StoreChanges.Builder, org.merlinwood.wire.StoreChangesOrBuilder> storeChangesBuilder_;
+    /**
+     * <code>.merlinwood.wire.v1.StoreChanges store_changes = 92;</code>
+     * @return Whether the storeChanges field is set.
+     */
+    @java.lang.Override
+    public boolean hasStoreChanges() {
+      return bodyCase_ == 92;
+    }
+    /**
+     * <code>.merlinwood.wire.v1.StoreChanges store_changes = 92;</code>
+     * @return The storeChanges.
+     */
+    @java.lang.Override
+    public org.merlinwood.wire.StoreChanges getStoreChanges() {
+      if (storeChangesBuilder_ == null) {
+        if (bodyCase_ == 92) {
+          return (org.merlinwood.wire.StoreChanges) body_;
+        }
+        return org.merlinwood.wire.StoreChanges.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 92) {
+          return storeChangesBuilder_.getMessage();
+        }
+        return org.merlinwood.wire.StoreChanges.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.merlinwood.wire.v1.StoreChanges store_changes = 92;</code>
+     */
+    public Builder setStoreChanges(org.merlinwood.wire.StoreChanges value) {
+      if (storeChangesBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        body_ = value;
+        onChanged();
+      } else {
+        storeChangesBuilder_.setMessage(value);
+      }
+      bodyCase_ = 92;
+      return this;
+    }
+    /**
+     * <code>.merlinwood.wire.v1.StoreChanges store_changes = 92;</code>
+     */
+    public Builder setStoreChanges(
+        org.merlinwood.wire.StoreChanges.Builder builderForValue) {
+      if (storeChangesBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        storeChangesBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 92;
+      return this;
+    }
+    /**
+     * <code>.merlinwood.wire.v1.StoreChanges store_changes = 92;</code>
+     */
+    public Builder mergeStoreChanges(org.merlinwood.wire.StoreChanges value) {
+      if (storeChangesBuilder_ == null) {
+        if (bodyCase_ == 92 &&
+            body_ != org.merlinwood.wire.StoreChanges.getDefaultInstance()) {
+          body_ = org.merlinwood.wire.StoreChanges.newBuilder((org.merlinwood.wire.StoreChanges) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 92) {
+          storeChangesBuilder_.mergeFrom(value);
+        } else {
+          storeChangesBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 92;
+      return this;
+    }
+    /**
+     * <code>.merlinwood.wire.v1.StoreChanges store_changes = 92;</code>
+     */
+    public Builder clearStoreChanges() {
+      if (storeChangesBuilder_ == null) {
+        if (bodyCase_ == 92) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 92) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        storeChangesBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.merlinwood.wire.v1.StoreChanges store_changes = 92;</code>
+     */
+    public org.merlinwood.wire.StoreChanges.Builder getStoreChangesBuilder() {
+      return internalGetStoreChangesFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.merlinwood.wire.v1.StoreChanges store_changes = 92;</code>
+     */
+    @java.lang.Override
+    public org.merlinwood.wire.StoreChangesOrBuilder getStoreChangesOrBuilder() {
+      if ((bodyCase_ == 92) && (storeChangesBuilder_ != null)) {
+        return storeChangesBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 92) {
+          return (org.merlinwood.wire.StoreChanges) body_;
+        }
+        return org.merlinwood.wire.StoreChanges.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.merlinwood.wire.v1.StoreChanges store_changes = 92;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.merlinwood.wire.StoreChanges, org.merlinwood.wire.StoreChanges.Builder, org.merlinwood.wire.StoreChangesOrBuilder> 
+        internalGetStoreChangesFieldBuilder() {
+      if (storeChangesBuilder_ == null) {
+        if (!(bodyCase_ == 92)) {
+          body_ = org.merlinwood.wire.StoreChanges.getDefaultInstance();
+        }
+        storeChangesBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.merlinwood.wire.StoreChanges, org.merlinwood.wire.StoreChanges.Builder, org.merlinwood.wire.StoreChangesOrBuilder>(
+                (org.merlinwood.wire.StoreChanges) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 92;
+      onChanged();
+      return storeChangesBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:merlinwood.wire.v1.Frame)
   }
 
--- a/wire-generated/src/main/java/org/merlinwood/wire/FrameOrBuilder.java
+++ b/wire-generated/src/main/java/org/merlinwood/wire/FrameOrBuilder.java
@@ -411,5 +411,50 @@
    */
   org.merlinwood.wire.LoadReportOrBuilder getLoadReportOrBuilder();
 
+  /**
+   * <code>.merlinwood.wire.v1.EntryNews entry_news = 90;</code>
+   * @return Whether the entryNews field is set.
+   */
+  boolean hasEntryNews();
+  /**
+   * <code>.merlinwood.wire.v1.EntryNews entry_news = 90;</code>
+   * @return The entryNews.
+   */
+  org.merlinwood.wire.EntryNews getEntryNews();
+  /**
+   * <code>.merlinwood.wire.v1.EntryNews entry_news = 90;</code>
+   */
+  org.merlinwood.wire.EntryNewsOrBuilder getEntryNewsOrBuilder();
+
+  /**
+   * <code>.merlinwood.wire.v1.StoreChangesRequest store_changes_request = 91;</code>
+   * @return Whether the storeChangesRequest field is set.
+   */
+  boolean hasStoreChangesRequest();
+  /**
+   * <code>.merlinwood.wire.v1.StoreChangesRequest store_changes_request = 91;</code>
+   * @return The storeChangesRequest.
+   */
+  org.merlinwood.wire.StoreChangesRequest getStoreChangesRequest();
+  /**
+   * <code>.merlinwood.wire.v1.StoreChangesRequest store_changes_request = 91;</code>
+   */
+  org.merlinwood.wire.StoreChangesRequestOrBuilder getStoreChangesRequestOrBuilder();
+
+  /**
+   * <code>.merlinwood.wire.v1.StoreChanges store_changes = 92;</code>
+   * @return Whether the storeChanges field is set.
+   */
+  boolean hasStoreChanges();
+  /**
+   * <code>.merlinwood.wire.v1.StoreChanges store_changes = 92;</code>
+   * @return The storeChanges.
+   */
+  org.merlinwood.wire.StoreChanges getStoreChanges();
+  /**
+   * <code>.merlinwood.wire.v1.StoreChanges store_changes = 92;</code>
+   */
+  org.merlinwood.wire.StoreChangesOrBuilder getStoreChangesOrBuilder();
+
   org.merlinwood.wire.Frame.BodyCase getBodyCase();
 }
