A leaving entry refuses what it can't finish before its forced end

Streams that come when less time is left than they take are refused as not run, with a time to come back at once.

--- a/gateway/src/main/java/org/merlinwood/gateway/front/FrontHandler.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/FrontHandler.java
@@ -8,10 +8,10 @@
 import io.undertow.util.SameThreadExecutor;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
 import org.merlinwood.core.result.ResultCode;
 import org.merlinwood.core.time.MillisClock;
+import org.merlinwood.gateway.decision.Departure;
 import org.merlinwood.gateway.request.CallerProtocol;
 import org.merlinwood.http.HttpHeader;
 
@@ -24,7 +24,7 @@
     private final CallerProtocol protocol;
     private final MillisClock clock;
     private final LongSupplier maximumBodyBytes;
-    private final BooleanSupplier leaving;
+    private final Departure departure;
     private final OpenRequests open;
 
     FrontHandler(
@@ -32,13 +32,13 @@
             CallerProtocol protocol,
             MillisClock clock,
             LongSupplier maximumBodyBytes,
-            BooleanSupplier leaving,
+            Departure departure,
             OpenRequests open) {
         this.desk = desk;
         this.protocol = protocol;
         this.clock = clock;
         this.maximumBodyBytes = maximumBodyBytes;
-        this.leaving = leaving;
+        this.departure = departure;
         this.open = open;
     }
 
@@ -50,7 +50,7 @@
             open.closed();
             next.proceed();
         });
-        if (leaving.getAsBoolean()) {
+        if (departure.begun()) {
             exchange.setPersistent(false);
         }
         UndertowCallerChannel channel = new UndertowCallerChannel(exchange);
--- a/gateway/src/main/java/org/merlinwood/gateway/front/FrontServer.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/FrontServer.java
@@ -1,9 +1,9 @@
 package org.merlinwood.gateway.front;
 
 import io.undertow.server.HttpHandler;
-import java.util.function.BooleanSupplier;
 import org.merlinwood.core.time.MillisClock;
 import org.merlinwood.gateway.decision.CrashBook;
+import org.merlinwood.gateway.decision.Departure;
 import org.merlinwood.gateway.decision.InstancePool;
 import org.merlinwood.gateway.decision.RetryAllowance;
 import org.merlinwood.gateway.fleet.FleetState;
@@ -54,13 +54,18 @@
      * Makes the handler.
      *
      * @param protocol reads requests
-     * @param leaving whether the process is about to end, so that connections close behind their answer
+     * @param departure whether the process is about to end
      * @param open counts requests
      * @return the handler, for the event loop's thread
      */
-    public HttpHandler handler(CallerProtocol protocol, BooleanSupplier leaving, OpenRequests open) {
+    public HttpHandler handler(CallerProtocol protocol, Departure departure, OpenRequests open) {
         return new FrontHandler(
-                new RequestDesk(context), protocol, context.clock(), this::maximumBodyBytes, leaving, open);
+                new RequestDesk(context, departure),
+                protocol,
+                context.clock(),
+                this::maximumBodyBytes,
+                departure,
+                open);
     }
 
     private long maximumBodyBytes() {
--- a/gateway/src/main/java/org/merlinwood/gateway/front/RequestDesk.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/RequestDesk.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 import org.merlinwood.core.result.ResultCode;
 import org.merlinwood.gateway.decision.CrashBook;
+import org.merlinwood.gateway.decision.Departure;
 import org.merlinwood.gateway.request.CallerRequest;
 import org.merlinwood.gateway.request.Prompt;
 import org.merlinwood.gateway.route.EngineLimits;
@@ -16,10 +17,15 @@
     /** When to come back to an entry that knows no routes yet, in milliseconds: it reads them in a few round trips. */
     private static final long NOT_READY_RETRY_MILLIS = 200;
 
+    /** When to come back to another entry, in milliseconds: at once. */
+    private static final long LEAVING_RETRY_MILLIS = 20;
+
     private final CourseContext context;
+    private final Departure departure;
 
-    RequestDesk(CourseContext context) {
+    RequestDesk(CourseContext context, Departure departure) {
         this.context = context;
+        this.departure = departure;
     }
 
     void accept(CallerRequest request, CallerChannel channel) {
@@ -37,6 +43,10 @@
             refuse(request, channel, ResultCode.NO_INSTANCE, 0);
             return;
         }
+        if (!departure.takes(route.get().kind())) {
+            refuse(request, channel, ResultCode.DRAINING, LEAVING_RETRY_MILLIS);
+            return;
+        }
         start(request, channel, routes.get(), route.get());
     }
 
--- a/gateway/src/main/java/org/merlinwood/gateway/process/GatewayProcess.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/process/GatewayProcess.java
@@ -13,6 +13,7 @@
 import org.merlinwood.core.time.MillisClock;
 import org.merlinwood.core.time.SystemMillisClock;
 import org.merlinwood.gateway.decision.CrashBook;
+import org.merlinwood.gateway.decision.Departure;
 import org.merlinwood.gateway.decision.InstancePool;
 import org.merlinwood.gateway.decision.RetryAllowance;
 import org.merlinwood.gateway.fleet.FleetState;
@@ -46,12 +47,6 @@
     /** How often the end of the drain is looked for, in milliseconds. */
     private static final long DRAIN_POLL_MILLIS = 50;
 
-    /** How long a leaving entry still takes requests at least, in milliseconds: two questions of the platform. */
-    private static final long LEAST_DRAIN_MILLIS = 2_500;
-
-    /** Time before the forced end at which a leaving entry ends by itself, in milliseconds. */
-    private static final long DRAIN_MARGIN_MILLIS = 300;
-
     /** Longest time that a connection may stay idle, in milliseconds; above any limit that operators set. */
     private static final int IDLE_LIMIT_MILLIS = 120_000;
 
@@ -69,7 +64,7 @@
     private final PeerSessions peers;
     private final CrashBook crashes = new CrashBook(clock);
     private final Undertow server;
-    private volatile boolean leaving;
+    private final Departure departure;
 
     /**
      * Creates the parts; nothing listens before {@link #start()}.
@@ -87,6 +82,7 @@
         this.settings = settings;
         this.storeProtocol = storeProtocol;
         this.log = new DecisionLog(settings.instance(), clock, System.out);
+        this.departure = new Departure(clock, settings.graceMillis());
         this.worker = createWorker();
         this.loop = new IoThreadLoop(worker.getIoThread());
         HttpClient client = HttpClient.on(worker);
@@ -123,7 +119,7 @@
                 .addHttpListener(
                         settings.callerAddress().getPort(),
                         settings.callerAddress().getHostString(),
-                        front.handler(callerProtocol, () -> leaving, open))
+                        front.handler(callerProtocol, departure, open))
                 .addHttpListener(
                         settings.readyAddress().getPort(),
                         settings.readyAddress().getHostString(),
@@ -166,19 +162,17 @@
      */
     public void drain(Runnable end) {
         loop.execute(() -> {
-            if (leaving) {
+            if (!departure.begin()) {
                 return;
             }
-            leaving = true;
             log.line("drain").with("openRequests", open.count()).write();
-            awaitEnd(clock.monotonicMillis(), end);
+            awaitEnd(end);
         });
     }
 
-    private void awaitEnd(long sinceMillis, Runnable end) {
-        long took = clock.monotonicMillis() - sinceMillis;
-        boolean finished = took >= LEAST_DRAIN_MILLIS && open.count() == 0;
-        if (finished || took >= settings.graceMillis() - DRAIN_MARGIN_MILLIS) {
+    private void awaitEnd(Runnable end) {
+        long took = departure.elapsedMillis();
+        if (departure.mayEnd(open.count())) {
             log.line("stop")
                     .with("openRequests", open.count())
                     .with("drainMillis", took)
@@ -186,7 +180,7 @@
             loop.schedule(DRAIN_POLL_MILLIS, end);
             return;
         }
-        loop.schedule(DRAIN_POLL_MILLIS, () -> awaitEnd(sinceMillis, end));
+        loop.schedule(DRAIN_POLL_MILLIS, () -> awaitEnd(end));
     }
 
     // ------------------------------------------------------------------ internals
@@ -197,7 +191,7 @@
             exchange.getResponseSender().send(MetricsText.write(metrics));
             return;
         }
-        boolean ready = fleet.usable() && !leaving;
+        boolean ready = fleet.usable() && !departure.begun();
         exchange.setStatusCode(ready ? StatusCodes.OK : StatusCodes.SERVICE_UNAVAILABLE);
         exchange.endExchange();
     }
