--- a/gateway/src/main/java/org/merlinwood/gateway/decision/CrashBook.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/decision/CrashBook.java
@@ -8,7 +8,6 @@
 import java.util.Map;
 import java.util.Set;
 import org.merlinwood.core.time.MillisClock;
-import org.merlinwood.gateway.peer.PeerNews;
 import org.merlinwood.gateway.request.CallerRequest;
 
 /**
@@ -28,7 +27,7 @@
     private static final int MAXIMUM_REQUESTS = 4_096;
 
     private final MillisClock clock;
-    private final List<PeerNews.LostRun> untold = new ArrayList<>();
+    private final List<EntryNews.LostRun> untold = new ArrayList<>();
     private final Map<Long, Losses> losses = new LinkedHashMap<>() {
         @Override
         protected boolean removeEldestEntry(Map.Entry<Long, Losses> eldest) {
@@ -62,7 +61,7 @@
      * @param instance the instance that was lost
      */
     public void lost(long fingerprint, String instance) {
-        untold.add(new PeerNews.LostRun(fingerprint, instance));
+        untold.add(new EntryNews.LostRun(fingerprint, instance));
         heard(fingerprint, instance);
     }
 
@@ -87,8 +86,8 @@
      *
      * @return the losses since the last call
      */
-    public List<PeerNews.LostRun> takeNews() {
-        List<PeerNews.LostRun> news = List.copyOf(untold);
+    public List<EntryNews.LostRun> takeNews() {
+        List<EntryNews.LostRun> news = List.copyOf(untold);
         untold.clear();
         return news;
     }
--- a/gateway/src/main/java/org/merlinwood/gateway/peer/PeerNews.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/decision/EntryNews.java
@@ -1,7 +1,6 @@
-package org.merlinwood.gateway.peer;
+package org.merlinwood.gateway.decision;
 
 import java.util.List;
-import org.merlinwood.gateway.decision.MemoryForecast;
 
 /**
  * What one entry tells the others. Immutable.
@@ -11,15 +10,27 @@
  * @param storeRevision revision of the store up to which it knows every change
  * @param work its work at each instance
  * @param lostRuns requests whose runs ended with a lost instance since the news before
+ * @param demands what callers asked of each service of late
+ * @param switching instances that were ordered to change their stage and are not back
+ * @param highestFence highest fencing token of an order that it knows of
  */
-public record PeerNews(
-        String address, List<String> members, long storeRevision, List<InstanceWork> work, List<LostRun> lostRuns) {
+public record EntryNews(
+        String address,
+        List<String> members,
+        long storeRevision,
+        List<InstanceWork> work,
+        List<LostRun> lostRuns,
+        List<ServiceDemand> demands,
+        List<String> switching,
+        long highestFence) {
 
     /** Copies the lists. */
-    public PeerNews {
+    public EntryNews {
         members = List.copyOf(members);
         work = List.copyOf(work);
         lostRuns = List.copyOf(lostRuns);
+        demands = List.copyOf(demands);
+        switching = List.copyOf(switching);
     }
 
     /**
@@ -45,4 +56,13 @@
      * @param instance the instance
      */
     public record LostRun(long fingerprint, String instance) {}
+
+    /**
+     * What callers asked of one service within the last {@link DemandMeter#WINDOW_MILLIS}.
+     *
+     * @param service its name
+     * @param promptTokens tokens of prompts
+     * @param withoutRoom requests that found no room
+     */
+    public record ServiceDemand(String service, int promptTokens, int withoutRoom) {}
 }
--- a/gateway/src/main/java/org/merlinwood/gateway/decision/InstancePool.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/decision/InstancePool.java
@@ -11,7 +11,6 @@
 import org.merlinwood.gateway.fleet.FleetState;
 import org.merlinwood.gateway.fleet.Stage;
 import org.merlinwood.gateway.fleet.UpstreamInstance;
-import org.merlinwood.gateway.peer.PeerNews;
 import org.merlinwood.gateway.request.Prompt;
 import org.merlinwood.gateway.route.EngineLimits;
 import org.merlinwood.gateway.upstream.UpstreamLoad;
@@ -34,10 +33,21 @@
     /** Part of an instance's memory that forecasts may fill: lengths are expected, not known. */
     private static final double USED_MEMORY_PART = 0.92;
 
+    /** What the highest speed of prefill keeps of itself with each prompt, so that an old one fades. */
+    private static final double SPEED_MEMORY = 0.99;
+
+    /** Prompts that may wait before one at a prefill instance; a decode instance takes as long for two. */
+    private static final int WAITING_PROMPTS = 3;
+
+    /** Length that a prompt counts with at least when the waiting ones are judged, in tokens. */
+    private static final int LEAST_WAITING_TOKENS = 4_000;
+
     private final FleetState fleet;
     private final MillisClock clock;
     private final String ownDomain;
     private final Map<String, InstanceRecord> records = new HashMap<>();
+    private Set<String> switching = Set.of();
+    private double prefillTokensPerMilli;
 
     /**
      * Creates a pool.
@@ -104,15 +114,21 @@
     /**
      * Chooses the instance that is to compute a prompt.
      *
+     * <p>Where the prompts that wait everywhere would take longer than a decode instance needs to compute this one by
+     * itself, none is chosen: a late result is wasted.
+     *
      * @param service name of the service
      * @param nearDomain failure domain of the instance that will take the result over
      * @param tokens length of the prompt
      * @param excluded identifiers of instances that were tried already
-     * @return the best instance, or empty if none is left
+     * @return the best instance, or empty if none is left or worth the wait
      */
     public Optional<UpstreamInstance> choosePrefill(
             String service, String nearDomain, int tokens, Set<String> excluded) {
-        List<UpstreamInstance> candidates = candidates(service, Stage.PREFILL, excluded);
+        List<UpstreamInstance> candidates = candidates(service, Stage.PREFILL, excluded).stream()
+                .filter(instance -> record(instance.identifier()).allPromptTokens()
+                        <= Math.max(tokens, LEAST_WAITING_TOKENS) * WAITING_PROMPTS)
+                .toList();
         double meanMillis = meanMillis(candidates);
         return best(candidates, instance -> {
             InstanceRecord record = record(instance.identifier());
@@ -121,6 +137,19 @@
         });
     }
 
+    /**
+     * Expects how long a prefill takes.
+     *
+     * @param identifier the instance
+     * @param tokens length of the prompt
+     * @return milliseconds, or 0 before the first prompt was computed
+     */
+    public long expectedPrefillMillis(String identifier, int tokens) {
+        return prefillTokensPerMilli <= 0
+                ? 0
+                : Math.round((record(identifier).allPromptTokens() + tokens) / prefillTokensPerMilli);
+    }
+
     // ------------------------------------------------------------------ work and health
 
     /**
@@ -212,6 +241,37 @@
         return record(identifier).failed(clock.monotonicMillis());
     }
 
+    /**
+     * Notes that a prompt was computed.
+     *
+     * @param identifier the instance
+     * @param tokens its length
+     * @param tookMillis how long it took, waiting included, in milliseconds
+     */
+    public void computedPrompt(String identifier, int tokens, long tookMillis) {
+        succeeded(identifier, tookMillis);
+        double speed = tokens / (double) Math.max(1, tookMillis);
+        prefillTokensPerMilli = Math.max(speed, prefillTokensPerMilli * SPEED_MEMORY);
+    }
+
+    /**
+     * Returns what one prefill instance computes when it is not shared.
+     *
+     * @return tokens in a millisecond, 0 before the first prompt
+     */
+    public double prefillTokensPerMilli() {
+        return prefillTokensPerMilli;
+    }
+
+    /**
+     * Sets the instances that are changing their stage and take no work meanwhile.
+     *
+     * @param identifiers the instances
+     */
+    public void switching(Set<String> identifiers) {
+        switching = Set.copyOf(identifiers);
+    }
+
     /**
      * Notes the load that an instance told of.
      *
@@ -227,7 +287,7 @@
      *
      * @param news its news
      */
-    public void peer(PeerNews news) {
+    public void peer(EntryNews news) {
         forgetPeer(news.address());
         news.work().forEach(work -> record(work.instance()).peer(news.address(), work));
     }
@@ -258,7 +318,7 @@
      *
      * @return the work at each instance that has some
      */
-    public List<PeerNews.InstanceWork> work() {
+    public List<EntryNews.InstanceWork> work() {
         return records.entrySet().stream()
                 .filter(entry -> !entry.getValue().idle())
                 .map(entry -> entry.getValue().work(entry.getKey()))
@@ -274,7 +334,7 @@
     private List<UpstreamInstance> candidates(String service, Stage stage, Set<String> excluded) {
         return fleet.instances(service).stream()
                 .filter(instance -> instance.stage() == stage)
-                .filter(instance -> !instance.leaving())
+                .filter(instance -> !instance.leaving() && !switching.contains(instance.identifier()))
                 .filter(instance -> !excluded.contains(instance.identifier()))
                 .toList();
     }
--- a/gateway/src/main/java/org/merlinwood/gateway/decision/InstanceRecord.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/decision/InstanceRecord.java
@@ -4,7 +4,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import org.merlinwood.gateway.peer.PeerNews;
 import org.merlinwood.gateway.upstream.UpstreamLoad;
 
 /** What this entry knows of one instance: its own work there, that of its peers, told load, and how calls ended. */
@@ -25,7 +24,7 @@
     private int running;
     private int promptTokens;
     private final List<AnswerWork> answers = new ArrayList<>();
-    private final Map<String, PeerNews.InstanceWork> peers = new HashMap<>();
+    private final Map<String, EntryNews.InstanceWork> peers = new HashMap<>();
     private int toldOthers;
     private long toldMillis = Long.MIN_VALUE / 2;
     private int failuresInRow;
@@ -64,7 +63,7 @@
         }
     }
 
-    void peer(String address, PeerNews.InstanceWork work) {
+    void peer(String address, EntryNews.InstanceWork work) {
         peers.put(address, work);
     }
 
@@ -82,8 +81,8 @@
     }
 
     /** Work of this entry, for its peers. */
-    PeerNews.InstanceWork work(String identifier) {
-        return new PeerNews.InstanceWork(
+    EntryNews.InstanceWork work(String identifier) {
+        return new EntryNews.InstanceWork(
                 identifier,
                 running,
                 promptTokens,
@@ -92,15 +91,16 @@
 
     /** Requests at the instance, those of other entries included as far as they are known. */
     int allRunning(long nowMillis) {
-        int heard =
-                peers.values().stream().mapToInt(PeerNews.InstanceWork::running).sum();
+        int heard = peers.values().stream()
+                .mapToInt(EntryNews.InstanceWork::running)
+                .sum();
         return running + (nowMillis - toldMillis <= LOAD_AGE_MILLIS ? Math.max(toldOthers, heard) : heard);
     }
 
     int allPromptTokens() {
         return promptTokens
                 + peers.values().stream()
-                        .mapToInt(PeerNews.InstanceWork::promptTokens)
+                        .mapToInt(EntryNews.InstanceWork::promptTokens)
                         .sum();
     }
 
--- /dev/null
+++ b/gateway/src/main/java/org/merlinwood/gateway/decision/OrderHolder.java
@@ -0,0 +1,114 @@
+package org.merlinwood.gateway.decision;
+
+import java.net.InetAddress;
+import java.util.Collection;
+import org.merlinwood.core.time.MillisClock;
+
+/**
+ * Decides whether this entry is the one that gives orders to instances, and with which fencing token.
+ *
+ * <p>Used by the event loop alone. The entry with the lowest address gives orders, once it has been the lowest for a
+ * while and hears most of the entries that it knows, so that no two sides of a partition give orders and no two entries
+ * take turns. The fencing token begins with the store's revision, which only rises, and ends with bits of the entry's
+ * address, so that no two entries share one; it exceeds every token that the entries have told each other of.
+ */
+public final class OrderHolder {
+
+    /** How long the entry must have been the lowest, in milliseconds: longer than any lease of an earlier holder. */
+    private static final long SETTLE_MILLIS = 4_500;
+
+    /** Bits of the token that name the entry. */
+    private static final int ENTRY_BITS = 24;
+
+    private final MillisClock clock;
+    private final String ownAddress;
+    private final long entryBits;
+    private long lowestSinceMillis = -1;
+    private long fence;
+    private long highestFence;
+    private boolean refused;
+
+    /**
+     * Creates the decision.
+     *
+     * @param clock the time
+     * @param ownAddress peer address of this entry
+     * @param address its network address
+     */
+    public OrderHolder(MillisClock clock, String ownAddress, InetAddress address) {
+        this.clock = clock;
+        this.ownAddress = ownAddress;
+        byte[] octets = address.getAddress();
+        int last = octets.length - 1;
+        this.entryBits = (octets[last - 2] & 0xFFL) << 16 | (octets[last - 1] & 0xFFL) << 8 | (octets[last] & 0xFFL);
+    }
+
+    /**
+     * Notes a token that another entry told of.
+     *
+     * @param token the token
+     */
+    public void heard(long token) {
+        highestFence = Math.max(highestFence, token);
+    }
+
+    /**
+     * Returns the highest token that is known.
+     *
+     * @return the token, 0 for none
+     */
+    public long highestFence() {
+        return highestFence;
+    }
+
+    /**
+     * Decides whether this entry may give an order now. To be asked often, since it must have been the lowest all
+     * along.
+     *
+     * @param heard addresses of the other entries that are heard
+     * @param known number of other entries that are known
+     * @param storeRevision revision of the store
+     * @return true if it may
+     */
+    public boolean mayOrder(Collection<String> heard, int known, long storeRevision) {
+        boolean lowest = heard.stream().allMatch(address -> address.compareTo(ownAddress) > 0);
+        boolean most = 2 * (heard.size() + 1) > known + 1;
+        if (!lowest || !most) {
+            lowestSinceMillis = -1;
+            fence = 0;
+            return false;
+        }
+        long now = clock.monotonicMillis();
+        if (lowestSinceMillis < 0) {
+            lowestSinceMillis = now;
+        }
+        if (refused || now - lowestSinceMillis < SETTLE_MILLIS || storeRevision <= 0) {
+            return false;
+        }
+        takeFence(storeRevision);
+        return true;
+    }
+
+    /**
+     * Returns the token for orders.
+     *
+     * @return the token of this entry
+     */
+    public long fence() {
+        return fence;
+    }
+
+    /** Notes that an instance knew a higher token: this entry gives no more orders in its life. */
+    public void refused() {
+        refused = true;
+    }
+
+    private void takeFence(long storeRevision) {
+        if (fence != 0 && fence >= highestFence) {
+            return;
+        }
+        long revisions = Math.max(storeRevision, (highestFence >> ENTRY_BITS) + 1);
+        fence = revisions << ENTRY_BITS | entryBits;
+        highestFence = fence;
+    }
+}
--- a/gateway/src/main/java/org/merlinwood/gateway/fleet/UpstreamInstance.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/fleet/UpstreamInstance.java
@@ -20,4 +20,15 @@
         String domain,
         int slots,
         boolean leaving,
-        Stage stage) {}
+        Stage stage) {
+
+    /**
+     * Returns this instance with another stage.
+     *
+     * @param other the stage
+     * @return a copy
+     */
+    public UpstreamInstance withStage(Stage other) {
+        return new UpstreamInstance(identifier, service, address, domain, slots, leaving, other);
+    }
+}
--- a/gateway/src/main/java/org/merlinwood/gateway/front/CourseContext.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/CourseContext.java
@@ -2,6 +2,7 @@
 
 import org.merlinwood.core.time.MillisClock;
 import org.merlinwood.gateway.decision.CrashBook;
+import org.merlinwood.gateway.decision.DemandMeter;
 import org.merlinwood.gateway.decision.InstancePool;
 import org.merlinwood.gateway.decision.RetryAllowance;
 import org.merlinwood.gateway.fleet.FleetState;
@@ -21,6 +22,7 @@
  * @param pool load and health of instances
  * @param allowance repeats that this entry may still send
  * @param crashes requests that crashed instances
+ * @param meter what callers ask of each model service
  * @param log a line for each decision
  * @param metrics counters and times
  */
@@ -33,5 +35,6 @@
         InstancePool pool,
         RetryAllowance allowance,
         CrashBook crashes,
+        DemandMeter meter,
         DecisionLog log,
         RequestMetrics metrics) {}
--- a/gateway/src/main/java/org/merlinwood/gateway/front/FrontServer.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/FrontServer.java
@@ -3,6 +3,7 @@
 import io.undertow.server.HttpHandler;
 import org.merlinwood.core.time.MillisClock;
 import org.merlinwood.gateway.decision.CrashBook;
+import org.merlinwood.gateway.decision.DemandMeter;
 import org.merlinwood.gateway.decision.Departure;
 import org.merlinwood.gateway.decision.InstancePool;
 import org.merlinwood.gateway.decision.RetryAllowance;
@@ -33,6 +34,7 @@
      * @param pool load and health of instances
      * @param allowance repeats that may still be sent
      * @param crashes requests that crashed instances
+     * @param meter what callers ask of each model service
      * @param log a line for each decision
      * @param metrics counters and times
      */
@@ -45,9 +47,11 @@
             InstancePool pool,
             RetryAllowance allowance,
             CrashBook crashes,
+            DemandMeter meter,
             DecisionLog log,
             RequestMetrics metrics) {
-        context = new CourseContext(loop, clock, client, protocol, fleet, pool, allowance, crashes, log, metrics);
+        context =
+                new CourseContext(loop, clock, client, protocol, fleet, pool, allowance, crashes, meter, log, metrics);
     }
 
     /**
--- a/gateway/src/main/java/org/merlinwood/gateway/front/RequestDesk.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/RequestDesk.java
@@ -62,6 +62,8 @@
                 .flatMap(UpstreamService::engine);
         Optional<Prompt> prompt = request.prompt();
         if (prompt.isPresent() && engine.isPresent()) {
+            context.meter()
+                    .asked(route.serviceFor(request.attempt()), prompt.get().promptTokens());
             new StreamCourse(context, request, route, channel, prompt.get(), engine.get()).start();
         } else {
             new PlainCourse(context, request, route, channel).start();
--- a/gateway/src/main/java/org/merlinwood/gateway/front/StreamCourse.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/StreamCourse.java
@@ -44,11 +44,8 @@
     /** Longest silence of a reservation, in milliseconds: it needs no slot and no work. */
     private static final long HOLD_LIMIT_MILLIS = 200;
 
-    /** Longest silence of a prefill beyond its own work, in milliseconds. */
-    private static final long PREFILL_SLACK_MILLIS = 400;
-
-    /** Tokens that a prefill instance computes in a millisecond at least, with a few prompts in its queue. */
-    private static final long PREFILL_TOKENS_PER_MILLI = 10;
+    /** Longest silence of a prefill beyond twice the expected time, in milliseconds. */
+    private static final long PREFILL_SLACK_MILLIS = 300;
 
     /** Events of the answer whose memory is reserved with the prompt's. */
     private static final int RESERVED_EVENTS = 8;
@@ -153,6 +150,7 @@
                 .with("next", verdict.toString())
                 .write();
         full.clear();
+        context.meter().withoutRoom(service);
         switch (verdict) {
             case StreamPatience.Verdict.AskAgain again ->
                 context.loop().schedule(again.afterMillis(), () -> {
@@ -196,8 +194,7 @@
         long startedMillis = context.clock().monotonicMillis();
         HttpCall prefillCall = context.protocol()
                 .prefill(instance, request, Math.max(1, timeLeft()))
-                .withTimeouts(
-                        CONNECT_LIMIT_MILLIS, PREFILL_SLACK_MILLIS + prompt.promptTokens() / PREFILL_TOKENS_PER_MILLI);
+                .withTimeouts(CONNECT_LIMIT_MILLIS, prefillLimit(instance));
         context.pool().beginPrompt(instance.identifier(), prompt.promptTokens());
         call = Optional.of(context.client().call(prefillCall, result -> {
             context.pool().endPrompt(instance.identifier(), prompt.promptTokens());
@@ -205,6 +202,11 @@
         }));
     }
 
+    private long prefillLimit(UpstreamInstance instance) {
+        long expected = context.pool().expectedPrefillMillis(instance.identifier(), prompt.promptTokens());
+        return PREFILL_SLACK_MILLIS + 2 * expected;
+    }
+
     private void onPrompt(
             UpstreamInstance decode, UpstreamInstance instance, long tookMillis, Either<Failure, HttpAnswer> result) {
         Optional<PrefillResult> computed = result.fold(
@@ -225,7 +227,7 @@
             computePrompt(decode);
             return;
         }
-        context.pool().succeeded(instance.identifier(), tookMillis);
+        context.pool().computedPrompt(instance.identifier(), prompt.promptTokens(), tookMillis);
         context.metrics().took("prefill_milliseconds", tookMillis);
         generate(decode);
     }
--- /dev/null
+++ b/gateway/src/main/java/org/merlinwood/gateway/order/StageOrders.java
@@ -0,0 +1,247 @@
+package org.merlinwood.gateway.order;
+
+import io.vavr.control.Either;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.merlinwood.core.result.Failure;
+import org.merlinwood.core.time.MillisClock;
+import org.merlinwood.gateway.decision.DemandMeter;
+import org.merlinwood.gateway.decision.EntryNews;
+import org.merlinwood.gateway.decision.InstancePool;
+import org.merlinwood.gateway.decision.OrderHolder;
+import org.merlinwood.gateway.decision.StagePlan;
+import org.merlinwood.gateway.fleet.FleetState;
+import org.merlinwood.gateway.fleet.Stage;
+import org.merlinwood.gateway.fleet.UpstreamInstance;
+import org.merlinwood.gateway.route.EngineLimits;
+import org.merlinwood.gateway.route.UpstreamService;
+import org.merlinwood.gateway.upstream.OrderAnswer;
+import org.merlinwood.gateway.upstream.UpstreamProtocol;
+import org.merlinwood.http.ConnectionUse;
+import org.merlinwood.http.HttpAnswer;
+import org.merlinwood.http.HttpCall;
+import org.merlinwood.http.HttpClient;
+import org.merlinwood.operation.log.DecisionLog;
+
+/** Gives the orders that {@link StagePlan} asks for, one at a time. Used by the event loop alone. */
+public final class StageOrders {
+
+    /** Longest time of an order's answer, in milliseconds. */
+    private static final long ANSWER_LIMIT_MILLIS = 500;
+
+    /** Time beyond the change itself until an instance counts as back, in milliseconds: running work ends first. */
+    private static final long FINISH_MILLIS = 3_000;
+
+    /** Least time between two orders, in milliseconds: the demand is measured anew meanwhile. */
+    private static final long BETWEEN_ORDERS_MILLIS = 1_500;
+
+    /** What the highest rate of prompts keeps of itself with each look: a tenth goes in about ten seconds. */
+    private static final double RATE_MEMORY = 0.999;
+
+    private final OrderHolder holder;
+    private final FleetState fleet;
+    private final InstancePool pool;
+    private final DemandMeter meter;
+    private final UpstreamProtocol protocol;
+    private final HttpClient client;
+    private final MillisClock clock;
+    private final DecisionLog log;
+    private final String ownName;
+    private final Map<String, EntryNews> news = new HashMap<>();
+    private final Map<String, Long> switchingUntilMillis = new HashMap<>();
+    private final Map<String, Stage> orderedStages = new HashMap<>();
+    private final Map<String, Double> highestRates = new HashMap<>();
+    private long lastOrderMillis = Long.MIN_VALUE / 2;
+
+    /**
+     * Creates the orders of one entry.
+     *
+     * @param holder decides whether this entry gives orders
+     * @param fleet routes and instances
+     * @param pool load of instances
+     * @param meter what callers ask of this entry
+     * @param protocol writes orders
+     * @param client sends them
+     * @param clock the time
+     * @param log a line for each decision
+     * @param ownName name of this entry
+     */
+    public StageOrders(
+            OrderHolder holder,
+            FleetState fleet,
+            InstancePool pool,
+            DemandMeter meter,
+            UpstreamProtocol protocol,
+            HttpClient client,
+            MillisClock clock,
+            DecisionLog log,
+            String ownName) {
+        this.holder = holder;
+        this.fleet = fleet;
+        this.pool = pool;
+        this.meter = meter;
+        this.protocol = protocol;
+        this.client = client;
+        this.clock = clock;
+        this.log = log;
+        this.ownName = ownName;
+    }
+
+    // ------------------------------------------------------------------ news
+
+    /**
+     * Notes the news of another entry.
+     *
+     * @param told its news
+     */
+    public void onNews(EntryNews told) {
+        news.put(told.address(), told);
+        holder.heard(told.highestFence());
+        told.switching().forEach(instance -> {
+            if (!switchingUntilMillis.containsKey(instance)) {
+                switching(instance, FINISH_MILLIS);
+            }
+        });
+    }
+
+    /**
+     * Forgets another entry.
+     *
+     * @param address its peer address
+     */
+    public void forget(String address) {
+        news.remove(address);
+    }
+
+    /**
+     * Returns the instances that are changing their stage.
+     *
+     * @return their identifiers
+     */
+    public List<String> switching() {
+        return List.copyOf(switchingUntilMillis.keySet());
+    }
+
+    /**
+     * Returns the highest fencing token that is known.
+     *
+     * @return the token, 0 for none
+     */
+    public long highestFence() {
+        return holder.highestFence();
+    }
+
+    // ------------------------------------------------------------------ orders
+
+    /**
+     * Gives an order if one is due. To be called several times a second.
+     *
+     * @param known number of other entries that are known
+     * @param storeRevision revision of the store
+     */
+    public void consider(int known, long storeRevision) {
+        forgetFinished();
+        boolean mayOrder = holder.mayOrder(news.keySet(), known, storeRevision);
+        if (!mayOrder || clock.monotonicMillis() - lastOrderMillis < BETWEEN_ORDERS_MILLIS) {
+            return;
+        }
+        fleet.routes().ifPresent(routes -> routes.services().values().forEach(this::consider));
+    }
+
+    private void consider(UpstreamService service) {
+        if (service.engine().isEmpty()) {
+            return;
+        }
+        StagePlan.View view = view(service.name());
+        StagePlan.next(view)
+                .ifPresent(change -> order(change, view, service.engine().get()));
+    }
+
+    /** Entries that have not measured a whole window yet count like the others on average. */
+    private StagePlan.View view(String service) {
+        List<UpstreamInstance> usable = fleet.instances(service).stream()
+                .filter(instance -> !instance.leaving())
+                .map(this::asOrdered)
+                .toList();
+        List<EntryNews.ServiceDemand> demands = new ArrayList<>();
+        demand(meter.demands(), service).ifPresent(demands::add);
+        news.values().forEach(told -> demand(told.demands(), service).ifPresent(demands::add));
+        double measured =
+                demands.stream().mapToInt(EntryNews.ServiceDemand::promptTokens).sum();
+        int withoutRoom =
+                demands.stream().mapToInt(EntryNews.ServiceDemand::withoutRoom).sum();
+        double tokens = demands.isEmpty() ? 0 : measured * (news.size() + 1) / demands.size();
+        double rate = tokens / DemandMeter.WINDOW_MILLIS;
+        double highest = Math.max(rate, highestRates.getOrDefault(service, 0.0) * RATE_MEMORY);
+        highestRates.put(service, highest);
+        return new StagePlan.View(usable, highest, pool.prefillTokensPerMilli(), withoutRoom);
+    }
+
+    /** An instance counts with the stage that it was ordered to, so that no order is given twice. */
+    private UpstreamInstance asOrdered(UpstreamInstance instance) {
+        return Optional.ofNullable(orderedStages.get(instance.identifier()))
+                .map(instance::withStage)
+                .orElse(instance);
+    }
+
+    private static Optional<EntryNews.ServiceDemand> demand(List<EntryNews.ServiceDemand> demands, String service) {
+        return demands.stream()
+                .filter(demand -> demand.service().equals(service))
+                .findFirst();
+    }
+
+    private void order(StagePlan.Change change, StagePlan.View view, EngineLimits limits) {
+        UpstreamInstance instance = change.instance();
+        lastOrderMillis = clock.monotonicMillis();
+        switching(instance.identifier(), limits.switchMillis() + FINISH_MILLIS);
+        orderedStages.put(instance.identifier(), change.stage());
+        log.line("order")
+                .with("instance", instance.identifier())
+                .with("stage", change.stage().name())
+                .with("fence", holder.fence())
+                .with("promptTokensPerSecond", Math.round(view.promptTokensPerMilli() * 1_000))
+                .with("prefillTokensPerSecond", Math.round(view.prefillTokensPerMilli() * 1_000))
+                .with("withoutRoom", view.withoutRoom())
+                .write();
+        HttpCall call = protocol.order(instance, change.stage(), ownName, holder.fence())
+                .withTimeouts(ANSWER_LIMIT_MILLIS, ANSWER_LIMIT_MILLIS)
+                .withConnectionUse(ConnectionUse.FRESH);
+        client.call(call, result -> onAnswer(instance, result));
+    }
+
+    private void onAnswer(UpstreamInstance instance, Either<Failure, HttpAnswer> result) {
+        OrderAnswer answer = result.fold(failure -> OrderAnswer.UNKNOWN, protocol::readOrder);
+        log.line("order answered")
+                .with("instance", instance.identifier())
+                .with("answer", answer.name())
+                .write();
+        switch (answer) {
+            case FENCED -> {
+                holder.refused();
+                forgetOrder(instance);
+            }
+            case DECLINED -> forgetOrder(instance);
+            case ACCEPTED, UNKNOWN -> {}
+        }
+    }
+
+    private void forgetOrder(UpstreamInstance instance) {
+        switchingUntilMillis.remove(instance.identifier());
+        orderedStages.remove(instance.identifier());
+    }
+
+    private void switching(String instance, long millis) {
+        switchingUntilMillis.put(instance, clock.monotonicMillis() + millis);
+        pool.switching(switchingUntilMillis.keySet());
+    }
+
+    private void forgetFinished() {
+        long now = clock.monotonicMillis();
+        switchingUntilMillis.entrySet().removeIf(entry -> entry.getValue() < now);
+        orderedStages.keySet().retainAll(switchingUntilMillis.keySet());
+        pool.switching(switchingUntilMillis.keySet());
+    }
+}
--- a/gateway/src/main/java/org/merlinwood/gateway/peer/PeerMessages.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/peer/PeerMessages.java
@@ -4,12 +4,10 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import org.merlinwood.gateway.decision.EntryNews;
 import org.merlinwood.gateway.decision.MemoryForecast;
 import org.merlinwood.gateway.follow.StoreChange;
-import org.merlinwood.wire.EntryNews;
 import org.merlinwood.wire.Frame;
-import org.merlinwood.wire.InstanceWork;
-import org.merlinwood.wire.LostRun;
 import org.merlinwood.wire.StoreChanges;
 import org.merlinwood.wire.StoreChangesRequest;
 import org.merlinwood.wire.StoreKey;
@@ -19,27 +17,41 @@
 
     private PeerMessages() {}
 
-    static Frame.Builder news(PeerNews news) {
-        EntryNews.Builder builder = EntryNews.newBuilder()
+    static Frame.Builder news(EntryNews news) {
+        org.merlinwood.wire.EntryNews.Builder builder = org.merlinwood.wire.EntryNews.newBuilder()
                 .setAddress(news.address())
                 .addAllMembers(news.members())
-                .setStoreRevision(news.storeRevision());
+                .setStoreRevision(news.storeRevision())
+                .addAllSwitching(news.switching())
+                .setHighestFence(news.highestFence());
+        news.demands()
+                .forEach(demand -> builder.addDemands(org.merlinwood.wire.ServiceDemand.newBuilder()
+                        .setService(demand.service())
+                        .setPromptTokens(demand.promptTokens())
+                        .setWithoutRoom(demand.withoutRoom())));
         news.work().forEach(work -> builder.addWork(work(work)));
         news.lostRuns()
-                .forEach(run -> builder.addLostRuns(
-                        LostRun.newBuilder().setFingerprint(run.fingerprint()).setInstance(run.instance())));
+                .forEach(run -> builder.addLostRuns(org.merlinwood.wire.LostRun.newBuilder()
+                        .setFingerprint(run.fingerprint())
+                        .setInstance(run.instance())));
         return Frame.newBuilder().setEntryNews(builder);
     }
 
-    static PeerNews news(EntryNews wire) {
-        return new PeerNews(
+    static EntryNews news(org.merlinwood.wire.EntryNews wire) {
+        return new EntryNews(
                 wire.getAddress(),
                 List.copyOf(wire.getMembersList()),
                 wire.getStoreRevision(),
                 wire.getWorkList().stream().map(PeerMessages::work).toList(),
                 wire.getLostRunsList().stream()
-                        .map(run -> new PeerNews.LostRun(run.getFingerprint(), run.getInstance()))
-                        .toList());
+                        .map(run -> new EntryNews.LostRun(run.getFingerprint(), run.getInstance()))
+                        .toList(),
+                wire.getDemandsList().stream()
+                        .map(demand -> new EntryNews.ServiceDemand(
+                                demand.getService(), demand.getPromptTokens(), demand.getWithoutRoom()))
+                        .toList(),
+                List.copyOf(wire.getSwitchingList()),
+                wire.getHighestFence());
     }
 
     static Frame.Builder changesRequest(long after) {
@@ -68,8 +80,8 @@
                 .toList();
     }
 
-    private static InstanceWork.Builder work(PeerNews.InstanceWork work) {
-        InstanceWork.Builder builder = InstanceWork.newBuilder()
+    private static org.merlinwood.wire.InstanceWork.Builder work(EntryNews.InstanceWork work) {
+        org.merlinwood.wire.InstanceWork.Builder builder = org.merlinwood.wire.InstanceWork.newBuilder()
                 .setInstance(work.instance())
                 .setRunning(work.running())
                 .setPromptTokens(work.promptTokens());
@@ -79,12 +91,12 @@
         return builder;
     }
 
-    private static PeerNews.InstanceWork work(InstanceWork wire) {
+    private static EntryNews.InstanceWork work(org.merlinwood.wire.InstanceWork wire) {
         List<MemoryForecast.Growth> answers = new ArrayList<>();
         int count = Math.min(wire.getHeldTokensCount(), wire.getRemainingTokensCount());
         for (int index = 0; index < count; index++) {
             answers.add(new MemoryForecast.Growth(wire.getHeldTokens(index), wire.getRemainingTokens(index)));
         }
-        return new PeerNews.InstanceWork(wire.getInstance(), wire.getRunning(), wire.getPromptTokens(), answers);
+        return new EntryNews.InstanceWork(wire.getInstance(), wire.getRunning(), wire.getPromptTokens(), answers);
     }
 }
--- a/gateway/src/main/java/org/merlinwood/gateway/peer/PeerSessions.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/peer/PeerSessions.java
@@ -13,6 +13,7 @@
 import org.merlinwood.core.result.Failure;
 import org.merlinwood.core.result.ResultCode;
 import org.merlinwood.core.time.MillisClock;
+import org.merlinwood.gateway.decision.EntryNews;
 import org.merlinwood.gateway.loop.EventLoop;
 import org.merlinwood.operation.log.DecisionLog;
 import org.merlinwood.protocol.AuthenticationKey;
@@ -231,7 +232,7 @@
     }
 
     private void onNews(Frame frame) {
-        PeerNews news = PeerMessages.news(frame.getEntryNews());
+        EntryNews news = PeerMessages.news(frame.getEntryNews());
         heardMillis.put(news.address(), clock.monotonicMillis());
         learn(news.address());
         news.members().forEach(this::learn);
@@ -249,7 +250,22 @@
         exchange.send(PeerMessages.changes(listener.changesAfter(after), listener.storeRevision()));
     }
 
-    private static String text(InetSocketAddress address) {
+    /**
+     * Returns how many other entries are known, reachable or not.
+     *
+     * @return the count
+     */
+    public int known() {
+        return members.size();
+    }
+
+    /**
+     * Writes an address as entries tell each other.
+     *
+     * @param address numeric address
+     * @return IP:PORT
+     */
+    public static String text(InetSocketAddress address) {
         return address.getAddress().getHostAddress() + ":" + address.getPort();
     }
 }
--- a/gateway/src/main/java/org/merlinwood/gateway/process/GatewayProcess.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/process/GatewayProcess.java
@@ -13,8 +13,11 @@
 import org.merlinwood.core.time.MillisClock;
 import org.merlinwood.core.time.SystemMillisClock;
 import org.merlinwood.gateway.decision.CrashBook;
+import org.merlinwood.gateway.decision.DemandMeter;
 import org.merlinwood.gateway.decision.Departure;
+import org.merlinwood.gateway.decision.EntryNews;
 import org.merlinwood.gateway.decision.InstancePool;
+import org.merlinwood.gateway.decision.OrderHolder;
 import org.merlinwood.gateway.decision.RetryAllowance;
 import org.merlinwood.gateway.fleet.FleetState;
 import org.merlinwood.gateway.fleet.UpstreamInstance;
@@ -27,8 +30,8 @@
 import org.merlinwood.gateway.front.RequestMetrics;
 import org.merlinwood.gateway.loop.EventLoop;
 import org.merlinwood.gateway.loop.IoThreadLoop;
+import org.merlinwood.gateway.order.StageOrders;
 import org.merlinwood.gateway.peer.PeerListener;
-import org.merlinwood.gateway.peer.PeerNews;
 import org.merlinwood.gateway.peer.PeerSessions;
 import org.merlinwood.gateway.request.CallerProtocol;
 import org.merlinwood.gateway.route.RouteTable;
@@ -63,6 +66,8 @@
     private final StoreFollower follower;
     private final PeerSessions peers;
     private final CrashBook crashes = new CrashBook(clock);
+    private final DemandMeter meter = new DemandMeter(clock);
+    private final StageOrders orders;
     private final Undertow server;
     private final Departure departure;
 
@@ -98,9 +103,21 @@
                 fleet,
                 pool,
                 allowance,
-                new CrashBook(clock),
+                crashes,
+                meter,
                 log,
                 new RequestMetrics(metrics));
+        String peerAddress = PeerSessions.text(settings.peerAddress());
+        this.orders = new StageOrders(
+                new OrderHolder(clock, peerAddress, settings.peerAddress().getAddress()),
+                fleet,
+                pool,
+                meter,
+                upstreamProtocol,
+                client,
+                clock,
+                log,
+                settings.instance());
         this.peers = new PeerSessions(
                 settings.instance(),
                 settings.peerAddress(),
@@ -200,24 +217,37 @@
     private final class PeerUpdates implements PeerListener {
 
         @Override
-        public PeerNews news(String address, List<String> members) {
-            return new PeerNews(address, members, follower.revision(), pool.work(), crashes.takeNews());
+        public EntryNews news(String address, List<String> members) {
+            if (settings.fencedOrders() && !departure.begun()) {
+                orders.consider(peers.known(), follower.revision());
+            }
+            return new EntryNews(
+                    address,
+                    members,
+                    follower.revision(),
+                    pool.work(),
+                    crashes.takeNews(),
+                    meter.demands(),
+                    orders.switching(),
+                    orders.highestFence());
         }
 
         @Override
-        public void onNews(PeerNews news) {
+        public void onNews(EntryNews news) {
             pool.peer(news);
+            orders.onNews(news);
             news.lostRuns().forEach(run -> crashes.heard(run.fingerprint(), run.instance()));
         }
 
         @Override
         public void onLost(String address) {
             pool.forgetPeer(address);
+            orders.forget(address);
             log.line("peer silent").with("peer", address).write();
         }
 
         @Override
-        public boolean lacks(PeerNews news) {
+        public boolean lacks(EntryNews news) {
             return follower.lacks(news.storeRevision());
         }
 
--- a/gateway/src/main/java/org/merlinwood/gateway/process/GatewaySettings.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/process/GatewaySettings.java
@@ -21,6 +21,7 @@
  * @param repeatRatio repeats that all entries may send for each request of a service
  * @param repeatFixed repeats that all entries may send to a service besides, in one window
  * @param repeatWindowMillis length of that sliding window, in milliseconds
+ * @param fencedOrders whether instances refuse orders with an old fencing token; without that, none are given
  */
 public record GatewaySettings(
         String instance,
@@ -35,7 +36,8 @@
         long graceMillis,
         double repeatRatio,
         double repeatFixed,
-        long repeatWindowMillis) {
+        long repeatWindowMillis,
+        boolean fencedOrders) {
 
     /** Copies the seeds. */
     public GatewaySettings {
--- a/gateway/src/main/java/org/merlinwood/gateway/route/EngineLimits.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/route/EngineLimits.java
@@ -8,5 +8,7 @@
  * @param tokensPerEvent tokens that one event of an answer stands for, at least 1
  * @param handleMillis how long a computed prompt is kept for a transfer, in milliseconds
  * @param holdMillis longest lease of reserved memory, in milliseconds
+ * @param switchMillis how long a change of stage takes, in milliseconds
  */
-public record EngineLimits(int slots, int memoryTokens, int tokensPerEvent, long handleMillis, long holdMillis) {}
+public record EngineLimits(
+        int slots, int memoryTokens, int tokensPerEvent, long handleMillis, long holdMillis, long switchMillis) {}
--- a/gateway/src/main/java/org/merlinwood/gateway/upstream/UpstreamProtocol.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/upstream/UpstreamProtocol.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import org.merlinwood.gateway.fleet.Stage;
 import org.merlinwood.gateway.fleet.UpstreamInstance;
 import org.merlinwood.gateway.request.CallerRequest;
 import org.merlinwood.http.HttpAnswer;
@@ -80,6 +81,25 @@
      */
     HttpCall run(UpstreamInstance instance, CallerRequest request, RunTerms terms);
 
+    /**
+     * Writes the order to change the stage of an instance.
+     *
+     * @param instance the instance
+     * @param stage the stage to change to
+     * @param holder name of the entry that gives the order
+     * @param fence its fencing token
+     * @return the call
+     */
+    HttpCall order(UpstreamInstance instance, Stage stage, String holder, long fence);
+
+    /**
+     * Reads the answer to {@link #order}.
+     *
+     * @param answer the answer
+     * @return what became of the order
+     */
+    OrderAnswer readOrder(HttpAnswer answer);
+
     /**
      * Reads the head of an answer to {@link #run}.
      *
--- a/wire-generated/src/main/java/org/merlinwood/wire/EntryNews.java
+++ b/wire-generated/src/main/java/org/merlinwood/wire/EntryNews.java
@@ -37,6 +37,9 @@
         com.google.protobuf.LazyStringArrayList.emptyList();
     work_ = java.util.Collections.emptyList();
     lostRuns_ = java.util.Collections.emptyList();
+    demands_ = java.util.Collections.emptyList();
+    switching_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -274,6 +277,115 @@
     return lostRuns_.get(index);
   }
 
+  public static final int DEMANDS_FIELD_NUMBER = 6;
+  @SuppressWarnings("serial")
+  private java.util.List<org.merlinwood.wire.ServiceDemand> demands_;
+  /**
+   * <code>repeated .merlinwood.wire.v1.ServiceDemand demands = 6;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.merlinwood.wire.ServiceDemand> getDemandsList() {
+    return demands_;
+  }
+  /**
+   * <code>repeated .merlinwood.wire.v1.ServiceDemand demands = 6;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.merlinwood.wire.ServiceDemandOrBuilder> 
+      getDemandsOrBuilderList() {
+    return demands_;
+  }
+  /**
+   * <code>repeated .merlinwood.wire.v1.ServiceDemand demands = 6;</code>
+   */
+  @java.lang.Override
+  public int getDemandsCount() {
+    return demands_.size();
+  }
+  /**
+   * <code>repeated .merlinwood.wire.v1.ServiceDemand demands = 6;</code>
+   */
+  @java.lang.Override
+  public org.merlinwood.wire.ServiceDemand getDemands(int index) {
+    return demands_.get(index);
+  }
+  /**
+   * <code>repeated .merlinwood.wire.v1.ServiceDemand demands = 6;</code>
+   */
+  @java.lang.Override
+  public org.merlinwood.wire.ServiceDemandOrBuilder getDemandsOrBuilder(
+      int index) {
+    return demands_.get(index);
+  }
+
+  public static final int SWITCHING_FIELD_NUMBER = 7;
+  @SuppressWarnings("serial")
+  private com.google.protobuf.LazyStringArrayList switching_ =
+      com.google.protobuf.LazyStringArrayList.emptyList();
+  /**
+   * <pre>
+   * Instances that were ordered to change their stage and are not back yet.
+   * </pre>
+   *
+   * <code>repeated string switching = 7;</code>
+   * @return A list containing the switching.
+   */
+  public com.google.protobuf.ProtocolStringList
+      getSwitchingList() {
+    return switching_;
+  }
+  /**
+   * <pre>
+   * Instances that were ordered to change their stage and are not back yet.
+   * </pre>
+   *
+   * <code>repeated string switching = 7;</code>
+   * @return The count of switching.
+   */
+  public int getSwitchingCount() {
+    return switching_.size();
+  }
+  /**
+   * <pre>
+   * Instances that were ordered to change their stage and are not back yet.
+   * </pre>
+   *
+   * <code>repeated string switching = 7;</code>
+   * @param index The index of the element to return.
+   * @return The switching at the given index.
+   */
+  public java.lang.String getSwitching(int index) {
+    return switching_.get(index);
+  }
+  /**
+   * <pre>
+   * Instances that were ordered to change their stage and are not back yet.
+   * </pre>
+   *
+   * <code>repeated string switching = 7;</code>
+   * @param index The index of the value to return.
+   * @return The bytes of the switching at the given index.
+   */
+  public com.google.protobuf.ByteString
+      getSwitchingBytes(int index) {
+    return switching_.getByteString(index);
+  }
+
+  public static final int HIGHEST_FENCE_FIELD_NUMBER = 8;
+  private long highestFence_ = 0L;
+  /**
+   * <pre>
+   * Highest fencing token of an order that the sender knows of.
+   * </pre>
+   *
+   * <code>uint64 highest_fence = 8;</code>
+   * @return The highestFence.
+   */
+  @java.lang.Override
+  public long getHighestFence() {
+    return highestFence_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -303,6 +415,15 @@
     for (int i = 0; i < lostRuns_.size(); i++) {
       output.writeMessage(5, lostRuns_.get(i));
     }
+    for (int i = 0; i < demands_.size(); i++) {
+      output.writeMessage(6, demands_.get(i));
+    }
+    for (int i = 0; i < switching_.size(); i++) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 7, switching_.getRaw(i));
+    }
+    if (highestFence_ != 0L) {
+      output.writeUInt64(8, highestFence_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -340,6 +461,27 @@
           }
           size += 1 * count;
         }
+
+        {
+          final int count = demands_.size();
+          for (int i = 0; i < count; i++) {
+            size += com.google.protobuf.CodedOutputStream
+              .computeMessageSizeNoTag(demands_.get(i));
+          }
+          size += 1 * count;
+        }
+    {
+      int dataSize = 0;
+      for (int i = 0; i < switching_.size(); i++) {
+        dataSize += computeStringSizeNoTag(switching_.getRaw(i));
+      }
+      size += dataSize;
+      size += 1 * getSwitchingList().size();
+    }
+    if (highestFence_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(8, highestFence_);
+    }
     return size;
   }
   @java.lang.Override
@@ -374,6 +516,12 @@
         .equals(other.getWorkList())) return false;
     if (!getLostRunsList()
         .equals(other.getLostRunsList())) return false;
+    if (!getDemandsList()
+        .equals(other.getDemandsList())) return false;
+    if (!getSwitchingList()
+        .equals(other.getSwitchingList())) return false;
+    if (getHighestFence()
+        != other.getHighestFence()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -402,6 +550,17 @@
       hash = (37 * hash) + LOST_RUNS_FIELD_NUMBER;
       hash = (53 * hash) + getLostRunsList().hashCode();
     }
+    if (getDemandsCount() > 0) {
+      hash = (37 * hash) + DEMANDS_FIELD_NUMBER;
+      hash = (53 * hash) + getDemandsList().hashCode();
+    }
+    if (getSwitchingCount() > 0) {
+      hash = (37 * hash) + SWITCHING_FIELD_NUMBER;
+      hash = (53 * hash) + getSwitchingList().hashCode();
+    }
+    hash = (37 * hash) + HIGHEST_FENCE_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getHighestFence());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -555,6 +714,16 @@
         lostRunsBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000010);
+      if (demandsBuilder_ == null) {
+        demands_ = java.util.Collections.emptyList();
+      } else {
+        demands_ = null;
+        demandsBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000020);
+      switching_ =
+          com.google.protobuf.LazyStringArrayList.emptyList();
+      highestFence_ = 0L;
       return this;
     }
 
@@ -606,6 +775,15 @@
       } else {
         result.lostRuns_ = lostRunsBuilder_.build();
       }
+      if (demandsBuilder_ == null) {
+        if (((bitField0_ & 0x00000020) != 0)) {
+          demands_ = java.util.Collections.unmodifiableList(demands_);
+          bitField0_ = (bitField0_ & ~0x00000020);
+        }
+        result.demands_ = demands_;
+      } else {
+        result.demands_ = demandsBuilder_.build();
+      }
     }
 
     private void buildPartial0(org.merlinwood.wire.EntryNews result) {
@@ -620,6 +798,13 @@
       if (((from_bitField0_ & 0x00000004) != 0)) {
         result.storeRevision_ = storeRevision_;
       }
+      if (((from_bitField0_ & 0x00000040) != 0)) {
+        switching_.makeImmutable();
+        result.switching_ = switching_;
+      }
+      if (((from_bitField0_ & 0x00000080) != 0)) {
+        result.highestFence_ = highestFence_;
+      }
     }
 
     @java.lang.Override
@@ -704,6 +889,45 @@
           }
         }
       }
+      if (demandsBuilder_ == null) {
+        if (!other.demands_.isEmpty()) {
+          if (demands_.isEmpty()) {
+            demands_ = other.demands_;
+            bitField0_ = (bitField0_ & ~0x00000020);
+          } else {
+            ensureDemandsIsMutable();
+            demands_.addAll(other.demands_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.demands_.isEmpty()) {
+          if (demandsBuilder_.isEmpty()) {
+            demandsBuilder_.dispose();
+            demandsBuilder_ = null;
+            demands_ = other.demands_;
+            bitField0_ = (bitField0_ & ~0x00000020);
+            demandsBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetDemandsFieldBuilder() : null;
+          } else {
+            demandsBuilder_.addAllMessages(other.demands_);
+          }
+        }
+      }
+      if (!other.switching_.isEmpty()) {
+        if (switching_.isEmpty()) {
+          switching_ = other.switching_;
+          bitField0_ |= 0x00000040;
+        } else {
+          ensureSwitchingIsMutable();
+          switching_.addAll(other.switching_);
+        }
+        onChanged();
+      }
+      if (other.getHighestFence() != 0L) {
+        setHighestFence(other.getHighestFence());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -769,6 +993,29 @@
               }
               break;
             } // case 42
+            case 50: {
+              org.merlinwood.wire.ServiceDemand m =
+                  input.readMessage(
+                      org.merlinwood.wire.ServiceDemand.parser(),
+                      extensionRegistry);
+              if (demandsBuilder_ == null) {
+                ensureDemandsIsMutable();
+                demands_.add(m);
+              } else {
+                demandsBuilder_.addMessage(m);
+              }
+              break;
+            } // case 50
+            case 58: {
+              ensureSwitchingIsMutable();
+              switching_.add(input.readStringRequireUtf8());
+              break;
+            } // case 58
+            case 64: {
+              highestFence_ = input.readUInt64();
+              bitField0_ |= 0x00000080;
+              break;
+            } // case 64
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1609,6 +1856,431 @@
       return lostRunsBuilder_;
     }
 
+    private java.util.List<org.merlinwood.wire.ServiceDemand> demands_ =
+      java.util.Collections.emptyList();
+    private void ensureDemandsIsMutable() {
+      if (!((bitField0_ & 0x00000020) != 0)) {
+        demands_ = new java.util.ArrayList<org.merlinwood.wire.ServiceDemand>(demands_);
+        bitField0_ |= 0x00000020;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.merlinwood.wire.ServiceDemand, org.merlinwood.wire.ServiceDemand.Builder, org.merlinwood.wire.ServiceDemandOrBuilder> demandsBuilder_;
+
+    /**
+     * <code>repeated .merlinwood.wire.v1.ServiceDemand demands = 6;</code>
+     */
+    public java.util.List<org.merlinwood.wire.ServiceDemand> getDemandsList() {
+      if (demandsBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(demands_);
+      } else {
+        return demandsBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <code>repeated .merlinwood.wire.v1.ServiceDemand demands = 6;</code>
+     */
+    public int getDemandsCount() {
+      if (demandsBuilder_ == null) {
+        return demands_.size();
+      } else {
+        return demandsBuilder_.getCount();
+      }
+    }
+    /**
+     * <code>repeated .merlinwood.wire.v1.ServiceDemand demands = 6;</code>
+     */
+    public org.merlinwood.wire.ServiceDemand getDemands(int index) {
+      if (demandsBuilder_ == null) {
+        return demands_.get(index);
+      } else {
+        return demandsBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <code>repeated .merlinwood.wire.v1.ServiceDemand demands = 6;</code>
+     */
+    public Builder setDemands(
+        int index, org.merlinwood.wire.ServiceDemand value) {
+      if (demandsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureDemandsIsMutable();
+        demands_.set(index, value);
+        onChanged();
+      } else {
+        demandsBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .merlinwood.wire.v1.ServiceDemand demands = 6;</code>
+     */
+    public Builder setDemands(
+        int index, org.merlinwood.wire.ServiceDemand.Builder builderForValue) {
+      if (demandsBuilder_ == null) {
+        ensureDemandsIsMutable();
+        demands_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        demandsBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .merlinwood.wire.v1.ServiceDemand demands = 6;</code>
+     */
+    public Builder addDemands(org.merlinwood.wire.ServiceDemand value) {
+      if (demandsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureDemandsIsMutable();
+        demands_.add(value);
+        onChanged();
+      } else {
+        demandsBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .merlinwood.wire.v1.ServiceDemand demands = 6;</code>
+     */
+    public Builder addDemands(
+        int index, org.merlinwood.wire.ServiceDemand value) {
+      if (demandsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureDemandsIsMutable();
+        demands_.add(index, value);
+        onChanged();
+      } else {
+        demandsBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .merlinwood.wire.v1.ServiceDemand demands = 6;</code>
+     */
+    public Builder addDemands(
+        org.merlinwood.wire.ServiceDemand.Builder builderForValue) {
+      if (demandsBuilder_ == null) {
+        ensureDemandsIsMutable();
+        demands_.add(builderForValue.build());
+        onChanged();
+      } else {
+        demandsBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .merlinwood.wire.v1.ServiceDemand demands = 6;</code>
+     */
+    public Builder addDemands(
+        int index, org.merlinwood.wire.ServiceDemand.Builder builderForValue) {
+      if (demandsBuilder_ == null) {
+        ensureDemandsIsMutable();
+        demands_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        demandsBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .merlinwood.wire.v1.ServiceDemand demands = 6;</code>
+     */
+    public Builder addAllDemands(
+        java.lang.Iterable<? extends org.merlinwood.wire.ServiceDemand> values) {
+      if (demandsBuilder_ == null) {
+        ensureDemandsIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, demands_);
+        onChanged();
+      } else {
+        demandsBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .merlinwood.wire.v1.ServiceDemand demands = 6;</code>
+     */
+    public Builder clearDemands() {
+      if (demandsBuilder_ == null) {
+        demands_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000020);
+        onChanged();
+      } else {
+        demandsBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .merlinwood.wire.v1.ServiceDemand demands = 6;</code>
+     */
+    public Builder removeDemands(int index) {
+      if (demandsBuilder_ == null) {
+        ensureDemandsIsMutable();
+        demands_.remove(index);
+        onChanged();
+      } else {
+        demandsBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .merlinwood.wire.v1.ServiceDemand demands = 6;</code>
+     */
+    public org.merlinwood.wire.ServiceDemand.Builder getDemandsBuilder(
+        int index) {
+      return internalGetDemandsFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <code>repeated .merlinwood.wire.v1.ServiceDemand demands = 6;</code>
+     */
+    public org.merlinwood.wire.ServiceDemandOrBuilder getDemandsOrBuilder(
+        int index) {
+      if (demandsBuilder_ == null) {
+        return demands_.get(index);  } else {
+        return demandsBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <code>repeated .merlinwood.wire.v1.ServiceDemand demands = 6;</code>
+     */
+    public java.util.List<? extends org.merlinwood.wire.ServiceDemandOrBuilder> 
+         getDemandsOrBuilderList() {
+      if (demandsBuilder_ != null) {
+        return demandsBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(demands_);
+      }
+    }
+    /**
+     * <code>repeated .merlinwood.wire.v1.ServiceDemand demands = 6;</code>
+     */
+    public org.merlinwood.wire.ServiceDemand.Builder addDemandsBuilder() {
+      return internalGetDemandsFieldBuilder().addBuilder(
+          org.merlinwood.wire.ServiceDemand.getDefaultInstance());
+    }
+    /**
+     * <code>repeated .merlinwood.wire.v1.ServiceDemand demands = 6;</code>
+     */
+    public org.merlinwood.wire.ServiceDemand.Builder addDemandsBuilder(
+        int index) {
+      return internalGetDemandsFieldBuilder().addBuilder(
+          index, org.merlinwood.wire.ServiceDemand.getDefaultInstance());
+    }
+    /**
+     * <code>repeated .merlinwood.wire.v1.ServiceDemand demands = 6;</code>
+     */
+    public java.util.List<org.merlinwood.wire.ServiceDemand.Builder> 
+         getDemandsBuilderList() {
+      return internalGetDemandsFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.merlinwood.wire.ServiceDemand, org.merlinwood.wire.ServiceDemand.Builder, org.merlinwood.wire.ServiceDemandOrBuilder> 
+        internalGetDemandsFieldBuilder() {
+      if (demandsBuilder_ == null) {
+        demandsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.merlinwood.wire.ServiceDemand, org.merlinwood.wire.ServiceDemand.Builder, org.merlinwood.wire.ServiceDemandOrBuilder>(
+                demands_,
+                ((bitField0_ & 0x00000020) != 0),
+                getParentForChildren(),
+                isClean());
+        demands_ = null;
+      }
+      return demandsBuilder_;
+    }
+
+    private com.google.protobuf.LazyStringArrayList switching_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
+    private void ensureSwitchingIsMutable() {
+      if (!switching_.isModifiable()) {
+        switching_ = new com.google.protobuf.LazyStringArrayList(switching_);
+      }
+      bitField0_ |= 0x00000040;
+    }
+    /**
+     * <pre>
+     * Instances that were ordered to change their stage and are not back yet.
+     * </pre>
+     *
+     * <code>repeated string switching = 7;</code>
+     * @return A list containing the switching.
+     */
+    public com.google.protobuf.ProtocolStringList
+        getSwitchingList() {
+      switching_.makeImmutable();
+      return switching_;
+    }
+    /**
+     * <pre>
+     * Instances that were ordered to change their stage and are not back yet.
+     * </pre>
+     *
+     * <code>repeated string switching = 7;</code>
+     * @return The count of switching.
+     */
+    public int getSwitchingCount() {
+      return switching_.size();
+    }
+    /**
+     * <pre>
+     * Instances that were ordered to change their stage and are not back yet.
+     * </pre>
+     *
+     * <code>repeated string switching = 7;</code>
+     * @param index The index of the element to return.
+     * @return The switching at the given index.
+     */
+    public java.lang.String getSwitching(int index) {
+      return switching_.get(index);
+    }
+    /**
+     * <pre>
+     * Instances that were ordered to change their stage and are not back yet.
+     * </pre>
+     *
+     * <code>repeated string switching = 7;</code>
+     * @param index The index of the value to return.
+     * @return The bytes of the switching at the given index.
+     */
+    public com.google.protobuf.ByteString
+        getSwitchingBytes(int index) {
+      return switching_.getByteString(index);
+    }
+    /**
+     * <pre>
+     * Instances that were ordered to change their stage and are not back yet.
+     * </pre>
+     *
+     * <code>repeated string switching = 7;</code>
+     * @param index The index to set the value at.
+     * @param value The switching to set.
+     * @return This builder for chaining.
+     */
+    public Builder setSwitching(
+        int index, java.lang.String value) {
+      java.util.Objects.requireNonNull(value);
+      ensureSwitchingIsMutable();
+      switching_.set(index, value);
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Instances that were ordered to change their stage and are not back yet.
+     * </pre>
+     *
+     * <code>repeated string switching = 7;</code>
+     * @param value The switching to add.
+     * @return This builder for chaining.
+     */
+    public Builder addSwitching(
+        java.lang.String value) {
+      java.util.Objects.requireNonNull(value);
+      ensureSwitchingIsMutable();
+      switching_.add(value);
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Instances that were ordered to change their stage and are not back yet.
+     * </pre>
+     *
+     * <code>repeated string switching = 7;</code>
+     * @param values The switching to add.
+     * @return This builder for chaining.
+     */
+    public Builder addAllSwitching(
+        java.lang.Iterable<java.lang.String> values) {
+      ensureSwitchingIsMutable();
+      com.google.protobuf.AbstractMessageLite.Builder.addAll(
+          values, switching_);
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Instances that were ordered to change their stage and are not back yet.
+     * </pre>
+     *
+     * <code>repeated string switching = 7;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearSwitching() {
+      switching_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
+      bitField0_ = (bitField0_ & ~0x00000040);;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Instances that were ordered to change their stage and are not back yet.
+     * </pre>
+     *
+     * <code>repeated string switching = 7;</code>
+     * @param value The bytes of the switching to add.
+     * @return This builder for chaining.
+     */
+    public Builder addSwitchingBytes(
+        com.google.protobuf.ByteString value) {
+      java.util.Objects.requireNonNull(value);
+      checkByteStringIsUtf8(value);
+      ensureSwitchingIsMutable();
+      switching_.add(value);
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+
+    private long highestFence_ ;
+    /**
+     * <pre>
+     * Highest fencing token of an order that the sender knows of.
+     * </pre>
+     *
+     * <code>uint64 highest_fence = 8;</code>
+     * @return The highestFence.
+     */
+    @java.lang.Override
+    public long getHighestFence() {
+      return highestFence_;
+    }
+    /**
+     * <pre>
+     * Highest fencing token of an order that the sender knows of.
+     * </pre>
+     *
+     * <code>uint64 highest_fence = 8;</code>
+     * @param value The highestFence to set.
+     * @return This builder for chaining.
+     */
+    public Builder setHighestFence(long value) {
+
+      highestFence_ = value;
+      bitField0_ |= 0x00000080;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Highest fencing token of an order that the sender knows of.
+     * </pre>
+     *
+     * <code>uint64 highest_fence = 8;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearHighestFence() {
+      bitField0_ = (bitField0_ & ~0x00000080);
+      highestFence_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:merlinwood.wire.v1.EntryNews)
   }
 
--- a/wire-generated/src/main/java/org/merlinwood/wire/EntryNewsOrBuilder.java
+++ b/wire-generated/src/main/java/org/merlinwood/wire/EntryNewsOrBuilder.java
@@ -148,4 +148,79 @@
    */
   org.merlinwood.wire.LostRunOrBuilder getLostRunsOrBuilder(
       int index);
+
+  /**
+   * <code>repeated .merlinwood.wire.v1.ServiceDemand demands = 6;</code>
+   */
+  java.util.List<org.merlinwood.wire.ServiceDemand> 
+      getDemandsList();
+  /**
+   * <code>repeated .merlinwood.wire.v1.ServiceDemand demands = 6;</code>
+   */
+  org.merlinwood.wire.ServiceDemand getDemands(int index);
+  /**
+   * <code>repeated .merlinwood.wire.v1.ServiceDemand demands = 6;</code>
+   */
+  int getDemandsCount();
+  /**
+   * <code>repeated .merlinwood.wire.v1.ServiceDemand demands = 6;</code>
+   */
+  java.util.List<? extends org.merlinwood.wire.ServiceDemandOrBuilder> 
+      getDemandsOrBuilderList();
+  /**
+   * <code>repeated .merlinwood.wire.v1.ServiceDemand demands = 6;</code>
+   */
+  org.merlinwood.wire.ServiceDemandOrBuilder getDemandsOrBuilder(
+      int index);
+
+  /**
+   * <pre>
+   * Instances that were ordered to change their stage and are not back yet.
+   * </pre>
+   *
+   * <code>repeated string switching = 7;</code>
+   * @return A list containing the switching.
+   */
+  java.util.List<java.lang.String>
+      getSwitchingList();
+  /**
+   * <pre>
+   * Instances that were ordered to change their stage and are not back yet.
+   * </pre>
+   *
+   * <code>repeated string switching = 7;</code>
+   * @return The count of switching.
+   */
+  int getSwitchingCount();
+  /**
+   * <pre>
+   * Instances that were ordered to change their stage and are not back yet.
+   * </pre>
+   *
+   * <code>repeated string switching = 7;</code>
+   * @param index The index of the element to return.
+   * @return The switching at the given index.
+   */
+  java.lang.String getSwitching(int index);
+  /**
+   * <pre>
+   * Instances that were ordered to change their stage and are not back yet.
+   * </pre>
+   *
+   * <code>repeated string switching = 7;</code>
+   * @param index The index of the value to return.
+   * @return The bytes of the switching at the given index.
+   */
+  com.google.protobuf.ByteString
+      getSwitchingBytes(int index);
+
+  /**
+   * <pre>
+   * Highest fencing token of an order that the sender knows of.
+   * </pre>
+   *
+   * <code>uint64 highest_fence = 8;</code>
+   * @return The highestFence.
+   */
+  long getHighestFence();
 }
