An entry that ends refuses requests from its last answer to its end

The entry now refuses everything from its last answer on, and ends once a moment later nothing is open.

--- a/gateway/src/main/java/org/merlinwood/gateway/decision/Departure.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/decision/Departure.java
@@ -26,6 +26,7 @@
     private final MillisClock clock;
     private final long graceMillis;
     private boolean begun;
+    private boolean closed;
     private long sinceMillis;
 
     /**
@@ -79,17 +80,36 @@
      */
     public boolean takes(RequestKind kind) {
         long needed = kind == RequestKind.STREAM ? STREAM_MILLIS : PLAIN_MILLIS;
-        return !begun || elapsedMillis() + needed <= graceMillis - END_MARGIN_MILLIS;
+        return !begun || (!closed && elapsedMillis() + needed <= graceMillis - END_MARGIN_MILLIS);
+    }
+
+    /** Notes that nothing is open: from now on every request is refused, so that none is cut by the end. */
+    public void close() {
+        closed = true;
     }
 
     /**
-     * Tells whether the process may end.
+     * Tells whether the entry may take no more requests.
      *
      * @param openRequests requests that are not answered yet
      * @return true once nothing is open, or the forced end is near
      */
-    public boolean mayEnd(int openRequests) {
+    public boolean mayClose(int openRequests) {
         boolean finished = openRequests == 0 && elapsedMillis() >= LEAST_STAY_MILLIS;
-        return finished || elapsedMillis() >= graceMillis - END_MARGIN_MILLIS;
+        return finished || endIsNear();
+    }
+
+    /**
+     * Tells whether the process may end, a moment after {@link #close()}.
+     *
+     * @param openRequests requests that are not answered yet
+     * @return true once nothing is open, or the forced end is near
+     */
+    public boolean mayEnd(int openRequests) {
+        return openRequests == 0 || endIsNear();
+    }
+
+    private boolean endIsNear() {
+        return elapsedMillis() >= graceMillis - END_MARGIN_MILLIS;
     }
 }
--- a/gateway/src/main/java/org/merlinwood/gateway/process/GatewayProcess.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/process/GatewayProcess.java
@@ -48,7 +48,13 @@
 public final class GatewayProcess {
 
     /** How often the end of the drain is looked for, in milliseconds. */
-    private static final long DRAIN_POLL_MILLIS = 50;
+    private static final long DRAIN_POLL_MILLIS = 20;
+
+    /** Time between the last answer and the end, in milliseconds: requests on their way meanwhile are refused. */
+    private static final long CLOSED_MILLIS = 100;
+
+    /** Time for the last log lines to be written, in milliseconds. */
+    private static final long LAST_LINES_MILLIS = 5;
 
     /** Longest time that a connection may stay idle, in milliseconds; above any limit that operators set. */
     private static final int IDLE_LIMIT_MILLIS = 120_000;
@@ -188,16 +194,24 @@
     }
 
     private void awaitEnd(Runnable end) {
-        long took = departure.elapsedMillis();
-        if (departure.mayEnd(open.count())) {
-            log.line("stop")
-                    .with("openRequests", open.count())
-                    .with("drainMillis", took)
-                    .write();
-            loop.schedule(DRAIN_POLL_MILLIS, end);
+        if (departure.mayClose(open.count())) {
+            departure.close();
+            loop.schedule(CLOSED_MILLIS, () -> endWhenDone(end));
+        } else {
+            loop.schedule(DRAIN_POLL_MILLIS, () -> awaitEnd(end));
+        }
+    }
+
+    private void endWhenDone(Runnable end) {
+        if (!departure.mayEnd(open.count())) {
+            loop.schedule(DRAIN_POLL_MILLIS, () -> endWhenDone(end));
             return;
         }
-        loop.schedule(DRAIN_POLL_MILLIS, () -> awaitEnd(end));
+        log.line("stop")
+                .with("openRequests", open.count())
+                .with("drainMillis", departure.elapsedMillis())
+                .write();
+        loop.schedule(LAST_LINES_MILLIS, end);
     }
 
     // ------------------------------------------------------------------ internals
