--- a/gateway/src/main/java/org/merlinwood/gateway/decision/StagePlan.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/decision/StagePlan.java
@@ -31,13 +31,16 @@
      * What the plan rests on.
      *
      * @param instances instances of the service that take work and are not changing their stage
-     * @param promptTokensPerMilli prompts that come, over all entries
+     * @param highestPromptRate most prompts that came lately, over all entries, in tokens a millisecond; 0 if not
+     *     settled
+     * @param lowestPromptRate prompts that came all the while, likewise
      * @param prefillTokensPerMilli what one prefill instance computes; 0 if it is not known
      * @param withoutRoom requests of the last window that found no room, over all entries
      */
     public record View(
             List<UpstreamInstance> instances,
-            double promptTokensPerMilli,
+            double highestPromptRate,
+            double lowestPromptRate,
             double prefillTokensPerMilli,
             int withoutRoom) {}
 
@@ -58,16 +61,16 @@
     public static Optional<Change> next(View view) {
         List<UpstreamInstance> prefills = of(view, Stage.PREFILL);
         List<UpstreamInstance> decodes = of(view, Stage.DECODE);
-        if (view.prefillTokensPerMilli() <= 0 || view.promptTokensPerMilli() <= 0) {
+        if (view.prefillTokensPerMilli() <= 0) {
             return Optional.empty();
         }
-        double instancesNeeded = view.promptTokensPerMilli() / view.prefillTokensPerMilli();
+        double mostNeeded = view.highestPromptRate() / view.prefillTokensPerMilli();
         double reserve = view.withoutRoom() >= FEW_WITHOUT_ROOM ? RESERVE_WITHOUT_ROOM : RESERVE;
-        if (prefills.size() >= 2 && prefills.size() - 1 >= reserve * instancesNeeded) {
+        if (prefills.size() >= 2 && mostNeeded > 0 && prefills.size() - 1 >= reserve * mostNeeded) {
             return crowded(prefills).map(instance -> new Change(instance, Stage.DECODE));
         }
-        boolean overloaded = instancesNeeded > prefills.size() && view.withoutRoom() == 0;
-        if (overloaded && decodes.size() >= LEAST_DECODES) {
+        boolean overloaded = view.lowestPromptRate() / view.prefillTokensPerMilli() > prefills.size();
+        if (overloaded && view.withoutRoom() == 0 && decodes.size() >= LEAST_DECODES) {
             return crowded(decodes).map(instance -> new Change(instance, Stage.PREFILL));
         }
         return Optional.empty();
--- a/gateway/src/main/java/org/merlinwood/gateway/order/StageOrders.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/order/StageOrders.java
@@ -12,6 +12,7 @@
 import org.merlinwood.gateway.decision.EntryNews;
 import org.merlinwood.gateway.decision.InstancePool;
 import org.merlinwood.gateway.decision.OrderHolder;
+import org.merlinwood.gateway.decision.RateHistory;
 import org.merlinwood.gateway.decision.StagePlan;
 import org.merlinwood.gateway.fleet.FleetState;
 import org.merlinwood.gateway.fleet.Stage;
@@ -38,9 +39,6 @@
     /** Least time between two orders, in milliseconds: the demand is measured anew meanwhile. */
     private static final long BETWEEN_ORDERS_MILLIS = 1_500;
 
-    /** What the highest rate of prompts keeps of itself with each look: a tenth goes in about ten seconds. */
-    private static final double RATE_MEMORY = 0.999;
-
     private final OrderHolder holder;
     private final FleetState fleet;
     private final InstancePool pool;
@@ -53,7 +51,7 @@
     private final Map<String, EntryNews> news = new HashMap<>();
     private final Map<String, Long> switchingUntilMillis = new HashMap<>();
     private final Map<String, Stage> orderedStages = new HashMap<>();
-    private final Map<String, Double> highestRates = new HashMap<>();
+    private final Map<String, RateHistory> rateHistories = new HashMap<>();
     private long lastOrderMillis = Long.MIN_VALUE / 2;
 
     /**
@@ -145,7 +143,11 @@
     public void consider(int known, long storeRevision) {
         forgetFinished();
         boolean mayOrder = holder.mayOrder(news.keySet(), known, storeRevision);
-        if (!mayOrder || clock.monotonicMillis() - lastOrderMillis < BETWEEN_ORDERS_MILLIS) {
+        if (!mayOrder) {
+            rateHistories.clear();
+            return;
+        }
+        if (clock.monotonicMillis() - lastOrderMillis < BETWEEN_ORDERS_MILLIS) {
             return;
         }
         fleet.routes().ifPresent(routes -> routes.services().values().forEach(this::consider));
@@ -174,10 +176,10 @@
         int withoutRoom =
                 demands.stream().mapToInt(EntryNews.ServiceDemand::withoutRoom).sum();
         double tokens = demands.isEmpty() ? 0 : measured * (news.size() + 1) / demands.size();
-        double rate = tokens / DemandMeter.WINDOW_MILLIS;
-        double highest = Math.max(rate, highestRates.getOrDefault(service, 0.0) * RATE_MEMORY);
-        highestRates.put(service, highest);
-        return new StagePlan.View(usable, highest, pool.prefillTokensPerMilli(), withoutRoom);
+        RateHistory rates = rateHistories.computeIfAbsent(service, ignored -> new RateHistory(clock));
+        rates.add(tokens / DemandMeter.WINDOW_MILLIS);
+        return new StagePlan.View(
+                usable, rates.settledHighest(), rates.lowest(), pool.prefillTokensPerMilli(), withoutRoom);
     }
 
     /** An instance counts with the stage that it was ordered to, so that no order is given twice. */
@@ -202,7 +204,7 @@
                 .with("instance", instance.identifier())
                 .with("stage", change.stage().name())
                 .with("fence", holder.fence())
-                .with("promptTokensPerSecond", Math.round(view.promptTokensPerMilli() * 1_000))
+                .with("promptTokensPerSecond", Math.round(view.highestPromptRate() * 1_000))
                 .with("prefillTokensPerSecond", Math.round(view.prefillTokensPerMilli() * 1_000))
                 .with("withoutRoom", view.withoutRoom())
                 .write();
