Requests without room wait in one line by a forecast of room, or are refused at once

Those that can still be in time go first. Memory is filled to 0.86. Speed of prefill is taken from the upper quarter of the last prompts: a cached one made it 471,000 tokens a second.

--- a/gateway/src/main/java/org/merlinwood/gateway/decision/InstancePool.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/decision/InstancePool.java
@@ -1,10 +1,12 @@
 package org.merlinwood.gateway.decision;
 
+import java.util.ArrayDeque;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.ToDoubleFunction;
 import org.merlinwood.core.time.MillisClock;
@@ -31,10 +33,7 @@
     private static final double ERROR_WEIGHT = 12;
 
     /** Part of an instance's memory that forecasts may fill: lengths are expected, not known. */
-    private static final double USED_MEMORY_PART = 0.92;
-
-    /** What the highest speed of prefill keeps of itself with each prompt, so that an old one fades. */
-    private static final double SPEED_MEMORY = 0.99;
+    private static final double USED_MEMORY_PART = 0.86;
 
     /** Prompts that may wait before one at a prefill instance; a decode instance takes as long for two. */
     private static final int WAITING_PROMPTS = 3;
@@ -42,11 +41,18 @@
     /** Length that a prompt counts with at least when the waiting ones are judged, in tokens. */
     private static final int LEAST_WAITING_TOKENS = 4_000;
 
+    /** Time between two events before any answer of an instance was seen whole, in milliseconds. */
+    private static final double USUAL_EVENT_MILLIS = 45;
+
+    /** Prompts whose speed is remembered; the upper quarter of them counts, since most wait for others. */
+    private static final int REMEMBERED_SPEEDS = 32;
+
     private final FleetState fleet;
     private final MillisClock clock;
     private final String ownDomain;
     private final Map<String, InstanceRecord> records = new HashMap<>();
     private Set<String> switching = Set.of();
+    private final ArrayDeque<Double> prefillSpeeds = new ArrayDeque<>();
     private double prefillTokensPerMilli;
 
     /**
@@ -105,6 +111,35 @@
         });
     }
 
+    /**
+     * Forecasts when an instance will have room for an answer.
+     *
+     * @param service name of the service
+     * @param prompt what is asked
+     * @param limits what each instance holds
+     * @return milliseconds from now; empty if no instance takes work that could hold it
+     */
+    public OptionalLong millisUntilRoom(String service, Prompt prompt, EngineLimits limits) {
+        long now = clock.monotonicMillis();
+        MemoryForecast.Growth next =
+                new MemoryForecast.Growth(prompt.promptTokens(), AnswerLength.remainingTokens(prompt, 0));
+        return candidates(service, Stage.DECODE, Set.of()).stream()
+                .map(instance -> record(instance.identifier()))
+                .filter(record -> record.open(now))
+                .map(record -> MemoryForecast.millisUntilFits(
+                        record.allAnswers(),
+                        next,
+                        Math.round(limits.memoryTokens() * USED_MEMORY_PART),
+                        tokensPerMilli(record, limits)))
+                .filter(OptionalLong::isPresent)
+                .mapToLong(OptionalLong::getAsLong)
+                .min();
+    }
+
+    private static double tokensPerMilli(InstanceRecord record, EngineLimits limits) {
+        return limits.tokensPerEvent() / (record.averageMillis() > 0 ? record.averageMillis() : USUAL_EVENT_MILLIS);
+    }
+
     private long peakWith(UpstreamInstance instance, Prompt prompt) {
         List<MemoryForecast.Growth> answers = record(instance.identifier()).allAnswers();
         answers.add(new MemoryForecast.Growth(prompt.promptTokens(), AnswerLength.remainingTokens(prompt, 0)));
@@ -150,6 +185,16 @@
                 : Math.round((record(identifier).allPromptTokens() + tokens) / prefillTokensPerMilli);
     }
 
+    /**
+     * Counts the instances that generate answers and take work.
+     *
+     * @param service name of the service
+     * @return the count
+     */
+    public int decodeInstances(String service) {
+        return candidates(service, Stage.DECODE, Set.of()).size();
+    }
+
     // ------------------------------------------------------------------ work and health
 
     /**
@@ -250,8 +295,12 @@
      */
     public void computedPrompt(String identifier, int tokens, long tookMillis) {
         succeeded(identifier, tookMillis);
-        double speed = tokens / (double) Math.max(1, tookMillis);
-        prefillTokensPerMilli = Math.max(speed, prefillTokensPerMilli * SPEED_MEMORY);
+        prefillSpeeds.addLast(tokens / (double) Math.max(1, tookMillis));
+        if (prefillSpeeds.size() > REMEMBERED_SPEEDS) {
+            prefillSpeeds.removeFirst();
+        }
+        List<Double> sorted = prefillSpeeds.stream().sorted().toList();
+        prefillTokensPerMilli = sorted.get(sorted.size() * 3 / 4);
     }
 
     /**
--- a/gateway/src/main/java/org/merlinwood/gateway/decision/MemoryForecast.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/decision/MemoryForecast.java
@@ -1,7 +1,9 @@
 package org.merlinwood.gateway.decision;
 
+import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.OptionalLong;
 
 /**
  * Forecasts how much memory the answers under way at one instance will need together at most. Stateless.
@@ -41,4 +43,32 @@
         }
         return peak;
     }
+
+    /**
+     * Forecasts when another answer will fit beside those under way.
+     *
+     * @param answers the answers under way
+     * @param next the other one
+     * @param capacityTokens memory that may be used
+     * @param tokensPerMilli how fast each answer grows
+     * @return milliseconds from now, 0 if it fits already, empty if it will not fit into the empty memory
+     */
+    public static OptionalLong millisUntilFits(
+            List<Growth> answers, Growth next, long capacityTokens, double tokensPerMilli) {
+        List<Integer> ends = new ArrayList<>(
+                answers.stream().map(Growth::remainingTokens).sorted().toList());
+        ends.addFirst(0);
+        for (int grown : ends) {
+            List<Growth> later = new ArrayList<>();
+            answers.stream()
+                    .filter(answer -> grown == 0 || answer.remainingTokens() > grown)
+                    .forEach(answer ->
+                            later.add(new Growth(answer.heldTokens() + grown, answer.remainingTokens() - grown)));
+            later.add(next);
+            if (peakTokens(later) <= capacityTokens) {
+                return OptionalLong.of(Math.round(grown / tokensPerMilli));
+            }
+        }
+        return OptionalLong.empty();
+    }
 }
--- a/gateway/src/main/java/org/merlinwood/gateway/decision/StreamPatience.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/decision/StreamPatience.java
@@ -1,38 +1,34 @@
 package org.merlinwood.gateway.decision;
 
+import java.util.OptionalLong;
+
 /**
- * Decides how long a streamed request waits for memory, and when a refused caller is to come back. Stateless.
+ * Decides whether a streamed request waits for memory, and when a refused caller is to come back. Stateless.
  *
- * <p>A request waits only while its first event can still come in time: memory that frees later serves a newer request
- * better. Callers who are refused come back spread over time, since they were refused together.
+ * <p>A request waits where the forecast has room for it soon; otherwise it is refused at once. Callers who are refused
+ * come back spread over time, since they were refused together.
  */
 public final class StreamPatience {
 
-    /** Part of the target after which a first event can't come in time any more. */
-    private static final double PATIENT_PART = 0.5;
-
-    /** Pause between two questions for memory, in milliseconds. */
-    private static final long ASK_AGAIN_MILLIS = 50;
+    /** Longest time that a request waits for room, in milliseconds: well within the pause that callers bear. */
+    private static final long LONGEST_WAIT_MILLIS = 1_800;
 
     /** Longest time that a stream which has begun waits to go on, in milliseconds. */
-    private static final long RESUME_PATIENCE_MILLIS = 2_500;
+    private static final long LONGEST_INTERRUPTION_MILLIS = 2_500;
 
     /** Part of the time left within which callers follow a time to come back. */
     private static final double FOLLOWED_PART = 0.33;
 
-    private static final long LEAST_RETRY_AFTER_MILLIS = 100;
+    /** Shortest time to come back, in milliseconds. */
+    private static final long LEAST_RETRY_AFTER_MILLIS = 200;
 
     private StreamPatience() {}
 
     /** What a request without room does. */
     public sealed interface Verdict {
 
-        /**
-         * It asks again.
-         *
-         * @param afterMillis milliseconds from now
-         */
-        record AskAgain(long afterMillis) implements Verdict {}
+        /** It waits. */
+        record Wait() implements Verdict {}
 
         /**
          * It is refused.
@@ -43,36 +39,63 @@
     }
 
     /**
-     * Decides.
+     * What the decision rests on.
      *
-     * @param elapsedMillis time since the request came, in milliseconds
-     * @param targetMillis time within which the first event is in time
+     * @param waitedMillis how long the request has waited for room, or its stream was interrupted
+     * @param begun whether the caller already has a part of the answer
+     * @param millisUntilRoom forecast of room for it alone; empty if there is none in sight
+     * @param ahead requests that wait before it
+     * @param instances instances that could serve it
      * @param timeLeftMillis time that the caller has left
-     * @param interruptedMillis time since a stream that has begun was interrupted; negative for one that has not
      * @param spread any number; spreads the returns
+     */
+    public record Situation(
+            long waitedMillis,
+            boolean begun,
+            OptionalLong millisUntilRoom,
+            int ahead,
+            int instances,
+            long timeLeftMillis,
+            long spread) {}
+
+    /**
+     * Decides.
+     *
+     * @param situation what is known
      * @return what follows
      */
-    public static Verdict judge(
-            long elapsedMillis, long targetMillis, long timeLeftMillis, long interruptedMillis, long spread) {
-        boolean patient = interruptedMillis >= 0
-                ? interruptedMillis < RESUME_PATIENCE_MILLIS
-                : elapsedMillis + ASK_AGAIN_MILLIS < Math.round(targetMillis * PATIENT_PART);
-        if (patient && timeLeftMillis > ASK_AGAIN_MILLIS) {
-            return new Verdict.AskAgain(ASK_AGAIN_MILLIS);
+    public static Verdict judge(Situation situation) {
+        long patience = situation.begun() ? LONGEST_INTERRUPTION_MILLIS : LONGEST_WAIT_MILLIS;
+        long patienceLeft = Math.min(patience - situation.waitedMillis(), situation.timeLeftMillis());
+        if (situation.begun() && patienceLeft > 0) {
+            return new Verdict.Wait();
         }
-        return new Verdict.Refuse(retryAfterMillis(timeLeftMillis, spread));
+        if (situation.millisUntilRoom().isEmpty()) {
+            return new Verdict.Refuse(retryAfterMillis(0, situation.timeLeftMillis(), situation.spread()));
+        }
+        long expected = expectedMillis(situation);
+        return expected < patienceLeft
+                ? new Verdict.Wait()
+                : new Verdict.Refuse(retryAfterMillis(expected, situation.timeLeftMillis(), situation.spread()));
+    }
+
+    /** Those ahead take the room of one instance after another. */
+    private static long expectedMillis(Situation situation) {
+        double turns = 1 + situation.ahead() / (double) Math.max(1, situation.instances());
+        return Math.round(situation.millisUntilRoom().getAsLong() * turns);
     }
 
     /**
-     * Tells a refused caller when to come back.
+     * Tells a refused caller when to come back: when room is expected, and within the time that callers follow.
      *
+     * @param expectedMillis when room is expected, in milliseconds
      * @param timeLeftMillis time that the caller has left
      * @param spread any number; spreads the returns
      * @return milliseconds from now
      */
-    public static long retryAfterMillis(long timeLeftMillis, long spread) {
+    public static long retryAfterMillis(long expectedMillis, long timeLeftMillis, long spread) {
         long longest = Math.max(LEAST_RETRY_AFTER_MILLIS, Math.round(timeLeftMillis * FOLLOWED_PART));
-        long shortest = longest / 3;
+        long shortest = Math.min(Math.max(expectedMillis, longest / 3), longest * 2 / 3);
         return shortest + Math.floorMod(spread * 7_919, longest - shortest + 1);
     }
 }
--- a/gateway/src/main/java/org/merlinwood/gateway/front/CourseContext.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/CourseContext.java
@@ -23,6 +23,7 @@
  * @param allowance repeats that this entry may still send
  * @param crashes requests that crashed instances
  * @param meter what callers ask of each model service
+ * @param waiting requests that wait for memory
  * @param log a line for each decision
  * @param metrics counters and times
  */
@@ -36,5 +37,6 @@
         RetryAllowance allowance,
         CrashBook crashes,
         DemandMeter meter,
+        WaitingRequests waiting,
         DecisionLog log,
         RequestMetrics metrics) {}
--- a/gateway/src/main/java/org/merlinwood/gateway/front/FrontServer.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/FrontServer.java
@@ -50,8 +50,19 @@
             DemandMeter meter,
             DecisionLog log,
             RequestMetrics metrics) {
-        context =
-                new CourseContext(loop, clock, client, protocol, fleet, pool, allowance, crashes, meter, log, metrics);
+        context = new CourseContext(
+                loop,
+                clock,
+                client,
+                protocol,
+                fleet,
+                pool,
+                allowance,
+                crashes,
+                meter,
+                new WaitingRequests(loop, clock),
+                log,
+                metrics);
     }
 
     /**
--- a/gateway/src/main/java/org/merlinwood/gateway/front/StreamCourse.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/StreamCourse.java
@@ -16,6 +16,7 @@
 import org.merlinwood.gateway.decision.NextStep;
 import org.merlinwood.gateway.decision.RepeatPolicy;
 import org.merlinwood.gateway.decision.StreamPatience;
+import org.merlinwood.gateway.decision.WaitingLine;
 import org.merlinwood.gateway.fleet.UpstreamInstance;
 import org.merlinwood.gateway.request.CallerRequest;
 import org.merlinwood.gateway.request.Prompt;
@@ -41,6 +42,9 @@
     /** Longest time for a connection, in milliseconds: many round trips within a region. */
     private static final long CONNECT_LIMIT_MILLIS = 120;
 
+    /** Time before an instance that had no memory is asked again, in milliseconds. */
+    private static final long ASK_AGAIN_MILLIS = 100;
+
     /** Longest silence of a reservation, in milliseconds: it needs no slot and no work. */
     private static final long HOLD_LIMIT_MILLIS = 200;
 
@@ -53,6 +57,9 @@
     /** Silence after which a stream that may be resumed is taken elsewhere, in milliseconds. */
     private static final long SILENCE_LIMIT_MILLIS = 1_200;
 
+    /** Status of an instance that is not the expected one, or has another stage by now. */
+    private static final int MISDIRECTED_STATUS = 421;
+
     private final Prompt prompt;
     private final EngineLimits limits;
     private final EventSplitter events = new EventSplitter();
@@ -64,6 +71,7 @@
     private Optional<PrefillResult> prefill = Optional.empty();
     private int sent;
     private int unreached;
+    private Optional<Waiting> waiting = Optional.empty();
     private boolean begun;
     private boolean running;
     private long interruptedMillis;
@@ -139,32 +147,71 @@
     }
 
     private void waitForRoom() {
-        StreamPatience.Verdict verdict = StreamPatience.judge(
-                elapsed(),
-                route.targetMillis(),
+        context.loop().schedule(ASK_AGAIN_MILLIS, full::clear);
+        context.meter().withoutRoom(service);
+        if (!decideToWait()) {
+            return;
+        }
+        waiting = Optional.of(new Waiting());
+        context.waiting().add(service, waiting.get());
+    }
+
+    /** Refuses the request if it is not to wait; false then. */
+    private boolean decideToWait() {
+        StreamPatience.Situation situation = new StreamPatience.Situation(
+                context.clock().monotonicMillis() - withoutRoomSinceMillis(),
+                begun,
+                context.pool().millisUntilRoom(service, prompt, limits),
+                context.waiting().size(service),
+                context.pool().decodeInstances(service),
                 timeLeft(),
-                interruptedFor(),
                 context.clock().monotonicMillis());
-        note("no room")
-                .with("instancesTried", full.size())
-                .with("next", verdict.toString())
-                .write();
-        full.clear();
-        context.meter().withoutRoom(service);
-        switch (verdict) {
-            case StreamPatience.Verdict.AskAgain again ->
-                context.loop().schedule(again.afterMillis(), () -> {
-                    if (!isOver()) {
-                        advance();
-                    }
-                });
-            case StreamPatience.Verdict.Refuse refuse -> giveUp(refuse.retryAfterMillis());
+        StreamPatience.Verdict verdict = StreamPatience.judge(situation);
+        if (verdict instanceof StreamPatience.Verdict.Refuse refuse) {
+            note("no room")
+                    .with("situation", situation.toString())
+                    .with("next", verdict.toString())
+                    .write();
+            giveUp(refuse.retryAfterMillis());
+            return false;
         }
+        return true;
     }
 
-    /** Milliseconds since a stream that has begun was interrupted, or -1. */
-    private long interruptedFor() {
-        return begun ? context.clock().monotonicMillis() - interruptedMillis : -1;
+    private long withoutRoomSinceMillis() {
+        return begun ? interruptedMillis : request.arrivedMillis();
+    }
+
+    /** This request in the line of those that wait for memory. */
+    private final class Waiting implements WaitingLine.Waiter {
+
+        @Override
+        public long arrivedMillis() {
+            return request.arrivedMillis();
+        }
+
+        @Override
+        public long targetMillis() {
+            return route.targetMillis();
+        }
+
+        @Override
+        public boolean tryNow() {
+            if (isOver()) {
+                return true;
+            }
+            Optional<UpstreamInstance> choice = context.pool().chooseDecode(service, prompt, limits, full);
+            if (choice.isPresent()) {
+                waiting = Optional.empty();
+                advance();
+                return true;
+            }
+            if (!decideToWait()) {
+                waiting = Optional.empty();
+                return true;
+            }
+            return false;
+        }
     }
 
     private void giveUp(long retryAfterMillis) {
@@ -320,7 +367,7 @@
                     fail(
                             failure.code(),
                             StreamPatience.retryAfterMillis(
-                                    timeLeft(), context.clock().monotonicMillis()),
+                                    0, timeLeft(), context.clock().monotonicMillis()),
                             outcome.toString());
                 }
             }
@@ -377,6 +424,7 @@
         endWork();
         hold.ifPresent(this::release);
         prefill.ifPresent(this::release);
+        waiting.ifPresent(waiter -> context.waiting().remove(service, waiter));
     }
 
     @Override
@@ -492,6 +540,9 @@
 
         private AttemptOutcome judge() {
             if (head.notRun()) {
+                if (head.status() == MISDIRECTED_STATUS) {
+                    context.pool().failed(instance.identifier());
+                }
                 return new AttemptOutcome.Declined(head.status());
             }
             if (!ours() || begun) {
