Tests of the gateway without network, and errors of an instance fade with time

The test of a failed instance's return failed first: an error share only sank with new answers, so a recovered instance waited until the others had five times its load. It halves every two seconds now.

--- a/gateway/src/main/java/org/merlinwood/gateway/decision/InstancePool.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/decision/InstancePool.java
@@ -273,7 +273,7 @@
      * @param identifier the instance
      */
     public void answeredError(String identifier) {
-        record(identifier).answeredError();
+        record(identifier).answeredError(clock.monotonicMillis());
     }
 
     /**
@@ -407,7 +407,7 @@
 
     private double lowestErrorShare(List<UpstreamInstance> candidates) {
         return candidates.stream()
-                .mapToDouble(instance -> record(instance.identifier()).errorShare())
+                .mapToDouble(instance -> record(instance.identifier()).errorShare(clock.monotonicMillis()))
                 .min()
                 .orElse(0);
     }
@@ -427,8 +427,8 @@
         return Math.max(0.5, record.averageMillis() / meanMillis);
     }
 
-    private static double errorFactor(InstanceRecord record, double lowestError) {
-        return 1 + ERROR_WEIGHT * Math.max(0, record.errorShare() - lowestError);
+    private double errorFactor(InstanceRecord record, double lowestError) {
+        return 1 + ERROR_WEIGHT * Math.max(0, record.errorShare(clock.monotonicMillis()) - lowestError);
     }
 
     private static double distance(UpstreamInstance instance, String domain) {
--- a/gateway/src/main/java/org/merlinwood/gateway/decision/InstanceRecord.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/decision/InstanceRecord.java
@@ -18,6 +18,9 @@
     /** Longest time without new work, in milliseconds: a restart takes some seconds. */
     private static final long LONGEST_PAUSE_MILLIS = 2_400;
 
+    /** Time in which the weight of past errors halves, in milliseconds: a recovered instance is found again. */
+    private static final double ERROR_HALF_LIFE_MILLIS = 2_000;
+
     /** Age at which a told load says nothing any more, in milliseconds. */
     private static final long LOAD_AGE_MILLIS = 500;
 
@@ -30,6 +33,7 @@
     private int failuresInRow;
     private long pausedUntilMillis = Long.MIN_VALUE / 2;
     private double errorShare;
+    private long errorShareMillis;
     private double averageMillis;
 
     // ------------------------------------------------------------------ work
@@ -121,14 +125,20 @@
         averageMillis = averageMillis == 0 ? tookMillis : averageMillis + (tookMillis - averageMillis) * AVERAGE_WEIGHT;
     }
 
-    void answeredError() {
+    void answeredError(long nowMillis) {
         failuresInRow = 0;
+        countError(nowMillis);
+    }
+
+    private void countError(long nowMillis) {
+        errorShare = errorShare(nowMillis);
+        errorShareMillis = nowMillis;
         errorShare += (1 - errorShare) * AVERAGE_WEIGHT;
     }
 
     /** Pauses the instance; returns for how long, in milliseconds. */
     long failed(long nowMillis) {
-        errorShare += (1 - errorShare) * AVERAGE_WEIGHT;
+        countError(nowMillis);
         long pause = Math.min(LONGEST_PAUSE_MILLIS, FIRST_PAUSE_MILLIS << Math.min(failuresInRow, 10));
         failuresInRow++;
         pausedUntilMillis = nowMillis + pause;
@@ -147,8 +157,8 @@
         return pausedUntilMillis;
     }
 
-    double errorShare() {
-        return errorShare;
+    double errorShare(long nowMillis) {
+        return errorShare * Math.pow(0.5, (nowMillis - errorShareMillis) / ERROR_HALF_LIFE_MILLIS);
     }
 
     double averageMillis() {
--- /dev/null
+++ b/gateway/src/test/java/org/merlinwood/gateway/PlainWords.java
@@ -0,0 +1,103 @@
+package org.merlinwood.gateway;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.merlinwood.gateway.fleet.Stage;
+import org.merlinwood.gateway.fleet.UpstreamInstance;
+import org.merlinwood.gateway.request.CallerRequest;
+import org.merlinwood.gateway.upstream.AnswerHead;
+import org.merlinwood.gateway.upstream.OrderAnswer;
+import org.merlinwood.gateway.upstream.PrefillResult;
+import org.merlinwood.gateway.upstream.RunTerms;
+import org.merlinwood.gateway.upstream.UpstreamProtocol;
+import org.merlinwood.http.HttpAnswer;
+import org.merlinwood.http.HttpCall;
+import org.merlinwood.http.HttpHeader;
+
+/** A protocol in plain words, so that tests of the gateway need no platform. */
+public final class PlainWords implements UpstreamProtocol {
+
+    /** Header of an answer that the upstream vouches for. */
+    public static final HttpHeader SIGNED = new HttpHeader("signed", "yes");
+
+    /** Header of an answer that states that nothing was run. */
+    public static final HttpHeader NOT_RUN = new HttpHeader("not-run", "yes");
+
+    public static HttpHeader attempt(String name) {
+        return new HttpHeader("attempt", name);
+    }
+
+    @Override
+    public HttpCall hold(UpstreamInstance instance, int tokens, long leaseMillis) {
+        return call(instance, "/hold/" + tokens);
+    }
+
+    @Override
+    public Optional<String> readHold(HttpAnswer answer) {
+        return answer.status() == 200 ? Optional.of(answer.text()) : Optional.empty();
+    }
+
+    @Override
+    public HttpCall releaseHold(UpstreamInstance instance, String hold) {
+        return call(instance, "/release-hold/" + hold);
+    }
+
+    @Override
+    public HttpCall prefill(UpstreamInstance instance, CallerRequest request, long timeLeftMillis) {
+        return call(instance, "/prefill");
+    }
+
+    @Override
+    public Optional<PrefillResult> readPrefill(UpstreamInstance instance, HttpAnswer answer) {
+        return answer.status() == 200 ? Optional.of(new PrefillResult(instance, answer.text())) : Optional.empty();
+    }
+
+    @Override
+    public HttpCall releasePrefill(PrefillResult prefill) {
+        return call(prefill.instance(), "/release-prefill/" + prefill.handle());
+    }
+
+    @Override
+    public HttpCall run(UpstreamInstance instance, CallerRequest request, RunTerms terms) {
+        List<HttpHeader> headers = new ArrayList<>();
+        terms.hold().ifPresent(hold -> headers.add(new HttpHeader("hold", hold)));
+        terms.prefill().ifPresent(prefill -> headers.add(new HttpHeader("prefill", prefill.handle())));
+        terms.lastEvent().ifPresent(event -> headers.add(new HttpHeader("behind", String.valueOf(event))));
+        return call(instance, "/run").withHeaders(headers);
+    }
+
+    @Override
+    public HttpCall order(UpstreamInstance instance, Stage stage, String holder, long fence) {
+        return call(instance, "/order/" + stage + "/" + fence);
+    }
+
+    @Override
+    public OrderAnswer readOrder(HttpAnswer answer) {
+        return answer.status() == 200 ? OrderAnswer.ACCEPTED : OrderAnswer.DECLINED;
+    }
+
+    @Override
+    public AnswerHead readHead(int status, List<HttpHeader> headers) {
+        String attempt = headers.stream()
+                .filter(header -> header.name().equals("attempt"))
+                .map(HttpHeader::value)
+                .findFirst()
+                .orElse("");
+        return new AnswerHead(
+                status,
+                attempt,
+                headers.contains(SIGNED),
+                headers.contains(NOT_RUN),
+                false,
+                Optional.empty(),
+                -1,
+                headers);
+    }
+
+    private static HttpCall call(UpstreamInstance instance, String path) {
+        return HttpCall.of(
+                "POST", instance.address(), "/" + instance.identifier() + path, "".getBytes(StandardCharsets.UTF_8));
+    }
+}
--- /dev/null
+++ b/gateway/src/test/java/org/merlinwood/gateway/decision/StagePlanTest.java
@@ -0,0 +1,78 @@
+package org.merlinwood.gateway.decision;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.merlinwood.core.time.ManualMillisClock;
+import org.merlinwood.gateway.fleet.Stage;
+import org.merlinwood.gateway.fleet.UpstreamInstance;
+
+final class StagePlanTest {
+
+    @ParameterizedTest(name = "{0} prefill, {1} decode, highest {2}, lowest {3}, {4} without room")
+    @CsvSource(
+            nullValues = "none",
+            value = {
+                "4, 6, 47, 40, 0, DECODE",
+                "2, 8, 47, 40, 0, none",
+                "3, 3, 38, 30, 0, DECODE",
+                "2, 4, 38, 30, 0, none",
+                "2, 4, 35, 30, 9, DECODE",
+                "4, 6, 0, 0, 0, none",
+                "1, 9, 94, 60, 0, PREFILL",
+                "1, 9, 94, 20, 0, none",
+                "1, 3, 94, 60, 0, none",
+                "0, 9, 20, 10, 0, PREFILL",
+            })
+    void prefillBeyondTheNeedBecomesDecode(
+            int prefills, int decodes, double highest, double lowest, int withoutRoom, Stage next) {
+        List<UpstreamInstance> instances = new ArrayList<>();
+        add(instances, Stage.PREFILL, prefills);
+        add(instances, Stage.DECODE, decodes);
+        StagePlan.View view = new StagePlan.View(instances, highest, lowest, 50, withoutRoom);
+        assertThat(StagePlan.next(view).map(StagePlan.Change::stage)).isEqualTo(Optional.ofNullable(next));
+    }
+
+    /** Begin of the traffic: the first seconds say nothing of the rate that follows. */
+    @Test
+    void aRisingRateIsNotSettled() {
+        ManualMillisClock clock = new ManualMillisClock(0);
+        RateHistory history = new RateHistory(clock);
+        for (int look = 0; look <= 100; look++) {
+            history.add(1 + look);
+            clock.advanceMillis(100);
+        }
+        assertThat(history.settledHighest()).isZero();
+    }
+
+    @Test
+    void aRateThatHeldIsKnownAfterTwoWindows() {
+        ManualMillisClock clock = new ManualMillisClock(0);
+        RateHistory history = new RateHistory(clock);
+        for (int look = 0; look <= 100; look++) {
+            history.add(40 + look % 3);
+            clock.advanceMillis(100);
+        }
+        assertThat(history.settledHighest()).isEqualTo(42);
+        assertThat(history.lowest()).isEqualTo(40);
+    }
+
+    private static void add(List<UpstreamInstance> instances, Stage stage, int count) {
+        for (int index = 0; index < count; index++) {
+            instances.add(new UpstreamInstance(
+                    stage + "-" + index,
+                    "service",
+                    new InetSocketAddress("127.0.0.1", 1_000 + index),
+                    "domain-" + index % 3,
+                    16,
+                    false,
+                    stage));
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/test/java/org/merlinwood/gateway/decision/WaitingLineTest.java
@@ -0,0 +1,56 @@
+package org.merlinwood.gateway.decision;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.merlinwood.core.time.ManualMillisClock;
+
+final class WaitingLineTest {
+
+    private static final long TARGET_MILLIS = 900;
+
+    private final ManualMillisClock clock = new ManualMillisClock(10_000);
+    private final WaitingLine line = new WaitingLine(clock);
+    private final List<String> tried = new ArrayList<>();
+
+    /** Overload: more wait than can be in time; memory that frees goes to those that still can. */
+    @Test
+    void thoseWhoCanBeInTimeGoFirstTheOldestAtTheHead() {
+        add("late", clock.monotonicMillis() - 800, false);
+        add("later", clock.monotonicMillis() - 1_500, false);
+        add("young", clock.monotonicMillis() - 10, false);
+        add("old", clock.monotonicMillis() - 400, false);
+        line.tryAll();
+        assertThat(tried).containsExactly("old", "young", "later", "late");
+    }
+
+    @Test
+    void whoIsPlacedLeavesTheLine() {
+        add("placed", clock.monotonicMillis(), true);
+        add("waiting", clock.monotonicMillis(), false);
+        line.tryAll();
+        assertThat(line.size()).isEqualTo(1);
+    }
+
+    private void add(String name, long arrivedMillis, boolean placed) {
+        line.add(new WaitingLine.Waiter() {
+            @Override
+            public long arrivedMillis() {
+                return arrivedMillis;
+            }
+
+            @Override
+            public long targetMillis() {
+                return TARGET_MILLIS;
+            }
+
+            @Override
+            public boolean tryNow() {
+                tried.add(name);
+                return placed;
+            }
+        });
+    }
+}
--- /dev/null
+++ b/gateway/src/test/java/org/merlinwood/gateway/front/CourseFixture.java
@@ -0,0 +1,153 @@
+package org.merlinwood.gateway.front;
+
+import com.codahale.metrics.MetricRegistry;
+import java.io.OutputStream;
+import java.io.PrintStream;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.OptionalLong;
+import org.merlinwood.core.time.ManualMillisClock;
+import org.merlinwood.gateway.FakeHttpClient;
+import org.merlinwood.gateway.ManualLoop;
+import org.merlinwood.gateway.PlainWords;
+import org.merlinwood.gateway.decision.CrashBook;
+import org.merlinwood.gateway.decision.DemandMeter;
+import org.merlinwood.gateway.decision.Departure;
+import org.merlinwood.gateway.decision.InstancePool;
+import org.merlinwood.gateway.decision.RetryAllowance;
+import org.merlinwood.gateway.fleet.FleetState;
+import org.merlinwood.gateway.fleet.Stage;
+import org.merlinwood.gateway.fleet.UpstreamInstance;
+import org.merlinwood.gateway.request.CallerRequest;
+import org.merlinwood.gateway.request.Prompt;
+import org.merlinwood.gateway.route.EngineLimits;
+import org.merlinwood.gateway.route.RequestKind;
+import org.merlinwood.gateway.route.Route;
+import org.merlinwood.gateway.route.RouteTable;
+import org.merlinwood.gateway.route.ServiceShare;
+import org.merlinwood.gateway.route.UpstreamService;
+import org.merlinwood.http.HttpHeader;
+import org.merlinwood.operation.log.DecisionLog;
+
+/** An entry without network: a clock, a client and a caller that a test moves. */
+final class CourseFixture {
+
+    static final String ATTEMPT = "attempt-1";
+    static final HttpHeader[] OWN_ANSWER = {PlainWords.SIGNED, PlainWords.attempt(ATTEMPT)};
+
+    private static final int BODY_BYTES = 1_000;
+    private static final EngineLimits LIMITS = new EngineLimits(4, 20_000, 2, 500, 2_000, 6_000);
+
+    final ManualMillisClock clock = new ManualMillisClock(1_000);
+    final ManualLoop loop = new ManualLoop(clock);
+    final FakeHttpClient client = new FakeHttpClient();
+    final FleetState fleet = new FleetState();
+    final InstancePool pool = new InstancePool(fleet, clock, "near");
+    final RecordedCaller caller = new RecordedCaller();
+    final Departure departure = new Departure(clock, 8_000);
+    private final RequestDesk desk;
+
+    CourseFixture(RequestKind kind, boolean resumable) {
+        RetryAllowance allowance = new RetryAllowance(clock, 10_000, 0.2, 60, 1);
+        DecisionLog log = new DecisionLog("test", clock, new PrintStream(OutputStream.nullOutputStream()));
+        CourseContext context = new CourseContext(
+                loop,
+                clock,
+                client,
+                new PlainWords(),
+                fleet,
+                pool,
+                allowance,
+                new CrashBook(clock),
+                new DemandMeter(clock),
+                new WaitingRequests(loop, clock),
+                log,
+                new RequestMetrics(new MetricRegistry()));
+        desk = new RequestDesk(context, departure);
+        Route route = new Route(
+                "route", "host", "/p/", kind, 5_000, 900, 1, List.of(new ServiceShare("service", 1)), 2, resumable);
+        Optional<EngineLimits> engine = kind == RequestKind.STREAM ? Optional.of(LIMITS) : Optional.empty();
+        fleet.replaceRoutes(
+                RouteTable.of(1, List.of(route), List.of(new UpstreamService("service", 10, engine)), BODY_BYTES));
+    }
+
+    void register(Stage stage, String... identifiers) {
+        for (String identifier : identifiers) {
+            fleet.put(new UpstreamInstance(
+                    identifier, "service", new InetSocketAddress("127.0.0.1", 1), "near", 4, false, stage));
+        }
+    }
+
+    void ask(String path) {
+        Optional<Prompt> prompt = Optional.of(new Prompt("m", 1_000, 100, OptionalInt.empty(), List.of()));
+        desk.accept(
+                new CallerRequest(
+                        ATTEMPT,
+                        "POST",
+                        "host",
+                        path,
+                        path,
+                        OptionalLong.of(4_000),
+                        prompt,
+                        OptionalLong.empty(),
+                        List.of(),
+                        "body".getBytes(StandardCharsets.UTF_8),
+                        clock.monotonicMillis()),
+                caller);
+    }
+
+    /** What a caller sees. */
+    static final class RecordedCaller implements CallerChannel {
+
+        int status;
+        List<HttpHeader> headers = List.of();
+        String body = "";
+        boolean ended;
+        boolean brokenOff;
+        private Runnable gone = () -> {};
+
+        @Override
+        public void answer(int answered, List<HttpHeader> answeredHeaders, byte[] answeredBody) {
+            begin(answered, answeredHeaders);
+            write(answeredBody);
+            end();
+        }
+
+        @Override
+        public void begin(int begun, List<HttpHeader> begunHeaders) {
+            status = begun;
+            headers = begunHeaders;
+        }
+
+        @Override
+        public void write(byte[] part) {
+            body += new String(part, StandardCharsets.UTF_8);
+        }
+
+        @Override
+        public void end() {
+            ended = true;
+        }
+
+        @Override
+        public void breakOff() {
+            brokenOff = true;
+        }
+
+        @Override
+        public void whenGone(Runnable action) {
+            gone = action;
+        }
+
+        void leave() {
+            gone.run();
+        }
+
+        boolean toldWhenToComeBack() {
+            return headers.stream().anyMatch(header -> header.name().equals("Retry-After"));
+        }
+    }
+}
