--- a/architecture-tests/src/test/java/org/merlinwood/architecture/DependencyTest.java
+++ b/architecture-tests/src/test/java/org/merlinwood/architecture/DependencyTest.java
@@ -57,6 +57,8 @@
                                 "http",
                                 "operation",
                                 "following")),
+                Arguments.of("gateway", List.of("core", "http", "operation", "protocol", "wire")),
+                Arguments.of("platform", List.of("core", "http", "operation", "protocol", "gateway")),
                 Arguments.of("standin", List.of("core", "http", "operation")),
                 Arguments.of("replay", List.of("core", "configuration", "decision")),
                 Arguments.of("command", List.of("core", "configuration", "http", "operation", "replay", "decision")));
@@ -81,7 +83,7 @@
     void decisionsKnowNoTransport() {
         noClasses()
                 .that()
-                .resideInAPackage(ROOT + "decision..")
+                .resideInAnyPackage(ROOT + "decision..", ROOT + "gateway.decision..")
                 .should()
                 .dependOnClassesThat()
                 .resideInAnyPackage(
@@ -141,6 +143,8 @@
                 "following",
                 "entry",
                 "sidecar",
+                "gateway",
+                "platform",
                 "standin",
                 "replay",
                 "command");
--- /dev/null
+++ b/architecture-tests/src/test/java/org/merlinwood/architecture/PlatformWordsTest.java
@@ -0,0 +1,65 @@
+package org.merlinwood.architecture;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.stream.Stream;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Holds the names of the users' platform inside the module that translates them. */
+final class PlatformWordsTest {
+
+    private static final Path ROOT = Path.of("..");
+    private static final List<String> LEFT_OUT =
+            List.of("/target/", "/platform/", "/architecture-tests/", "/wire-generated/");
+
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "Attempt-Id",
+                "Response-Signature",
+                "Deadline-Ms",
+                "Expect-Instance",
+                "Not-Executed",
+                "Server-Load",
+                "Token-Counts",
+                "Prompt-Prefix",
+                "Length-Hint",
+                "Kv-Source",
+                "Kv-Hold",
+                "hold-take",
+                "kv-handle",
+                "kv-watch",
+                "kv-range",
+                "op/config",
+                "seed_nodes",
+                "max_attempts",
+                "timeout_ms"
+            })
+    void noOtherModuleKnowsTheWord(String word) throws IOException {
+        try (Stream<Path> files = Files.walk(ROOT)) {
+            assertThat(files.filter(PlatformWordsTest::isSource)
+                            .filter(file -> contains(file, word))
+                            .map(Path::toString))
+                    .isEmpty();
+        }
+    }
+
+    private static boolean isSource(Path file) {
+        String name = file.toString();
+        return name.endsWith(".java") && LEFT_OUT.stream().noneMatch(name::contains);
+    }
+
+    private static boolean contains(Path file, String word) {
+        try {
+            return Files.readString(file).contains(word);
+        } catch (IOException exception) {
+            throw new UncheckedIOException(exception);
+        }
+    }
+}
--- a/gateway/src/main/java/org/merlinwood/gateway/front/Course.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/Course.java
@@ -26,6 +26,7 @@
     final Route route;
     final String service;
     final CallerChannel channel;
+    private Optional<ResultCode> unknownOutcome = Optional.empty();
     private boolean over;
     private Optional<EventLoop.Timer> timeout = Optional.empty();
 
@@ -103,12 +104,18 @@
         }
     }
 
+    /** Notes that a run of the request has an unknown outcome, so that no later refusal can say that it was not run. */
+    final void mayHaveRun(ResultCode code) {
+        unknownOutcome = Optional.of(code);
+    }
+
     /** Ends the request with a failure of this entry. */
-    final void fail(ResultCode code, long retryAfterMillis, String reason) {
+    final void fail(ResultCode wanted, long retryAfterMillis, String reason) {
         if (!finish()) {
             return;
         }
         abandon();
+        ResultCode code = wanted.executionState() == ExecutionState.NOT_RUN ? unknownOutcome.orElse(wanted) : wanted;
         note("failed")
                 .with("code", code.number())
                 .with("reason", reason)
--- a/gateway/src/main/java/org/merlinwood/gateway/front/PlainCourse.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/PlainCourse.java
@@ -40,6 +40,9 @@
     private int unreached;
     private Optional<Call> current = Optional.empty();
 
+    /** An error that an instance answered, for the case that no other can be tried. */
+    private Optional<Call> lastAnswer = Optional.empty();
+
     PlainCourse(CourseContext context, CallerRequest request, Route route, CallerChannel channel) {
         super(context, request, route, channel);
     }
@@ -47,6 +50,10 @@
     @Override
     void advance() {
         Optional<UpstreamInstance> choice = context.pool().choosePlain(service, tried);
+        if (choice.isEmpty() && lastAnswer.isPresent()) {
+            deliver(lastAnswer.get());
+            return;
+        }
         if (choice.isEmpty()) {
             fail(ResultCode.NO_INSTANCE, RETRY_AFTER_MILLIS, "no instance is left to try");
             return;
@@ -90,10 +97,17 @@
         if (isOver()) {
             return;
         }
-        if (outcome instanceof AttemptOutcome.Unreached) {
-            unreached++;
-        } else {
-            sent++;
+        switch (outcome) {
+            case AttemptOutcome.Unreached none -> unreached++;
+            case AttemptOutcome.Declined declined -> sent++;
+            case AttemptOutcome.Broken broken -> {
+                sent++;
+                mayHaveRun(broken.failure().code());
+            }
+            case AttemptOutcome.Answered answered -> {
+                sent++;
+                lastAnswer = Optional.of(call);
+            }
         }
         NextStep step = RepeatPolicy.after(
                 outcome, route, sent, unreached, () -> context.allowance().take(service));
@@ -103,13 +117,16 @@
                 .with("next", step.toString())
                 .write();
         switch (step) {
-            case NextStep.Deliver deliver ->
-                deliver(call.head.status(), call.head.forwardedHeaders(), call.body.toByteArray(), call.instance);
+            case NextStep.Deliver deliver -> deliver(call);
             case NextStep.Repeat repeat -> advance();
             case NextStep.Fail failure -> fail(failure.code(), RETRY_AFTER_MILLIS, outcome.toString());
         }
     }
 
+    private void deliver(Call call) {
+        deliver(call.head.status(), call.head.forwardedHeaders(), call.body.toByteArray(), call.instance);
+    }
+
     /** One call to one instance. */
     private final class Call implements HttpListener {
 
--- a/gateway/src/main/java/org/merlinwood/gateway/front/StreamCourse.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/StreamCourse.java
@@ -328,6 +328,9 @@
         } else if (!handleLost) {
             sent++;
         }
+        if (outcome instanceof AttemptOutcome.Broken broken) {
+            mayHaveRun(broken.failure().code());
+        }
         NextStep step = handleLost
                 ? afterLostPrompt()
                 : RepeatPolicy.after(
--- a/gateway/src/main/java/org/merlinwood/gateway/process/GatewayProcess.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/process/GatewayProcess.java
@@ -45,7 +45,7 @@
 import org.xnio.XnioWorker;
 
 /** One entry: started once, drained once. Everything but the sessions with peers runs on one I/O thread. */
-public final class GatewayProcess {
+public final class GatewayProcess implements AutoCloseable {
 
     /** How often the end of the drain is looked for, in milliseconds. */
     private static final long DRAIN_POLL_MILLIS = 20;
@@ -193,6 +193,14 @@
         });
     }
 
+    /** Closes everything at once; for processes that hold more than one entry. */
+    @Override
+    public void close() {
+        peers.close();
+        server.stop();
+        worker.shutdownNow();
+    }
+
     private void awaitEnd(Runnable end) {
         if (departure.mayClose(open.count())) {
             departure.close();
--- a/gateway/src/main/java/org/merlinwood/gateway/upstream/AnswerHead.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/upstream/AnswerHead.java
@@ -13,7 +13,6 @@
  * @param notRun whether the upstream states that it has not run the request and never will
  * @param encoded whether the body has a content coding, which callers don't ask for
  * @param load load at the instance
- * @param contentLength length of the body in bytes, or -1 if the head does not say
  * @param forwardedHeaders headers that go to the caller
  */
 public record AnswerHead(
@@ -23,7 +22,6 @@
         boolean notRun,
         boolean encoded,
         Optional<UpstreamLoad> load,
-        long contentLength,
         List<HttpHeader> forwardedHeaders) {
 
     /** Copies the headers. */
--- a/gateway/src/test/java/org/merlinwood/gateway/PlainWords.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/PlainWords.java
@@ -86,14 +86,7 @@
                 .findFirst()
                 .orElse("");
         return new AnswerHead(
-                status,
-                attempt,
-                headers.contains(SIGNED),
-                headers.contains(NOT_RUN),
-                false,
-                Optional.empty(),
-                -1,
-                headers);
+                status, attempt, headers.contains(SIGNED), headers.contains(NOT_RUN), false, Optional.empty(), headers);
     }
 
     private static HttpCall call(UpstreamInstance instance, String path) {
--- a/gateway/src/test/java/org/merlinwood/gateway/front/PlainCourseTest.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/front/PlainCourseTest.java
@@ -48,6 +48,25 @@
         assertThat(fixture.caller.body).isEqualTo("second");
     }
 
+    @Test
+    void behindABrokenCallNoRefusalSaysThatNothingRan() {
+        CourseFixture fixture = new CourseFixture(RequestKind.IDEMPOTENT, false);
+        fixture.register(Stage.PLAIN, "a");
+        fixture.ask("/p/x");
+        fixture.client.last().fail(ResultCode.CONNECTION_LOST, ExecutionState.UNKNOWN);
+        assertThat(fixture.caller.status).isEqualTo(502);
+    }
+
+    @Test
+    void anErrorOfTheOnlyInstanceIsDeliveredAsItIs() {
+        CourseFixture fixture = new CourseFixture(RequestKind.IDEMPOTENT, false);
+        fixture.register(Stage.PLAIN, "a");
+        fixture.ask("/p/x");
+        fixture.client.last().answer(500, "its error", CourseFixture.OWN_ANSWER);
+        assertThat(fixture.caller.status).isEqualTo(500);
+        assertThat(fixture.caller.body).isEqualTo("its error");
+    }
+
     @Test
     void anAnswerToAnotherRequestIsNotPassedOn() {
         CourseFixture fixture = entry(RequestKind.NON_IDEMPOTENT);
