--- a/command/src/main/java/org/merlinwood/command/MerlinwoodCommand.java
+++ b/command/src/main/java/org/merlinwood/command/MerlinwoodCommand.java
@@ -28,6 +28,7 @@
             CheckCommand.class,
             PlanCommand.class,
             DumpCommand.class,
+            ExplainCommand.class,
             ReplayCommand.class,
             CommandLine.HelpCommand.class
         })
--- a/gateway/src/main/java/org/merlinwood/gateway/decision/OrderHolder.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/decision/OrderHolder.java
@@ -1,6 +1,5 @@
 package org.merlinwood.gateway.decision;
 
-import java.net.InetAddress;
 import java.util.Collection;
 import org.merlinwood.core.time.MillisClock;
 
@@ -9,8 +8,8 @@
  *
  * <p>Used by the event loop alone. The entry with the lowest address gives orders, once it has been the lowest for a
  * while and hears most of the entries that it knows, so that no two sides of a partition give orders and no two entries
- * take turns. The fencing token begins with the store's revision, which only rises, and ends with bits of the entry's
- * address, so that no two entries share one; it exceeds every token that the entries have told each other of.
+ * take turns. The fencing token begins with the store's revision, which only rises, and ends with a number of the
+ * entry, so that no two entries share one; it exceeds every token that the entries have told each other of.
  */
 public final class OrderHolder {
 
@@ -22,7 +21,7 @@
 
     private final MillisClock clock;
     private final String ownAddress;
-    private final long entryBits;
+    private final long entryNumber;
     private long lowestSinceMillis = -1;
     private long fence;
     private long highestFence;
@@ -33,14 +32,12 @@
      *
      * @param clock the time
      * @param ownAddress peer address of this entry
-     * @param address its network address
+     * @param entryNumber a number of {@value #ENTRY_BITS} bits that no other entry has
      */
-    public OrderHolder(MillisClock clock, String ownAddress, InetAddress address) {
+    public OrderHolder(MillisClock clock, String ownAddress, long entryNumber) {
         this.clock = clock;
         this.ownAddress = ownAddress;
-        byte[] octets = address.getAddress();
-        int last = octets.length - 1;
-        this.entryBits = (octets[last - 2] & 0xFFL) << 16 | (octets[last - 1] & 0xFFL) << 8 | (octets[last] & 0xFFL);
+        this.entryNumber = entryNumber & ((1L << ENTRY_BITS) - 1);
     }
 
     /**
@@ -108,7 +105,7 @@
             return;
         }
         long revisions = Math.max(storeRevision, (highestFence >> ENTRY_BITS) + 1);
-        fence = revisions << ENTRY_BITS | entryBits;
+        fence = revisions << ENTRY_BITS | entryNumber;
         highestFence = fence;
     }
 }
--- a/gateway/src/main/java/org/merlinwood/gateway/process/GatewayProcess.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/process/GatewayProcess.java
@@ -8,6 +8,9 @@
 import io.undertow.util.StatusCodes;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.math.BigInteger;
+import java.net.InetSocketAddress;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
 import org.merlinwood.core.time.MillisClock;
@@ -115,7 +118,7 @@
                 new RequestMetrics(metrics));
         String peerAddress = PeerSessions.text(settings.peerAddress());
         this.orders = new StageOrders(
-                new OrderHolder(clock, peerAddress, settings.peerAddress().getAddress()),
+                new OrderHolder(clock, peerAddress, entryNumber(settings.peerAddress())),
                 fleet,
                 pool,
                 meter,
@@ -150,6 +153,12 @@
                 .build();
     }
 
+    /** The last three octets of the address: entries of one site share the first. */
+    private static long entryNumber(InetSocketAddress address) {
+        byte[] octets = address.getAddress().getAddress();
+        return new BigInteger(1, Arrays.copyOfRange(octets, octets.length - 3, octets.length)).longValue();
+    }
+
     private static XnioWorker createWorker() {
         try {
             return Xnio.getInstance()
--- a/gateway/src/test/java/org/merlinwood/gateway/decision/OrderHolderTest.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/decision/OrderHolderTest.java
@@ -2,7 +2,6 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import java.net.InetAddress;
 import java.util.List;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -17,9 +16,9 @@
     private OrderHolder second;
 
     @BeforeEach
-    void twoEntries() throws Exception {
-        first = new OrderHolder(clock, "10.1.0.1:9", InetAddress.getByName("10.1.0.1"));
-        second = new OrderHolder(clock, "10.2.0.1:9", InetAddress.getByName("10.2.0.1"));
+    void twoEntries() {
+        first = new OrderHolder(clock, "10.1.0.1:9", 0x010001);
+        second = new OrderHolder(clock, "10.2.0.1:9", 0x020001);
     }
 
     @Test
