--- a/gateway/src/main/java/org/merlinwood/gateway/decision/RetryAllowance.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/decision/RetryAllowance.java
@@ -3,6 +3,7 @@
 import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.function.IntSupplier;
 import org.merlinwood.core.time.MillisClock;
 
 /**
@@ -20,7 +21,8 @@
     private final MillisClock clock;
     private final long windowMillis;
     private final double ratio;
-    private final double fixedShare;
+    private final double fixed;
+    private final IntSupplier entries;
     private final Map<String, Window> windows = new HashMap<>();
 
     /**
@@ -30,13 +32,14 @@
      * @param windowMillis length of the sliding window, in milliseconds
      * @param ratio repeats for each request, over all entries
      * @param fixed repeats besides, over all entries
-     * @param entries largest number of entries
+     * @param entries returns how many entries there may be at most
      */
-    public RetryAllowance(MillisClock clock, long windowMillis, double ratio, double fixed, int entries) {
+    public RetryAllowance(MillisClock clock, long windowMillis, double ratio, double fixed, IntSupplier entries) {
         this.clock = clock;
         this.windowMillis = windowMillis;
         this.ratio = ratio;
-        this.fixedShare = fixed / entries;
+        this.fixed = fixed;
+        this.entries = entries;
     }
 
     /**
@@ -56,7 +59,7 @@
      */
     public boolean take(String service) {
         Window window = window(service);
-        if (window.repeats.size() + 1 > USED_PART * (ratio * window.requests.size() + fixedShare)) {
+        if (window.repeats.size() + 1 > USED_PART * (ratio * window.requests.size() + fixed / entries.getAsInt())) {
             return false;
         }
         window.repeats.addLast(clock.monotonicMillis());
--- a/gateway/src/main/java/org/merlinwood/gateway/peer/PeerSessions.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/peer/PeerSessions.java
@@ -56,6 +56,7 @@
     private final PeerEndpoint endpoint;
     private final Map<String, Member> members = new HashMap<>();
     private final Map<String, Long> heardMillis = new HashMap<>();
+    private int mostKnown;
 
     /**
      * Creates the sessions.
@@ -177,6 +178,7 @@
     private void learn(String address) {
         if (!address.equals(ownAddress)) {
             members.computeIfAbsent(address, Member::new);
+            mostKnown = Math.max(mostKnown, members.size());
         }
     }
 
@@ -259,6 +261,15 @@
         return members.size();
     }
 
+    /**
+     * Returns how many other entries were known at once at most, so that a partition makes none of them count less.
+     *
+     * @return the count
+     */
+    public int mostKnown() {
+        return mostKnown;
+    }
+
     /**
      * Writes an address as entries tell each other.
      *
--- a/gateway/src/main/java/org/merlinwood/gateway/process/GatewayProcess.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/process/GatewayProcess.java
@@ -59,6 +59,15 @@
     /** Time for the last log lines to be written, in milliseconds. */
     private static final long LAST_LINES_MILLIS = 5;
 
+    /** Entries that a small site may grow to. */
+    private static final int LEAST_ENTRIES = 8;
+
+    /** Entries of a grown site, as a multiple of those that are known. */
+    private static final double SPARE_ENTRIES = 1.5;
+
+    /** Entries of a large fleet, while none is known. */
+    private static final int UNKNOWN_FLEET_ENTRIES = 64;
+
     /** Longest time that a connection may stay idle, in milliseconds; above any limit that operators set. */
     private static final int IDLE_LIMIT_MILLIS = 120_000;
 
@@ -103,7 +112,11 @@
         this.pool = new InstancePool(fleet, clock, settings.domain());
         this.follower = new StoreFollower(storeProtocol, client, loop, clock, new FleetUpdates());
         RetryAllowance allowance = new RetryAllowance(
-                clock, settings.repeatWindowMillis(), settings.repeatRatio(), settings.repeatFixed(), 8);
+                clock,
+                settings.repeatWindowMillis(),
+                settings.repeatRatio(),
+                settings.repeatFixed(),
+                this::possibleEntries);
         FrontServer front = new FrontServer(
                 loop,
                 clock,
@@ -153,6 +166,12 @@
                 .build();
     }
 
+    /** Entries that may exist: known ones and some that may be added; a large fleet until others are known. */
+    private int possibleEntries() {
+        int known = peers.mostKnown() + 1;
+        return known == 1 ? UNKNOWN_FLEET_ENTRIES : Math.max(LEAST_ENTRIES, (int) Math.ceil(known * SPARE_ENTRIES));
+    }
+
     /** The last three octets of the address: entries of one site share the first. */
     private static long entryNumber(InetSocketAddress address) {
         byte[] octets = address.getAddress().getAddress();
--- a/gateway/src/test/java/org/merlinwood/gateway/decision/RetryAllowanceTest.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/decision/RetryAllowanceTest.java
@@ -24,7 +24,7 @@
     void allEntriesTogetherStayWithinTheBoundInEveryWindow(int requestsPerSecond) {
         List<RetryAllowance> entries = new ArrayList<>();
         for (int index = 0; index < ENTRIES; index++) {
-            entries.add(new RetryAllowance(clock, WINDOW_MILLIS, RATIO, FIXED, ENTRIES));
+            entries.add(new RetryAllowance(clock, WINDOW_MILLIS, RATIO, FIXED, () -> ENTRIES));
         }
         List<Long> repeats = new ArrayList<>();
         List<Long> requests = new ArrayList<>();
@@ -48,7 +48,7 @@
 
     @Test
     void repeatsComeBackWithTheWindow() {
-        RetryAllowance entry = new RetryAllowance(clock, WINDOW_MILLIS, RATIO, FIXED, ENTRIES);
+        RetryAllowance entry = new RetryAllowance(clock, WINDOW_MILLIS, RATIO, FIXED, () -> ENTRIES);
         while (entry.take("service")) {}
         assertThat(entry.take("service")).isFalse();
         clock.advanceMillis(WINDOW_MILLIS + 1);
--- a/gateway/src/test/java/org/merlinwood/gateway/front/CourseFixture.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/front/CourseFixture.java
@@ -51,7 +51,7 @@
     private final RequestDesk desk;
 
     CourseFixture(RequestKind kind, boolean resumable) {
-        RetryAllowance allowance = new RetryAllowance(clock, 10_000, 0.2, 60, 1);
+        RetryAllowance allowance = new RetryAllowance(clock, 10_000, 0.2, 60, () -> 1);
         DecisionLog log = new DecisionLog("test", clock, new PrintStream(OutputStream.nullOutputStream()));
         CourseContext context = new CourseContext(
                 loop,
