News between entries slow down with their number

Measured on the message: 314 bytes for 4 peers, 1,086 for 30; ten a second to each of 30 peers would be 326 KB/s. Above eight entries the messages a second of an entry stay the same; members are named in every tenth. Prefill instances keep a reserve of 1.2 (not yet measured).

--- a/gateway/src/main/java/org/merlinwood/gateway/decision/StagePlan.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/decision/StagePlan.java
@@ -9,18 +9,13 @@
  * Decides whether an instance of a model service is to change its stage. Stateless.
  *
  * <p>Answers are bound by memory and prompts by computing, so prefill instances beyond what the prompts need are worth
- * more as decode instances. Prompts keep a reserve for bursts; where requests find no room, a smaller one.
+ * more as decode instances. Prompts keep a small reserve: what comes beyond it in a burst is computed by decode
+ * instances, which costs less than memory that is never used.
  */
 public final class StagePlan {
 
-    /** Computing that prefill instances must have, as a multiple of the prompts that come. */
-    private static final double RESERVE = 1.7;
-
-    /** The same where requests find no room for their answers; decode instances compute prompts as well. */
-    private static final double RESERVE_WITHOUT_ROOM = 1.4;
-
-    /** Requests without room in the window from which on the smaller reserve holds. */
-    private static final int FEW_WITHOUT_ROOM = 3;
+    /** Computing that prefill instances must have, as a multiple of the prompts; decode instances compute the rest. */
+    private static final double RESERVE = 1.2;
 
     /** Decode instances below which none is taken for prompts. */
     private static final int LEAST_DECODES = 4;
@@ -65,8 +60,7 @@
             return Optional.empty();
         }
         double mostNeeded = view.highestPromptRate() / view.prefillTokensPerMilli();
-        double reserve = view.withoutRoom() >= FEW_WITHOUT_ROOM ? RESERVE_WITHOUT_ROOM : RESERVE;
-        if (prefills.size() >= 2 && mostNeeded > 0 && prefills.size() - 1 >= reserve * mostNeeded) {
+        if (prefills.size() >= 2 && mostNeeded > 0 && prefills.size() - 1 >= RESERVE * mostNeeded) {
             return crowded(prefills).map(instance -> new Change(instance, Stage.DECODE));
         }
         boolean overloaded = view.lowestPromptRate() / view.prefillTokensPerMilli() > prefills.size();
--- a/gateway/src/main/java/org/merlinwood/gateway/peer/PeerSessions.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/peer/PeerSessions.java
@@ -34,18 +34,27 @@
  */
 public final class PeerSessions {
 
-    /** Time between news, in milliseconds: a tenth of the time that a new answer takes to its first event. */
+    /** Least time between news, in milliseconds: a tenth of the time that a new answer takes to its first event. */
     private static final long NEWS_MILLIS = 100;
 
+    /** Entries up to which news come at that pace; beyond, their number a second stays the same for each entry. */
+    private static final int FREQUENT_NEWS_ENTRIES = 8;
+
+    /** News between two that name the members; membership changes slowly. */
+    private static final int NEWS_BETWEEN_MEMBERS = 10;
+
     /** Time between attempts to reach an entry, in milliseconds. */
     private static final long RECONNECT_MILLIS = 500;
 
     /** How long an address that no seed names is tried in vain, in milliseconds. */
     private static final long FORGET_MILLIS = 20_000;
 
-    /** Silence after which the work of another entry counts no more, in milliseconds. */
+    /** Least silence after which the work of another entry counts no more, in milliseconds. */
     private static final long SILENCE_MILLIS = 1_000;
 
+    /** News that may be missing before an entry counts as silent. */
+    private static final int MISSING_NEWS = 4;
+
     private final String ownAddress;
     private final List<String> seeds;
     private final Function<String, InetSocketAddress> parser;
@@ -57,6 +66,7 @@
     private final Map<String, Member> members = new HashMap<>();
     private final Map<String, Long> heardMillis = new HashMap<>();
     private int mostKnown;
+    private long newsTold;
 
     /**
      * Creates the sessions.
@@ -188,16 +198,21 @@
                 .filter(member -> member.exchange.isPresent())
                 .map(member -> member.address)
                 .toList();
-        Frame.Builder frame = PeerMessages.news(listener.news(ownAddress, connected));
+        boolean namesMembers = newsTold++ % NEWS_BETWEEN_MEMBERS == 0;
+        Frame.Builder frame = PeerMessages.news(listener.news(ownAddress, namesMembers ? connected : List.of()));
         for (Member member : members.values()) {
             member.exchange.ifPresentOrElse(exchange -> exchange.send(frame.clone()), member::connect);
         }
         dropSilent();
-        loop.schedule(NEWS_MILLIS, this::tellNews);
+        loop.schedule(newsMillis(), this::tellNews);
+    }
+
+    private long newsMillis() {
+        return NEWS_MILLIS * Math.max(1, members.size() / FREQUENT_NEWS_ENTRIES);
     }
 
     private void dropSilent() {
-        long oldest = clock.monotonicMillis() - SILENCE_MILLIS;
+        long oldest = clock.monotonicMillis() - Math.max(SILENCE_MILLIS, MISSING_NEWS * newsMillis());
         List<String> silent = new ArrayList<>();
         heardMillis.forEach((address, millis) -> {
             if (millis < oldest) {
