SIGHUP reloads the settings instead of ending the entry

Cause: the runtime ends a process at SIGHUP; the users' platform sends it when the settings file changed. New seeds are used at once.

--- a/gateway/src/main/java/org/merlinwood/gateway/peer/PeerSessions.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/peer/PeerSessions.java
@@ -267,6 +267,15 @@
         exchange.send(PeerMessages.changes(listener.changesAfter(after), listener.storeRevision()));
     }
 
+    /**
+     * Takes addresses of other entries, possibly stale.
+     *
+     * @param addresses the addresses
+     */
+    public void learn(List<InetSocketAddress> addresses) {
+        addresses.forEach(address -> learn(text(address)));
+    }
+
     /**
      * Returns how many other entries are known, reachable or not.
      *
--- a/gateway/src/main/java/org/merlinwood/gateway/process/GatewayProcess.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/process/GatewayProcess.java
@@ -6,6 +6,7 @@
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.Headers;
 import io.undertow.util.StatusCodes;
+import io.vavr.control.Either;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.math.BigInteger;
@@ -206,6 +207,20 @@
                 .write();
     }
 
+    /**
+     * Takes changed settings: new seeds are used at once, everything else at the next start.
+     *
+     * @param changed the settings, or what is wrong with them, in which case the old ones stay
+     */
+    public void reload(Either<String, GatewaySettings> changed) {
+        loop.execute(() -> {
+            changed.forEach(valid -> peers.learn(valid.seeds()));
+            log.line("reload")
+                    .with("outcome", changed.fold(problem -> problem, valid -> "seeds taken"))
+                    .write();
+        });
+    }
+
     /**
      * Leaves: says that it is not ready, finishes what is open, and ends the process.
      *
--- a/operation/src/main/java/org/merlinwood/operation/lifecycle/ProcessLifecycle.java
+++ b/operation/src/main/java/org/merlinwood/operation/lifecycle/ProcessLifecycle.java
@@ -28,7 +28,7 @@
 
     /** Installs the handlers of the signals. Called once, by the main thread. */
     public void installSignalHandlers() {
-        TerminationSignals.handle(this::signalled);
+        ProcessSignals.onTermination(this::signalled);
     }
 
     /**
@@ -38,7 +38,16 @@
      * @param handler called on a thread of the JDK, each time
      */
     public static void onEachSignal(Runnable handler) {
-        TerminationSignals.handle(handler);
+        ProcessSignals.onTermination(handler);
+    }
+
+    /**
+     * Installs a handler that is called for every SIGHUP, which would end the process otherwise.
+     *
+     * @param handler called on a thread of the JDK, each time
+     */
+    public static void onEachReload(Runnable handler) {
+        ProcessSignals.onReload(handler);
     }
 
     /** Asks for a graceful shutdown, as a signal does. Idempotent. */
--- a/operation/src/main/java/org/merlinwood/operation/lifecycle/TerminationSignals.java
+++ b/operation/src/main/java/org/merlinwood/operation/lifecycle/ProcessSignals.java
@@ -4,20 +4,30 @@
 import java.util.List;
 
 /**
- * Handles SIGTERM and SIGINT.
+ * Handles SIGTERM, SIGINT and SIGHUP.
  *
  * <p>The JDK's only interface to signals lies in a package that the compiler always warns of, so it is called by
  * reflection. A shutdown hook would not do: it can't tell a second signal from the first, and the log handlers are
  * closed while it runs. Stateless.
  */
-final class TerminationSignals {
+final class ProcessSignals {
 
-    private static final List<String> NAMES = List.of("TERM", "INT");
+    private static final List<String> TERMINATION = List.of("TERM", "INT");
+    private static final List<String> RELOAD = List.of("HUP");
 
-    private TerminationSignals() {}
+    private ProcessSignals() {}
 
-    /** Calls the handler on a thread of the JDK each time that one of the signals arrives. */
-    static void handle(Runnable handler) {
+    /** Calls the handler on a thread of the JDK each time that the process is told to end. */
+    static void onTermination(Runnable handler) {
+        handle(TERMINATION, handler);
+    }
+
+    /** Calls the handler on a thread of the JDK each time that the settings are said to have changed. */
+    static void onReload(Runnable handler) {
+        handle(RELOAD, handler);
+    }
+
+    private static void handle(List<String> names, Runnable handler) {
         try {
             Class<?> signalType = Class.forName("sun.misc.Signal");
             Class<?> handlerType = Class.forName("sun.misc.SignalHandler");
@@ -26,7 +36,7 @@
                         handler.run();
                         return null;
                     });
-            for (String name : NAMES) {
+            for (String name : names) {
                 Object signal = signalType.getConstructor(String.class).newInstance(name);
                 signalType.getMethod("handle", signalType, handlerType).invoke(null, signal, proxy);
             }
