--- a/gateway/src/main/java/org/merlinwood/gateway/loop/IoThreadLoop.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/loop/IoThreadLoop.java
@@ -1,6 +1,7 @@
 package org.merlinwood.gateway.loop;
 
 import com.google.common.flogger.FluentLogger;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import org.xnio.XnioExecutor;
 import org.xnio.XnioIoThread;
@@ -23,7 +24,11 @@
 
     @Override
     public void execute(Runnable task) {
-        thread.execute(() -> run(task));
+        try {
+            thread.execute(() -> run(task));
+        } catch (RejectedExecutionException ended) {
+            logger.atFine().log("the event loop has ended; a task is dropped");
+        }
     }
 
     @Override
