A sidecar forgets an exchange before its last frame leaves

The refusal of a lapsed grant was sent first and the exchange forgotten then; an execute that came in between went to the listener of the ended exchange and got no answer. Under load the gap is long enough. Ruled out: the patience of the test, 20 s. AnswerChannelEndTest holds the order and failed before.

--- a/sidecar/src/main/java/org/merlinwood/sidecar/execution/AnswerChannel.java
+++ b/sidecar/src/main/java/org/merlinwood/sidecar/execution/AnswerChannel.java
@@ -176,8 +176,10 @@
             return;
         }
         ended = true;
-        exchange.send(last);
+        // Forgotten first: what the peer sends behind the last frame opens an exchange of its own and is answered
+        // there.
         exchange.finish();
+        exchange.send(last);
     }
 
     private AnswerPart.Builder part(long offset) {
