A fault soak: entries as processes, faults from a seed, promises judged from what callers and instances see

Three entries run as processes against a store and eight instances of the new stand-in of the platform (platform/stand-in), each behind a forwarder. Fourteen kinds of faults come in series and overlap. Judged are whole answers, true refusals, at most one run of calls that must not be repeated, answers in time, recovery, and that nothing is held in the end.

--- a/proving/src/main/java/org/merlinwood/proving/fleet/FleetProcess.java
+++ b/proving/src/main/java/org/merlinwood/proving/fleet/FleetProcess.java
@@ -18,7 +18,16 @@
     private final Path log;
     private Process process;
 
-    FleetProcess(String name, JavaCommand java, String mainClass, List<String> arguments, Path folder) {
+    /**
+     * Names a process; it is started later.
+     *
+     * @param name its name, also of its log file
+     * @param java the Java command
+     * @param mainClass what it runs
+     * @param arguments what it is told
+     * @param folder where its log is written
+     */
+    public FleetProcess(String name, JavaCommand java, String mainClass, List<String> arguments, Path folder) {
         this.name = name;
         this.command = java.of(mainClass, arguments);
         this.log = folder.resolve(name + ".log");
@@ -64,6 +73,11 @@
         signal("CONT");
     }
 
+    /** Asks the process to read its settings again (SIGHUP). */
+    public void reload() {
+        signal("HUP");
+    }
+
     /** Kills the process and starts it again. */
     public void restart() {
         kill();
--- a/proving/src/main/java/org/merlinwood/proving/fleet/JavaCommand.java
+++ b/proving/src/main/java/org/merlinwood/proving/fleet/JavaCommand.java
@@ -9,7 +9,7 @@
  *
  * @param heap size of the heap, such as {@code 96m}
  */
-record JavaCommand(String heap) {
+public record JavaCommand(String heap) {
 
     List<String> of(String mainClass, List<String> arguments) {
         List<String> command = new ArrayList<>(List.of(
--- /dev/null
+++ b/proving/src/main/java/org/merlinwood/proving/soak/SoakDeployment.java
@@ -0,0 +1,256 @@
+package org.merlinwood.proving.soak;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.merlinwood.http.HttpCall;
+import org.merlinwood.http.HttpClient;
+import org.merlinwood.platform.GatewayMain;
+import org.merlinwood.platform.standin.RunLedger;
+import org.merlinwood.platform.standin.StandInInstance;
+import org.merlinwood.platform.standin.StandInStore;
+import org.merlinwood.proving.fleet.FleetProcess;
+import org.merlinwood.proving.fleet.JavaCommand;
+import org.merlinwood.standin.network.Forwarder;
+import org.merlinwood.standin.network.ForwardingDirection;
+import org.merlinwood.standin.network.ForwardingMode;
+import org.merlinwood.standin.network.FreePorts;
+
+/**
+ * Entries as processes; store and instances within this one, each behind a forwarder. Started once, used by one thread,
+ * and ended by {@link #close()}.
+ */
+final class SoakDeployment implements AutoCloseable {
+
+    /** Entries, each a process. */
+    static final int ENTRIES = 3;
+
+    private static final List<StandInInstance.Stage> STAGES = List.of(
+            StandInInstance.Stage.PREFILL,
+            StandInInstance.Stage.PREFILL,
+            StandInInstance.Stage.DECODE,
+            StandInInstance.Stage.DECODE,
+            StandInInstance.Stage.DECODE,
+            StandInInstance.Stage.PLAIN,
+            StandInInstance.Stage.PLAIN,
+            StandInInstance.Stage.PLAIN);
+
+    /** Time to leave that entries are given, in seconds. */
+    private static final int GRACE_SECONDS = 5;
+
+    /** Delay that a forwarder adds each way, in milliseconds: within a region's worst. */
+    private static final long DELAY_MILLIS = 60;
+
+    private static final long READY_POLL_MILLIS = 50;
+    private static final int READY_POLLS = 400;
+    private static final String HEAP = "96m";
+
+    private final FreePorts ports = new FreePorts();
+    private final RunLedger ledger = new RunLedger();
+    private final List<StandInInstance> instances = new ArrayList<>();
+    private final List<Forwarder> paths = new ArrayList<>();
+    private final List<FleetProcess> entries = new ArrayList<>();
+    private final List<InetSocketAddress> callerAddresses = new ArrayList<>();
+    private final List<InetSocketAddress> readyAddresses = new ArrayList<>();
+    private final StandInStore store;
+    private final Forwarder storePath;
+    private long version = 1;
+
+    // ------------------------------------------------------------------ life-cycle
+
+    SoakDeployment(Path folder) {
+        InetSocketAddress storeAddress = ports.next();
+        store = new StandInStore(storeAddress);
+        storePath = new Forwarder(ports.next(), ports.next(), storeAddress);
+        store.configure(StandInInstance.configuration(version));
+        STAGES.forEach(this::addInstance);
+        addEntries(folder);
+        entries.forEach(FleetProcess::start);
+    }
+
+    /** Returns how many instances there are. */
+    static int instances() {
+        return STAGES.size();
+    }
+
+    /** Waits until every entry says that it can serve. */
+    void awaitReady() throws InterruptedException {
+        try (HttpClient client = HttpClient.create("ready", 1)) {
+            for (InetSocketAddress address : readyAddresses) {
+                awaitReady(client, address);
+            }
+        }
+    }
+
+    @Override
+    public void close() {
+        entries.forEach(FleetProcess::thaw);
+        entries.forEach(FleetProcess::kill);
+        paths.forEach(Forwarder::close);
+        instances.forEach(StandInInstance::close);
+        storePath.close();
+        store.close();
+    }
+
+    // ------------------------------------------------------------------ what is seen
+
+    List<InetSocketAddress> callerAddresses() {
+        return callerAddresses;
+    }
+
+    RunLedger ledger() {
+        return ledger;
+    }
+
+    /** Runs, reservations and prompts that instances still hold. */
+    int held() {
+        return instances.stream().mapToInt(StandInInstance::held).sum();
+    }
+
+    /** The end of an entry's log. */
+    String log(int entry) {
+        return entries.get(entry).logTail();
+    }
+
+    /** Entries that are gone though nobody ended them. */
+    List<String> missing() {
+        return entries.stream()
+                .filter(entry -> !entry.isAlive())
+                .map(entry -> entry.name() + " ended with status " + entry.exitStatus() + "\n" + entry.logTail())
+                .toList();
+    }
+
+    // ------------------------------------------------------------------ faults
+
+    void begin(ScheduledFault fault) {
+        int target = fault.target();
+        switch (fault.kind()) {
+            case ENTRY_KILLED -> entries.get(target).kill();
+            case ENTRY_PAUSED -> entries.get(target).freeze();
+            case ENTRY_LEAVES -> entries.get(target).terminate();
+            case ENTRY_RELOADS -> entries.get(target).reload();
+            case INSTANCE_CRASHES -> {
+                path(target, ForwardingMode.DROP, ForwardingDirection.BOTH);
+                instances.get(target).crash();
+            }
+            case INSTANCE_SILENT -> path(target, ForwardingMode.SILENT, ForwardingDirection.BOTH);
+            case INSTANCE_DEAF -> path(target, ForwardingMode.SILENT, ForwardingDirection.TO_TARGET);
+            case INSTANCE_MUTE -> path(target, ForwardingMode.SILENT, ForwardingDirection.FROM_TARGET);
+            case INSTANCE_RESET -> path(target, ForwardingMode.DROP, ForwardingDirection.BOTH);
+            case INSTANCE_DELAYED -> path(target, ForwardingMode.DELAY, ForwardingDirection.BOTH);
+            case INSTANCE_LEAVES -> register(target, true);
+            case STORE_SILENT -> storePath.mode(ForwardingMode.SILENT, ForwardingDirection.BOTH, 0);
+            case STORE_RESET -> storePath.mode(ForwardingMode.DROP, ForwardingDirection.BOTH, 0);
+            case CONFIGURATION_CHANGES -> {
+                version++;
+                store.configure(StandInInstance.configuration(version));
+            }
+        }
+    }
+
+    void end(ScheduledFault fault) throws InterruptedException {
+        int target = fault.target();
+        switch (fault.kind()) {
+            case ENTRY_KILLED -> entries.get(target).start();
+            case ENTRY_PAUSED -> entries.get(target).thaw();
+            case ENTRY_LEAVES -> startAgain(entries.get(target));
+            case INSTANCE_CRASHES, INSTANCE_SILENT, INSTANCE_DEAF, INSTANCE_MUTE, INSTANCE_RESET, INSTANCE_DELAYED ->
+                path(target, ForwardingMode.PASS, ForwardingDirection.BOTH);
+            case INSTANCE_LEAVES -> register(target, false);
+            case STORE_SILENT, STORE_RESET -> storePath.mode(ForwardingMode.PASS, ForwardingDirection.BOTH, 0);
+            case ENTRY_RELOADS, CONFIGURATION_CHANGES -> {}
+        }
+    }
+
+    /** Waits for the end of an entry that was asked to leave, no longer than it was given, and starts it. */
+    private static void startAgain(FleetProcess entry) {
+        if (!entry.awaitEnd(TimeUnit.SECONDS.toMillis(GRACE_SECONDS))) {
+            entry.kill();
+        }
+        entry.start();
+    }
+
+    // ------------------------------------------------------------------ internals
+
+    private void path(int target, ForwardingMode mode, ForwardingDirection direction) {
+        paths.get(target).mode(mode, direction, DELAY_MILLIS);
+    }
+
+    private void addInstance(StandInInstance.Stage stage) {
+        int index = instances.size();
+        InetSocketAddress address = ports.next();
+        instances.add(new StandInInstance(name(index), stage, address, ledger));
+        paths.add(new Forwarder(ports.next(), ports.next(), address));
+        register(index, false);
+    }
+
+    private void register(int index, boolean leaving) {
+        store.register(
+                name(index),
+                StandInInstance.registration(STAGES.get(index), paths.get(index).address(), leaving));
+    }
+
+    private static String name(int index) {
+        return "instance-" + index;
+    }
+
+    private void addEntries(Path folder) {
+        List<InetSocketAddress> peers = new ArrayList<>();
+        for (int index = 0; index < ENTRIES; index++) {
+            callerAddresses.add(ports.next());
+            readyAddresses.add(ports.next());
+            peers.add(ports.next());
+        }
+        for (int index = 0; index < ENTRIES; index++) {
+            String name = "entry-" + index;
+            Path settings = folder.resolve(name + ".json");
+            write(settings, settings(name, index, peers));
+            entries.add(new FleetProcess(
+                    name, new JavaCommand(HEAP), GatewayMain.class.getName(), List.of(settings.toString()), folder));
+        }
+    }
+
+    private String settings(String name, int index, List<InetSocketAddress> peers) {
+        List<String> seeds = peers.stream()
+                .map(peer -> "\"127.0.0.1:" + peer.getPort() + "\"")
+                .toList();
+        return """
+                {"instance": "%s", "failureDomain": "z", "callerAddress": "127.0.0.1:%d",
+                 "readyAddress": "127.0.0.1:%d", "peerAddress": "127.0.0.1:%d",
+                 "peerSecret": "00112233445566778899aabbccddeeff", "seeds": %s, "storeAddress": "127.0.0.1:%d",
+                 "graceSeconds": %d, "repeatRatio": 0.2, "repeatFixed": 50, "repeatWindowSeconds": 10}
+                """.formatted(
+                        name,
+                        callerAddresses.get(index).getPort(),
+                        readyAddresses.get(index).getPort(),
+                        peers.get(index).getPort(),
+                        seeds,
+                        storePath.address().getPort(),
+                        GRACE_SECONDS);
+    }
+
+    private static void write(Path file, String text) {
+        try {
+            Files.writeString(file, text);
+        } catch (IOException exception) {
+            throw new UncheckedIOException("the settings of an entry could not be written", exception);
+        }
+    }
+
+    private static void awaitReady(HttpClient client, InetSocketAddress address) throws InterruptedException {
+        HttpCall call = HttpCall.of("GET", address, "/v1/ready", new byte[0]);
+        for (int poll = 0; poll < READY_POLLS; poll++) {
+            int status = client.call(call).toCompletableFuture().join().fold(failure -> 0, answer -> answer.status());
+            if (status == 200) {
+                return;
+            }
+            TimeUnit.MILLISECONDS.sleep(READY_POLL_MILLIS);
+        }
+        throw new IllegalStateException("an entry did not get ready at " + address);
+    }
+}
--- /dev/null
+++ b/proving/src/main/java/org/merlinwood/proving/soak/SoakLoad.java
@@ -0,0 +1,151 @@
+package org.merlinwood.proving.soak;
+
+import java.io.ByteArrayOutputStream;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+import org.merlinwood.core.result.ExecutionState;
+import org.merlinwood.core.result.Failure;
+import org.merlinwood.core.time.MillisClock;
+import org.merlinwood.core.time.SystemMillisClock;
+import org.merlinwood.http.HttpClient;
+import org.merlinwood.http.HttpHeader;
+import org.merlinwood.http.HttpListener;
+import org.merlinwood.http.HttpStream;
+import org.merlinwood.platform.standin.CallerCalls;
+
+/** Callers who ask at a steady pace, on connections that they keep. Used once, by one thread. */
+final class SoakLoad implements AutoCloseable {
+
+    /** Mean time between two requests, in milliseconds: about a third of what the instances can serve. */
+    private static final int BETWEEN_MILLIS = 25;
+
+    /** One caller of so many leaves before the answer's end. */
+    private static final int LEAVES_ONE_OF = 25;
+
+    /** Longest time after which such a caller leaves, in milliseconds: within a stream. */
+    private static final int LEAVES_WITHIN_MILLIS = 300;
+
+    private static final List<CallerCalls.Kind> KINDS = List.of(CallerCalls.Kind.values());
+
+    private final MillisClock clock = SystemMillisClock.shared();
+    private final HttpClient client = HttpClient.create("soak", 2);
+    private final Queue<Observation> observations = new ConcurrentLinkedQueue<>();
+    private final UniformRandomProvider random;
+    private final List<InetSocketAddress> entries;
+    private final long startMillis;
+    private long sequence;
+
+    SoakLoad(long seed, List<InetSocketAddress> entries) {
+        this.random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed + 1);
+        this.entries = List.copyOf(entries);
+        this.startMillis = clock.monotonicMillis();
+    }
+
+    /** Asks until a time, then waits for the last ends. */
+    List<Observation> run(long untilMillis) throws InterruptedException {
+        CountDownLatch last = new CountDownLatch(1);
+        while (now() < untilMillis) {
+            ask();
+            TimeUnit.MILLISECONDS.sleep(random.nextInt(2 * BETWEEN_MILLIS));
+        }
+        for (long end = now() + 2 * CallerCalls.STREAM_LIMIT_MILLIS; observations.size() < sequence && now() < end; ) {
+            last.await(BETWEEN_MILLIS, TimeUnit.MILLISECONDS);
+        }
+        return List.copyOf(observations);
+    }
+
+    /** Requests whose end the callers have not seen. */
+    long open() {
+        return sequence - observations.size();
+    }
+
+    /** Milliseconds since the load began. */
+    long now() {
+        return clock.monotonicMillis() - startMillis;
+    }
+
+    @Override
+    public void close() {
+        client.close();
+    }
+
+    private void ask() {
+        sequence++;
+        CallerCalls.Kind kind = KINDS.get(random.nextInt(KINDS.size()));
+        int entry = random.nextInt(entries.size());
+        Caller caller = new Caller(kind, "a" + sequence, entry);
+        HttpStream stream = client.send(CallerCalls.call(entries.get(entry), kind, caller.attempt), caller);
+        if (random.nextInt(LEAVES_ONE_OF) == 0) {
+            long after = random.nextInt(LEAVES_WITHIN_MILLIS);
+            Thread.ofVirtual().start(() -> leave(caller, stream, after));
+        }
+    }
+
+    private static void leave(Caller caller, HttpStream stream, long afterMillis) {
+        try {
+            TimeUnit.MILLISECONDS.sleep(afterMillis);
+            caller.left = true;
+            stream.cancel();
+        } catch (InterruptedException ended) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** Follows one attempt. */
+    private final class Caller implements HttpListener {
+
+        private final CallerCalls.Kind kind;
+        private final String attempt;
+        private final int entry;
+        private final long beganMillis = now();
+        private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+        private volatile boolean left;
+        private int status;
+
+        private Caller(CallerCalls.Kind kind, String attempt, int entry) {
+            this.kind = kind;
+            this.attempt = attempt;
+            this.entry = entry;
+        }
+
+        @Override
+        public void onHead(int value, List<HttpHeader> headers) {
+            status = value;
+        }
+
+        @Override
+        public void onBytes(byte[] bytes) {
+            body.writeBytes(bytes);
+        }
+
+        @Override
+        public void onEnd() {
+            observe(Observation.End.COMPLETE);
+        }
+
+        @Override
+        public void onFailure(Failure failure) {
+            boolean unreached = failure.executionState() == ExecutionState.NOT_RUN;
+            observe(left ? Observation.End.LEFT : unreached ? Observation.End.UNREACHED : Observation.End.BROKEN);
+        }
+
+        private void observe(Observation.End end) {
+            observations.add(new Observation(
+                    attempt,
+                    kind,
+                    entry,
+                    beganMillis,
+                    now() - beganMillis,
+                    end,
+                    status,
+                    body.toString(StandardCharsets.UTF_8)));
+        }
+    }
+}
--- /dev/null
+++ b/proving/src/main/java/org/merlinwood/proving/soak/SoakMain.java
@@ -0,0 +1,105 @@
+package org.merlinwood.proving.soak;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.Callable;
+import java.util.concurrent.TimeUnit;
+import java.util.logging.LogManager;
+import java.util.stream.LongStream;
+import org.merlinwood.core.time.MillisClock;
+import org.merlinwood.core.time.SystemMillisClock;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+
+/** Command line of the soak. */
+@Command(
+        name = "soak",
+        mixinStandardHelpOptions = true,
+        version = "0.1.0",
+        description = "Runs entries under faults that follow from a seed, and checks what callers and instances see.",
+        exitCodeListHeading = "Exit status:%n",
+        exitCodeList = {"0:no seed failed", "1:a seed failed", "2:wrong arguments"})
+public final class SoakMain implements Callable<Integer> {
+
+    @Option(names = "--seed", description = "One seed.")
+    private Long seed;
+
+    @Option(names = "--seeds", paramLabel = "A..B", description = "Seeds from A to B, both included.")
+    private String seeds;
+
+    @Option(names = "--minutes", description = "Fresh seeds, begun for so many minutes.")
+    private Integer minutes;
+
+    @Option(
+            names = "--seconds",
+            defaultValue = "15",
+            description = "How long faults begin in each seed, in seconds (default: ${DEFAULT-VALUE}).")
+    private int seconds;
+
+    @Option(names = "--logs", description = "Folder for settings and logs of the entries (default: a temporary one).")
+    private Path logs;
+
+    private final MillisClock clock = SystemMillisClock.shared();
+    private int played;
+    private int failed;
+
+    /**
+     * Runs the soak.
+     *
+     * @param arguments options
+     */
+    public static void main(String[] arguments) {
+        System.exit(new CommandLine(new SoakMain()).execute(arguments));
+    }
+
+    @Override
+    public Integer call() throws IOException, InterruptedException {
+        LogManager.getLogManager().reset();
+        if (minutes != null) {
+            playFresh(TimeUnit.MINUTES.toMillis(minutes));
+        }
+        for (long next : chosen()) {
+            play(next);
+        }
+        System.out.printf("soak: %d seeds, %d failed%n", played, failed);
+        return failed == 0 ? 0 : 1;
+    }
+
+    // ------------------------------------------------------------------ internals
+
+    private void playFresh(long millis) throws IOException, InterruptedException {
+        long next = clock.wallMillis();
+        long end = clock.monotonicMillis() + millis;
+        while (clock.monotonicMillis() < end) {
+            play(next);
+            next++;
+        }
+    }
+
+    private long[] chosen() {
+        if (seeds != null) {
+            String[] ends = seeds.split("\\.\\.", -1);
+            return LongStream.rangeClosed(Long.parseLong(ends[0]), Long.parseLong(ends[ends.length - 1]))
+                    .toArray();
+        }
+        if (seed != null) {
+            return new long[] {seed};
+        }
+        return minutes == null ? new long[] {1} : new long[] {};
+    }
+
+    private void play(long next) throws IOException, InterruptedException {
+        played++;
+        Path folder = logs == null ? Files.createTempDirectory("soak-" + next + "-") : logs.resolve("seed-" + next);
+        Files.createDirectories(folder);
+        SoakVerdict verdict = new SoakSeed(next, TimeUnit.SECONDS.toMillis(seconds), folder).run();
+        boolean held = verdict.violations().isEmpty();
+        System.out.printf("seed %d %s: %s%n", next, held ? "held" : "FAILED, logs in " + folder, verdict.summary());
+        verdict.violations().forEach(violation -> System.out.println("  " + violation));
+        if (!held) {
+            failed++;
+        }
+    }
+}
