Memory kept ready follows what is uncertain about lengths, not a fixed part of the memory

Cause: forecasts filled 0.86 of an instance's memory whatever was asked. Where answers are short or of known length the rest is never needed: with 12 slots, 65,500 tokens, prompts of 5,200 and answers of 70 only ten of twelve slots could be used.

--- a/gateway/src/main/java/org/merlinwood/gateway/decision/InstancePool.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/decision/InstancePool.java
@@ -32,9 +32,6 @@
     /** How strongly an error share above that of the other instances counts. */
     private static final double ERROR_WEIGHT = 12;
 
-    /** Part of an instance's memory that forecasts may fill: lengths are expected, not known. */
-    private static final double USED_MEMORY_PART = 0.86;
-
     /** Prompts that may wait before one at a prefill instance; a decode instance takes as long for two. */
     private static final int WAITING_PROMPTS = 3;
 
@@ -98,15 +95,15 @@
         List<UpstreamInstance> candidates = candidates(service, Stage.DECODE, excluded);
         double lowestError = lowestErrorShare(candidates);
         double meanMillis = meanMillis(candidates);
-        Map<String, Long> peaks = new HashMap<>();
-        candidates.forEach(instance -> peaks.put(instance.identifier(), peakWith(instance, prompt)));
+        Map<String, Long> needs = new HashMap<>();
+        candidates.forEach(instance -> needs.put(instance.identifier(), neededWith(instance, prompt)));
         List<UpstreamInstance> roomy = candidates.stream()
-                .filter(instance -> peaks.get(instance.identifier()) <= limits.memoryTokens() * USED_MEMORY_PART)
+                .filter(instance -> needs.get(instance.identifier()) <= limits.memoryTokens())
                 .filter(instance -> record(instance.identifier()).allAnswers().size() < limits.slots())
                 .toList();
         return best(roomy, instance -> {
             InstanceRecord record = record(instance.identifier());
-            return peaks.get(instance.identifier()) * slowness(record, meanMillis) * errorFactor(record, lowestError)
+            return needs.get(instance.identifier()) * slowness(record, meanMillis) * errorFactor(record, lowestError)
                     + distance(instance, ownDomain) * prompt.promptTokens();
         });
     }
@@ -127,10 +124,7 @@
                 .map(instance -> record(instance.identifier()))
                 .filter(record -> record.open(now))
                 .map(record -> MemoryForecast.millisUntilFits(
-                        record.allAnswers(),
-                        next,
-                        Math.round(limits.memoryTokens() * USED_MEMORY_PART),
-                        tokensPerMilli(record, limits)))
+                        record.allAnswers(), next, limits.memoryTokens(), tokensPerMilli(record, limits)))
                 .filter(OptionalLong::isPresent)
                 .mapToLong(OptionalLong::getAsLong)
                 .min();
@@ -140,10 +134,10 @@
         return limits.tokensPerEvent() / (record.averageMillis() > 0 ? record.averageMillis() : USUAL_EVENT_MILLIS);
     }
 
-    private long peakWith(UpstreamInstance instance, Prompt prompt) {
+    private long neededWith(UpstreamInstance instance, Prompt prompt) {
         List<MemoryForecast.Growth> answers = record(instance.identifier()).allAnswers();
         answers.add(new MemoryForecast.Growth(prompt.promptTokens(), AnswerLength.remainingTokens(prompt, 0)));
-        return MemoryForecast.peakTokens(answers);
+        return MemoryForecast.neededTokens(answers);
     }
 
     /**
--- a/gateway/src/test/java/org/merlinwood/gateway/decision/InstancePoolTest.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/decision/InstancePoolTest.java
@@ -47,6 +47,20 @@
         assertThat(pool.millisUntilRoom(SERVICE, LONG, LIMITS).orElse(0)).isPositive();
     }
 
+    /** Many short answers to long prompts: little is uncertain, so every slot is used though memory is nearly full. */
+    @Test
+    void shortAnswersToLongPromptsFillEverySlot() {
+        register(Stage.DECODE, "a");
+        EngineLimits limits = new EngineLimits(12, 65_500, 8, 500, 2_000, 6_000);
+        Prompt brief = new Prompt("m", 5_200, 70, OptionalInt.of(70), List.of());
+        int placed = 0;
+        while (pool.chooseDecode(SERVICE, brief, limits, Set.of()).isPresent()) {
+            pool.beginAnswer("a", brief);
+            placed++;
+        }
+        assertThat(placed).isEqualTo(limits.slots());
+    }
+
     /** The same burst at two entries: the work that the other one told of counts. */
     @Test
     void theWorkOfOtherEntriesTakesRoom() {
