--- a/gateway/src/main/java/org/merlinwood/gateway/decision/InstancePool.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/decision/InstancePool.java
@@ -47,6 +47,7 @@
     private final FleetState fleet;
     private final MillisClock clock;
     private final String ownDomain;
+    private final ChoiceSpread spread;
     private final Map<String, InstanceRecord> records = new HashMap<>();
     private Set<String> switching = Set.of();
     private final ArrayDeque<Double> prefillSpeeds = new ArrayDeque<>();
@@ -58,11 +59,13 @@
      * @param fleet the registered instances
      * @param clock the time
      * @param ownDomain failure domain of this entry
+     * @param seed differs from entry to entry
      */
-    public InstancePool(FleetState fleet, MillisClock clock, String ownDomain) {
+    public InstancePool(FleetState fleet, MillisClock clock, String ownDomain, long seed) {
         this.fleet = fleet;
         this.clock = clock;
         this.ownDomain = ownDomain;
+        this.spread = new ChoiceSpread(seed);
     }
 
     // ------------------------------------------------------------------ choices
@@ -189,6 +192,15 @@
         return candidates(service, Stage.DECODE, Set.of()).size();
     }
 
+    /**
+     * Sets how many entries choose from the same instances.
+     *
+     * @param count entries, this one included
+     */
+    public void entries(int count) {
+        spread.entries(count);
+    }
+
     // ------------------------------------------------------------------ work and health
 
     /**
@@ -385,12 +397,14 @@
     private Optional<UpstreamInstance> best(
             List<UpstreamInstance> candidates, ToDoubleFunction<UpstreamInstance> score) {
         long now = clock.monotonicMillis();
-        Optional<UpstreamInstance> open = candidates.stream()
+        List<UpstreamInstance> open = candidates.stream()
                 .filter(instance -> record(instance.identifier()).open(now))
-                .min(Comparator.comparingDouble(score));
-        return open.or(() -> candidates.stream()
-                .min(Comparator.comparingLong(
-                        instance -> record(instance.identifier()).pausedUntilMillis())));
+                .sorted(Comparator.comparingDouble(score))
+                .toList();
+        return spread.pick(open)
+                .or(() -> candidates.stream()
+                        .min(Comparator.comparingLong(
+                                instance -> record(instance.identifier()).pausedUntilMillis())));
     }
 
     private double plainScore(UpstreamInstance instance, double lowestError, double meanMillis) {
--- a/gateway/src/main/java/org/merlinwood/gateway/process/GatewayProcess.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/process/GatewayProcess.java
@@ -110,7 +110,8 @@
         this.worker = createWorker();
         this.loop = new IoThreadLoop(worker.getIoThread());
         HttpClient client = HttpClient.on(worker);
-        this.pool = new InstancePool(fleet, clock, settings.domain());
+        this.pool = new InstancePool(
+                fleet, clock, settings.domain(), settings.instance().hashCode());
         this.follower = new StoreFollower(storeProtocol, client, loop, clock, new FleetUpdates());
         RetryAllowance allowance = new RetryAllowance(
                 clock,
@@ -283,6 +284,7 @@
 
         @Override
         public EntryNews news(String address, List<String> members) {
+            pool.entries(peers.known() + 1);
             if (settings.fencedOrders() && !departure.begun()) {
                 orders.consider(peers.known(), follower.revision());
             }
--- a/gateway/src/test/java/org/merlinwood/gateway/decision/InstancePoolTest.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/decision/InstancePoolTest.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.Set;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import org.merlinwood.core.time.ManualMillisClock;
 import org.merlinwood.gateway.fleet.FleetState;
@@ -29,7 +30,7 @@
 
     private final ManualMillisClock clock = new ManualMillisClock(0);
     private final FleetState fleet = new FleetState();
-    private final InstancePool pool = new InstancePool(fleet, clock, "near");
+    private final InstancePool pool = new InstancePool(fleet, clock, "near", 1);
 
     /** Burst of long prompts: every decode instance is filled alike, and what is too much finds no room. */
     @Test
@@ -61,6 +62,23 @@
         assertThat(placed).isEqualTo(limits.slots());
     }
 
+    /** Thirty entries that each place one answer before any hears of the others: no instance gets them all. */
+    @Test
+    void manyEntriesDoNotAllChooseTheInstanceThatLooksBest() {
+        register(
+                Stage.DECODE,
+                IntStream.range(0, 20).mapToObj(index -> "i" + index).toArray(String[]::new));
+        Map<String, Integer> placed = new HashMap<>();
+        for (int entry = 0; entry < 30; entry++) {
+            InstancePool one = new InstancePool(fleet, clock, "near", entry);
+            one.entries(30);
+            one.chooseDecode(SERVICE, LONG, LIMITS, Set.of())
+                    .ifPresent(choice -> placed.merge(choice.identifier(), 1, Integer::sum));
+        }
+        assertThat(placed.values()).allMatch(count -> count <= 15);
+        assertThat(placed).hasSizeGreaterThanOrEqualTo(4);
+    }
+
     /** The same burst at two entries: the work that the other one told of counts. */
     @Test
     void theWorkOfOtherEntriesTakesRoom() {
--- a/gateway/src/test/java/org/merlinwood/gateway/front/CourseFixture.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/front/CourseFixture.java
@@ -45,7 +45,7 @@
     final ManualLoop loop = new ManualLoop(clock);
     final FakeHttpClient client = new FakeHttpClient();
     final FleetState fleet = new FleetState();
-    final InstancePool pool = new InstancePool(fleet, clock, "near");
+    final InstancePool pool = new InstancePool(fleet, clock, "near", 1);
     final RecordedCaller caller = new RecordedCaller();
     final Departure departure = new Departure(clock, 8_000);
     private final RequestDesk desk;
