--- a/architecture-tests/src/test/java/org/merlinwood/architecture/DependencyTest.java
+++ b/architecture-tests/src/test/java/org/merlinwood/architecture/DependencyTest.java
@@ -61,7 +61,17 @@
                 Arguments.of("platform", List.of("core", "http", "operation", "protocol", "gateway")),
                 Arguments.of("standin", List.of("core", "http", "operation")),
                 Arguments.of("replay", List.of("core", "configuration", "decision")),
-                Arguments.of("command", List.of("core", "configuration", "http", "operation", "replay", "decision")));
+                Arguments.of(
+                        "command",
+                        List.of(
+                                "core",
+                                "configuration",
+                                "http",
+                                "operation",
+                                "replay",
+                                "decision",
+                                "gateway",
+                                "platform")));
     }
 
     @ParameterizedTest
--- a/command/src/main/java/org/merlinwood/command/CheckCommand.java
+++ b/command/src/main/java/org/merlinwood/command/CheckCommand.java
@@ -20,6 +20,7 @@
 import org.merlinwood.configuration.document.SettingsReader;
 import org.merlinwood.configuration.inventory.Inventory;
 import org.merlinwood.configuration.rules.Rules;
+import org.merlinwood.platform.PlatformSettings;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
@@ -90,23 +91,29 @@
         report(read.get(), found.get(), verdict(read.get(), found.get()));
     }
 
-    private Either<DocumentErrors, String> verdict(TextFile file, FileKind found) {
+    private Either<String, String> verdict(TextFile file, FileKind found) {
         Path folder = file.path().toAbsolutePath().getParent();
         return switch (found) {
+            case GATEWAY_SETTINGS ->
+                PlatformSettings.read(file.path()).map(settings -> "settings of " + settings.instance());
             case INVENTORY ->
                 InventoryReader.read(file.name(), REVISION_OF_A_FILE, file.text())
                         .peek(inventory -> inventories.put(folder, inventory))
-                        .map(CheckCommand::summary);
+                        .map(CheckCommand::summary)
+                        .mapLeft(DocumentErrors::toString);
             case RULES ->
                 RulesReader.read(file.name(), REVISION_OF_A_FILE, file.text())
                         .peek(read -> rules.put(folder, read))
-                        .map(CheckCommand::summary);
+                        .map(CheckCommand::summary)
+                        .mapLeft(DocumentErrors::toString);
             case ENTRY_SETTINGS ->
                 SettingsReader.readEntry(file.name(), file.text())
-                        .map(settings -> "settings of " + settings.process().instance());
+                        .map(settings -> "settings of " + settings.process().instance())
+                        .mapLeft(DocumentErrors::toString);
             case SIDECAR_SETTINGS ->
                 SettingsReader.readSidecar(file.name(), file.text())
-                        .map(settings -> "settings of " + settings.process().instance());
+                        .map(settings -> "settings of " + settings.process().instance())
+                        .mapLeft(DocumentErrors::toString);
         };
     }
 
@@ -120,7 +127,7 @@
         }
     }
 
-    private void report(TextFile file, FileKind found, Either<DocumentErrors, String> verdict) {
+    private void report(TextFile file, FileKind found, Either<String, String> verdict) {
         if (verdict.isLeft()) {
             findings = true;
             out().println(verdict.getLeft());
--- a/command/src/main/java/org/merlinwood/command/PlanCommand.java
+++ b/command/src/main/java/org/merlinwood/command/PlanCommand.java
@@ -63,7 +63,8 @@
         return switch (kind.get()) {
             case INVENTORY -> print(inventoryPlan(oldFile.get(), newFile.get()));
             case RULES -> print(rulesPlan(oldFile.get(), newFile.get()));
-            case ENTRY_SETTINGS, SIDECAR_SETTINGS -> refuse("settings have no plan; compare the files directly");
+            case ENTRY_SETTINGS, SIDECAR_SETTINGS, GATEWAY_SETTINGS ->
+                refuse("settings have no plan; compare the files directly");
         };
     }
 
--- a/command/src/main/java/org/merlinwood/command/impl/FileKind.java
+++ b/command/src/main/java/org/merlinwood/command/impl/FileKind.java
@@ -11,6 +11,8 @@
     INVENTORY("instances"),
     /** The rules. */
     RULES("services"),
+    /** Settings of a gateway entry of the users' platform. */
+    GATEWAY_SETTINGS("storeAddress"),
     /** Settings of an entry. */
     ENTRY_SETTINGS("callerAddress"),
     /** Settings of a sidecar. */
--- a/command/src/test/java/org/merlinwood/command/CheckCommandTest.java
+++ b/command/src/test/java/org/merlinwood/command/CheckCommandTest.java
@@ -17,6 +17,13 @@
 
     private static final Path BAGMATI = Path.of("..", "examples", "bagmati");
 
+    private static final String GATEWAY_SETTINGS = """
+            {"instance": "entry-1", "failureDomain": "z", "callerAddress": "127.0.0.1:8001",
+             "readyAddress": "127.0.0.1:8002", "peerAddress": "127.0.0.1:8003",
+             "peerSecret": "00112233445566778899aabbccddeeff", "seeds": [], "storeAddress": "127.0.0.1:8004",
+             "graceSeconds": 5, "repeatRatio": 0.2, "repeatFixed": 50, "repeatWindowSeconds": 10}
+            """;
+
     @TempDir
     Path folder;
 
@@ -44,6 +51,20 @@
                 .matches(".*inventory\\.json:\\d+:\\d+: instances\\[13\\]\\.role: 'plane' is unknown; write one of .*");
     }
 
+    @Test
+    void settingsOfAGatewayEntryAreCheckedAsItsStartDoes() throws IOException {
+        Path file = folder.resolve("gateway.json");
+        Files.writeString(file, GATEWAY_SETTINGS);
+        CommandRun good = CommandRun.of("check", file);
+        assertThat(good.output()).contains("valid gateway-settings: settings of entry-1");
+        assertThat(good.status()).isEqualTo(ExitStatus.GOOD);
+
+        Files.writeString(file, GATEWAY_SETTINGS.replace("127.0.0.1:8003", "127.0.0.1"));
+        CommandRun bad = CommandRun.of("check", file);
+        assertThat(bad.output()).contains("gateway.json");
+        assertThat(bad.status()).isEqualTo(ExitStatus.FINDINGS);
+    }
+
     @Test
     void inventoryAndRulesOfOneFolderAreCheckedTogether() throws IOException {
         Path inventory = edited("inventory.json", "\"service\": \"hydrant-ledger\"", "\"service\": \"hydrants\"");
