--- a/gateway/src/main/java/org/merlinwood/gateway/fleet/FleetState.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/fleet/FleetState.java
@@ -78,17 +78,6 @@
         return byService.getOrDefault(service, List.of());
     }
 
-    /**
-     * Tells whether an instance is registered and takes new work.
-     *
-     * @param identifier names it
-     * @return true if so
-     */
-    public boolean takesWork(String identifier) {
-        UpstreamInstance instance = byIdentifier.get(identifier);
-        return instance != null && !instance.leaving();
-    }
-
     /**
      * Tells whether requests can be served.
      *
@@ -98,15 +87,6 @@
         return routes.isPresent() && byIdentifier.values().stream().anyMatch(instance -> !instance.leaving());
     }
 
-    /**
-     * Returns how many instances are registered.
-     *
-     * @return the count
-     */
-    public int size() {
-        return byIdentifier.size();
-    }
-
     private void dropFromService(UpstreamInstance instance) {
         byService
                 .getOrDefault(instance.service(), new ArrayList<>())
--- a/gateway/src/main/java/org/merlinwood/gateway/follow/StoreFollower.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/follow/StoreFollower.java
@@ -122,15 +122,6 @@
         advance(revision);
     }
 
-    /**
-     * Tells whether the store answers this process.
-     *
-     * @return true if the last call succeeded
-     */
-    public boolean reachable() {
-        return reachable;
-    }
-
     // ------------------------------------------------------------------ listing
 
     private static final class Listing {
--- a/gateway/src/main/java/org/merlinwood/gateway/front/Course.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/Course.java
@@ -19,6 +19,9 @@
  */
 abstract class Course {
 
+    /** Longest time for a connection, in milliseconds: many round trips within a region, and lost packets aside. */
+    static final long CONNECT_LIMIT_MILLIS = 120;
+
     private static final double MILLIS_PER_SECOND = 1_000;
 
     final CourseContext context;
--- a/gateway/src/main/java/org/merlinwood/gateway/front/PlainCourse.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/PlainCourse.java
@@ -26,9 +26,6 @@
 /** The course of a plain request: one call at a time, its answer read whole before the caller sees any of it. */
 final class PlainCourse extends Course {
 
-    /** Longest time for a connection, in milliseconds: many round trips within a region, and lost packets aside. */
-    private static final long CONNECT_LIMIT_MILLIS = 120;
-
     /** Least silence before an idempotent call is tried elsewhere, in milliseconds. */
     private static final long LEAST_SILENCE_MILLIS = 300;
 
--- a/gateway/src/main/java/org/merlinwood/gateway/front/StreamCourse.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/StreamCourse.java
@@ -39,9 +39,6 @@
  */
 final class StreamCourse extends Course {
 
-    /** Longest time for a connection, in milliseconds: many round trips within a region. */
-    private static final long CONNECT_LIMIT_MILLIS = 120;
-
     /** Time before an instance that had no memory is asked again, in milliseconds. */
     private static final long ASK_AGAIN_MILLIS = 100;
 
--- a/http/src/main/java/org/merlinwood/http/HttpAnswer.java
+++ b/http/src/main/java/org/merlinwood/http/HttpAnswer.java
@@ -35,9 +35,6 @@
      * @return its value, or empty if there is none
      */
     public Optional<String> header(String name) {
-        return headers.stream()
-                .filter(header -> header.name().equalsIgnoreCase(name))
-                .map(HttpHeader::value)
-                .findFirst();
+        return HttpHeader.find(headers, name);
     }
 }
--- a/http/src/main/java/org/merlinwood/http/HttpHeader.java
+++ b/http/src/main/java/org/merlinwood/http/HttpHeader.java
@@ -1,9 +1,27 @@
 package org.merlinwood.http;
 
+import java.util.List;
+import java.util.Optional;
+
 /**
  * One header line.
  *
  * @param name the name, case-insensitive
  * @param value the value, without line breaks
  */
-public record HttpHeader(String name, String value) {}
+public record HttpHeader(String name, String value) {
+
+    /**
+     * Finds the first header of a name.
+     *
+     * @param headers the headers of one message
+     * @param name the name, in any case
+     * @return its value, or empty if there is none
+     */
+    public static Optional<String> find(List<HttpHeader> headers, String name) {
+        return headers.stream()
+                .filter(header -> header.name().equalsIgnoreCase(name))
+                .map(HttpHeader::value)
+                .findFirst();
+    }
+}
