--- a/proving/src/main/java/org/merlinwood/proving/fleet/FleetProcess.java
+++ b/proving/src/main/java/org/merlinwood/proving/fleet/FleetProcess.java
@@ -104,6 +104,11 @@
         return process != null && process.isAlive();
     }
 
+    /** Returns the system's number of the process that was started last. */
+    public long processIdentifier() {
+        return current().pid();
+    }
+
     /** Returns the exit status of a process that has ended. */
     public int exitStatus() {
         return current().exitValue();
--- a/proving/src/main/java/org/merlinwood/proving/soak/SoakDeployment.java
+++ b/proving/src/main/java/org/merlinwood/proving/soak/SoakDeployment.java
@@ -7,6 +7,8 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import org.merlinwood.http.HttpCall;
 import org.merlinwood.http.HttpClient;
@@ -57,6 +59,9 @@
     private final List<FleetProcess> entries = new ArrayList<>();
     private final List<InetSocketAddress> callerAddresses = new ArrayList<>();
     private final List<InetSocketAddress> readyAddresses = new ArrayList<>();
+    /** Process of each entry that was last asked to leave. */
+    private final Map<Integer, Long> leaving = new ConcurrentHashMap<>();
+
     private final StandInStore store;
     private final Forwarder storePath;
     private long version = 1;
@@ -132,7 +137,10 @@
         switch (fault.kind()) {
             case ENTRY_KILLED -> entries.get(target).kill();
             case ENTRY_PAUSED -> entries.get(target).freeze();
-            case ENTRY_LEAVES -> entries.get(target).terminate();
+            case ENTRY_LEAVES -> {
+                leaving.put(target, entries.get(target).processIdentifier());
+                entries.get(target).terminate();
+            }
             case ENTRY_RELOADS -> entries.get(target).reload();
             case INSTANCE_CRASHES -> {
                 path(target, ForwardingMode.DROP, ForwardingDirection.BOTH);
@@ -153,12 +161,12 @@
         }
     }
 
-    void end(ScheduledFault fault) throws InterruptedException {
+    void end(ScheduledFault fault) {
         int target = fault.target();
         switch (fault.kind()) {
             case ENTRY_KILLED -> entries.get(target).start();
             case ENTRY_PAUSED -> entries.get(target).thaw();
-            case ENTRY_LEAVES -> startAgain(entries.get(target));
+            case ENTRY_LEAVES -> startAgain(target);
             case INSTANCE_CRASHES, INSTANCE_SILENT, INSTANCE_DEAF, INSTANCE_MUTE, INSTANCE_RESET, INSTANCE_DELAYED ->
                 path(target, ForwardingMode.PASS, ForwardingDirection.BOTH);
             case INSTANCE_LEAVES -> register(target, false);
@@ -167,8 +175,15 @@
         }
     }
 
-    /** Waits for the end of an entry that was asked to leave, no longer than it was given, and starts it. */
-    private static void startAgain(FleetProcess entry) {
+    /**
+     * Waits for the end of an entry that was asked to leave, no longer than it was given, and starts it; one that was
+     * started again meanwhile, since it was asked twice, goes on.
+     */
+    private void startAgain(int target) {
+        FleetProcess entry = entries.get(target);
+        if (entry.processIdentifier() != leaving.get(target)) {
+            return;
+        }
         if (!entry.awaitEnd(TimeUnit.SECONDS.toMillis(GRACE_SECONDS))) {
             entry.kill();
         }
