--- a/proving/src/main/java/org/merlinwood/proving/soak/SoakLoad.java
+++ b/proving/src/main/java/org/merlinwood/proving/soak/SoakLoad.java
@@ -6,7 +6,6 @@
 import java.util.List;
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
-import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
@@ -50,13 +49,13 @@
 
     /** Asks until a time, then waits for the last ends. */
     List<Observation> run(long untilMillis) throws InterruptedException {
-        CountDownLatch last = new CountDownLatch(1);
         while (now() < untilMillis) {
             ask();
             TimeUnit.MILLISECONDS.sleep(random.nextInt(2 * BETWEEN_MILLIS));
         }
-        for (long end = now() + 2 * CallerCalls.STREAM_LIMIT_MILLIS; observations.size() < sequence && now() < end; ) {
-            last.await(BETWEEN_MILLIS, TimeUnit.MILLISECONDS);
+        long latestEnd = now() + 2 * CallerCalls.STREAM_LIMIT_MILLIS;
+        while (observations.size() < sequence && now() < latestEnd) {
+            TimeUnit.MILLISECONDS.sleep(BETWEEN_MILLIS);
         }
         return List.copyOf(observations);
     }
