A stream that its caller resumes goes on after the event that the caller named

If the first instance here was lost between the response head and its first event, the second was asked for everything behind event 0, since the number was taken from the events delivered by this entry alone; the caller then got 1 to N again. The number now falls back to the caller's, and to 0 only where neither is known. Ruled out by reading: bytes of a cancelled attempt (the client drops them once it has ended), an event split over two reads, an id behind a version line.

--- a/gateway/src/main/java/org/merlinwood/gateway/front/StreamRequestProcessor.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/StreamRequestProcessor.java
@@ -294,9 +294,7 @@
                 upstreamTimeLeftMillis(),
                 reservation.map(MemoryReservation::identifier),
                 prefillResult,
-                responseStarted
-                        ? events.lastEventNumber().isPresent() ? events.lastEventNumber() : OptionalLong.of(0)
-                        : request.lastEvent());
+                lastDeliveredEvent());
         decisionLine("send")
                 .with("instance", instance.identifier())
                 .with("attemptsBefore", attemptsSent)
@@ -322,6 +320,20 @@
         activeRequest = Optional.of(context.client().send(generationRequest, generation));
     }
 
+    /**
+     * Returns the number of the event after which the next attempt continues: the last one that the caller received
+     * here, otherwise the one that the caller named in its request, otherwise 0 for a started response.
+     */
+    private OptionalLong lastDeliveredEvent() {
+        if (events.lastEventNumber().isPresent()) {
+            return events.lastEventNumber();
+        }
+        if (request.lastEvent().isPresent()) {
+            return request.lastEvent();
+        }
+        return responseStarted ? OptionalLong.of(0) : OptionalLong.empty();
+    }
+
     private void onAttemptEnded(GenerationAttempt generation, AttemptOutcome outcome) {
         activeRequest = Optional.empty();
         attemptRunning = false;
--- a/gateway/src/test/java/org/merlinwood/gateway/front/RequestProcessorFixture.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/front/RequestProcessorFixture.java
@@ -84,6 +84,15 @@
     }
 
     void sendRequest(String path) {
+        sendRequest(path, OptionalLong.empty());
+    }
+
+    /** Sends a request of a caller that resumes its stream after an event. */
+    void sendResumingRequest(String path, long lastEvent) {
+        sendRequest(path, OptionalLong.of(lastEvent));
+    }
+
+    private void sendRequest(String path, OptionalLong lastEvent) {
         Optional<Prompt> prompt = Optional.of(new Prompt("m", 1_000, 100, OptionalInt.empty(), List.of()));
         dispatcher.dispatch(
                 new CallerRequest(
@@ -94,7 +103,7 @@
                         path,
                         OptionalLong.of(4_000),
                         prompt,
-                        OptionalLong.empty(),
+                        lastEvent,
                         List.of(),
                         "body".getBytes(StandardCharsets.UTF_8),
                         clock.monotonicMillis()),
--- a/gateway/src/test/java/org/merlinwood/gateway/front/StreamRequestProcessorTest.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/front/StreamRequestProcessorTest.java
@@ -60,6 +60,24 @@
         assertThat(fixture.caller.ended).isTrue();
     }
 
+    /**
+     * Guards against a stream that is interrupted twice in a row: the caller resumes it here after an event, and the
+     * next instance is lost between the response head and the first event. The stream must not begin anew.
+     */
+    @Test
+    void streamInterruptedBeforeItsFirstEventContinuesAfterTheEventThatTheCallerNamed() {
+        RequestProcessorFixture fixture = fixture(true);
+        fixture.sendResumingRequest("/p/x", 83);
+        fixture.client.last().respond(200, "hold-1");
+        fixture.client.last().respond(200, "handle-1");
+        assertThat(fixture.client.last().request().headers()).contains(new HttpHeader("behind", "83"));
+        fixture.client.last().head(200, RequestProcessorFixture.MATCHING_RESPONSE_HEADERS);
+        fixture.client.last().fail(ResultCode.CONNECTION_LOST, ExecutionState.UNKNOWN);
+        fixture.client.last().respond(200, "hold-2");
+        fixture.client.last().respond(200, "handle-2");
+        assertThat(fixture.client.last().request().headers()).contains(new HttpHeader("behind", "83"));
+    }
+
     @Test
     void interruptedNonResumableStreamIsAborted() {
         RequestProcessorFixture fixture = fixtureWithStartedStream(false);
