Retries after a restart and declined prompts stay within the fleet's allowance

(1) A restarted entry does not know what it sent before, yet took its whole share of the fixed number; it now takes none for one window. (3) A prompt that an instance declines or does not answer arrives there, and the generation arrives in addition: only the second and later prefills were counted. Each failed one counts now, and while the allowance is overdrawn decode instances compute the prompts. The log line of a prefill shows the queue that was known and the timeout.

--- a/gateway/src/main/java/org/merlinwood/gateway/decision/InstancePool.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/decision/InstancePool.java
@@ -41,6 +41,12 @@
     /** Smallest prompt length from which the limit of queued prompt tokens is computed, in tokens. */
     private static final int MINIMUM_QUEUED_PROMPT_TOKENS = 4_000;
 
+    /**
+     * Assumed prefill throughput until the first prefill has completed, in tokens per millisecond. It is low because a
+     * process that has just started does not know the prompts of the other entries either.
+     */
+    private static final double UNKNOWN_PREFILL_TOKENS_PER_MILLI = 8;
+
     /** Assumed time between two events until an instance has completed its first response, in milliseconds. */
     private static final double DEFAULT_EVENT_INTERVAL_MILLIS = 45;
 
@@ -185,12 +191,21 @@
      *
      * @param identifier identifier of the instance
      * @param tokens length of the prompt, in tokens
-     * @return milliseconds, or 0 before the first prefill has completed at any instance
+     * @return milliseconds; a cautious guess before the first prefill has completed at any instance
      */
     public long expectedPrefillMillis(String identifier, int tokens) {
-        return prefillTokensPerMilli <= 0
-                ? 0
-                : Math.round((statistics(identifier).allPromptTokens() + tokens) / prefillTokensPerMilli);
+        double tokensPerMilli = prefillTokensPerMilli > 0 ? prefillTokensPerMilli : UNKNOWN_PREFILL_TOKENS_PER_MILLI;
+        return Math.round((statistics(identifier).allPromptTokens() + tokens) / tokensPerMilli);
+    }
+
+    /**
+     * Returns the tokens of the prompts that an instance is known to compute or to have queued.
+     *
+     * @param identifier identifier of the instance
+     * @return number of tokens, the prompts of other entries included
+     */
+    public int queuedPromptTokens(String identifier) {
+        return statistics(identifier).allPromptTokens();
     }
 
     /**
--- a/gateway/src/main/java/org/merlinwood/gateway/decision/RetryAllowance.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/decision/RetryAllowance.java
@@ -11,7 +11,8 @@
  *
  * <p>All entries together may send a fixed number of retries plus a fraction of the requests in the window. Each entry
  * uses that fraction of its own requests and an equal share of the fixed number, so the limit also holds when the
- * entries cannot reach each other. Confined to the event loop.
+ * entries cannot reach each other. An entry does not know what it sent before a restart, so it gets no share of the
+ * fixed number until a whole window has passed since its start. Confined to the event loop.
  */
 public final class RetryAllowance {
 
@@ -23,10 +24,11 @@
     private final double retryRatio;
     private final double fixedRetries;
     private final IntSupplier entryCount;
+    private final long startedMillis;
     private final Map<String, Window> windows = new HashMap<>();
 
     /**
-     * Creates an allowance.
+     * Creates an allowance of an entry that is starting now.
      *
      * @param clock source of the monotonic time
      * @param windowMillis length of the sliding window, in milliseconds
@@ -41,6 +43,7 @@
         this.retryRatio = retryRatio;
         this.fixedRetries = fixedRetries;
         this.entryCount = entryCount;
+        this.startedMillis = clock.monotonicMillis();
     }
 
     /**
@@ -60,14 +63,43 @@
      */
     public boolean tryAcquire(String service) {
         Window window = window(service);
-        if (window.retries.size() + 1
-                > USED_RATIO * (retryRatio * window.requests.size() + fixedRetries / entryCount.getAsInt())) {
+        if (window.retries.size() + 1 > allowedRetries(window)) {
             return false;
         }
         window.retries.addLast(clock.monotonicMillis());
         return true;
     }
 
+    /**
+     * Returns whether more retries were sent than allowed, which {@link #recordRetry} can cause.
+     *
+     * @param service name of the service
+     * @return true if requests whose first attempt may count as a retry are better sent in another way
+     */
+    public boolean isOverdrawn(String service) {
+        Window window = window(service);
+        return window.retries.size() > allowedRetries(window);
+    }
+
+    /**
+     * Consumes one retry that an instance has already received, even if none is left: a prefill that it declined, which
+     * counts although the request has not been sent to any other instance.
+     *
+     * @param service name of the service
+     */
+    public void recordRetry(String service) {
+        window(service).retries.addLast(clock.monotonicMillis());
+    }
+
+    private double allowedRetries(Window window) {
+        return USED_RATIO * (retryRatio * window.requests.size() + fixedShare());
+    }
+
+    private double fixedShare() {
+        boolean sentBeforeStartExpired = clock.monotonicMillis() - startedMillis >= windowMillis;
+        return sentBeforeStartExpired ? fixedRetries / entryCount.getAsInt() : 0;
+    }
+
     private Window window(String service) {
         Window window = windows.computeIfAbsent(service, ignored -> new Window());
         long oldest = clock.monotonicMillis() - windowMillis;
--- a/gateway/src/main/java/org/merlinwood/gateway/front/StreamRequestProcessor.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/StreamRequestProcessor.java
@@ -230,21 +230,23 @@
     private void startPrefill(UpstreamInstance decodeInstance) {
         Optional<UpstreamInstance> choice = context.pool()
                 .choosePrefill(service, decodeInstance.domain(), prompt.promptTokens(), triedPrefillInstances);
-        boolean retry = !triedPrefillInstances.isEmpty();
-        if (choice.isEmpty() || (retry && !context.retryAllowance().tryAcquire(service))) {
+        if (choice.isEmpty() || context.retryAllowance().isOverdrawn(service)) {
             startGeneration(decodeInstance);
             return;
         }
         UpstreamInstance instance = choice.get();
         triedPrefillInstances.add(instance.identifier());
+        long readTimeoutMillis = prefillReadTimeoutMillis(instance);
         decisionLine("prefill")
                 .with("instance", instance.identifier())
                 .with("for", decodeInstance.identifier())
+                .with("queuedTokens", context.pool().queuedPromptTokens(instance.identifier()))
+                .with("readTimeoutMillis", readTimeoutMillis)
                 .write();
         long startedMillis = context.clock().monotonicMillis();
         HttpRequest prefillRequest = context.protocol()
                 .prefill(instance, request, Math.max(1, timeLeftMillis()))
-                .withTimeouts(CONNECT_TIMEOUT_MILLIS, prefillReadTimeoutMillis(instance));
+                .withTimeouts(CONNECT_TIMEOUT_MILLIS, readTimeoutMillis);
         context.pool().beginPrompt(instance.identifier(), prompt.promptTokens());
         activeRequest = Optional.of(context.client().execute(prefillRequest, result -> {
             context.pool().endPrompt(instance.identifier(), prompt.promptTokens());
@@ -277,6 +279,7 @@
                 .write();
         prefillResult = newPrefillResult;
         if (newPrefillResult.isEmpty()) {
+            recordFailedPrefill(result);
             startPrefill(decodeInstance);
             return;
         }
@@ -285,6 +288,14 @@
         startGeneration(decodeInstance);
     }
 
+    /** Counts a failed prefill as a retry, unless it did not reach the instance: the generation is sent in addition. */
+    private void recordFailedPrefill(Either<Failure, HttpResponse> result) {
+        boolean received = result.fold(failure -> failure.executionState() != ExecutionState.NOT_RUN, response -> true);
+        if (received) {
+            context.retryAllowance().recordRetry(service);
+        }
+    }
+
     private void startGeneration(UpstreamInstance instance) {
         if (context.crashHistory().isBlocked(CrashHistory.fingerprint(request))) {
             fail(ResultCode.NO_INSTANCE, 0, "earlier attempts of this request lost their instances");
--- a/gateway/src/main/java/org/merlinwood/gateway/peer/PeerSessions.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/peer/PeerSessions.java
@@ -72,6 +72,7 @@
     private final Map<String, Member> members = new HashMap<>();
     private final Map<String, Long> lastStatusMillis = new HashMap<>();
     private int maximumKnownCount;
+    private boolean memberListReceived;
     private long sentStatusCount;
 
     /**
@@ -257,6 +258,7 @@
         lastStatusMillis.put(status.address(), clock.monotonicMillis());
         addAddress(status.address());
         status.members().forEach(this::addAddress);
+        memberListReceived |= !status.members().isEmpty();
         listener.onStatus(status);
         if (listener.isBehind(status)) {
             Member member = members.get(status.address());
@@ -299,6 +301,16 @@
         return maximumKnownCount;
     }
 
+    /**
+     * Returns whether another entry has sent the list of its members. Before that, only seeds and the entries that have
+     * connected to this one are known.
+     *
+     * @return false until the first list
+     */
+    public boolean memberListReceived() {
+        return memberListReceived;
+    }
+
     /**
      * Formats an address as entries send it to each other.
      *
--- a/gateway/src/main/java/org/merlinwood/gateway/process/GatewayProcess.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/process/GatewayProcess.java
@@ -19,6 +19,7 @@
 import org.merlinwood.gateway.decision.CrashHistory;
 import org.merlinwood.gateway.decision.DemandMeter;
 import org.merlinwood.gateway.decision.DrainPolicy;
+import org.merlinwood.gateway.decision.EntryCountBound;
 import org.merlinwood.gateway.decision.EntryStatus;
 import org.merlinwood.gateway.decision.InstancePool;
 import org.merlinwood.gateway.decision.OrderLeadership;
@@ -64,15 +65,6 @@
     /** Time for the last log lines to be written before exit, in milliseconds. */
     private static final long LOG_FLUSH_MILLIS = 5;
 
-    /** Minimum assumed number of entries, so that a small site can grow. */
-    private static final int MINIMUM_POSSIBLE_ENTRIES = 8;
-
-    /** Assumed number of entries as a multiple of the known ones, so that a site can grow. */
-    private static final double ENTRY_GROWTH_FACTOR = 1.5;
-
-    /** Assumed number of entries while no other entry is known: that of a large fleet. */
-    private static final int DEFAULT_POSSIBLE_ENTRIES = 64;
-
     /** Idle timeout of caller connections, in milliseconds. Longer than any timeout that operators configure. */
     private static final int IDLE_TIMEOUT_MILLIS = 120_000;
 
@@ -173,14 +165,9 @@
                 .build();
     }
 
-    /**
-     * Returns the number of entries assumed to share the retry allowance: the known ones and some that may be added.
-     */
+    /** Returns the number of entries that share the retry allowance. */
     private int maximumEntryCount() {
-        int knownEntries = peers.maximumKnownCount() + 1;
-        return knownEntries == 1
-                ? DEFAULT_POSSIBLE_ENTRIES
-                : Math.max(MINIMUM_POSSIBLE_ENTRIES, (int) Math.ceil(knownEntries * ENTRY_GROWTH_FACTOR));
+        return EntryCountBound.of(peers.maximumKnownCount() + 1, peers.memberListReceived());
     }
 
     /** Returns the last three octets of the address. All entries of a site have the same first octet. */
--- a/gateway/src/test/java/org/merlinwood/gateway/decision/InstancePoolTest.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/decision/InstancePoolTest.java
@@ -166,6 +166,18 @@
         assertThat(pool.choosePrefill(SERVICE, "near", 5_200, Set.of())).isEmpty();
     }
 
+    /**
+     * All entries restart together and send their callers' prompts to the same instances before any has measured one.
+     * Giving up on a prompt that is being computed would make the instance compute it for nothing.
+     */
+    @Test
+    void prefillOfUnknownSpeedIsExpectedToTakeLong() {
+        register(Stage.PREFILL, "a");
+        assertThat(pool.expectedPrefillMillis("a", 5_200)).isGreaterThan(500);
+        pool.recordPrefill("a", 5_200, 104);
+        assertThat(pool.expectedPrefillMillis("a", 5_200)).isEqualTo(104);
+    }
+
     @Test
     void singleCachedPromptDoesNotChangePrefillThroughput() {
         for (int index = 0; index < 10; index++) {
--- a/gateway/src/test/java/org/merlinwood/gateway/decision/RetryAllowanceTest.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/decision/RetryAllowanceTest.java
@@ -49,15 +49,69 @@
         }
     }
 
+    /**
+     * All entries are killed under load just after they used their allowance, and start again knowing only some of the
+     * others. What they sent before and after the restart must stay within the limit of one window.
+     */
+    @ParameterizedTest
+    @ValueSource(ints = {0, 1, 20})
+    void retriesOfEntriesThatRestartTogetherStayWithinLimitInEveryWindow(int requestsPerSecond) {
+        List<Long> retries = new ArrayList<>();
+        List<Long> requests = new ArrayList<>();
+        for (int life = 0; life < 3; life++) {
+            List<RetryAllowance> entries = new ArrayList<>();
+            for (int index = 0; index < ENTRY_COUNT; index++) {
+                entries.add(new RetryAllowance(clock, WINDOW_MILLIS, RETRY_RATIO, FIXED_RETRIES, () -> ENTRY_COUNT));
+            }
+            for (int second = 0; second < 15; second++) {
+                for (RetryAllowance entry : entries) {
+                    for (int index = 0; index < requestsPerSecond; index++) {
+                        entry.recordRequest("service");
+                        requests.add(clock.monotonicMillis());
+                    }
+                    while (entry.tryAcquire("service")) {
+                        retries.add(clock.monotonicMillis());
+                    }
+                }
+                clock.advanceMillis(1_000);
+            }
+        }
+        for (long end = 0; end < 45_000; end += 1_000) {
+            long allowed = Math.round(RETRY_RATIO * within(requests, end) + FIXED_RETRIES);
+            assertThat(within(retries, end)).isLessThanOrEqualTo(allowed);
+        }
+    }
+
+    @Test
+    void recordedRetryCountsAlthoughNoneWasLeft() {
+        RetryAllowance entry = newEntryAfterOneWindow();
+        while (entry.tryAcquire("service")) {}
+        assertThat(entry.isOverdrawn("service")).isFalse();
+        entry.recordRetry("service");
+        assertThat(entry.isOverdrawn("service")).isTrue();
+        for (int index = 0; index < 5; index++) {
+            entry.recordRequest("service");
+        }
+        assertThat(entry.isOverdrawn("service")).isFalse();
+        assertThat(entry.tryAcquire("service")).isFalse();
+    }
+
     @Test
     void retriesAreAvailableAgainAfterWindowHasPassed() {
-        RetryAllowance entry = new RetryAllowance(clock, WINDOW_MILLIS, RETRY_RATIO, FIXED_RETRIES, () -> ENTRY_COUNT);
+        RetryAllowance entry = newEntryAfterOneWindow();
+        assertThat(entry.tryAcquire("service")).isTrue();
         while (entry.tryAcquire("service")) {}
         assertThat(entry.tryAcquire("service")).isFalse();
         clock.advanceMillis(WINDOW_MILLIS + 1);
         assertThat(entry.tryAcquire("service")).isTrue();
     }
 
+    private RetryAllowance newEntryAfterOneWindow() {
+        RetryAllowance entry = new RetryAllowance(clock, WINDOW_MILLIS, RETRY_RATIO, FIXED_RETRIES, () -> ENTRY_COUNT);
+        clock.advanceMillis(WINDOW_MILLIS);
+        return entry;
+    }
+
     private static long within(List<Long> times, long end) {
         return times.stream()
                 .filter(time -> time > end - WINDOW_MILLIS && time <= end)
--- a/gateway/src/test/java/org/merlinwood/gateway/front/RequestProcessorFixture.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/front/RequestProcessorFixture.java
@@ -41,6 +41,8 @@
     };
 
     private static final int BODY_BYTES = 1_000;
+    private static final long RETRY_WINDOW_MILLIS = 10_000;
+    private static final double FIXED_RETRIES = 60;
     private static final EngineLimits LIMITS = new EngineLimits(4, 20_000, 2, 500, 2_000, 6_000);
 
     final ManualMillisClock clock = new ManualMillisClock(1_000);
@@ -50,10 +52,11 @@
     final InstancePool pool = new InstancePool(fleet, clock, "near", 1);
     final RecordingCaller caller = new RecordingCaller();
     final DrainPolicy drainPolicy = new DrainPolicy(clock, 8_000);
+    final RetryAllowance retryAllowance = new RetryAllowance(clock, RETRY_WINDOW_MILLIS, 0.2, FIXED_RETRIES, () -> 1);
     private final RequestDispatcher dispatcher;
 
     RequestProcessorFixture(RequestKind kind, boolean resumable) {
-        RetryAllowance retryAllowance = new RetryAllowance(clock, 10_000, 0.2, 60, () -> 1);
+        clock.advanceMillis(RETRY_WINDOW_MILLIS);
         DecisionLog log = new DecisionLog("test", clock, new PrintStream(OutputStream.nullOutputStream()));
         RequestProcessorContext context = new RequestProcessorContext(
                 loop,
--- a/gateway/src/test/java/org/merlinwood/gateway/front/StreamRequestProcessorTest.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/front/StreamRequestProcessorTest.java
@@ -99,6 +99,25 @@
         assertThat(fixture.caller.status).isEqualTo(502);
     }
 
+    /**
+     * Guards against a burst in which many entries choose the same prefill instances from old status messages: a prompt
+     * that an instance declines has arrived there, and the generation arrives in addition. Once the allowance is
+     * overdrawn, decode instances compute the prompts.
+     */
+    @Test
+    void declinedPrefillsCountAsRetriesAndAreNotAttemptedBeyondTheAllowance() {
+        RequestProcessorFixture fixture = fixture(false);
+        while (fixture.retryAllowance.tryAcquire("service")) {}
+        fixture.sendRequest("/p/x");
+        fixture.client.last().respond(200, "hold-1");
+        assertThat(fixture.client.last().request().path()).isEqualTo("/f1/prefill");
+        fixture.client.last().respond(503, "");
+        assertThat(fixture.client.last().request().path()).endsWith("/run");
+        fixture.sendRequest("/p/x");
+        fixture.client.last().respond(200, "hold-2");
+        assertThat(fixture.client.last().request().path()).endsWith("/run");
+    }
+
     @Test
     void missingPrefillResultMakesInstanceComputePromptItself() {
         RequestProcessorFixture fixture = fixture(false);
