--- a/decision/src/main/java/org/merlinwood/decision/grant/GrantManager.java
+++ b/decision/src/main/java/org/merlinwood/decision/grant/GrantManager.java
@@ -2,17 +2,18 @@
 
 import io.vavr.control.Either;
 import java.util.ArrayList;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 import org.merlinwood.core.identity.RequestIdentifier;
 import org.merlinwood.core.result.ExecutionState;
 import org.merlinwood.core.result.Failure;
 import org.merlinwood.core.result.ResultCode;
 import org.merlinwood.core.time.MillisClock;
+import org.merlinwood.decision.grant.impl.ActiveTrials;
 import org.merlinwood.decision.grant.impl.Holding;
 import org.merlinwood.decision.grant.impl.Holdings;
+import org.merlinwood.decision.grant.impl.IssuedGrants;
+import org.merlinwood.decision.grant.impl.RetryableFailures;
 import org.merlinwood.decision.grant.impl.WaitEstimate;
 import org.merlinwood.decision.grant.impl.WaitingDemand;
 import org.merlinwood.decision.grant.impl.WaitingQueue;
@@ -36,17 +37,13 @@
     /** Maximum number of demands in the queue. */
     public static final int MAXIMUM_WAITING = 512;
 
-    private static final int MAXIMUM_INVALIDATED_GRANTS = 4_096;
-    private static final long DEFAULT_RETRY_MILLIS = 200;
-
     private final MillisClock clock;
-    private final RetryDelay retryDelay;
+    private final RetryableFailures failures;
     private final Holdings reservations = new Holdings();
     private final WaitingQueue queue = new WaitingQueue();
     private final WaitEstimate estimate = new WaitEstimate();
-    private final Set<Long> invalidatedUnused = new LinkedHashSet<>();
-    private final Set<AttemptIdentity> trials = new LinkedHashSet<>();
-    private long lastGrant;
+    private final IssuedGrants issued = new IssuedGrants();
+    private final ActiveTrials trials = new ActiveTrials(reservations);
     private int capacityUnits;
     private long grantMillis;
     private boolean draining;
@@ -61,7 +58,7 @@
      */
     public GrantManager(MillisClock clock, RetryDelay retryDelay) {
         this.clock = clock;
-        this.retryDelay = retryDelay;
+        this.failures = new RetryableFailures(retryDelay);
     }
 
     /**
@@ -98,7 +95,7 @@
         draining = true;
         List<GrantEvent> events = new ArrayList<>();
         for (WaitingDemand waiting : queue.sorted()) {
-            events.add(refuse(waiting, drainingFailure(waiting.demand())));
+            events.add(refuse(waiting, failures.draining(waiting.demand())));
         }
         return events;
     }
@@ -152,7 +149,7 @@
     public Either<Failure, Grant> use(SessionNumber session, long number, AttemptIdentity attempt) {
         Optional<Holding> found = reservations.ofGrant(number);
         if (found.isEmpty()) {
-            return Either.left(unknownGrantFailure(number));
+            return Either.left(issued.unknownGrantFailure(number));
         }
         Holding reservation = found.get();
         if (reservation.phase() != Holding.Phase.UNUSED) {
@@ -162,12 +159,12 @@
         GrantDemand demand = reservation.grant().demand();
         if (!demand.session().equals(session) || !demand.attempt().equals(attempt)) {
             invalidate(reservation);
-            return Either.left(
-                    retryable(ResultCode.GRANT_UNKNOWN, "the grant belongs to another attempt or connection", demand));
+            return Either.left(failures.soon(
+                    ResultCode.GRANT_UNKNOWN, "the grant belongs to another attempt or connection", demand));
         }
         if (clock.monotonicMillis() >= reservation.grant().expiresAtMillis()) {
             invalidate(reservation);
-            return Either.left(retryable(ResultCode.GRANT_EXPIRED, "the grant expired before it was used", demand));
+            return Either.left(failures.soon(ResultCode.GRANT_EXPIRED, "the grant expired before it was used", demand));
         }
         reservations.replace(reservation.withPhase(Holding.Phase.RUNNING));
         return Either.right(reservation.grant());
@@ -208,7 +205,7 @@
      * @param attempt the attempt; ignored if it has no reservation
      */
     public void markStopping(AttemptIdentity attempt) {
-        trials.remove(attempt);
+        trials.end(attempt);
         reservations
                 .of(attempt)
                 .ifPresent(reservation -> reservations.replace(reservation.withPhase(Holding.Phase.STOPPING)));
@@ -221,7 +218,7 @@
      * @return the resulting events for other attempts
      */
     public List<GrantEvent> passTrial(AttemptIdentity attempt) {
-        return trials.remove(attempt) ? serveQueue() : List.of();
+        return trials.end(attempt) ? serveQueue() : List.of();
     }
 
     // ------------------------------------------------------------------ public API: cancellation and expiry
@@ -293,7 +290,7 @@
                 GrantDemand demand = reservation.grant().demand();
                 events.add(new GrantEvent.Refused(
                         demand.attempt(),
-                        retryable(ResultCode.GRANT_EXPIRED, "the grant expired before it was used", demand)));
+                        failures.soon(ResultCode.GRANT_EXPIRED, "the grant expired before it was used", demand)));
             }
         }
         events.addAll(serveQueue());
@@ -336,7 +333,7 @@
      * @return true until the attempt has passed its trial or its reservation has ended
      */
     public boolean isOnTrial(AttemptIdentity attempt) {
-        return trials.contains(attempt) && reservations.of(attempt).isPresent();
+        return trials.contains(attempt);
     }
 
     /**
@@ -355,18 +352,18 @@
      * @return a copy of the current state
      */
     public GrantManagerState state() {
-        return new GrantManagerState(load(), lastGrant, reservations.all(), queue.sorted());
+        return new GrantManagerState(load(), issued.lastNumber(), reservations.all(), queue.sorted());
     }
 
     // ------------------------------------------------------------------ internals: admission
 
     private Optional<Failure> refusalOf(GrantDemand demand) {
         if (draining) {
-            return Optional.of(drainingFailure(demand));
+            return Optional.of(failures.draining(demand));
         }
         if (capacityUnits == 0) {
             return Optional.of(
-                    retryable(ResultCode.NOT_READY, "the capacity of the upstream is not known yet", demand));
+                    failures.soon(ResultCode.NOT_READY, "the capacity of the upstream is not known yet", demand));
         }
         if (demand.units() > capacityUnits) {
             return Optional.of(Failure.of(
@@ -388,13 +385,13 @@
     private Optional<Failure> refusalForWait(GrantDemand demand) {
         long expected = expectedWaitMillis(demand);
         if (expected > demand.waitMillis()) {
-            return Optional.of(noCapacity(demand, expected));
+            return Optional.of(failures.noCapacity(demand, expected));
         }
         boolean lastRanksAtLeastAsHigh = queue.last()
                 .map(last -> last.demand().priority() <= demand.priority())
                 .orElse(false);
         if (queue.size() >= MAXIMUM_WAITING && lastRanksAtLeastAsHigh) {
-            return Optional.of(noCapacity(demand, expected));
+            return Optional.of(failures.noCapacity(demand, expected));
         }
         return Optional.empty();
     }
@@ -404,7 +401,8 @@
             return List.of();
         }
         return queue.last()
-                .map(last -> List.of(refuse(last, noCapacity(last.demand(), expectedWaitMillis(last.demand())))))
+                .map(last ->
+                        List.of(refuse(last, failures.noCapacity(last.demand(), expectedWaitMillis(last.demand())))))
                 .orElse(List.of());
     }
 
@@ -433,8 +431,8 @@
         long unitsAhead = 0;
         for (WaitingDemand waiting : queue.sorted()) {
             GrantDemand demand = waiting.demand();
-            boolean blocked =
-                    reservations.hasReservation(demand.attempt().request()) || (demand.onTrial() && isTrialActive());
+            boolean blocked = reservations.hasReservation(demand.attempt().request())
+                    || (demand.onTrial() && trials.isAnyActive());
             boolean fits = demand.units() == 0 || (unitsAhead == 0 && demand.units() <= freeUnits());
             if (!blocked && fits) {
                 events.add(grant(waiting, now));
@@ -442,7 +440,7 @@
             }
             long expected = expectedWaitMillis(unitsAhead, demand);
             if (now + expected > waiting.deadlineMillis() || now >= waiting.deadlineMillis()) {
-                events.add(refuse(waiting, noCapacity(demand, expected)));
+                events.add(refuse(waiting, failures.noCapacity(demand, expected)));
                 continue;
             }
             unitsAhead += blocked ? 0 : demand.units();
@@ -454,18 +452,13 @@
         return capacityUnits == 0 ? 0 : estimate.waitMillis(unitsAhead + demand.units() - freeUnits(), capacityUnits);
     }
 
-    private boolean isTrialActive() {
-        trials.removeIf(attempt -> reservations.of(attempt).isEmpty());
-        return !trials.isEmpty();
-    }
-
     private GrantEvent grant(WaitingDemand waiting, long now) {
         GrantDemand demand = waiting.demand();
         if (demand.onTrial()) {
-            trials.add(demand.attempt());
+            trials.start(demand.attempt());
         }
         queue.remove(demand.attempt());
-        Grant grant = new Grant(++lastGrant, demand, now + grantMillis);
+        Grant grant = new Grant(issued.issue(), demand, now + grantMillis);
         reservations.add(new Holding(grant, Holding.Phase.UNUSED, now));
         return new GrantEvent.Granted(demand.attempt(), grant, grantMillis);
     }
@@ -527,10 +520,7 @@
 
     private void invalidate(Holding reservation) {
         reservations.remove(reservation.grant().demand().attempt());
-        invalidatedUnused.add(reservation.grant().number());
-        if (invalidatedUnused.size() > MAXIMUM_INVALIDATED_GRANTS) {
-            invalidatedUnused.remove(invalidatedUnused.iterator().next());
-        }
+        issued.recordInvalidated(reservation.grant().number());
     }
 
     private void releaseUnits(Holding reservation) {
@@ -554,31 +544,4 @@
             estimate.observe(units, clock.monotonicMillis() - reservation.sinceMillis(), capacityUnits);
         }
     }
-
-    // ------------------------------------------------------------------ internals: failures
-
-    /** A number that was issued and is not known to have been invalidated unused may have run. */
-    private Failure unknownGrantFailure(long number) {
-        if (invalidatedUnused.contains(number)) {
-            return Failure.of(ResultCode.GRANT_EXPIRED, "the grant was invalidated before it was used");
-        }
-        Failure unknown = Failure.of(ResultCode.GRANT_UNKNOWN, "no grant with this number is known");
-        boolean neverIssued = number <= 0 || number > lastGrant;
-        return neverIssued ? unknown : unknown.withExecutionState(ExecutionState.UNKNOWN);
-    }
-
-    private Failure noCapacity(GrantDemand demand, long expectedMillis) {
-        return Failure.retryable(
-                ResultCode.NO_CAPACITY,
-                "the expected wait of " + expectedMillis + " ms exceeds the limit of " + demand.waitMillis() + " ms",
-                retryDelay.retryAfterMillis(expectedMillis, demand.priority()));
-    }
-
-    private Failure drainingFailure(GrantDemand demand) {
-        return retryable(ResultCode.DRAINING, "the instance is draining and accepts no new requests", demand);
-    }
-
-    private Failure retryable(ResultCode code, String detail, GrantDemand demand) {
-        return Failure.retryable(code, detail, retryDelay.retryAfterMillis(DEFAULT_RETRY_MILLIS, demand.priority()));
-    }
 }
