--- a/command/src/main/java/org/merlinwood/command/ExplainCommand.java
+++ b/command/src/main/java/org/merlinwood/command/ExplainCommand.java
@@ -1,18 +1,14 @@
 package org.merlinwood.command;
 
-import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
 import java.io.PrintWriter;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
-import java.util.Optional;
 import java.util.concurrent.Callable;
-import java.util.stream.Stream;
+import org.merlinwood.command.impl.DecisionLogReader;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Parameters;
@@ -28,7 +24,6 @@
         mixinStandardHelpOptions = true)
 public final class ExplainCommand implements Callable<Integer> {
 
-    private static final ObjectMapper MAPPER = new ObjectMapper();
     private static final List<String> LEADING_FIELDS = List.of("time", "process", "decision", "request");
 
     @Spec
@@ -57,9 +52,12 @@
         PrintWriter out = specification.commandLine().getOut();
         List<Decision> decisions = new ArrayList<>();
         for (Path file : files) {
-            try (Stream<String> lines = Files.lines(file)) {
-                lines.filter(line -> line.contains(request))
-                        .forEach(line -> parseDecision(line).ifPresent(decisions::add));
+            try {
+                DecisionLogReader.read(
+                        file,
+                        line -> line.contains(request),
+                        node -> addIfAboutRequest(node, decisions),
+                        specification.commandLine().getErr()::println);
             } catch (IOException exception) {
                 specification.commandLine().getErr().println(file + " can't be read: " + exception.getMessage());
                 return ExitStatus.USAGE;
@@ -74,28 +72,10 @@
         return ExitStatus.SUCCESS;
     }
 
-    /**
-     * Parses a line. Skips any text before the JSON object, such as a timestamp that a log collector added. Empty if
-     * the line is not a decision about the request.
-     */
-    private Optional<Decision> parseDecision(String line) {
-        int start = line.indexOf('{');
-        if (start < 0) {
-            return Optional.empty();
-        }
-        try {
-            JsonNode node = MAPPER.readTree(line.substring(start));
-            boolean isAboutRequest = node.path("request").asText().equals(request) && node.has("decision");
-            return isAboutRequest
-                    ? Optional.of(new Decision(
-                            node.path("time").asText(), node.path("process").asText(), node))
-                    : Optional.empty();
-        } catch (JsonProcessingException exception) {
-            specification
-                    .commandLine()
-                    .getErr()
-                    .println("skipped a line that is not valid JSON: " + exception.getOriginalMessage());
-            return Optional.empty();
+    private void addIfAboutRequest(JsonNode node, List<Decision> decisions) {
+        if (node.path("request").asText().equals(request)) {
+            decisions.add(new Decision(
+                    node.path("time").asText(), node.path("process").asText(), node));
         }
     }
 
--- a/command/src/main/java/org/merlinwood/command/MerlinwoodCommand.java
+++ b/command/src/main/java/org/merlinwood/command/MerlinwoodCommand.java
@@ -29,6 +29,7 @@
             PlanCommand.class,
             DumpCommand.class,
             ExplainCommand.class,
+            LossesCommand.class,
             ReplayCommand.class,
             CommandLine.HelpCommand.class
         })
