Stand-ins: two threads that close one connection both return once it is closed

A crash closes the connection on one thread while the thread of the response aborts it too; the second close returned at once, the exchange ended, and the end of the chunked body went out before the socket was closed. The product is not concerned.

--- a/stand-ins/src/main/java/org/merlinwood/standin/impl/StandInServer.java
+++ b/stand-ins/src/main/java/org/merlinwood/standin/impl/StandInServer.java
@@ -61,9 +61,9 @@
 
     @Override
     public void close() {
-        connections.forEach(IoUtils::safeClose);
+        connections.forEach(StandInServer::closeNow);
         server.stop();
-        connections.forEach(IoUtils::safeClose);
+        connections.forEach(StandInServer::closeNow);
         threads.shutdownNow();
     }
 
@@ -123,7 +123,17 @@
      * @param exchange the exchange
      */
     public static void abort(HttpServerExchange exchange) {
-        IoUtils.safeClose(exchange.getConnection());
+        closeNow(exchange.getConnection());
+    }
+
+    /**
+     * Closes a connection, and returns once its socket is closed. If two threads close it, the second waits for the
+     * first: it would otherwise end its exchange, and so its response, before the socket is closed.
+     */
+    private static void closeNow(ServerConnection connection) {
+        synchronized (connection) {
+            IoUtils.safeClose(connection);
+        }
     }
 
     /**
