--- a/gateway/src/main/java/org/merlinwood/gateway/front/MemoryReservationCall.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/MemoryReservationCall.java
@@ -82,6 +82,7 @@
         }
     }
 
+    /** Cancels the call. A reservation that the instance has granted meanwhile ends with its lease. */
     @Override
     public void cancel() {
         cancelled = true;
@@ -104,25 +105,11 @@
     }
 
     private void onReserved(Either<Failure, HttpResponse> response) {
-        Optional<MemoryReservation> reservation = reservation(response);
-        if (cancelled) {
-            reservation.ifPresent(this::release);
-        } else {
-            consumer.accept(new Result(reservation, need.startTokens(), response));
+        if (!cancelled) {
+            consumer.accept(new Result(reservation(response), need.startTokens(), response));
         }
     }
 
-    private void release(MemoryReservation unused) {
-        context.client()
-                .execute(
-                        context.protocol().releaseReservation(unused.instance(), unused.identifier()),
-                        result -> result.peekLeft(failure -> context.log()
-                                .line("reservation not released")
-                                .with("instance", instance.identifier())
-                                .with("reason", failure.detail())
-                                .write()));
-    }
-
     private Optional<MemoryReservation> reservation(Either<Failure, HttpResponse> response) {
         return response.toJavaOptional()
                 .flatMap(context.protocol()::readReservation)
--- a/gateway/src/test/java/org/merlinwood/gateway/decision/RetryAllowanceTest.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/decision/RetryAllowanceTest.java
@@ -17,6 +17,8 @@
     private static final int ENTRY_COUNT = 8;
 
     private final ManualMillisClock clock = new ManualMillisClock(0);
+    private final List<Long> retries = new ArrayList<>();
+    private final List<Long> requests = new ArrayList<>();
 
     /**
      * In a burst of failures, entries that cannot reach each other all use their full allowance. The limit over all
@@ -25,28 +27,8 @@
     @ParameterizedTest
     @ValueSource(ints = {0, 1, 20, 200})
     void retriesOfAllEntriesStayWithinLimitInEveryWindow(int requestsPerSecond) {
-        List<RetryAllowance> entries = new ArrayList<>();
-        for (int index = 0; index < ENTRY_COUNT; index++) {
-            entries.add(new RetryAllowance(clock, WINDOW_MILLIS, RETRY_RATIO, FIXED_RETRIES, () -> ENTRY_COUNT));
-        }
-        List<Long> retries = new ArrayList<>();
-        List<Long> requests = new ArrayList<>();
-        for (int second = 0; second < 40; second++) {
-            for (RetryAllowance entry : entries) {
-                for (int index = 0; index < requestsPerSecond; index++) {
-                    entry.recordRequest("service");
-                    requests.add(clock.monotonicMillis());
-                }
-                while (entry.tryAcquire("service")) {
-                    retries.add(clock.monotonicMillis());
-                }
-            }
-            clock.advanceMillis(1_000);
-        }
-        for (long end = 0; end < 40_000; end += 1_000) {
-            long allowed = Math.round(RETRY_RATIO * within(requests, end) + FIXED_RETRIES);
-            assertThat(within(retries, end)).isLessThanOrEqualTo(allowed);
-        }
+        useAllowancesOfNewEntries(requestsPerSecond, 40);
+        assertLimitHoldsInEveryWindow(40_000);
     }
 
     /**
@@ -56,30 +38,10 @@
     @ParameterizedTest
     @ValueSource(ints = {0, 1, 20})
     void retriesOfEntriesThatRestartTogetherStayWithinLimitInEveryWindow(int requestsPerSecond) {
-        List<Long> retries = new ArrayList<>();
-        List<Long> requests = new ArrayList<>();
         for (int life = 0; life < 3; life++) {
-            List<RetryAllowance> entries = new ArrayList<>();
-            for (int index = 0; index < ENTRY_COUNT; index++) {
-                entries.add(new RetryAllowance(clock, WINDOW_MILLIS, RETRY_RATIO, FIXED_RETRIES, () -> ENTRY_COUNT));
-            }
-            for (int second = 0; second < 15; second++) {
-                for (RetryAllowance entry : entries) {
-                    for (int index = 0; index < requestsPerSecond; index++) {
-                        entry.recordRequest("service");
-                        requests.add(clock.monotonicMillis());
-                    }
-                    while (entry.tryAcquire("service")) {
-                        retries.add(clock.monotonicMillis());
-                    }
-                }
-                clock.advanceMillis(1_000);
-            }
-        }
-        for (long end = 0; end < 45_000; end += 1_000) {
-            long allowed = Math.round(RETRY_RATIO * within(requests, end) + FIXED_RETRIES);
-            assertThat(within(retries, end)).isLessThanOrEqualTo(allowed);
+            useAllowancesOfNewEntries(requestsPerSecond, 15);
         }
+        assertLimitHoldsInEveryWindow(45_000);
     }
 
     @Test
@@ -112,6 +74,33 @@
         return entry;
     }
 
+    /** Starts all entries, and has each use its whole allowance in each second. */
+    private void useAllowancesOfNewEntries(int requestsPerSecond, int seconds) {
+        List<RetryAllowance> entries = new ArrayList<>();
+        for (int index = 0; index < ENTRY_COUNT; index++) {
+            entries.add(new RetryAllowance(clock, WINDOW_MILLIS, RETRY_RATIO, FIXED_RETRIES, () -> ENTRY_COUNT));
+        }
+        for (int second = 0; second < seconds; second++) {
+            for (RetryAllowance entry : entries) {
+                for (int index = 0; index < requestsPerSecond; index++) {
+                    entry.recordRequest("service");
+                    requests.add(clock.monotonicMillis());
+                }
+                while (entry.tryAcquire("service")) {
+                    retries.add(clock.monotonicMillis());
+                }
+            }
+            clock.advanceMillis(1_000);
+        }
+    }
+
+    private void assertLimitHoldsInEveryWindow(long untilMillis) {
+        for (long end = 0; end < untilMillis; end += 1_000) {
+            long allowed = Math.round(RETRY_RATIO * within(requests, end) + FIXED_RETRIES);
+            assertThat(within(retries, end)).isLessThanOrEqualTo(allowed);
+        }
+    }
+
     private static long within(List<Long> times, long end) {
         return times.stream()
                 .filter(time -> time > end - WINDOW_MILLIS && time <= end)
