--- a/gateway/src/main/java/org/merlinwood/gateway/decision/RetryAllowance.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/decision/RetryAllowance.java
@@ -74,7 +74,7 @@
      * Returns whether more retries were sent than allowed, which {@link #recordRetry} can cause.
      *
      * @param service name of the service
-     * @return true if requests whose first attempt may count as a retry are better sent in another way
+     * @return true if nothing should be sent that counts as a retry if an instance declines it
      */
     public boolean isOverdrawn(String service) {
         Window window = window(service);
--- a/gateway/src/test/java/org/merlinwood/gateway/decision/RetryAllowanceTest.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/decision/RetryAllowanceTest.java
@@ -32,8 +32,8 @@
     }
 
     /**
-     * All entries are killed under load just after they used their allowance, and start again knowing only some of the
-     * others. What they sent before and after the restart must stay within the limit of one window.
+     * All entries are killed under load just after they used their allowance, and start again. What they sent before
+     * and after the restart must stay within the limit of one window.
      */
     @ParameterizedTest
     @ValueSource(ints = {0, 1, 20})
