InstancePool: prefill throughput and memory need in classes of their own

Moves only: PrefillThroughput keeps the speeds of recent prefills, MemoryNeed computes itself from the responses in progress. Tests unchanged.

--- a/gateway/src/main/java/org/merlinwood/gateway/decision/InstancePool.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/decision/InstancePool.java
@@ -1,6 +1,5 @@
 package org.merlinwood.gateway.decision;
 
-import java.util.ArrayDeque;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
@@ -32,9 +31,6 @@
     /** Weight of an error rate in excess of the lowest error rate among the candidates. */
     private static final double ERROR_RATE_WEIGHT = 12;
 
-    /** Number of response events whose memory is reserved together with that of the prompt. */
-    private static final int STARTING_EVENTS = 8;
-
     /**
      * Number of prompts that may be queued ahead of a prompt at a prefill instance. A decode instance computes two
      * prompts in the time that these take.
@@ -44,29 +40,16 @@
     /** Smallest prompt length from which the limit of queued prompt tokens is computed, in tokens. */
     private static final int MINIMUM_QUEUED_PROMPT_TOKENS = 4_000;
 
-    /**
-     * Assumed prefill throughput until the first prefill has completed, in tokens per millisecond. It is low because a
-     * process that has just started does not know the prompts of the other entries either.
-     */
-    private static final double UNKNOWN_PREFILL_TOKENS_PER_MILLI = 8;
-
     /** Assumed time between two events until an instance has completed its first response, in milliseconds. */
     private static final double DEFAULT_EVENT_INTERVAL_MILLIS = 45;
 
-    /**
-     * Number of recent prefills whose speed is kept. The throughput is their 75th percentile, since most prompts wait
-     * behind others and are measured too slow.
-     */
-    private static final int PREFILL_SPEED_SAMPLES = 32;
-
     private final FleetState fleet;
     private final MillisClock clock;
     private final String ownDomain;
     private final TopChoiceRandomizer randomizer;
     private final Map<String, InstanceStatistics> statisticsByInstance = new HashMap<>();
     private Set<String> switching = Set.of();
-    private final ArrayDeque<Double> prefillSpeeds = new ArrayDeque<>();
-    private double prefillTokensPerMilli;
+    private final PrefillThroughput prefillThroughput = new PrefillThroughput();
 
     /**
      * Creates a pool.
@@ -138,11 +121,7 @@
      * @return the need, at most the memory of the instance
      */
     public MemoryNeed memoryNeed(String identifier, Prompt prompt, EngineLimits limits) {
-        List<MemoryForecast.Growth> known = statistics(identifier).allGenerations();
-        long start = Math.min(
-                prompt.promptTokens() + (long) limits.tokensPerEvent() * STARTING_EVENTS, limits.memoryTokens());
-        long free = Math.min(MemoryForecast.freeTokensFor(known, newGeneration(prompt)), limits.memoryTokens());
-        return new MemoryNeed((int) start, (int) Math.max(start, free));
+        return MemoryNeed.of(statistics(identifier).allGenerations(), newGeneration(prompt), limits);
     }
 
     /**
@@ -236,8 +215,7 @@
      * @return milliseconds; a cautious guess before the first prefill has completed at any instance
      */
     public long expectedPrefillMillis(String identifier, int tokens) {
-        double tokensPerMilli = prefillTokensPerMilli > 0 ? prefillTokensPerMilli : UNKNOWN_PREFILL_TOKENS_PER_MILLI;
-        return Math.round((statistics(identifier).allPromptTokens() + tokens) / tokensPerMilli);
+        return prefillThroughput.expectedMillis(statistics(identifier).allPromptTokens() + tokens);
     }
 
     /**
@@ -368,12 +346,7 @@
      */
     public void recordPrefill(String identifier, int tokens, long latencyMillis) {
         recordSuccess(identifier, latencyMillis);
-        prefillSpeeds.addLast(tokens / (double) Math.max(1, latencyMillis));
-        if (prefillSpeeds.size() > PREFILL_SPEED_SAMPLES) {
-            prefillSpeeds.removeFirst();
-        }
-        List<Double> sorted = prefillSpeeds.stream().sorted().toList();
-        prefillTokensPerMilli = sorted.get(sorted.size() * 3 / 4);
+        prefillThroughput.record(tokens, latencyMillis);
     }
 
     /**
@@ -382,7 +355,7 @@
      * @return tokens per millisecond, 0 before the first prefill has completed
      */
     public double prefillTokensPerMilli() {
-        return prefillTokensPerMilli;
+        return prefillThroughput.tokensPerMilli();
     }
 
     /**
