Upstream connections are counted, and "caller left" says what was cancelled

The logs of the incident can't tell whether an instance goes on because it never learns that its caller left, or because it ignores that. The HTTP client now counts its connections: open, in use, idle; what is none of these is abandoned. The log line and two gauges show it.

--- a/gateway/src/main/java/org/merlinwood/gateway/front/PlainRequestProcessor.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/PlainRequestProcessor.java
@@ -66,6 +66,13 @@
         currentAttempt.ifPresent(Attempt::cancel);
     }
 
+    @Override
+    String describeUpstreamWork() {
+        return currentAttempt
+                .map(attempt -> "attempt at " + attempt.instance.identifier())
+                .orElse("none");
+    }
+
     @Override
     ResultCode timeoutCode() {
         return attemptsSent == 0 && currentAttempt.isEmpty() ? ResultCode.NO_CAPACITY : ResultCode.DEADLINE_PASSED;
--- a/gateway/src/main/java/org/merlinwood/gateway/front/RequestProcessor.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/RequestProcessor.java
@@ -58,6 +58,9 @@
     /** Cancels the active upstream request and releases what is reserved at upstreams. */
     abstract void cancelUpstream();
 
+    /** Describes what is in progress at an upstream for this request, for log lines; "none" if nothing is. */
+    abstract String describeUpstreamWork();
+
     /** Returns the result code for a timeout now, which depends on whether an upstream may have run the request. */
     abstract ResultCode timeoutCode();
 
@@ -139,8 +142,14 @@
 
     private void onCallerDisconnected() {
         if (finish()) {
+            String cancelledWork = describeUpstreamWork();
             cancelUpstream();
-            decisionLine("caller left").write();
+            decisionLine("caller left")
+                    .with("cancelled", cancelledWork)
+                    .with(
+                            "abandonedConnections",
+                            context.client().connectionCounts().abandoned())
+                    .write();
             context.metrics().count("callers_left");
         }
     }
--- a/gateway/src/main/java/org/merlinwood/gateway/front/StreamRequestProcessor.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/StreamRequestProcessor.java
@@ -59,7 +59,7 @@
     private final EventSplitter events = new EventSplitter();
     private final Set<String> excludedInstances = new HashSet<>();
     private final Set<String> triedPrefillInstances = new HashSet<>();
-    private Optional<HttpStream> activeRequest = Optional.empty();
+    private Optional<UpstreamWork> activeRequest = Optional.empty();
     private Optional<ActiveGeneration> activeGeneration = Optional.empty();
 
     /** A reservation that no attempt has used yet. */
@@ -102,7 +102,7 @@
         registerGeneration(instance);
         MemoryReservationCall call = new MemoryReservationCall(
                 context, instance, need, limits.reservationMillis(), result -> onReservationResult(instance, result));
-        activeRequest = Optional.of(call);
+        activeRequest = Optional.of(new UpstreamWork("reservation", instance, call));
         call.start();
     }
 
@@ -228,10 +228,11 @@
                 .prefill(instance, request, Math.max(1, timeLeftMillis()))
                 .withTimeouts(CONNECT_TIMEOUT_MILLIS, readTimeoutMillis);
         context.pool().beginPrompt(instance.identifier(), prompt.promptTokens());
-        activeRequest = Optional.of(context.client().execute(prefillRequest, result -> {
+        HttpStream prefill = context.client().execute(prefillRequest, result -> {
             context.pool().endPrompt(instance.identifier(), prompt.promptTokens());
             onPrefillResult(decodeInstance, instance, context.clock().monotonicMillis() - startedMillis, result);
-        }));
+        });
+        activeRequest = Optional.of(new UpstreamWork("prefill", instance, prefill));
     }
 
     private long prefillReadTimeoutMillis(UpstreamInstance instance) {
@@ -308,7 +309,8 @@
         GenerationAttempt generation = new GenerationAttempt(instance, prefillResult);
         reservation = Optional.empty();
         prefillResult = Optional.empty();
-        activeRequest = Optional.of(context.client().send(generationRequest, generation));
+        HttpStream stream = context.client().send(generationRequest, generation);
+        activeRequest = Optional.of(new UpstreamWork("generation", instance, stream));
     }
 
     /**
@@ -438,7 +440,7 @@
 
     @Override
     void cancelUpstream() {
-        activeRequest.ifPresent(HttpStream::cancel);
+        activeRequest.ifPresent(work -> work.request().cancel());
         activeRequest = Optional.empty();
         unregisterGeneration();
         reservation.ifPresent(this::release);
@@ -446,6 +448,13 @@
         queuedRequest.ifPresent(waiter -> context.memoryWaitQueues().remove(service, waiter));
     }
 
+    @Override
+    String describeUpstreamWork() {
+        return activeRequest
+                .map(work -> work.purpose() + " at " + work.instance().identifier())
+                .orElse("none");
+    }
+
     @Override
     ResultCode timeoutCode() {
         return attemptRunning || attemptsSent > 0 ? ResultCode.DEADLINE_PASSED : ResultCode.NO_CAPACITY;
@@ -490,6 +499,15 @@
         activeGeneration = Optional.empty();
     }
 
+    /**
+     * The upstream request in progress.
+     *
+     * @param purpose what it does, for log lines
+     * @param instance the instance that received it
+     * @param request cancels it
+     */
+    private record UpstreamWork(String purpose, UpstreamInstance instance, HttpStream request) {}
+
     /** One attempt to generate the response, at one instance. */
     private final class GenerationAttempt implements HttpListener {
 
--- a/gateway/src/main/java/org/merlinwood/gateway/process/GatewayProcess.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/process/GatewayProcess.java
@@ -107,6 +107,12 @@
         this.worker = createWorker();
         this.loop = new IoThreadLoop(worker.getIoThread());
         HttpClient client = HttpClient.withWorker(worker);
+        metrics.gauge(
+                "upstream_connections_open",
+                () -> () -> client.connectionCounts().open());
+        metrics.gauge(
+                "upstream_connections_abandoned",
+                () -> () -> client.connectionCounts().abandoned());
         this.pool = new InstancePool(
                 fleet, clock, settings.failureDomain(), settings.instance().hashCode());
         this.follower = new StoreFollower(storeProtocol, client, loop, clock, new FleetUpdates());
--- a/gateway/src/test/java/org/merlinwood/gateway/FakeHttpClient.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/FakeHttpClient.java
@@ -9,6 +9,7 @@
 import org.merlinwood.core.result.ExecutionState;
 import org.merlinwood.core.result.Failure;
 import org.merlinwood.core.result.ResultCode;
+import org.merlinwood.http.ConnectionCounts;
 import org.merlinwood.http.HttpClient;
 import org.merlinwood.http.HttpHeader;
 import org.merlinwood.http.HttpListener;
@@ -124,6 +125,11 @@
         throw new UnsupportedOperationException("not supported; the gateway only sends requests that can be cancelled");
     }
 
+    @Override
+    public ConnectionCounts connectionCounts() {
+        return new ConnectionCounts(0, 0, 0);
+    }
+
     @Override
     public void close() {}
 }
--- a/http/src/main/java/org/merlinwood/http/HttpClient.java
+++ b/http/src/main/java/org/merlinwood/http/HttpClient.java
@@ -61,6 +61,13 @@
      */
     HttpStream execute(HttpRequest request, Consumer<Either<Failure, HttpResponse>> consumer);
 
+    /**
+     * Returns how many connections the client has.
+     *
+     * @return the current numbers; each is counted on its own, so that they may differ by requests that start or end
+     */
+    ConnectionCounts connectionCounts();
+
     /** Closes the idle connections, and stops the I/O threads if the client owns them. */
     @Override
     void close();
--- a/http/src/main/java/org/merlinwood/http/impl/ActiveHttpRequest.java
+++ b/http/src/main/java/org/merlinwood/http/impl/ActiveHttpRequest.java
@@ -45,6 +45,7 @@
 
     private final HttpRequest request;
     private final HttpListener listener;
+    private final ConnectionTracker tracker;
     private final Consumer<ClientConnection> connectionReleaser;
     private final AtomicBoolean ended = new AtomicBoolean();
     private volatile ClientConnection connection;
@@ -52,9 +53,14 @@
     private volatile XnioExecutor.Key timeout;
     private long receivedBytes;
 
-    ActiveHttpRequest(HttpRequest request, HttpListener listener, Consumer<ClientConnection> connectionReleaser) {
+    ActiveHttpRequest(
+            HttpRequest request,
+            HttpListener listener,
+            ConnectionTracker tracker,
+            Consumer<ClientConnection> connectionReleaser) {
         this.request = request;
         this.listener = listener;
+        this.tracker = tracker;
         this.connectionReleaser = connectionReleaser;
     }
 
@@ -70,7 +76,9 @@
 
     void start(ClientConnection opened) {
         connection = opened;
+        tracker.requestStarted(opened);
         if (ended.get()) {
+            stopTracking();
             IoUtils.safeClose(opened);
             return;
         }
@@ -87,6 +95,7 @@
             return;
         }
         removeTimeout();
+        stopTracking();
         IoUtils.safeClose(connection);
         ExecutionState state = passedToConnection ? failure.executionState() : ExecutionState.NOT_RUN;
         listener.onFailure(failure.withExecutionState(state));
@@ -240,10 +249,18 @@
             return;
         }
         removeTimeout();
+        stopTracking();
         connectionReleaser.accept(connection);
         listener.onEnd();
     }
 
+    private void stopTracking() {
+        ClientConnection current = connection;
+        if (current != null) {
+            tracker.requestEnded(current);
+        }
+    }
+
     private void restartReadTimeout() {
         removeTimeout();
         ClientConnection current = connection;
--- a/http/src/main/java/org/merlinwood/http/impl/ConnectionPool.java
+++ b/http/src/main/java/org/merlinwood/http/impl/ConnectionPool.java
@@ -50,6 +50,10 @@
         connections.addLast(new IdleConnection(connection, clock.monotonicMillis()));
     }
 
+    synchronized int idleCount() {
+        return idle.values().stream().mapToInt(ArrayDeque::size).sum();
+    }
+
     synchronized void closeAll() {
         idle.values().forEach(connections -> connections.forEach(entry -> IoUtils.safeClose(entry.connection)));
         idle.clear();
--- a/http/src/main/java/org/merlinwood/http/impl/UndertowHttpClient.java
+++ b/http/src/main/java/org/merlinwood/http/impl/UndertowHttpClient.java
@@ -18,6 +18,7 @@
 import org.merlinwood.core.result.Failure;
 import org.merlinwood.core.result.ResultCode;
 import org.merlinwood.core.time.SystemMillisClock;
+import org.merlinwood.http.ConnectionCounts;
 import org.merlinwood.http.ConnectionUse;
 import org.merlinwood.http.HttpClient;
 import org.merlinwood.http.HttpListener;
@@ -44,6 +45,7 @@
     private final boolean ownsWorker;
     private final ByteBufferPool buffers = new DefaultByteBufferPool(true, BUFFER_BYTES, MAXIMUM_POOLED_BUFFERS, 0);
     private final ConnectionPool pool = new ConnectionPool(SystemMillisClock.shared());
+    private final ConnectionTracker tracker = new ConnectionTracker();
 
     /**
      * Creates a client with its own I/O threads and starts them.
@@ -88,7 +90,7 @@
     @Override
     public HttpStream send(HttpRequest request, HttpListener listener) {
         ActiveHttpRequest activeRequest =
-                new ActiveHttpRequest(request, listener, connection -> release(request, connection));
+                new ActiveHttpRequest(request, listener, tracker, connection -> release(request, connection));
         Optional<ClientConnection> idle =
                 request.connectionUse() == ConnectionUse.POOLED ? pool.acquire(request.address()) : Optional.empty();
         if (idle.isPresent()) {
@@ -111,6 +113,11 @@
         return send(request, new ResponseCollector(consumer));
     }
 
+    @Override
+    public ConnectionCounts connectionCounts() {
+        return new ConnectionCounts(tracker.openCount(), tracker.inUseCount(), pool.idleCount());
+    }
+
     private void connect(HttpRequest request, ActiveHttpRequest activeRequest) {
         XnioIoThread thread = worker.getIoThread();
         activeRequest.startConnectTimeout(thread);
@@ -119,6 +126,7 @@
                         new ClientCallback<ClientConnection>() {
                             @Override
                             public void completed(ClientConnection connection) {
+                                tracker.opened(connection);
                                 activeRequest.start(connection);
                             }
 
