A reservation that is granted after its caller left is released

A caller that left while the reservation was on its way closed that request, and the identifier that the instance granted was never read: memory for nobody until the lease ends (2 s on the users' sites). Now that request runs to its end (at most its read timeout of 200 ms), and what it grants is released. The check before it still is cancelled: its lease is 1 ms.

--- a/gateway/src/main/java/org/merlinwood/gateway/front/MemoryReservationCall.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/MemoryReservationCall.java
@@ -34,7 +34,8 @@
     private final MemoryNeed need;
     private final long leaseMillis;
     private final Consumer<Result> consumer;
-    private Optional<HttpStream> activeRequest = Optional.empty();
+    private final Consumer<MemoryReservation> releaser;
+    private Optional<HttpStream> memoryCheck = Optional.empty();
     private boolean cancelled;
 
     /**
@@ -60,36 +61,43 @@
      * @param need memory of the response
      * @param leaseMillis lease of the reservation, in milliseconds
      * @param consumer receives the result; not called after {@link #cancel()}
+     * @param releaser releases a reservation that the instance grants after {@link #cancel()}
      */
     MemoryReservationCall(
             RequestProcessorContext context,
             UpstreamInstance instance,
             MemoryNeed need,
             long leaseMillis,
-            Consumer<Result> consumer) {
+            Consumer<Result> consumer,
+            Consumer<MemoryReservation> releaser) {
         this.context = context;
         this.instance = instance;
         this.need = need;
         this.leaseMillis = leaseMillis;
         this.consumer = consumer;
+        this.releaser = releaser;
     }
 
     void start() {
         if (need.freeTokens() > need.startTokens()) {
-            request(need.freeTokens(), CHECK_LEASE_MILLIS, this::onChecked);
+            memoryCheck = Optional.of(request(need.freeTokens(), CHECK_LEASE_MILLIS, this::onChecked));
         } else {
             reserveStart();
         }
     }
 
-    /** Cancels the call. A reservation that the instance has granted meanwhile ends with its lease. */
+    /**
+     * Cancels the call. The request for the reservation itself is not interrupted: the instance may have granted it
+     * already, and only its response tells what to release.
+     */
     @Override
     public void cancel() {
         cancelled = true;
-        activeRequest.ifPresent(HttpStream::cancel);
+        memoryCheck.ifPresent(HttpStream::cancel);
     }
 
     private void onChecked(Either<Failure, HttpResponse> response) {
+        memoryCheck = Optional.empty();
         if (cancelled) {
             return;
         }
@@ -105,8 +113,11 @@
     }
 
     private void onReserved(Either<Failure, HttpResponse> response) {
-        if (!cancelled) {
-            consumer.accept(new Result(reservation(response), need.startTokens(), response));
+        Optional<MemoryReservation> reservation = reservation(response);
+        if (cancelled) {
+            reservation.ifPresent(releaser);
+        } else {
+            consumer.accept(new Result(reservation, need.startTokens(), response));
         }
     }
 
@@ -116,10 +127,11 @@
                 .map(identifier -> new MemoryReservation(instance, identifier));
     }
 
-    private void request(int tokens, long requestedLeaseMillis, Consumer<Either<Failure, HttpResponse>> listener) {
+    private HttpStream request(
+            int tokens, long requestedLeaseMillis, Consumer<Either<Failure, HttpResponse>> listener) {
         HttpRequest request = context.protocol()
                 .reserve(instance, tokens, requestedLeaseMillis)
                 .withTimeouts(RequestProcessor.CONNECT_TIMEOUT_MILLIS, READ_TIMEOUT_MILLIS);
-        activeRequest = Optional.of(context.client().execute(request, listener));
+        return context.client().execute(request, listener);
     }
 }
--- a/gateway/src/main/java/org/merlinwood/gateway/front/StreamRequestProcessor.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/StreamRequestProcessor.java
@@ -101,7 +101,12 @@
         MemoryNeed need = context.pool().memoryNeed(instance.identifier(), prompt, limits);
         registerGeneration(instance);
         MemoryReservationCall call = new MemoryReservationCall(
-                context, instance, need, limits.reservationMillis(), result -> onReservationResult(instance, result));
+                context,
+                instance,
+                need,
+                limits.reservationMillis(),
+                result -> onReservationResult(instance, result),
+                this::release);
         activeRequest = Optional.of(new UpstreamWork("reservation", instance, call));
         call.start();
     }
