--- a/gateway/src/main/java/org/merlinwood/gateway/front/StreamRequestProcessor.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/StreamRequestProcessor.java
@@ -230,7 +230,7 @@
                 .write();
         long startedMillis = context.clock().monotonicMillis();
         HttpRequest prefillRequest = context.protocol()
-                .prefill(instance, request, Math.max(1, timeLeftMillis()))
+                .prefill(instance, request, readTimeoutMillis)
                 .withTimeouts(CONNECT_TIMEOUT_MILLIS, readTimeoutMillis);
         context.pool().beginPrompt(instance.identifier(), prompt.promptTokens());
         HttpStream prefill = context.client().execute(prefillRequest, result -> {
@@ -240,9 +240,10 @@
         activeRequest = Optional.of(new UpstreamWork("prefill", instance, prefill));
     }
 
+    /** Returns how long to wait for a prefill, in milliseconds, which is also all the time that the instance gets. */
     private long prefillReadTimeoutMillis(UpstreamInstance instance) {
         long expectedMillis = context.pool().expectedPrefillMillis(instance.identifier(), prompt.promptTokens());
-        return PREFILL_READ_TIMEOUT_MARGIN_MILLIS + 2 * expectedMillis;
+        return Math.max(1, Math.min(timeLeftMillis(), PREFILL_READ_TIMEOUT_MARGIN_MILLIS + 2 * expectedMillis));
     }
 
     private void onPrefillResult(
