Instances that say they leave, or name a time, get no more requests from the entry that heard it

UpstreamClient carries all requests to instances and reads each response first; InstanceNotices keeps what was stated, for one start of one instance (registrations tell the start now); InstancePool and the orders leave such instances out. Memory reserved at an instance that leaves is released and reserved elsewhere; during a named time nothing is sent, releases included. If all have named a time, callers get the earliest end.

Not in it: peers telling each other, stand-ins and soak with the headers, the store's era.

--- /dev/null
+++ b/gateway/src/main/java/org/merlinwood/gateway/decision/InstanceNotices.java
@@ -0,0 +1,160 @@
+package org.merlinwood.gateway.decision;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.OptionalLong;
+import org.merlinwood.core.time.MillisClock;
+import org.merlinwood.gateway.fleet.UpstreamInstance;
+import org.merlinwood.gateway.upstream.InstanceNotice;
+
+/**
+ * What instances have stated about themselves to this entry: that they leave, or until when they want no request from
+ * it. Needs neither the configuration store nor other entries, so it holds also for an entry that is cut off.
+ *
+ * <p>A statement is about one incarnation of an instance: a restarted instance, or another one at the same address, is
+ * not bound by it, and a late response of a former incarnation says nothing about the current one. Confined to the
+ * event loop.
+ */
+public final class InstanceNotices {
+
+    /** Longest time for which an instance may decline all requests, in milliseconds. */
+    private static final long MAXIMUM_DECLINED_MILLIS = 300_000;
+
+    /** Number of leaving incarnations that are remembered; the oldest are dropped first. */
+    private static final int MAXIMUM_LEAVING = 4_096;
+
+    private final MillisClock clock;
+    private final Map<Incarnation, Boolean> leaving = new LinkedHashMap<>() {
+        private static final long serialVersionUID = 1;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<Incarnation, Boolean> eldest) {
+            return size() > MAXIMUM_LEAVING;
+        }
+    };
+    private final Map<Incarnation, Long> declinedUntilMillis = new HashMap<>();
+
+    /** One start of an instance. */
+    private record Incarnation(String identifier, long startedUnixMillis) {
+
+        static Incarnation of(UpstreamInstance instance) {
+            return new Incarnation(instance.identifier(), instance.startedUnixMillis());
+        }
+    }
+
+    /**
+     * Creates an empty registry.
+     *
+     * @param clock source of the monotonic time
+     */
+    public InstanceNotices(MillisClock clock) {
+        this.clock = clock;
+    }
+
+    /**
+     * Records a notice. A time that an instance names never shortens an earlier one.
+     *
+     * @param instance the instance, as it was registered when the request was sent
+     * @param notice what its response states
+     * @return true if the notice tells more than what was known
+     */
+    public boolean record(UpstreamInstance instance, InstanceNotice notice) {
+        Incarnation incarnation = Incarnation.of(instance);
+        boolean newlyLeaving = notice.leaving() && leaving.putIfAbsent(incarnation, true) == null;
+        boolean longer = notice.declinedMillis().isPresent()
+                && extendDeclined(incarnation, notice.declinedMillis().getAsLong());
+        return newlyLeaving || longer;
+    }
+
+    private boolean extendDeclined(Incarnation incarnation, long millis) {
+        long now = clock.monotonicMillis();
+        declinedUntilMillis.values().removeIf(until -> until <= now);
+        long until = now + Math.min(millis, MAXIMUM_DECLINED_MILLIS);
+        long previous = declinedUntilMillis.getOrDefault(incarnation, Long.MIN_VALUE);
+        declinedUntilMillis.put(incarnation, Math.max(previous, until));
+        return until > previous;
+    }
+
+    /**
+     * Forgets that an instance of unknown start leaves, after its registration was removed. If its start is known, a
+     * registration of the same start is of the same incarnation, which is still leaving.
+     *
+     * @param instance the last registration
+     */
+    public void onRemoved(UpstreamInstance instance) {
+        if (instance.startedUnixMillis() == UpstreamInstance.UNKNOWN_START) {
+            leaving.remove(Incarnation.of(instance));
+        }
+    }
+
+    /**
+     * Returns whether a request that has just arrived may be sent to an instance.
+     *
+     * @param instance the instance
+     * @return false if it leaves or wants no request now
+     */
+    public boolean mayReceive(UpstreamInstance instance) {
+        return !isLeaving(instance) && !isDeclining(instance);
+    }
+
+    /**
+     * Returns whether an instance has stated that it leaves.
+     *
+     * @param instance the instance
+     * @return true if this incarnation leaves
+     */
+    public boolean isLeaving(UpstreamInstance instance) {
+        return leaving.containsKey(Incarnation.of(instance));
+    }
+
+    /**
+     * Returns whether an instance wants no request from this entry now.
+     *
+     * @param instance the instance
+     * @return true if the time that it named has not passed
+     */
+    public boolean isDeclining(UpstreamInstance instance) {
+        return millisUntilAccepted(instance) > 0;
+    }
+
+    /**
+     * Returns when the first of some instances that don't leave will accept requests again.
+     *
+     * @param instances the instances
+     * @return milliseconds from now, 0 if one accepts them now; empty if all leave
+     */
+    public OptionalLong millisUntilAccepted(Collection<UpstreamInstance> instances) {
+        return instances.stream()
+                .filter(instance -> !isLeaving(instance))
+                .mapToLong(this::millisUntilAccepted)
+                .min();
+    }
+
+    /**
+     * Returns the number of incarnations that are known to leave.
+     *
+     * @return number, those that are gone by now included
+     */
+    public int leavingCount() {
+        return leaving.size();
+    }
+
+    /**
+     * Returns the number of instances that want no request from this entry now.
+     *
+     * @return number of instances
+     */
+    public int decliningCount() {
+        long now = clock.monotonicMillis();
+        return (int) declinedUntilMillis.values().stream()
+                .filter(until -> until > now)
+                .count();
+    }
+
+    private long millisUntilAccepted(UpstreamInstance instance) {
+        long now = clock.monotonicMillis();
+        return Math.max(0, declinedUntilMillis.getOrDefault(Incarnation.of(instance), now) - now);
+    }
+}
--- a/gateway/src/main/java/org/merlinwood/gateway/decision/InstancePool.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/decision/InstancePool.java
@@ -50,6 +50,7 @@
     private final Map<String, InstanceStatistics> statisticsByInstance = new HashMap<>();
     private Set<String> switching = Set.of();
     private final PrefillThroughput prefillThroughput = new PrefillThroughput();
+    private final InstanceNotices notices;
 
     /**
      * Creates a pool.
@@ -64,6 +65,28 @@
         this.clock = clock;
         this.ownDomain = ownDomain;
         this.randomizer = new TopChoiceRandomizer(seed);
+        this.notices = new InstanceNotices(clock);
+    }
+
+    /**
+     * Returns what the instances have stated about themselves. Instances that leave or decline are not chosen.
+     *
+     * @return the live registry
+     */
+    public InstanceNotices notices() {
+        return notices;
+    }
+
+    /**
+     * Returns when a service will accept requests again, if all its instances of a stage have named a time.
+     *
+     * @param service name of the service
+     * @param stage stage of the instances
+     * @return milliseconds from now, greater than 0; empty if an instance accepts requests now or all are leaving
+     */
+    public OptionalLong millisUntilAccepted(String service, Stage stage) {
+        OptionalLong millis = notices.millisUntilAccepted(registered(service, stage));
+        return millis.orElse(0) > 0 ? millis : OptionalLong.empty();
     }
 
     /**
@@ -154,12 +177,13 @@
      * @param service name of the service
      * @param prompt the request
      * @param limits limits of each instance of the service
-     * @return milliseconds from now; empty if no instance that accepts work could hold the response
+     * @return milliseconds from now; if all instances decline requests, the time until one accepts them again; empty if
+     *     no instance that accepts work could hold the response
      */
     public OptionalLong millisUntilCapacity(String service, Prompt prompt, EngineLimits limits) {
         long now = clock.monotonicMillis();
         MemoryForecast.Growth next = newGeneration(prompt);
-        return candidates(service, Stage.DECODE, Set.of()).stream()
+        OptionalLong untilCapacity = candidates(service, Stage.DECODE, Set.of()).stream()
                 .map(instance -> statistics(instance.identifier()))
                 .filter(statistics -> statistics.acceptsWork(now))
                 .map(statistics -> MemoryForecast.millisUntilFits(
@@ -167,6 +191,7 @@
                 .filter(OptionalLong::isPresent)
                 .mapToLong(OptionalLong::getAsLong)
                 .min();
+        return untilCapacity.isPresent() ? untilCapacity : millisUntilAccepted(service, Stage.DECODE);
     }
 
     private static double tokensPerMilli(InstanceStatistics statistics, EngineLimits limits) {
@@ -425,10 +450,16 @@
     }
 
     private List<UpstreamInstance> candidates(String service, Stage stage, Set<String> excluded) {
-        return fleet.instances(service).stream()
-                .filter(instance -> instance.stage() == stage)
-                .filter(instance -> !instance.leaving() && !switching.contains(instance.identifier()))
+        return registered(service, stage).stream()
+                .filter(instance -> !switching.contains(instance.identifier()))
                 .filter(instance -> !excluded.contains(instance.identifier()))
+                .filter(notices::mayReceive)
+                .toList();
+    }
+
+    private List<UpstreamInstance> registered(String service, Stage stage) {
+        return fleet.instances(service).stream()
+                .filter(instance -> instance.stage() == stage && !instance.leaving())
                 .toList();
     }
 
--- a/gateway/src/main/java/org/merlinwood/gateway/fleet/UpstreamInstance.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/fleet/UpstreamInstance.java
@@ -12,6 +12,8 @@
  * @param slots number of requests that it runs concurrently
  * @param leaving whether it is draining and accepts no new work
  * @param stage kind of work that it performs
+ * @param startedUnixMillis when it started by its own clock, in milliseconds of Unix time, or {@link #UNKNOWN_START};
+ *     only tells incarnations with the same identifier apart
  */
 public record UpstreamInstance(
         String identifier,
@@ -20,7 +22,11 @@
         String domain,
         int slots,
         boolean leaving,
-        Stage stage) {
+        Stage stage,
+        long startedUnixMillis) {
+
+    /** Start of an instance that doesn't tell it. */
+    public static final long UNKNOWN_START = 0;
 
     /**
      * Returns a copy of this instance with another stage.
@@ -29,6 +35,6 @@
      * @return the copy
      */
     public UpstreamInstance withStage(Stage newStage) {
-        return new UpstreamInstance(identifier, service, address, domain, slots, leaving, newStage);
+        return new UpstreamInstance(identifier, service, address, domain, slots, leaving, newStage, startedUnixMillis);
     }
 }
--- a/gateway/src/main/java/org/merlinwood/gateway/front/FrontHandlerFactory.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/FrontHandlerFactory.java
@@ -11,8 +11,8 @@
 import org.merlinwood.gateway.loop.EventLoop;
 import org.merlinwood.gateway.request.CallerProtocol;
 import org.merlinwood.gateway.route.RouteTable;
+import org.merlinwood.gateway.upstream.UpstreamClient;
 import org.merlinwood.gateway.upstream.UpstreamProtocol;
-import org.merlinwood.http.HttpClient;
 import org.merlinwood.operation.log.DecisionLog;
 
 /** Creates the Undertow handler of callers' requests. Used once, when the process starts. */
@@ -41,7 +41,7 @@
     public FrontHandlerFactory(
             EventLoop loop,
             MillisClock clock,
-            HttpClient client,
+            UpstreamClient client,
             UpstreamProtocol protocol,
             FleetState fleet,
             InstancePool pool,
--- a/gateway/src/main/java/org/merlinwood/gateway/front/MemoryReservationCall.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/MemoryReservationCall.java
@@ -132,6 +132,6 @@
         HttpRequest request = context.protocol()
                 .reserve(instance, tokens, requestedLeaseMillis)
                 .withTimeouts(RequestProcessor.CONNECT_TIMEOUT_MILLIS, READ_TIMEOUT_MILLIS);
-        return context.client().execute(request, listener);
+        return context.client().execute(instance, request, listener);
     }
 }
--- a/gateway/src/main/java/org/merlinwood/gateway/front/PlainRequestProcessor.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/PlainRequestProcessor.java
@@ -11,8 +11,10 @@
 import org.merlinwood.core.result.ResultCode;
 import org.merlinwood.gateway.decision.AttemptOutcome;
 import org.merlinwood.gateway.decision.CrashHistory;
+import org.merlinwood.gateway.decision.MemoryWaitPolicy;
 import org.merlinwood.gateway.decision.NextStep;
 import org.merlinwood.gateway.decision.RetryPolicy;
+import org.merlinwood.gateway.fleet.Stage;
 import org.merlinwood.gateway.fleet.UpstreamInstance;
 import org.merlinwood.gateway.request.CallerRequest;
 import org.merlinwood.gateway.route.Route;
@@ -55,12 +57,23 @@
             return;
         }
         if (choice.isEmpty()) {
-            fail(ResultCode.NO_INSTANCE, RETRY_AFTER_MILLIS, "no instance left to try");
+            fail(ResultCode.NO_INSTANCE, retryAfterMillis(), "no instance left to try");
             return;
         }
         send(choice.get());
     }
 
+    /** Returns the retry delay for the caller: until an instance accepts requests again, if all have named a time. */
+    private long retryAfterMillis() {
+        OptionalLong untilAccepted = context.pool().millisUntilAccepted(service, Stage.PLAIN);
+        return untilAccepted.isEmpty()
+                ? RETRY_AFTER_MILLIS
+                : MemoryWaitPolicy.retryAfterMillis(
+                        untilAccepted.getAsLong(),
+                        timeLeftMillis(),
+                        context.clock().monotonicMillis());
+    }
+
     @Override
     void cancelUpstream() {
         currentAttempt.ifPresent(Attempt::cancel);
@@ -96,7 +109,7 @@
         Attempt attempt = new Attempt(instance);
         currentAttempt = Optional.of(attempt);
         context.pool().beginPlainAttempt(instance.identifier());
-        attempt.stream = Optional.of(context.client().send(upstreamRequest, attempt));
+        attempt.stream = Optional.of(context.client().send(instance, upstreamRequest, attempt));
     }
 
     /** Returns the read timeout: half the time left if another attempt is allowed, so that there is time for it. */
--- a/gateway/src/main/java/org/merlinwood/gateway/front/RequestProcessorContext.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/RequestProcessorContext.java
@@ -7,8 +7,8 @@
 import org.merlinwood.gateway.decision.RetryAllowance;
 import org.merlinwood.gateway.fleet.FleetState;
 import org.merlinwood.gateway.loop.EventLoop;
+import org.merlinwood.gateway.upstream.UpstreamClient;
 import org.merlinwood.gateway.upstream.UpstreamProtocol;
-import org.merlinwood.http.HttpClient;
 import org.merlinwood.operation.log.DecisionLog;
 
 /**
@@ -30,7 +30,7 @@
 record RequestProcessorContext(
         EventLoop loop,
         MillisClock clock,
-        HttpClient client,
+        UpstreamClient client,
         UpstreamProtocol protocol,
         FleetState fleet,
         InstancePool pool,
--- a/gateway/src/main/java/org/merlinwood/gateway/front/StreamRequestProcessor.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/StreamRequestProcessor.java
@@ -129,6 +129,10 @@
             return;
         }
         reservation = result.reservation();
+        if (context.pool().notices().isLeaving(instance)) {
+            placeAgain(instance, "the instance leaves");
+            return;
+        }
         if (prefillResult.isPresent()) {
             startGeneration(instance);
         } else {
@@ -136,6 +140,19 @@
         }
     }
 
+    /** Gives up what is reserved at a decode instance and chooses another one. */
+    private void placeAgain(UpstreamInstance instance, String reason) {
+        decisionLine("placed again")
+                .with("instance", instance.identifier())
+                .with("reason", reason)
+                .write();
+        reservation.ifPresent(this::release);
+        reservation = Optional.empty();
+        unregisterGeneration();
+        excludedInstances.add(instance.identifier());
+        proceed();
+    }
+
     private void waitForMemory() {
         context.loop().schedule(EXCLUSION_RESET_MILLIS, excludedInstances::clear);
         context.demandMeter().recordNoCapacity(service);
@@ -233,7 +250,7 @@
                 .prefill(instance, request, readTimeoutMillis)
                 .withTimeouts(CONNECT_TIMEOUT_MILLIS, readTimeoutMillis);
         context.pool().beginPrompt(instance.identifier(), prompt.promptTokens());
-        HttpStream prefill = context.client().execute(prefillRequest, result -> {
+        HttpStream prefill = context.client().execute(instance, prefillRequest, result -> {
             context.pool().endPrompt(instance.identifier(), prompt.promptTokens());
             onPrefillResult(decodeInstance, instance, context.clock().monotonicMillis() - startedMillis, result);
         });
@@ -288,6 +305,10 @@
             fail(ResultCode.NO_INSTANCE, 0, "earlier attempts of this request lost their instances");
             return;
         }
+        if (context.pool().notices().isDeclining(instance)) {
+            placeAgain(instance, "the instance wants no request now");
+            return;
+        }
         AttemptTerms terms = new AttemptTerms(
                 upstreamTimeLeftMillis(),
                 reservation.map(MemoryReservation::identifier),
@@ -315,7 +336,7 @@
         GenerationAttempt generation = new GenerationAttempt(instance, prefillResult);
         reservation = Optional.empty();
         prefillResult = Optional.empty();
-        HttpStream stream = context.client().send(generationRequest, generation);
+        HttpStream stream = context.client().send(instance, generationRequest, generation);
         activeRequest = Optional.of(new UpstreamWork("generation", instance, stream));
     }
 
@@ -467,19 +488,31 @@
     }
 
     private void release(MemoryReservation unused) {
-        context.client()
-                .execute(
-                        context.protocol().releaseReservation(unused.instance(), unused.identifier()),
-                        result -> result.peekLeft(failure -> decisionLine("reservation not released")
-                                .with("reason", failure.detail())
-                                .write()));
+        release(
+                unused.instance(),
+                context.protocol().releaseReservation(unused.instance(), unused.identifier()),
+                "reservation not released");
     }
 
     private void release(PrefillResult unused) {
+        release(unused.instance(), context.protocol().releasePrefill(unused), "prompt not released");
+    }
+
+    /** Sends a release, except to an instance that wants no request now: there the lease ends by itself. */
+    private void release(UpstreamInstance instance, HttpRequest releaseRequest, String failureDecision) {
+        if (context.pool().notices().isDeclining(instance)) {
+            decisionLine(failureDecision)
+                    .with("instance", instance.identifier())
+                    .with("reason", "the instance wants no request now")
+                    .write();
+            return;
+        }
         context.client()
                 .execute(
-                        context.protocol().releasePrefill(unused),
-                        result -> result.peekLeft(failure -> decisionLine("prompt not released")
+                        instance,
+                        releaseRequest,
+                        result -> result.peekLeft(failure -> decisionLine(failureDecision)
+                                .with("instance", instance.identifier())
                                 .with("reason", failure.detail())
                                 .write()));
     }
--- a/gateway/src/main/java/org/merlinwood/gateway/order/StageOrders.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/order/StageOrders.java
@@ -20,9 +20,9 @@
 import org.merlinwood.gateway.route.EngineLimits;
 import org.merlinwood.gateway.route.UpstreamService;
 import org.merlinwood.gateway.upstream.OrderAnswer;
+import org.merlinwood.gateway.upstream.UpstreamClient;
 import org.merlinwood.gateway.upstream.UpstreamProtocol;
 import org.merlinwood.http.ConnectionUse;
-import org.merlinwood.http.HttpClient;
 import org.merlinwood.http.HttpRequest;
 import org.merlinwood.http.HttpResponse;
 import org.merlinwood.operation.log.DecisionLog;
@@ -49,7 +49,7 @@
     private final InstancePool pool;
     private final DemandMeter demandMeter;
     private final UpstreamProtocol protocol;
-    private final HttpClient client;
+    private final UpstreamClient client;
     private final MillisClock clock;
     private final DecisionLog log;
     private final String entryName;
@@ -78,7 +78,7 @@
             InstancePool pool,
             DemandMeter demandMeter,
             UpstreamProtocol protocol,
-            HttpClient client,
+            UpstreamClient client,
             MillisClock clock,
             DecisionLog log,
             String entryName) {
@@ -169,7 +169,7 @@
      */
     private StagePlan.View planView(String service) {
         List<UpstreamInstance> usable = fleet.instances(service).stream()
-                .filter(instance -> !instance.leaving())
+                .filter(instance -> !instance.leaving() && pool.notices().mayReceive(instance))
                 .map(this::withOrderedStage)
                 .toList();
         List<EntryStatus.ServiceDemand> demands = new ArrayList<>();
@@ -221,7 +221,7 @@
         HttpRequest request = protocol.order(instance, change.stage(), entryName, leadership.fencingToken())
                 .withTimeouts(RESPONSE_TIMEOUT_MILLIS, RESPONSE_TIMEOUT_MILLIS)
                 .withConnectionUse(ConnectionUse.FRESH);
-        client.execute(request, result -> onOrderResponse(instance, result));
+        client.execute(instance, request, result -> onOrderResponse(instance, result));
     }
 
     private void onOrderResponse(UpstreamInstance instance, Either<Failure, HttpResponse> result) {
--- a/gateway/src/main/java/org/merlinwood/gateway/process/GatewayProcess.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/process/GatewayProcess.java
@@ -40,6 +40,8 @@
 import org.merlinwood.gateway.peer.PeerSessions;
 import org.merlinwood.gateway.request.CallerProtocol;
 import org.merlinwood.gateway.route.RouteTable;
+import org.merlinwood.gateway.upstream.InstanceNotice;
+import org.merlinwood.gateway.upstream.UpstreamClient;
 import org.merlinwood.gateway.upstream.UpstreamProtocol;
 import org.merlinwood.http.HttpClient;
 import org.merlinwood.operation.log.DecisionLog;
@@ -115,6 +117,8 @@
                 () -> () -> client.connectionCounts().abandoned());
         this.pool = new InstancePool(
                 fleet, clock, settings.failureDomain(), settings.instance().hashCode());
+        metrics.gauge("instances_leaving", () -> () -> pool.notices().leavingCount());
+        metrics.gauge("instances_declining", () -> () -> pool.notices().decliningCount());
         this.follower = new StoreFollower(storeProtocol, client, loop, clock, new FleetUpdates());
         RetryAllowance retryAllowance = new RetryAllowance(
                 clock,
@@ -122,10 +126,11 @@
                 settings.retryRatio(),
                 settings.fixedRetriesPerWindow(),
                 this::maximumEntryCount);
+        UpstreamClient upstreamClient = new UpstreamClient(client, upstreamProtocol, this::recordNotice);
         FrontHandlerFactory handlerFactory = new FrontHandlerFactory(
                 loop,
                 clock,
-                client,
+                upstreamClient,
                 upstreamProtocol,
                 fleet,
                 pool,
@@ -141,7 +146,7 @@
                 pool,
                 demandMeter,
                 upstreamProtocol,
-                client,
+                upstreamClient,
                 clock,
                 log,
                 settings.instance());
@@ -171,6 +176,17 @@
                 .build();
     }
 
+    private void recordNotice(UpstreamInstance instance, InstanceNotice notice) {
+        if (pool.notices().record(instance, notice)) {
+            log.line("instance notice")
+                    .with("instance", instance.identifier())
+                    .with("startedUnixMillis", instance.startedUnixMillis())
+                    .with("leaving", String.valueOf(notice.leaving()))
+                    .with("declinedMillis", notice.declinedMillis().orElse(0))
+                    .write();
+        }
+    }
+
     /** Returns the number of entries that share the retry allowance. */
     private int maximumEntryCount() {
         return EntryCountBound.of(peers.maximumKnownCount() + 1, peers.memberListReceived());
@@ -385,6 +401,7 @@
                     .flatMap(fleet::remove)
                     .ifPresent(removed -> {
                         pool.remove(removed.identifier());
+                        pool.notices().onRemoved(removed);
                         log.line("instance gone")
                                 .with("instance", removed.identifier())
                                 .with("revision", change.revision())
--- /dev/null
+++ b/gateway/src/main/java/org/merlinwood/gateway/upstream/UpstreamClient.java
@@ -0,0 +1,118 @@
+package org.merlinwood.gateway.upstream;
+
+import io.vavr.control.Either;
+import java.util.List;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+import org.merlinwood.core.result.Failure;
+import org.merlinwood.gateway.fleet.UpstreamInstance;
+import org.merlinwood.http.ConnectionCounts;
+import org.merlinwood.http.HttpClient;
+import org.merlinwood.http.HttpHeader;
+import org.merlinwood.http.HttpListener;
+import org.merlinwood.http.HttpRequest;
+import org.merlinwood.http.HttpResponse;
+import org.merlinwood.http.HttpStream;
+
+/**
+ * Sends all requests to upstream instances, and reports what their responses state about the instances before anything
+ * else handles them. Confined to the event loop.
+ */
+public final class UpstreamClient {
+
+    private final HttpClient client;
+    private final UpstreamProtocol protocol;
+    private final BiConsumer<UpstreamInstance, InstanceNotice> noticeConsumer;
+
+    /**
+     * Creates a client.
+     *
+     * @param client sends the requests
+     * @param protocol decodes the notices
+     * @param noticeConsumer receives the notice of each response that has one, with the instance as it was registered
+     *     when the request was sent
+     */
+    public UpstreamClient(
+            HttpClient client, UpstreamProtocol protocol, BiConsumer<UpstreamInstance, InstanceNotice> noticeConsumer) {
+        this.client = client;
+        this.protocol = protocol;
+        this.noticeConsumer = noticeConsumer;
+    }
+
+    /**
+     * Sends a request and streams the response.
+     *
+     * @param instance the instance that the request is for
+     * @param request the request
+     * @param listener receives the response
+     * @return a handle to cancel it
+     */
+    public HttpStream send(UpstreamInstance instance, HttpRequest request, HttpListener listener) {
+        return client.send(request, new NoticingListener(instance, listener));
+    }
+
+    /**
+     * Sends a request and collects the complete response.
+     *
+     * @param instance the instance that the request is for
+     * @param request the request
+     * @param consumer receives the response or the failure, exactly once
+     * @return a handle to cancel it
+     */
+    public HttpStream execute(
+            UpstreamInstance instance, HttpRequest request, Consumer<Either<Failure, HttpResponse>> consumer) {
+        return client.execute(request, result -> {
+            result.forEach(response -> readNotice(instance, response.status(), response.headers()));
+            consumer.accept(result);
+        });
+    }
+
+    /**
+     * Returns how many connections to upstreams there are.
+     *
+     * @return the current numbers
+     */
+    public ConnectionCounts connectionCounts() {
+        return client.connectionCounts();
+    }
+
+    private void readNotice(UpstreamInstance instance, int status, List<HttpHeader> headers) {
+        InstanceNotice notice = protocol.readNotice(status, headers);
+        if (!notice.equals(InstanceNotice.NONE)) {
+            noticeConsumer.accept(instance, notice);
+        }
+    }
+
+    /** Reads the notice in the head of a response and passes everything on. */
+    private final class NoticingListener implements HttpListener {
+
+        private final UpstreamInstance instance;
+        private final HttpListener listener;
+
+        private NoticingListener(UpstreamInstance instance, HttpListener listener) {
+            this.instance = instance;
+            this.listener = listener;
+        }
+
+        @Override
+        public void onHead(int status, List<HttpHeader> headers) {
+            readNotice(instance, status, headers);
+            listener.onHead(status, headers);
+        }
+
+        @Override
+        public void onBytes(byte[] bytes) {
+            listener.onBytes(bytes);
+        }
+
+        @Override
+        public void onEnd() {
+            listener.onEnd();
+        }
+
+        @Override
+        public void onFailure(Failure failure) {
+            listener.onFailure(failure);
+        }
+    }
+}
--- a/gateway/src/main/java/org/merlinwood/gateway/upstream/UpstreamProtocol.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/upstream/UpstreamProtocol.java
@@ -100,6 +100,15 @@
      */
     OrderAnswer readOrder(HttpResponse response);
 
+    /**
+     * Decodes what any response states about the instance itself.
+     *
+     * @param status HTTP status
+     * @param headers headers of the response
+     * @return the notice, {@link InstanceNotice#NONE} if it states nothing
+     */
+    InstanceNotice readNotice(int status, List<HttpHeader> headers);
+
     /**
      * Decodes the head of a response to {@link #run}.
      *
--- a/gateway/src/test/java/org/merlinwood/gateway/FakeHttpClient.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/FakeHttpClient.java
@@ -95,11 +95,13 @@
     public HttpStream execute(HttpRequest request, Consumer<Either<Failure, HttpResponse>> consumer) {
         return send(request, new HttpListener() {
             private int status;
+            private List<HttpHeader> headers = List.of();
             private final StringBuilder body = new StringBuilder();
 
             @Override
-            public void onHead(int receivedStatus, List<HttpHeader> headers) {
+            public void onHead(int receivedStatus, List<HttpHeader> receivedHeaders) {
                 status = receivedStatus;
+                headers = receivedHeaders;
             }
 
             @Override
@@ -110,7 +112,7 @@
             @Override
             public void onEnd() {
                 consumer.accept(Either.right(
-                        new HttpResponse(status, List.of(), body.toString().getBytes(StandardCharsets.UTF_8))));
+                        new HttpResponse(status, headers, body.toString().getBytes(StandardCharsets.UTF_8))));
             }
 
             @Override
--- a/gateway/src/test/java/org/merlinwood/gateway/FakeUpstreamProtocol.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/FakeUpstreamProtocol.java
@@ -4,10 +4,12 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.merlinwood.gateway.fleet.Stage;
 import org.merlinwood.gateway.fleet.UpstreamInstance;
 import org.merlinwood.gateway.request.CallerRequest;
 import org.merlinwood.gateway.upstream.AttemptTerms;
+import org.merlinwood.gateway.upstream.InstanceNotice;
 import org.merlinwood.gateway.upstream.OrderAnswer;
 import org.merlinwood.gateway.upstream.PrefillResult;
 import org.merlinwood.gateway.upstream.ResponseHead;
@@ -25,6 +27,14 @@
     /** Header of a response which states that the request was not run. */
     public static final HttpHeader NOT_RUN = new HttpHeader("not-run", "yes");
 
+    /** Header of a response which states that the instance leaves. */
+    public static final HttpHeader LEAVING = new HttpHeader("leaving", "yes");
+
+    /** Header of a response which states for how long the instance wants no request. */
+    public static HttpHeader declined(long millis) {
+        return new HttpHeader("declined-millis", String.valueOf(millis));
+    }
+
     public static HttpHeader attempt(String identifier) {
         return new HttpHeader("attempt", identifier);
     }
@@ -84,6 +94,15 @@
         return response.status() == 200 ? OrderAnswer.ACCEPTED : OrderAnswer.DECLINED;
     }
 
+    @Override
+    public InstanceNotice readNotice(int status, List<HttpHeader> headers) {
+        OptionalLong declinedMillis = headers.stream()
+                .filter(header -> header.name().equals("declined-millis"))
+                .mapToLong(header -> Long.parseLong(header.value()))
+                .findFirst();
+        return new InstanceNotice(headers.contains(LEAVING), declinedMillis);
+    }
+
     @Override
     public ResponseHead readHead(int status, List<HttpHeader> headers) {
         String attempt = headers.stream()
--- /dev/null
+++ b/gateway/src/test/java/org/merlinwood/gateway/decision/InstanceNoticesTest.java
@@ -0,0 +1,111 @@
+package org.merlinwood.gateway.decision;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.OptionalLong;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.merlinwood.core.time.ManualMillisClock;
+import org.merlinwood.gateway.fleet.Stage;
+import org.merlinwood.gateway.fleet.UpstreamInstance;
+import org.merlinwood.gateway.upstream.InstanceNotice;
+
+final class InstanceNoticesTest {
+
+    private static final long LONGEST_DECLINED_MILLIS = 300_000;
+
+    private final ManualMillisClock clock = new ManualMillisClock(5_000);
+    private final InstanceNotices notices = new InstanceNotices(clock);
+
+    private static UpstreamInstance instance(String identifier, long startedUnixMillis) {
+        return new UpstreamInstance(
+                identifier,
+                "service",
+                new InetSocketAddress("127.0.0.1", 1),
+                "near",
+                4,
+                false,
+                Stage.PLAIN,
+                startedUnixMillis);
+    }
+
+    private static InstanceNotice leaving() {
+        return new InstanceNotice(true, OptionalLong.empty());
+    }
+
+    private static InstanceNotice declined(long millis) {
+        return new InstanceNotice(false, OptionalLong.of(millis));
+    }
+
+    @Test
+    void leavingInstanceGetsNothingForGood() {
+        assertThat(notices.record(instance("i-1", 7), leaving())).isTrue();
+        clock.advanceMillis(10 * LONGEST_DECLINED_MILLIS);
+        assertThat(notices.mayReceive(instance("i-1", 7))).isFalse();
+        assertThat(notices.record(instance("i-1", 7), leaving())).isFalse();
+    }
+
+    /** Guards against an address or an identifier that stays closed after its next instance has started. */
+    @ParameterizedTest
+    @CsvSource({"i-1, 8, true", "i-2, 7, true", "i-1, 7, false"})
+    void noticeIsAboutOneStartOfOneInstance(String identifier, long startedUnixMillis, boolean mayReceive) {
+        notices.record(instance("i-1", 7), leaving());
+        assertThat(notices.mayReceive(instance(identifier, startedUnixMillis))).isEqualTo(mayReceive);
+    }
+
+    @ParameterizedTest
+    @CsvSource({"7, false", "0, true"})
+    void removedInstanceMayReturnOnlyIfItsStartIsUnknown(long startedUnixMillis, boolean mayReceive) {
+        UpstreamInstance instance = instance("i-1", startedUnixMillis);
+        notices.record(instance, leaving());
+        notices.onRemoved(instance);
+        assertThat(notices.mayReceive(instance)).isEqualTo(mayReceive);
+    }
+
+    @Test
+    void lateResponseOfAFormerStartDoesNotCloseTheCurrentOne() {
+        notices.record(instance("i-1", 7), leaving());
+        notices.record(instance("i-1", 7), declined(2_000));
+        assertThat(notices.mayReceive(instance("i-1", 9))).isTrue();
+    }
+
+    @Test
+    void decliningInstanceGetsNothingUntilTheTimeHasPassed() {
+        notices.record(instance("i-1", 7), declined(2_000));
+        clock.advanceMillis(1_999);
+        assertThat(notices.isDeclining(instance("i-1", 7))).isTrue();
+        clock.advanceMillis(1);
+        assertThat(notices.mayReceive(instance("i-1", 7))).isTrue();
+        assertThat(notices.decliningCount()).isZero();
+    }
+
+    @ParameterizedTest
+    @CsvSource({"3000, 1000, 3000", "1000, 3000, 3000", "1000, 900000, 300000"})
+    void latestEndHoldsWithinTheLongestTime(long first, long second, long expected) {
+        notices.record(instance("i-1", 7), declined(first));
+        notices.record(instance("i-1", 7), declined(second));
+        assertThat(notices.millisUntilAccepted(List.of(instance("i-1", 7)))).hasValue(expected);
+    }
+
+    @Test
+    void serviceAcceptsRequestsAgainWithTheFirstInstanceThatStays() {
+        notices.record(instance("i-1", 7), declined(3_000));
+        notices.record(instance("i-2", 7), declined(1_000));
+        notices.record(instance("i-2", 7), leaving());
+        assertThat(notices.millisUntilAccepted(List.of(instance("i-1", 7), instance("i-2", 7))))
+                .hasValue(3_000);
+        assertThat(notices.millisUntilAccepted(List.of(instance("i-2", 7)))).isEmpty();
+    }
+
+    @Test
+    void manyLeavingInstancesAreForgottenInTheirOrder() {
+        for (int start = 1; start <= 5_000; start++) {
+            notices.record(instance("i-1", start), leaving());
+        }
+        assertThat(notices.leavingCount()).isEqualTo(4_096);
+        assertThat(notices.isLeaving(instance("i-1", 5_000))).isTrue();
+    }
+}
--- a/gateway/src/test/java/org/merlinwood/gateway/decision/InstancePoolTest.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/decision/InstancePoolTest.java
@@ -199,7 +199,14 @@
 
     private static UpstreamInstance instance(String identifier, Stage stage, boolean leaving) {
         return new UpstreamInstance(
-                identifier, SERVICE, new InetSocketAddress("127.0.0.1", 1), "near", 16, leaving, stage);
+                identifier,
+                SERVICE,
+                new InetSocketAddress("127.0.0.1", 1),
+                "near",
+                16,
+                leaving,
+                stage,
+                UpstreamInstance.UNKNOWN_START);
     }
 
     private static EntryStatus status(String address, EntryStatus.InstanceWork work) {
--- a/gateway/src/test/java/org/merlinwood/gateway/decision/StagePlanTest.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/decision/StagePlanTest.java
@@ -72,7 +72,8 @@
                     "domain-" + index % 3,
                     16,
                     false,
-                    stage));
+                    stage,
+                    UpstreamInstance.UNKNOWN_START));
         }
     }
 }
--- a/gateway/src/test/java/org/merlinwood/gateway/front/RequestProcessorFixture.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/front/RequestProcessorFixture.java
@@ -29,6 +29,7 @@
 import org.merlinwood.gateway.route.RouteTable;
 import org.merlinwood.gateway.route.ServiceShare;
 import org.merlinwood.gateway.route.UpstreamService;
+import org.merlinwood.gateway.upstream.UpstreamClient;
 import org.merlinwood.http.HttpHeader;
 import org.merlinwood.operation.log.DecisionLog;
 
@@ -61,7 +62,10 @@
         RequestProcessorContext context = new RequestProcessorContext(
                 loop,
                 clock,
-                client,
+                new UpstreamClient(
+                        client,
+                        new FakeUpstreamProtocol(),
+                        (instance, notice) -> pool.notices().record(instance, notice)),
                 new FakeUpstreamProtocol(),
                 fleet,
                 pool,
@@ -82,7 +86,14 @@
     void register(Stage stage, String... identifiers) {
         for (String identifier : identifiers) {
             fleet.put(new UpstreamInstance(
-                    identifier, "service", new InetSocketAddress("127.0.0.1", 1), "near", 4, false, stage));
+                    identifier,
+                    "service",
+                    new InetSocketAddress("127.0.0.1", 1),
+                    "near",
+                    4,
+                    false,
+                    stage,
+                    UpstreamInstance.UNKNOWN_START));
         }
     }
 
