--- a/gateway/src/main/java/org/merlinwood/gateway/decision/EntryStatus.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/decision/EntryStatus.java
@@ -1,13 +1,14 @@
 package org.merlinwood.gateway.decision;
 
 import java.util.List;
+import org.merlinwood.gateway.follow.StorePosition;
 
 /**
  * Status message that an entry sends periodically to every other entry. Immutable.
  *
  * @param address address on which the entry accepts peer sessions, as IP:PORT
  * @param members addresses of the entries with which it has sessions
- * @param storeRevision revision of the store up to which it has seen every change
+ * @param storePosition position of the store up to which it has seen every change
  * @param work its work at each instance
  * @param lostRuns runs that ended with a lost instance since the previous status message
  * @param demands recent demand of callers, one element per service
@@ -17,7 +18,7 @@
 public record EntryStatus(
         String address,
         List<String> members,
-        long storeRevision,
+        StorePosition storePosition,
         List<InstanceWork> work,
         List<LostRun> lostRuns,
         List<ServiceDemand> demands,
--- a/gateway/src/main/java/org/merlinwood/gateway/decision/OrderLeadership.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/decision/OrderLeadership.java
@@ -71,10 +71,10 @@
      *
      * @param reachablePeers addresses of the other entries whose status messages arrive
      * @param knownPeerCount number of other entries that are known, reachable or not
-     * @param storeRevision revision of the store; no orders are issued at a revision of 0 or less
+     * @param fencingTerm number that rises with the position of the store; no orders are issued at 0 or less
      * @return true if it may
      */
-    public boolean mayIssueOrders(Collection<String> reachablePeers, int knownPeerCount, long storeRevision) {
+    public boolean mayIssueOrders(Collection<String> reachablePeers, int knownPeerCount, long fencingTerm) {
         boolean lowest = reachablePeers.stream().allMatch(address -> address.compareTo(ownAddress) > 0);
         boolean majority = 2 * (reachablePeers.size() + 1) > knownPeerCount + 1;
         if (!lowest || !majority) {
@@ -86,10 +86,10 @@
         if (lowestSinceMillis < 0) {
             lowestSinceMillis = now;
         }
-        if (tokenRejected || now - lowestSinceMillis < SETTLE_MILLIS || storeRevision <= 0) {
+        if (tokenRejected || now - lowestSinceMillis < SETTLE_MILLIS || fencingTerm <= 0) {
             return false;
         }
-        updateFencingToken(storeRevision);
+        updateFencingToken(fencingTerm);
         return true;
     }
 
@@ -110,12 +110,12 @@
         tokenRejected = true;
     }
 
-    private void updateFencingToken(long storeRevision) {
+    private void updateFencingToken(long fencingTerm) {
         if (fencingToken != 0 && fencingToken >= highestFencingToken) {
             return;
         }
-        long revision = Math.max(storeRevision, (highestFencingToken >> ENTRY_NUMBER_BITS) + 1);
-        fencingToken = revision << ENTRY_NUMBER_BITS | entryNumber;
+        long term = Math.max(fencingTerm, (highestFencingToken >> ENTRY_NUMBER_BITS) + 1);
+        fencingToken = term << ENTRY_NUMBER_BITS | entryNumber;
         highestFencingToken = fencingToken;
     }
 }
--- a/gateway/src/main/java/org/merlinwood/gateway/fleet/FleetState.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/fleet/FleetState.java
@@ -68,6 +68,16 @@
         return routes;
     }
 
+    /**
+     * Returns a registered instance.
+     *
+     * @param identifier identifier of the instance
+     * @return latest registration, or empty if the instance is not registered
+     */
+    public Optional<UpstreamInstance> find(String identifier) {
+        return Optional.ofNullable(byIdentifier.get(identifier));
+    }
+
     /**
      * Returns the registered instances of a service, including those that are leaving.
      *
--- a/gateway/src/main/java/org/merlinwood/gateway/follow/StoreCopy.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/follow/StoreCopy.java
@@ -1,6 +1,7 @@
 package org.merlinwood.gateway.follow;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -11,7 +12,7 @@
  * Latest known state of every key in the store. Recently removed keys are retained, so that removals can be relayed to
  * peers.
  *
- * <p>Not thread-safe: used on the event loop only. A key is never replaced by a state of an older revision.
+ * <p>Not thread-safe: used on the event loop only. A key is never replaced by a state of an earlier position.
  */
 public final class StoreCopy {
 
@@ -19,18 +20,18 @@
     private static final int RETAINED_REMOVALS = 4_096;
 
     private final Map<String, StoreChange> keys = new HashMap<>();
-    private long revision;
+    private StorePosition position = StorePosition.START;
     private int removalCount;
 
     /**
      * Applies a change.
      *
      * @param change new state of a key
-     * @return false if the key already has a state of the same or a later revision
+     * @return false if the key already has a state of the same or a later position
      */
     public boolean apply(StoreChange change) {
         StoreChange previous = keys.get(change.key());
-        if (previous != null && previous.revision() >= change.revision()) {
+        if (previous != null && !change.position().isAfter(previous.position())) {
             return false;
         }
         keys.put(change.key(), change);
@@ -42,32 +43,45 @@
     }
 
     /**
-     * Records that all changes up to a revision have been applied.
+     * Records that all changes up to a position have been applied.
      *
-     * @param completeRevision the revision; ignored if it is lower than the current one
+     * @param complete the position; ignored if it is earlier than the current one
      */
-    public void advance(long completeRevision) {
-        revision = Math.max(revision, completeRevision);
+    public void advance(StorePosition complete) {
+        if (complete.isAfter(position)) {
+            position = complete;
+        }
+    }
+
+    /**
+     * Returns the position up to which all changes have been applied.
+     *
+     * @return the position, or {@link StorePosition#START} before the first listing is complete
+     */
+    public StorePosition position() {
+        return position;
     }
 
     /**
-     * Returns the revision up to which all changes have been applied.
+     * Returns whether a key is known to be removed.
      *
-     * @return the revision, or 0 before the first listing is complete
+     * @param key key in the store
+     * @return false if it is present or was never seen
      */
-    public long revision() {
-        return revision;
+    public boolean isRemoved(String key) {
+        StoreChange change = keys.get(key);
+        return change != null && change.value().isEmpty();
     }
 
     /**
-     * Returns the keys that changed after a revision.
+     * Returns the keys that changed after a position.
      *
-     * @param after revision of the store, exclusive
+     * @param after position of the store, exclusive
      * @return latest state of each key that changed later, in no particular order
      */
-    public List<StoreChange> changesAfter(long after) {
+    public List<StoreChange> changesAfter(StorePosition after) {
         return keys.values().stream()
-                .filter(change -> change.revision() > after)
+                .filter(change -> change.position().isAfter(after))
                 .toList();
     }
 
@@ -76,13 +90,13 @@
      * started are not included.
      *
      * @param listed all keys of the listing
-     * @param upTo revision at the start of the listing
-     * @return a removal at revision {@code upTo} for each missing key
+     * @param upTo position at the start of the listing
+     * @return a removal at position {@code upTo} for each missing key
      */
-    public List<StoreChange> missingFrom(Set<String> listed, long upTo) {
+    public List<StoreChange> missingFrom(Set<String> listed, StorePosition upTo) {
         List<StoreChange> missing = new ArrayList<>();
         for (StoreChange change : keys.values()) {
-            if (change.value().isPresent() && change.revision() <= upTo && !listed.contains(change.key())) {
+            if (change.value().isPresent() && !change.position().isAfter(upTo) && !listed.contains(change.key())) {
                 missing.add(new StoreChange(change.key(), upTo, Optional.empty()));
             }
         }
@@ -95,7 +109,7 @@
         }
         keys.values().stream()
                 .filter(change -> change.value().isEmpty())
-                .min((one, other) -> Long.compare(one.revision(), other.revision()))
+                .min(Comparator.comparing(StoreChange::position))
                 .ifPresent(oldest -> {
                     keys.remove(oldest.key());
                     removalCount--;
--- a/gateway/src/main/java/org/merlinwood/gateway/follow/StoreFollower.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/follow/StoreFollower.java
@@ -5,7 +5,9 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Collectors;
 import org.merlinwood.core.result.Failure;
 import org.merlinwood.core.time.MillisClock;
 import org.merlinwood.gateway.loop.EventLoop;
@@ -43,6 +45,7 @@
 
     /**
      * Delay of a removal while the store is unstable, in milliseconds: the platform's limit for renewing registrations.
+     * After a restore it also delays changes that a backup may bring back.
      */
     static final long REMOVAL_DELAY_MILLIS = 2_000;
 
@@ -52,9 +55,11 @@
     private final MillisClock clock;
     private final StoreListener listener;
     private final StoreCopy copy = new StoreCopy();
-    private final Map<String, StoreChange> delayedRemovals = new HashMap<>();
+    private final Map<String, StoreChange> delayedChanges = new HashMap<>();
     private long lastFailureMillis = Long.MIN_VALUE / 2;
     private long lastAdvanceMillis;
+    private long era;
+    private long restoredMillis = Long.MIN_VALUE / 2;
     private boolean reachable;
     private boolean listed;
 
@@ -82,51 +87,68 @@
     }
 
     /**
-     * Returns the revision up to which all changes have been applied and may be relayed to peers.
+     * Returns the position up to which all changes have been applied and may be relayed to peers.
      *
-     * @return the revision; lower than that of any delayed removal
+     * @return the position; earlier than that of any delayed change
      */
-    public long revision() {
-        return delayedRemovals.values().stream()
-                .mapToLong(StoreChange::revision)
-                .reduce(copy.revision(), (one, other) -> Math.min(one, other - 1));
+    public StorePosition position() {
+        return delayedChanges.values().stream()
+                .map(change -> change.position().previous())
+                .reduce(copy.position(), (one, other) -> one.isAfter(other) ? other : one);
     }
 
     /**
-     * Returns whether a peer has a later revision and this copy has not advanced for {@link #RELAY_DELAY_MILLIS}.
+     * Returns the era of the store.
      *
-     * @param peerRevision revision of the peer
+     * @return the highest era that the store or a peer has told
+     */
+    public long era() {
+        return era;
+    }
+
+    /**
+     * Returns whether a peer has a later position and this copy has not advanced for {@link #RELAY_DELAY_MILLIS}.
+     *
+     * @param peerPosition position of the peer
      * @return true if changes should be requested from the peer
      */
-    public boolean isBehind(long peerRevision) {
-        return peerRevision > revision() && clock.monotonicMillis() - lastAdvanceMillis > RELAY_DELAY_MILLIS;
+    public boolean isBehind(StorePosition peerPosition) {
+        return peerPosition.isAfter(position()) && clock.monotonicMillis() - lastAdvanceMillis > RELAY_DELAY_MILLIS;
     }
 
     /**
      * Returns the changes to relay to a peer.
      *
-     * @param after revision of the peer
-     * @return latest state of each key that changed after that revision
+     * @param after position of the peer
+     * @return latest state of each key that changed after that position
      */
-    public List<StoreChange> changesAfter(long after) {
+    public List<StoreChange> changesAfter(StorePosition after) {
         return copy.changesAfter(after);
     }
 
     /**
-     * Applies changes relayed by a peer. Removals are not delayed.
+     * Applies changes relayed by a peer. Removals are not delayed, except after a restore. A peer that has not seen the
+     * latest restore is ignored.
      *
-     * @param changes changed and removed keys
-     * @param revision revision up to which the changes are complete
+     * @param changes changed and removed keys; all keys if the position is of an era that is new here
+     * @param position position up to which the changes are complete
      */
-    public void applyRelayed(List<StoreChange> changes, long revision) {
-        changes.forEach(this::applyNow);
-        advance(revision);
+    public void applyRelayed(List<StoreChange> changes, StorePosition position) {
+        if (position.era() < era) {
+            return;
+        }
+        if (observeEra(position.era())) {
+            Set<String> keys = changes.stream().map(StoreChange::key).collect(Collectors.toSet());
+            copy.missingFrom(keys, position).forEach(this::apply);
+        }
+        changes.forEach(isRestoring() ? this::apply : this::applyNow);
+        advance(position);
     }
 
     private static final class Listing {
         private final Set<String> keys = new HashSet<>();
         private String afterKey = "";
-        private long startRevision = -1;
+        private Optional<StorePosition> start = Optional.empty();
     }
 
     private void list(Listing listing) {
@@ -136,6 +158,10 @@
     private void onPage(Listing listing, StoreResponse response) {
         switch (response) {
             case StoreResponse.Changes page -> {
+                if (isOfOtherEra(listing, page)) {
+                    list(new Listing());
+                    return;
+                }
                 applyPage(listing, page);
                 if (page.hasMore() && !page.changes().isEmpty()) {
                     list(listing);
@@ -149,9 +175,17 @@
         }
     }
 
+    /** Returns whether the store was restored between the first page of a listing and this one. */
+    private static boolean isOfOtherEra(Listing listing, StoreResponse.Changes page) {
+        return listing.start
+                .filter(start -> start.era() != page.position().era())
+                .isPresent();
+    }
+
     private void applyPage(Listing listing, StoreResponse.Changes page) {
-        if (listing.startRevision < 0) {
-            listing.startRevision = page.revision();
+        if (listing.start.isEmpty()) {
+            listing.start = Optional.of(page.position());
+            observeEra(page.position().era());
         }
         for (StoreChange change : page.changes()) {
             listing.keys.add(change.key());
@@ -161,28 +195,35 @@
     }
 
     private void finishListing(Listing listing) {
-        copy.missingFrom(listing.keys, listing.startRevision).forEach(this::apply);
-        advance(listing.startRevision);
+        StorePosition start = listing.start.orElseThrow();
+        copy.missingFrom(listing.keys, start).forEach(this::apply);
+        advance(start);
         listed = true;
-        watch(listing.startRevision);
+        watch(start);
     }
 
-    private void watch(long after) {
+    private void watch(StorePosition after) {
         send(
-                protocol.watch(after, WATCH_WAIT_MILLIS),
+                protocol.watch(after.revision(), WATCH_WAIT_MILLIS),
                 WATCH_WAIT_MILLIS + RESPONSE_TIMEOUT_MILLIS,
                 response -> onWatchResponse(after, response));
     }
 
-    private void onWatchResponse(long after, StoreResponse response) {
+    private void onWatchResponse(StorePosition after, StoreResponse response) {
         switch (response) {
             case StoreResponse.Changes changes -> {
+                if (changes.position().era() != after.era()) {
+                    // The revision that the watch started from is of another history.
+                    list(new Listing());
+                    return;
+                }
                 changes.changes().forEach(this::apply);
-                advance(changes.revision());
-                loop.schedule(WATCH_PAUSE_MILLIS, () -> watch(Math.max(after, changes.revision())));
+                advance(changes.position());
+                StorePosition next = changes.position().isAfter(after) ? changes.position() : after;
+                loop.schedule(WATCH_PAUSE_MILLIS, () -> watch(next));
             }
             case StoreResponse.HistoryCompacted compacted -> {
-                recordFailure("the store no longer retains changes after revision " + after);
+                recordFailure("the store no longer retains changes after revision " + after.revision());
                 list(new Listing());
             }
             case StoreResponse.Failed failed -> loop.schedule(RETRY_DELAY_MILLIS, () -> watch(after));
@@ -201,7 +242,7 @@
 
     private StoreResponse classify(Either<Failure, HttpResponse> result) {
         StoreResponse response = result.fold(
-                failure -> new StoreResponse.Failed(failure.code() + ": " + failure.detail()), protocol::read);
+                failure -> new StoreResponse.Failed(failure.code() + ": " + failure.detail()), this::readCurrentEra);
         if (response instanceof StoreResponse.Failed failed) {
             recordFailure(failed.reason());
         } else if (!reachable) {
@@ -211,6 +252,37 @@
         return response;
     }
 
+    /** Reads a response; a late one that was sent before the latest known restore counts as failed. */
+    private StoreResponse readCurrentEra(HttpResponse httpResponse) {
+        StoreResponse response = protocol.read(httpResponse);
+        return response instanceof StoreResponse.Changes changes
+                        && changes.position().era() < era
+                ? new StoreResponse.Failed("the response is older than the restore of the store")
+                : response;
+    }
+
+    /**
+     * Begins an era if it is higher than the known one; returns whether this copy was of an earlier era. Its position
+     * stays in that era until all keys of the new one are read.
+     */
+    private boolean observeEra(long observedEra) {
+        if (observedEra <= era) {
+            return false;
+        }
+        long previousEra = era;
+        era = observedEra;
+        if (!listed) {
+            return false;
+        }
+        restoredMillis = clock.monotonicMillis();
+        listener.onRestored(previousEra, era);
+        return true;
+    }
+
+    private boolean isRestoring() {
+        return clock.monotonicMillis() - restoredMillis < REMOVAL_DELAY_MILLIS;
+    }
+
     private void recordFailure(String reason) {
         lastFailureMillis = clock.monotonicMillis();
         if (reachable) {
@@ -219,34 +291,45 @@
         }
     }
 
-    private void advance(long revision) {
-        if (revision > copy.revision()) {
+    private void advance(StorePosition position) {
+        if (position.isAfter(copy.position())) {
             lastAdvanceMillis = clock.monotonicMillis();
         }
-        copy.advance(revision);
+        copy.advance(position);
     }
 
     private void apply(StoreChange change) {
-        boolean unstable = clock.monotonicMillis() - lastFailureMillis < UNSTABLE_MILLIS;
-        if (change.value().isEmpty() && unstable) {
-            delayRemoval(change);
+        if (mayBeTemporary(change)) {
+            delay(change);
         } else {
             applyNow(change);
         }
     }
 
-    private void delayRemoval(StoreChange removal) {
-        delayedRemovals.put(removal.key(), removal);
+    /**
+     * Returns whether a change may be undone within {@link #REMOVAL_DELAY_MILLIS}: a registration that expired during
+     * an outage, or a key that is missing or older in the backup from which the store was restored.
+     */
+    private boolean mayBeTemporary(StoreChange change) {
+        boolean unstable = clock.monotonicMillis() - lastFailureMillis < UNSTABLE_MILLIS;
+        if (change.value().isEmpty()) {
+            return unstable || isRestoring();
+        }
+        return isRestoring() && (copy.isRemoved(change.key()) || listener.revives(change));
+    }
+
+    private void delay(StoreChange change) {
+        delayedChanges.put(change.key(), change);
         loop.schedule(REMOVAL_DELAY_MILLIS, () -> {
-            if (delayedRemovals.remove(removal.key(), removal)) {
-                applyNow(removal);
+            if (delayedChanges.remove(change.key(), change)) {
+                applyNow(change);
             }
         });
     }
 
     private void applyNow(StoreChange change) {
-        delayedRemovals.computeIfPresent(
-                change.key(), (key, removal) -> removal.revision() <= change.revision() ? null : removal);
+        delayedChanges.computeIfPresent(
+                change.key(), (key, delayed) -> delayed.position().isAfter(change.position()) ? delayed : null);
         if (copy.apply(change)) {
             listener.onChange(change);
         }
--- a/gateway/src/main/java/org/merlinwood/gateway/follow/StoreResponse.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/follow/StoreResponse.java
@@ -10,9 +10,9 @@
      *
      * @param changes state of each listed or changed key, in any order
      * @param hasMore whether the listing has another page
-     * @param revision revision of the store at the time of the response
+     * @param position position of the store at the time of the response
      */
-    record Changes(List<StoreChange> changes, boolean hasMore, long revision) implements StoreResponse {
+    record Changes(List<StoreChange> changes, boolean hasMore, StorePosition position) implements StoreResponse {
 
         public Changes {
             changes = List.copyOf(changes);
--- a/gateway/src/main/java/org/merlinwood/gateway/order/StageOrders.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/order/StageOrders.java
@@ -139,11 +139,11 @@
      * Issues an order if this entry may issue orders and a change of stage is due. Call several times a second.
      *
      * @param knownEntries number of other known entries, reachable or not
-     * @param storeRevision revision of the configuration store, used for the fencing token
+     * @param fencingTerm number that rises with the position of the configuration store, the start of the fencing token
      */
-    public void issueIfDue(int knownEntries, long storeRevision) {
+    public void issueIfDue(int knownEntries, long fencingTerm) {
         removeFinishedSwitches();
-        boolean mayIssue = leadership.mayIssueOrders(peerStatuses.keySet(), knownEntries, storeRevision);
+        boolean mayIssue = leadership.mayIssueOrders(peerStatuses.keySet(), knownEntries, fencingTerm);
         if (!mayIssue) {
             rateHistories.clear();
             return;
--- a/gateway/src/main/java/org/merlinwood/gateway/peer/PeerListener.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/peer/PeerListener.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import org.merlinwood.gateway.decision.EntryStatus;
 import org.merlinwood.gateway.follow.StoreChange;
+import org.merlinwood.gateway.follow.StorePosition;
 
 /** Supplies the status and store changes of this entry to its peers, and receives theirs. Called on the event loop. */
 public interface PeerListener {
@@ -39,25 +40,25 @@
     boolean isBehind(EntryStatus status);
 
     /**
-     * Returns the revision of the store up to which this entry has all changes.
+     * Returns the position of the store up to which this entry has all changes.
      *
-     * @return the revision, or 0 before the first listing is complete
+     * @return the position, or {@link StorePosition#START} before the first listing is complete
      */
-    long storeRevision();
+    StorePosition storePosition();
 
     /**
      * Returns the store changes to relay to another entry.
      *
-     * @param after revision of the other entry
-     * @return latest state of each key that changed after that revision
+     * @param after position of the other entry
+     * @return latest state of each key that changed after that position
      */
-    List<StoreChange> changesAfter(long after);
+    List<StoreChange> changesAfter(StorePosition after);
 
     /**
      * Called with store changes relayed by another entry.
      *
      * @param changes changed and removed keys
-     * @param revision revision up to which the changes are complete
+     * @param position position up to which the changes are complete
      */
-    void onChanges(List<StoreChange> changes, long revision);
+    void onChanges(List<StoreChange> changes, StorePosition position);
 }
--- a/gateway/src/main/java/org/merlinwood/gateway/peer/PeerMessages.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/peer/PeerMessages.java
@@ -7,6 +7,7 @@
 import org.merlinwood.gateway.decision.EntryStatus;
 import org.merlinwood.gateway.decision.MemoryForecast;
 import org.merlinwood.gateway.follow.StoreChange;
+import org.merlinwood.gateway.follow.StorePosition;
 import org.merlinwood.wire.Frame;
 import org.merlinwood.wire.StoreChanges;
 import org.merlinwood.wire.StoreChangesRequest;
@@ -21,7 +22,8 @@
         org.merlinwood.wire.EntryNews.Builder builder = org.merlinwood.wire.EntryNews.newBuilder()
                 .setAddress(status.address())
                 .addAllMembers(status.members())
-                .setStoreRevision(status.storeRevision())
+                .setStoreRevision(status.storePosition().revision())
+                .setStoreEra(status.storePosition().era())
                 .addAllSwitching(status.switching())
                 .setHighestFence(status.highestFencingToken());
         status.demands()
@@ -41,7 +43,7 @@
         return new EntryStatus(
                 wire.getAddress(),
                 List.copyOf(wire.getMembersList()),
-                wire.getStoreRevision(),
+                new StorePosition(wire.getStoreEra(), wire.getStoreRevision()),
                 wire.getWorkList().stream().map(PeerMessages::work).toList(),
                 wire.getLostRunsList().stream()
                         .map(run -> new EntryStatus.LostRun(run.getFingerprint(), run.getInstance()))
@@ -54,16 +56,28 @@
                 wire.getHighestFence());
     }
 
-    static Frame.Builder changesRequest(long after) {
+    static Frame.Builder changesRequest(StorePosition after) {
         return Frame.newBuilder()
-                .setStoreChangesRequest(StoreChangesRequest.newBuilder().setAfter(after));
+                .setStoreChangesRequest(StoreChangesRequest.newBuilder()
+                        .setAfter(after.revision())
+                        .setAfterEra(after.era()));
     }
 
-    static Frame.Builder changes(List<StoreChange> changes, long revision) {
-        StoreChanges.Builder builder = StoreChanges.newBuilder().setRevision(revision);
+    static StorePosition after(StoreChangesRequest wire) {
+        return new StorePosition(wire.getAfterEra(), wire.getAfter());
+    }
+
+    static StorePosition position(StoreChanges wire) {
+        return new StorePosition(wire.getEra(), wire.getRevision());
+    }
+
+    static Frame.Builder changes(List<StoreChange> changes, StorePosition position) {
+        StoreChanges.Builder builder =
+                StoreChanges.newBuilder().setRevision(position.revision()).setEra(position.era());
         changes.forEach(change -> builder.addKeys(StoreKey.newBuilder()
                 .setKey(change.key())
-                .setRevision(change.revision())
+                .setRevision(change.position().revision())
+                .setEra(change.position().era())
                 .setRemoved(change.value().isEmpty())
                 .setValue(change.value().map(ByteString::copyFrom).orElse(ByteString.EMPTY))));
         return Frame.newBuilder().setStoreChanges(builder);
@@ -73,7 +87,7 @@
         return wire.getKeysList().stream()
                 .map(key -> new StoreChange(
                         key.getKey(),
-                        key.getRevision(),
+                        new StorePosition(key.getEra(), key.getRevision()),
                         key.getRemoved()
                                 ? Optional.empty()
                                 : Optional.of(key.getValue().toByteArray())))
--- a/gateway/src/main/java/org/merlinwood/gateway/peer/PeerSessions.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/peer/PeerSessions.java
@@ -14,6 +14,7 @@
 import org.merlinwood.core.result.ResultCode;
 import org.merlinwood.core.time.MillisClock;
 import org.merlinwood.gateway.decision.EntryStatus;
+import org.merlinwood.gateway.follow.StorePosition;
 import org.merlinwood.gateway.loop.EventLoop;
 import org.merlinwood.operation.log.DecisionLog;
 import org.merlinwood.protocol.AuthenticationKey;
@@ -173,8 +174,7 @@
         public void onFrame(Exchange source, Frame frame) {
             if (frame.hasStoreChanges()) {
                 loop.execute(() -> listener.onChanges(
-                        PeerMessages.changes(frame.getStoreChanges()),
-                        frame.getStoreChanges().getRevision()));
+                        PeerMessages.changes(frame.getStoreChanges()), PeerMessages.position(frame.getStoreChanges())));
             }
         }
 
@@ -240,8 +240,7 @@
                 switch (frame.getBodyCase()) {
                     case ENTRY_NEWS -> loop.execute(() -> onStatus(frame));
                     case STORE_CHANGES_REQUEST ->
-                        loop.execute(() -> sendChanges(
-                                source, frame.getStoreChangesRequest().getAfter()));
+                        loop.execute(() -> sendChanges(source, PeerMessages.after(frame.getStoreChangesRequest())));
                     default -> source.connection().close(ResultCode.PROTOCOL_VIOLATION);
                 }
             }
@@ -264,13 +263,13 @@
             Member member = members.get(status.address());
             if (member != null) {
                 member.exchange.ifPresent(
-                        exchange -> exchange.send(PeerMessages.changesRequest(listener.storeRevision())));
+                        exchange -> exchange.send(PeerMessages.changesRequest(listener.storePosition())));
             }
         }
     }
 
-    private void sendChanges(Exchange exchange, long after) {
-        exchange.send(PeerMessages.changes(listener.changesAfter(after), listener.storeRevision()));
+    private void sendChanges(Exchange exchange, StorePosition after) {
+        exchange.send(PeerMessages.changes(listener.changesAfter(after), listener.storePosition()));
     }
 
     /**
--- a/gateway/src/main/java/org/merlinwood/gateway/process/GatewayProcess.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/process/GatewayProcess.java
@@ -29,6 +29,7 @@
 import org.merlinwood.gateway.follow.StoreChange;
 import org.merlinwood.gateway.follow.StoreFollower;
 import org.merlinwood.gateway.follow.StoreListener;
+import org.merlinwood.gateway.follow.StorePosition;
 import org.merlinwood.gateway.follow.StoreProtocol;
 import org.merlinwood.gateway.front.FrontHandlerFactory;
 import org.merlinwood.gateway.front.OpenRequests;
@@ -120,6 +121,7 @@
         metrics.gauge("instances_leaving", () -> () -> pool.notices().leavingCount());
         metrics.gauge("instances_declining", () -> () -> pool.notices().decliningCount());
         this.follower = new StoreFollower(storeProtocol, client, loop, clock, new FleetUpdates());
+        metrics.gauge("store_era", () -> follower::era);
         RetryAllowance retryAllowance = new RetryAllowance(
                 clock,
                 settings.retryWindowMillis(),
@@ -302,12 +304,12 @@
         public EntryStatus status(String address, List<String> members) {
             pool.entryCount(peers.knownCount() + 1);
             if (settings.fencedOrders() && !drainPolicy.draining()) {
-                orders.issueIfDue(peers.knownCount(), follower.revision());
+                orders.issueIfDue(peers.knownCount(), follower.position().fencingTerm());
             }
             return new EntryStatus(
                     address,
                     members,
-                    follower.revision(),
+                    follower.position(),
                     pool.work(),
                     crashHistory.drainUnsentLosses(),
                     demandMeter.demands(),
@@ -331,27 +333,27 @@
 
         @Override
         public boolean isBehind(EntryStatus status) {
-            return follower.isBehind(status.storeRevision());
+            return follower.isBehind(status.storePosition());
         }
 
         @Override
-        public long storeRevision() {
-            return follower.revision();
+        public StorePosition storePosition() {
+            return follower.position();
         }
 
         @Override
-        public List<StoreChange> changesAfter(long after) {
+        public List<StoreChange> changesAfter(StorePosition after) {
             return follower.changesAfter(after);
         }
 
         @Override
-        public void onChanges(List<StoreChange> changes, long revision) {
+        public void onChanges(List<StoreChange> changes, StorePosition position) {
             log.line("changes relayed")
                     .with("changes", changes.size())
-                    .with("from", follower.revision())
-                    .with("to", revision)
+                    .with("from", follower.position().toString())
+                    .with("to", position.toString())
                     .write();
-            follower.applyRelayed(changes, revision);
+            follower.applyRelayed(changes, position);
         }
     }
 
@@ -367,7 +369,7 @@
             Optional<UpstreamInstance> instance =
                     change.value().flatMap(value -> storeProtocol.readInstance(change.key(), value));
             if (instance.isPresent()) {
-                put(instance.get(), change.revision());
+                put(instance.get(), change.position());
             } else {
                 remove(change);
             }
@@ -381,7 +383,7 @@
                     .write();
         }
 
-        private void put(UpstreamInstance instance, long revision) {
+        private void put(UpstreamInstance instance, StorePosition position) {
             Optional<UpstreamInstance> previous = fleet.put(instance);
             if (!previous.equals(Optional.of(instance))) {
                 log.line("instance registered")
@@ -390,7 +392,8 @@
                         .with("address", instance.address().toString())
                         .with("stage", instance.stage().name())
                         .with("leaving", String.valueOf(instance.leaving()))
-                        .with("revision", revision)
+                        .with("revision", position.revision())
+                        .with("era", position.era())
                         .write();
             }
         }
@@ -404,11 +407,31 @@
                         pool.notices().onRemoved(removed);
                         log.line("instance gone")
                                 .with("instance", removed.identifier())
-                                .with("revision", change.revision())
+                                .with("revision", change.position().revision())
+                                .with("era", change.position().era())
                                 .write();
                     });
         }
 
+        @Override
+        public boolean revives(StoreChange change) {
+            Optional<UpstreamInstance> instance =
+                    change.value().flatMap(value -> storeProtocol.readInstance(change.key(), value));
+            return instance.filter(changed -> !changed.leaving())
+                    .flatMap(changed -> fleet.find(changed.identifier())
+                            .filter(UpstreamInstance::leaving)
+                            .filter(known -> known.startedUnixMillis() == changed.startedUnixMillis()))
+                    .isPresent();
+        }
+
+        @Override
+        public void onRestored(long previousEra, long era) {
+            log.line("store restored")
+                    .with("previousEra", previousEra)
+                    .with("era", era)
+                    .write();
+        }
+
         @Override
         public void onReachable(boolean reachable, String reason) {
             log.line(reachable ? "store regained" : "store lost")
--- a/gateway/src/test/java/org/merlinwood/gateway/decision/InstancePoolTest.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/decision/InstancePoolTest.java
@@ -15,6 +15,7 @@
 import org.merlinwood.gateway.fleet.FleetState;
 import org.merlinwood.gateway.fleet.Stage;
 import org.merlinwood.gateway.fleet.UpstreamInstance;
+import org.merlinwood.gateway.follow.StorePosition;
 import org.merlinwood.gateway.request.Prompt;
 import org.merlinwood.gateway.route.EngineLimits;
 
@@ -210,6 +211,7 @@
     }
 
     private static EntryStatus status(String address, EntryStatus.InstanceWork work) {
-        return new EntryStatus(address, List.of(), 0, List.of(work), List.of(), List.of(), List.of(), 0);
+        return new EntryStatus(
+                address, List.of(), StorePosition.START, List.of(work), List.of(), List.of(), List.of(), 0);
     }
 }
--- a/gateway/src/test/java/org/merlinwood/gateway/follow/StoreFollowerTest.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/follow/StoreFollowerTest.java
@@ -2,12 +2,10 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.TreeMap;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -16,10 +14,6 @@
 import org.merlinwood.core.time.ManualMillisClock;
 import org.merlinwood.gateway.FakeHttpClient;
 import org.merlinwood.gateway.ManualLoop;
-import org.merlinwood.gateway.fleet.UpstreamInstance;
-import org.merlinwood.gateway.route.RouteTable;
-import org.merlinwood.http.HttpRequest;
-import org.merlinwood.http.HttpResponse;
 
 final class StoreFollowerTest {
 
@@ -66,12 +60,12 @@
         loop.advance(StoreFollower.RETRY_DELAY_MILLIS);
         respond("done 9 a=-@8 b=-@9");
         assertThat(values).containsOnlyKeys("a", "b");
-        assertThat(follower.revision()).isLessThan(8);
+        assertThat(follower.position().revision()).isLessThan(8);
         loop.advance(StoreFollower.WATCH_PAUSE_MILLIS);
         respond("done 11 a=1@11");
         loop.advance(StoreFollower.REMOVAL_DELAY_MILLIS);
         assertThat(values).containsOnlyKeys("a");
-        assertThat(follower.revision()).isEqualTo(11);
+        assertThat(follower.position()).isEqualTo(position(11));
     }
 
     @Test
@@ -96,33 +90,32 @@
     @Test
     void relayedChangesAreAppliedWhenOwnWatchIsBehind() {
         loop.advance(StoreFollower.RELAY_DELAY_MILLIS + 1);
-        assertThat(follower.isBehind(9)).isTrue();
-        assertThat(follower.isBehind(5)).isFalse();
-        follower.applyRelayed(List.of(change("b", "2", 9)), 9);
+        assertThat(follower.isBehind(position(9))).isTrue();
+        assertThat(follower.isBehind(position(5))).isFalse();
+        follower.applyRelayed(List.of(PlainTextStoreProtocol.change("b=2@9")), position(9));
         assertThat(values).containsEntry("b", "2");
-        assertThat(follower.isBehind(9)).isFalse();
-        assertThat(follower.changesAfter(5)).extracting(StoreChange::key).containsExactly("b");
+        assertThat(follower.isBehind(position(9))).isFalse();
+        assertThat(follower.changesAfter(position(5)))
+                .extracting(StoreChange::key)
+                .containsExactly("b");
     }
 
     @Test
     void relayedChangeDoesNotRevertKeyToOlderRevision() {
         respond("done 9 b=3@9");
-        follower.applyRelayed(List.of(change("b", "2", 7)), 7);
+        follower.applyRelayed(List.of(PlainTextStoreProtocol.change("b=2@7")), position(7));
         assertThat(values).containsEntry("b", "3");
     }
 
+    private static StorePosition position(long revision) {
+        return new StorePosition(0, revision);
+    }
+
     private void respond(String body) {
         client.last().respond(200, body);
         loop.run();
     }
 
-    private static StoreChange change(String key, String value, long revision) {
-        return new StoreChange(
-                key,
-                revision,
-                value.equals("-") ? Optional.empty() : Optional.of(value.getBytes(StandardCharsets.UTF_8)));
-    }
-
     private final class Listener implements StoreListener {
 
         @Override
@@ -134,60 +127,18 @@
         }
 
         @Override
-        public void onReachable(boolean nowReachable, String reason) {
-            reachable.add(nowReachable);
-        }
-    }
-
-    /** Reads responses of the form {@code more|done REVISION KEY=VALUE@REVISION ...}; {@code -} removes a key. */
-    private static final class PlainTextStoreProtocol implements StoreProtocol {
-
-        @Override
-        public HttpRequest list(String afterKey) {
-            return request("/list/" + afterKey);
-        }
-
-        @Override
-        public HttpRequest watch(long afterRevision, long waitMillis) {
-            return request("/watch/" + afterRevision);
-        }
-
-        @Override
-        public StoreResponse read(HttpResponse response) {
-            String[] words = response.text().split(" ", -1);
-            if (words[0].equals("gone")) {
-                return new StoreResponse.HistoryCompacted();
-            }
-            List<StoreChange> changes = new ArrayList<>();
-            for (int index = 2; index < words.length; index++) {
-                String[] parts = words[index].split("[=@]", -1);
-                changes.add(change(parts[0], parts[1], Long.parseLong(parts[2])));
-            }
-            return new StoreResponse.Changes(changes, words[0].equals("more"), Long.parseLong(words[1]));
-        }
-
-        @Override
-        public boolean isConfiguration(String key) {
+        public boolean revives(StoreChange change) {
             return false;
         }
 
         @Override
-        public Optional<RouteTable> readRoutes(byte[] value) {
-            return Optional.empty();
+        public void onRestored(long previousEra, long era) {
+            throw new AssertionError("the store was not restored");
         }
 
         @Override
-        public Optional<String> instanceIdentifier(String key) {
-            return Optional.empty();
-        }
-
-        @Override
-        public Optional<UpstreamInstance> readInstance(String key, byte[] value) {
-            return Optional.empty();
-        }
-
-        private static HttpRequest request(String path) {
-            return HttpRequest.of("GET", new InetSocketAddress("127.0.0.1", 1), path, new byte[0]);
+        public void onReachable(boolean nowReachable, String reason) {
+            reachable.add(nowReachable);
         }
     }
 }
--- a/wire-generated/src/main/java/org/merlinwood/wire/EntryNews.java
+++ b/wire-generated/src/main/java/org/merlinwood/wire/EntryNews.java
@@ -386,6 +386,21 @@
     return highestFence_;
   }
 
+  public static final int STORE_ERA_FIELD_NUMBER = 9;
+  private long storeEra_ = 0L;
+  /**
+   * <pre>
+   * Era of the store that store_revision is of.
+   * </pre>
+   *
+   * <code>uint64 store_era = 9;</code>
+   * @return The storeEra.
+   */
+  @java.lang.Override
+  public long getStoreEra() {
+    return storeEra_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -424,6 +439,9 @@
     if (highestFence_ != 0L) {
       output.writeUInt64(8, highestFence_);
     }
+    if (storeEra_ != 0L) {
+      output.writeUInt64(9, storeEra_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -482,6 +500,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt64Size(8, highestFence_);
     }
+    if (storeEra_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(9, storeEra_);
+    }
     return size;
   }
   @java.lang.Override
@@ -522,6 +544,8 @@
         .equals(other.getSwitchingList())) return false;
     if (getHighestFence()
         != other.getHighestFence()) return false;
+    if (getStoreEra()
+        != other.getStoreEra()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -561,6 +585,9 @@
     hash = (37 * hash) + HIGHEST_FENCE_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getHighestFence());
+    hash = (37 * hash) + STORE_ERA_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getStoreEra());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -724,6 +751,7 @@
       switching_ =
           com.google.protobuf.LazyStringArrayList.emptyList();
       highestFence_ = 0L;
+      storeEra_ = 0L;
       return this;
     }
 
@@ -805,6 +833,9 @@
       if (((from_bitField0_ & 0x00000080) != 0)) {
         result.highestFence_ = highestFence_;
       }
+      if (((from_bitField0_ & 0x00000100) != 0)) {
+        result.storeEra_ = storeEra_;
+      }
     }
 
     @java.lang.Override
@@ -928,6 +959,9 @@
       if (other.getHighestFence() != 0L) {
         setHighestFence(other.getHighestFence());
       }
+      if (other.getStoreEra() != 0L) {
+        setStoreEra(other.getStoreEra());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1016,6 +1050,11 @@
               bitField0_ |= 0x00000080;
               break;
             } // case 64
+            case 72: {
+              storeEra_ = input.readUInt64();
+              bitField0_ |= 0x00000100;
+              break;
+            } // case 72
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -2281,6 +2320,50 @@
       return this;
     }
 
+    private long storeEra_ ;
+    /**
+     * <pre>
+     * Era of the store that store_revision is of.
+     * </pre>
+     *
+     * <code>uint64 store_era = 9;</code>
+     * @return The storeEra.
+     */
+    @java.lang.Override
+    public long getStoreEra() {
+      return storeEra_;
+    }
+    /**
+     * <pre>
+     * Era of the store that store_revision is of.
+     * </pre>
+     *
+     * <code>uint64 store_era = 9;</code>
+     * @param value The storeEra to set.
+     * @return This builder for chaining.
+     */
+    public Builder setStoreEra(long value) {
+
+      storeEra_ = value;
+      bitField0_ |= 0x00000100;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Era of the store that store_revision is of.
+     * </pre>
+     *
+     * <code>uint64 store_era = 9;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearStoreEra() {
+      bitField0_ = (bitField0_ & ~0x00000100);
+      storeEra_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:merlinwood.wire.v1.EntryNews)
   }
 
--- a/wire-generated/src/main/java/org/merlinwood/wire/EntryNewsOrBuilder.java
+++ b/wire-generated/src/main/java/org/merlinwood/wire/EntryNewsOrBuilder.java
@@ -223,4 +223,14 @@
    * @return The highestFence.
    */
   long getHighestFence();
+
+  /**
+   * <pre>
+   * Era of the store that store_revision is of.
+   * </pre>
+   *
+   * <code>uint64 store_era = 9;</code>
+   * @return The storeEra.
+   */
+  long getStoreEra();
 }
--- a/wire-generated/src/main/java/org/merlinwood/wire/Merlinwood.java
+++ b/wire-generated/src/main/java/org/merlinwood/wire/Merlinwood.java
@@ -419,32 +419,34 @@
       "is\030\005 \001(\r\022\032\n\022retry_after_millis\030\006 \001(\r\"[\n\n" +
       "LoadReport\022\020\n\010instance\030\001 \001(\t\022\023\n\013incarnat" +
       "ion\030\002 \001(\006\022&\n\004load\030\003 \001(\0132\030.merlinwood.wir" +
-      "e.v1.Load\"\203\002\n\tEntryNews\022\017\n\007address\030\001 \001(\t" +
+      "e.v1.Load\"\226\002\n\tEntryNews\022\017\n\007address\030\001 \001(\t" +
       "\022\017\n\007members\030\002 \003(\t\022\026\n\016store_revision\030\003 \001(" +
       "\004\022.\n\004work\030\004 \003(\0132 .merlinwood.wire.v1.Ins" +
       "tanceWork\022.\n\tlost_runs\030\005 \003(\0132\033.merlinwoo" +
       "d.wire.v1.LostRun\0222\n\007demands\030\006 \003(\0132!.mer" +
       "linwood.wire.v1.ServiceDemand\022\021\n\tswitchi" +
-      "ng\030\007 \003(\t\022\025\n\rhighest_fence\030\010 \001(\004\"M\n\rServi" +
-      "ceDemand\022\017\n\007service\030\001 \001(\t\022\025\n\rprompt_toke" +
-      "ns\030\002 \001(\r\022\024\n\014without_room\030\003 \001(\r\"w\n\014Instan" +
-      "ceWork\022\020\n\010instance\030\001 \001(\t\022\017\n\007running\030\002 \001(" +
-      "\r\022\025\n\rprompt_tokens\030\003 \001(\r\022\023\n\013held_tokens\030" +
-      "\004 \003(\r\022\030\n\020remaining_tokens\030\005 \003(\r\"0\n\007LostR" +
-      "un\022\023\n\013fingerprint\030\001 \001(\006\022\020\n\010instance\030\002 \001(" +
-      "\t\"$\n\023StoreChangesRequest\022\r\n\005after\030\001 \001(\004\"" +
-      "L\n\014StoreChanges\022*\n\004keys\030\001 \003(\0132\034.merlinwo" +
-      "od.wire.v1.StoreKey\022\020\n\010revision\030\002 \001(\004\"I\n" +
-      "\010StoreKey\022\013\n\003key\030\001 \001(\t\022\020\n\010revision\030\002 \001(\004" +
-      "\022\r\n\005value\030\003 \001(\014\022\017\n\007removed\030\004 \001(\010*P\n\013Proc" +
-      "essRole\022\034\n\030PROCESS_ROLE_UNSPECIFIED\020\000\022\t\n" +
-      "\005ENTRY\020\001\022\013\n\007SIDECAR\020\002\022\013\n\007COMMAND\020\003*I\n\010Wo" +
-      "rkKind\022\031\n\025WORK_KIND_UNSPECIFIED\020\000\022\013\n\007PRE" +
-      "FILL\020\001\022\n\n\006DECODE\020\002\022\t\n\005PLAIN\020\003*I\n\tExecuti" +
-      "on\022\031\n\025EXECUTION_UNSPECIFIED\020\000\022\013\n\007NOT_RUN" +
-      "\020\001\022\013\n\007UNKNOWN\020\002\022\007\n\003RAN\020\003*8\n\016SuspicionEve" +
-      "nt\022\013\n\007CRASHED\020\000\022\013\n\007INQUIRY\020\001\022\014\n\010SURVIVED" +
-      "\020\002B\031\n\023org.merlinwood.wireH\001P\001b\006proto3"
+      "ng\030\007 \003(\t\022\025\n\rhighest_fence\030\010 \001(\004\022\021\n\tstore" +
+      "_era\030\t \001(\004\"M\n\rServiceDemand\022\017\n\007service\030\001" +
+      " \001(\t\022\025\n\rprompt_tokens\030\002 \001(\r\022\024\n\014without_r" +
+      "oom\030\003 \001(\r\"w\n\014InstanceWork\022\020\n\010instance\030\001 " +
+      "\001(\t\022\017\n\007running\030\002 \001(\r\022\025\n\rprompt_tokens\030\003 " +
+      "\001(\r\022\023\n\013held_tokens\030\004 \003(\r\022\030\n\020remaining_to" +
+      "kens\030\005 \003(\r\"0\n\007LostRun\022\023\n\013fingerprint\030\001 \001" +
+      "(\006\022\020\n\010instance\030\002 \001(\t\"7\n\023StoreChangesRequ" +
+      "est\022\r\n\005after\030\001 \001(\004\022\021\n\tafter_era\030\002 \001(\004\"Y\n" +
+      "\014StoreChanges\022*\n\004keys\030\001 \003(\0132\034.merlinwood" +
+      ".wire.v1.StoreKey\022\020\n\010revision\030\002 \001(\004\022\013\n\003e" +
+      "ra\030\003 \001(\004\"V\n\010StoreKey\022\013\n\003key\030\001 \001(\t\022\020\n\010rev" +
+      "ision\030\002 \001(\004\022\r\n\005value\030\003 \001(\014\022\017\n\007removed\030\004 " +
+      "\001(\010\022\013\n\003era\030\005 \001(\004*P\n\013ProcessRole\022\034\n\030PROCE" +
+      "SS_ROLE_UNSPECIFIED\020\000\022\t\n\005ENTRY\020\001\022\013\n\007SIDE" +
+      "CAR\020\002\022\013\n\007COMMAND\020\003*I\n\010WorkKind\022\031\n\025WORK_K" +
+      "IND_UNSPECIFIED\020\000\022\013\n\007PREFILL\020\001\022\n\n\006DECODE" +
+      "\020\002\022\t\n\005PLAIN\020\003*I\n\tExecution\022\031\n\025EXECUTION_" +
+      "UNSPECIFIED\020\000\022\013\n\007NOT_RUN\020\001\022\013\n\007UNKNOWN\020\002\022" +
+      "\007\n\003RAN\020\003*8\n\016SuspicionEvent\022\013\n\007CRASHED\020\000\022" +
+      "\013\n\007INQUIRY\020\001\022\014\n\010SURVIVED\020\002B\031\n\023org.merlin" +
+      "wood.wireH\001P\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -683,7 +685,7 @@
     internal_static_merlinwood_wire_v1_EntryNews_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_merlinwood_wire_v1_EntryNews_descriptor,
-        new java.lang.String[] { "Address", "Members", "StoreRevision", "Work", "LostRuns", "Demands", "Switching", "HighestFence", });
+        new java.lang.String[] { "Address", "Members", "StoreRevision", "Work", "LostRuns", "Demands", "Switching", "HighestFence", "StoreEra", });
     internal_static_merlinwood_wire_v1_ServiceDemand_descriptor =
       getDescriptor().getMessageType(39);
     internal_static_merlinwood_wire_v1_ServiceDemand_fieldAccessorTable = new
@@ -707,19 +709,19 @@
     internal_static_merlinwood_wire_v1_StoreChangesRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_merlinwood_wire_v1_StoreChangesRequest_descriptor,
-        new java.lang.String[] { "After", });
+        new java.lang.String[] { "After", "AfterEra", });
     internal_static_merlinwood_wire_v1_StoreChanges_descriptor =
       getDescriptor().getMessageType(43);
     internal_static_merlinwood_wire_v1_StoreChanges_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_merlinwood_wire_v1_StoreChanges_descriptor,
-        new java.lang.String[] { "Keys", "Revision", });
+        new java.lang.String[] { "Keys", "Revision", "Era", });
     internal_static_merlinwood_wire_v1_StoreKey_descriptor =
       getDescriptor().getMessageType(44);
     internal_static_merlinwood_wire_v1_StoreKey_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_merlinwood_wire_v1_StoreKey_descriptor,
-        new java.lang.String[] { "Key", "Revision", "Value", "Removed", });
+        new java.lang.String[] { "Key", "Revision", "Value", "Removed", "Era", });
     descriptor.resolveAllFeaturesImmutable();
   }
 
--- a/wire-generated/src/main/java/org/merlinwood/wire/StoreChanges.java
+++ b/wire-generated/src/main/java/org/merlinwood/wire/StoreChanges.java
@@ -101,6 +101,17 @@
     return revision_;
   }
 
+  public static final int ERA_FIELD_NUMBER = 3;
+  private long era_ = 0L;
+  /**
+   * <code>uint64 era = 3;</code>
+   * @return The era.
+   */
+  @java.lang.Override
+  public long getEra() {
+    return era_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -121,6 +132,9 @@
     if (revision_ != 0L) {
       output.writeUInt64(2, revision_);
     }
+    if (era_ != 0L) {
+      output.writeUInt64(3, era_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -138,6 +152,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt64Size(2, revision_);
     }
+    if (era_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(3, era_);
+    }
     return size;
   }
   @java.lang.Override
@@ -166,6 +184,8 @@
         .equals(other.getKeysList())) return false;
     if (getRevision()
         != other.getRevision()) return false;
+    if (getEra()
+        != other.getEra()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -184,6 +204,9 @@
     hash = (37 * hash) + REVISION_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getRevision());
+    hash = (37 * hash) + ERA_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getEra());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -323,6 +346,7 @@
       }
       bitField0_ = (bitField0_ & ~0x00000001);
       revision_ = 0L;
+      era_ = 0L;
       return this;
     }
 
@@ -372,6 +396,9 @@
       if (((from_bitField0_ & 0x00000002) != 0)) {
         result.revision_ = revision_;
       }
+      if (((from_bitField0_ & 0x00000004) != 0)) {
+        result.era_ = era_;
+      }
     }
 
     @java.lang.Override
@@ -415,6 +442,9 @@
       if (other.getRevision() != 0L) {
         setRevision(other.getRevision());
       }
+      if (other.getEra() != 0L) {
+        setEra(other.getEra());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -457,6 +487,11 @@
               bitField0_ |= 0x00000002;
               break;
             } // case 16
+            case 24: {
+              era_ = input.readUInt64();
+              bitField0_ |= 0x00000004;
+              break;
+            } // case 24
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -740,6 +775,38 @@
       return this;
     }
 
+    private long era_ ;
+    /**
+     * <code>uint64 era = 3;</code>
+     * @return The era.
+     */
+    @java.lang.Override
+    public long getEra() {
+      return era_;
+    }
+    /**
+     * <code>uint64 era = 3;</code>
+     * @param value The era to set.
+     * @return This builder for chaining.
+     */
+    public Builder setEra(long value) {
+
+      era_ = value;
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>uint64 era = 3;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearEra() {
+      bitField0_ = (bitField0_ & ~0x00000004);
+      era_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:merlinwood.wire.v1.StoreChanges)
   }
 
--- a/wire-generated/src/main/java/org/merlinwood/wire/StoreChangesOrBuilder.java
+++ b/wire-generated/src/main/java/org/merlinwood/wire/StoreChangesOrBuilder.java
@@ -39,4 +39,10 @@
    * @return The revision.
    */
   long getRevision();
+
+  /**
+   * <code>uint64 era = 3;</code>
+   * @return The era.
+   */
+  long getEra();
 }
--- a/wire-generated/src/main/java/org/merlinwood/wire/StoreChangesRequest.java
+++ b/wire-generated/src/main/java/org/merlinwood/wire/StoreChangesRequest.java
@@ -59,6 +59,17 @@
     return after_;
   }
 
+  public static final int AFTER_ERA_FIELD_NUMBER = 2;
+  private long afterEra_ = 0L;
+  /**
+   * <code>uint64 after_era = 2;</code>
+   * @return The afterEra.
+   */
+  @java.lang.Override
+  public long getAfterEra() {
+    return afterEra_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -76,6 +87,9 @@
     if (after_ != 0L) {
       output.writeUInt64(1, after_);
     }
+    if (afterEra_ != 0L) {
+      output.writeUInt64(2, afterEra_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -84,6 +98,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt64Size(1, after_);
     }
+    if (afterEra_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(2, afterEra_);
+    }
     return size;
   }
   @java.lang.Override
@@ -110,6 +128,8 @@
 
     if (getAfter()
         != other.getAfter()) return false;
+    if (getAfterEra()
+        != other.getAfterEra()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -124,6 +144,9 @@
     hash = (37 * hash) + AFTER_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getAfter());
+    hash = (37 * hash) + AFTER_ERA_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getAfterEra());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -256,6 +279,7 @@
       super.clear();
       bitField0_ = 0;
       after_ = 0L;
+      afterEra_ = 0L;
       return this;
     }
 
@@ -292,6 +316,9 @@
       if (((from_bitField0_ & 0x00000001) != 0)) {
         result.after_ = after_;
       }
+      if (((from_bitField0_ & 0x00000002) != 0)) {
+        result.afterEra_ = afterEra_;
+      }
     }
 
     @java.lang.Override
@@ -309,6 +336,9 @@
       if (other.getAfter() != 0L) {
         setAfter(other.getAfter());
       }
+      if (other.getAfterEra() != 0L) {
+        setAfterEra(other.getAfterEra());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -338,6 +368,11 @@
               bitField0_ |= 0x00000001;
               break;
             } // case 8
+            case 16: {
+              afterEra_ = input.readUInt64();
+              bitField0_ |= 0x00000002;
+              break;
+            } // case 16
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -387,6 +422,38 @@
       return this;
     }
 
+    private long afterEra_ ;
+    /**
+     * <code>uint64 after_era = 2;</code>
+     * @return The afterEra.
+     */
+    @java.lang.Override
+    public long getAfterEra() {
+      return afterEra_;
+    }
+    /**
+     * <code>uint64 after_era = 2;</code>
+     * @param value The afterEra to set.
+     * @return This builder for chaining.
+     */
+    public Builder setAfterEra(long value) {
+
+      afterEra_ = value;
+      bitField0_ |= 0x00000002;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>uint64 after_era = 2;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearAfterEra() {
+      bitField0_ = (bitField0_ & ~0x00000002);
+      afterEra_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:merlinwood.wire.v1.StoreChangesRequest)
   }
 
--- a/wire-generated/src/main/java/org/merlinwood/wire/StoreChangesRequestOrBuilder.java
+++ b/wire-generated/src/main/java/org/merlinwood/wire/StoreChangesRequestOrBuilder.java
@@ -15,4 +15,10 @@
    * @return The after.
    */
   long getAfter();
+
+  /**
+   * <code>uint64 after_era = 2;</code>
+   * @return The afterEra.
+   */
+  long getAfterEra();
 }
--- a/wire-generated/src/main/java/org/merlinwood/wire/StoreKey.java
+++ b/wire-generated/src/main/java/org/merlinwood/wire/StoreKey.java
@@ -122,6 +122,17 @@
     return removed_;
   }
 
+  public static final int ERA_FIELD_NUMBER = 5;
+  private long era_ = 0L;
+  /**
+   * <code>uint64 era = 5;</code>
+   * @return The era.
+   */
+  @java.lang.Override
+  public long getEra() {
+    return era_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -148,6 +159,9 @@
     if (removed_ != false) {
       output.writeBool(4, removed_);
     }
+    if (era_ != 0L) {
+      output.writeUInt64(5, era_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -167,6 +181,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBoolSize(4, removed_);
     }
+    if (era_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(5, era_);
+    }
     return size;
   }
   @java.lang.Override
@@ -199,6 +217,8 @@
         .equals(other.getValue())) return false;
     if (getRemoved()
         != other.getRemoved()) return false;
+    if (getEra()
+        != other.getEra()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -220,6 +240,9 @@
     hash = (37 * hash) + REMOVED_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
         getRemoved());
+    hash = (37 * hash) + ERA_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getEra());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -355,6 +378,7 @@
       revision_ = 0L;
       value_ = com.google.protobuf.ByteString.EMPTY;
       removed_ = false;
+      era_ = 0L;
       return this;
     }
 
@@ -400,6 +424,9 @@
       if (((from_bitField0_ & 0x00000008) != 0)) {
         result.removed_ = removed_;
       }
+      if (((from_bitField0_ & 0x00000010) != 0)) {
+        result.era_ = era_;
+      }
     }
 
     @java.lang.Override
@@ -428,6 +455,9 @@
       if (other.getRemoved() != false) {
         setRemoved(other.getRemoved());
       }
+      if (other.getEra() != 0L) {
+        setEra(other.getEra());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -472,6 +502,11 @@
               bitField0_ |= 0x00000008;
               break;
             } // case 32
+            case 40: {
+              era_ = input.readUInt64();
+              bitField0_ |= 0x00000010;
+              break;
+            } // case 40
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -657,6 +692,38 @@
       return this;
     }
 
+    private long era_ ;
+    /**
+     * <code>uint64 era = 5;</code>
+     * @return The era.
+     */
+    @java.lang.Override
+    public long getEra() {
+      return era_;
+    }
+    /**
+     * <code>uint64 era = 5;</code>
+     * @param value The era to set.
+     * @return This builder for chaining.
+     */
+    public Builder setEra(long value) {
+
+      era_ = value;
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>uint64 era = 5;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearEra() {
+      bitField0_ = (bitField0_ & ~0x00000010);
+      era_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:merlinwood.wire.v1.StoreKey)
   }
 
--- a/wire-generated/src/main/java/org/merlinwood/wire/StoreKeyOrBuilder.java
+++ b/wire-generated/src/main/java/org/merlinwood/wire/StoreKeyOrBuilder.java
@@ -39,4 +39,10 @@
    * @return The removed.
    */
   boolean getRemoved();
+
+  /**
+   * <code>uint64 era = 5;</code>
+   * @return The era.
+   */
+  long getEra();
 }
