Stand-ins and soak: a store restored from a backup, instances that say they leave or name a time

The soak draws the two new faults in a sequence of their own, so that the other faults of a seed stay what they were.

--- a/proving/src/main/java/org/merlinwood/proving/soak/FaultKind.java
+++ b/proving/src/main/java/org/merlinwood/proving/soak/FaultKind.java
@@ -22,14 +22,21 @@
     INSTANCE_RESET(Target.INSTANCE),
     /** Bytes to and from an instance are delayed. */
     INSTANCE_DELAYED(Target.INSTANCE),
-    /** An instance is registered as leaving, and as ready at the end of the fault. */
+    /**
+     * An instance is registered as leaving and states so in its responses; its successor is ready at the end of the
+     * fault.
+     */
     INSTANCE_LEAVES(Target.INSTANCE),
     /** No bytes pass on connections to the store. */
     STORE_SILENT(Target.STORE),
     /** All connections to the store are reset. */
     STORE_RESET(Target.STORE),
     /** Publishes the same configuration under a new version. */
-    CONFIGURATION_CHANGES(Target.STORE);
+    CONFIGURATION_CHANGES(Target.STORE),
+    /** An instance declines all requests until the end of the fault, and names the time. */
+    INSTANCE_DECLINES(Target.INSTANCE),
+    /** The store is restored from a backup; what it lost is written again at the end of the fault. */
+    STORE_RESTORED(Target.STORE);
 
     /** The part of the deployment that a fault affects. */
     enum Target {
--- a/proving/src/main/java/org/merlinwood/proving/soak/FaultPlan.java
+++ b/proving/src/main/java/org/merlinwood/proving/soak/FaultPlan.java
@@ -1,6 +1,7 @@
 package org.merlinwood.proving.soak;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Comparator;
 import java.util.List;
 import org.apache.commons.rng.UniformRandomProvider;
@@ -29,24 +30,46 @@
      */
     private static final int MEAN_INTERVAL_MILLIS = 900;
 
-    private static final List<FaultKind> KINDS = List.of(FaultKind.values());
+    /** Mean time between two faults of the kinds that have a sequence of their own, in milliseconds. */
+    private static final int ADDED_MEAN_INTERVAL_MILLIS = 3_000;
+
+    /**
+     * Kinds that are drawn in a sequence of their own, so that the faults of the other kinds stay those of their seed.
+     */
+    private static final List<FaultKind> ADDED_KINDS = List.of(FaultKind.INSTANCE_DECLINES, FaultKind.STORE_RESTORED);
+
+    private static final List<FaultKind> KINDS = Arrays.stream(FaultKind.values())
+            .filter(kind -> !ADDED_KINDS.contains(kind))
+            .toList();
 
     static FaultPlan of(long seed, long lengthMillis, int entries, int instances) {
-        UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
         List<ScheduledFault> faults = new ArrayList<>();
+        addFaults(faults, KINDS, MEAN_INTERVAL_MILLIS, seed, lengthMillis, entries, instances);
+        addFaults(faults, ADDED_KINDS, ADDED_MEAN_INTERVAL_MILLIS, ~seed, lengthMillis, entries, instances);
+        faults.sort(Comparator.comparingLong(ScheduledFault::atMillis));
+        return new FaultPlan(List.copyOf(faults));
+    }
+
+    private static void addFaults(
+            List<ScheduledFault> faults,
+            List<FaultKind> kinds,
+            int meanIntervalMillis,
+            long seed,
+            long lengthMillis,
+            int entries,
+            int instances) {
+        UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
         long at = WARM_UP_MILLIS;
         while (at < lengthMillis) {
-            FaultKind kind = KINDS.get(random.nextInt(KINDS.size()));
+            FaultKind kind = kinds.get(random.nextInt(kinds.size()));
             long forMillis = random.nextInt(MINIMUM_FAULT_MILLIS, MAXIMUM_FAULT_MILLIS);
             ScheduledFault fault = new ScheduledFault(
                     kind, target(kind, random, entries, instances), at, Math.min(forMillis, lengthMillis - at));
             if (faults.stream().noneMatch(other -> collides(other, fault))) {
                 faults.add(fault);
             }
-            at += random.nextInt(2 * MEAN_INTERVAL_MILLIS);
+            at += random.nextInt(2 * meanIntervalMillis);
         }
-        faults.sort(Comparator.comparingLong(ScheduledFault::atMillis));
-        return new FaultPlan(List.copyOf(faults));
     }
 
     /** Returns the end of the last fault, in milliseconds from the start of the load; 0 without faults. */
--- a/proving/src/main/java/org/merlinwood/proving/soak/SoakDeployment.java
+++ b/proving/src/main/java/org/merlinwood/proving/soak/SoakDeployment.java
@@ -8,6 +8,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import org.merlinwood.http.HttpClient;
@@ -51,6 +52,9 @@
      */
     private static final long DELAY_MILLIS = 60;
 
+    /** Age of the backup from which the store is restored, in milliseconds. */
+    private static final long BACKUP_AGE_MILLIS = 3_000;
+
     private static final long READY_POLL_MILLIS = 50;
     private static final int READY_POLLS = 400;
     private static final String HEAP = "96m";
@@ -65,6 +69,10 @@
     /** Identifier of the last process that was asked to drain, by index of the entry. */
     private final Map<Integer, Long> leaving = new ConcurrentHashMap<>();
 
+    /** Number of starts of an instance, by its index; stands for the time of its start. */
+    private final Map<Integer, Long> starts = new ConcurrentHashMap<>();
+
+    private final Set<Integer> leavingInstances = ConcurrentHashMap.newKeySet();
     private final StandInStore store;
     private final Forwarder storePath;
     private long version = 1;
@@ -148,7 +156,12 @@
             case INSTANCE_MUTE -> setPathMode(target, ForwardingMode.SILENT, ForwardingDirection.FROM_TARGET);
             case INSTANCE_RESET -> setPathMode(target, ForwardingMode.DROP, ForwardingDirection.BOTH);
             case INSTANCE_DELAYED -> setPathMode(target, ForwardingMode.DELAY, ForwardingDirection.BOTH);
-            case INSTANCE_LEAVES -> register(target, true);
+            case INSTANCE_LEAVES -> {
+                instances.get(target).leaving(true);
+                register(target, true);
+            }
+            case INSTANCE_DECLINES -> instances.get(target).decline(fault.forMillis());
+            case STORE_RESTORED -> store.restore(BACKUP_AGE_MILLIS);
             case STORE_SILENT -> storePath.mode(ForwardingMode.SILENT, ForwardingDirection.BOTH, 0);
             case STORE_RESET -> storePath.mode(ForwardingMode.DROP, ForwardingDirection.BOTH, 0);
             case CONFIGURATION_CHANGES -> {
@@ -166,7 +179,13 @@
             case ENTRY_LEAVES -> restart(target);
             case INSTANCE_CRASHES, INSTANCE_SILENT, INSTANCE_DEAF, INSTANCE_MUTE, INSTANCE_RESET, INSTANCE_DELAYED ->
                 setPathMode(target, ForwardingMode.PASS, ForwardingDirection.BOTH);
-            case INSTANCE_LEAVES -> register(target, false);
+            case INSTANCE_LEAVES -> {
+                instances.get(target).leaving(false);
+                starts.merge(target, 1L, Long::sum);
+                register(target, false);
+            }
+            case INSTANCE_DECLINES -> instances.get(target).decline(0);
+            case STORE_RESTORED -> writeAgain();
             case STORE_SILENT, STORE_RESET -> storePath.mode(ForwardingMode.PASS, ForwardingDirection.BOTH, 0);
             case ENTRY_RELOADS, CONFIGURATION_CHANGES -> {}
         }
@@ -199,10 +218,24 @@
         register(index, false);
     }
 
+    /** Writes again what the store may have lost in a restore. */
+    private void writeAgain() {
+        for (int index = 0; index < instances.size(); index++) {
+            register(index, leavingInstances.contains(index));
+        }
+        store.configure(StandInInstance.configuration(version));
+    }
+
     private void register(int index, boolean leaving) {
+        if (leaving) {
+            leavingInstances.add(index);
+        } else {
+            leavingInstances.remove(index);
+        }
         store.register(
                 name(index),
-                StandInInstance.registration(STAGES.get(index), paths.get(index).address(), leaving));
+                StandInInstance.registration(
+                        STAGES.get(index), paths.get(index).address(), leaving, starts.getOrDefault(index, 1L)));
     }
 
     private static String name(int index) {
