Entries tell each other that an instance leaves

With each status message for two seconds, one start of one instance, and only what an entry heard from the instance itself. One observation spares the other entries theirs, also where the store doesn't name the instance as leaving. New field in the status frame; older builds leave it out. Test: leavingInstanceIsToldToPeersByTheEntryThatHeardIt.

--- a/gateway/src/main/java/org/merlinwood/gateway/decision/EntryStatus.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/decision/EntryStatus.java
@@ -14,6 +14,7 @@
  * @param demands recent demand of callers, one element per service
  * @param switching identifiers of the instances that were ordered to change their stage and have not finished
  * @param highestFencingToken highest fencing token of an order that it knows of; 0 if none
+ * @param leaving instances that have recently told it that they leave
  */
 public record EntryStatus(
         String address,
@@ -23,7 +24,8 @@
         List<LostRun> lostRuns,
         List<ServiceDemand> demands,
         List<String> switching,
-        long highestFencingToken) {
+        long highestFencingToken,
+        List<LeavingInstance> leaving) {
 
     /** Copies the lists. */
     public EntryStatus {
@@ -32,6 +34,7 @@
         lostRuns = List.copyOf(lostRuns);
         demands = List.copyOf(demands);
         switching = List.copyOf(switching);
+        leaving = List.copyOf(leaving);
     }
 
     /**
@@ -51,6 +54,14 @@
         }
     }
 
+    /**
+     * One start of an instance that leaves.
+     *
+     * @param instance identifier of the instance
+     * @param startedUnixMillis its start, see {@link org.merlinwood.gateway.fleet.UpstreamInstance}
+     */
+    public record LeavingInstance(String instance, long startedUnixMillis) {}
+
     /**
      * A run that ended with a lost instance.
      *
--- a/gateway/src/main/java/org/merlinwood/gateway/decision/InstanceNotices.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/decision/InstanceNotices.java
@@ -3,6 +3,7 @@
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
 import org.merlinwood.core.time.MillisClock;
@@ -11,7 +12,8 @@
 
 /**
  * What instances have stated about themselves to this entry: that they leave, or until when they want no request from
- * it. Needs neither the configuration store nor other entries, so it holds also for an entry that is cut off.
+ * it. Needs neither the configuration store nor other entries, so it holds also for an entry that is cut off; that an
+ * instance leaves may also be learned from another entry.
  *
  * <p>A statement is about one incarnation of an instance: a restarted instance, or another one at the same address, is
  * not bound by it, and a late response of a former incarnation says nothing about the current one. Confined to the
@@ -22,15 +24,18 @@
     /** Longest time for which an instance may decline all requests, in milliseconds. */
     private static final long MAXIMUM_DECLINED_MILLIS = 300_000;
 
+    /** Time for which this entry tells the others that an instance leaves, in milliseconds: many status messages. */
+    private static final long REPORT_MILLIS = 2_000;
+
     /** Number of leaving incarnations that are remembered; the oldest are dropped first. */
     private static final int MAXIMUM_LEAVING = 4_096;
 
     private final MillisClock clock;
-    private final Map<Incarnation, Boolean> leaving = new LinkedHashMap<>() {
+    private final Map<Incarnation, LearnedLeaving> leaving = new LinkedHashMap<>() {
         private static final long serialVersionUID = 1;
 
         @Override
-        protected boolean removeEldestEntry(Map.Entry<Incarnation, Boolean> eldest) {
+        protected boolean removeEldestEntry(Map.Entry<Incarnation, LearnedLeaving> eldest) {
             return size() > MAXIMUM_LEAVING;
         }
     };
@@ -44,6 +49,9 @@
         }
     }
 
+    /** How this entry learned that an instance leaves: when, and whether from the instance itself. */
+    private record LearnedLeaving(long atMillis, boolean fromInstance) {}
+
     /**
      * Creates an empty registry.
      *
@@ -62,12 +70,41 @@
      */
     public boolean record(UpstreamInstance instance, InstanceNotice notice) {
         Incarnation incarnation = Incarnation.of(instance);
-        boolean newlyLeaving = notice.leaving() && leaving.putIfAbsent(incarnation, true) == null;
+        boolean newlyLeaving = notice.leaving() && recordLeaving(incarnation, true);
         boolean longer = notice.declinedMillis().isPresent()
                 && extendDeclined(incarnation, notice.declinedMillis().getAsLong());
         return newlyLeaving || longer;
     }
 
+    /**
+     * Records that another entry was told by an instance that it leaves. It is not passed on to third entries.
+     *
+     * @param reported the instance, as that entry knows it
+     * @return true if this was not known
+     */
+    public boolean recordFromPeer(EntryStatus.LeavingInstance reported) {
+        return recordLeaving(new Incarnation(reported.instance(), reported.startedUnixMillis()), false);
+    }
+
+    /**
+     * Returns the instances that have recently told this entry that they leave, to be sent to the other entries.
+     *
+     * @return the instances, in no particular order
+     */
+    public List<EntryStatus.LeavingInstance> recentlyLeaving() {
+        long oldestMillis = clock.monotonicMillis() - REPORT_MILLIS;
+        return leaving.entrySet().stream()
+                .filter(entry ->
+                        entry.getValue().fromInstance() && entry.getValue().atMillis() > oldestMillis)
+                .map(entry -> new EntryStatus.LeavingInstance(
+                        entry.getKey().identifier(), entry.getKey().startedUnixMillis()))
+                .toList();
+    }
+
+    private boolean recordLeaving(Incarnation incarnation, boolean fromInstance) {
+        return leaving.putIfAbsent(incarnation, new LearnedLeaving(clock.monotonicMillis(), fromInstance)) == null;
+    }
+
     private boolean extendDeclined(Incarnation incarnation, long millis) {
         long now = clock.monotonicMillis();
         declinedUntilMillis.values().removeIf(until -> until <= now);
--- a/gateway/src/main/java/org/merlinwood/gateway/peer/PeerMessages.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/peer/PeerMessages.java
@@ -36,6 +36,10 @@
                 .forEach(run -> builder.addLostRuns(org.merlinwood.wire.LostRun.newBuilder()
                         .setFingerprint(run.fingerprint())
                         .setInstance(run.instance())));
+        status.leaving()
+                .forEach(instance -> builder.addLeaving(org.merlinwood.wire.LeavingInstance.newBuilder()
+                        .setInstance(instance.instance())
+                        .setStartedUnixMillis(instance.startedUnixMillis())));
         return Frame.newBuilder().setEntryNews(builder);
     }
 
@@ -53,7 +57,11 @@
                                 demand.getService(), demand.getPromptTokens(), demand.getWithoutRoom()))
                         .toList(),
                 List.copyOf(wire.getSwitchingList()),
-                wire.getHighestFence());
+                wire.getHighestFence(),
+                wire.getLeavingList().stream()
+                        .map(instance -> new EntryStatus.LeavingInstance(
+                                instance.getInstance(), instance.getStartedUnixMillis()))
+                        .toList());
     }
 
     static Frame.Builder changesRequest(StorePosition after) {
--- a/gateway/src/main/java/org/merlinwood/gateway/process/GatewayProcess.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/process/GatewayProcess.java
@@ -189,6 +189,17 @@
         }
     }
 
+    private void recordPeerNotice(String peer, EntryStatus.LeavingInstance instance) {
+        if (pool.notices().recordFromPeer(instance)) {
+            log.line("instance notice")
+                    .with("instance", instance.instance())
+                    .with("startedUnixMillis", instance.startedUnixMillis())
+                    .with("leaving", "true")
+                    .with("peer", peer)
+                    .write();
+        }
+    }
+
     /** Returns the number of entries that share the retry allowance. */
     private int maximumEntryCount() {
         return EntryCountBound.of(peers.maximumKnownCount() + 1, peers.memberListReceived());
@@ -314,13 +325,15 @@
                     crashHistory.drainUnsentLosses(),
                     demandMeter.demands(),
                     orders.switching(),
-                    orders.highestFencingToken());
+                    orders.highestFencingToken(),
+                    pool.notices().recentlyLeaving());
         }
 
         @Override
         public void onStatus(EntryStatus status) {
             pool.updatePeer(status);
             orders.onStatus(status);
+            status.leaving().forEach(instance -> recordPeerNotice(status.address(), instance));
             status.lostRuns().forEach(run -> crashHistory.recordPeerLoss(run.fingerprint(), run.instance()));
         }
 
--- a/gateway/src/test/java/org/merlinwood/gateway/decision/InstanceNoticesTest.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/decision/InstanceNoticesTest.java
@@ -100,6 +100,22 @@
         assertThat(notices.millisUntilAccepted(List.of(instance("i-2", 7)))).isEmpty();
     }
 
+    /** What a peer tells holds for the start that it speaks of, and isn't passed on. */
+    @Test
+    void leavingInstanceIsToldToPeersByTheEntryThatHeardIt() {
+        notices.record(instance("i-1", 7), leaving());
+        EntryStatus.LeavingInstance told = new EntryStatus.LeavingInstance("i-1", 7);
+        assertThat(notices.recentlyLeaving()).containsExactly(told);
+        InstanceNotices peer = new InstanceNotices(clock);
+        assertThat(peer.recordFromPeer(told)).isTrue();
+        assertThat(peer.recordFromPeer(told)).isFalse();
+        assertThat(peer.mayReceive(instance("i-1", 7))).isFalse();
+        assertThat(peer.mayReceive(instance("i-1", 8))).isTrue();
+        assertThat(peer.recentlyLeaving()).isEmpty();
+        clock.advanceMillis(2_000);
+        assertThat(notices.recentlyLeaving()).isEmpty();
+    }
+
     @Test
     void manyLeavingInstancesAreForgottenInTheirOrder() {
         for (int start = 1; start <= 5_000; start++) {
--- a/gateway/src/test/java/org/merlinwood/gateway/decision/InstancePoolTest.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/decision/InstancePoolTest.java
@@ -212,6 +212,6 @@
 
     private static EntryStatus status(String address, EntryStatus.InstanceWork work) {
         return new EntryStatus(
-                address, List.of(), StorePosition.START, List.of(work), List.of(), List.of(), List.of(), 0);
+                address, List.of(), StorePosition.START, List.of(work), List.of(), List.of(), List.of(), 0, List.of());
     }
 }
--- a/wire-generated/src/main/java/org/merlinwood/wire/EntryNews.java
+++ b/wire-generated/src/main/java/org/merlinwood/wire/EntryNews.java
@@ -40,6 +40,7 @@
     demands_ = java.util.Collections.emptyList();
     switching_ =
         com.google.protobuf.LazyStringArrayList.emptyList();
+    leaving_ = java.util.Collections.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -401,6 +402,67 @@
     return storeEra_;
   }
 
+  public static final int LEAVING_FIELD_NUMBER = 10;
+  @SuppressWarnings("serial")
+  private java.util.List<org.merlinwood.wire.LeavingInstance> leaving_;
+  /**
+   * <pre>
+   * Instances that have recently told the sender that they leave.
+   * </pre>
+   *
+   * <code>repeated .merlinwood.wire.v1.LeavingInstance leaving = 10;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.merlinwood.wire.LeavingInstance> getLeavingList() {
+    return leaving_;
+  }
+  /**
+   * <pre>
+   * Instances that have recently told the sender that they leave.
+   * </pre>
+   *
+   * <code>repeated .merlinwood.wire.v1.LeavingInstance leaving = 10;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.merlinwood.wire.LeavingInstanceOrBuilder> 
+      getLeavingOrBuilderList() {
+    return leaving_;
+  }
+  /**
+   * <pre>
+   * Instances that have recently told the sender that they leave.
+   * </pre>
+   *
+   * <code>repeated .merlinwood.wire.v1.LeavingInstance leaving = 10;</code>
+   */
+  @java.lang.Override
+  public int getLeavingCount() {
+    return leaving_.size();
+  }
+  /**
+   * <pre>
+   * Instances that have recently told the sender that they leave.
+   * </pre>
+   *
+   * <code>repeated .merlinwood.wire.v1.LeavingInstance leaving = 10;</code>
+   */
+  @java.lang.Override
+  public org.merlinwood.wire.LeavingInstance getLeaving(int index) {
+    return leaving_.get(index);
+  }
+  /**
+   * <pre>
+   * Instances that have recently told the sender that they leave.
+   * </pre>
+   *
+   * <code>repeated .merlinwood.wire.v1.LeavingInstance leaving = 10;</code>
+   */
+  @java.lang.Override
+  public org.merlinwood.wire.LeavingInstanceOrBuilder getLeavingOrBuilder(
+      int index) {
+    return leaving_.get(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -442,6 +504,9 @@
     if (storeEra_ != 0L) {
       output.writeUInt64(9, storeEra_);
     }
+    for (int i = 0; i < leaving_.size(); i++) {
+      output.writeMessage(10, leaving_.get(i));
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -504,6 +569,15 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt64Size(9, storeEra_);
     }
+
+        {
+          final int count = leaving_.size();
+          for (int i = 0; i < count; i++) {
+            size += com.google.protobuf.CodedOutputStream
+              .computeMessageSizeNoTag(leaving_.get(i));
+          }
+          size += 1 * count;
+        }
     return size;
   }
   @java.lang.Override
@@ -546,6 +620,8 @@
         != other.getHighestFence()) return false;
     if (getStoreEra()
         != other.getStoreEra()) return false;
+    if (!getLeavingList()
+        .equals(other.getLeavingList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -588,6 +664,10 @@
     hash = (37 * hash) + STORE_ERA_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getStoreEra());
+    if (getLeavingCount() > 0) {
+      hash = (37 * hash) + LEAVING_FIELD_NUMBER;
+      hash = (53 * hash) + getLeavingList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -752,6 +832,13 @@
           com.google.protobuf.LazyStringArrayList.emptyList();
       highestFence_ = 0L;
       storeEra_ = 0L;
+      if (leavingBuilder_ == null) {
+        leaving_ = java.util.Collections.emptyList();
+      } else {
+        leaving_ = null;
+        leavingBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000200);
       return this;
     }
 
@@ -812,6 +899,15 @@
       } else {
         result.demands_ = demandsBuilder_.build();
       }
+      if (leavingBuilder_ == null) {
+        if (((bitField0_ & 0x00000200) != 0)) {
+          leaving_ = java.util.Collections.unmodifiableList(leaving_);
+          bitField0_ = (bitField0_ & ~0x00000200);
+        }
+        result.leaving_ = leaving_;
+      } else {
+        result.leaving_ = leavingBuilder_.build();
+      }
     }
 
     private void buildPartial0(org.merlinwood.wire.EntryNews result) {
@@ -962,6 +1058,32 @@
       if (other.getStoreEra() != 0L) {
         setStoreEra(other.getStoreEra());
       }
+      if (leavingBuilder_ == null) {
+        if (!other.leaving_.isEmpty()) {
+          if (leaving_.isEmpty()) {
+            leaving_ = other.leaving_;
+            bitField0_ = (bitField0_ & ~0x00000200);
+          } else {
+            ensureLeavingIsMutable();
+            leaving_.addAll(other.leaving_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.leaving_.isEmpty()) {
+          if (leavingBuilder_.isEmpty()) {
+            leavingBuilder_.dispose();
+            leavingBuilder_ = null;
+            leaving_ = other.leaving_;
+            bitField0_ = (bitField0_ & ~0x00000200);
+            leavingBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetLeavingFieldBuilder() : null;
+          } else {
+            leavingBuilder_.addAllMessages(other.leaving_);
+          }
+        }
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1055,6 +1177,19 @@
               bitField0_ |= 0x00000100;
               break;
             } // case 72
+            case 82: {
+              org.merlinwood.wire.LeavingInstance m =
+                  input.readMessage(
+                      org.merlinwood.wire.LeavingInstance.parser(),
+                      extensionRegistry);
+              if (leavingBuilder_ == null) {
+                ensureLeavingIsMutable();
+                leaving_.add(m);
+              } else {
+                leavingBuilder_.addMessage(m);
+              }
+              break;
+            } // case 82
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -2364,6 +2499,312 @@
       return this;
     }
 
+    private java.util.List<org.merlinwood.wire.LeavingInstance> leaving_ =
+      java.util.Collections.emptyList();
+    private void ensureLeavingIsMutable() {
+      if (!((bitField0_ & 0x00000200) != 0)) {
+        leaving_ = new java.util.ArrayList<org.merlinwood.wire.LeavingInstance>(leaving_);
+        bitField0_ |= 0x00000200;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.merlinwood.wire.LeavingInstance, org.merlinwood.wire.LeavingInstance.Builder, org.merlinwood.wire.LeavingInstanceOrBuilder> leavingBuilder_;
+
+    /**
+     * <pre>
+     * Instances that have recently told the sender that they leave.
+     * </pre>
+     *
+     * <code>repeated .merlinwood.wire.v1.LeavingInstance leaving = 10;</code>
+     */
+    public java.util.List<org.merlinwood.wire.LeavingInstance> getLeavingList() {
+      if (leavingBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(leaving_);
+      } else {
+        return leavingBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <pre>
+     * Instances that have recently told the sender that they leave.
+     * </pre>
+     *
+     * <code>repeated .merlinwood.wire.v1.LeavingInstance leaving = 10;</code>
+     */
+    public int getLeavingCount() {
+      if (leavingBuilder_ == null) {
+        return leaving_.size();
+      } else {
+        return leavingBuilder_.getCount();
+      }
+    }
+    /**
+     * <pre>
+     * Instances that have recently told the sender that they leave.
+     * </pre>
+     *
+     * <code>repeated .merlinwood.wire.v1.LeavingInstance leaving = 10;</code>
+     */
+    public org.merlinwood.wire.LeavingInstance getLeaving(int index) {
+      if (leavingBuilder_ == null) {
+        return leaving_.get(index);
+      } else {
+        return leavingBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <pre>
+     * Instances that have recently told the sender that they leave.
+     * </pre>
+     *
+     * <code>repeated .merlinwood.wire.v1.LeavingInstance leaving = 10;</code>
+     */
+    public Builder setLeaving(
+        int index, org.merlinwood.wire.LeavingInstance value) {
+      if (leavingBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureLeavingIsMutable();
+        leaving_.set(index, value);
+        onChanged();
+      } else {
+        leavingBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Instances that have recently told the sender that they leave.
+     * </pre>
+     *
+     * <code>repeated .merlinwood.wire.v1.LeavingInstance leaving = 10;</code>
+     */
+    public Builder setLeaving(
+        int index, org.merlinwood.wire.LeavingInstance.Builder builderForValue) {
+      if (leavingBuilder_ == null) {
+        ensureLeavingIsMutable();
+        leaving_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        leavingBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Instances that have recently told the sender that they leave.
+     * </pre>
+     *
+     * <code>repeated .merlinwood.wire.v1.LeavingInstance leaving = 10;</code>
+     */
+    public Builder addLeaving(org.merlinwood.wire.LeavingInstance value) {
+      if (leavingBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureLeavingIsMutable();
+        leaving_.add(value);
+        onChanged();
+      } else {
+        leavingBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Instances that have recently told the sender that they leave.
+     * </pre>
+     *
+     * <code>repeated .merlinwood.wire.v1.LeavingInstance leaving = 10;</code>
+     */
+    public Builder addLeaving(
+        int index, org.merlinwood.wire.LeavingInstance value) {
+      if (leavingBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureLeavingIsMutable();
+        leaving_.add(index, value);
+        onChanged();
+      } else {
+        leavingBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Instances that have recently told the sender that they leave.
+     * </pre>
+     *
+     * <code>repeated .merlinwood.wire.v1.LeavingInstance leaving = 10;</code>
+     */
+    public Builder addLeaving(
+        org.merlinwood.wire.LeavingInstance.Builder builderForValue) {
+      if (leavingBuilder_ == null) {
+        ensureLeavingIsMutable();
+        leaving_.add(builderForValue.build());
+        onChanged();
+      } else {
+        leavingBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Instances that have recently told the sender that they leave.
+     * </pre>
+     *
+     * <code>repeated .merlinwood.wire.v1.LeavingInstance leaving = 10;</code>
+     */
+    public Builder addLeaving(
+        int index, org.merlinwood.wire.LeavingInstance.Builder builderForValue) {
+      if (leavingBuilder_ == null) {
+        ensureLeavingIsMutable();
+        leaving_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        leavingBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Instances that have recently told the sender that they leave.
+     * </pre>
+     *
+     * <code>repeated .merlinwood.wire.v1.LeavingInstance leaving = 10;</code>
+     */
+    public Builder addAllLeaving(
+        java.lang.Iterable<? extends org.merlinwood.wire.LeavingInstance> values) {
+      if (leavingBuilder_ == null) {
+        ensureLeavingIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, leaving_);
+        onChanged();
+      } else {
+        leavingBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Instances that have recently told the sender that they leave.
+     * </pre>
+     *
+     * <code>repeated .merlinwood.wire.v1.LeavingInstance leaving = 10;</code>
+     */
+    public Builder clearLeaving() {
+      if (leavingBuilder_ == null) {
+        leaving_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000200);
+        onChanged();
+      } else {
+        leavingBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Instances that have recently told the sender that they leave.
+     * </pre>
+     *
+     * <code>repeated .merlinwood.wire.v1.LeavingInstance leaving = 10;</code>
+     */
+    public Builder removeLeaving(int index) {
+      if (leavingBuilder_ == null) {
+        ensureLeavingIsMutable();
+        leaving_.remove(index);
+        onChanged();
+      } else {
+        leavingBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Instances that have recently told the sender that they leave.
+     * </pre>
+     *
+     * <code>repeated .merlinwood.wire.v1.LeavingInstance leaving = 10;</code>
+     */
+    public org.merlinwood.wire.LeavingInstance.Builder getLeavingBuilder(
+        int index) {
+      return internalGetLeavingFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <pre>
+     * Instances that have recently told the sender that they leave.
+     * </pre>
+     *
+     * <code>repeated .merlinwood.wire.v1.LeavingInstance leaving = 10;</code>
+     */
+    public org.merlinwood.wire.LeavingInstanceOrBuilder getLeavingOrBuilder(
+        int index) {
+      if (leavingBuilder_ == null) {
+        return leaving_.get(index);  } else {
+        return leavingBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <pre>
+     * Instances that have recently told the sender that they leave.
+     * </pre>
+     *
+     * <code>repeated .merlinwood.wire.v1.LeavingInstance leaving = 10;</code>
+     */
+    public java.util.List<? extends org.merlinwood.wire.LeavingInstanceOrBuilder> 
+         getLeavingOrBuilderList() {
+      if (leavingBuilder_ != null) {
+        return leavingBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(leaving_);
+      }
+    }
+    /**
+     * <pre>
+     * Instances that have recently told the sender that they leave.
+     * </pre>
+     *
+     * <code>repeated .merlinwood.wire.v1.LeavingInstance leaving = 10;</code>
+     */
+    public org.merlinwood.wire.LeavingInstance.Builder addLeavingBuilder() {
+      return internalGetLeavingFieldBuilder().addBuilder(
+          org.merlinwood.wire.LeavingInstance.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * Instances that have recently told the sender that they leave.
+     * </pre>
+     *
+     * <code>repeated .merlinwood.wire.v1.LeavingInstance leaving = 10;</code>
+     */
+    public org.merlinwood.wire.LeavingInstance.Builder addLeavingBuilder(
+        int index) {
+      return internalGetLeavingFieldBuilder().addBuilder(
+          index, org.merlinwood.wire.LeavingInstance.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * Instances that have recently told the sender that they leave.
+     * </pre>
+     *
+     * <code>repeated .merlinwood.wire.v1.LeavingInstance leaving = 10;</code>
+     */
+    public java.util.List<org.merlinwood.wire.LeavingInstance.Builder> 
+         getLeavingBuilderList() {
+      return internalGetLeavingFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.merlinwood.wire.LeavingInstance, org.merlinwood.wire.LeavingInstance.Builder, org.merlinwood.wire.LeavingInstanceOrBuilder> 
+        internalGetLeavingFieldBuilder() {
+      if (leavingBuilder_ == null) {
+        leavingBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.merlinwood.wire.LeavingInstance, org.merlinwood.wire.LeavingInstance.Builder, org.merlinwood.wire.LeavingInstanceOrBuilder>(
+                leaving_,
+                ((bitField0_ & 0x00000200) != 0),
+                getParentForChildren(),
+                isClean());
+        leaving_ = null;
+      }
+      return leavingBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:merlinwood.wire.v1.EntryNews)
   }
 
--- a/wire-generated/src/main/java/org/merlinwood/wire/EntryNewsOrBuilder.java
+++ b/wire-generated/src/main/java/org/merlinwood/wire/EntryNewsOrBuilder.java
@@ -233,4 +233,48 @@
    * @return The storeEra.
    */
   long getStoreEra();
+
+  /**
+   * <pre>
+   * Instances that have recently told the sender that they leave.
+   * </pre>
+   *
+   * <code>repeated .merlinwood.wire.v1.LeavingInstance leaving = 10;</code>
+   */
+  java.util.List<org.merlinwood.wire.LeavingInstance> 
+      getLeavingList();
+  /**
+   * <pre>
+   * Instances that have recently told the sender that they leave.
+   * </pre>
+   *
+   * <code>repeated .merlinwood.wire.v1.LeavingInstance leaving = 10;</code>
+   */
+  org.merlinwood.wire.LeavingInstance getLeaving(int index);
+  /**
+   * <pre>
+   * Instances that have recently told the sender that they leave.
+   * </pre>
+   *
+   * <code>repeated .merlinwood.wire.v1.LeavingInstance leaving = 10;</code>
+   */
+  int getLeavingCount();
+  /**
+   * <pre>
+   * Instances that have recently told the sender that they leave.
+   * </pre>
+   *
+   * <code>repeated .merlinwood.wire.v1.LeavingInstance leaving = 10;</code>
+   */
+  java.util.List<? extends org.merlinwood.wire.LeavingInstanceOrBuilder> 
+      getLeavingOrBuilderList();
+  /**
+   * <pre>
+   * Instances that have recently told the sender that they leave.
+   * </pre>
+   *
+   * <code>repeated .merlinwood.wire.v1.LeavingInstance leaving = 10;</code>
+   */
+  org.merlinwood.wire.LeavingInstanceOrBuilder getLeavingOrBuilder(
+      int index);
 }
--- a/wire-generated/src/main/java/org/merlinwood/wire/Merlinwood.java
+++ b/wire-generated/src/main/java/org/merlinwood/wire/Merlinwood.java
@@ -221,6 +221,11 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_merlinwood_wire_v1_EntryNews_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_merlinwood_wire_v1_LeavingInstance_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_merlinwood_wire_v1_LeavingInstance_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_merlinwood_wire_v1_ServiceDemand_descriptor;
   static final 
@@ -419,14 +424,17 @@
       "is\030\005 \001(\r\022\032\n\022retry_after_millis\030\006 \001(\r\"[\n\n" +
       "LoadReport\022\020\n\010instance\030\001 \001(\t\022\023\n\013incarnat" +
       "ion\030\002 \001(\006\022&\n\004load\030\003 \001(\0132\030.merlinwood.wir" +
-      "e.v1.Load\"\226\002\n\tEntryNews\022\017\n\007address\030\001 \001(\t" +
+      "e.v1.Load\"\314\002\n\tEntryNews\022\017\n\007address\030\001 \001(\t" +
       "\022\017\n\007members\030\002 \003(\t\022\026\n\016store_revision\030\003 \001(" +
       "\004\022.\n\004work\030\004 \003(\0132 .merlinwood.wire.v1.Ins" +
       "tanceWork\022.\n\tlost_runs\030\005 \003(\0132\033.merlinwoo" +
       "d.wire.v1.LostRun\0222\n\007demands\030\006 \003(\0132!.mer" +
       "linwood.wire.v1.ServiceDemand\022\021\n\tswitchi" +
       "ng\030\007 \003(\t\022\025\n\rhighest_fence\030\010 \001(\004\022\021\n\tstore" +
-      "_era\030\t \001(\004\"M\n\rServiceDemand\022\017\n\007service\030\001" +
+      "_era\030\t \001(\004\0224\n\007leaving\030\n \003(\0132#.merlinwood" +
+      ".wire.v1.LeavingInstance\"@\n\017LeavingInsta" +
+      "nce\022\020\n\010instance\030\001 \001(\t\022\033\n\023started_unix_mi" +
+      "llis\030\002 \001(\003\"M\n\rServiceDemand\022\017\n\007service\030\001" +
       " \001(\t\022\025\n\rprompt_tokens\030\002 \001(\r\022\024\n\014without_r" +
       "oom\030\003 \001(\r\"w\n\014InstanceWork\022\020\n\010instance\030\001 " +
       "\001(\t\022\017\n\007running\030\002 \001(\r\022\025\n\rprompt_tokens\030\003 " +
@@ -685,39 +693,45 @@
     internal_static_merlinwood_wire_v1_EntryNews_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_merlinwood_wire_v1_EntryNews_descriptor,
-        new java.lang.String[] { "Address", "Members", "StoreRevision", "Work", "LostRuns", "Demands", "Switching", "HighestFence", "StoreEra", });
-    internal_static_merlinwood_wire_v1_ServiceDemand_descriptor =
+        new java.lang.String[] { "Address", "Members", "StoreRevision", "Work", "LostRuns", "Demands", "Switching", "HighestFence", "StoreEra", "Leaving", });
+    internal_static_merlinwood_wire_v1_LeavingInstance_descriptor =
       getDescriptor().getMessageType(39);
+    internal_static_merlinwood_wire_v1_LeavingInstance_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_merlinwood_wire_v1_LeavingInstance_descriptor,
+        new java.lang.String[] { "Instance", "StartedUnixMillis", });
+    internal_static_merlinwood_wire_v1_ServiceDemand_descriptor =
+      getDescriptor().getMessageType(40);
     internal_static_merlinwood_wire_v1_ServiceDemand_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_merlinwood_wire_v1_ServiceDemand_descriptor,
         new java.lang.String[] { "Service", "PromptTokens", "WithoutRoom", });
     internal_static_merlinwood_wire_v1_InstanceWork_descriptor =
-      getDescriptor().getMessageType(40);
+      getDescriptor().getMessageType(41);
     internal_static_merlinwood_wire_v1_InstanceWork_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_merlinwood_wire_v1_InstanceWork_descriptor,
         new java.lang.String[] { "Instance", "Running", "PromptTokens", "HeldTokens", "RemainingTokens", });
     internal_static_merlinwood_wire_v1_LostRun_descriptor =
-      getDescriptor().getMessageType(41);
+      getDescriptor().getMessageType(42);
     internal_static_merlinwood_wire_v1_LostRun_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_merlinwood_wire_v1_LostRun_descriptor,
         new java.lang.String[] { "Fingerprint", "Instance", });
     internal_static_merlinwood_wire_v1_StoreChangesRequest_descriptor =
-      getDescriptor().getMessageType(42);
+      getDescriptor().getMessageType(43);
     internal_static_merlinwood_wire_v1_StoreChangesRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_merlinwood_wire_v1_StoreChangesRequest_descriptor,
         new java.lang.String[] { "After", "AfterEra", });
     internal_static_merlinwood_wire_v1_StoreChanges_descriptor =
-      getDescriptor().getMessageType(43);
+      getDescriptor().getMessageType(44);
     internal_static_merlinwood_wire_v1_StoreChanges_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_merlinwood_wire_v1_StoreChanges_descriptor,
         new java.lang.String[] { "Keys", "Revision", "Era", });
     internal_static_merlinwood_wire_v1_StoreKey_descriptor =
-      getDescriptor().getMessageType(44);
+      getDescriptor().getMessageType(45);
     internal_static_merlinwood_wire_v1_StoreKey_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_merlinwood_wire_v1_StoreKey_descriptor,
