--- a/gateway/src/main/java/org/merlinwood/gateway/front/PlainRequestProcessor.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/PlainRequestProcessor.java
@@ -6,7 +6,6 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
-import org.merlinwood.core.result.ExecutionState;
 import org.merlinwood.core.result.Failure;
 import org.merlinwood.core.result.ResultCode;
 import org.merlinwood.gateway.decision.AttemptOutcome;
@@ -219,17 +218,7 @@
             if (!markEnded() || isFinished()) {
                 return;
             }
-            long pauseMillis = context.pool().recordFailure(instance.identifier());
-            decisionLine("instance paused")
-                    .with("instance", instance.identifier())
-                    .with("pauseMillis", pauseMillis)
-                    .with("reason", failure.detail())
-                    .write();
-            boolean notRun = failure.executionState() == ExecutionState.NOT_RUN;
-            if (!notRun && failure.code() != ResultCode.UPSTREAM_TIMEOUT) {
-                context.crashHistory().recordLoss(CrashHistory.fingerprint(request), instance.identifier());
-            }
-            onAttemptEnded(this, notRun ? new AttemptOutcome.Unreached(failure) : new AttemptOutcome.Broken(failure));
+            onAttemptEnded(this, recordFailedAttempt(instance, failure));
         }
 
         private boolean markEnded() {
--- /dev/null
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/PrefillCall.java
@@ -0,0 +1,152 @@
+package org.merlinwood.gateway.front;
+
+import io.vavr.control.Either;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.merlinwood.core.result.ExecutionState;
+import org.merlinwood.core.result.Failure;
+import org.merlinwood.gateway.fleet.UpstreamInstance;
+import org.merlinwood.gateway.request.Prompt;
+import org.merlinwood.gateway.upstream.PrefillResult;
+import org.merlinwood.http.HttpRequest;
+import org.merlinwood.http.HttpResponse;
+import org.merlinwood.http.HttpStream;
+
+/**
+ * Has a prefill instance compute the prompt of a request, and another one if that fails, until none is left to try.
+ * Used by the event loop alone. May be started again, for the next decode instance of the request.
+ */
+final class PrefillCall implements HttpStream {
+
+    /** Margin that the read timeout of a prefill adds to twice the expected duration, in milliseconds. */
+    private static final long READ_TIMEOUT_MARGIN_MILLIS = 300;
+
+    private final RequestProcessor processor;
+    private final RequestProcessorContext context;
+    private final Prompt prompt;
+    private final Consumer<PrefillResult> releaser;
+    private final Set<String> triedInstances = new HashSet<>();
+    private Optional<UpstreamInstance> activeInstance = Optional.empty();
+    private Optional<HttpStream> activeRequest = Optional.empty();
+
+    /**
+     * Creates a call.
+     *
+     * @param processor processes the request; gives its time, and writes its log lines
+     * @param prompt the prompt
+     * @param releaser releases a result that arrives after the request has finished
+     */
+    PrefillCall(RequestProcessor processor, Prompt prompt, Consumer<PrefillResult> releaser) {
+        this.processor = processor;
+        this.context = processor.context;
+        this.prompt = prompt;
+        this.releaser = releaser;
+    }
+
+    /** Forgets which instances were tried, for the next attempt of the request. */
+    void clearTriedInstances() {
+        triedInstances.clear();
+    }
+
+    /**
+     * Starts to compute the prompt.
+     *
+     * @param decodeInstance the instance to which the result will be transferred
+     * @param consumer receives the result, or empty if no prefill instance is left or the retry allowance is used up;
+     *     not called after the request has finished
+     */
+    void start(UpstreamInstance decodeInstance, Consumer<Optional<PrefillResult>> consumer) {
+        Optional<UpstreamInstance> choice = context.pool()
+                .choosePrefill(processor.service, decodeInstance.domain(), prompt.promptTokens(), triedInstances);
+        if (choice.isEmpty() || context.retryAllowance().isOverdrawn(processor.service)) {
+            consumer.accept(Optional.empty());
+            return;
+        }
+        send(choice.get(), decodeInstance, consumer);
+    }
+
+    /** Returns the instance that computes the prompt now, or empty if none does. */
+    Optional<UpstreamInstance> activeInstance() {
+        return activeInstance;
+    }
+
+    @Override
+    public void cancel() {
+        activeRequest.ifPresent(HttpStream::cancel);
+        activeRequest = Optional.empty();
+        activeInstance = Optional.empty();
+    }
+
+    private void send(
+            UpstreamInstance instance, UpstreamInstance decodeInstance, Consumer<Optional<PrefillResult>> consumer) {
+        triedInstances.add(instance.identifier());
+        long readTimeoutMillis = readTimeoutMillis(instance);
+        processor
+                .decisionLine("prefill")
+                .with("instance", instance.identifier())
+                .with("for", decodeInstance.identifier())
+                .with("queuedTokens", context.pool().queuedPromptTokens(instance.identifier()))
+                .with("readTimeoutMillis", readTimeoutMillis)
+                .write();
+        HttpRequest request = context.protocol()
+                .prefill(instance, processor.request, readTimeoutMillis)
+                .withTimeouts(RequestProcessor.CONNECT_TIMEOUT_MILLIS, readTimeoutMillis);
+        long startedMillis = context.clock().monotonicMillis();
+        context.pool().beginPrompt(instance.identifier(), prompt.promptTokens());
+        activeInstance = Optional.of(instance);
+        activeRequest = Optional.of(context.client().execute(instance, request, response -> {
+            context.pool().endPrompt(instance.identifier(), prompt.promptTokens());
+            Optional<PrefillResult> result =
+                    onResponse(instance, context.clock().monotonicMillis() - startedMillis, response);
+            if (processor.isFinished()) {
+                result.ifPresent(releaser);
+            } else if (result.isPresent()) {
+                consumer.accept(result);
+            } else {
+                start(decodeInstance, consumer);
+            }
+        }));
+    }
+
+    /** Returns how long to wait for a prefill, in milliseconds, which is also all the time that the instance gets. */
+    private long readTimeoutMillis(UpstreamInstance instance) {
+        long expectedMillis = context.pool().expectedPrefillMillis(instance.identifier(), prompt.promptTokens());
+        return Math.max(1, Math.min(processor.timeLeftMillis(), READ_TIMEOUT_MARGIN_MILLIS + 2 * expectedMillis));
+    }
+
+    private Optional<PrefillResult> onResponse(
+            UpstreamInstance instance, long tookMillis, Either<Failure, HttpResponse> response) {
+        Optional<PrefillResult> result =
+                response.toJavaOptional().flatMap(success -> context.protocol().readPrefill(instance, success));
+        if (processor.isFinished()) {
+            return result;
+        }
+        activeRequest = Optional.empty();
+        activeInstance = Optional.empty();
+        response.peekLeft(failure -> processor.pauseInstance(instance, failure));
+        processor
+                .decisionLine(result.isPresent() ? "prompt computed" : "prefill failed")
+                .with("instance", instance.identifier())
+                .with("tookMillis", tookMillis)
+                .with("answer", response.fold(Failure::detail, success -> "status " + success.status()))
+                .write();
+        if (result.isPresent()) {
+            context.pool().recordPrefill(instance.identifier(), prompt.promptTokens(), tookMillis);
+            context.metrics().recordDuration("prefill_milliseconds", tookMillis);
+        } else {
+            recordFailure(response);
+        }
+        return result;
+    }
+
+    /** Counts a failed prefill as a retry, unless it did not reach the instance: the generation is sent in addition. */
+    private void recordFailure(Either<Failure, HttpResponse> response) {
+        boolean received =
+                response.fold(failure -> failure.executionState() != ExecutionState.NOT_RUN, success -> true);
+        if (received) {
+            context.retryAllowance().recordRetry(processor.service);
+        }
+    }
+}
--- a/gateway/src/main/java/org/merlinwood/gateway/front/RequestProcessor.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/RequestProcessor.java
@@ -6,7 +6,10 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import org.merlinwood.core.result.ExecutionState;
+import org.merlinwood.core.result.Failure;
 import org.merlinwood.core.result.ResultCode;
+import org.merlinwood.gateway.decision.AttemptOutcome;
+import org.merlinwood.gateway.decision.CrashHistory;
 import org.merlinwood.gateway.fleet.UpstreamInstance;
 import org.merlinwood.gateway.loop.EventLoop;
 import org.merlinwood.gateway.request.CallerRequest;
@@ -136,6 +139,31 @@
         ErrorResponses.send(channel, code, retryAfterMillis);
     }
 
+    /** Pauses an instance that failed. That a request was cancelled says nothing about its instance. */
+    final void pauseInstance(UpstreamInstance instance, Failure failure) {
+        if (failure.code() == ResultCode.CANCELLED) {
+            return;
+        }
+        long pauseMillis = context.pool().recordFailure(instance.identifier());
+        decisionLine("instance paused")
+                .with("instance", instance.identifier())
+                .with("pauseMillis", pauseMillis)
+                .with("reason", failure.detail())
+                .write();
+    }
+
+    /** Records what a failed attempt tells about its instance and about the request; returns its outcome. */
+    final AttemptOutcome recordFailedAttempt(UpstreamInstance instance, Failure failure) {
+        pauseInstance(instance, failure);
+        if (failure.executionState() == ExecutionState.NOT_RUN) {
+            return new AttemptOutcome.Unreached(failure);
+        }
+        if (failure.code() != ResultCode.UPSTREAM_TIMEOUT) {
+            context.crashHistory().recordLoss(CrashHistory.fingerprint(request), instance.identifier());
+        }
+        return new AttemptOutcome.Broken(failure);
+    }
+
     private void onTimeout() {
         fail(timeoutCode(), 0, "route timeout exceeded");
     }
--- a/gateway/src/main/java/org/merlinwood/gateway/front/StreamRequestProcessor.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/StreamRequestProcessor.java
@@ -1,13 +1,11 @@
 package org.merlinwood.gateway.front;
 
-import io.vavr.control.Either;
 import java.io.ByteArrayOutputStream;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
-import org.merlinwood.core.result.ExecutionState;
 import org.merlinwood.core.result.Failure;
 import org.merlinwood.core.result.ResultCode;
 import org.merlinwood.gateway.decision.ActiveGeneration;
@@ -29,7 +27,6 @@
 import org.merlinwood.http.HttpHeader;
 import org.merlinwood.http.HttpListener;
 import org.merlinwood.http.HttpRequest;
-import org.merlinwood.http.HttpResponse;
 import org.merlinwood.http.HttpStream;
 
 /**
@@ -45,9 +42,6 @@
     /** Delay before excluded instances may be chosen again, in milliseconds. */
     private static final long EXCLUSION_RESET_MILLIS = 100;
 
-    /** Margin that the read timeout of a prefill adds to twice the expected duration, in milliseconds. */
-    private static final long PREFILL_READ_TIMEOUT_MARGIN_MILLIS = 300;
-
     /** Read timeout after which a resumable stream is retried, in milliseconds. */
     private static final long RESUMABLE_READ_TIMEOUT_MILLIS = 1_200;
 
@@ -56,9 +50,9 @@
 
     private final Prompt prompt;
     private final EngineLimits limits;
+    private final PrefillCall prefillCall;
     private final EventSplitter events = new EventSplitter();
     private final Set<String> excludedInstances = new HashSet<>();
-    private final Set<String> triedPrefillInstances = new HashSet<>();
     private Optional<UpstreamWork> activeRequest = Optional.empty();
     private Optional<ActiveGeneration> activeGeneration = Optional.empty();
 
@@ -83,6 +77,7 @@
         super(context, request, route, channel);
         this.prompt = prompt;
         this.limits = limits;
+        this.prefillCall = new PrefillCall(this, prompt, this::release);
     }
 
     @Override
@@ -230,74 +225,11 @@
     }
 
     private void startPrefill(UpstreamInstance decodeInstance) {
-        Optional<UpstreamInstance> choice = context.pool()
-                .choosePrefill(service, decodeInstance.domain(), prompt.promptTokens(), triedPrefillInstances);
-        if (choice.isEmpty() || context.retryAllowance().isOverdrawn(service)) {
+        activeRequest = Optional.empty();
+        prefillCall.start(decodeInstance, result -> {
+            prefillResult = result;
             startGeneration(decodeInstance);
-            return;
-        }
-        UpstreamInstance instance = choice.get();
-        triedPrefillInstances.add(instance.identifier());
-        long readTimeoutMillis = prefillReadTimeoutMillis(instance);
-        decisionLine("prefill")
-                .with("instance", instance.identifier())
-                .with("for", decodeInstance.identifier())
-                .with("queuedTokens", context.pool().queuedPromptTokens(instance.identifier()))
-                .with("readTimeoutMillis", readTimeoutMillis)
-                .write();
-        long startedMillis = context.clock().monotonicMillis();
-        HttpRequest prefillRequest = context.protocol()
-                .prefill(instance, request, readTimeoutMillis)
-                .withTimeouts(CONNECT_TIMEOUT_MILLIS, readTimeoutMillis);
-        context.pool().beginPrompt(instance.identifier(), prompt.promptTokens());
-        HttpStream prefill = context.client().execute(instance, prefillRequest, result -> {
-            context.pool().endPrompt(instance.identifier(), prompt.promptTokens());
-            onPrefillResult(decodeInstance, instance, context.clock().monotonicMillis() - startedMillis, result);
         });
-        activeRequest = Optional.of(new UpstreamWork("prefill", instance, prefill));
-    }
-
-    /** Returns how long to wait for a prefill, in milliseconds, which is also all the time that the instance gets. */
-    private long prefillReadTimeoutMillis(UpstreamInstance instance) {
-        long expectedMillis = context.pool().expectedPrefillMillis(instance.identifier(), prompt.promptTokens());
-        return Math.max(1, Math.min(timeLeftMillis(), PREFILL_READ_TIMEOUT_MARGIN_MILLIS + 2 * expectedMillis));
-    }
-
-    private void onPrefillResult(
-            UpstreamInstance decodeInstance,
-            UpstreamInstance instance,
-            long tookMillis,
-            Either<Failure, HttpResponse> result) {
-        Optional<PrefillResult> newPrefillResult = result.fold(
-                failure -> Optional.empty(), response -> context.protocol().readPrefill(instance, response));
-        if (isFinished()) {
-            newPrefillResult.ifPresent(this::release);
-            return;
-        }
-        activeRequest = Optional.empty();
-        result.peekLeft(failure -> pauseInstance(instance, failure));
-        decisionLine(newPrefillResult.isPresent() ? "prompt computed" : "prefill failed")
-                .with("instance", instance.identifier())
-                .with("tookMillis", tookMillis)
-                .with("answer", result.fold(Failure::detail, response -> "status " + response.status()))
-                .write();
-        prefillResult = newPrefillResult;
-        if (newPrefillResult.isEmpty()) {
-            recordFailedPrefill(result);
-            startPrefill(decodeInstance);
-            return;
-        }
-        context.pool().recordPrefill(instance.identifier(), prompt.promptTokens(), tookMillis);
-        context.metrics().recordDuration("prefill_milliseconds", tookMillis);
-        startGeneration(decodeInstance);
-    }
-
-    /** Counts a failed prefill as a retry, unless it did not reach the instance: the generation is sent in addition. */
-    private void recordFailedPrefill(Either<Failure, HttpResponse> result) {
-        boolean received = result.fold(failure -> failure.executionState() != ExecutionState.NOT_RUN, response -> true);
-        if (received) {
-            context.retryAllowance().recordRetry(service);
-        }
     }
 
     private void startGeneration(UpstreamInstance instance) {
@@ -402,7 +334,7 @@
                 if (prefillResultLost) {
                     startGeneration(generation.instance);
                 } else {
-                    triedPrefillInstances.clear();
+                    prefillCall.clearTriedInstances();
                     proceed();
                 }
             }
@@ -467,6 +399,7 @@
 
     @Override
     void cancelUpstream() {
+        prefillCall.cancel();
         activeRequest.ifPresent(work -> work.request().cancel());
         activeRequest = Optional.empty();
         unregisterGeneration();
@@ -477,8 +410,11 @@
 
     @Override
     String describeUpstreamWork() {
-        return activeRequest
-                .map(work -> work.purpose() + " at " + work.instance().identifier())
+        return prefillCall
+                .activeInstance()
+                .map(instance -> "prefill at " + instance.identifier())
+                .or(() -> activeRequest.map(
+                        work -> work.purpose() + " at " + work.instance().identifier()))
                 .orElse("none");
     }
 
@@ -517,18 +453,6 @@
                                 .write()));
     }
 
-    private void pauseInstance(UpstreamInstance instance, Failure failure) {
-        if (failure.code() == ResultCode.CANCELLED) {
-            return;
-        }
-        long pauseMillis = context.pool().recordFailure(instance.identifier());
-        decisionLine("instance paused")
-                .with("instance", instance.identifier())
-                .with("pauseMillis", pauseMillis)
-                .with("reason", failure.detail())
-                .write();
-    }
-
     private void registerGeneration(UpstreamInstance instance) {
         activeGeneration = Optional.of(context.pool().beginGeneration(instance.identifier(), prompt));
     }
@@ -636,12 +560,7 @@
             if (isFinished()) {
                 return;
             }
-            pauseInstance(instance, failure);
-            boolean notRun = failure.executionState() == ExecutionState.NOT_RUN;
-            if (!notRun && failure.code() != ResultCode.UPSTREAM_TIMEOUT) {
-                context.crashHistory().recordLoss(CrashHistory.fingerprint(request), instance.identifier());
-            }
-            onAttemptEnded(this, notRun ? new AttemptOutcome.Unreached(failure) : new AttemptOutcome.Broken(failure));
+            onAttemptEnded(this, recordFailedAttempt(instance, failure));
         }
     }
 }
