Reverted: an instance gets no more time for a prefill or an attempt than the entry waits

What remains: an instance behind a cut link sees no close and works on for as long as the caller gave.

--- a/gateway/src/main/java/org/merlinwood/gateway/front/PlainRequestProcessor.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/PlainRequestProcessor.java
@@ -96,15 +96,11 @@
                 .with("instance", instance.identifier())
                 .with("attemptsBefore", attemptsSent)
                 .write();
-        long readTimeoutMillis = readTimeoutMillis();
-        AttemptTerms terms = new AttemptTerms(
-                OptionalLong.of(Math.min(readTimeoutMillis, Math.max(1, timeLeftMillis()))),
-                Optional.empty(),
-                Optional.empty(),
-                OptionalLong.empty());
+        AttemptTerms terms =
+                new AttemptTerms(upstreamTimeLeftMillis(), Optional.empty(), Optional.empty(), OptionalLong.empty());
         HttpRequest upstreamRequest = context.protocol()
                 .run(instance, request, terms)
-                .withTimeouts(CONNECT_TIMEOUT_MILLIS, readTimeoutMillis);
+                .withTimeouts(CONNECT_TIMEOUT_MILLIS, readTimeoutMillis());
         Attempt attempt = new Attempt(instance);
         currentAttempt = Optional.of(attempt);
         context.pool().beginPlainAttempt(instance.identifier());
--- a/gateway/src/main/java/org/merlinwood/gateway/front/PrefillCall.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/PrefillCall.java
@@ -91,7 +91,7 @@
                 .with("readTimeoutMillis", readTimeoutMillis)
                 .write();
         HttpRequest request = context.protocol()
-                .prefill(instance, processor.request, readTimeoutMillis)
+                .prefill(instance, processor.request, Math.max(1, processor.timeLeftMillis()))
                 .withTimeouts(RequestProcessor.CONNECT_TIMEOUT_MILLIS, readTimeoutMillis);
         long startedMillis = context.clock().monotonicMillis();
         context.pool().beginPrompt(instance.identifier(), prompt.promptTokens());
@@ -110,10 +110,9 @@
         }));
     }
 
-    /** Returns how long to wait for a prefill, in milliseconds, which is also all the time that the instance gets. */
     private long readTimeoutMillis(UpstreamInstance instance) {
         long expectedMillis = context.pool().expectedPrefillMillis(instance.identifier(), prompt.promptTokens());
-        return Math.max(1, Math.min(processor.timeLeftMillis(), READ_TIMEOUT_MARGIN_MILLIS + 2 * expectedMillis));
+        return READ_TIMEOUT_MARGIN_MILLIS + 2 * expectedMillis;
     }
 
     private Optional<PrefillResult> onResponse(
