--- a/gateway/src/test/java/org/merlinwood/gateway/follow/StoreFollowerTest.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/follow/StoreFollowerTest.java
@@ -2,11 +2,9 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import java.util.TreeMap;
+import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.merlinwood.core.result.ExecutionState;
@@ -20,10 +18,10 @@
     private final ManualMillisClock clock = new ManualMillisClock(100_000);
     private final ManualLoop loop = new ManualLoop(clock);
     private final FakeHttpClient client = new FakeHttpClient();
-    private final Map<String, String> values = new TreeMap<>();
-    private final List<Boolean> reachable = new ArrayList<>();
+    private final RecordingStoreListener listener = new RecordingStoreListener();
+    private final Map<String, String> values = listener.values;
     private final StoreFollower follower =
-            new StoreFollower(new PlainTextStoreProtocol(), client, loop, clock, new Listener());
+            new StoreFollower(new PlainTextStoreProtocol(), client, loop, clock, listener);
 
     @BeforeEach
     void listTwoKeys() {
@@ -33,6 +31,11 @@
         respond("done 6 b=1@4");
     }
 
+    @AfterEach
+    void storeWasNeverRestored() {
+        assertThat(listener.restores).isEmpty();
+    }
+
     @Test
     void watchStartsAtRevisionOfFirstPage() {
         assertThat(values).containsOnlyKeys("a", "b");
@@ -84,7 +87,7 @@
         client.last().fail(ResultCode.UPSTREAM_TIMEOUT, ExecutionState.UNKNOWN);
         loop.advance(StoreFollower.RETRY_DELAY_MILLIS);
         respond("done 6");
-        assertThat(reachable).containsExactly(true, false, true);
+        assertThat(listener.reachable).containsExactly(true, false, true);
     }
 
     @Test
@@ -115,30 +118,4 @@
         client.last().respond(200, body);
         loop.run();
     }
-
-    private final class Listener implements StoreListener {
-
-        @Override
-        public void onChange(StoreChange change) {
-            change.value()
-                    .ifPresentOrElse(
-                            value -> values.put(change.key(), new String(value, StandardCharsets.UTF_8)),
-                            () -> values.remove(change.key()));
-        }
-
-        @Override
-        public boolean revives(StoreChange change) {
-            return false;
-        }
-
-        @Override
-        public void onRestored(long previousEra, long era) {
-            throw new AssertionError("the store was not restored");
-        }
-
-        @Override
-        public void onReachable(boolean nowReachable, String reason) {
-            reachable.add(nowReachable);
-        }
-    }
 }
--- a/gateway/src/test/java/org/merlinwood/gateway/follow/StoreRestoreTest.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/follow/StoreRestoreTest.java
@@ -2,11 +2,8 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import java.util.TreeMap;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -21,10 +18,10 @@
     private final ManualMillisClock clock = new ManualMillisClock(100_000);
     private final ManualLoop loop = new ManualLoop(clock);
     private final FakeHttpClient client = new FakeHttpClient();
-    private final Map<String, String> values = new TreeMap<>();
-    private final List<String> restores = new ArrayList<>();
+    private final RecordingStoreListener listener = new RecordingStoreListener();
+    private final Map<String, String> values = listener.values;
     private final StoreFollower follower =
-            new StoreFollower(new PlainTextStoreProtocol(), client, loop, clock, new Listener());
+            new StoreFollower(new PlainTextStoreProtocol(), client, loop, clock, listener);
 
     @BeforeEach
     void readUpToRevision50() {
@@ -45,7 +42,7 @@
         assertThat(values).containsEntry("e", "ready");
         assertThat(follower.position()).isLessThan(new StorePosition(4, 61));
         assertThat(client.last().request().path()).isEqualTo("/watch/60");
-        assertThat(restores).containsExactly("3 to 4");
+        assertThat(listener.restores).containsExactly("3 to 4");
     }
 
     @Test
@@ -86,7 +83,7 @@
         loop.advance(StoreFollower.REMOVAL_DELAY_MILLIS);
         assertThat(values).containsEntry("a", "leaving").containsEntry("d", "ready");
         assertThat(follower.position()).isEqualTo(new StorePosition(5, 43));
-        assertThat(restores).containsExactly("3 to 4", "4 to 5");
+        assertThat(listener.restores).containsExactly("3 to 4", "4 to 5");
     }
 
     @Test
@@ -136,12 +133,12 @@
 
     @Test
     void entryThatStartsAfterARestoreTakesWhatTheStoreSays() {
-        StoreFollower fresh = new StoreFollower(new PlainTextStoreProtocol(), client, loop, clock, new Listener());
+        StoreFollower fresh = new StoreFollower(new PlainTextStoreProtocol(), client, loop, clock, listener);
         values.clear();
         fresh.start();
         respond("done 9:41 a=ready@9:30");
         assertThat(values).containsOnlyKeys("a");
-        assertThat(restores).isEmpty();
+        assertThat(listener.restores).isEmpty();
     }
 
     @ParameterizedTest
@@ -162,31 +159,4 @@
         client.last().respond(200, body);
         loop.run();
     }
-
-    private final class Listener implements StoreListener {
-
-        @Override
-        public void onChange(StoreChange change) {
-            change.value()
-                    .ifPresentOrElse(
-                            value -> values.put(change.key(), new String(value, StandardCharsets.UTF_8)),
-                            () -> values.remove(change.key()));
-        }
-
-        @Override
-        public boolean revives(StoreChange change) {
-            return "leaving".equals(values.get(change.key()))
-                    && change.value()
-                            .filter(value -> new String(value, StandardCharsets.UTF_8).equals("ready"))
-                            .isPresent();
-        }
-
-        @Override
-        public void onRestored(long previousEra, long era) {
-            restores.add(previousEra + " to " + era);
-        }
-
-        @Override
-        public void onReachable(boolean reachable, String reason) {}
-    }
 }
