InstancePool: placement of each stage, ranking, candidates and shared work in classes of their own

Cause: one class of 515 lines chose instances for three stages, kept statistics, and exchanged work with other entries.

Change: a pure move. InstanceCandidates says which instances may get a request, InstanceRanking compares them by health, latency and failure domain, PlainPlacement, DecodePlacement and PrefillPlacement choose for one stage each, FleetStatistics keeps the statistics, SharedWork is what entries report to each other. InstancePool has the same public methods as before, but for updatePeer, removePeer and work, which are now methods of SharedWork.

--- /dev/null
+++ b/gateway/src/main/java/org/merlinwood/gateway/decision/DecodePlacement.java
@@ -0,0 +1,117 @@
+package org.merlinwood.gateway.decision;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import org.merlinwood.core.time.MillisClock;
+import org.merlinwood.gateway.fleet.Stage;
+import org.merlinwood.gateway.fleet.UpstreamInstance;
+import org.merlinwood.gateway.request.Prompt;
+import org.merlinwood.gateway.route.EngineLimits;
+
+/**
+ * Chooses instances that generate responses, by the memory that all responses there will need, and forecasts when there
+ * is room for another one. Confined to the event loop.
+ */
+final class DecodePlacement {
+
+    /** Assumed time between two events until an instance has completed its first response, in milliseconds. */
+    private static final double DEFAULT_EVENT_INTERVAL_MILLIS = 45;
+
+    private final InstanceCandidates candidates;
+    private final FleetStatistics statistics;
+    private final InstanceRanking ranking;
+    private final MillisClock clock;
+    private final String ownDomain;
+
+    /**
+     * Creates the placement of one entry.
+     *
+     * @param candidates instances that may get a request
+     * @param statistics load and health of the instances
+     * @param ranking compares the candidates
+     * @param clock source of the monotonic time
+     * @param ownDomain failure domain of this entry
+     */
+    DecodePlacement(
+            InstanceCandidates candidates,
+            FleetStatistics statistics,
+            InstanceRanking ranking,
+            MillisClock clock,
+            String ownDomain) {
+        this.candidates = candidates;
+        this.statistics = statistics;
+        this.ranking = ranking;
+        this.clock = clock;
+        this.ownDomain = ownDomain;
+    }
+
+    /** Chooses an instance with a free slot and enough memory, see {@link InstancePool#chooseDecode}. */
+    Optional<UpstreamInstance> choose(String service, Prompt prompt, EngineLimits limits, Set<String> excluded) {
+        List<UpstreamInstance> eligible = candidates.of(service, Stage.DECODE, excluded);
+        double lowestErrorRate = ranking.lowestErrorRate(eligible);
+        double meanMillis = ranking.meanMillis(eligible);
+        Map<String, Long> neededTokens = new HashMap<>();
+        eligible.forEach(instance -> neededTokens.put(instance.identifier(), neededTokensWith(instance, prompt)));
+        List<UpstreamInstance> withCapacity = eligible.stream()
+                .filter(instance -> neededTokens.get(instance.identifier()) <= limits.memoryTokens())
+                .filter(instance -> hasFreeSlot(instance, limits))
+                .filter(instance -> !hasJustDeclined(instance, prompt, limits))
+                .toList();
+        return ranking.chooseBest(withCapacity, instance -> {
+            InstanceStatistics known = statistics.of(instance.identifier());
+            return neededTokens.get(instance.identifier())
+                            * InstanceRanking.latencyFactor(known, meanMillis)
+                            * ranking.errorFactor(known, lowestErrorRate)
+                    + InstanceRanking.domainPenalty(instance, ownDomain) * prompt.promptTokens();
+        });
+    }
+
+    /** Returns the memory that an instance must have free for a response, see {@link InstancePool#memoryNeed}. */
+    MemoryNeed memoryNeed(String identifier, Prompt prompt, EngineLimits limits) {
+        return MemoryNeed.of(statistics.of(identifier).allGenerations(), newGeneration(prompt), limits);
+    }
+
+    /** Forecasts when there is room for a response, see {@link InstancePool#millisUntilCapacity}. */
+    OptionalLong millisUntilCapacity(String service, Prompt prompt, EngineLimits limits) {
+        long now = clock.monotonicMillis();
+        MemoryForecast.Growth next = newGeneration(prompt);
+        OptionalLong untilCapacity = candidates.of(service, Stage.DECODE, Set.of()).stream()
+                .map(instance -> statistics.of(instance.identifier()))
+                .filter(known -> known.acceptsWork(now))
+                .map(known -> MemoryForecast.millisUntilFits(
+                        known.allGenerations(), next, limits.memoryTokens(), tokensPerMilli(known, limits)))
+                .filter(OptionalLong::isPresent)
+                .mapToLong(OptionalLong::getAsLong)
+                .min();
+        return untilCapacity.isPresent() ? untilCapacity : candidates.millisUntilAccepted(service, Stage.DECODE);
+    }
+
+    private boolean hasFreeSlot(UpstreamInstance instance, EngineLimits limits) {
+        return statistics.of(instance.identifier()).allGenerations().size() < limits.slots();
+    }
+
+    private boolean hasJustDeclined(UpstreamInstance instance, Prompt prompt, EngineLimits limits) {
+        int tokens = memoryNeed(instance.identifier(), prompt, limits).freeTokens();
+        return statistics.of(instance.identifier()).recentlyDeclined(tokens, clock.monotonicMillis());
+    }
+
+    private static MemoryForecast.Growth newGeneration(Prompt prompt) {
+        return new MemoryForecast.Growth(prompt.promptTokens(), ResponseLengthEstimate.remainingTokens(prompt, 0));
+    }
+
+    private static double tokensPerMilli(InstanceStatistics statistics, EngineLimits limits) {
+        return limits.tokensPerEvent()
+                / (statistics.averageMillis() > 0 ? statistics.averageMillis() : DEFAULT_EVENT_INTERVAL_MILLIS);
+    }
+
+    private long neededTokensWith(UpstreamInstance instance, Prompt prompt) {
+        List<MemoryForecast.Growth> generations =
+                statistics.of(instance.identifier()).allGenerations();
+        generations.add(newGeneration(prompt));
+        return MemoryForecast.neededTokens(generations);
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/merlinwood/gateway/decision/InstanceCandidates.java
@@ -0,0 +1,59 @@
+package org.merlinwood.gateway.decision;
+
+import java.util.List;
+import java.util.OptionalLong;
+import java.util.Set;
+import org.merlinwood.gateway.fleet.FleetState;
+import org.merlinwood.gateway.fleet.Stage;
+import org.merlinwood.gateway.fleet.UpstreamInstance;
+
+/**
+ * The instances that may get a new request, whatever their load and health: registered, neither leaving nor changing
+ * their stage, and not declining requests. Confined to the event loop.
+ */
+final class InstanceCandidates {
+
+    private final FleetState fleet;
+    private final InstanceNotices notices;
+    private Set<String> switching = Set.of();
+
+    /**
+     * Creates candidates of which none is changing its stage.
+     *
+     * @param fleet the registered instances
+     * @param notices what instances have stated about themselves
+     */
+    InstanceCandidates(FleetState fleet, InstanceNotices notices) {
+        this.fleet = fleet;
+        this.notices = notices;
+    }
+
+    /** Sets the identifiers of the instances that are changing their stage; replaces the previous set. */
+    void switching(Set<String> identifiers) {
+        switching = Set.copyOf(identifiers);
+    }
+
+    /** Returns the candidates of a service, without the instances whose identifiers are excluded. */
+    List<UpstreamInstance> of(String service, Stage stage, Set<String> excluded) {
+        return registered(service, stage).stream()
+                .filter(instance -> !switching.contains(instance.identifier()))
+                .filter(instance -> !excluded.contains(instance.identifier()))
+                .filter(notices::mayReceive)
+                .toList();
+    }
+
+    /**
+     * Returns the milliseconds until the first instance accepts requests again, greater than 0; empty if one accepts
+     * them now or all are leaving.
+     */
+    OptionalLong millisUntilAccepted(String service, Stage stage) {
+        OptionalLong millis = notices.millisUntilAccepted(registered(service, stage));
+        return millis.orElse(0) > 0 ? millis : OptionalLong.empty();
+    }
+
+    private List<UpstreamInstance> registered(String service, Stage stage) {
+        return fleet.instances(service).stream()
+                .filter(instance -> instance.stage() == stage && !instance.leaving())
+                .toList();
+    }
+}
--- a/gateway/src/main/java/org/merlinwood/gateway/decision/InstancePool.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/decision/InstancePool.java
@@ -1,13 +1,8 @@
 package org.merlinwood.gateway.decision;
 
-import java.util.Comparator;
-import java.util.HashMap;
-import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
-import java.util.function.ToDoubleFunction;
 import org.merlinwood.core.time.MillisClock;
 import org.merlinwood.gateway.fleet.FleetState;
 import org.merlinwood.gateway.fleet.Stage;
@@ -17,40 +12,23 @@
 import org.merlinwood.gateway.upstream.UpstreamLoad;
 
 /**
- * Chooses instances for requests by load, latency, error rate and failure domain.
+ * The instances as one entry sees them: chooses instances for requests, and records what their requests show of their
+ * load and health.
  *
- * <p>An instance that failed is not chosen during a pause, which doubles with each consecutive failure. After the pause
- * it gets one request at a time until it responds. If all candidates are paused, the one whose pause ends first is
- * chosen, since it may have recovered. Confined to the event loop.
+ * <p>Which instances may get a request at all is decided by {@link InstanceCandidates}, which of them is the best one
+ * by a placement for each stage and by {@link InstanceRanking}. Confined to the event loop.
  */
 public final class InstancePool {
 
-    /** Load that is added for an instance in another failure domain, as a fraction of one request. */
-    private static final double CROSS_DOMAIN_LOAD = 0.4;
-
-    /** Weight of an error rate in excess of the lowest error rate among the candidates. */
-    private static final double ERROR_RATE_WEIGHT = 12;
-
-    /**
-     * Number of prompts that may be queued ahead of a prompt at a prefill instance. A decode instance computes two
-     * prompts in the time that these take.
-     */
-    private static final int MAXIMUM_QUEUED_PROMPTS = 3;
-
-    /** Smallest prompt length from which the limit of queued prompt tokens is computed, in tokens. */
-    private static final int MINIMUM_QUEUED_PROMPT_TOKENS = 4_000;
-
-    /** Assumed time between two events until an instance has completed its first response, in milliseconds. */
-    private static final double DEFAULT_EVENT_INTERVAL_MILLIS = 45;
-
-    private final FleetState fleet;
     private final MillisClock clock;
-    private final String ownDomain;
-    private final TopChoiceRandomizer randomizer;
-    private final Map<String, InstanceStatistics> statisticsByInstance = new HashMap<>();
-    private Set<String> switching = Set.of();
-    private final PrefillThroughput prefillThroughput = new PrefillThroughput();
     private final InstanceNotices notices;
+    private final FleetStatistics statistics = new FleetStatistics();
+    private final SharedWork sharedWork = new SharedWork(statistics);
+    private final InstanceCandidates candidates;
+    private final InstanceRanking ranking;
+    private final PlainPlacement plainPlacement;
+    private final DecodePlacement decodePlacement;
+    private final PrefillPlacement prefillPlacement;
 
     /**
      * Creates a pool.
@@ -61,11 +39,13 @@
      * @param seed seed of the random choice among the best instances; must differ between entries
      */
     public InstancePool(FleetState fleet, MillisClock clock, String ownDomain, long seed) {
-        this.fleet = fleet;
         this.clock = clock;
-        this.ownDomain = ownDomain;
-        this.randomizer = new TopChoiceRandomizer(seed);
         this.notices = new InstanceNotices(clock);
+        this.candidates = new InstanceCandidates(fleet, notices);
+        this.ranking = new InstanceRanking(statistics, clock, seed);
+        this.plainPlacement = new PlainPlacement(candidates, statistics, ranking, clock, ownDomain);
+        this.decodePlacement = new DecodePlacement(candidates, statistics, ranking, clock, ownDomain);
+        this.prefillPlacement = new PrefillPlacement(candidates, statistics, ranking);
     }
 
     /**
@@ -77,6 +57,15 @@
         return notices;
     }
 
+    /**
+     * Returns the work that entries report to each other.
+     *
+     * @return the live work, which the choices of this pool take into account
+     */
+    public SharedWork sharedWork() {
+        return sharedWork;
+    }
+
     /**
      * Returns when a service will accept requests again, if all its instances of a stage have named a time.
      *
@@ -85,8 +74,7 @@
      * @return milliseconds from now, greater than 0; empty if an instance accepts requests now or all are leaving
      */
     public OptionalLong millisUntilAccepted(String service, Stage stage) {
-        OptionalLong millis = notices.millisUntilAccepted(registered(service, stage));
-        return millis.orElse(0) > 0 ? millis : OptionalLong.empty();
+        return candidates.millisUntilAccepted(service, stage);
     }
 
     /**
@@ -97,10 +85,7 @@
      * @return the chosen instance, or empty if no candidate is left
      */
     public Optional<UpstreamInstance> choosePlain(String service, Set<String> excluded) {
-        List<UpstreamInstance> candidates = candidates(service, Stage.PLAIN, excluded);
-        double lowestErrorRate = lowestErrorRate(candidates);
-        double meanMillis = meanMillis(candidates);
-        return chooseBest(candidates, instance -> plainScore(instance, lowestErrorRate, meanMillis));
+        return plainPlacement.choose(service, excluded);
     }
 
     /**
@@ -115,23 +100,7 @@
      */
     public Optional<UpstreamInstance> chooseDecode(
             String service, Prompt prompt, EngineLimits limits, Set<String> excluded) {
-        List<UpstreamInstance> candidates = candidates(service, Stage.DECODE, excluded);
-        double lowestErrorRate = lowestErrorRate(candidates);
-        double meanMillis = meanMillis(candidates);
-        Map<String, Long> neededTokens = new HashMap<>();
-        candidates.forEach(instance -> neededTokens.put(instance.identifier(), neededTokensWith(instance, prompt)));
-        List<UpstreamInstance> withCapacity = candidates.stream()
-                .filter(instance -> neededTokens.get(instance.identifier()) <= limits.memoryTokens())
-                .filter(instance -> hasFreeSlot(instance, limits))
-                .filter(instance -> !hasJustDeclined(instance, prompt, limits))
-                .toList();
-        return chooseBest(withCapacity, instance -> {
-            InstanceStatistics statistics = statistics(instance.identifier());
-            return neededTokens.get(instance.identifier())
-                            * latencyFactor(statistics, meanMillis)
-                            * errorFactor(statistics, lowestErrorRate)
-                    + domainPenalty(instance, ownDomain) * prompt.promptTokens();
-        });
+        return decodePlacement.choose(service, prompt, limits, excluded);
     }
 
     /**
@@ -144,7 +113,7 @@
      * @return the need, at most the memory of the instance
      */
     public MemoryNeed memoryNeed(String identifier, Prompt prompt, EngineLimits limits) {
-        return MemoryNeed.of(statistics(identifier).allGenerations(), newGeneration(prompt), limits);
+        return decodePlacement.memoryNeed(identifier, prompt, limits);
     }
 
     /**
@@ -155,20 +124,7 @@
      * @param tokens size of the reservation, in tokens
      */
     public void recordDeclinedReservation(String identifier, int tokens) {
-        statistics(identifier).recordDeclinedReservation(tokens, clock.monotonicMillis());
-    }
-
-    private boolean hasFreeSlot(UpstreamInstance instance, EngineLimits limits) {
-        return statistics(instance.identifier()).allGenerations().size() < limits.slots();
-    }
-
-    private boolean hasJustDeclined(UpstreamInstance instance, Prompt prompt, EngineLimits limits) {
-        int tokens = memoryNeed(instance.identifier(), prompt, limits).freeTokens();
-        return statistics(instance.identifier()).recentlyDeclined(tokens, clock.monotonicMillis());
-    }
-
-    private static MemoryForecast.Growth newGeneration(Prompt prompt) {
-        return new MemoryForecast.Growth(prompt.promptTokens(), ResponseLengthEstimate.remainingTokens(prompt, 0));
+        statistics.of(identifier).recordDeclinedReservation(tokens, clock.monotonicMillis());
     }
 
     /**
@@ -181,29 +137,7 @@
      *     no instance that accepts work could hold the response
      */
     public OptionalLong millisUntilCapacity(String service, Prompt prompt, EngineLimits limits) {
-        long now = clock.monotonicMillis();
-        MemoryForecast.Growth next = newGeneration(prompt);
-        OptionalLong untilCapacity = candidates(service, Stage.DECODE, Set.of()).stream()
-                .map(instance -> statistics(instance.identifier()))
-                .filter(statistics -> statistics.acceptsWork(now))
-                .map(statistics -> MemoryForecast.millisUntilFits(
-                        statistics.allGenerations(), next, limits.memoryTokens(), tokensPerMilli(statistics, limits)))
-                .filter(OptionalLong::isPresent)
-                .mapToLong(OptionalLong::getAsLong)
-                .min();
-        return untilCapacity.isPresent() ? untilCapacity : millisUntilAccepted(service, Stage.DECODE);
-    }
-
-    private static double tokensPerMilli(InstanceStatistics statistics, EngineLimits limits) {
-        return limits.tokensPerEvent()
-                / (statistics.averageMillis() > 0 ? statistics.averageMillis() : DEFAULT_EVENT_INTERVAL_MILLIS);
-    }
-
-    private long neededTokensWith(UpstreamInstance instance, Prompt prompt) {
-        List<MemoryForecast.Growth> generations =
-                statistics(instance.identifier()).allGenerations();
-        generations.add(newGeneration(prompt));
-        return MemoryForecast.neededTokens(generations);
+        return decodePlacement.millisUntilCapacity(service, prompt, limits);
     }
 
     /**
@@ -220,16 +154,7 @@
      */
     public Optional<UpstreamInstance> choosePrefill(
             String service, String nearDomain, int tokens, Set<String> excluded) {
-        List<UpstreamInstance> candidates = candidates(service, Stage.PREFILL, excluded).stream()
-                .filter(instance -> statistics(instance.identifier()).allPromptTokens()
-                        <= Math.max(tokens, MINIMUM_QUEUED_PROMPT_TOKENS) * MAXIMUM_QUEUED_PROMPTS)
-                .toList();
-        double meanMillis = meanMillis(candidates);
-        return chooseBest(candidates, instance -> {
-            InstanceStatistics statistics = statistics(instance.identifier());
-            return (statistics.allPromptTokens() + tokens) * latencyFactor(statistics, meanMillis)
-                    + domainPenalty(instance, nearDomain) * tokens;
-        });
+        return prefillPlacement.choose(service, nearDomain, tokens, excluded);
     }
 
     /**
@@ -240,7 +165,7 @@
      * @return milliseconds; a cautious guess before the first prefill has completed at any instance
      */
     public long expectedPrefillMillis(String identifier, int tokens) {
-        return prefillThroughput.expectedMillis(statistics(identifier).allPromptTokens() + tokens);
+        return prefillPlacement.expectedMillis(identifier, tokens);
     }
 
     /**
@@ -250,7 +175,7 @@
      * @return number of tokens, the prompts of other entries included
      */
     public int queuedPromptTokens(String identifier) {
-        return statistics(identifier).allPromptTokens();
+        return statistics.of(identifier).allPromptTokens();
     }
 
     /**
@@ -260,7 +185,7 @@
      * @return number of instances
      */
     public int decodeInstances(String service) {
-        return candidates(service, Stage.DECODE, Set.of()).size();
+        return candidates.of(service, Stage.DECODE, Set.of()).size();
     }
 
     /**
@@ -269,7 +194,7 @@
      * @param count number of entries, this one included
      */
     public void entryCount(int count) {
-        randomizer.entryCount(count);
+        ranking.entryCount(count);
     }
 
     /**
@@ -278,7 +203,7 @@
      * @param identifier identifier of the instance
      */
     public void beginPlainAttempt(String identifier) {
-        statistics(identifier).beginPlainAttempt();
+        statistics.of(identifier).beginPlainAttempt();
     }
 
     /**
@@ -287,7 +212,7 @@
      * @param identifier identifier of the instance
      */
     public void endPlainAttempt(String identifier) {
-        statistics(identifier).endPlainAttempt();
+        statistics.of(identifier).endPlainAttempt();
     }
 
     /**
@@ -297,7 +222,7 @@
      * @param tokens length of the prompt, in tokens
      */
     public void beginPrompt(String identifier, int tokens) {
-        statistics(identifier).beginPrompt(tokens);
+        statistics.of(identifier).beginPrompt(tokens);
     }
 
     /**
@@ -307,7 +232,7 @@
      * @param tokens the same length as passed to {@link #beginPrompt}
      */
     public void endPrompt(String identifier, int tokens) {
-        statistics(identifier).endPrompt(tokens);
+        statistics.of(identifier).endPrompt(tokens);
     }
 
     /**
@@ -319,7 +244,7 @@
      */
     public ActiveGeneration beginGeneration(String identifier, Prompt prompt) {
         ActiveGeneration generation = new ActiveGeneration(identifier, prompt);
-        statistics(identifier).beginGeneration(generation);
+        statistics.of(identifier).beginGeneration(generation);
         return generation;
     }
 
@@ -329,7 +254,7 @@
      * @param generation the generation
      */
     public void endGeneration(ActiveGeneration generation) {
-        statistics(generation.instance()).endGeneration(generation);
+        statistics.of(generation.instance()).endGeneration(generation);
     }
 
     /**
@@ -339,7 +264,7 @@
      * @param latencyMillis time that the response took, in milliseconds; for a generation the time per event
      */
     public void recordSuccess(String identifier, long latencyMillis) {
-        statistics(identifier).recordSuccess(latencyMillis);
+        statistics.of(identifier).recordSuccess(latencyMillis);
     }
 
     /**
@@ -349,7 +274,7 @@
      * @param identifier identifier of the instance
      */
     public void recordErrorResponse(String identifier) {
-        statistics(identifier).recordErrorResponse(clock.monotonicMillis());
+        statistics.of(identifier).recordErrorResponse(clock.monotonicMillis());
     }
 
     /**
@@ -359,7 +284,7 @@
      * @return length of the pause, in milliseconds
      */
     public long recordFailure(String identifier) {
-        return statistics(identifier).recordFailure(clock.monotonicMillis());
+        return statistics.of(identifier).recordFailure(clock.monotonicMillis());
     }
 
     /**
@@ -371,7 +296,7 @@
      */
     public void recordPrefill(String identifier, int tokens, long latencyMillis) {
         recordSuccess(identifier, latencyMillis);
-        prefillThroughput.record(tokens, latencyMillis);
+        prefillPlacement.record(tokens, latencyMillis);
     }
 
     /**
@@ -380,7 +305,7 @@
      * @return tokens per millisecond, 0 before the first prefill has completed
      */
     public double prefillTokensPerMilli() {
-        return prefillThroughput.tokensPerMilli();
+        return prefillPlacement.tokensPerMilli();
     }
 
     /**
@@ -389,7 +314,7 @@
      * @param identifiers identifiers of the instances; replaces the previous set
      */
     public void switching(Set<String> identifiers) {
-        switching = Set.copyOf(identifiers);
+        candidates.switching(identifiers);
     }
 
     /**
@@ -399,26 +324,7 @@
      * @param load the load
      */
     public void recordLoad(String identifier, UpstreamLoad load) {
-        statistics(identifier).recordLoad(load, clock.monotonicMillis());
-    }
-
-    /**
-     * Replaces what is known of the work of another entry.
-     *
-     * @param status status message of that entry
-     */
-    public void updatePeer(EntryStatus status) {
-        removePeer(status.address());
-        status.work().forEach(work -> statistics(work.instance()).updatePeer(status.address(), work));
-    }
-
-    /**
-     * Removes the work of another entry, after its session was lost.
-     *
-     * @param address peer address of that entry
-     */
-    public void removePeer(String address) {
-        statisticsByInstance.values().forEach(statistics -> statistics.removePeer(address));
+        statistics.of(identifier).recordLoad(load, clock.monotonicMillis());
     }
 
     /**
@@ -427,89 +333,6 @@
      * @param identifier identifier of the instance
      */
     public void remove(String identifier) {
-        InstanceStatistics statistics = statisticsByInstance.get(identifier);
-        if (statistics != null && statistics.idle()) {
-            statisticsByInstance.remove(identifier);
-        }
-    }
-
-    /**
-     * Returns the work of this entry, to be sent to the other entries.
-     *
-     * @return one element for each instance with work of this entry
-     */
-    public List<EntryStatus.InstanceWork> work() {
-        return statisticsByInstance.entrySet().stream()
-                .filter(entry -> !entry.getValue().idle())
-                .map(entry -> entry.getValue().work(entry.getKey()))
-                .toList();
-    }
-
-    private InstanceStatistics statistics(String identifier) {
-        return statisticsByInstance.computeIfAbsent(identifier, ignored -> new InstanceStatistics());
-    }
-
-    private List<UpstreamInstance> candidates(String service, Stage stage, Set<String> excluded) {
-        return registered(service, stage).stream()
-                .filter(instance -> !switching.contains(instance.identifier()))
-                .filter(instance -> !excluded.contains(instance.identifier()))
-                .filter(notices::mayReceive)
-                .toList();
-    }
-
-    private List<UpstreamInstance> registered(String service, Stage stage) {
-        return fleet.instances(service).stream()
-                .filter(instance -> instance.stage() == stage && !instance.leaving())
-                .toList();
-    }
-
-    private Optional<UpstreamInstance> chooseBest(
-            List<UpstreamInstance> candidates, ToDoubleFunction<UpstreamInstance> score) {
-        long now = clock.monotonicMillis();
-        List<UpstreamInstance> available = candidates.stream()
-                .filter(instance -> statistics(instance.identifier()).acceptsWork(now))
-                .sorted(Comparator.comparingDouble(score))
-                .toList();
-        return randomizer
-                .pick(available)
-                .or(() -> candidates.stream()
-                        .min(Comparator.comparingLong(
-                                instance -> statistics(instance.identifier()).pausedUntilMillis())));
-    }
-
-    private double plainScore(UpstreamInstance instance, double lowestErrorRate, double meanMillis) {
-        InstanceStatistics statistics = statistics(instance.identifier());
-        double load = 1 + statistics.allRunning(clock.monotonicMillis()) + domainPenalty(instance, ownDomain);
-        return load * latencyFactor(statistics, meanMillis) * errorFactor(statistics, lowestErrorRate);
-    }
-
-    private double lowestErrorRate(List<UpstreamInstance> candidates) {
-        return candidates.stream()
-                .mapToDouble(instance -> statistics(instance.identifier()).errorRate(clock.monotonicMillis()))
-                .min()
-                .orElse(0);
-    }
-
-    private double meanMillis(List<UpstreamInstance> candidates) {
-        return candidates.stream()
-                .mapToDouble(instance -> statistics(instance.identifier()).averageMillis())
-                .filter(millis -> millis > 0)
-                .average()
-                .orElse(0);
-    }
-
-    private static double latencyFactor(InstanceStatistics statistics, double meanMillis) {
-        if (meanMillis <= 0 || statistics.averageMillis() <= 0) {
-            return 1;
-        }
-        return Math.max(0.5, statistics.averageMillis() / meanMillis);
-    }
-
-    private double errorFactor(InstanceStatistics statistics, double lowestErrorRate) {
-        return 1 + ERROR_RATE_WEIGHT * Math.max(0, statistics.errorRate(clock.monotonicMillis()) - lowestErrorRate);
-    }
-
-    private static double domainPenalty(UpstreamInstance instance, String domain) {
-        return instance.domain().equals(domain) ? 0 : CROSS_DOMAIN_LOAD;
+        statistics.remove(identifier);
     }
 }
--- a/gateway/src/main/java/org/merlinwood/gateway/process/GatewayProcess.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/process/GatewayProcess.java
@@ -321,7 +321,7 @@
                     address,
                     members,
                     follower.position(),
-                    pool.work(),
+                    pool.sharedWork().own(),
                     crashHistory.drainUnsentLosses(),
                     demandMeter.demands(),
                     orders.switching(),
@@ -331,7 +331,7 @@
 
         @Override
         public void onStatus(EntryStatus status) {
-            pool.updatePeer(status);
+            pool.sharedWork().updatePeer(status);
             orders.onStatus(status);
             status.leaving().forEach(instance -> recordPeerNotice(status.address(), instance));
             status.lostRuns().forEach(run -> crashHistory.recordPeerLoss(run.fingerprint(), run.instance()));
@@ -339,7 +339,7 @@
 
         @Override
         public void onLost(String address) {
-            pool.removePeer(address);
+            pool.sharedWork().removePeer(address);
             orders.removePeer(address);
             log.line("peer silent").with("peer", address).write();
         }
--- /dev/null
+++ b/gateway/src/test/java/org/merlinwood/gateway/decision/PrefillPlacementTest.java
@@ -0,0 +1,57 @@
+package org.merlinwood.gateway.decision;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.merlinwood.gateway.fleet.Stage;
+import org.merlinwood.gateway.fleet.UpstreamInstance;
+
+final class PrefillPlacementTest {
+
+    private final InstancePoolFixture fixture = new InstancePoolFixture();
+
+    /** If prompts arrive faster than they are computed, further ones would be computed too late to be used. */
+    @Test
+    void prefillIsNotChosenIfQueueIsFull() {
+        fixture.register(Stage.PREFILL, "a");
+        for (int index = 0; index < 4; index++) {
+            assertThat(fixture.pool.choosePrefill(InstancePoolFixture.SERVICE, "near", 5_200, Set.of()))
+                    .isPresent();
+            fixture.pool.beginPrompt("a", 5_200);
+        }
+        assertThat(fixture.pool.choosePrefill(InstancePoolFixture.SERVICE, "near", 5_200, Set.of()))
+                .isEmpty();
+    }
+
+    /**
+     * All entries restart together and send their callers' prompts to the same instances before any has measured one.
+     * Giving up on a prompt that is being computed would make the instance compute it for nothing.
+     */
+    @Test
+    void prefillOfUnknownSpeedIsExpectedToTakeLong() {
+        fixture.register(Stage.PREFILL, "a");
+        assertThat(fixture.pool.expectedPrefillMillis("a", 5_200)).isGreaterThan(500);
+        fixture.pool.recordPrefill("a", 5_200, 104);
+        assertThat(fixture.pool.expectedPrefillMillis("a", 5_200)).isEqualTo(104);
+    }
+
+    @Test
+    void singleCachedPromptDoesNotChangePrefillThroughput() {
+        for (int index = 0; index < 10; index++) {
+            fixture.pool.recordPrefill("a", 5_000, 100);
+        }
+        fixture.pool.recordPrefill("a", 5_000, 2);
+        assertThat(fixture.pool.prefillTokensPerMilli()).isEqualTo(50);
+    }
+
+    /** The result of a prefill is transferred to the decode instance, whose failure domain therefore counts. */
+    @Test
+    void instanceNearDecodeInstanceIsPreferred() {
+        fixture.fleet.put(InstancePoolFixture.instance("a", Stage.PREFILL, "near", false));
+        fixture.fleet.put(InstancePoolFixture.instance("b", Stage.PREFILL, "far", false));
+        assertThat(fixture.pool.choosePrefill(InstancePoolFixture.SERVICE, "far", 5_200, Set.of()))
+                .map(UpstreamInstance::identifier)
+                .contains("b");
+    }
+}
