Requests sent during a named time are counted and logged at the entry that sends them

An engineer on call could see who heard a time (instance notice), not who sent something meanwhile. InstanceNoticeRecorder, out of GatewayProcess, observes all requests and notices: line "sent to declining instance", counter requests_to_declining_instances. The fixture of the request processors' tests fails on any such request. Tests of the gateway pass.

--- a/gateway/src/main/java/org/merlinwood/gateway/process/GatewayProcess.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/process/GatewayProcess.java
@@ -41,7 +41,6 @@
 import org.merlinwood.gateway.peer.PeerSessions;
 import org.merlinwood.gateway.request.CallerProtocol;
 import org.merlinwood.gateway.route.RouteTable;
-import org.merlinwood.gateway.upstream.InstanceNotice;
 import org.merlinwood.gateway.upstream.UpstreamClient;
 import org.merlinwood.gateway.upstream.UpstreamProtocol;
 import org.merlinwood.http.HttpClient;
@@ -81,6 +80,7 @@
     private final XnioWorker worker;
     private final EventLoop loop;
     private final InstancePool pool;
+    private final InstanceNoticeRecorder noticeRecorder;
     private final StoreFollower follower;
     private final PeerSessions peers;
     private final CrashHistory crashHistory = new CrashHistory(clock);
@@ -118,8 +118,7 @@
                 () -> () -> client.connectionCounts().abandoned());
         this.pool = new InstancePool(
                 fleet, clock, settings.failureDomain(), settings.instance().hashCode());
-        metrics.gauge("instances_leaving", () -> () -> pool.notices().leavingCount());
-        metrics.gauge("instances_declining", () -> () -> pool.notices().decliningCount());
+        this.noticeRecorder = new InstanceNoticeRecorder(pool.notices(), log, metrics);
         this.follower = new StoreFollower(storeProtocol, client, loop, clock, new FleetUpdates());
         metrics.gauge("store_era", () -> follower::era);
         RetryAllowance retryAllowance = new RetryAllowance(
@@ -128,7 +127,7 @@
                 settings.retryRatio(),
                 settings.fixedRetriesPerWindow(),
                 this::maximumEntryCount);
-        UpstreamClient upstreamClient = new UpstreamClient(client, upstreamProtocol, this::recordNotice);
+        UpstreamClient upstreamClient = new UpstreamClient(client, upstreamProtocol, noticeRecorder);
         FrontHandlerFactory handlerFactory = new FrontHandlerFactory(
                 loop,
                 clock,
@@ -178,28 +177,6 @@
                 .build();
     }
 
-    private void recordNotice(UpstreamInstance instance, InstanceNotice notice) {
-        if (pool.notices().record(instance, notice)) {
-            log.line("instance notice")
-                    .with("instance", instance.identifier())
-                    .with("startedUnixMillis", instance.startedUnixMillis())
-                    .with("leaving", String.valueOf(notice.leaving()))
-                    .with("declinedMillis", notice.declinedMillis().orElse(0))
-                    .write();
-        }
-    }
-
-    private void recordPeerNotice(String peer, EntryStatus.LeavingInstance instance) {
-        if (pool.notices().recordFromPeer(instance)) {
-            log.line("instance notice")
-                    .with("instance", instance.instance())
-                    .with("startedUnixMillis", instance.startedUnixMillis())
-                    .with("leaving", "true")
-                    .with("peer", peer)
-                    .write();
-        }
-    }
-
     /** Returns the number of entries that share the retry allowance. */
     private int maximumEntryCount() {
         return EntryCountBound.of(peers.maximumKnownCount() + 1, peers.memberListReceived());
@@ -333,7 +310,7 @@
         public void onStatus(EntryStatus status) {
             pool.updatePeer(status);
             orders.onStatus(status);
-            status.leaving().forEach(instance -> recordPeerNotice(status.address(), instance));
+            status.leaving().forEach(instance -> noticeRecorder.onPeerNotice(status.address(), instance));
             status.lostRuns().forEach(run -> crashHistory.recordPeerLoss(run.fingerprint(), run.instance()));
         }
 
--- a/gateway/src/main/java/org/merlinwood/gateway/upstream/UpstreamClient.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/upstream/UpstreamClient.java
@@ -2,7 +2,6 @@
 
 import io.vavr.control.Either;
 import java.util.List;
-import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import org.merlinwood.core.result.Failure;
 import org.merlinwood.gateway.fleet.UpstreamInstance;
@@ -22,21 +21,19 @@
 
     private final HttpClient client;
     private final UpstreamProtocol protocol;
-    private final BiConsumer<UpstreamInstance, InstanceNotice> noticeConsumer;
+    private final InstanceListener instanceListener;
 
     /**
      * Creates a client.
      *
      * @param client sends the requests
      * @param protocol decodes the notices
-     * @param noticeConsumer receives the notice of each response that has one, with the instance as it was registered
-     *     when the request was sent
+     * @param instanceListener observes the requests and the notices
      */
-    public UpstreamClient(
-            HttpClient client, UpstreamProtocol protocol, BiConsumer<UpstreamInstance, InstanceNotice> noticeConsumer) {
+    public UpstreamClient(HttpClient client, UpstreamProtocol protocol, InstanceListener instanceListener) {
         this.client = client;
         this.protocol = protocol;
-        this.noticeConsumer = noticeConsumer;
+        this.instanceListener = instanceListener;
     }
 
     /**
@@ -48,6 +45,7 @@
      * @return a handle to cancel it
      */
     public HttpStream send(UpstreamInstance instance, HttpRequest request, HttpListener listener) {
+        instanceListener.onSend(instance, request);
         return client.send(request, new NoticingListener(instance, listener));
     }
 
@@ -61,6 +59,7 @@
      */
     public HttpStream execute(
             UpstreamInstance instance, HttpRequest request, Consumer<Either<Failure, HttpResponse>> consumer) {
+        instanceListener.onSend(instance, request);
         return client.execute(request, result -> {
             result.forEach(response -> readNotice(instance, response.status(), response.headers()));
             consumer.accept(result);
@@ -79,7 +78,7 @@
     private void readNotice(UpstreamInstance instance, int status, List<HttpHeader> headers) {
         InstanceNotice notice = protocol.readNotice(status, headers);
         if (!notice.equals(InstanceNotice.NONE)) {
-            noticeConsumer.accept(instance, notice);
+            instanceListener.onNotice(instance, notice);
         }
     }
 
--- a/gateway/src/test/java/org/merlinwood/gateway/front/RequestProcessorFixture.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/front/RequestProcessorFixture.java
@@ -1,5 +1,7 @@
 package org.merlinwood.gateway.front;
 
+import static org.assertj.core.api.Assertions.assertThat;
+
 import com.codahale.metrics.MetricRegistry;
 import java.io.OutputStream;
 import java.io.PrintStream;
@@ -29,8 +31,11 @@
 import org.merlinwood.gateway.route.RouteTable;
 import org.merlinwood.gateway.route.ServiceShare;
 import org.merlinwood.gateway.route.UpstreamService;
+import org.merlinwood.gateway.upstream.InstanceListener;
+import org.merlinwood.gateway.upstream.InstanceNotice;
 import org.merlinwood.gateway.upstream.UpstreamClient;
 import org.merlinwood.http.HttpHeader;
+import org.merlinwood.http.HttpRequest;
 import org.merlinwood.operation.log.DecisionLog;
 
 /** A request dispatcher without network; the test controls the clock, the upstreams and the caller. */
@@ -62,10 +67,7 @@
         RequestProcessorContext context = new RequestProcessorContext(
                 loop,
                 clock,
-                new UpstreamClient(
-                        client,
-                        new FakeUpstreamProtocol(),
-                        (instance, notice) -> pool.notices().record(instance, notice)),
+                new UpstreamClient(client, new FakeUpstreamProtocol(), new DecliningInstanceGuard()),
                 new FakeUpstreamProtocol(),
                 fleet,
                 pool,
@@ -130,6 +132,22 @@
         client.last().respond(200, reservation);
     }
 
+    /** Records notices, and fails a test that sends a request to an instance that wants none. */
+    private final class DecliningInstanceGuard implements InstanceListener {
+
+        @Override
+        public void onSend(UpstreamInstance instance, HttpRequest request) {
+            assertThat(pool.notices().isDeclining(instance))
+                    .as("%s while the instance wants no request", request.path())
+                    .isFalse();
+        }
+
+        @Override
+        public void onNotice(UpstreamInstance instance, InstanceNotice notice) {
+            pool.notices().record(instance, notice);
+        }
+    }
+
     /** Records the response as the caller receives it. */
     static final class RecordingCaller implements CallerChannel {
 
