A stand-in that crashes accepts no connection after it has closed another one

DecodeTest.crashesOnPromptWithCrashMarker failed once on a busy machine (load 22): a request had failed, and the next one was answered. The stand-in closed its connections first and stopped listening later; in between a new connection was served. A busy machine only makes that window longer.

Now the listener is closed first, then the connections, then the threads. For that the server gets a worker of its own, since the HTTP library stops its own worker together with the listener.

--- a/stand-ins/src/main/java/org/merlinwood/standin/impl/StandInServer.java
+++ b/stand-ins/src/main/java/org/merlinwood/standin/impl/StandInServer.java
@@ -10,6 +10,7 @@
 import io.undertow.util.StatusCodes;
 import java.io.IOException;
 import java.io.OutputStream;
+import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
@@ -20,12 +21,17 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import org.xnio.IoUtils;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioWorker;
 import org.xnio.channels.Channels;
 
 /**
  * HTTP server of a stand-in. Each exchange is handled by blocking code on its own virtual thread. Thread-safe.
  *
- * <p>Serves from construction until {@link #close()}, which aborts all connections.
+ * <p>Serves from construction until {@link #close()}, which stops listening and then aborts all connections, so that no
+ * client that has seen the end of one connection gets another.
  */
 public final class StandInServer implements AutoCloseable {
 
@@ -36,7 +42,9 @@
     private final ExecutorService threads = Executors.newVirtualThreadPerTaskExecutor();
     private final Set<ServerConnection> connections = ConcurrentHashMap.newKeySet();
     private final HttpHandler routes;
+    private final XnioWorker worker;
     private final Undertow server;
+    private final InetSocketAddress address;
 
     // ------------------------------------------------------------------ life-cycle
 
@@ -48,22 +56,39 @@
      */
     public StandInServer(InetSocketAddress listen, HttpHandler routes) {
         this.routes = routes;
+        this.worker = createWorker();
         this.server = Undertow.builder()
                 .addHttpListener(listen.getPort(), listen.getAddress().getHostAddress())
-                .setIoThreads(IO_THREADS)
-                .setWorkerThreads(1)
+                .setWorker(worker)
                 .setBufferSize(BUFFER_BYTES)
                 .setServerOption(UndertowOptions.MAX_ENTITY_SIZE, MAXIMUM_BODY_BYTES)
                 .setHandler(this::dispatch)
                 .build();
         server.start();
+        address = (InetSocketAddress) server.getListenerInfo().getFirst().getAddress();
     }
 
+    private static XnioWorker createWorker() {
+        try {
+            return Xnio.getInstance()
+                    .createWorker(OptionMap.builder()
+                            .set(Options.WORKER_IO_THREADS, IO_THREADS)
+                            .set(Options.WORKER_TASK_CORE_THREADS, 1)
+                            .set(Options.WORKER_TASK_MAX_THREADS, 1)
+                            .set(Options.TCP_NODELAY, true)
+                            .getMap());
+        } catch (IOException exception) {
+            throw new UncheckedIOException("could not start the I/O threads", exception);
+        }
+    }
+
+    /** Stops listening and aborts all connections. The worker is the server's own, so that both have this order. */
     @Override
     public void close() {
-        connections.forEach(StandInServer::closeNow);
         server.stop();
         connections.forEach(StandInServer::closeNow);
+        worker.shutdownNow();
+        connections.forEach(StandInServer::closeNow);
         threads.shutdownNow();
     }
 
@@ -75,7 +100,7 @@
      * @return the address with the port in use
      */
     public InetSocketAddress address() {
-        return (InetSocketAddress) server.getListenerInfo().getFirst().getAddress();
+        return address;
     }
 
     /**
