ConnectionCloser: close the socket also behind a response that the server ends by closing

Cause: a cancelled or timed out request was left open if the head of its response said Connection: close, or gave no length. From such a head on ClientConnection.isOpen() is false, while the socket stays open until the server closes it; close() took that for closed and did nothing.

Change: the socket is closed whatever isOpen() says.

--- a/http/src/main/java/org/merlinwood/http/impl/ConnectionCloser.java
+++ b/http/src/main/java/org/merlinwood/http/impl/ConnectionCloser.java
@@ -11,7 +11,9 @@
  * Closes client connections so that the server sees the end at once, also in the middle of a response.
  *
  * <p>{@link ClientConnection#close()} does not do that: while a response is outstanding the socket stays open until the
- * server sends its next bytes. This class takes the socket out of the client connection and closes it. Thread-safe.
+ * server sends its next bytes. This class takes the socket out of the client connection and closes it, whatever
+ * {@link ClientConnection#isOpen()} says: that is false from the head of a response that the server will end by closing
+ * the connection, while the socket stays open. Thread-safe.
  */
 final class ConnectionCloser {
 
@@ -19,9 +21,9 @@
 
     private ConnectionCloser() {}
 
-    /** Closes a connection; does nothing if it is null or already closed. */
+    /** Closes a connection; does nothing if it is null or its socket is already closed. */
     static void close(ClientConnection connection) {
-        if (connection == null || !connection.isOpen()) {
+        if (connection == null) {
             return;
         }
         XnioIoThread thread = connection.getIoThread();
--- a/http/src/test/java/org/merlinwood/http/ConnectionCloseTest.java
+++ b/http/src/test/java/org/merlinwood/http/ConnectionCloseTest.java
@@ -32,6 +32,7 @@
     private static final long SHORT_READ_TIMEOUT_MILLIS = 200;
 
     private final HttpClient client = HttpClient.create("test", 2);
+    private final WaitingListener listener = new WaitingListener();
 
     @AfterEach
     void closeClient() {
@@ -57,6 +58,26 @@
         }
     }
 
+    /** A server that closes the connection behind its response may still be at work on it. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "HTTP/1.1 200 OK~Transfer-Encoding: chunked~~4~half~",
+                "HTTP/1.1 200 OK~Connection: close~Transfer-Encoding: chunked~~4~half~",
+                "HTTP/1.1 200 OK~Connection: close~Content-Length: 10~~half",
+                "HTTP/1.1 200 OK~~half",
+                "HTTP/1.0 200 OK~~half"
+            })
+    void serverSeesTheEndWhenTheRequestIsCancelledBehindTheHeadOfItsResponse(String part) throws Exception {
+        try (SilentServer server = new SilentServer(part)) {
+            HttpStream request = send(server, TIMEOUT_MILLIS);
+            listener.awaitBytes();
+            request.cancel();
+            assertThat(server.connectionEndsWithinLimit()).isTrue();
+            awaitNoOpenConnection();
+        }
+    }
+
     @ParameterizedTest
     @ValueSource(strings = {"", "HTTP/1.1 200 OK~Content-Length: 10~~half"})
     void serverSeesTheEndWhenTheReadTimeoutPassesBehindAPartOfItsResponse(String part) throws Exception {
@@ -82,17 +103,26 @@
         HttpRequest request = HttpRequest.of("POST", server.address(), "/", "question".getBytes(StandardCharsets.UTF_8))
                 .withTimeouts(TIMEOUT_MILLIS, readTimeoutMillis)
                 .withConnectionUse(ConnectionUse.FRESH);
-        return client.send(request, new IgnoringListener());
+        return client.send(request, listener);
     }
 
-    /** Ignores the response. */
-    private static final class IgnoringListener implements HttpListener {
+    /** Tells when the first bytes of the body have arrived, and ignores the response apart from that. */
+    private static final class WaitingListener implements HttpListener {
+
+        private final CountDownLatch bytesReceived = new CountDownLatch(1);
+
+        void awaitBytes() throws InterruptedException {
+            assertThat(bytesReceived.await(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS))
+                    .isTrue();
+        }
 
         @Override
         public void onHead(int status, List<HttpHeader> headers) {}
 
         @Override
-        public void onBytes(byte[] bytes) {}
+        public void onBytes(byte[] bytes) {
+            bytesReceived.countDown();
+        }
 
         @Override
         public void onEnd() {}
