GatewayProcess: composition, listeners, drain and operator responses in classes of their own

Cause: one class of 455 lines composed the entry, ran its life cycle, listened to the store and to the other entries, and answered the platform.

Change: a pure move. EntryComposition connects the components, FleetUpdates listens to the store, PeerUpdates to the other entries, NoticeRecorder records what instances state about themselves, DrainSequence ends the entry, OperatorHandler responds to the readiness check; GatewayProcess keeps the life cycle and its public methods. Two numbers are now passed as suppliers, that of the known entries and that of the open requests; the gauges are added in one place, after the components.

--- /dev/null
+++ b/gateway/src/main/java/org/merlinwood/gateway/process/EntryComposition.java
@@ -0,0 +1,219 @@
+package org.merlinwood.gateway.process;
+
+import com.codahale.metrics.MetricRegistry;
+import io.undertow.Undertow;
+import io.undertow.UndertowOptions;
+import io.undertow.server.HttpHandler;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.math.BigInteger;
+import java.net.InetSocketAddress;
+import java.util.Arrays;
+import org.merlinwood.core.time.MillisClock;
+import org.merlinwood.core.time.SystemMillisClock;
+import org.merlinwood.gateway.decision.CrashHistory;
+import org.merlinwood.gateway.decision.DemandMeter;
+import org.merlinwood.gateway.decision.DrainPolicy;
+import org.merlinwood.gateway.decision.EntryCountBound;
+import org.merlinwood.gateway.decision.InstancePool;
+import org.merlinwood.gateway.decision.OrderLeadership;
+import org.merlinwood.gateway.decision.RetryAllowance;
+import org.merlinwood.gateway.fleet.FleetState;
+import org.merlinwood.gateway.follow.StoreFollower;
+import org.merlinwood.gateway.follow.StoreProtocol;
+import org.merlinwood.gateway.front.FrontHandlerFactory;
+import org.merlinwood.gateway.front.OpenRequests;
+import org.merlinwood.gateway.front.RequestMetrics;
+import org.merlinwood.gateway.loop.EventLoop;
+import org.merlinwood.gateway.loop.IoThreadLoop;
+import org.merlinwood.gateway.order.StageOrders;
+import org.merlinwood.gateway.peer.PeerSessions;
+import org.merlinwood.gateway.request.CallerProtocol;
+import org.merlinwood.gateway.upstream.UpstreamClient;
+import org.merlinwood.gateway.upstream.UpstreamProtocol;
+import org.merlinwood.http.HttpClient;
+import org.merlinwood.operation.log.DecisionLog;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioWorker;
+
+/**
+ * The components of one entry, connected with each other. Nothing listens or runs yet, but for the I/O thread; their
+ * life cycle is that of {@link GatewayProcess}. The fields are set once, by the constructor.
+ */
+final class EntryComposition {
+
+    /** Idle timeout of caller connections, in milliseconds. Longer than any timeout that operators configure. */
+    private static final int IDLE_TIMEOUT_MILLIS = 120_000;
+
+    final DecisionLog log;
+    final XnioWorker worker;
+    final EventLoop loop;
+    final StoreFollower follower;
+    final PeerSessions peers;
+    final Undertow server;
+    final DrainSequence drainSequence;
+
+    private final MillisClock clock = SystemMillisClock.shared();
+    private final MetricRegistry metrics = new MetricRegistry();
+    private final FleetState fleet = new FleetState();
+    private final CrashHistory crashHistory = new CrashHistory(clock);
+    private final DemandMeter demandMeter = new DemandMeter(clock);
+    private final OpenRequests openRequests = new OpenRequests();
+    private final GatewaySettings settings;
+    private final DrainPolicy drainPolicy;
+    private final InstancePool pool;
+    private final NoticeRecorder noticeRecorder;
+
+    /**
+     * Creates all components.
+     *
+     * @param settings validated settings
+     * @param callerProtocol decodes requests of callers
+     * @param upstreamProtocol encodes requests to upstreams and decodes their responses
+     * @param storeProtocol encodes requests to the configuration store and decodes its responses
+     * @throws UncheckedIOException if the I/O thread cannot be started
+     */
+    EntryComposition(
+            GatewaySettings settings,
+            CallerProtocol callerProtocol,
+            UpstreamProtocol upstreamProtocol,
+            StoreProtocol storeProtocol) {
+        this.settings = settings;
+        this.log = new DecisionLog(settings.instance(), clock, System.out);
+        this.drainPolicy = new DrainPolicy(clock, settings.terminationGraceMillis());
+        this.worker = createWorker();
+        this.loop = new IoThreadLoop(worker.getIoThread());
+        this.drainSequence = new DrainSequence(drainPolicy, openRequests::count, loop, log);
+        HttpClient client = HttpClient.withWorker(worker);
+        this.pool = new InstancePool(
+                fleet, clock, settings.failureDomain(), settings.instance().hashCode());
+        this.noticeRecorder = new NoticeRecorder(pool.notices(), log);
+        this.follower = new StoreFollower(
+                storeProtocol, client, loop, clock, new FleetUpdates(storeProtocol, fleet, pool, log));
+        UpstreamClient upstreamClient = new UpstreamClient(client, upstreamProtocol, noticeRecorder::record);
+        FrontHandlerFactory handlerFactory = createHandlerFactory(upstreamClient, upstreamProtocol);
+        this.peers = createPeers(createOrders(upstreamClient, upstreamProtocol));
+        this.server = createServer(handlerFactory.handler(callerProtocol, drainPolicy, openRequests));
+        addGauges(client);
+    }
+
+    private void addGauges(HttpClient client) {
+        metrics.gauge(
+                "upstream_connections_open",
+                () -> () -> client.connectionCounts().open());
+        metrics.gauge(
+                "upstream_connections_abandoned",
+                () -> () -> client.connectionCounts().abandoned());
+        metrics.gauge("instances_leaving", () -> () -> pool.notices().leavingCount());
+        metrics.gauge("instances_declining", () -> () -> pool.notices().decliningCount());
+        metrics.gauge("store_era", () -> follower::era);
+    }
+
+    private FrontHandlerFactory createHandlerFactory(UpstreamClient upstreamClient, UpstreamProtocol upstreamProtocol) {
+        RetryAllowance retryAllowance = new RetryAllowance(
+                clock,
+                settings.retryWindowMillis(),
+                settings.retryRatio(),
+                settings.fixedRetriesPerWindow(),
+                this::maximumEntryCount);
+        return new FrontHandlerFactory(
+                loop,
+                clock,
+                upstreamClient,
+                upstreamProtocol,
+                fleet,
+                pool,
+                retryAllowance,
+                crashHistory,
+                demandMeter,
+                log,
+                new RequestMetrics(metrics));
+    }
+
+    private StageOrders createOrders(UpstreamClient upstreamClient, UpstreamProtocol upstreamProtocol) {
+        String peerAddress = PeerSessions.formatAddress(settings.peerAddress());
+        return new StageOrders(
+                new OrderLeadership(clock, peerAddress, entryNumber(settings.peerAddress())),
+                fleet,
+                pool,
+                demandMeter,
+                upstreamProtocol,
+                upstreamClient,
+                clock,
+                log,
+                settings.instance());
+    }
+
+    private PeerSessions createPeers(StageOrders orders) {
+        PeerUpdates listener = new PeerUpdates(
+                pool,
+                noticeRecorder,
+                follower,
+                crashHistory,
+                demandMeter,
+                orders,
+                this::knownEntryCount,
+                () -> settings.fencedOrders() && !drainPolicy.draining(),
+                log);
+        return new PeerSessions(
+                settings.instance(),
+                settings.peerAddress(),
+                settings.peerKey(),
+                settings.seeds(),
+                settings.addressParser(),
+                loop,
+                clock,
+                listener,
+                log);
+    }
+
+    private Undertow createServer(HttpHandler callerHandler) {
+        return Undertow.builder()
+                .setWorker(worker)
+                .setServerOption(UndertowOptions.DECODE_URL, false)
+                .setServerOption(UndertowOptions.ALWAYS_SET_DATE, false)
+                .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, IDLE_TIMEOUT_MILLIS)
+                .addHttpListener(
+                        settings.callerAddress().getPort(),
+                        settings.callerAddress().getHostString(),
+                        callerHandler)
+                .addHttpListener(
+                        settings.readyAddress().getPort(),
+                        settings.readyAddress().getHostString(),
+                        new OperatorHandler(metrics, fleet, drainPolicy))
+                .build();
+    }
+
+    /** Returns the number of other entries that this one knows, reachable or not. */
+    private int knownEntryCount() {
+        return peers.knownCount();
+    }
+
+    /** Returns the number of entries that share the retry allowance. */
+    private int maximumEntryCount() {
+        return EntryCountBound.of(peers.maximumKnownCount() + 1, peers.memberListReceived());
+    }
+
+    /** Returns the last three octets of the address. All entries of a site have the same first octet. */
+    private static long entryNumber(InetSocketAddress address) {
+        byte[] octets = address.getAddress().getAddress();
+        return new BigInteger(1, Arrays.copyOfRange(octets, octets.length - 3, octets.length)).longValue();
+    }
+
+    private static XnioWorker createWorker() {
+        try {
+            return Xnio.getInstance()
+                    .createWorker(OptionMap.builder()
+                            .set(Options.WORKER_NAME, "gateway")
+                            .set(Options.WORKER_IO_THREADS, 1)
+                            .set(Options.WORKER_TASK_CORE_THREADS, 1)
+                            .set(Options.WORKER_TASK_MAX_THREADS, 1)
+                            .set(Options.TCP_NODELAY, true)
+                            .getMap());
+        } catch (IOException exception) {
+            throw new UncheckedIOException("could not start the I/O thread", exception);
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/merlinwood/gateway/process/PeerUpdates.java
@@ -0,0 +1,124 @@
+package org.merlinwood.gateway.process;
+
+import java.util.List;
+import java.util.function.BooleanSupplier;
+import java.util.function.IntSupplier;
+import org.merlinwood.gateway.decision.CrashHistory;
+import org.merlinwood.gateway.decision.DemandMeter;
+import org.merlinwood.gateway.decision.EntryStatus;
+import org.merlinwood.gateway.decision.InstancePool;
+import org.merlinwood.gateway.follow.StoreChange;
+import org.merlinwood.gateway.follow.StoreFollower;
+import org.merlinwood.gateway.follow.StorePosition;
+import org.merlinwood.gateway.order.StageOrders;
+import org.merlinwood.gateway.peer.PeerListener;
+import org.merlinwood.operation.log.DecisionLog;
+
+/**
+ * Connects the sessions with other entries to the state of this entry: composes the status that it sends, and applies
+ * theirs. Issues orders, if any are due, before each status. Confined to the event loop.
+ */
+final class PeerUpdates implements PeerListener {
+
+    private final InstancePool pool;
+    private final NoticeRecorder noticeRecorder;
+    private final StoreFollower follower;
+    private final CrashHistory crashHistory;
+    private final DemandMeter demandMeter;
+    private final StageOrders orders;
+    private final IntSupplier knownEntries;
+    private final BooleanSupplier mayIssueOrders;
+    private final DecisionLog log;
+
+    /**
+     * Creates the listener of one entry.
+     *
+     * @param pool load of the instances, own and of other entries
+     * @param noticeRecorder records which instances other entries report as leaving
+     * @param follower position and changes of the configuration store
+     * @param crashHistory requests that lost instances
+     * @param demandMeter demand of the callers of this entry
+     * @param orders orders to change the stage of an instance
+     * @param knownEntries returns the number of other known entries
+     * @param mayIssueOrders returns whether this entry may issue orders, if it is the one that leads
+     * @param log receives one line for each peer that falls silent and for each relay of changes
+     */
+    PeerUpdates(
+            InstancePool pool,
+            NoticeRecorder noticeRecorder,
+            StoreFollower follower,
+            CrashHistory crashHistory,
+            DemandMeter demandMeter,
+            StageOrders orders,
+            IntSupplier knownEntries,
+            BooleanSupplier mayIssueOrders,
+            DecisionLog log) {
+        this.pool = pool;
+        this.noticeRecorder = noticeRecorder;
+        this.follower = follower;
+        this.crashHistory = crashHistory;
+        this.demandMeter = demandMeter;
+        this.orders = orders;
+        this.knownEntries = knownEntries;
+        this.mayIssueOrders = mayIssueOrders;
+        this.log = log;
+    }
+
+    @Override
+    public EntryStatus status(String address, List<String> members) {
+        pool.entryCount(knownEntries.getAsInt() + 1);
+        if (mayIssueOrders.getAsBoolean()) {
+            orders.issueIfDue(knownEntries.getAsInt(), follower.position().fencingTerm());
+        }
+        return new EntryStatus(
+                address,
+                members,
+                follower.position(),
+                pool.sharedWork().own(),
+                crashHistory.drainUnsentLosses(),
+                demandMeter.demands(),
+                orders.switching(),
+                orders.highestFencingToken(),
+                pool.notices().recentlyLeaving());
+    }
+
+    @Override
+    public void onStatus(EntryStatus status) {
+        pool.sharedWork().updatePeer(status);
+        orders.onStatus(status);
+        status.leaving().forEach(instance -> noticeRecorder.recordFromPeer(status.address(), instance));
+        status.lostRuns().forEach(run -> crashHistory.recordPeerLoss(run.fingerprint(), run.instance()));
+    }
+
+    @Override
+    public void onLost(String address) {
+        pool.sharedWork().removePeer(address);
+        orders.removePeer(address);
+        log.line("peer silent").with("peer", address).write();
+    }
+
+    @Override
+    public boolean isBehind(EntryStatus status) {
+        return follower.isBehind(status.storePosition());
+    }
+
+    @Override
+    public StorePosition storePosition() {
+        return follower.position();
+    }
+
+    @Override
+    public List<StoreChange> changesAfter(StorePosition after) {
+        return follower.changesAfter(after);
+    }
+
+    @Override
+    public void onChanges(List<StoreChange> changes, StorePosition position) {
+        log.line("changes relayed")
+                .with("changes", changes.size())
+                .with("from", follower.position().toString())
+                .with("to", position.toString())
+                .write();
+        follower.applyRelayed(changes, position);
+    }
+}
--- /dev/null
+++ b/gateway/src/test/java/org/merlinwood/gateway/process/PeerUpdatesTest.java
@@ -0,0 +1,168 @@
+package org.merlinwood.gateway.process;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.OutputStream;
+import java.io.PrintStream;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.merlinwood.core.time.ManualMillisClock;
+import org.merlinwood.gateway.FakeHttpClient;
+import org.merlinwood.gateway.FakeUpstreamProtocol;
+import org.merlinwood.gateway.ManualLoop;
+import org.merlinwood.gateway.decision.CrashHistory;
+import org.merlinwood.gateway.decision.DemandMeter;
+import org.merlinwood.gateway.decision.EntryStatus;
+import org.merlinwood.gateway.decision.InstancePool;
+import org.merlinwood.gateway.decision.OrderLeadership;
+import org.merlinwood.gateway.fleet.FleetState;
+import org.merlinwood.gateway.fleet.Stage;
+import org.merlinwood.gateway.fleet.UpstreamInstance;
+import org.merlinwood.gateway.follow.StoreChange;
+import org.merlinwood.gateway.follow.StoreFollower;
+import org.merlinwood.gateway.follow.StorePosition;
+import org.merlinwood.gateway.order.StageOrders;
+import org.merlinwood.gateway.upstream.InstanceNotice;
+import org.merlinwood.gateway.upstream.UpstreamClient;
+import org.merlinwood.operation.log.DecisionLog;
+
+final class PeerUpdatesTest {
+
+    private static final String OWN_ADDRESS = "10.0.0.1:1";
+    private static final String PEER_ADDRESS = "10.0.0.2:1";
+
+    /** Time after which an entry that is the lowest leads, in milliseconds. */
+    private static final long LEADING_MILLIS = 5_000;
+
+    private final ManualMillisClock clock = new ManualMillisClock(0);
+    private final ManualLoop loop = new ManualLoop(clock);
+    private final FakeHttpClient client = new FakeHttpClient();
+    private final FleetState fleet = new FleetState();
+    private final InstancePool pool = new InstancePool(fleet, clock, "near", 1);
+    private final CrashHistory crashHistory = new CrashHistory(clock);
+    private boolean mayIssueOrders = true;
+    private StoreFollower follower;
+    private PeerUpdates updates;
+
+    @BeforeEach
+    void createUpdates() {
+        DecisionLog log = new DecisionLog("test", clock, new PrintStream(OutputStream.nullOutputStream()));
+        WordsStoreProtocol storeProtocol = new WordsStoreProtocol();
+        FakeUpstreamProtocol upstreamProtocol = new FakeUpstreamProtocol();
+        NoticeRecorder noticeRecorder = new NoticeRecorder(pool.notices(), log);
+        DemandMeter demandMeter = new DemandMeter(clock);
+        follower = new StoreFollower(
+                storeProtocol, client, loop, clock, new FleetUpdates(storeProtocol, fleet, pool, log));
+        StageOrders orders = new StageOrders(
+                new OrderLeadership(clock, OWN_ADDRESS, 1),
+                fleet,
+                pool,
+                demandMeter,
+                upstreamProtocol,
+                new UpstreamClient(client, upstreamProtocol, noticeRecorder::record),
+                clock,
+                log,
+                "entry");
+        updates = new PeerUpdates(
+                pool, noticeRecorder, follower, crashHistory, demandMeter, orders, () -> 0, () -> mayIssueOrders, log);
+        follower.applyRelayed(List.of(), new StorePosition(0, 5));
+    }
+
+    @Test
+    void statusTellsOwnStateAndOwnWork() {
+        pool.beginPrompt("a", 300);
+        EntryStatus status = updates.status(OWN_ADDRESS, List.of(PEER_ADDRESS));
+        assertThat(status.address()).isEqualTo(OWN_ADDRESS);
+        assertThat(status.members()).containsExactly(PEER_ADDRESS);
+        assertThat(status.storePosition()).isEqualTo(new StorePosition(0, 5));
+        assertThat(status.work()).containsExactly(new EntryStatus.InstanceWork("a", 1, 300, List.of()));
+    }
+
+    /** A loss counts once at every other entry, so it is sent once. */
+    @Test
+    void lossIsToldWithNextStatusOnly() {
+        crashHistory.recordLoss(7, "a");
+        assertThat(updates.status(OWN_ADDRESS, List.of()).lostRuns()).containsExactly(new EntryStatus.LostRun(7, "a"));
+        assertThat(updates.status(OWN_ADDRESS, List.of()).lostRuns()).isEmpty();
+    }
+
+    /** Words that were passed on would go in circles and never end. */
+    @Test
+    void leavingInstanceIsToldOnlyIfItToldThisEntry() {
+        updates.onStatus(peerStatus(List.of(), List.of(), List.of(new EntryStatus.LeavingInstance("a", 1))));
+        pool.notices().record(instance("b"), new InstanceNotice(true, OptionalLong.empty()));
+        assertThat(pool.notices().isLeaving(instance("a"))).isTrue();
+        assertThat(updates.status(OWN_ADDRESS, List.of()).leaving())
+                .containsExactly(new EntryStatus.LeavingInstance("b", 1));
+    }
+
+    @Test
+    void workOfPeerCountsUntilPeerIsLost() {
+        updates.onStatus(
+                peerStatus(List.of(new EntryStatus.InstanceWork("a", 1, 300, List.of())), List.of(), List.of()));
+        assertThat(pool.queuedPromptTokens("a")).isEqualTo(300);
+        updates.onLost(PEER_ADDRESS);
+        assertThat(pool.queuedPromptTokens("a")).isZero();
+    }
+
+    /** A request that crashes instances does so whichever entry sends it. */
+    @Test
+    void lossesOfPeersBlockRequest() {
+        crashHistory.recordLoss(7, "a");
+        updates.onStatus(peerStatus(List.of(), List.of(new EntryStatus.LostRun(7, "b")), List.of()));
+        assertThat(crashHistory.isBlocked(7)).isTrue();
+    }
+
+    @Test
+    void ordersArePreparedWithStatusOnlyWhileTheyMayBeIssued() {
+        mayIssueOrders = false;
+        updates.status(OWN_ADDRESS, List.of());
+        clock.advanceMillis(LEADING_MILLIS);
+        assertThat(updates.status(OWN_ADDRESS, List.of()).highestFencingToken()).isZero();
+        mayIssueOrders = true;
+        updates.status(OWN_ADDRESS, List.of());
+        clock.advanceMillis(LEADING_MILLIS);
+        assertThat(updates.status(OWN_ADDRESS, List.of()).highestFencingToken()).isPositive();
+    }
+
+    @Test
+    void relayedChangesAreAppliedAndRelayedInTurn() {
+        EntryStatus ahead = new EntryStatus(
+                PEER_ADDRESS,
+                List.of(),
+                new StorePosition(0, 6),
+                List.of(),
+                List.of(),
+                List.of(),
+                List.of(),
+                0,
+                List.of());
+        clock.advanceMillis(60_000);
+        assertThat(updates.isBehind(ahead)).isTrue();
+        StoreChange change =
+                new StoreChange("a", new StorePosition(0, 6), Optional.of("ready 1".getBytes(StandardCharsets.UTF_8)));
+        updates.onChanges(List.of(change), new StorePosition(0, 6));
+        assertThat(fleet.find("a")).isPresent();
+        assertThat(updates.storePosition()).isEqualTo(new StorePosition(0, 6));
+        assertThat(updates.changesAfter(new StorePosition(0, 5))).containsExactly(change);
+        assertThat(updates.isBehind(ahead)).isFalse();
+    }
+
+    private static EntryStatus peerStatus(
+            List<EntryStatus.InstanceWork> work,
+            List<EntryStatus.LostRun> lostRuns,
+            List<EntryStatus.LeavingInstance> leaving) {
+        return new EntryStatus(
+                PEER_ADDRESS, List.of(), StorePosition.START, work, lostRuns, List.of(), List.of(), 0, leaving);
+    }
+
+    private static UpstreamInstance instance(String identifier) {
+        return new UpstreamInstance(
+                identifier, "service", new InetSocketAddress("127.0.0.1", 1), "near", 16, false, Stage.PLAIN, 1);
+    }
+}
