HTTP client: a response that ends with its connection left the connection open when it was cancelled

Seen by upstreams: a request that was cancelled or timed out behind the head of a response with "Connection: close", of one without a length, or of HTTP/1.0 kept its connection; the upstream worked and sent on. Found by tests with responses without end: the server could write until its socket buffers were full and waited there.

Cause: the closer did nothing if the client connection was not open, and Undertow reports it as not open from the moment at which a response says that it is the last one. Now only the socket counts. Closing it twice does nothing.

--- a/http/src/main/java/org/merlinwood/http/impl/ConnectionCloser.java
+++ b/http/src/main/java/org/merlinwood/http/impl/ConnectionCloser.java
@@ -19,9 +19,12 @@
 
     private ConnectionCloser() {}
 
-    /** Closes a connection; does nothing if it is null or already closed. */
+    /**
+     * Closes a connection; does nothing if it is null or already closed. {@link ClientConnection#isOpen()} does not
+     * tell whether it is: that is false as soon as a response says that the connection ends with it.
+     */
     static void close(ClientConnection connection) {
-        if (connection == null || !connection.isOpen()) {
+        if (connection == null) {
             return;
         }
         XnioIoThread thread = connection.getIoThread();
--- a/http/src/test/java/org/merlinwood/http/ConnectionCloseTest.java
+++ b/http/src/test/java/org/merlinwood/http/ConnectionCloseTest.java
@@ -45,6 +45,11 @@
                 "HTTP/1.1 200 OK~Content-Le",
                 "HTTP/1.1 200 OK~Content-Length: 10~~",
                 "HTTP/1.1 200 OK~Content-Length: 10~~half",
+                "HTTP/1.1 200 OK~Connection: close~~",
+                "HTTP/1.1 200 OK~Connection: close~~half",
+                "HTTP/1.1 200 OK~Connection: close~Content-Length: 10~~half",
+                "HTTP/1.1 200 OK~A: b~~half",
+                "HTTP/1.0 200 OK~Content-Length: 10~~half",
                 "HTTP/1.1 200 OK~Transfer-Encoding: chunked~~4~half~"
             })
     void serverSeesTheEndWhenTheRequestIsCancelledBehindAPartOfItsResponse(String part) throws Exception {
