--- a/gateway/src/test/java/org/merlinwood/gateway/process/PeerUpdatesTest.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/process/PeerUpdatesTest.java
@@ -65,7 +65,7 @@
                 pool,
                 demandMeter,
                 upstreamProtocol,
-                new UpstreamClient(client, upstreamProtocol, noticeRecorder::record),
+                new UpstreamClient(client, upstreamProtocol, noticeRecorder),
                 clock,
                 log,
                 "entry");
