The notice of a collected response is read at its head

Callers of the entry saw nothing; an instance got requests during a time that it had named. UpstreamClient.execute, which carries reservations, prefills, releases and orders, read the notice of a complete response only: a 503 with a time whose body was cut, malformed or without end lost it (reservations give up after 200 ms). Plain attempts and generations read the head already. Now both ways share the same listener; ResponseCollector moved to the interface package of the HTTP client, and the tests' client uses it in place of a copy.

--- a/gateway/src/main/java/org/merlinwood/gateway/upstream/UpstreamClient.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/upstream/UpstreamClient.java
@@ -12,6 +12,7 @@
 import org.merlinwood.http.HttpRequest;
 import org.merlinwood.http.HttpResponse;
 import org.merlinwood.http.HttpStream;
+import org.merlinwood.http.ResponseCollector;
 
 /**
  * Sends all requests to upstream instances, and reports what their responses state about the instances before anything
@@ -50,7 +51,7 @@
     }
 
     /**
-     * Sends a request and collects the complete response.
+     * Sends a request and collects the complete response. A notice in its head counts even if the body is not complete.
      *
      * @param instance the instance that the request is for
      * @param request the request
@@ -59,11 +60,7 @@
      */
     public HttpStream execute(
             UpstreamInstance instance, HttpRequest request, Consumer<Either<Failure, HttpResponse>> consumer) {
-        instanceListener.onSend(instance, request);
-        return client.execute(request, result -> {
-            result.forEach(response -> readNotice(instance, response.status(), response.headers()));
-            consumer.accept(result);
-        });
+        return send(instance, request, new ResponseCollector(consumer));
     }
 
     /**
--- a/gateway/src/test/java/org/merlinwood/gateway/FakeHttpClient.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/FakeHttpClient.java
@@ -16,6 +16,7 @@
 import org.merlinwood.http.HttpRequest;
 import org.merlinwood.http.HttpResponse;
 import org.merlinwood.http.HttpStream;
+import org.merlinwood.http.ResponseCollector;
 
 /** HTTP client that records requests, to which a test sends the responses. */
 public final class FakeHttpClient implements HttpClient {
@@ -93,33 +94,7 @@
 
     @Override
     public HttpStream execute(HttpRequest request, Consumer<Either<Failure, HttpResponse>> consumer) {
-        return send(request, new HttpListener() {
-            private int status;
-            private List<HttpHeader> headers = List.of();
-            private final StringBuilder body = new StringBuilder();
-
-            @Override
-            public void onHead(int receivedStatus, List<HttpHeader> receivedHeaders) {
-                status = receivedStatus;
-                headers = receivedHeaders;
-            }
-
-            @Override
-            public void onBytes(byte[] bytes) {
-                body.append(new String(bytes, StandardCharsets.UTF_8));
-            }
-
-            @Override
-            public void onEnd() {
-                consumer.accept(Either.right(
-                        new HttpResponse(status, headers, body.toString().getBytes(StandardCharsets.UTF_8))));
-            }
-
-            @Override
-            public void onFailure(Failure failure) {
-                consumer.accept(Either.left(failure));
-            }
-        });
+        return send(request, new ResponseCollector(consumer));
     }
 
     @Override
--- a/http/src/main/java/org/merlinwood/http/impl/ResponseCollector.java
+++ b/http/src/main/java/org/merlinwood/http/ResponseCollector.java
@@ -1,23 +1,25 @@
-package org.merlinwood.http.impl;
+package org.merlinwood.http;
 
 import io.vavr.control.Either;
 import java.io.ByteArrayOutputStream;
 import java.util.List;
 import java.util.function.Consumer;
 import org.merlinwood.core.result.Failure;
-import org.merlinwood.http.HttpHeader;
-import org.merlinwood.http.HttpListener;
-import org.merlinwood.http.HttpResponse;
 
 /** Collects a streamed response into a complete one. Used for a single request. */
-final class ResponseCollector implements HttpListener {
+public final class ResponseCollector implements HttpListener {
 
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
     private final Consumer<Either<Failure, HttpResponse>> consumer;
     private int status;
     private List<HttpHeader> headers = List.of();
 
-    ResponseCollector(Consumer<Either<Failure, HttpResponse>> consumer) {
+    /**
+     * Creates a collector.
+     *
+     * @param consumer receives the complete response or the failure, exactly once
+     */
+    public ResponseCollector(Consumer<Either<Failure, HttpResponse>> consumer) {
         this.consumer = consumer;
     }
 
--- a/http/src/main/java/org/merlinwood/http/impl/UndertowHttpClient.java
+++ b/http/src/main/java/org/merlinwood/http/impl/UndertowHttpClient.java
@@ -25,6 +25,7 @@
 import org.merlinwood.http.HttpRequest;
 import org.merlinwood.http.HttpResponse;
 import org.merlinwood.http.HttpStream;
+import org.merlinwood.http.ResponseCollector;
 import org.xnio.OptionMap;
 import org.xnio.Options;
 import org.xnio.Xnio;
