A notice is not lost with the start that a registration tells, tells later or doesn't tell

Notices were kept for identifier and start. An instance got requests during a time that it had named, or after it said that it leaves, from the entry that heard it, once another registration of it had another start: none (fields may be missing), one that was told only later, or that of a restart which had responded before the store told it.

A registration without a start is now taken for the start that is known; what was heard while none was known holds for the one told later, until a removal.

--- a/gateway/src/main/java/org/merlinwood/gateway/decision/InstanceNotices.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/decision/InstanceNotices.java
@@ -15,9 +15,10 @@
  * it. Needs neither the configuration store nor other entries, so it holds also for an entry that is cut off; that an
  * instance leaves may also be learned from another entry.
  *
- * <p>A statement is about one incarnation of an instance: a restarted instance, or another one at the same address, is
- * not bound by it, and a late response of a former incarnation says nothing about the current one. Confined to the
- * event loop.
+ * <p>That an instance leaves is about one start of it: a restarted instance, or another one at the same address, is not
+ * bound by it, and a late response of a former start says nothing about the current one. What was heard while the start
+ * was unknown holds for the start that is told later. A named time holds for the instance whatever its start, since it
+ * ends by itself and the response may come before the registration of a new start. Confined to the event loop.
  */
 public final class InstanceNotices {
 
@@ -39,7 +40,9 @@
             return size() > MAXIMUM_LEAVING;
         }
     };
-    private final Map<Incarnation, Long> declinedUntilMillis = new HashMap<>();
+
+    /** End of the time that an instance named, by its identifier. */
+    private final Map<String, Long> declinedUntilMillis = new HashMap<>();
 
     /** One start of an instance. */
     private record Incarnation(String identifier, long startedUnixMillis) {
@@ -47,6 +50,11 @@
         static Incarnation of(UpstreamInstance instance) {
             return new Incarnation(instance.identifier(), instance.startedUnixMillis());
         }
+
+        /** Returns what stands for an instance in notices that were heard before its start was known. */
+        static Incarnation ofUnknownStart(UpstreamInstance instance) {
+            return new Incarnation(instance.identifier(), UpstreamInstance.UNKNOWN_START);
+        }
     }
 
     /** How this entry learned that an instance leaves: when, and whether from the instance itself. */
@@ -72,7 +80,7 @@
         Incarnation incarnation = Incarnation.of(instance);
         boolean newlyLeaving = notice.leaving() && recordLeaving(incarnation, true);
         boolean longer = notice.declinedMillis().isPresent()
-                && extendDeclined(incarnation, notice.declinedMillis().getAsLong());
+                && extendDeclined(instance.identifier(), notice.declinedMillis().getAsLong());
         return newlyLeaving || longer;
     }
 
@@ -105,25 +113,24 @@
         return leaving.putIfAbsent(incarnation, new LearnedLeaving(clock.monotonicMillis(), fromInstance)) == null;
     }
 
-    private boolean extendDeclined(Incarnation incarnation, long millis) {
+    private boolean extendDeclined(String identifier, long millis) {
         long now = clock.monotonicMillis();
         declinedUntilMillis.values().removeIf(until -> until <= now);
         long until = now + Math.min(millis, MAXIMUM_DECLINED_MILLIS);
-        long previous = declinedUntilMillis.getOrDefault(incarnation, Long.MIN_VALUE);
-        declinedUntilMillis.put(incarnation, Math.max(previous, until));
+        long previous = declinedUntilMillis.getOrDefault(identifier, Long.MIN_VALUE);
+        declinedUntilMillis.put(identifier, Math.max(previous, until));
         return until > previous;
     }
 
     /**
-     * Forgets that an instance of unknown start leaves, after its registration was removed. If its start is known, a
-     * registration of the same start is of the same incarnation, which is still leaving.
+     * Forgets that an instance leaves if that was learned while its start was unknown, after its registration was
+     * removed. If the start was known, a registration of the same start is of the same incarnation, which is still
+     * leaving.
      *
      * @param instance the last registration
      */
     public void onRemoved(UpstreamInstance instance) {
-        if (instance.startedUnixMillis() == UpstreamInstance.UNKNOWN_START) {
-            leaving.remove(Incarnation.of(instance));
-        }
+        leaving.remove(Incarnation.ofUnknownStart(instance));
     }
 
     /**
@@ -143,7 +150,8 @@
      * @return true if this incarnation leaves
      */
     public boolean isLeaving(UpstreamInstance instance) {
-        return leaving.containsKey(Incarnation.of(instance));
+        return leaving.containsKey(Incarnation.of(instance))
+                || leaving.containsKey(Incarnation.ofUnknownStart(instance));
     }
 
     /**
@@ -192,6 +200,6 @@
 
     private long millisUntilAccepted(UpstreamInstance instance) {
         long now = clock.monotonicMillis();
-        return Math.max(0, declinedUntilMillis.getOrDefault(Incarnation.of(instance), now) - now);
+        return Math.max(0, declinedUntilMillis.getOrDefault(instance.identifier(), now) - now);
     }
 }
--- a/gateway/src/main/java/org/merlinwood/gateway/fleet/FleetState.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/fleet/FleetState.java
@@ -33,12 +33,14 @@
     }
 
     /**
-     * Adds an instance or replaces its registration.
+     * Adds an instance or replaces its registration. Of a registration that doesn't tell the start it is assumed that
+     * the instance is the one that was registered before.
      *
-     * @param instance latest registration
+     * @param registered latest registration
      * @return previous registration, or empty if the instance was not registered
      */
-    public Optional<UpstreamInstance> put(UpstreamInstance instance) {
+    public Optional<UpstreamInstance> put(UpstreamInstance registered) {
+        UpstreamInstance instance = withKnownStart(registered);
         Optional<UpstreamInstance> previous = Optional.ofNullable(byIdentifier.put(instance.identifier(), instance));
         previous.ifPresent(this::removeFromService);
         byService
@@ -47,6 +49,20 @@
         return previous;
     }
 
+    /**
+     * Returns a registration with the start that is known of its instance, if it doesn't tell the start itself.
+     *
+     * @param registered a registration
+     * @return the registration, with the start of the current one if it tells none
+     */
+    public UpstreamInstance withKnownStart(UpstreamInstance registered) {
+        return registered.startedUnixMillis() != UpstreamInstance.UNKNOWN_START
+                ? registered
+                : find(registered.identifier())
+                        .map(known -> registered.withStart(known.startedUnixMillis()))
+                        .orElse(registered);
+    }
+
     /**
      * Removes an instance.
      *
--- a/gateway/src/main/java/org/merlinwood/gateway/fleet/UpstreamInstance.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/fleet/UpstreamInstance.java
@@ -37,4 +37,14 @@
     public UpstreamInstance withStage(Stage newStage) {
         return new UpstreamInstance(identifier, service, address, domain, slots, leaving, newStage, startedUnixMillis);
     }
+
+    /**
+     * Returns a copy of this instance with another start.
+     *
+     * @param newStartedUnixMillis new start
+     * @return the copy
+     */
+    public UpstreamInstance withStart(long newStartedUnixMillis) {
+        return new UpstreamInstance(identifier, service, address, domain, slots, leaving, stage, newStartedUnixMillis);
+    }
 }
--- a/gateway/src/main/java/org/merlinwood/gateway/process/GatewayProcess.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/process/GatewayProcess.java
@@ -356,8 +356,7 @@
                 change.value().flatMap(storeProtocol::readRoutes).ifPresent(this::replaceRoutes);
                 return;
             }
-            Optional<UpstreamInstance> instance =
-                    change.value().flatMap(value -> storeProtocol.readInstance(change.key(), value));
+            Optional<UpstreamInstance> instance = readInstance(change);
             if (instance.isPresent()) {
                 put(instance.get(), change.position());
             } else {
@@ -365,6 +364,12 @@
             }
         }
 
+        private Optional<UpstreamInstance> readInstance(StoreChange change) {
+            return change.value()
+                    .flatMap(value -> storeProtocol.readInstance(change.key(), value))
+                    .map(fleet::withKnownStart);
+        }
+
         private void replaceRoutes(RouteTable routes) {
             boolean replaced = fleet.replaceRoutes(routes);
             log.line(replaced ? "routes in force" : "older routes left out")
@@ -405,8 +410,7 @@
 
         @Override
         public boolean revives(StoreChange change) {
-            Optional<UpstreamInstance> instance =
-                    change.value().flatMap(value -> storeProtocol.readInstance(change.key(), value));
+            Optional<UpstreamInstance> instance = readInstance(change);
             return instance.filter(changed -> !changed.leaving())
                     .flatMap(changed -> fleet.find(changed.identifier())
                             .filter(UpstreamInstance::leaving)
