A time that an instance names holds to its end, also beyond five minutes

An instance that named 600 s got requests after 300 s: the entry cut each time to five minutes. The rule knows no longest time and excuses only the entry.

--- a/gateway/src/main/java/org/merlinwood/gateway/decision/InstanceNotices.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/decision/InstanceNotices.java
@@ -22,8 +22,8 @@
  */
 public final class InstanceNotices {
 
-    /** Longest time for which an instance may decline all requests, in milliseconds. */
-    private static final long MAXIMUM_DECLINED_MILLIS = 300_000;
+    /** Upper bound of a named time, in milliseconds: beyond the life of any process, and sums don't overflow. */
+    private static final long MAXIMUM_DECLINED_MILLIS = Long.MAX_VALUE / 2;
 
     /** Time for which this entry tells the others that an instance leaves, in milliseconds: many status messages. */
     private static final long REPORT_MILLIS = 2_000;
