Nothing is sent in the last millisecond of a named time

The clock gives whole milliseconds, rounded down, so a time that began within one ended up to 1 ms early; requests that wait in a queue go out together just then. The instance's own time began earlier, but by the way of one response only, which is less than that on short links. decliningInstanceGetsNothingUntilTheTimeHasPassed and latestEndHolds failed before.

--- a/gateway/src/main/java/org/merlinwood/gateway/decision/InstanceNotices.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/decision/InstanceNotices.java
@@ -25,6 +25,9 @@
     /** Upper bound of a named time, in milliseconds: beyond the life of any process, and sums don't overflow. */
     private static final long MAXIMUM_DECLINED_MILLIS = Long.MAX_VALUE / 2;
 
+    /** Precision of the clock, in milliseconds. A time that began within one of its ticks ends within a later one. */
+    private static final long CLOCK_TICK_MILLIS = 1;
+
     /** Time for which this entry tells the others that an instance leaves, in milliseconds: many status messages. */
     private static final long REPORT_MILLIS = 2_000;
 
@@ -116,7 +119,7 @@
     private boolean extendDeclined(String identifier, long millis) {
         long now = clock.monotonicMillis();
         declinedUntilMillis.values().removeIf(until -> until <= now);
-        long until = now + Math.min(millis, MAXIMUM_DECLINED_MILLIS);
+        long until = now + Math.min(millis, MAXIMUM_DECLINED_MILLIS) + CLOCK_TICK_MILLIS;
         long previous = declinedUntilMillis.getOrDefault(identifier, Long.MIN_VALUE);
         declinedUntilMillis.put(identifier, Math.max(previous, until));
         return until > previous;
