No second step of a reservation at an instance that named a time during the first

The step follows the memory check without a choice of an instance, so nothing asked whether the instance declines by now. It went out up to 320 ms behind the check (connect and read timeout), so it could hardly break the rule, but it was the one request that was sent against what the entry knew; prefills, generations, releases and orders ask. The request is placed elsewhere, and the instance isn't paused. decodeInstanceThatDeclinesDuringTheMemoryCheckGetsNoReservation failed before.

--- a/gateway/src/main/java/org/merlinwood/gateway/front/MemoryReservationCall.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/MemoryReservationCall.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.function.Consumer;
 import org.merlinwood.core.result.Failure;
+import org.merlinwood.core.result.ResultCode;
 import org.merlinwood.gateway.decision.MemoryNeed;
 import org.merlinwood.gateway.fleet.UpstreamInstance;
 import org.merlinwood.http.HttpRequest;
@@ -29,6 +30,10 @@
      */
     private static final long READ_TIMEOUT_MILLIS = 200;
 
+    /** Result if the instance named a time while its memory was checked: no fault of the instance. */
+    private static final Failure WANTS_NO_REQUEST =
+            Failure.of(ResultCode.CANCELLED, "the instance wants no request now");
+
     private final RequestProcessorContext context;
     private final UpstreamInstance instance;
     private final MemoryNeed need;
@@ -101,10 +106,12 @@
         if (cancelled) {
             return;
         }
-        if (reservation(response).isPresent()) {
-            reserveStart();
-        } else {
+        if (reservation(response).isEmpty()) {
             consumer.accept(new Result(Optional.empty(), need.freeTokens(), response));
+        } else if (context.pool().notices().isDeclining(instance)) {
+            consumer.accept(new Result(Optional.empty(), need.startTokens(), Either.left(WANTS_NO_REQUEST)));
+        } else {
+            reserveStart();
         }
     }
 
