A caller whose last attempt was declined is told when the first instance accepts requests

With its attempts or the retry allowance used up it was told 150 ms, although all instances had named longer times: it came back to be refused again. Now the same time as for a request that finds no instance. callerWhoseLastAttemptWasDeclinedIsToldWhenTheFirstInstanceAcceptsRequestsAgain failed before (0.15 s in place of 0.7 s).

--- a/gateway/src/main/java/org/merlinwood/gateway/front/PlainRequestProcessor.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/PlainRequestProcessor.java
@@ -144,7 +144,7 @@
         switch (step) {
             case NextStep.Deliver deliver -> deliver(attempt);
             case NextStep.Repeat repeat -> proceed();
-            case NextStep.Fail failure -> fail(failure.code(), RETRY_AFTER_MILLIS, outcome.toString());
+            case NextStep.Fail failure -> fail(failure.code(), retryAfterMillis(), outcome.toString());
         }
     }
 
