--- a/gateway/src/main/java/org/merlinwood/gateway/process/FleetUpdates.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/process/FleetUpdates.java
@@ -43,8 +43,7 @@
             change.value().flatMap(storeProtocol::readRoutes).ifPresent(this::replaceRoutes);
             return;
         }
-        Optional<UpstreamInstance> instance =
-                change.value().flatMap(value -> storeProtocol.readInstance(change.key(), value));
+        Optional<UpstreamInstance> instance = readInstance(change);
         if (instance.isPresent()) {
             put(instance.get(), change.position());
         } else {
@@ -52,6 +51,12 @@
         }
     }
 
+    private Optional<UpstreamInstance> readInstance(StoreChange change) {
+        return change.value()
+                .flatMap(value -> storeProtocol.readInstance(change.key(), value))
+                .map(fleet::withKnownStart);
+    }
+
     private void replaceRoutes(RouteTable routes) {
         boolean replaced = fleet.replaceRoutes(routes);
         log.line(replaced ? "routes in force" : "older routes left out")
@@ -89,8 +94,7 @@
 
     @Override
     public boolean revives(StoreChange change) {
-        Optional<UpstreamInstance> instance =
-                change.value().flatMap(value -> storeProtocol.readInstance(change.key(), value));
+        Optional<UpstreamInstance> instance = readInstance(change);
         return instance.filter(changed -> !changed.leaving())
                 .flatMap(changed -> fleet.find(changed.identifier())
                         .filter(UpstreamInstance::leaving)
