HTTP client: limit what is read of a response besides its body

Seen by callers of an entry: an instance that sends a status line, header line, header lines, interim responses, chunk sizes, chunk extensions or trailers without end stopped all requests of the entry and filled its memory.

Cause: Undertow's parser reads in a loop as long as there are bytes, and keeps all of them; its client has no limit for the head of a response. The read timeout did not help: its timer is on the I/O thread that the loop occupies. The limit of the body did not count these bytes.

Change: ReceiveLimit lies between the socket and the parser. It allows 64 KB from one byte of body to the next, and 64 KB in one turn of the I/O thread. It fails the request as malformed (may have run), which closes the connection. An interim response other than 100 is malformed too; it was taken for the final response.

--- a/http/src/main/java/org/merlinwood/http/HttpRequest.java
+++ b/http/src/main/java/org/merlinwood/http/HttpRequest.java
@@ -101,6 +101,17 @@
                 method, address, path, headers, body, connectMillis, readMillis, maximumResponseBytes, connectionUse);
     }
 
+    /**
+     * Returns a copy with another size limit of the response body.
+     *
+     * @param bytes size limit, in bytes
+     * @return a copy
+     */
+    public HttpRequest withMaximumResponseBytes(long bytes) {
+        return new HttpRequest(
+                method, address, path, headers, body, connectTimeoutMillis, readTimeoutMillis, bytes, connectionUse);
+    }
+
     /**
      * Returns a copy with another setting for connection reuse.
      *
--- a/http/src/main/java/org/merlinwood/http/impl/ActiveHttpRequest.java
+++ b/http/src/main/java/org/merlinwood/http/impl/ActiveHttpRequest.java
@@ -12,6 +12,7 @@
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -39,6 +40,9 @@
 
     private static final int READ_BUFFER_BYTES = 16 * 1024;
 
+    /** Lowest status of a response that is not an interim one. Undertow skips the interim status 100 itself. */
+    private static final int FIRST_FINAL_STATUS = 200;
+
     /** Methods whose requests carry no Content-Length if the body is empty. */
     private static final Set<String> BODILESS_METHODS = Set.of("GET", "HEAD", "DELETE");
 
@@ -50,6 +54,7 @@
     private volatile ClientConnection connection;
     private volatile boolean passedToConnection;
     private volatile XnioExecutor.Key timeout;
+    private Optional<ReceiveLimit> limit = Optional.empty();
     private long receivedBytes;
 
     ActiveHttpRequest(
@@ -107,6 +112,8 @@
             return;
         }
         passedToConnection = true;
+        limit = tracker.limit(opened);
+        limit.ifPresent(present -> present.begin(this::failOversized));
         try {
             opened.sendRequest(toClientRequest(), exchangeListener());
         } catch (RuntimeException exception) {
@@ -197,6 +204,11 @@
             return;
         }
         ClientResponse response = exchange.getResponse();
+        if (response.getResponseCode() < FIRST_FINAL_STATUS) {
+            fail(Failure.of(
+                    ResultCode.UPSTREAM_MALFORMED, "unexpected interim response " + response.getResponseCode()));
+            return;
+        }
         List<HttpHeader> headers = new ArrayList<>();
         for (HeaderValues values : response.getResponseHeaders()) {
             values.forEach(
@@ -229,8 +241,15 @@
         }
     }
 
+    private void failOversized(long limitBytes) {
+        fail(Failure.of(
+                ResultCode.UPSTREAM_MALFORMED,
+                "the head, chunk sizes or trailers of the response exceed " + limitBytes + " bytes"));
+    }
+
     private void receiveBytes(ByteBuffer buffer) {
         receivedBytes += buffer.remaining();
+        limit.ifPresent(ReceiveLimit::bodyReceived);
         if (receivedBytes > request.maximumResponseBytes()) {
             fail(Failure.of(
                     ResultCode.UPSTREAM_MALFORMED,
--- a/http/src/main/java/org/merlinwood/http/impl/UndertowHttpClient.java
+++ b/http/src/main/java/org/merlinwood/http/impl/UndertowHttpClient.java
@@ -28,7 +28,6 @@
 import org.xnio.OptionMap;
 import org.xnio.Options;
 import org.xnio.Xnio;
-import org.xnio.XnioIoThread;
 import org.xnio.XnioWorker;
 
 /**
@@ -118,14 +117,14 @@
     }
 
     private void connect(HttpRequest request, ActiveHttpRequest activeRequest) {
-        XnioIoThread thread = worker.getIoThread();
+        LimitingIoThread thread = new LimitingIoThread(worker.getIoThread());
         activeRequest.startConnectTimeout(thread);
         UndertowClient.getInstance()
                 .connect(
                         new ClientCallback<ClientConnection>() {
                             @Override
                             public void completed(ClientConnection connection) {
-                                tracker.opened(connection);
+                                tracker.opened(connection, thread.limit());
                                 activeRequest.start(connection);
                             }
 
