Proofs of held memory: all streams run first, runs begun later count, a failure says what was seen

The entries had refused the rest (NO_CAPACITY, 1.1 to 1.9 s): prefills of a fleet that has just started and has few processors could not meet the target of the first token. Streams of a proof that did not start ran on for 90 s and took the memory from the next ones (22 of 24, then 18, 0 and 0 of 24 in one play).

The caller's connection was still open: the proofs' own client closes through the HTTP client whose close() left sockets open until the server's next bytes, and behind a silent connection there are none. So the entry resumed the streams for callers it still had.

Change: a caller that is refused sends again after the stated delay until all 24 streams run at once, within the 20 s as before; a proof that does not get there fails as before, says with which responses, and ends its streams. Runs that begin more than 1 s after the callers left fail the proof; the ledgers were read at the first moment without held memory, which may lie before a resumption. A failure lists each run with its start and release, and the log lines of late ones; the entry logs the detail of a failed request.

--- a/entry/src/main/java/org/merlinwood/entry/dispatch/RequestRunner.java
+++ b/entry/src/main/java/org/merlinwood/entry/dispatch/RequestRunner.java
@@ -372,13 +372,14 @@
         assembler.end(() -> failure.ifPresentOrElse(sink::failure, this::deliver));
         components.metrics().requestEnded(code);
         logger.atInfo().log(
-                "request %s of %s to %s: %s after %d ms, %d attempts",
+                "request %s of %s to %s: %s after %d ms, %d attempts%s",
                 identifier(),
                 request.identified().caller(),
                 request.service().name(),
                 code,
                 ageMillis(),
-                attempts.size());
+                attempts.size(),
+                failure.map(present -> ": " + present.detail()).orElse(""));
         onCompleted.run();
     }
 
--- a/proving/src/main/java/org/merlinwood/proving/fleet/FleetProcess.java
+++ b/proving/src/main/java/org/merlinwood/proving/fleet/FleetProcess.java
@@ -127,6 +127,22 @@
         }
     }
 
+    /**
+     * Returns the lines of the log that contain a text, for use in messages.
+     *
+     * @param text the text
+     * @return the lines, oldest first; empty if there is no log yet
+     */
+    public List<String> logLines(String text) {
+        try {
+            return Files.readAllLines(log).stream()
+                    .filter(line -> line.contains(text))
+                    .toList();
+        } catch (IOException exception) {
+            return List.of();
+        }
+    }
+
     private synchronized Process current() {
         return process;
     }
--- a/proving/src/main/java/org/merlinwood/proving/prove/HeldMemory.java
+++ b/proving/src/main/java/org/merlinwood/proving/prove/HeldMemory.java
@@ -18,6 +18,13 @@
     private static final double PERCENTILE = 95;
     private static final long TARGET_MILLIS = 2_000;
     private static final long RELEASE_MILLIS = 5_000;
+
+    /** Time after which every entry has noticed that a caller is gone. */
+    private static final long NOTICED_MILLIS = 1_000;
+
+    /** Time within which an entry resumes a stream whose connection to a sidecar has fallen silent. */
+    private static final long RESUMPTION_MILLIS = 2_500;
+
     private static final int HISTOGRAM_DIGITS = 3;
 
     private HeldMemory() {}
@@ -47,8 +54,8 @@
     /** Restarts the sidecars while their engines keep running; the callers disconnect in the meantime. */
     static ProofResult sidecarKilled(ProofContext context) throws InterruptedException {
         StreamSet streams = new StreamSet(context).send(STREAMS, ENDLESS_TOKENS);
-        if (!streams.awaitFirstTokens() || streams.open() < STREAMS) {
-            return notStarted(streams);
+        if (!streams.awaitAllRunning()) {
+            return notStarted(context, streams);
         }
         long exitAtMillis = SystemMillisClock.shared().wallMillis();
         context.fleet()
@@ -57,7 +64,7 @@
         streams.disconnectAll();
         context.fleet().repair();
         long downMillis = SystemMillisClock.shared().wallMillis() - exitAtMillis;
-        return check(context, streams.promptDigests(), exitAtMillis, downMillis);
+        return check(context, streams, exitAtMillis, downMillis);
     }
 
     private interface CallerExit {
@@ -66,36 +73,66 @@
 
     private static ProofResult measure(ProofContext context, StreamSet streams, CallerExit callerExit)
             throws InterruptedException {
-        if (!streams.awaitFirstTokens() || streams.open() < STREAMS) {
-            return notStarted(streams);
+        if (!streams.awaitAllRunning()) {
+            return notStarted(context, streams);
         }
         long exitAtMillis = SystemMillisClock.shared().wallMillis();
         callerExit.trigger(streams);
-        return check(context, streams.promptDigests(), exitAtMillis, 0);
+        return check(context, streams, exitAtMillis, 0);
     }
 
-    /** Checks the ledgers. The time without a running sidecar, which could release memory, is added to the target. */
-    private static ProofResult check(ProofContext context, Set<String> prompts, long exitAtMillis, long allowedMillis)
+    /**
+     * Checks the ledgers. The time without a running sidecar, which could release memory, is added to the target. Work
+     * that an entry begins for callers who are gone shows only later than the silence of a connection, so the ledgers
+     * are read after that.
+     */
+    private static ProofResult check(ProofContext context, StreamSet streams, long exitAtMillis, long allowedMillis)
             throws InterruptedException {
-        ProofContext.await(RELEASE_MILLIS, () -> context.stillHeld(prompts) == 0);
-        List<EngineRun> runs = context.engineRuns(prompts);
+        Set<String> prompts = streams.promptDigests();
+        Thread.sleep(RESUMPTION_MILLIS);
+        ProofContext.await(RELEASE_MILLIS - RESUMPTION_MILLIS, () -> context.stillHeld(prompts) == 0);
+        ProofResult result = judge(context.engineRuns(prompts), exitAtMillis, allowedMillis);
+        String detail = result.detail() + ", %d requests sent again at the start".formatted(streams.sentAgain());
+        return result.verdict() == Verdict.FAIL
+                ? ProofResult.fail(
+                        detail + HeldMemoryReport.ofHeld(context, prompts, exitAtMillis, TARGET_MILLIS + allowedMillis))
+                : new ProofResult(result.verdict(), detail);
+    }
+
+    /**
+     * Judges the runs of all streams.
+     *
+     * @param runs the runs, from the ledgers of the engines
+     * @param exitAtMillis wall time at which the callers disconnected, in milliseconds
+     * @param allowedMillis time added to the target, in milliseconds
+     */
+    static ProofResult judge(List<EngineRun> runs, long exitAtMillis, long allowedMillis) {
         Histogram held = new Histogram(HISTOGRAM_DIGITS);
         runs.stream()
                 .filter(run -> run.endedAtMillis() == 0 || run.endedAtMillis() > exitAtMillis)
                 .forEach(run -> held.recordValue(heldMillis(run, exitAtMillis)));
-        String figures =
-                "%d runs held then, 95%% freed within %d ms, all within %d ms, %d still held, no sidecar for %d ms"
+        long stillHeld = stillHeld(runs);
+        long begunLater = begunLater(runs, exitAtMillis);
+        String figures = "%d runs held then, 95%% freed within %d ms, all within %d ms, %d still held, %d begun later, "
                         .formatted(
                                 held.getTotalCount(),
                                 held.getValueAtPercentile(PERCENTILE),
                                 held.getMaxValue(),
-                                stillHeld(runs),
-                                allowedMillis);
+                                stillHeld,
+                                begunLater)
+                + "no sidecar for " + allowedMillis + " ms";
         if (held.getTotalCount() < STREAMS / 2) {
             return ProofResult.unproved(figures);
         }
-        boolean freed = held.getValueAtPercentile(PERCENTILE) <= TARGET_MILLIS + allowedMillis && stillHeld(runs) == 0;
-        return ProofResult.of(freed, figures);
+        boolean isInTime = held.getValueAtPercentile(PERCENTILE) <= TARGET_MILLIS + allowedMillis;
+        return ProofResult.of(isInTime && stillHeld == 0 && begunLater == 0, figures);
+    }
+
+    /** Counts the runs that began when the entries must have noticed that the callers are gone. */
+    private static long begunLater(List<EngineRun> runs, long exitAtMillis) {
+        return runs.stream()
+                .filter(run -> run.startedAtMillis() > exitAtMillis + NOTICED_MILLIS)
+                .count();
     }
 
     private static long heldMillis(EngineRun run, long exitAtMillis) {
@@ -111,7 +148,12 @@
         sidecar.peerForwarder().orElseThrow().mode(ForwardingMode.SILENT_EXISTING, ForwardingDirection.BOTH, 0);
     }
 
-    private static ProofResult notStarted(StreamSet streams) {
-        return ProofResult.fail("only " + streams.open() + " of " + streams.size() + " streams started");
+    /** Ends the streams that did start, so that they take no memory from the next proof. */
+    private static ProofResult notStarted(ProofContext context, StreamSet streams) throws InterruptedException {
+        String seen = "only " + streams.open() + " of " + streams.size() + " streams started"
+                + HeldMemoryReport.ofEnded(context, streams);
+        streams.disconnectAll();
+        ProofContext.await(RELEASE_MILLIS, () -> context.stillHeld(streams.promptDigests()) == 0);
+        return ProofResult.fail(seen);
     }
 }
--- a/proving/src/main/java/org/merlinwood/proving/prove/StreamSet.java
+++ b/proving/src/main/java/org/merlinwood/proving/prove/StreamSet.java
@@ -3,9 +3,11 @@
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
+import org.merlinwood.core.time.SystemMillisClock;
 import org.merlinwood.proving.caller.CallerClient;
 import org.merlinwood.proving.caller.CallerRequest;
 import org.merlinwood.proving.caller.CallerResponse;
@@ -21,6 +23,7 @@
 
     private final List<Stream> streams = new ArrayList<>();
     private final ProofContext context;
+    private int sentAgain;
 
     StreamSet(ProofContext context) {
         this.context = context;
@@ -38,13 +41,17 @@
     Stream sendTo(int entry, int tokens) {
         String prompt =
                 "Report " + context.random().nextLong() + ". " + "Hydrant checked, cap in place. ".repeat(SENTENCES);
-        CallerRequest request =
-                CallerRequest.streamed(FleetDocuments.INSPECTOR_TOKEN, FleetDocuments.SUMMARY_MODEL, prompt, tokens);
-        Stream stream = new Stream(prompt, tokens, context.client().send(context.caller(entry), request));
+        Stream stream = send(entry, prompt, tokens);
         streams.add(stream);
         return stream;
     }
 
+    private Stream send(int entry, String prompt, int tokens) {
+        CallerRequest request =
+                CallerRequest.streamed(FleetDocuments.INSPECTOR_TOKEN, FleetDocuments.SUMMARY_MODEL, prompt, tokens);
+        return new Stream(entry, prompt, tokens, context.client().send(context.caller(entry), request));
+    }
+
     /** Waits until every stream has its first token or has ended; returns false on a timeout. */
     boolean awaitFirstTokens() throws InterruptedException {
         for (Stream stream : streams) {
@@ -55,6 +62,54 @@
         return true;
     }
 
+    /**
+     * Waits until every stream runs at the same time. A caller that is refused because no instance has capacity in time
+     * sends the request again after the stated delay, as long as the time allows.
+     *
+     * @return whether all streams run
+     */
+    boolean awaitAllRunning() throws InterruptedException {
+        long deadlineMillis = SystemMillisClock.shared().monotonicMillis() + FIRST_TOKEN_MILLIS;
+        while (awaitFirstTokens()) {
+            OptionalLong delayMillis = longestRetryDelayMillis();
+            if (open() == size()) {
+                return true;
+            }
+            long nowMillis = SystemMillisClock.shared().monotonicMillis();
+            if (delayMillis.isEmpty() || nowMillis + delayMillis.getAsLong() > deadlineMillis) {
+                return false;
+            }
+            Thread.sleep(delayMillis.getAsLong());
+            streams.replaceAll(stream -> stream.inProgress.response().isDone() ? sendAgain(stream) : stream);
+        }
+        return false;
+    }
+
+    /** Returns how many requests were sent again after a refusal. */
+    int sentAgain() {
+        return sentAgain;
+    }
+
+    /** Returns empty if a stream has ended otherwise than by a refusal that states a delay. */
+    private OptionalLong longestRetryDelayMillis() {
+        List<CallerResponse> ended = streams.stream()
+                .filter(stream -> stream.inProgress.response().isDone())
+                .map(stream -> CallerClient.await(stream.inProgress))
+                .toList();
+        boolean allRefused =
+                ended.stream().allMatch(response -> response.retryAfterMillis().isPresent());
+        return allRefused
+                ? ended.stream()
+                        .mapToLong(response -> response.retryAfterMillis().orElseThrow())
+                        .max()
+                : OptionalLong.empty();
+    }
+
+    private Stream sendAgain(Stream refused) {
+        sentAgain++;
+        return send(refused.entry, refused.prompt, refused.tokens);
+    }
+
     /** Closes the callers' connections. */
     void disconnectAll() {
         streams.forEach(stream -> stream.inProgress.disconnect());
@@ -67,6 +122,21 @@
                 .collect(Collectors.toCollection(LinkedHashSet::new));
     }
 
+    /** Describes the streams that have ended, for use in messages. */
+    List<String> describeEnded() {
+        return streams.stream()
+                .map(Stream::inProgress)
+                .filter(stream -> stream.response().isDone())
+                .map(CallerClient::await)
+                .map(response -> "ended after %d ms: status %d code %s, %s"
+                        .formatted(
+                                response.totalMillis(),
+                                response.status(),
+                                response.codeText(),
+                                response.broken().orElse(response.whole() ? "whole" : "not whole")))
+                .toList();
+    }
+
     /** Returns how many streams have not ended. */
     int open() {
         return (int) streams.stream()
@@ -106,11 +176,12 @@
     /**
      * A streamed completion.
      *
+     * @param entry number of the entry that the request was sent to
      * @param prompt the prompt
      * @param tokens requested length of the response in tokens
      * @param inProgress the request that was sent
      */
-    record Stream(String prompt, int tokens, RequestInProgress inProgress) {
+    record Stream(int entry, String prompt, int tokens, RequestInProgress inProgress) {
 
         /** Describes what is wrong with the response; empty if it is correct. */
         String fault(CallerResponse response) {
--- a/proving/src/test/java/org/merlinwood/proving/prove/ProofChecksTest.java
+++ b/proving/src/test/java/org/merlinwood/proving/prove/ProofChecksTest.java
@@ -85,7 +85,7 @@
                 1,
                 TimeUnit.SECONDS.toMillis(1),
                 Optional.empty());
-        return new Stream(PROMPT, TOKENS, null).fault(response);
+        return new Stream(0, PROMPT, TOKENS, null).fault(response);
     }
 
     private static CallerResponse response(int code, String execution, String text) {
