Proofs of a lost instance: lose one that streams run at

Entries place no new stream for a while at one that was unreachable, which the proof before has just made of an instance, so the loss could hit no stream and show nothing. That the avoidance is what kept the streams away is read from the code; no unproved play was made anew.

Change: the choice is among the instances that streams run at.

--- a/proving/src/main/java/org/merlinwood/proving/prove/WholeResponse.java
+++ b/proving/src/main/java/org/merlinwood/proving/prove/WholeResponse.java
@@ -56,7 +56,7 @@
         if (!streams.awaitFirstTokens()) {
             return ProofResult.fail("the streams did not start");
         }
-        Sidecar victim = context.choose(context.fleet().sidecars(InstanceRole.DECODE));
+        Sidecar victim = context.choose(sidecarsWithStreams(context));
         switchTo(victim, ForwardingMode.SILENT_EXISTING);
         List<CallerResponse> responses = streams.responses();
         long duplicated = responses.stream()
@@ -79,10 +79,8 @@
         if (!streams.awaitFirstTokens()) {
             return ProofResult.fail("the streams did not start");
         }
-        Sidecar victim = context.choose(context.fleet().sidecars(InstanceRole.DECODE));
-        long hit = context.fleet().probe().engineLedger(victim.upstream()).runs().stream()
-                .filter(run -> run.outcome() == EngineRun.Outcome.RUNNING)
-                .count();
+        Sidecar victim = context.choose(sidecarsWithStreams(context));
+        long hit = running(context, victim);
         loss.applyTo(victim);
         ProofResult result = check(streams);
         return hit == 0 && result.verdict() == Verdict.PASS
@@ -90,6 +88,23 @@
                 : new ProofResult(result.verdict(), hit + " streams hit; " + result.detail());
     }
 
+    /**
+     * Returns the decode sidecars that streams run at, or all if there are none. Entries place no new stream for a
+     * while at one that was unreachable in the proof before, and its loss would show nothing.
+     */
+    private static List<Sidecar> sidecarsWithStreams(ProofContext context) {
+        List<Sidecar> all = context.fleet().sidecars(InstanceRole.DECODE);
+        List<Sidecar> inUse =
+                all.stream().filter(sidecar -> running(context, sidecar) > 0).toList();
+        return inUse.isEmpty() ? all : inUse;
+    }
+
+    private static long running(ProofContext context, Sidecar sidecar) {
+        return context.fleet().probe().engineLedger(sidecar.upstream()).runs().stream()
+                .filter(run -> run.outcome() == EngineRun.Outcome.RUNNING)
+                .count();
+    }
+
     private static ProofResult check(StreamSet streams) {
         List<String> faults = streams.faults();
         String figures = streams.size() + " streams, " + faults.size() + " not whole";
