"broken off" says for how long the instance was silent; "failed" whether a response had begun

New fields: attemptsSent, silentMillis, routesVersion of "broken off"; responseStarted, routesVersion of "failed".

--- a/gateway/src/main/java/org/merlinwood/gateway/front/PlainRequestProcessor.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/PlainRequestProcessor.java
@@ -90,6 +90,11 @@
         return attemptsSent == 0 && currentAttempt.isEmpty() ? ResultCode.NO_CAPACITY : ResultCode.DEADLINE_PASSED;
     }
 
+    @Override
+    boolean responseStarted() {
+        return false;
+    }
+
     private void send(UpstreamInstance instance) {
         triedInstances.add(instance.identifier());
         decisionLine("send")
--- a/gateway/src/main/java/org/merlinwood/gateway/front/RequestProcessor.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/RequestProcessor.java
@@ -14,6 +14,7 @@
 import org.merlinwood.gateway.loop.EventLoop;
 import org.merlinwood.gateway.request.CallerRequest;
 import org.merlinwood.gateway.route.Route;
+import org.merlinwood.gateway.route.RouteTable;
 import org.merlinwood.http.HttpHeader;
 import org.merlinwood.operation.log.DecisionLog;
 
@@ -67,6 +68,9 @@
     /** Returns the result code for a timeout now, which depends on whether an upstream may have run the request. */
     abstract ResultCode timeoutCode();
 
+    /** Returns whether the caller has received the head of a response, so that no other response can be sent. */
+    abstract boolean responseStarted();
+
     final long elapsedMillis() {
         return context.clock().monotonicMillis() - request.arrivedMillis();
     }
@@ -133,6 +137,8 @@
                 .with("code", code.number())
                 .with("reason", reason)
                 .with("execution", code.executionState().name())
+                .with("responseStarted", String.valueOf(responseStarted()))
+                .with("routesVersion", routesVersion())
                 .with("retryAfterMillis", retryAfterMillis)
                 .write();
         context.metrics().recordCompletion(route.kind(), code.httpStatus(), elapsedMillis());
@@ -182,6 +188,11 @@
         }
     }
 
+    /** Returns the version of the routes in force now, which may be later than that of this request. */
+    final long routesVersion() {
+        return context.fleet().routes().map(RouteTable::version).orElse(-1L);
+    }
+
     final DecisionLog.Line decisionLine(String decision) {
         return context.log()
                 .line(decision)
--- a/gateway/src/main/java/org/merlinwood/gateway/front/StreamRequestProcessor.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/StreamRequestProcessor.java
@@ -66,6 +66,7 @@
     private boolean responseStarted;
     private boolean attemptRunning;
     private long interruptedAtMillis;
+    private long lastReceivedMillis;
 
     StreamRequestProcessor(
             RequestProcessorContext context,
@@ -265,6 +266,7 @@
             registerGeneration(instance);
         }
         attemptRunning = true;
+        lastReceivedMillis = context.clock().monotonicMillis();
         GenerationAttempt generation = new GenerationAttempt(instance, prefillResult);
         reservation = Optional.empty();
         prefillResult = Optional.empty();
@@ -365,7 +367,12 @@
     private void abortStream(String reason) {
         if (finish()) {
             cancelUpstream();
-            decisionLine("broken off").with("reason", reason).write();
+            decisionLine("broken off")
+                    .with("reason", reason)
+                    .with("attemptsSent", attemptsSent)
+                    .with("silentMillis", context.clock().monotonicMillis() - lastReceivedMillis)
+                    .with("routesVersion", routesVersion())
+                    .write();
             context.metrics().count("streams_broken_off");
             channel.abort();
         }
@@ -418,6 +425,11 @@
                 .orElse("none");
     }
 
+    @Override
+    boolean responseStarted() {
+        return responseStarted;
+    }
+
     @Override
     ResultCode timeoutCode() {
         return attemptRunning || attemptsSent > 0 ? ResultCode.DEADLINE_PASSED : ResultCode.NO_CAPACITY;
@@ -496,6 +508,7 @@
 
         @Override
         public void onHead(int status, List<HttpHeader> headers) {
+            lastReceivedMillis = context.clock().monotonicMillis();
             head = context.protocol().readHead(status, headers);
             head.load().ifPresent(load -> context.pool().recordLoad(instance.identifier(), load));
             streaming = head.success() && belongsToRequest();
@@ -511,6 +524,7 @@
 
         @Override
         public void onBytes(byte[] bytes) {
+            lastReceivedMillis = context.clock().monotonicMillis();
             if (!streaming) {
                 body.writeBytes(bytes);
                 return;
