--- a/gateway/src/test/java/org/merlinwood/gateway/FakeHttpClient.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/FakeHttpClient.java
@@ -22,7 +22,7 @@
 
     private final List<SentRequest> sent = new ArrayList<>();
 
-    /** A recorded request and its listener. */
+    /** A recorded request and its listener, which hears nothing more once the request has ended. */
     public static final class SentRequest implements HttpStream {
 
         private final HttpRequest request;
@@ -43,17 +43,28 @@
             return cancelled;
         }
 
+        /** Returns whether the response has ended, the request has failed or it was cancelled. */
+        public boolean ended() {
+            return ended;
+        }
+
         public void head(int status, HttpHeader... headers) {
-            listener.onHead(status, List.of(headers));
+            if (!ended) {
+                listener.onHead(status, List.of(headers));
+            }
         }
 
         public void bytes(String text) {
-            listener.onBytes(text.getBytes(StandardCharsets.UTF_8));
+            if (!ended) {
+                listener.onBytes(text.getBytes(StandardCharsets.UTF_8));
+            }
         }
 
         public void end() {
-            ended = true;
-            listener.onEnd();
+            if (!ended) {
+                ended = true;
+                listener.onEnd();
+            }
         }
 
         public void respond(int status, String body, HttpHeader... headers) {
--- a/gateway/src/test/java/org/merlinwood/gateway/front/RequestProcessorFixture.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/front/RequestProcessorFixture.java
@@ -9,6 +9,8 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
+import org.merlinwood.core.result.ExecutionState;
+import org.merlinwood.core.result.ResultCode;
 import org.merlinwood.core.time.ManualMillisClock;
 import org.merlinwood.gateway.FakeHttpClient;
 import org.merlinwood.gateway.FakeUpstreamProtocol;
@@ -130,6 +132,23 @@
         client.last().respond(200, reservation);
     }
 
+    /** Lets time pass in which an instance sends nothing; its read timeout takes effect as it does on a connection. */
+    void staySilent(FakeHttpClient.SentRequest silent, long millis) {
+        long readTimeoutMillis = silent.request().readTimeoutMillis();
+        loop.advance(Math.min(millis, readTimeoutMillis));
+        if (readTimeoutMillis <= millis) {
+            if (!silent.ended()) {
+                silent.fail(ResultCode.UPSTREAM_TIMEOUT, ExecutionState.UNKNOWN);
+            }
+            loop.advance(millis - readTimeoutMillis);
+        }
+    }
+
+    /** Returns whether a request with this path was sent to an instance. */
+    boolean hasSent(String path) {
+        return client.sent().stream().anyMatch(sent -> sent.request().path().equals(path));
+    }
+
     /** Records the response as the caller receives it. */
     static final class RecordingCaller implements CallerChannel {
 
--- /dev/null
+++ b/gateway/src/test/java/org/merlinwood/gateway/front/SilentStreamTest.java
@@ -0,0 +1,228 @@
+package org.merlinwood.gateway.front;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.merlinwood.core.result.ExecutionState;
+import org.merlinwood.core.result.ResultCode;
+import org.merlinwood.gateway.FakeHttpClient.SentRequest;
+import org.merlinwood.gateway.fleet.Stage;
+import org.merlinwood.gateway.route.RequestKind;
+
+/**
+ * Guards against streams that are cut because their instance is silent for a while: a silent attempt may be replaced,
+ * but never given up for nothing.
+ */
+final class SilentStreamTest {
+
+    /** Longer than an instance may be silent before the entry looks for another one, in milliseconds. */
+    private static final long SILENCE_MILLIS = 1_500;
+
+    private static final String FIRST_EVENT = "id: 1\ndata: a\n\n";
+    private static final String SECOND_EVENT = "id: 2\ndata: b\n\n";
+
+    /** Why no other instance can take over the stream. */
+    enum Obstacle {
+        NO_RETRY_ALLOWED,
+        NO_OTHER_INSTANCE,
+        NO_INSTANCE_REGISTERED;
+
+        private void apply(RequestProcessorFixture fixture) {
+            switch (this) {
+                case NO_RETRY_ALLOWED -> {
+                    while (fixture.retryAllowance.tryAcquire("service")) {}
+                }
+                case NO_OTHER_INSTANCE -> fixture.fleet.remove("d2");
+                case NO_INSTANCE_REGISTERED -> {
+                    fixture.fleet.remove("d1");
+                    fixture.fleet.remove("d2");
+                }
+            }
+        }
+    }
+
+    private static RequestProcessorFixture fixtureWithSentRequest() {
+        RequestProcessorFixture fixture = new RequestProcessorFixture(RequestKind.STREAM, true);
+        fixture.register(Stage.DECODE, "d1");
+        fixture.register(Stage.PREFILL, "f1");
+        fixture.sendRequest("/p/x");
+        fixture.grantMemory("hold-1");
+        fixture.client.last().respond(200, "handle-1");
+        fixture.register(Stage.DECODE, "d2");
+        return fixture;
+    }
+
+    private static void begin(SentRequest attempt) {
+        attempt.head(200, RequestProcessorFixture.MATCHING_RESPONSE_HEADERS);
+        attempt.bytes(FIRST_EVENT);
+    }
+
+    private static void assertComplete(RequestProcessorFixture fixture) {
+        assertThat(fixture.caller.body).isEqualTo(FIRST_EVENT + SECOND_EVENT);
+        assertThat(fixture.caller.ended).isTrue();
+        assertThat(fixture.caller.aborted).isFalse();
+    }
+
+    @ParameterizedTest
+    @EnumSource(Obstacle.class)
+    void streamOfASilentInstanceGoesOnWhenNoOtherInstanceCanTakeItOver(Obstacle obstacle) {
+        RequestProcessorFixture fixture = fixtureWithSentRequest();
+        SentRequest attempt = fixture.client.last();
+        begin(attempt);
+        obstacle.apply(fixture);
+        fixture.staySilent(attempt, SILENCE_MILLIS);
+        assertThat(attempt.cancelled()).isFalse();
+        attempt.bytes(SECOND_EVENT);
+        attempt.end();
+        assertComplete(fixture);
+    }
+
+    @ParameterizedTest
+    @EnumSource(Obstacle.class)
+    void responseOfASilentInstanceMayBeginLateWhenNoOtherInstanceCanTakeItOver(Obstacle obstacle) {
+        RequestProcessorFixture fixture = fixtureWithSentRequest();
+        SentRequest attempt = fixture.client.last();
+        obstacle.apply(fixture);
+        fixture.staySilent(attempt, SILENCE_MILLIS);
+        begin(attempt);
+        attempt.bytes(SECOND_EVENT);
+        attempt.end();
+        assertComplete(fixture);
+    }
+
+    @Test
+    void streamGoesOnWhenItsLastAttemptIsSilent() {
+        RequestProcessorFixture fixture = fixtureWithSentRequest();
+        begin(fixture.client.last());
+        fixture.client.last().fail(ResultCode.UPSTREAM_TRUNCATED, ExecutionState.UNKNOWN);
+        fixture.grantMemory("hold-2");
+        fixture.client.last().respond(200, "handle-2");
+        SentRequest attempt = fixture.client.last();
+        attempt.head(200, RequestProcessorFixture.MATCHING_RESPONSE_HEADERS);
+        fixture.staySilent(attempt, SILENCE_MILLIS);
+        attempt.bytes(SECOND_EVENT);
+        attempt.end();
+        assertComplete(fixture);
+    }
+
+    /** The other instance declines memory; the stream must neither end nor wait for it in vain. */
+    @Test
+    void streamGoesOnWhenTheOtherInstanceHasNoMemory() {
+        RequestProcessorFixture fixture = fixtureWithSentRequest();
+        SentRequest attempt = fixture.client.last();
+        begin(attempt);
+        fixture.staySilent(attempt, SILENCE_MILLIS);
+        fixture.client.last().respond(503, "");
+        fixture.staySilent(attempt, SILENCE_MILLIS);
+        attempt.bytes(SECOND_EVENT);
+        attempt.end();
+        assertComplete(fixture);
+    }
+
+    /** What was reserved for the replacement must be released, and nothing must run twice. */
+    @ParameterizedTest
+    @ValueSource(ints = {0, 1, 2})
+    void replacementIsDroppedWhenTheSilentInstanceGoesOn(int answeredSteps) {
+        RequestProcessorFixture fixture = fixtureWithSentRequest();
+        SentRequest attempt = fixture.client.last();
+        begin(attempt);
+        fixture.staySilent(attempt, SILENCE_MILLIS);
+        for (int step = 0; step < answeredSteps; step++) {
+            fixture.client.last().respond(200, "hold-2");
+        }
+        SentRequest lastStep = fixture.client.last();
+        attempt.bytes(SECOND_EVENT);
+        if (!lastStep.ended()) {
+            lastStep.respond(200, "hold-2");
+        }
+        attempt.end();
+        assertComplete(fixture);
+        assertThat(fixture.hasSent("/d2/run")).isFalse();
+        assertThat(fixture.hasSent("/d2/release-hold/hold-2")).isEqualTo(answeredSteps > 0);
+    }
+
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void silentAttemptIsCancelledOnlyWhenItsReplacementIsSent(boolean begun) {
+        RequestProcessorFixture fixture = fixtureWithSentRequest();
+        SentRequest attempt = fixture.client.last();
+        if (begun) {
+            begin(attempt);
+        }
+        fixture.staySilent(attempt, SILENCE_MILLIS);
+        fixture.grantMemory("hold-2");
+        assertThat(attempt.cancelled()).isFalse();
+        fixture.client.last().respond(200, "handle-2");
+        assertThat(attempt.cancelled()).isTrue();
+        SentRequest replacement = fixture.client.last();
+        assertThat(replacement.request().path()).isEqualTo("/d2/run");
+        replacement.head(200, RequestProcessorFixture.MATCHING_RESPONSE_HEADERS);
+        replacement.bytes(begun ? SECOND_EVENT : FIRST_EVENT + SECOND_EVENT);
+        replacement.end();
+        assertComplete(fixture);
+    }
+
+    @Test
+    void replacementContinuesWhenTheSilentInstanceIsLost() {
+        RequestProcessorFixture fixture = fixtureWithSentRequest();
+        SentRequest attempt = fixture.client.last();
+        begin(attempt);
+        fixture.staySilent(attempt, SILENCE_MILLIS);
+        attempt.fail(ResultCode.CONNECTION_LOST, ExecutionState.UNKNOWN);
+        assertThat(fixture.caller.aborted).isFalse();
+        fixture.grantMemory("hold-2");
+        fixture.client.last().respond(200, "handle-2");
+        fixture.client.last().head(200, RequestProcessorFixture.MATCHING_RESPONSE_HEADERS);
+        fixture.client.last().bytes(SECOND_EVENT);
+        fixture.client.last().end();
+        assertComplete(fixture);
+    }
+
+    /** An instance may be lost while its replacement finds no memory: then the stream ends, as without the silence. */
+    @Test
+    void streamEndsWhenTheSilentInstanceIsLostAndNoneHasMemory() {
+        RequestProcessorFixture fixture = fixtureWithSentRequest();
+        SentRequest attempt = fixture.client.last();
+        begin(attempt);
+        fixture.fleet.remove("d2");
+        fixture.staySilent(attempt, SILENCE_MILLIS);
+        attempt.fail(ResultCode.CONNECTION_LOST, ExecutionState.UNKNOWN);
+        fixture.fleet.remove("d1");
+        fixture.loop.advance(3_000);
+        assertThat(fixture.caller.aborted).isTrue();
+    }
+
+    @Test
+    void callerDisconnectEndsTheSilentAttemptAndItsReplacement() {
+        RequestProcessorFixture fixture = fixtureWithSentRequest();
+        SentRequest attempt = fixture.client.last();
+        begin(attempt);
+        fixture.staySilent(attempt, SILENCE_MILLIS);
+        fixture.grantMemory("hold-2");
+        SentRequest prefill = fixture.client.last();
+        assertThat(prefill.request().path()).isEqualTo("/f1/prefill");
+        fixture.caller.disconnect();
+        assertThat(attempt.cancelled()).isTrue();
+        assertThat(prefill.cancelled()).isTrue();
+        assertThat(fixture.hasSent("/d2/release-hold/hold-2")).isTrue();
+        assertThat(fixture.pool.work()).isEmpty();
+    }
+
+    /** Without replacement the attempt ends with the time of its caller, not before. */
+    @Test
+    void silentStreamEndsAtItsDeadline() {
+        RequestProcessorFixture fixture = fixtureWithSentRequest();
+        SentRequest attempt = fixture.client.last();
+        begin(attempt);
+        fixture.fleet.remove("d2");
+        fixture.staySilent(attempt, 3_900);
+        assertThat(attempt.cancelled()).isFalse();
+        assertThat(fixture.caller.aborted).isFalse();
+        fixture.staySilent(attempt, 4_000);
+        assertThat(attempt.ended()).isTrue();
+        assertThat(fixture.caller.aborted).isTrue();
+    }
+}
