--- a/gateway/src/main/java/org/merlinwood/gateway/front/PrefillCall.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/PrefillCall.java
@@ -31,12 +31,15 @@
     private Optional<UpstreamInstance> activeInstance = Optional.empty();
     private Optional<HttpStream> activeRequest = Optional.empty();
 
+    /** Number of times that this call was cancelled; a response to a request from before is not used. */
+    private int cancelCount;
+
     /**
      * Creates a call.
      *
      * @param processor processes the request; gives its time, and writes its log lines
      * @param prompt the prompt
-     * @param releaser releases a result that arrives after the request has finished
+     * @param releaser releases a result that arrives after the call was cancelled or the request has finished
      */
     PrefillCall(RequestProcessor processor, Prompt prompt, Consumer<PrefillResult> releaser) {
         this.processor = processor;
@@ -55,7 +58,7 @@
      *
      * @param decodeInstance the instance to which the result will be transferred
      * @param consumer receives the result, or empty if no prefill instance is left or the retry allowance is used up;
-     *     not called after the request has finished
+     *     not called after the call was cancelled or the request has finished
      */
     void start(UpstreamInstance decodeInstance, Consumer<Optional<PrefillResult>> consumer) {
         Optional<UpstreamInstance> choice = context.pool()
@@ -74,6 +77,7 @@
 
     @Override
     public void cancel() {
+        cancelCount++;
         activeRequest.ifPresent(HttpStream::cancel);
         activeRequest = Optional.empty();
         activeInstance = Optional.empty();
@@ -94,15 +98,18 @@
                 .prefill(instance, processor.request, Math.max(1, processor.timeLeftMillis()))
                 .withTimeouts(RequestProcessor.CONNECT_TIMEOUT_MILLIS, readTimeoutMillis);
         long startedMillis = context.clock().monotonicMillis();
+        int cancelCountAtStart = cancelCount;
         context.pool().beginPrompt(instance.identifier(), prompt.promptTokens());
         activeInstance = Optional.of(instance);
         activeRequest = Optional.of(context.client().execute(instance, request, response -> {
             context.pool().endPrompt(instance.identifier(), prompt.promptTokens());
+            if (processor.isFinished() || cancelCount != cancelCountAtStart) {
+                readResult(instance, response).ifPresent(releaser);
+                return;
+            }
             Optional<PrefillResult> result =
                     onResponse(instance, context.clock().monotonicMillis() - startedMillis, response);
-            if (processor.isFinished()) {
-                result.ifPresent(releaser);
-            } else if (result.isPresent()) {
+            if (result.isPresent()) {
                 consumer.accept(result);
             } else {
                 start(decodeInstance, consumer);
@@ -115,13 +122,13 @@
         return READ_TIMEOUT_MARGIN_MILLIS + 2 * expectedMillis;
     }
 
+    private Optional<PrefillResult> readResult(UpstreamInstance instance, Either<Failure, HttpResponse> response) {
+        return response.toJavaOptional().flatMap(success -> context.protocol().readPrefill(instance, success));
+    }
+
     private Optional<PrefillResult> onResponse(
             UpstreamInstance instance, long tookMillis, Either<Failure, HttpResponse> response) {
-        Optional<PrefillResult> result =
-                response.toJavaOptional().flatMap(success -> context.protocol().readPrefill(instance, success));
-        if (processor.isFinished()) {
-            return result;
-        }
+        Optional<PrefillResult> result = readResult(instance, response);
         activeRequest = Optional.empty();
         activeInstance = Optional.empty();
         response.peekLeft(failure -> processor.pauseInstance(instance, failure));
