GrantManager: capacity, rules for demands, service of the queue and end of reservations in classes of their own

Cause: one class of 547 lines refused demands, estimated waits, served the queue and ended reservations.

Change: a pure move into the package of its internals. Capacity knows free units and expected waits, DemandRules refuses demands as they arrive, GrantIssuer serves the queue, ReservationEnd releases units, KnownAttempts finds attempts in the queue and among the reservations, which two methods did on their own. The largest size of the queue is a constant of the queue.

--- a/decision/src/main/java/org/merlinwood/decision/grant/GrantManager.java
+++ b/decision/src/main/java/org/merlinwood/decision/grant/GrantManager.java
@@ -10,11 +10,15 @@
 import org.merlinwood.core.result.ResultCode;
 import org.merlinwood.core.time.MillisClock;
 import org.merlinwood.decision.grant.impl.ActiveTrials;
+import org.merlinwood.decision.grant.impl.Capacity;
+import org.merlinwood.decision.grant.impl.DemandRules;
+import org.merlinwood.decision.grant.impl.GrantIssuer;
 import org.merlinwood.decision.grant.impl.Holding;
 import org.merlinwood.decision.grant.impl.Holdings;
 import org.merlinwood.decision.grant.impl.IssuedGrants;
+import org.merlinwood.decision.grant.impl.KnownAttempts;
+import org.merlinwood.decision.grant.impl.ReservationEnd;
 import org.merlinwood.decision.grant.impl.RetryableFailures;
-import org.merlinwood.decision.grant.impl.WaitEstimate;
 import org.merlinwood.decision.grant.impl.WaitingDemand;
 import org.merlinwood.decision.grant.impl.WaitingQueue;
 import org.merlinwood.decision.placement.LoadObservation;
@@ -35,18 +39,19 @@
 public final class GrantManager {
 
     /** Maximum number of demands in the queue. */
-    public static final int MAXIMUM_WAITING = 512;
+    public static final int MAXIMUM_WAITING = WaitingQueue.MAXIMUM_SIZE;
 
     private final MillisClock clock;
     private final RetryableFailures failures;
     private final Holdings reservations = new Holdings();
     private final WaitingQueue queue = new WaitingQueue();
-    private final WaitEstimate estimate = new WaitEstimate();
+    private final Capacity capacity = new Capacity(reservations, queue);
+    private final KnownAttempts attempts = new KnownAttempts(reservations, queue);
     private final IssuedGrants issued = new IssuedGrants();
     private final ActiveTrials trials = new ActiveTrials(reservations);
-    private int capacityUnits;
-    private long grantMillis;
-    private boolean draining;
+    private final ReservationEnd reservationEnd;
+    private final DemandRules rules;
+    private final GrantIssuer issuer;
 
     // ------------------------------------------------------------------ configuration
 
@@ -59,6 +64,9 @@
     public GrantManager(MillisClock clock, RetryDelay retryDelay) {
         this.clock = clock;
         this.failures = new RetryableFailures(retryDelay);
+        this.reservationEnd = new ReservationEnd(clock, reservations, issued, capacity);
+        this.rules = new DemandRules(queue, capacity, attempts, failures);
+        this.issuer = new GrantIssuer(clock, queue, reservations, trials, issued, capacity, failures);
     }
 
     /**
@@ -69,9 +77,9 @@
      * @return the resulting events
      */
     public List<GrantEvent> configure(int units, long unusedMillis) {
-        capacityUnits = units;
-        grantMillis = unusedMillis;
-        return serveQueue();
+        capacity.configure(units);
+        issuer.configure(unusedMillis);
+        return issuer.serveQueue();
     }
 
     /**
@@ -81,7 +89,7 @@
      * @param millis reservation time, in milliseconds
      */
     public void assumeReservationTime(long millis) {
-        estimate.assume(millis);
+        capacity.assumeReservationTime(millis);
     }
 
     // ------------------------------------------------------------------ life cycle
@@ -92,17 +100,13 @@
      * @return the resulting events
      */
     public List<GrantEvent> drain() {
-        draining = true;
-        List<GrantEvent> events = new ArrayList<>();
-        for (WaitingDemand waiting : queue.sorted()) {
-            events.add(refuse(waiting, failures.draining(waiting.demand())));
-        }
-        return events;
+        rules.draining(true);
+        return issuer.refuseAllDraining();
     }
 
     /** Accepts demands again after {@link #drain}. */
     public void resume() {
-        draining = false;
+        rules.draining(false);
     }
 
     /**
@@ -124,16 +128,16 @@
      */
     public List<GrantEvent> request(GrantDemand demand) {
         List<GrantEvent> events = new ArrayList<>(supersedeEarlier(demand.attempt()));
-        Optional<Failure> refusal = refusalOf(demand);
+        Optional<Failure> refusal = rules.refusalOf(demand);
         if (refusal.isPresent()) {
             events.add(new GrantEvent.Refused(demand.attempt(), refusal.get()));
             return events;
         }
-        events.addAll(evictLowestPriority(demand));
+        events.addAll(issuer.evictLowestPriority(demand));
         queue.add(demand, clock.monotonicMillis());
-        events.addAll(serveQueue());
+        events.addAll(issuer.serveQueue());
         if (queue.contains(demand.attempt())) {
-            events.add(new GrantEvent.Waiting(demand.attempt(), expectedWaitMillis(demand)));
+            events.add(new GrantEvent.Waiting(demand.attempt(), capacity.expectedWaitMillis(demand)));
         }
         return events;
     }
@@ -158,12 +162,12 @@
         }
         GrantDemand demand = reservation.grant().demand();
         if (!demand.session().equals(session) || !demand.attempt().equals(attempt)) {
-            invalidate(reservation);
+            reservationEnd.invalidate(reservation);
             return Either.left(failures.soon(
                     ResultCode.GRANT_UNKNOWN, "the grant belongs to another attempt or connection", demand));
         }
         if (clock.monotonicMillis() >= reservation.grant().expiresAtMillis()) {
-            invalidate(reservation);
+            reservationEnd.invalidate(reservation);
             return Either.left(failures.soon(ResultCode.GRANT_EXPIRED, "the grant expired before it was used", demand));
         }
         reservations.replace(reservation.withPhase(Holding.Phase.RUNNING));
@@ -179,8 +183,8 @@
      */
     public List<GrantEvent> release(AttemptIdentity attempt) {
         queue.remove(attempt);
-        reservations.of(attempt).ifPresent(this::releaseUnits);
-        return serveQueue();
+        reservations.of(attempt).ifPresent(reservationEnd::release);
+        return issuer.serveQueue();
     }
 
     /**
@@ -194,8 +198,8 @@
         reservations
                 .of(attempt)
                 .filter(reservation -> reservation.phase() == Holding.Phase.RUNNING)
-                .ifPresent(this::retainUnitless);
-        return serveQueue();
+                .ifPresent(reservationEnd::releaseUnits);
+        return issuer.serveQueue();
     }
 
     /**
@@ -218,7 +222,7 @@
      * @return the resulting events for other attempts
      */
     public List<GrantEvent> passTrial(AttemptIdentity attempt) {
-        return trials.end(attempt) ? serveQueue() : List.of();
+        return trials.end(attempt) ? issuer.serveQueue() : List.of();
     }
 
     // ------------------------------------------------------------------ public API: cancellation and expiry
@@ -233,7 +237,7 @@
      */
     public List<GrantEvent> cancel(AttemptIdentity attempt, Failure reason) {
         List<GrantEvent> events = new ArrayList<>(cancelAttempt(attempt, reason));
-        events.addAll(serveQueue());
+        events.addAll(issuer.serveQueue());
         return events;
     }
 
@@ -245,7 +249,7 @@
      * @return the resulting events
      */
     public List<GrantEvent> cancelAll(RequestIdentifier request, Failure reason) {
-        return cancelAll(attemptsOf(request), reason);
+        return cancelAll(attempts.of(request), reason);
     }
 
     /**
@@ -255,11 +259,9 @@
      * @return the resulting events
      */
     public List<GrantEvent> cancelSession(SessionNumber session) {
-        List<AttemptIdentity> attempts =
-                new ArrayList<>(queue.attempts(demand -> demand.session().equals(session)));
-        attempts.addAll(reservations.attempts(
-                reservation -> reservation.grant().demand().session().equals(session)));
-        return cancelAll(attempts, Failure.of(ResultCode.CONNECTION_LOST, "the connection to the entry was closed"));
+        return cancelAll(
+                attempts.matching(demand -> demand.session().equals(session)),
+                Failure.of(ResultCode.CONNECTION_LOST, "the connection to the entry was closed"));
     }
 
     /**
@@ -269,9 +271,7 @@
      * @return the resulting events
      */
     public List<GrantEvent> cancelEverything(Failure reason) {
-        List<AttemptIdentity> attempts = new ArrayList<>(queue.attempts(demand -> true));
-        attempts.addAll(reservations.attempts(reservation -> true));
-        return cancelAll(attempts, reason);
+        return cancelAll(attempts.matching(demand -> true), reason);
     }
 
     /**
@@ -286,14 +286,14 @@
         for (Holding reservation : reservations.all()) {
             if (reservation.phase() == Holding.Phase.UNUSED
                     && now >= reservation.grant().expiresAtMillis()) {
-                invalidate(reservation);
+                reservationEnd.invalidate(reservation);
                 GrantDemand demand = reservation.grant().demand();
                 events.add(new GrantEvent.Refused(
                         demand.attempt(),
                         failures.soon(ResultCode.GRANT_EXPIRED, "the grant expired before it was used", demand)));
             }
         }
-        events.addAll(serveQueue());
+        events.addAll(issuer.serveQueue());
         return events;
     }
 
@@ -306,13 +306,13 @@
      */
     public LoadObservation load() {
         return new LoadObservation(
-                (int) Math.max(0, freeUnits()),
-                capacityUnits,
+                (int) Math.max(0, capacity.freeUnits()),
+                capacity.totalUnits(),
                 reservations.count(Holding.Phase.RUNNING) + reservations.count(Holding.Phase.STOPPING),
                 queue.size(),
-                capacityUnits == 0 ? 0 : estimate.waitMillis(queue.units() + 1 - freeUnits(), capacityUnits),
+                capacity.expectedWaitBehindQueueMillis(),
                 queue.tokens() + reservations.tokens(),
-                draining);
+                rules.draining());
     }
 
     /**
@@ -322,7 +322,7 @@
      * @return true if it is known
      */
     public boolean contains(AttemptIdentity attempt) {
-        return queue.contains(attempt) || reservations.of(attempt).isPresent();
+        return attempts.contains(attempt);
     }
 
     /**
@@ -355,123 +355,10 @@
         return new GrantManagerState(load(), issued.lastNumber(), reservations.all(), queue.sorted());
     }
 
-    // ------------------------------------------------------------------ internals: admission
-
-    private Optional<Failure> refusalOf(GrantDemand demand) {
-        if (draining) {
-            return Optional.of(failures.draining(demand));
-        }
-        if (capacityUnits == 0) {
-            return Optional.of(
-                    failures.soon(ResultCode.NOT_READY, "the capacity of the upstream is not known yet", demand));
-        }
-        if (demand.units() > capacityUnits) {
-            return Optional.of(Failure.of(
-                    ResultCode.PROMPT_TOO_LONG,
-                    "the request needs " + demand.units() + " capacity units, but the total capacity is "
-                            + capacityUnits));
-        }
-        if (reservations.of(demand.attempt()).isPresent() || queue.contains(demand.attempt())) {
-            return Optional.of(
-                    Failure.of(ResultCode.PROTOCOL_VIOLATION, "a grant for this attempt was requested twice"));
-        }
-        if (isOutdated(demand.attempt())) {
-            return Optional.of(Failure.of(
-                    ResultCode.SUPERSEDED, "a grant for a later attempt of the request was already requested"));
-        }
-        return refusalForWait(demand);
-    }
-
-    private Optional<Failure> refusalForWait(GrantDemand demand) {
-        long expected = expectedWaitMillis(demand);
-        if (expected > demand.waitMillis()) {
-            return Optional.of(failures.noCapacity(demand, expected));
-        }
-        boolean lastRanksAtLeastAsHigh = queue.last()
-                .map(last -> last.demand().priority() <= demand.priority())
-                .orElse(false);
-        if (queue.size() >= MAXIMUM_WAITING && lastRanksAtLeastAsHigh) {
-            return Optional.of(failures.noCapacity(demand, expected));
-        }
-        return Optional.empty();
-    }
-
-    private List<GrantEvent> evictLowestPriority(GrantDemand demand) {
-        if (queue.size() < MAXIMUM_WAITING || demand.units() == 0) {
-            return List.of();
-        }
-        return queue.last()
-                .map(last ->
-                        List.of(refuse(last, failures.noCapacity(last.demand(), expectedWaitMillis(last.demand())))))
-                .orElse(List.of());
-    }
-
-    private long expectedWaitMillis(GrantDemand demand) {
-        if (demand.units() == 0) {
-            return 0;
-        }
-        long unitsAhead = queue.sorted().stream()
-                .map(WaitingDemand::demand)
-                .takeWhile(other -> !other.attempt().equals(demand.attempt()))
-                .filter(other -> other.priority() <= demand.priority())
-                .mapToLong(GrantDemand::units)
-                .sum();
-        return estimate.waitMillis(unitsAhead + demand.units() - freeUnits(), capacityUnits);
-    }
-
-    private long freeUnits() {
-        return capacityUnits - reservations.units();
-    }
-
-    // ------------------------------------------------------------------ internals: queue
-
-    private List<GrantEvent> serveQueue() {
-        List<GrantEvent> events = new ArrayList<>();
-        long now = clock.monotonicMillis();
-        long unitsAhead = 0;
-        for (WaitingDemand waiting : queue.sorted()) {
-            GrantDemand demand = waiting.demand();
-            boolean blocked = reservations.hasReservation(demand.attempt().request())
-                    || (demand.onTrial() && trials.isAnyActive());
-            boolean fits = demand.units() == 0 || (unitsAhead == 0 && demand.units() <= freeUnits());
-            if (!blocked && fits) {
-                events.add(grant(waiting, now));
-                continue;
-            }
-            long expected = expectedWaitMillis(unitsAhead, demand);
-            if (now + expected > waiting.deadlineMillis() || now >= waiting.deadlineMillis()) {
-                events.add(refuse(waiting, failures.noCapacity(demand, expected)));
-                continue;
-            }
-            unitsAhead += blocked ? 0 : demand.units();
-        }
-        return events;
-    }
-
-    private long expectedWaitMillis(long unitsAhead, GrantDemand demand) {
-        return capacityUnits == 0 ? 0 : estimate.waitMillis(unitsAhead + demand.units() - freeUnits(), capacityUnits);
-    }
-
-    private GrantEvent grant(WaitingDemand waiting, long now) {
-        GrantDemand demand = waiting.demand();
-        if (demand.onTrial()) {
-            trials.start(demand.attempt());
-        }
-        queue.remove(demand.attempt());
-        Grant grant = new Grant(issued.issue(), demand, now + grantMillis);
-        reservations.add(new Holding(grant, Holding.Phase.UNUSED, now));
-        return new GrantEvent.Granted(demand.attempt(), grant, grantMillis);
-    }
-
-    private GrantEvent refuse(WaitingDemand waiting, Failure failure) {
-        queue.remove(waiting.demand().attempt());
-        return new GrantEvent.Refused(waiting.demand().attempt(), failure);
-    }
-
-    // ------------------------------------------------------------------ internals: cancellation and release
+    // ------------------------------------------------------------------ internals: cancellation
 
     private List<GrantEvent> supersedeEarlier(AttemptIdentity attempt) {
-        List<AttemptIdentity> earlier = attemptsOf(attempt.request()).stream()
+        List<AttemptIdentity> earlier = attempts.of(attempt.request()).stream()
                 .filter(other -> other.attempt() < attempt.attempt())
                 .toList();
         return earlier.isEmpty()
@@ -479,24 +366,10 @@
                 : cancelAll(earlier, Failure.of(ResultCode.SUPERSEDED, "superseded by a later attempt of the request"));
     }
 
-    private boolean isOutdated(AttemptIdentity attempt) {
-        return attemptsOf(attempt.request()).stream().anyMatch(other -> other.attempt() > attempt.attempt());
-    }
-
-    private List<AttemptIdentity> attemptsOf(RequestIdentifier request) {
-        List<AttemptIdentity> attempts = new ArrayList<>(
-                queue.attempts(demand -> demand.attempt().request().equals(request)));
-        if (reservations.hasReservation(request)) {
-            attempts.addAll(reservations.attempts(reservation ->
-                    reservation.grant().demand().attempt().request().equals(request)));
-        }
-        return attempts;
-    }
-
-    private List<GrantEvent> cancelAll(List<AttemptIdentity> attempts, Failure reason) {
+    private List<GrantEvent> cancelAll(List<AttemptIdentity> cancelled, Failure reason) {
         List<GrantEvent> events = new ArrayList<>();
-        attempts.forEach(attempt -> events.addAll(cancelAttempt(attempt, reason)));
-        events.addAll(serveQueue());
+        cancelled.forEach(attempt -> events.addAll(cancelAttempt(attempt, reason)));
+        events.addAll(issuer.serveQueue());
         return events;
     }
 
@@ -511,37 +384,10 @@
             return List.of();
         }
         if (reservation.get().phase() == Holding.Phase.UNUSED) {
-            invalidate(reservation.get());
+            reservationEnd.invalidate(reservation.get());
             return List.of(new GrantEvent.Refused(attempt, notRun));
         }
         markStopping(attempt);
         return List.of(new GrantEvent.Cancelled(attempt, reason.withExecutionState(ExecutionState.UNKNOWN)));
     }
-
-    private void invalidate(Holding reservation) {
-        reservations.remove(reservation.grant().demand().attempt());
-        issued.recordInvalidated(reservation.grant().number());
-    }
-
-    private void releaseUnits(Holding reservation) {
-        if (reservation.phase() == Holding.Phase.UNUSED) {
-            invalidate(reservation);
-            return;
-        }
-        reservations.remove(reservation.grant().demand().attempt());
-        observeReservationTime(reservation);
-    }
-
-    private void retainUnitless(Holding reservation) {
-        observeReservationTime(reservation);
-        reservations.replace(reservation.withoutUnits());
-    }
-
-    /** Ignores reservations without units, which say nothing about how long units stay reserved. */
-    private void observeReservationTime(Holding reservation) {
-        int units = reservation.grant().demand().units();
-        if (units > 0) {
-            estimate.observe(units, clock.monotonicMillis() - reservation.sinceMillis(), capacityUnits);
-        }
-    }
 }
--- a/decision/src/main/java/org/merlinwood/decision/grant/impl/WaitingQueue.java
+++ b/decision/src/main/java/org/merlinwood/decision/grant/impl/WaitingQueue.java
@@ -13,6 +13,9 @@
 /** The queue of demands that wait for a grant, sorted by priority, then by arrival. Not thread-safe. */
 public final class WaitingQueue {
 
+    /** Maximum number of demands. Callers keep to it: the queue itself accepts more. */
+    public static final int MAXIMUM_SIZE = 512;
+
     private final TreeSet<WaitingDemand> ordered = new TreeSet<>();
     private final Map<AttemptIdentity, WaitingDemand> byAttempt = new HashMap<>();
     private long arrivals;
@@ -86,6 +89,15 @@
         return ordered.size();
     }
 
+    /**
+     * Tells whether the queue has reached {@link #MAXIMUM_SIZE}.
+     *
+     * @return true if one demand has to leave for another one
+     */
+    public boolean isFull() {
+        return ordered.size() >= MAXIMUM_SIZE;
+    }
+
     /**
      * Tells whether an attempt is queued.
      *
