GrantStage: open attempts and queries of suspicion in classes of their own

Cause: one class of 460 lines took grant requests, kept two sets of attempts and composed the frames for entries.

Change: a pure move. OpenAttempts keeps the attempts that were submitted and sends them grants, queue positions and failures, SuspicionQueries keeps those whose query has not ended. GrantStage keeps its public methods.

Tests: unchanged; GrantRefusalTest, CrashingRequestTest and GrantAndExecuteTest cover the moved parts.

--- a/sidecar/src/main/java/org/merlinwood/sidecar/admission/GrantStage.java
+++ b/sidecar/src/main/java/org/merlinwood/sidecar/admission/GrantStage.java
@@ -2,13 +2,9 @@
 
 import com.codahale.metrics.MetricRegistry;
 import io.vavr.control.Either;
-import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
-import java.util.function.Predicate;
 import org.merlinwood.core.identity.Incarnation;
 import org.merlinwood.core.identity.Revisions;
 import org.merlinwood.core.result.ExecutionState;
@@ -22,18 +18,13 @@
 import org.merlinwood.decision.grant.GrantManagerState;
 import org.merlinwood.decision.grant.SessionNumber;
 import org.merlinwood.decision.idempotency.Fingerprint;
-import org.merlinwood.decision.suspicion.SuspicionDecision;
 import org.merlinwood.protocol.Exchange;
 import org.merlinwood.protocol.PeerConnection;
-import org.merlinwood.protocol.WireValues;
 import org.merlinwood.sidecar.execution.ResponseChannel;
 import org.merlinwood.sidecar.suspicion.SuspicionStage;
-import org.merlinwood.wire.Frame;
 import org.merlinwood.wire.GrantRequest;
 import org.merlinwood.wire.GrantUse;
-import org.merlinwood.wire.Granted;
 import org.merlinwood.wire.Load;
-import org.merlinwood.wire.Queued;
 import org.merlinwood.wire.RequestIdentity;
 import org.merlinwood.wire.WorkKind;
 
@@ -49,13 +40,11 @@
 
     private final GrantManager grantManager;
     private final DemandFilter filter;
-    private final SuspicionStage suspicion;
     private final Incarnation incarnation;
     private final MetricRegistry metrics;
-    private final Consumer<AttemptIdentity> onCancelled;
+    private final SuspicionQueries suspicionQueries;
+    private final OpenAttempts openAttempts;
     private final Sessions sessions = new Sessions();
-    private final Map<AttemptIdentity, OpenAttempt> pendingSuspicion = new HashMap<>();
-    private final Map<AttemptIdentity, OpenAttempt> openAttempts = new HashMap<>();
     private Optional<ServingConfiguration> configuration = Optional.empty();
     private boolean draining;
     private volatile Load load = Load.getDefaultInstance();
@@ -80,10 +69,10 @@
             Consumer<AttemptIdentity> onCancelled) {
         this.grantManager = grantManager;
         this.filter = filter;
-        this.suspicion = suspicion;
         this.incarnation = incarnation;
         this.metrics = metrics;
-        this.onCancelled = onCancelled;
+        this.openAttempts = new OpenAttempts(filter, incarnation, metrics, onCancelled, this::load, this::revisions);
+        this.suspicionQueries = new SuspicionQueries(suspicion, this::submitFree, this::isolate, openAttempts::refuse);
     }
 
     /**
@@ -123,11 +112,11 @@
         Optional<Failure> refusal = filter.refusal(exchange.connection(), request);
         AttemptIdentity attempt = GrantMessages.attempt(request.getRequest());
         if (refusal.isPresent()) {
-            count(refusal.get());
+            openAttempts.count(refusal.get());
             channel.refuse(refusal.get());
             return;
         }
-        if (pendingSuspicion.containsKey(attempt) || grantManager.contains(attempt)) {
+        if (suspicionQueries.find(attempt).isPresent() || grantManager.contains(attempt)) {
             channel.refuse(Failure.of(ResultCode.PROTOCOL_VIOLATION, "a grant for this attempt was requested twice"));
             return;
         }
@@ -137,8 +126,7 @@
             submit(opened, filter.needsCapacity(request) ? GrantMessages.units(request) : 0);
             return;
         }
-        pendingSuspicion.put(attempt, opened);
-        suspicion.query(fingerprint, attempt.request(), decision -> onDecision(opened, decision));
+        suspicionQueries.start(opened, fingerprint);
     }
 
     /**
@@ -150,11 +138,11 @@
      */
     public void release(Exchange exchange, RequestIdentity identity) {
         AttemptIdentity attempt = GrantMessages.attempt(identity);
-        OpenAttempt released = openAttempts.getOrDefault(attempt, pendingSuspicion.get(attempt));
-        if (released == null || !released.session().equals(sessions.of(exchange.connection()))) {
+        Optional<OpenAttempt> released = openAttempts.find(attempt).or(() -> suspicionQueries.find(attempt));
+        if (released.isEmpty() || !released.get().session().equals(sessions.of(exchange.connection()))) {
             return;
         }
-        released.channel().drop();
+        released.get().channel().drop();
         cancel(identity, Failure.of(ResultCode.CANCELLED, "the entry released the grant"));
     }
 
@@ -167,7 +155,7 @@
     public void cancel(RequestIdentity identity, Failure why) {
         AttemptIdentity attempt = GrantMessages.attempt(identity);
         boolean all = attempt.attempt() == 0;
-        refusePendingSuspicion(
+        suspicionQueries.refuse(
                 other -> all
                         ? other.attempt().request().equals(attempt.request())
                         : other.attempt().equals(attempt),
@@ -182,7 +170,7 @@
      */
     public void onConnectionClosed(PeerConnection connection) {
         sessions.remove(connection).ifPresent(session -> {
-            refusePendingSuspicion(
+            suspicionQueries.refuse(
                     attempt -> attempt.session().equals(session),
                     Failure.of(ResultCode.CONNECTION_LOST, "the connection to the entry was closed"));
             dispatch(grantManager.cancelSession(session));
@@ -211,9 +199,10 @@
         boolean sameIncarnation = use.getIncarnation() == incarnation.value();
         SessionNumber session = sameIncarnation ? sessions.of(exchange.connection()) : NO_SESSION;
         Either<Failure, Grant> used = grantManager.use(session, use.getGrant(), attempt);
-        used.peekLeft(failure -> refuseInvalidated(sameIncarnation ? failure : incarnationMismatch(failure)));
+        used.peekLeft(failure -> openAttempts.refuseUnknown(
+                grantManager::contains, sameIncarnation ? failure : incarnationMismatch(failure)));
         refreshLoad();
-        return used.map(grant -> openAttempts.get(attempt));
+        return used.map(grant -> openAttempts.find(attempt).orElse(null));
     }
 
     /**
@@ -226,7 +215,7 @@
         Either<Failure, Grant> used =
                 grantManager.use(NO_SESSION, use.getGrant(), GrantMessages.attempt(use.getRequest()));
         used.peekLeft(failure -> {
-            refuseInvalidated(failure);
+            openAttempts.refuseUnknown(grantManager::contains, failure);
             channel(exchange, use.getRequest()).refuse(failure);
         });
         refreshLoad();
@@ -326,28 +315,8 @@
         return grantManager.state();
     }
 
-    private void onDecision(OpenAttempt attempt, SuspicionDecision decision) {
-        if (!pendingSuspicion.remove(attempt.attempt(), attempt)) {
-            return;
-        }
-        switch (decision) {
-            case SuspicionDecision.Free free -> submit(attempt, GrantMessages.units(attempt.request()));
-            case SuspicionDecision.Isolate isolate -> isolate(attempt);
-            case SuspicionDecision.Wait wait ->
-                refuse(
-                        attempt,
-                        Failure.retryable(
-                                ResultCode.NO_CAPACITY,
-                                "the same request is already running on trial",
-                                wait.retryAfterMillis()));
-            case SuspicionDecision.Quarantined quarantined ->
-                refuse(
-                        attempt,
-                        Failure.retryable(
-                                ResultCode.REQUEST_QUARANTINED,
-                                quarantined.crashes() + " engines crashed while the request ran",
-                                quarantined.expiresInMillis()));
-        }
+    private void submitFree(OpenAttempt attempt) {
+        submit(attempt, GrantMessages.units(attempt.request()));
     }
 
     /** Submits a suspect on trial: no other suspect runs beside it until it has passed. */
@@ -359,26 +328,11 @@
     }
 
     private void submit(OpenAttempt attempt, int units) {
-        openAttempts.put(attempt.attempt(), attempt);
+        openAttempts.add(attempt);
         GrantDemand demand = GrantMessages.demand(attempt.request(), attempt.session(), units);
         dispatch(grantManager.request(attempt.isolated() ? demand.asTrial() : demand));
     }
 
-    private void refuse(OpenAttempt attempt, Failure failure) {
-        count(failure);
-        attempt.channel().refuse(filter.withKnownExecutionState(attempt.request(), failure));
-    }
-
-    /** Attempts whose suspicion query is pending are not known to the grant manager yet. */
-    private void refusePendingSuspicion(Predicate<OpenAttempt> attempts, Failure failure) {
-        List<OpenAttempt> refused =
-                pendingSuspicion.values().stream().filter(attempts).toList();
-        refused.forEach(attempt -> {
-            pendingSuspicion.remove(attempt.attempt());
-            refuse(attempt, failure.withExecutionState(ExecutionState.NOT_RUN));
-        });
-    }
-
     private static Failure incarnationMismatch(Failure failure) {
         return failure.executionState() == ExecutionState.NOT_RUN
                 ? Failure.retryable(
@@ -390,60 +344,7 @@
 
     private void dispatch(List<GrantEvent> events) {
         refreshLoad();
-        events.forEach(this::dispatch);
-    }
-
-    private void dispatch(GrantEvent event) {
-        switch (event) {
-            case GrantEvent.Granted granted ->
-                findOpen(granted).ifPresent(attempt -> attempt.channel().send(grantedFrame(granted)));
-            case GrantEvent.Waiting waiting ->
-                findOpen(waiting).ifPresent(attempt -> attempt.channel().send(queuedFrame(waiting)));
-            case GrantEvent.Refused refused -> {
-                removeOpen(refused).ifPresent(attempt -> refuse(attempt, refused.failure()));
-            }
-            case GrantEvent.Cancelled cancelled -> {
-                removeOpen(cancelled).ifPresent(attempt -> attempt.channel().fail(cancelled.failure()));
-                onCancelled.accept(cancelled.attempt());
-            }
-        }
-    }
-
-    private Optional<OpenAttempt> findOpen(GrantEvent event) {
-        return Optional.ofNullable(openAttempts.get(event.attempt()));
-    }
-
-    private Optional<OpenAttempt> removeOpen(GrantEvent event) {
-        return Optional.ofNullable(openAttempts.remove(event.attempt()));
-    }
-
-    /** Ends the exchanges of attempts whose grants the grant manager has just invalidated. */
-    private void refuseInvalidated(Failure failure) {
-        List<OpenAttempt> invalidated = new ArrayList<>(openAttempts.values());
-        invalidated.removeIf(attempt -> grantManager.contains(attempt.attempt()));
-        invalidated.forEach(attempt -> {
-            openAttempts.remove(attempt.attempt());
-            refuse(attempt, failure);
-        });
-    }
-
-    private Frame.Builder grantedFrame(GrantEvent.Granted event) {
-        metrics.counter("grants.given").inc();
-        return Frame.newBuilder()
-                .setGranted(Granted.newBuilder()
-                        .setGrant(event.grant().number())
-                        .setIncarnation(incarnation.value())
-                        .setExpiresInMillis((int) event.expiresInMillis())
-                        .setLoad(load)
-                        .setRevisions(WireValues.toWire(revisions)));
-    }
-
-    private Frame.Builder queuedFrame(GrantEvent.Waiting waiting) {
-        metrics.counter("grants.queued").inc();
-        return Frame.newBuilder()
-                .setQueued(Queued.newBuilder()
-                        .setExpectedWaitMillis((int) waiting.expectedWaitMillis())
-                        .setLoad(load));
+        events.forEach(openAttempts::dispatch);
     }
 
     private ResponseChannel channel(Exchange exchange, RequestIdentity identity) {
@@ -453,8 +354,4 @@
     private void refreshLoad() {
         load = GrantMessages.toWire(grantManager.load());
     }
-
-    private void count(Failure failure) {
-        metrics.counter("grants.refused." + failure.code().name()).inc();
-    }
 }
