RequestRunner: times of tokens, delivery of the response and wait for grants in classes of their own

Change: a pure move. TokenTimings holds the times of prefill, transfer and tokens, which event loops write too, ResponseDelivery passes on the complete response, GrantWait decides how long a sidecar may queue a grant.

Tests: unchanged; SuccessfulResponseTest, PlainFailureTest, ModelFailureTest and AdaptivePlacementTest cover the parts.

--- a/entry/src/main/java/org/merlinwood/entry/dispatch/RequestRunner.java
+++ b/entry/src/main/java/org/merlinwood/entry/dispatch/RequestRunner.java
@@ -7,7 +7,6 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.Future;
-import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.merlinwood.configuration.inventory.Instance;
@@ -23,13 +22,11 @@
 import org.merlinwood.entry.machine.RequestEvent;
 import org.merlinwood.entry.machine.RequestMachine;
 import org.merlinwood.entry.request.ClassifiedRequest;
-import org.merlinwood.http.HttpHeader;
 import org.merlinwood.protocol.PeerConnection;
 import org.merlinwood.protocol.WireValues;
 import org.merlinwood.wire.AnswerEnd;
 import org.merlinwood.wire.AnswerHead;
 import org.merlinwood.wire.AnswerPart;
-import org.merlinwood.wire.CacheHandle;
 import org.merlinwood.wire.Load;
 import org.merlinwood.wire.PrefillDone;
 import org.merlinwood.wire.RequestIdentity;
@@ -54,25 +51,20 @@
     /** Maximum wait for revisions to become active. */
     private static final long REVISIONS_WAIT_MILLIS = 2_000;
 
-    private static final int LOWEST_STATUS = 200;
-    private static final int HIGHEST_STATUS = 599;
-
     private final ClassifiedRequest request;
     private final RequestSink sink;
     private final DispatchComponents components;
     private final ControlState state;
     private final RequestMessages messages;
     private final AnswerAssembly assembler;
+    private final GrantWait grantWait;
+    private final TokenTimings timings;
+    private final ResponseDelivery delivery;
     private final RequestMachine machine;
     private final Runnable onCompleted;
     private final Map<Integer, UpstreamAttempt> attempts = new HashMap<>();
-    private final AtomicReference<Transfer> pendingTransfer = new AtomicReference<>();
-    private Optional<Prefilled> prefilled = Optional.empty();
-    private long prefillStartedMillis;
     private Optional<Future<?>> deadline = Optional.empty();
     private Revisions awaitedRevisions = new Revisions(Revisions.NONE, Revisions.NONE);
-    private String finishReason = "";
-    private volatile long lastPartMillis;
     private boolean responseStarted;
     private boolean completed;
 
@@ -91,6 +83,9 @@
         this.onCompleted = onCompleted;
         this.messages = new RequestMessages(request, components, state);
         this.assembler = new AnswerAssembly(sink, DispatchComponents.MAXIMUM_RESPONSE_BYTES);
+        this.grantWait = new GrantWait(request, state);
+        this.timings = new TokenTimings(request, components, state);
+        this.delivery = new ResponseDelivery(request, sink, assembler);
         this.machine = RequestMachines.create(request, this);
     }
 
@@ -167,10 +162,10 @@
     public void onResponseEnd(UpstreamAttempt attempt, AnswerEnd end) {
         if (end.getCode() != ResultCode.OK.number()) {
             onResponseFailed(attempt, WireValues.fromWire(end));
-        } else if (request instanceof ClassifiedRequest.PlainRequest && !hasValidStatus(assembler.head())) {
+        } else if (!delivery.isValid()) {
             onResponseFailed(attempt, Failure.of(ResultCode.UPSTREAM_MALFORMED, "the response has no valid status"));
         } else if (assembler.isComplete(attempt.number(), end.getIncarnation(), end.getLength())) {
-            finishReason = end.getFinishReason();
+            delivery.finishReason(end.getFinishReason());
             onEvent(attempt, new RequestEvent.ResponseCompleted(attempt.number()));
         } else {
             onResponseFailed(
@@ -180,13 +175,7 @@
 
     @Override
     public void onPrefillDone(UpstreamAttempt attempt, PrefillDone done) {
-        long nowMillis = components.clock().monotonicMillis();
-        prefilled = Optional.of(new Prefilled(done.getCache(), nowMillis));
-        state.recordPrefill(
-                (ClassifiedRequest.ModelRequest) request,
-                attempt.instance().name(),
-                done.getComputedTokens(),
-                nowMillis - prefillStartedMillis);
+        timings.prefillDone(attempt.instance().name(), done);
         onEvent(attempt, new RequestEvent.PrefillDone(attempt.number(), done.getCache()));
     }
 
@@ -232,7 +221,7 @@
                         ? assembler.addPart(part)
                         : AnswerAssembly.Verdict.FOREIGN;
         switch (result) {
-            case TAKEN -> recordPartTiming(part);
+            case TAKEN -> timings.recordPart(part);
             case FOREIGN -> components.metrics().droppedFrame();
             case GAP -> failFromEventLoop(attempt, ResultCode.UPSTREAM_TRUNCATED, "a part of the response is missing");
             case TOO_LARGE ->
@@ -268,13 +257,13 @@
             case RequestAction.RequestGrant grant -> requestGrant(grant);
             case RequestAction.ExecutePrefill execute -> {
                 UpstreamAttempt attempt = attempts.get(execute.attempt());
-                prefillStartedMillis = components.clock().monotonicMillis();
+                timings.prefillStarted();
                 attempt.execute(messages.prefill(attempt.grantUse()));
             }
             case RequestAction.ExecuteDecode execute -> {
                 UpstreamAttempt attempt = startExecution(execute.attempt());
                 responseStarted = true;
-                pendingTransfer.set(transferFor(execute));
+                timings.decodeStarted(execute);
                 attempt.execute(messages.decode(attempt.grantUse(), execute.cache(), assembler.tokensSoFar()));
             }
             case RequestAction.ExecutePlain execute -> {
@@ -302,39 +291,10 @@
                 this);
         attempts.put(grant.attempt(), attempt);
         state.recordStart(request, grant.role(), grant.instance().name());
-        long waitMillis = waitMillis(grant.role());
+        long waitMillis = grantWait.millis(grant.role(), responseStarted, remainingMillis(), attempts.values());
         attempt.start(connection -> messages.grantRequest(grant, connection, waitMillis), waitMillis);
     }
 
-    /**
-     * Returns how long a sidecar may queue the grant. The target for the first token does not apply to a response that
-     * has started. A prefill grant is useless once the decode grant has expired, so it does not wait longer than that.
-     */
-    private long waitMillis(InstanceRole role) {
-        long targetMillis = targetMillis(role);
-        long waitMillis = Math.min(targetMillis, Math.max(0, remainingMillis()));
-        if (role != InstanceRole.PREFILL) {
-            return waitMillis;
-        }
-        return attempts.values().stream()
-                .filter(attempt -> attempt.phase() == UpstreamAttempt.Phase.GRANTED)
-                .mapToLong(UpstreamAttempt::grantExpiresInMillis)
-                .reduce(waitMillis, Math::min);
-    }
-
-    private long targetMillis(InstanceRole role) {
-        boolean isBound = !responseStarted && request instanceof ClassifiedRequest.ModelRequest;
-        return isBound ? state.grantWaitMillis((ClassifiedRequest.ModelRequest) request, role) : Long.MAX_VALUE;
-    }
-
-    /** Returns null unless the decode engine receives the result of a prefill whose end time is known. */
-    private Transfer transferFor(RequestAction.ExecuteDecode execute) {
-        return prefilled
-                .filter(done -> execute.cache().filter(done.cache()::equals).isPresent())
-                .map(done -> new Transfer(execute.attempt(), done.cache().getBytes(), done.doneMillis()))
-                .orElse(null);
-    }
-
     private UpstreamAttempt startExecution(int number) {
         UpstreamAttempt attempt = attempts.get(number);
         assembler.startAttempt(number, attempt.grantUse().getIncarnation());
@@ -369,7 +329,7 @@
         completed = true;
         deadline.ifPresent(timer -> timer.cancel(false));
         ResultCode code = failure.map(Failure::code).orElse(ResultCode.OK);
-        assembler.end(() -> failure.ifPresentOrElse(sink::failure, this::deliver));
+        assembler.end(() -> failure.ifPresentOrElse(sink::failure, delivery::deliver));
         components.metrics().requestEnded(code);
         logger.atInfo().log(
                 "request %s of %s to %s: %s after %d ms, %d attempts",
@@ -382,27 +342,6 @@
         onCompleted.run();
     }
 
-    private void deliver() {
-        switch (request) {
-            case ClassifiedRequest.ModelRequest model ->
-                sink.modelResponse(new ModelResponse(assembler.tokensSoFar(), finishReason));
-            case ClassifiedRequest.PlainRequest plain -> sink.plainResponse(plainResponse());
-            case ClassifiedRequest.MintRequest mint -> throw new IllegalStateException("a mint request has no runner");
-        }
-    }
-
-    private static boolean hasValidStatus(AnswerHead head) {
-        return head.getStatus() >= LOWEST_STATUS && head.getStatus() <= HIGHEST_STATUS;
-    }
-
-    private PlainResponse plainResponse() {
-        AnswerHead head = assembler.head();
-        List<HttpHeader> headers = head.getHeadersList().stream()
-                .map(header -> new HttpHeader(header.getName(), header.getValue()))
-                .toList();
-        return new PlainResponse(head.getStatus(), headers, assembler.body(), head.getReplayed());
-    }
-
     // ------------------------------------------------------------------ internals: events
 
     private void onResponseFailed(UpstreamAttempt attempt, Failure failure) {
@@ -440,27 +379,6 @@
         }
     }
 
-    private void recordPartTiming(AnswerPart part) {
-        if (part.getTokensCount() == 0) {
-            return;
-        }
-        long nowMillis = components.clock().monotonicMillis();
-        recordTransfer(part.getRequest().getAttempt(), nowMillis);
-        if (lastPartMillis == 0) {
-            components.metrics().firstToken(ageMillis());
-        } else {
-            components.metrics().betweenTokens(nowMillis - lastPartMillis);
-        }
-        lastPartMillis = nowMillis;
-    }
-
-    private void recordTransfer(int attempt, long nowMillis) {
-        Transfer pending = pendingTransfer.get();
-        if (pending != null && pending.attempt() == attempt && pendingTransfer.compareAndSet(pending, null)) {
-            components.control().execute(() -> state.recordTransfer(pending.bytes(), nowMillis - pending.doneMillis()));
-        }
-    }
-
     private boolean isThisRequest(RequestIdentity received) {
         return WireValues.fromWire(received).equals(identifier());
     }
@@ -477,10 +395,4 @@
     private long remainingMillis() {
         return request.identified().deadlineMillis() - components.clock().monotonicMillis();
     }
-
-    /** Result of a prefill and the time at which it completed. */
-    private record Prefilled(CacheHandle cache, long doneMillis) {}
-
-    /** Transfer of a KV cache to the decode engine of an attempt that has not returned a token yet. */
-    private record Transfer(int attempt, long bytes, long doneMillis) {}
 }
