--- a/proving/src/main/java/org/merlinwood/proving/prove/CrashingRequest.java
+++ b/proving/src/main/java/org/merlinwood/proving/prove/CrashingRequest.java
@@ -3,6 +3,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.merlinwood.proving.caller.CallerClient;
 import org.merlinwood.proving.caller.CallerRequest;
 import org.merlinwood.proving.caller.CallerResponse;
@@ -77,6 +79,24 @@
         if (lost == 0) {
             return ProofResult.unproved(figures);
         }
-        return ProofResult.of(lost <= LOST_ENGINES_ALLOWED && faults.isEmpty(), figures);
+        return lost <= LOST_ENGINES_ALLOWED && faults.isEmpty()
+                ? ProofResult.pass(figures)
+                : ProofResult.fail(figures + timeline(context, prompt));
+    }
+
+    /** Describes the runs of the crashing request, and what the logs say about crashes and failed requests. */
+    private static String timeline(ProofContext context, String prompt) {
+        Stream<String> runs = context.engineRuns(Set.of(ExpectedResponse.promptDigest(prompt))).stream()
+                .map(run -> "%s %s from %d to %d, %s"
+                        .formatted(
+                                run.kind(), run.request(), run.startedAtMillis(), run.endedAtMillis(), run.outcome()));
+        Stream<String> crashes = context.fleet().sidecars().stream()
+                .flatMap(sidecar -> sidecar.process().logLines("the engine crashed while").stream());
+        Stream<String> failed =
+                context.fleet().entries().stream().flatMap(entry -> entry.process().logLines(": UPSTREAM_").stream());
+        return Stream.of(runs, crashes, failed)
+                .flatMap(lines -> lines)
+                .map(line -> "\n    " + line)
+                .collect(Collectors.joining());
     }
 }
