A response that comes byte by byte without end has a time limit

Seen by callers: a body that drips was read until the deadline of the request, or, for a reservation, a release, a store read or an order, for ever: each byte of body restarted the read timeout. A plain request had no time left for another instance, and the instance was not paused.

Change: HttpRequest has a time limit of the complete response beside the longest pause. Collected responses (reservation, prefill, release, order, store, the sidecar's control requests) must end within their read timeout, plain attempts of an entry and prefills of a sidecar within what was their read timeout. A stream keeps the longest pause; the deadline of its request limits it.

Tests of http, gateway, sidecar and stand-ins pass.

--- a/gateway/src/main/java/org/merlinwood/gateway/front/PlainRequestProcessor.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/PlainRequestProcessor.java
@@ -30,8 +30,8 @@
  */
 final class PlainRequestProcessor extends RequestProcessor {
 
-    /** Minimum read timeout of an attempt that can be retried on another instance, in milliseconds. */
-    private static final long MINIMUM_READ_TIMEOUT_MILLIS = 300;
+    /** Minimum time limit of an attempt that can be retried on another instance, in milliseconds. */
+    private static final long MINIMUM_ATTEMPT_TIMEOUT_MILLIS = 300;
 
     /** Retry delay sent to a refused caller, in milliseconds. The pause of an instance ends within this time. */
     private static final long RETRY_AFTER_MILLIS = 150;
@@ -98,19 +98,26 @@
                 .write();
         AttemptTerms terms =
                 new AttemptTerms(upstreamTimeLeftMillis(), Optional.empty(), Optional.empty(), OptionalLong.empty());
+        long attemptTimeoutMillis = attemptTimeoutMillis();
         HttpRequest upstreamRequest = context.protocol()
                 .run(instance, request, terms)
-                .withTimeouts(CONNECT_TIMEOUT_MILLIS, readTimeoutMillis());
+                .withTimeouts(CONNECT_TIMEOUT_MILLIS, attemptTimeoutMillis)
+                .withResponseTimeout(attemptTimeoutMillis);
         Attempt attempt = new Attempt(instance);
         currentAttempt = Optional.of(attempt);
         context.pool().beginPlainAttempt(instance.identifier());
         attempt.stream = Optional.of(context.client().send(instance, upstreamRequest, attempt));
     }
 
-    /** Returns the read timeout: half the time left if another attempt is allowed, so that there is time for it. */
-    private long readTimeoutMillis() {
+    /**
+     * Returns the time limit of the complete response: half the time left if another attempt is allowed, so that there
+     * is time for it.
+     */
+    private long attemptTimeoutMillis() {
         boolean canRetry = route.repeatable() && attemptsSent + 1 < route.maximumAttempts();
-        return canRetry ? Math.max(MINIMUM_READ_TIMEOUT_MILLIS, timeLeftMillis() / 2) : Math.max(1, timeLeftMillis());
+        return canRetry
+                ? Math.max(MINIMUM_ATTEMPT_TIMEOUT_MILLIS, timeLeftMillis() / 2)
+                : Math.max(1, timeLeftMillis());
     }
 
     private void onAttemptEnded(Attempt attempt, AttemptOutcome outcome) {
--- a/http/src/main/java/org/merlinwood/http/HttpClient.java
+++ b/http/src/main/java/org/merlinwood/http/HttpClient.java
@@ -45,7 +45,7 @@
     HttpStream send(HttpRequest request, HttpListener listener);
 
     /**
-     * Sends a request and collects the complete response.
+     * Sends a request and collects the complete response, which must end within the read timeout.
      *
      * @param request the request
      * @return the response or the failure; completed on an I/O thread, never exceptionally
@@ -53,7 +53,7 @@
     CompletionStage<Either<Failure, HttpResponse>> execute(HttpRequest request);
 
     /**
-     * Sends a request that can be cancelled and collects the complete response.
+     * Sends a request that can be cancelled and collects the complete response, which must end within the read timeout.
      *
      * @param request the request
      * @param consumer receives the response or the failure, exactly once
--- a/http/src/main/java/org/merlinwood/http/HttpRequest.java
+++ b/http/src/main/java/org/merlinwood/http/HttpRequest.java
@@ -15,6 +15,8 @@
  * @param body the body, empty for none
  * @param connectTimeoutMillis time limit for opening a connection, in milliseconds
  * @param readTimeoutMillis longest time without data from the server, in milliseconds
+ * @param responseTimeoutMillis time limit from sending the request to the end of its response, in milliseconds;
+ *     {@link #NO_RESPONSE_TIMEOUT} for none
  * @param maximumResponseBytes size limit of the response body, in bytes
  * @param connectionUse whether an idle connection may be reused
  */
@@ -27,6 +29,7 @@
         byte[] body,
         long connectTimeoutMillis,
         long readTimeoutMillis,
+        long responseTimeoutMillis,
         long maximumResponseBytes,
         ConnectionUse connectionUse) {
 
@@ -36,6 +39,9 @@
     /** Default read timeout, in milliseconds. */
     public static final long DEFAULT_READ_TIMEOUT_MILLIS = 10_000;
 
+    /** Stands for no time limit of the complete response. */
+    public static final long NO_RESPONSE_TIMEOUT = Long.MAX_VALUE;
+
     /** Default size limit of the response body, in bytes. */
     public static final long DEFAULT_MAXIMUM_RESPONSE_BYTES = 8L << 20;
 
@@ -66,6 +72,7 @@
                 body,
                 DEFAULT_CONNECT_TIMEOUT_MILLIS,
                 DEFAULT_READ_TIMEOUT_MILLIS,
+                NO_RESPONSE_TIMEOUT,
                 DEFAULT_MAXIMUM_RESPONSE_BYTES,
                 ConnectionUse.POOLED);
     }
@@ -85,6 +92,7 @@
                 body,
                 connectTimeoutMillis,
                 readTimeoutMillis,
+                responseTimeoutMillis,
                 maximumResponseBytes,
                 connectionUse);
     }
@@ -98,7 +106,36 @@
      */
     public HttpRequest withTimeouts(long connectMillis, long readMillis) {
         return new HttpRequest(
-                method, address, path, headers, body, connectMillis, readMillis, maximumResponseBytes, connectionUse);
+                method,
+                address,
+                path,
+                headers,
+                body,
+                connectMillis,
+                readMillis,
+                responseTimeoutMillis,
+                maximumResponseBytes,
+                connectionUse);
+    }
+
+    /**
+     * Returns a copy with another time limit of the complete response.
+     *
+     * @param millis time limit from sending the request to the end of its response, in milliseconds
+     * @return a copy
+     */
+    public HttpRequest withResponseTimeout(long millis) {
+        return new HttpRequest(
+                method,
+                address,
+                path,
+                headers,
+                body,
+                connectTimeoutMillis,
+                readTimeoutMillis,
+                millis,
+                maximumResponseBytes,
+                connectionUse);
     }
 
     /**
@@ -109,7 +146,16 @@
      */
     public HttpRequest withMaximumResponseBytes(long bytes) {
         return new HttpRequest(
-                method, address, path, headers, body, connectTimeoutMillis, readTimeoutMillis, bytes, connectionUse);
+                method,
+                address,
+                path,
+                headers,
+                body,
+                connectTimeoutMillis,
+                readTimeoutMillis,
+                responseTimeoutMillis,
+                bytes,
+                connectionUse);
     }
 
     /**
@@ -127,6 +173,7 @@
                 body,
                 connectTimeoutMillis,
                 readTimeoutMillis,
+                responseTimeoutMillis,
                 maximumResponseBytes,
                 reuse);
     }
--- a/http/src/main/java/org/merlinwood/http/impl/ActiveHttpRequest.java
+++ b/http/src/main/java/org/merlinwood/http/impl/ActiveHttpRequest.java
@@ -20,6 +20,8 @@
 import org.merlinwood.core.result.ExecutionState;
 import org.merlinwood.core.result.Failure;
 import org.merlinwood.core.result.ResultCode;
+import org.merlinwood.core.time.MillisClock;
+import org.merlinwood.core.time.SystemMillisClock;
 import org.merlinwood.http.HttpHeader;
 import org.merlinwood.http.HttpListener;
 import org.merlinwood.http.HttpRequest;
@@ -46,6 +48,7 @@
     /** Methods whose requests carry no Content-Length if the body is empty. */
     private static final Set<String> BODILESS_METHODS = Set.of("GET", "HEAD", "DELETE");
 
+    private final MillisClock clock = SystemMillisClock.shared();
     private final HttpRequest request;
     private final HttpListener listener;
     private final ConnectionTracker tracker;
@@ -54,6 +57,8 @@
     private volatile ClientConnection connection;
     private volatile boolean passedToConnection;
     private volatile XnioExecutor.Key timeout;
+    private long sentMillis;
+    private long lastDataMillis;
     private Optional<ReceiveLimit> limit = Optional.empty();
     private long receivedBytes;
 
@@ -106,7 +111,9 @@
     }
 
     private void sendRequest(ClientConnection opened) {
-        restartReadTimeout();
+        sentMillis = clock.monotonicMillis();
+        lastDataMillis = sentMillis;
+        startResponseTimeout();
         if (ended.get()) {
             ConnectionCloser.close(opened);
             return;
@@ -256,7 +263,7 @@
                     "the response body exceeds " + request.maximumResponseBytes() + " bytes"));
             return;
         }
-        restartReadTimeout();
+        lastDataMillis = clock.monotonicMillis();
         byte[] bytes = new byte[buffer.remaining()];
         buffer.get(bytes);
         listener.onBytes(bytes);
@@ -279,15 +286,27 @@
         }
     }
 
-    private void restartReadTimeout() {
-        removeTimeout();
-        ClientConnection current = connection;
-        timeout = current.getIoThread()
-                .executeAfter(
-                        () -> fail(Failure.of(
-                                ResultCode.UPSTREAM_TIMEOUT, "the upstream sent no data within the read timeout")),
-                        request.readTimeoutMillis(),
-                        TimeUnit.MILLISECONDS);
+    /** Starts the timer of both limits. It is not restarted by each byte: bytes may come one by one. */
+    private void startResponseTimeout() {
+        if (ended.get()) {
+            return;
+        }
+        long nowMillis = clock.monotonicMillis();
+        long readLeftMillis = request.readTimeoutMillis() - (nowMillis - lastDataMillis);
+        long responseLeftMillis = request.responseTimeoutMillis() - (nowMillis - sentMillis);
+        if (readLeftMillis <= 0) {
+            fail(Failure.of(ResultCode.UPSTREAM_TIMEOUT, "the upstream sent no data within the read timeout"));
+        } else if (responseLeftMillis <= 0) {
+            fail(Failure.of(ResultCode.UPSTREAM_TIMEOUT, "the response did not end within its time limit"));
+        } else {
+            removeTimeout();
+            timeout = connection
+                    .getIoThread()
+                    .executeAfter(
+                            this::startResponseTimeout,
+                            Math.min(readLeftMillis, responseLeftMillis),
+                            TimeUnit.MILLISECONDS);
+        }
     }
 
     private void removeTimeout() {
--- a/http/src/main/java/org/merlinwood/http/impl/UndertowHttpClient.java
+++ b/http/src/main/java/org/merlinwood/http/impl/UndertowHttpClient.java
@@ -102,13 +102,14 @@
     @Override
     public CompletionStage<Either<Failure, HttpResponse>> execute(HttpRequest request) {
         CompletableFuture<Either<Failure, HttpResponse>> result = new CompletableFuture<>();
-        send(request, new ResponseCollector(result::complete));
+        execute(request, result::complete);
         return result;
     }
 
     @Override
     public HttpStream execute(HttpRequest request, Consumer<Either<Failure, HttpResponse>> consumer) {
-        return send(request, new ResponseCollector(consumer));
+        long timeoutMillis = Math.min(request.readTimeoutMillis(), request.responseTimeoutMillis());
+        return send(request.withResponseTimeout(timeoutMillis), new ResponseCollector(consumer));
     }
 
     @Override
--- a/http/src/test/java/org/merlinwood/http/EndlessResponseTest.java
+++ b/http/src/test/java/org/merlinwood/http/EndlessResponseTest.java
@@ -36,6 +36,11 @@
 
     private static final long READ_TIMEOUT_MILLIS = 1_000;
 
+    /** Time from the read timeout until the connection must be closed, in milliseconds. */
+    private static final long TIMEOUT_MARGIN_MILLIS = 500;
+
+    private static final long DRIP_PAUSE_MILLIS = 20;
+
     private static final Executor AFTER_A_WHILE = CompletableFuture.delayedExecutor(100, TimeUnit.MILLISECONDS);
 
     private final HttpClient client = HttpClient.create("test", 1);
@@ -58,6 +63,7 @@
         "HTTP/1.1 200 OK~A: b~~, x",
         "HTTP/1.1 200 OK~Connection: close~~, x",
         "HTTP/1.0 200 OK~Connection: close~~, x",
+        "HTTP/1.1 200 OK~Transfer-Encoding: chunked~~, 1~x~",
         "HTTP/1.1 200 OK~Transfer-Encoding: chunked~~, 0",
         "HTTP/1.1 200 OK~Transfer-Encoding: chunked~~1~x~, 0",
         "HTTP/1.1 200 OK~Transfer-Encoding: chunked~~1;, x",
@@ -81,6 +87,29 @@
         }
     }
 
+    @ParameterizedTest
+    @CsvSource({
+        "'HTTP/1.1 200 ', x",
+        "'HTTP/1.1 200 OK~', A: b~",
+        "'', HTTP/1.1 100 Continue~~",
+        "HTTP/1.1 200 OK~Content-Length: 999999999999~~, x",
+        "HTTP/1.1 200 OK~Connection: close~~, x",
+        "HTTP/1.1 200 OK~Transfer-Encoding: chunked~~, 1~x~",
+        "HTTP/1.1 200 OK~Transfer-Encoding: chunked~~1~x~, 0",
+        "HTTP/1.1 200 OK~Transfer-Encoding: chunked~~1;, x",
+        "HTTP/1.1 200 OK~Transfer-Encoding: chunked~~0~, A: b~"
+    })
+    void collectedResponseEndsWithinTheReadTimeoutWhenBytesComeSlowlyWithoutEnd(String start, String repeated)
+            throws Exception {
+        try (EndlessServer server = new EndlessServer(start, repeated, DRIP_PAUSE_MILLIS)) {
+            long startedNanos = System.nanoTime();
+            CompletableFuture<Either<Failure, HttpResponse>> result = send(server.address());
+            assertThat(server.awaitClosedByClient()).isTrue();
+            assertThat(millisSince(startedNanos)).isLessThan(READ_TIMEOUT_MILLIS + TIMEOUT_MARGIN_MILLIS);
+            assertThat(result.get(1, TimeUnit.SECONDS).getLeft().code()).isEqualTo(ResultCode.UPSTREAM_TIMEOUT);
+        }
+    }
+
     /** Bytes behind a complete response must neither keep the connection open nor be read as the next response. */
     @ParameterizedTest
     @CsvSource({
--- a/sidecar/src/main/java/org/merlinwood/sidecar/execution/PrefillExecution.java
+++ b/sidecar/src/main/java/org/merlinwood/sidecar/execution/PrefillExecution.java
@@ -19,7 +19,7 @@
     private final EngineClient engine;
     private final NetworkAddress engineAddress;
     private final EngineMessages.PrefillRequest request;
-    private final long readTimeoutMillis;
+    private final long timeoutMillis;
     private final ResponseChannel channel;
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
     private int status;
@@ -30,25 +30,25 @@
      * @param engine sends the request
      * @param engineAddress address from which decode engines fetch the KV cache
      * @param request the prefill request
-     * @param readTimeoutMillis longest pause between two parts of the response, in milliseconds
+     * @param timeoutMillis time limit of the complete response, in milliseconds
      * @param channel sends the result on the exchange
      */
     public PrefillExecution(
             EngineClient engine,
             NetworkAddress engineAddress,
             EngineMessages.PrefillRequest request,
-            long readTimeoutMillis,
+            long timeoutMillis,
             ResponseChannel channel) {
         this.engine = engine;
         this.engineAddress = engineAddress;
         this.request = request;
-        this.readTimeoutMillis = readTimeoutMillis;
+        this.timeoutMillis = timeoutMillis;
         this.channel = channel;
     }
 
     @Override
     HttpStream open() {
-        return engine.prefill(request, readTimeoutMillis, this);
+        return engine.prefill(request, timeoutMillis, this);
     }
 
     @Override
--- a/sidecar/src/main/java/org/merlinwood/sidecar/upstream/EngineClient.java
+++ b/sidecar/src/main/java/org/merlinwood/sidecar/upstream/EngineClient.java
@@ -54,12 +54,13 @@
      * Sends a prefill request.
      *
      * @param request the request
-     * @param readTimeoutMillis longest pause between two parts of the response, in milliseconds
+     * @param timeoutMillis time limit of the complete response, in milliseconds
      * @param listener receives the response
      * @return handle for cancelling the request; the engine may continue until {@link #deleteStream}
      */
-    public HttpStream prefill(EngineMessages.PrefillRequest request, long readTimeoutMillis, HttpListener listener) {
-        return client.send(workRequest("/v1/prefill", request, readTimeoutMillis), listener);
+    public HttpStream prefill(EngineMessages.PrefillRequest request, long timeoutMillis, HttpListener listener) {
+        HttpRequest workRequest = workRequest("/v1/prefill", request, timeoutMillis);
+        return client.send(workRequest.withResponseTimeout(timeoutMillis), listener);
     }
 
     /**
--- a/stand-ins/src/main/java/org/merlinwood/standin/engine/impl/CacheImport.java
+++ b/stand-ins/src/main/java/org/merlinwood/standin/engine/impl/CacheImport.java
@@ -47,6 +47,7 @@
                 new byte[0],
                 CONNECT_TIMEOUT_MILLIS,
                 READ_TIMEOUT_MILLIS,
+                HttpRequest.NO_RESPONSE_TIMEOUT,
                 Long.MAX_VALUE,
                 ConnectionUse.FRESH);
         Receiver receiver = new Receiver(cache.bytes());
