A stream in progress at the timeout of its route ended without an answer

Seen by callers: a streamed response whose timeout passed between two events stayed open: neither an end nor a closed connection, until the caller left or the idle timeout of 120 s. The log says "failed" with code 7004, followed by "event loop task failed with an exception".

Cause: the timeout sends an error response, also when the response has begun. Undertow throws then (UT000002), after the channel was marked as finished, so that nothing closed it later. Now the channel closes the connection instead: the response can't be replaced, and its caller sees that it was broken off.

Found by EndlessResponseTest of the platform (an entry on loopback, an instance that sends without end as reservation, prefill, stream and plain response): the slow endless event stream failed before (caller waited for more than 8 s with a timeout of 5 s). The other 17 cases pass with the limits of the HTTP client.

--- a/gateway/src/main/java/org/merlinwood/gateway/front/CallerChannel.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/CallerChannel.java
@@ -13,7 +13,8 @@
 public interface CallerChannel {
 
     /**
-     * Sends a complete response.
+     * Sends a complete response. If a streamed response has begun, which can't be replaced, closes the connection, as
+     * {@link #abort()} does.
      *
      * @param status HTTP status
      * @param headers all headers except those that frame the body
--- a/gateway/src/main/java/org/merlinwood/gateway/front/UndertowCallerChannel.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/UndertowCallerChannel.java
@@ -48,6 +48,10 @@
 
     @Override
     public void respond(int status, List<HttpHeader> headers, byte[] body) {
+        if (sink != null) {
+            abort();
+            return;
+        }
         if (finished) {
             return;
         }
