Limit the size of an event of a stream

Seen by callers: an instance whose signed response is a body without the end of an event stopped the entry's other requests: the splitter copied all it had with each part, up to 8 MB, which takes a time that grows with the square.

Change: an event has at most 64 KB. A larger one fails the attempt as malformed: the instance is paused, its connection closed, and the stream resumed at another instance behind the last complete event, or broken off.

A few lines in StreamRequestProcessor.

--- a/gateway/src/main/java/org/merlinwood/gateway/front/EventSplitter.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/EventSplitter.java
@@ -13,6 +13,9 @@
  */
 final class EventSplitter {
 
+    /** Size limit of an event, in bytes: many times that of an event with the tokens of one step. */
+    static final int MAXIMUM_EVENT_BYTES = 64 << 10;
+
     private static final String ID_FIELD = "id:";
     private static final byte[] NO_BYTES = {};
 
@@ -39,6 +42,11 @@
         return completeEvents;
     }
 
+    /** Returns whether the event that is not complete yet is larger than {@link #MAXIMUM_EVENT_BYTES}. */
+    boolean exceedsLimit() {
+        return incomplete.size() > MAXIMUM_EVENT_BYTES;
+    }
+
     /** Returns the bytes after the last complete event and discards them. */
     byte[] drainIncomplete() {
         byte[] incompleteEvent = incomplete.toByteArray();
--- a/gateway/src/main/java/org/merlinwood/gateway/front/StreamRequestProcessor.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/StreamRequestProcessor.java
@@ -482,6 +482,7 @@
         private long firstEventElapsedMillis = -1;
         private long firstEventAtMillis;
         private int eventCount;
+        private boolean failed;
 
         private GenerationAttempt(UpstreamInstance instance, Optional<PrefillResult> prefillUsed) {
             this.instance = instance;
@@ -515,7 +516,17 @@
                 body.writeBytes(bytes);
                 return;
             }
-            byte[] completeEvents = events.split(bytes);
+            forward(events.split(bytes));
+            if (events.exceedsLimit()) {
+                Optional<UpstreamWork> work = activeRequest;
+                onFailure(Failure.of(
+                        ResultCode.UPSTREAM_MALFORMED,
+                        "an event exceeds " + EventSplitter.MAXIMUM_EVENT_BYTES + " bytes"));
+                work.ifPresent(generation -> generation.request().cancel());
+            }
+        }
+
+        private void forward(byte[] completeEvents) {
             if (completeEvents.length == 0 || isFinished()) {
                 return;
             }
@@ -556,6 +567,10 @@
 
         @Override
         public void onFailure(Failure failure) {
+            if (failed) {
+                return;
+            }
+            failed = true;
             events.drainIncomplete();
             if (isFinished()) {
                 return;
