--- a/gateway/src/main/java/org/merlinwood/gateway/front/StreamRequestProcessor.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/StreamRequestProcessor.java
@@ -626,7 +626,17 @@
                 body.writeBytes(bytes);
                 return;
             }
-            byte[] completeEvents = events.split(bytes);
+            forward(events.split(bytes));
+            if (events.exceedsLimit()) {
+                Optional<UpstreamWork> work = activeRequest;
+                onFailure(Failure.of(
+                        ResultCode.UPSTREAM_MALFORMED,
+                        "an event exceeds " + EventSplitter.MAXIMUM_EVENT_BYTES + " bytes"));
+                work.ifPresent(generation -> generation.request().cancel());
+            }
+        }
+
+        private void forward(byte[] completeEvents) {
             if (completeEvents.length == 0 || isFinished()) {
                 return;
             }
