Limit time and size of the responses to control requests of an entry

Seen by callers: a reservation or prefill whose body came byte by byte was awaited until the timeout of the route; no other instance was tried.

Change: reservation, prefill, release and order must end within their read timeout and have at most 64 KB.

--- a/gateway/src/main/java/org/merlinwood/gateway/upstream/UpstreamClient.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/upstream/UpstreamClient.java
@@ -20,6 +20,9 @@
  */
 public final class UpstreamClient {
 
+    /** Size limit of the response body of a reservation, prefill, release or order, in bytes. */
+    static final long MAXIMUM_CONTROL_RESPONSE_BYTES = 64 << 10;
+
     private final HttpClient client;
     private final UpstreamProtocol protocol;
     private final InstanceListener instanceListener;
@@ -51,7 +54,8 @@
     }
 
     /**
-     * Sends a request and collects the complete response. A notice in its head counts even if the body is not complete.
+     * Sends a control request and collects the complete response, which must end within the read timeout and have at
+     * most {@link #MAXIMUM_CONTROL_RESPONSE_BYTES}. A notice in its head counts even if the body is not complete.
      *
      * @param instance the instance that the request is for
      * @param request the request
@@ -60,7 +64,9 @@
      */
     public HttpStream execute(
             UpstreamInstance instance, HttpRequest request, Consumer<Either<Failure, HttpResponse>> consumer) {
-        return send(instance, request, new ResponseCollector(consumer));
+        HttpRequest limited = request.withResponseTimeout(request.readTimeoutMillis())
+                .withMaximumResponseBytes(MAXIMUM_CONTROL_RESPONSE_BYTES);
+        return send(instance, limited, new ResponseCollector(consumer));
     }
 
     /**
