Limit the memory of all plain responses that an entry collects

An entry has 96 MB of heap and collects a plain response, up to 8 MB, before it forwards any of it. A dozen endless bodies at a time fill it, each below its limit. Found by reasoning, not by a run with that heap.

Counter upstream_responses_malformed: responses that exceeded a limit or were no HTTP response, of all kinds.

--- a/gateway/src/main/java/org/merlinwood/gateway/front/FrontHandlerFactory.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/FrontHandlerFactory.java
@@ -61,6 +61,7 @@
                 crashHistory,
                 demandMeter,
                 new MemoryWaitQueues(loop, clock),
+                new CollectedBytes(),
                 log,
                 metrics);
     }
--- a/gateway/src/main/java/org/merlinwood/gateway/front/PlainRequestProcessor.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/PlainRequestProcessor.java
@@ -185,7 +185,15 @@
 
         @Override
         public void onBytes(byte[] bytes) {
+            if (ended) {
+                return;
+            }
             body.writeBytes(bytes);
+            if (!context.collectedBytes().add(bytes.length, body.size())) {
+                onFailure(Failure.of(
+                        ResultCode.UPSTREAM_MALFORMED, "the response bodies of this entry exceed its memory for them"));
+                cancel();
+            }
         }
 
         @Override
@@ -229,6 +237,7 @@
                 return false;
             }
             ended = true;
+            context.collectedBytes().remove(body.size());
             context.pool().endPlainAttempt(instance.identifier());
             return true;
         }
--- a/gateway/src/main/java/org/merlinwood/gateway/front/RequestProcessor.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/RequestProcessor.java
@@ -144,6 +144,9 @@
         if (failure.code() == ResultCode.CANCELLED) {
             return;
         }
+        if (failure.code() == ResultCode.UPSTREAM_MALFORMED) {
+            context.metrics().count("upstream_responses_malformed");
+        }
         long pauseMillis = context.pool().recordFailure(instance.identifier());
         decisionLine("instance paused")
                 .with("instance", instance.identifier())
--- a/gateway/src/main/java/org/merlinwood/gateway/front/RequestProcessorContext.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/RequestProcessorContext.java
@@ -24,6 +24,7 @@
  * @param crashHistory the requests that lost instances
  * @param demandMeter measures the demand for each model service
  * @param memoryWaitQueues the queues of requests that wait for memory
+ * @param collectedBytes the bytes of all plain responses that are being collected
  * @param log the decision log
  * @param metrics the request metrics
  */
@@ -38,5 +39,6 @@
         CrashHistory crashHistory,
         DemandMeter demandMeter,
         MemoryWaitQueues memoryWaitQueues,
+        CollectedBytes collectedBytes,
         DecisionLog log,
         RequestMetrics metrics) {}
--- a/gateway/src/test/java/org/merlinwood/gateway/front/RequestProcessorFixture.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/front/RequestProcessorFixture.java
@@ -75,6 +75,7 @@
                 new CrashHistory(clock),
                 new DemandMeter(clock),
                 new MemoryWaitQueues(loop, clock),
+                new CollectedBytes(),
                 log,
                 new RequestMetrics(new MetricRegistry()));
         dispatcher = new RequestDispatcher(context, drainPolicy);
