Soak: requests during a named time and to leaving instances are judged

The ledger of the stand-ins now keeps each arrival with its attempt; NoticeChecker joins them with the callers' view (BUDGET: more than two between 500 ms after a 503 with a time and its end; DRAIN: sent by the caller more than 2 s after a response that states leaving). Reservations and releases bear no attempt; for them the entries' own counter must be 0.

--- a/proving/src/main/java/org/merlinwood/proving/soak/SoakDeployment.java
+++ b/proving/src/main/java/org/merlinwood/proving/soak/SoakDeployment.java
@@ -11,8 +11,10 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import org.merlinwood.core.result.Failure;
 import org.merlinwood.http.HttpClient;
 import org.merlinwood.http.HttpRequest;
+import org.merlinwood.http.HttpResponse;
 import org.merlinwood.platform.GatewayMain;
 import org.merlinwood.platform.standin.RunLedger;
 import org.merlinwood.platform.standin.StandInInstance;
@@ -55,6 +57,8 @@
     /** Age of the backup from which the store is restored, in milliseconds. */
     private static final long BACKUP_AGE_MILLIS = 3_000;
 
+    private static final String REQUESTS_TO_DECLINING = "merlinwood_requests_to_declining_instances ";
+    private static final String NO_REQUESTS_TO_DECLINING = REQUESTS_TO_DECLINING + "0.0";
     private static final long READY_POLL_MILLIS = 50;
     private static final int READY_POLLS = 400;
     private static final String HEAP = "96m";
@@ -137,6 +141,20 @@
                 .toList();
     }
 
+    /** Returns the counters of requests to declining instances that aren't 0, of the entries that run. */
+    List<String> requestsToDeclining() {
+        try (HttpClient client = HttpClient.create("metrics", 1)) {
+            return readyAddresses.stream()
+                    .map(address -> HttpRequest.of("GET", address, "/metrics", new byte[0]))
+                    .map(request ->
+                            client.execute(request).toCompletableFuture().join())
+                    .map(result -> result.fold(Failure::detail, HttpResponse::text))
+                    .flatMap(String::lines)
+                    .filter(line -> line.startsWith(REQUESTS_TO_DECLINING) && !line.equals(NO_REQUESTS_TO_DECLINING))
+                    .toList();
+        }
+    }
+
     void begin(ScheduledFault fault) {
         int target = fault.target();
         switch (fault.kind()) {
@@ -238,7 +256,8 @@
                         STAGES.get(index), paths.get(index).address(), leaving, starts.getOrDefault(index, 1L)));
     }
 
-    private static String name(int index) {
+    /** Returns the identifier of an instance. */
+    static String name(int index) {
         return "instance-" + index;
     }
 
--- a/proving/src/main/java/org/merlinwood/proving/soak/SoakLoad.java
+++ b/proving/src/main/java/org/merlinwood/proving/soak/SoakLoad.java
@@ -65,6 +65,11 @@
         return sequence - observations.size();
     }
 
+    /** Returns the monotonic time of the start of the load, in milliseconds. */
+    long startMillis() {
+        return startMillis;
+    }
+
     /** Returns the milliseconds since the start of the load. */
     long now() {
         return clock.monotonicMillis() - startMillis;
--- a/proving/src/main/java/org/merlinwood/proving/soak/SoakSeed.java
+++ b/proving/src/main/java/org/merlinwood/proving/soak/SoakSeed.java
@@ -49,6 +49,11 @@
             TimeUnit.MILLISECONDS.sleep(RELEASE_MILLIS);
             List<String> violations = new ArrayList<>(SoakChecker.violations(
                     plan, observations, attempt -> deployment.ledger().runs(attempt)));
+            violations.addAll(NoticeChecker.violations(
+                    plan, observations, deployment.ledger().arrivals(), load.startMillis()));
+            deployment
+                    .requestsToDeclining()
+                    .forEach(count -> violations.add("an entry counts requests to declining instances: " + count));
             violations.addAll(deployment.endedUnexpectedly());
             if (deployment.heldCount() > 0) {
                 violations.add(deployment.heldCount() + " runs, reservations or prompts are still held");
