--- a/decision/src/main/java/org/merlinwood/decision/grant/GrantManager.java
+++ b/decision/src/main/java/org/merlinwood/decision/grant/GrantManager.java
@@ -385,13 +385,13 @@
     private Optional<Failure> refusalForWait(GrantDemand demand) {
         long expected = expectedWaitMillis(demand);
         if (expected > demand.waitMillis()) {
-            return Optional.of(failures.noCapacity(demand, expected));
+            return Optional.of(failures.noCapacity(demand, 0, expected));
         }
         boolean lastRanksAtLeastAsHigh = queue.last()
                 .map(last -> last.demand().priority() <= demand.priority())
                 .orElse(false);
         if (queue.size() >= MAXIMUM_WAITING && lastRanksAtLeastAsHigh) {
-            return Optional.of(failures.noCapacity(demand, expected));
+            return Optional.of(failures.noCapacity(demand, 0, expected));
         }
         return Optional.empty();
     }
@@ -401,8 +401,12 @@
             return List.of();
         }
         return queue.last()
-                .map(last ->
-                        List.of(refuse(last, failures.noCapacity(last.demand(), expectedWaitMillis(last.demand())))))
+                .map(last -> List.of(refuse(
+                        last,
+                        failures.noCapacity(
+                                last.demand(),
+                                clock.monotonicMillis() - last.sinceMillis(),
+                                expectedWaitMillis(last.demand())))))
                 .orElse(List.of());
     }
 
@@ -440,7 +444,7 @@
             }
             long expected = expectedWaitMillis(unitsAhead, demand);
             if (now + expected > waiting.deadlineMillis() || now >= waiting.deadlineMillis()) {
-                events.add(refuse(waiting, failures.noCapacity(demand, expected)));
+                events.add(refuse(waiting, failures.noCapacity(demand, now - waiting.sinceMillis(), expected)));
                 continue;
             }
             unitsAhead += blocked ? 0 : demand.units();
--- a/decision/src/main/java/org/merlinwood/decision/grant/impl/RetryableFailures.java
+++ b/decision/src/main/java/org/merlinwood/decision/grant/impl/RetryableFailures.java
@@ -25,13 +25,15 @@
      * Returns the failure of a demand for which there is no capacity in time.
      *
      * @param demand the demand
-     * @param expectedMillis expected wait, in milliseconds
+     * @param waitedMillis how long it has waited, in milliseconds
+     * @param expectedMillis expected further wait, in milliseconds
      * @return the failure
      */
-    public Failure noCapacity(GrantDemand demand, long expectedMillis) {
+    public Failure noCapacity(GrantDemand demand, long waitedMillis, long expectedMillis) {
         return Failure.retryable(
                 ResultCode.NO_CAPACITY,
-                "the expected wait of " + expectedMillis + " ms exceeds the limit of " + demand.waitMillis() + " ms",
+                "the wait of %d ms so far and %d ms expected exceeds the limit of %d ms"
+                        .formatted(waitedMillis, expectedMillis, demand.waitMillis()),
                 retryDelay.retryAfterMillis(expectedMillis, demand.priority()));
     }
 
--- a/decision/src/test/java/org/merlinwood/decision/grant/GrantQueueTest.java
+++ b/decision/src/test/java/org/merlinwood/decision/grant/GrantQueueTest.java
@@ -41,6 +41,16 @@
         assertThat(manager.load().freePieces()).isEqualTo(UNITS);
     }
 
+    /** Guards against a refusal whose figures contradict each other, since it leaves out the wait so far. */
+    @Test
+    void refusalOfAWaitingDemandTellsItsWaitSoFar() {
+        fixture.run(demand(1, UNITS));
+        manager.request(new GrantDemand(SESSION, attempt(2, 1), UNITS, 0, 5, 1_000));
+        fixture.clock.advanceMillis(600);
+        assertThat(refused(manager.advance(), attempt(2, 1)).map(Failure::detail))
+                .hasValue("the wait of 600 ms so far and 500 ms expected exceeds the limit of 1000 ms");
+    }
+
     @Test
     void aComputedResultFreesItsUnitsForTheNextDemand() {
         fixture.run(demand(1, UNITS));
