--- a/decision/src/main/java/org/merlinwood/decision/grant/impl/DemandRules.java
+++ b/decision/src/main/java/org/merlinwood/decision/grant/impl/DemandRules.java
@@ -82,13 +82,13 @@
     private Optional<Failure> refusalForWait(GrantDemand demand) {
         long expected = capacity.expectedWaitMillis(demand);
         if (expected > demand.waitMillis()) {
-            return Optional.of(failures.noCapacity(demand, expected));
+            return Optional.of(failures.noCapacity(demand, 0, expected));
         }
         boolean lastRanksAtLeastAsHigh = queue.last()
                 .map(last -> last.demand().priority() <= demand.priority())
                 .orElse(false);
         if (queue.isFull() && lastRanksAtLeastAsHigh) {
-            return Optional.of(failures.noCapacity(demand, expected));
+            return Optional.of(failures.noCapacity(demand, 0, expected));
         }
         return Optional.empty();
     }
--- a/decision/src/main/java/org/merlinwood/decision/grant/impl/GrantIssuer.java
+++ b/decision/src/main/java/org/merlinwood/decision/grant/impl/GrantIssuer.java
@@ -80,7 +80,7 @@
             }
             long expected = capacity.expectedWaitMillis(unitsAhead, demand);
             if (now + expected > waiting.deadlineMillis() || now >= waiting.deadlineMillis()) {
-                events.add(refuse(waiting, failures.noCapacity(demand, expected)));
+                events.add(refuse(waiting, failures.noCapacity(demand, now - waiting.sinceMillis(), expected)));
                 continue;
             }
             unitsAhead += blocked ? 0 : demand.units();
@@ -99,8 +99,12 @@
             return List.of();
         }
         return queue.last()
-                .map(last -> List.of(
-                        refuse(last, failures.noCapacity(last.demand(), capacity.expectedWaitMillis(last.demand())))))
+                .map(last -> List.of(refuse(
+                        last,
+                        failures.noCapacity(
+                                last.demand(),
+                                clock.monotonicMillis() - last.sinceMillis(),
+                                capacity.expectedWaitMillis(last.demand())))))
                 .orElse(List.of());
     }
 
