A stream that can't go on ends with its connection, also at its route's timeout and when it is blocked

What callers saw: a stream that had begun stopped at the timeout of its route, or when other entries reported its request as one that loses instances, and its connection stayed open: no rest, no error, no end.

Cause: fail() sent an error response although the head of a response was out. The server rejects that with an exception (UT000002), the request counted as finished, and nothing closed the connection; its caller's leaving was not noticed either, and it counted as open until the forced exit of a draining entry.

Change: fail() ends the connection if the response has begun; breaking off and failing are one decision in one place, so a caller of fail() can't forget it. The field responseStarted of "failed" went, as it can only be false now; "broken off" has the code.

The caller of the tests without network now rejects a second head, as the server does; each request there has a caller of its own.

--- a/gateway/src/main/java/org/merlinwood/gateway/front/PlainRequestProcessor.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/PlainRequestProcessor.java
@@ -23,6 +23,7 @@
 import org.merlinwood.http.HttpListener;
 import org.merlinwood.http.HttpRequest;
 import org.merlinwood.http.HttpStream;
+import org.merlinwood.operation.log.DecisionLog;
 
 /**
  * Processes a plain request: sends one attempt at a time and reads a response completely before forwarding any of it to
@@ -90,11 +91,17 @@
         return attemptsSent == 0 && currentAttempt.isEmpty() ? ResultCode.NO_CAPACITY : ResultCode.DEADLINE_PASSED;
     }
 
+    /** Returns false: a response is forwarded only once it is complete. */
     @Override
     boolean responseStarted() {
         return false;
     }
 
+    @Override
+    DecisionLog.Line addProgress(DecisionLog.Line line) {
+        return line;
+    }
+
     private void send(UpstreamInstance instance) {
         triedInstances.add(instance.identifier());
         decisionLine("send")
--- a/gateway/src/main/java/org/merlinwood/gateway/front/RequestProcessor.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/RequestProcessor.java
@@ -71,6 +71,9 @@
     /** Returns whether the caller has received the head of a response, so that no other response can be sent. */
     abstract boolean responseStarted();
 
+    /** Adds how far a response that has begun got to a log line, and returns the line. */
+    abstract DecisionLog.Line addProgress(DecisionLog.Line line);
+
     final long elapsedMillis() {
         return context.clock().monotonicMillis() - request.arrivedMillis();
     }
@@ -122,14 +125,33 @@
     }
 
     /**
-     * Finishes the request with an error response of this entry. If the outcome of an earlier attempt is unknown, its
-     * code replaces one that reports the request as not run.
+     * Finishes the request with an error response of this entry, or with the end of its connection if the caller has
+     * already received the head of a response. If the outcome of an earlier attempt is unknown, its code replaces one
+     * that reports the request as not run.
      */
     final void fail(ResultCode requestedCode, long retryAfterMillis, String reason) {
         if (!finish()) {
             return;
         }
         cancelUpstream();
+        if (responseStarted()) {
+            breakOff(requestedCode, reason);
+        } else {
+            sendError(requestedCode, retryAfterMillis, reason);
+        }
+    }
+
+    private void breakOff(ResultCode code, String reason) {
+        addProgress(decisionLine("broken off"))
+                .with("code", code.number())
+                .with("reason", reason)
+                .with("routesVersion", routesVersion())
+                .write();
+        context.metrics().count("streams_broken_off");
+        channel.abort();
+    }
+
+    private void sendError(ResultCode requestedCode, long retryAfterMillis, String reason) {
         ResultCode code = requestedCode.executionState() == ExecutionState.NOT_RUN
                 ? unknownOutcome.orElse(requestedCode)
                 : requestedCode;
@@ -137,7 +159,6 @@
                 .with("code", code.number())
                 .with("reason", reason)
                 .with("execution", code.executionState().name())
-                .with("responseStarted", String.valueOf(responseStarted()))
                 .with("routesVersion", routesVersion())
                 .with("retryAfterMillis", retryAfterMillis)
                 .write();
--- a/gateway/src/main/java/org/merlinwood/gateway/front/StreamRequestProcessor.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/StreamRequestProcessor.java
@@ -28,6 +28,7 @@
 import org.merlinwood.http.HttpListener;
 import org.merlinwood.http.HttpRequest;
 import org.merlinwood.http.HttpStream;
+import org.merlinwood.operation.log.DecisionLog;
 
 /**
  * Processes a model request with a streamed response: reserves memory at a decode instance, has a prefill instance
@@ -174,7 +175,7 @@
         context.memoryWaitQueues().add(service, queuedRequest.get());
     }
 
-    /** Returns whether the request keeps waiting for memory; if not, fails it or aborts its stream. */
+    /** Returns whether the request keeps waiting for memory; if not, fails it or drops its replacement. */
     private boolean applyWaitPolicy() {
         MemoryWaitPolicy.Situation situation = new MemoryWaitPolicy.Situation(
                 context.clock().monotonicMillis() - memoryWaitStartMillis(),
@@ -238,8 +239,6 @@
     private void failWithoutCapacity(long retryAfterMillis) {
         if (silentAttempt.isPresent()) {
             dropReplacement("no instance has enough free memory");
-        } else if (responseStarted) {
-            abortStream("no instance has enough free memory to resume the stream");
         } else {
             fail(ResultCode.NO_CAPACITY, retryAfterMillis, "no instance has enough free memory");
         }
@@ -461,17 +460,12 @@
                     proceed();
                 }
             }
-            case NextStep.Fail failure -> {
-                if (responseStarted) {
-                    abortStream(outcome.toString());
-                } else {
-                    fail(
-                            failure.code(),
-                            MemoryWaitPolicy.retryAfterMillis(
-                                    0, timeLeftMillis(), context.clock().monotonicMillis()),
-                            outcome.toString());
-                }
-            }
+            case NextStep.Fail failure ->
+                fail(
+                        failure.code(),
+                        MemoryWaitPolicy.retryAfterMillis(
+                                0, timeLeftMillis(), context.clock().monotonicMillis()),
+                        outcome.toString());
         }
     }
 
@@ -485,20 +479,6 @@
                 : new NextStep.Fail(ResultCode.TRANSFER_FAILED);
     }
 
-    private void abortStream(String reason) {
-        if (finish()) {
-            cancelUpstream();
-            decisionLine("broken off")
-                    .with("reason", reason)
-                    .with("attemptsSent", attemptsSent)
-                    .with("silentMillis", context.clock().monotonicMillis() - lastReceivedMillis)
-                    .with("routesVersion", routesVersion())
-                    .write();
-            context.metrics().count("streams_broken_off");
-            channel.abort();
-        }
-    }
-
     private void completeStream(GenerationAttempt generation) {
         context.crashHistory().remove(CrashHistory.fingerprint(request));
         context.pool().recordSuccess(generation.instance.identifier(), generation.millisPerEvent());
@@ -566,6 +546,12 @@
         return responseStarted;
     }
 
+    @Override
+    DecisionLog.Line addProgress(DecisionLog.Line line) {
+        return line.with("attemptsSent", attemptsSent)
+                .with("silentMillis", context.clock().monotonicMillis() - lastReceivedMillis);
+    }
+
     @Override
     ResultCode timeoutCode() {
         return currentAttempt.isPresent() || attemptsSent > 0 ? ResultCode.DEADLINE_PASSED : ResultCode.NO_CAPACITY;
--- a/gateway/src/test/java/org/merlinwood/gateway/front/RequestProcessorFixture.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/front/RequestProcessorFixture.java
@@ -46,6 +46,9 @@
     /** How long a caller waits for its response, in milliseconds. */
     static final long CALLER_TIME_MILLIS = 4_000;
 
+    /** Timeout of the route, in milliseconds. */
+    static final long ROUTE_TIMEOUT_MILLIS = 5_000;
+
     private static final int BODY_BYTES = 1_000;
     private static final long RETRY_WINDOW_MILLIS = 10_000;
     private static final double FIXED_RETRIES = 60;
@@ -56,10 +59,14 @@
     final FakeHttpClient client = new FakeHttpClient();
     final FleetState fleet = new FleetState();
     final InstancePool pool = new InstancePool(fleet, clock, "near", 1);
-    final RecordingCaller caller = new RecordingCaller();
+    /** The caller of the last request. */
+    RecordingCaller caller = new RecordingCaller();
+
     final DrainPolicy drainPolicy = new DrainPolicy(clock, 8_000);
     final RetryAllowance retryAllowance = new RetryAllowance(clock, RETRY_WINDOW_MILLIS, 0.2, FIXED_RETRIES, () -> 1);
+    final CrashHistory crashHistory = new CrashHistory(clock);
     private final RequestDispatcher dispatcher;
+    private CallerRequest request;
 
     RequestProcessorFixture(RequestKind kind, boolean resumable) {
         clock.advanceMillis(RETRY_WINDOW_MILLIS);
@@ -75,14 +82,23 @@
                 fleet,
                 pool,
                 retryAllowance,
-                new CrashHistory(clock),
+                crashHistory,
                 new DemandMeter(clock),
                 new MemoryWaitQueues(loop, clock),
                 log,
                 new RequestMetrics(new MetricRegistry()));
         dispatcher = new RequestDispatcher(context, drainPolicy);
         Route route = new Route(
-                "route", "host", "/p/", kind, 5_000, 900, 1, List.of(new ServiceShare("service", 1)), 2, resumable);
+                "route",
+                "host",
+                "/p/",
+                kind,
+                ROUTE_TIMEOUT_MILLIS,
+                900,
+                1,
+                List.of(new ServiceShare("service", 1)),
+                2,
+                resumable);
         Optional<EngineLimits> limits = kind == RequestKind.STREAM ? Optional.of(LIMITS) : Optional.empty();
         fleet.replaceRoutes(
                 RouteTable.of(1, List.of(route), List.of(new UpstreamService("service", 10, limits)), BODY_BYTES));
@@ -113,20 +129,26 @@
 
     private void sendRequest(String path, OptionalLong lastEvent) {
         Optional<Prompt> prompt = Optional.of(new Prompt("m", 1_000, 100, OptionalInt.empty(), List.of()));
-        dispatcher.dispatch(
-                new CallerRequest(
-                        ATTEMPT,
-                        "POST",
-                        "host",
-                        path,
-                        path,
-                        OptionalLong.of(CALLER_TIME_MILLIS),
-                        prompt,
-                        lastEvent,
-                        List.of(),
-                        "body".getBytes(StandardCharsets.UTF_8),
-                        clock.monotonicMillis()),
-                caller);
+        request = new CallerRequest(
+                ATTEMPT,
+                "POST",
+                "host",
+                path,
+                path,
+                OptionalLong.of(CALLER_TIME_MILLIS),
+                prompt,
+                lastEvent,
+                List.of(),
+                "body".getBytes(StandardCharsets.UTF_8),
+                clock.monotonicMillis());
+        caller = new RecordingCaller();
+        dispatcher.dispatch(request, caller);
+    }
+
+    /** Reports that other entries lost so many instances with the content of the last request that it is blocked. */
+    void blockLastRequest() {
+        crashHistory.recordPeerLoss(CrashHistory.fingerprint(request), "lost-1");
+        crashHistory.recordPeerLoss(CrashHistory.fingerprint(request), "lost-2");
     }
 
     /** Grants both steps of a reservation: the check of the memory that must be free, and that for the start. */
@@ -171,6 +193,9 @@
 
         @Override
         public void begin(int responseStatus, List<HttpHeader> responseHeaders) {
+            if (status != 0) {
+                throw new IllegalStateException("the response has already begun");
+            }
             status = responseStatus;
             headers = responseHeaders;
         }
--- a/gateway/src/test/java/org/merlinwood/gateway/front/StreamRequestProcessorTest.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/front/StreamRequestProcessorTest.java
@@ -88,6 +88,34 @@
         assertThat(fixture.caller.ended).isFalse();
     }
 
+    /**
+     * Guards against a caller who is told nothing: no error response fits behind the head of a response, so a stream
+     * that can't go on must end with its connection.
+     */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void startedStreamIsAbortedAtTheTimeoutOfItsRoute(boolean resumable) {
+        RequestProcessorFixture fixture = fixtureWithStartedStream(resumable);
+        fixture.client.last().bytes("id: 1\ndata: a\n\n");
+        fixture.loop.advance(RequestProcessorFixture.ROUTE_TIMEOUT_MILLIS);
+        assertThat(fixture.caller.aborted).isTrue();
+        assertThat(fixture.pool.work()).isEmpty();
+    }
+
+    /**
+     * Guards against the same where other entries report, while the stream is interrupted, that its request is blocked.
+     */
+    @Test
+    void startedStreamIsAbortedWhenItsRequestIsBlocked() {
+        RequestProcessorFixture fixture = fixtureWithStartedStream(true);
+        fixture.client.last().bytes("id: 1\ndata: a\n\n");
+        fixture.blockLastRequest();
+        fixture.client.last().fail(ResultCode.UPSTREAM_TRUNCATED, ExecutionState.UNKNOWN);
+        fixture.grantMemory("hold-2");
+        fixture.client.last().respond(200, "handle-2");
+        assertThat(fixture.caller.aborted).isTrue();
+    }
+
     @Test
     void attemptWithUnknownOutcomeIsNeitherRetriedNorReportedAsNotRun() {
         RequestProcessorFixture fixture = fixture(false);
