A silent plain attempt is kept until another instance can be tried

What callers saw: an idempotent request whose instance was silent for half of its time got 504, also with the retry allowance used up or no other instance left, though the response would still have come.

Cause: the same as for streams; half the time left was the read timeout of an attempt that may be repeated.

Change: the read timeout is the time left. At half of it the attempt is replaced if there is another instance and a retry is allowed, and kept otherwise. No retry is sent once the time of the caller is over.

Before, at the parent: PlainRequestProcessorTest 2 of 15 failed (silentAttemptIsKeptWhenNoOtherAttemptCanFollow). Now gateway 207 pass, and EntryOnLoopbackTest, SilentStreamOnLoopbackTest, CallerDisconnectTest 23.

--- a/gateway/src/main/java/org/merlinwood/gateway/front/PlainRequestProcessor.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/PlainRequestProcessor.java
@@ -31,13 +31,14 @@
  */
 final class PlainRequestProcessor extends RequestProcessor {
 
-    /** Minimum read timeout of an attempt that can be retried on another instance, in milliseconds. */
-    private static final long MINIMUM_READ_TIMEOUT_MILLIS = 300;
+    /** Minimum time without data after which a request may be retried on another instance, in milliseconds. */
+    private static final long MINIMUM_SILENCE_MILLIS = 300;
 
     /** Retry delay sent to a refused caller, in milliseconds. The pause of an instance ends within this time. */
     private static final long RETRY_AFTER_MILLIS = 150;
 
     private final Set<String> triedInstances = new HashSet<>();
+    private final SilenceTimer silenceTimer;
     private int attemptsSent;
     private int unreachedAttempts;
     private Optional<Attempt> currentAttempt = Optional.empty();
@@ -47,6 +48,7 @@
 
     PlainRequestProcessor(RequestProcessorContext context, CallerRequest request, Route route, CallerChannel channel) {
         super(context, request, route, channel);
+        this.silenceTimer = new SilenceTimer(context.loop(), this::onSilence);
     }
 
     @Override
@@ -76,6 +78,7 @@
 
     @Override
     void cancelUpstream() {
+        silenceTimer.stop();
         currentAttempt.ifPresent(Attempt::cancel);
     }
 
@@ -112,21 +115,48 @@
                 new AttemptTerms(upstreamTimeLeftMillis(), Optional.empty(), Optional.empty(), OptionalLong.empty());
         HttpRequest upstreamRequest = context.protocol()
                 .run(instance, request, terms)
-                .withTimeouts(CONNECT_TIMEOUT_MILLIS, readTimeoutMillis());
+                .withTimeouts(CONNECT_TIMEOUT_MILLIS, Math.max(1, timeLeftMillis()));
         Attempt attempt = new Attempt(instance);
         currentAttempt = Optional.of(attempt);
         context.pool().beginPlainAttempt(instance.identifier());
+        restartSilenceTimer();
         attempt.stream = Optional.of(context.client().send(instance, upstreamRequest, attempt));
     }
 
-    /** Returns the read timeout: half the time left if another attempt is allowed, so that there is time for it. */
-    private long readTimeoutMillis() {
-        boolean canRetry = route.repeatable() && attemptsSent + 1 < route.maximumAttempts();
-        return canRetry ? Math.max(MINIMUM_READ_TIMEOUT_MILLIS, timeLeftMillis() / 2) : Math.max(1, timeLeftMillis());
+    /** Leaves as much time for another attempt as the instance may be silent, if another attempt is allowed. */
+    private void restartSilenceTimer() {
+        if (route.repeatable() && attemptsSent + 1 < route.maximumAttempts()) {
+            silenceTimer.restart(Math.max(MINIMUM_SILENCE_MILLIS, timeLeftMillis() / 2));
+        }
+    }
+
+    /** Replaces a silent attempt if there is another instance and a retry is allowed; otherwise keeps waiting. */
+    private void onSilence() {
+        Attempt silent = currentAttempt.orElseThrow();
+        Failure silence = Failure.of(ResultCode.UPSTREAM_TIMEOUT, "the instance is silent");
+        pauseInstance(silent.instance, silence);
+        boolean replaced = timeLeftMillis() > 0
+                && context.pool().choosePlain(service, triedInstances).isPresent()
+                && context.retryAllowance().tryAcquire(service);
+        decisionLine("instance silent")
+                .with("instance", silent.instance.identifier())
+                .with("next", replaced ? "replace" : "wait")
+                .write();
+        if (!replaced) {
+            restartSilenceTimer();
+            return;
+        }
+        silent.markEnded();
+        silent.cancel();
+        currentAttempt = Optional.empty();
+        attemptsSent++;
+        recordUnknownOutcome(silence.code());
+        proceed();
     }
 
     private void onAttemptEnded(Attempt attempt, AttemptOutcome outcome) {
         currentAttempt = Optional.empty();
+        silenceTimer.stop();
         if (isFinished()) {
             return;
         }
@@ -147,7 +177,7 @@
                 route,
                 attemptsSent,
                 unreachedAttempts,
-                () -> context.retryAllowance().tryAcquire(service));
+                () -> timeLeftMillis() > 0 && context.retryAllowance().tryAcquire(service));
         decisionLine("attempt ended")
                 .with("instance", attempt.instance.identifier())
                 .with("outcome", outcome.toString())
@@ -191,6 +221,7 @@
         @Override
         public void onBytes(byte[] bytes) {
             body.writeBytes(bytes);
+            restartSilenceTimer();
         }
 
         @Override
--- a/gateway/src/main/java/org/merlinwood/gateway/front/SilenceTimer.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/SilenceTimer.java
@@ -7,7 +7,6 @@
 final class SilenceTimer {
 
     private final EventLoop loop;
-    private final long limitMillis;
     private final Runnable action;
     private Optional<EventLoop.Timer> timer = Optional.empty();
 
@@ -15,16 +14,19 @@
      * Creates a timer that is stopped.
      *
      * @param loop runs the action
-     * @param limitMillis time from {@link #restart()} to the action, in milliseconds
      * @param action run once for each restart, unless another restart or a stop comes before
      */
-    SilenceTimer(EventLoop loop, long limitMillis, Runnable action) {
+    SilenceTimer(EventLoop loop, Runnable action) {
         this.loop = loop;
-        this.limitMillis = limitMillis;
         this.action = action;
     }
 
-    void restart() {
+    /**
+     * Starts the timer, or starts it again.
+     *
+     * @param limitMillis time from now to the action, in milliseconds
+     */
+    void restart(long limitMillis) {
         stop();
         timer = Optional.of(loop.schedule(limitMillis, action));
     }
--- a/gateway/src/main/java/org/merlinwood/gateway/front/StreamRequestProcessor.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/StreamRequestProcessor.java
@@ -88,7 +88,7 @@
         this.prompt = prompt;
         this.limits = limits;
         this.prefillCall = new PrefillCall(this, prompt, releaser::release);
-        this.silenceTimer = new SilenceTimer(context.loop(), SILENCE_LIMIT_MILLIS, this::onSilence);
+        this.silenceTimer = new SilenceTimer(context.loop(), this::onSilence);
     }
 
     @Override
@@ -308,7 +308,7 @@
         }
         lastReceivedMillis = context.clock().monotonicMillis();
         if (route.resumable()) {
-            silenceTimer.restart();
+            silenceTimer.restart(SILENCE_LIMIT_MILLIS);
         }
         if (silentAttempt.isPresent()) {
             dropReplacement("the silent instance goes on");
@@ -334,7 +334,7 @@
                 .write();
         context.metrics().count(replaced ? "silent_attempts_offered" : "silent_attempts_kept");
         if (!replaced) {
-            silenceTimer.restart();
+            silenceTimer.restart(SILENCE_LIMIT_MILLIS);
             return;
         }
         silentAttempt = Optional.of(new SilentAttempt(silent, activeGeneration));
@@ -352,7 +352,7 @@
         cancelPlacement();
         activeRequest = Optional.of(kept.work());
         activeGeneration = kept.generation();
-        silenceTimer.restart();
+        silenceTimer.restart(SILENCE_LIMIT_MILLIS);
         decisionLine("replacement dropped")
                 .with("instance", kept.instance())
                 .with("reason", reason)
--- a/gateway/src/test/java/org/merlinwood/gateway/front/PlainRequestProcessorTest.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/front/PlainRequestProcessorTest.java
@@ -5,8 +5,10 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.merlinwood.core.result.ExecutionState;
 import org.merlinwood.core.result.ResultCode;
+import org.merlinwood.gateway.FakeHttpClient;
 import org.merlinwood.gateway.FakeUpstreamProtocol;
 import org.merlinwood.gateway.fleet.Stage;
 import org.merlinwood.gateway.route.RequestKind;
@@ -122,4 +124,40 @@
         assertThat(fixture.caller.status).isEqualTo(404);
         assertThat(fixture.client.sent()).isEmpty();
     }
+
+    /**
+     * Guards against a request that fails because its instance is silent, although the response would still come: at
+     * half its time another instance may be tried, but nothing is given up for nothing.
+     */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void silentAttemptIsKeptWhenNoOtherAttemptCanFollow(boolean otherInstance) {
+        RequestProcessorFixture fixture = new RequestProcessorFixture(RequestKind.IDEMPOTENT, false);
+        fixture.register(Stage.PLAIN, "p1");
+        if (otherInstance) {
+            fixture.register(Stage.PLAIN, "p2");
+            while (fixture.retryAllowance.tryAcquire("service")) {}
+        }
+        fixture.sendRequest("/p/x");
+        FakeHttpClient.SentRequest attempt = fixture.client.last();
+        fixture.staySilent(attempt, RequestProcessorFixture.CALLER_TIME_MILLIS * 3 / 4);
+        attempt.respond(200, "late", RequestProcessorFixture.MATCHING_RESPONSE_HEADERS);
+        assertThat(fixture.client.sent()).hasSize(1);
+        assertThat(fixture.caller.status).isEqualTo(200);
+        assertThat(fixture.caller.body).isEqualTo("late");
+    }
+
+    @Test
+    void silentAttemptIsCancelledWhenAnotherInstanceIsTried() {
+        RequestProcessorFixture fixture = new RequestProcessorFixture(RequestKind.IDEMPOTENT, false);
+        fixture.register(Stage.PLAIN, "p1", "p2");
+        fixture.sendRequest("/p/x");
+        FakeHttpClient.SentRequest silent = fixture.client.last();
+        fixture.staySilent(silent, RequestProcessorFixture.CALLER_TIME_MILLIS * 3 / 4);
+        assertThat(silent.ended()).isTrue();
+        assertThat(fixture.client.sent()).hasSize(2);
+        fixture.client.last().respond(200, "retried", RequestProcessorFixture.MATCHING_RESPONSE_HEADERS);
+        assertThat(fixture.caller.body).isEqualTo("retried");
+        assertThat(fixture.pool.work()).isEmpty();
+    }
 }
