--- a/gateway/src/main/java/org/merlinwood/gateway/front/PlainRequestProcessor.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/PlainRequestProcessor.java
@@ -23,6 +23,7 @@
 import org.merlinwood.http.HttpListener;
 import org.merlinwood.http.HttpRequest;
 import org.merlinwood.http.HttpStream;
+import org.merlinwood.operation.log.DecisionLog;
 
 /**
  * Processes a plain request: sends one attempt at a time and reads a response completely before forwarding any of it to
@@ -30,13 +31,14 @@
  */
 final class PlainRequestProcessor extends RequestProcessor {
 
-    /** Minimum time limit of an attempt that can be retried on another instance, in milliseconds. */
-    private static final long MINIMUM_ATTEMPT_TIMEOUT_MILLIS = 300;
+    /** Minimum time without a complete response after which a request may be retried elsewhere, in milliseconds. */
+    private static final long MINIMUM_SILENCE_MILLIS = 300;
 
     /** Retry delay sent to a refused caller, in milliseconds. The pause of an instance ends within this time. */
     private static final long RETRY_AFTER_MILLIS = 150;
 
     private final Set<String> triedInstances = new HashSet<>();
+    private final SilenceTimer silenceTimer;
     private int attemptsSent;
     private int unreachedAttempts;
     private Optional<Attempt> currentAttempt = Optional.empty();
@@ -46,6 +48,7 @@
 
     PlainRequestProcessor(RequestProcessorContext context, CallerRequest request, Route route, CallerChannel channel) {
         super(context, request, route, channel);
+        this.silenceTimer = new SilenceTimer(context.loop(), this::onSilence);
     }
 
     @Override
@@ -75,6 +78,7 @@
 
     @Override
     void cancelUpstream() {
+        silenceTimer.stop();
         currentAttempt.ifPresent(Attempt::cancel);
     }
 
@@ -90,11 +94,17 @@
         return attemptsSent == 0 && currentAttempt.isEmpty() ? ResultCode.NO_CAPACITY : ResultCode.DEADLINE_PASSED;
     }
 
+    /** Returns false: a response is forwarded only once it is complete. */
     @Override
     boolean responseStarted() {
         return false;
     }
 
+    @Override
+    DecisionLog.Line addProgress(DecisionLog.Line line) {
+        return line;
+    }
+
     private void send(UpstreamInstance instance) {
         triedInstances.add(instance.identifier());
         decisionLine("send")
@@ -103,7 +113,7 @@
                 .write();
         AttemptTerms terms =
                 new AttemptTerms(upstreamTimeLeftMillis(), Optional.empty(), Optional.empty(), OptionalLong.empty());
-        long attemptTimeoutMillis = attemptTimeoutMillis();
+        long attemptTimeoutMillis = Math.max(1, timeLeftMillis());
         HttpRequest upstreamRequest = context.protocol()
                 .run(instance, request, terms)
                 .withTimeouts(CONNECT_TIMEOUT_MILLIS, attemptTimeoutMillis)
@@ -111,22 +121,44 @@
         Attempt attempt = new Attempt(instance);
         currentAttempt = Optional.of(attempt);
         context.pool().beginPlainAttempt(instance.identifier());
+        restartSilenceTimer();
         attempt.stream = Optional.of(context.client().send(instance, upstreamRequest, attempt));
     }
 
-    /**
-     * Returns the time limit of the complete response: half the time left if another attempt is allowed, so that there
-     * is time for it.
-     */
-    private long attemptTimeoutMillis() {
-        boolean canRetry = route.repeatable() && attemptsSent + 1 < route.maximumAttempts();
-        return canRetry
-                ? Math.max(MINIMUM_ATTEMPT_TIMEOUT_MILLIS, timeLeftMillis() / 2)
-                : Math.max(1, timeLeftMillis());
+    /** Leaves as much time for another attempt as the instance has for its response, if another one is allowed. */
+    private void restartSilenceTimer() {
+        if (route.repeatable() && attemptsSent + 1 < route.maximumAttempts()) {
+            silenceTimer.restart(Math.max(MINIMUM_SILENCE_MILLIS, timeLeftMillis() / 2));
+        }
+    }
+
+    /** Replaces an attempt without a complete response if there is another instance and a retry is allowed. */
+    private void onSilence() {
+        Attempt silent = currentAttempt.orElseThrow();
+        Failure silence = Failure.of(ResultCode.UPSTREAM_TIMEOUT, "the instance is silent");
+        pauseInstance(silent.instance, silence);
+        boolean replaced = timeLeftMillis() > 0
+                && context.pool().choosePlain(service, triedInstances).isPresent()
+                && context.retryAllowance().tryAcquire(service);
+        decisionLine("instance silent")
+                .with("instance", silent.instance.identifier())
+                .with("next", replaced ? "replace" : "wait")
+                .write();
+        if (!replaced) {
+            restartSilenceTimer();
+            return;
+        }
+        silent.markEnded();
+        silent.cancel();
+        currentAttempt = Optional.empty();
+        attemptsSent++;
+        recordUnknownOutcome(silence.code());
+        proceed();
     }
 
     private void onAttemptEnded(Attempt attempt, AttemptOutcome outcome) {
         currentAttempt = Optional.empty();
+        silenceTimer.stop();
         if (isFinished()) {
             return;
         }
@@ -147,7 +179,7 @@
                 route,
                 attemptsSent,
                 unreachedAttempts,
-                () -> context.retryAllowance().tryAcquire(service));
+                () -> timeLeftMillis() > 0 && context.retryAllowance().tryAcquire(service));
         decisionLine("attempt ended")
                 .with("instance", attempt.instance.identifier())
                 .with("outcome", outcome.toString())
