--- a/gateway/src/test/java/org/merlinwood/gateway/front/RequestProcessorFixture.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/front/RequestProcessorFixture.java
@@ -11,6 +11,8 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
+import org.merlinwood.core.result.ExecutionState;
+import org.merlinwood.core.result.ResultCode;
 import org.merlinwood.core.time.ManualMillisClock;
 import org.merlinwood.gateway.FakeHttpClient;
 import org.merlinwood.gateway.FakeUpstreamProtocol;
@@ -46,6 +48,9 @@
         FakeUpstreamProtocol.SIGNED, FakeUpstreamProtocol.attempt(ATTEMPT)
     };
 
+    /** How long a caller waits for its response, in milliseconds. */
+    static final long CALLER_TIME_MILLIS = 4_000;
+
     private static final int BODY_BYTES = 1_000;
     private static final long RETRY_WINDOW_MILLIS = 10_000;
     private static final double FIXED_RETRIES = 60;
@@ -75,6 +80,7 @@
                 new CrashHistory(clock),
                 new DemandMeter(clock),
                 new MemoryWaitQueues(loop, clock),
+                new CollectedBytes(),
                 log,
                 new RequestMetrics(new MetricRegistry()));
         dispatcher = new RequestDispatcher(context, drainPolicy);
@@ -117,7 +123,7 @@
                         "host",
                         path,
                         path,
-                        OptionalLong.of(4_000),
+                        OptionalLong.of(CALLER_TIME_MILLIS),
                         prompt,
                         lastEvent,
                         List.of(),
@@ -156,6 +162,23 @@
         }
     }
 
+    /** Lets time pass in which an instance sends nothing; its read timeout takes effect as it does on a connection. */
+    void staySilent(FakeHttpClient.SentRequest silent, long millis) {
+        long readTimeoutMillis = silent.request().readTimeoutMillis();
+        loop.advance(Math.min(millis, readTimeoutMillis));
+        if (readTimeoutMillis <= millis) {
+            if (!silent.ended()) {
+                silent.fail(ResultCode.UPSTREAM_TIMEOUT, ExecutionState.UNKNOWN);
+            }
+            loop.advance(millis - readTimeoutMillis);
+        }
+    }
+
+    /** Returns whether a request with this path was sent to an instance. */
+    boolean hasSent(String path) {
+        return client.sent().stream().anyMatch(sent -> sent.request().path().equals(path));
+    }
+
     /** Records the response as the caller receives it. */
     static final class RecordingCaller implements CallerChannel {
 
--- a/http/src/main/java/org/merlinwood/http/impl/ActiveHttpRequest.java
+++ b/http/src/main/java/org/merlinwood/http/impl/ActiveHttpRequest.java
@@ -12,6 +12,7 @@
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -19,6 +20,8 @@
 import org.merlinwood.core.result.ExecutionState;
 import org.merlinwood.core.result.Failure;
 import org.merlinwood.core.result.ResultCode;
+import org.merlinwood.core.time.MillisClock;
+import org.merlinwood.core.time.SystemMillisClock;
 import org.merlinwood.http.HttpHeader;
 import org.merlinwood.http.HttpListener;
 import org.merlinwood.http.HttpRequest;
@@ -39,9 +42,13 @@
 
     private static final int READ_BUFFER_BYTES = 16 * 1024;
 
+    /** Lowest status of a response that is not an interim one. Undertow skips the interim status 100 itself. */
+    private static final int FIRST_FINAL_STATUS = 200;
+
     /** Methods whose requests carry no Content-Length if the body is empty. */
     private static final Set<String> BODILESS_METHODS = Set.of("GET", "HEAD", "DELETE");
 
+    private final MillisClock clock = SystemMillisClock.shared();
     private final HttpRequest request;
     private final HttpListener listener;
     private final ConnectionTracker tracker;
@@ -50,6 +57,9 @@
     private volatile ClientConnection connection;
     private volatile boolean passedToConnection;
     private volatile XnioExecutor.Key timeout;
+    private long sentMillis;
+    private long lastDataMillis;
+    private Optional<ReceiveLimit> limit = Optional.empty();
     private long receivedBytes;
 
     ActiveHttpRequest(
@@ -101,12 +111,16 @@
     }
 
     private void sendRequest(ClientConnection opened) {
-        restartReadTimeout();
+        sentMillis = clock.monotonicMillis();
+        lastDataMillis = sentMillis;
+        startResponseTimeout();
         if (ended.get()) {
             ConnectionCloser.close(opened);
             return;
         }
         passedToConnection = true;
+        limit = tracker.limit(opened);
+        limit.ifPresent(present -> present.begin(this::failOversized));
         try {
             opened.sendRequest(toClientRequest(), exchangeListener());
         } catch (RuntimeException exception) {
@@ -197,6 +211,11 @@
             return;
         }
         ClientResponse response = exchange.getResponse();
+        if (response.getResponseCode() < FIRST_FINAL_STATUS) {
+            fail(Failure.of(
+                    ResultCode.UPSTREAM_MALFORMED, "unexpected interim response " + response.getResponseCode()));
+            return;
+        }
         List<HttpHeader> headers = new ArrayList<>();
         for (HeaderValues values : response.getResponseHeaders()) {
             values.forEach(
@@ -229,15 +248,22 @@
         }
     }
 
+    private void failOversized(long limitBytes) {
+        fail(Failure.of(
+                ResultCode.UPSTREAM_MALFORMED,
+                "the head, chunk sizes or trailers of the response exceed " + limitBytes + " bytes"));
+    }
+
     private void receiveBytes(ByteBuffer buffer) {
         receivedBytes += buffer.remaining();
+        limit.ifPresent(ReceiveLimit::bodyReceived);
         if (receivedBytes > request.maximumResponseBytes()) {
             fail(Failure.of(
                     ResultCode.UPSTREAM_MALFORMED,
                     "the response body exceeds " + request.maximumResponseBytes() + " bytes"));
             return;
         }
-        restartReadTimeout();
+        lastDataMillis = clock.monotonicMillis();
         byte[] bytes = new byte[buffer.remaining()];
         buffer.get(bytes);
         listener.onBytes(bytes);
@@ -260,15 +286,27 @@
         }
     }
 
-    private void restartReadTimeout() {
-        removeTimeout();
-        ClientConnection current = connection;
-        timeout = current.getIoThread()
-                .executeAfter(
-                        () -> fail(Failure.of(
-                                ResultCode.UPSTREAM_TIMEOUT, "the upstream sent no data within the read timeout")),
-                        request.readTimeoutMillis(),
-                        TimeUnit.MILLISECONDS);
+    /** Starts the timer of both limits. It is not restarted by each byte: bytes may come one by one. */
+    private void startResponseTimeout() {
+        if (ended.get()) {
+            return;
+        }
+        long nowMillis = clock.monotonicMillis();
+        long readLeftMillis = request.readTimeoutMillis() - (nowMillis - lastDataMillis);
+        long responseLeftMillis = request.responseTimeoutMillis() - (nowMillis - sentMillis);
+        if (readLeftMillis <= 0) {
+            fail(Failure.of(ResultCode.UPSTREAM_TIMEOUT, "the upstream sent no data within the read timeout"));
+        } else if (responseLeftMillis <= 0) {
+            fail(Failure.of(ResultCode.UPSTREAM_TIMEOUT, "the response did not end within its time limit"));
+        } else {
+            removeTimeout();
+            timeout = connection
+                    .getIoThread()
+                    .executeAfter(
+                            this::startResponseTimeout,
+                            Math.min(readLeftMillis, responseLeftMillis),
+                            TimeUnit.MILLISECONDS);
+        }
     }
 
     private void removeTimeout() {
--- a/http/src/main/java/org/merlinwood/http/impl/UndertowHttpClient.java
+++ b/http/src/main/java/org/merlinwood/http/impl/UndertowHttpClient.java
@@ -29,7 +29,6 @@
 import org.xnio.OptionMap;
 import org.xnio.Options;
 import org.xnio.Xnio;
-import org.xnio.XnioIoThread;
 import org.xnio.XnioWorker;
 
 /**
@@ -104,13 +103,14 @@
     @Override
     public CompletionStage<Either<Failure, HttpResponse>> execute(HttpRequest request) {
         CompletableFuture<Either<Failure, HttpResponse>> result = new CompletableFuture<>();
-        send(request, new ResponseCollector(result::complete));
+        execute(request, result::complete);
         return result;
     }
 
     @Override
     public HttpStream execute(HttpRequest request, Consumer<Either<Failure, HttpResponse>> consumer) {
-        return send(request, new ResponseCollector(consumer));
+        long timeoutMillis = Math.min(request.readTimeoutMillis(), request.responseTimeoutMillis());
+        return send(request.withResponseTimeout(timeoutMillis), new ResponseCollector(consumer));
     }
 
     @Override
@@ -119,14 +119,14 @@
     }
 
     private void connect(HttpRequest request, ActiveHttpRequest activeRequest) {
-        XnioIoThread thread = worker.getIoThread();
+        LimitingIoThread thread = new LimitingIoThread(worker.getIoThread());
         activeRequest.startConnectTimeout(thread);
         UndertowClient.getInstance()
                 .connect(
                         new ClientCallback<ClientConnection>() {
                             @Override
                             public void completed(ClientConnection connection) {
-                                tracker.opened(connection);
+                                tracker.opened(connection, thread.limit());
                                 activeRequest.start(connection);
                             }
 
