--- a/gateway/src/test/java/org/merlinwood/gateway/front/PlainRequestProcessorTest.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/front/PlainRequestProcessorTest.java
@@ -158,6 +158,6 @@
         assertThat(fixture.client.sent()).hasSize(2);
         fixture.client.last().respond(200, "retried", RequestProcessorFixture.MATCHING_RESPONSE_HEADERS);
         assertThat(fixture.caller.body).isEqualTo("retried");
-        assertThat(fixture.pool.work()).isEmpty();
+        assertThat(fixture.pool.sharedWork().own()).isEmpty();
     }
 }
--- a/gateway/src/test/java/org/merlinwood/gateway/front/StreamRequestProcessorTest.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/front/StreamRequestProcessorTest.java
@@ -99,7 +99,7 @@
         fixture.client.last().bytes("id: 1\ndata: a\n\n");
         fixture.loop.advance(RequestProcessorFixture.ROUTE_TIMEOUT_MILLIS);
         assertThat(fixture.caller.aborted).isTrue();
-        assertThat(fixture.pool.work()).isEmpty();
+        assertThat(fixture.pool.sharedWork().own()).isEmpty();
     }
 
     /**
