A replacement in preparation is the retry of a silent instance that fails at last

What callers saw: a stream was refused with 502 or cut although its replacement was ready, when the silent instance at last sent an error, a refusal or a part of an event.

Cause: anything that the instance sent dropped the replacement before it was known what it was, and a retry needed a second unit of the allowance.

Change: only the head of a success, a complete event or the instance's own answer drops it. Two tests, which failed before (502; cut).

--- a/gateway/src/main/java/org/merlinwood/gateway/front/StreamRequestProcessor.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/StreamRequestProcessor.java
@@ -307,10 +307,14 @@
             return;
         }
         lastReceivedMillis = context.clock().monotonicMillis();
-        if (route.resumable()) {
+        if (route.resumable() && silentAttempt.isEmpty()) {
             silenceTimer.restart(SILENCE_LIMIT_MILLIS);
         }
-        if (silentAttempt.isPresent()) {
+    }
+
+    /** Drops the replacement because the silent instance goes on. */
+    private void onSilentInstanceGoesOn() {
+        if (silentAttempt.isPresent() && !isFinished()) {
             dropReplacement("the silent instance goes on");
         }
     }
@@ -595,6 +599,9 @@
             head = context.protocol().readHead(status, headers);
             head.load().ifPresent(load -> context.pool().recordLoad(instance.identifier(), load));
             streaming = head.success() && belongsToRequest();
+            if (streaming) {
+                onSilentInstanceGoesOn();
+            }
             if (streaming && !responseStarted && !isFinished()) {
                 responseStarted = true;
                 channel.begin(status, head.forwardedHeaders());
@@ -626,6 +633,7 @@
             if (completeEvents.length == 0 || isFinished()) {
                 return;
             }
+            onSilentInstanceGoesOn();
             eventCount++;
             activeGeneration.ifPresent(generation -> generation.addTokens(limits.tokensPerEvent()));
             if (firstEventElapsedMillis < 0) {
@@ -640,10 +648,11 @@
         public void onEnd() {
             recordReceived();
             if (streaming) {
+                onSilentInstanceGoesOn();
                 completeStream(this);
                 return;
             }
-            onAttemptEnded(this, classifyOutcome());
+            endAttempt(classifyOutcome());
         }
 
         private AttemptOutcome classifyOutcome() {
@@ -668,12 +677,18 @@
                 return;
             }
             events.drainIncomplete();
-            AttemptOutcome outcome = recordFailedAttempt(instance, failure);
-            if (silentAttempt.isPresent()) {
+            endAttempt(recordFailedAttempt(instance, failure));
+        }
+
+        /** Ends this attempt. A replacement that is being prepared is its retry, unless the instance has answered. */
+        private void endAttempt(AttemptOutcome outcome) {
+            boolean answered = outcome instanceof AttemptOutcome.Answered;
+            if (silentAttempt.isPresent() && !answered && !isFinished()) {
                 onSilentAttemptEnded(silentAttempt.get(), outcome);
-            } else {
-                onAttemptEnded(this, outcome);
+                return;
             }
+            onSilentInstanceGoesOn();
+            onAttemptEnded(this, outcome);
         }
     }
 }
--- a/gateway/src/test/java/org/merlinwood/gateway/front/SilentStreamTest.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/front/SilentStreamTest.java
@@ -9,6 +9,7 @@
 import org.merlinwood.core.result.ExecutionState;
 import org.merlinwood.core.result.ResultCode;
 import org.merlinwood.gateway.FakeHttpClient.SentRequest;
+import org.merlinwood.gateway.FakeUpstreamProtocol;
 import org.merlinwood.gateway.fleet.Stage;
 import org.merlinwood.gateway.route.RequestKind;
 
@@ -224,4 +225,34 @@
         attempt.fail(ResultCode.UPSTREAM_TIMEOUT, ExecutionState.UNKNOWN);
         assertThat(fixture.caller.aborted).isTrue();
     }
+
+    /** Guards against a stream that fails although its replacement was ready, since the silent instance declined. */
+    @Test
+    void replacementIsUsedWhenTheSilentInstanceDeclinesAtLast() {
+        RequestProcessorFixture fixture = fixtureWithSentRequest();
+        SentRequest attempt = fixture.client.last();
+        fixture.staySilent(attempt, SILENCE_MILLIS);
+        fixture.grantMemory("hold-2");
+        while (fixture.retryAllowance.tryAcquire("service")) {}
+        attempt.respond(503, "", FakeUpstreamProtocol.NOT_RUN);
+        assertThat(fixture.caller.status).isZero();
+        fixture.client.last().respond(200, "handle-2");
+        assertThat(fixture.client.last().request().path()).isEqualTo("/d2/run");
+    }
+
+    /** Guards against a stream that is cut although its replacement was ready, since the silent instance broke off. */
+    @Test
+    void replacementIsUsedWhenTheSilentInstanceFailsAtLast() {
+        RequestProcessorFixture fixture = fixtureWithSentRequest();
+        SentRequest attempt = fixture.client.last();
+        begin(attempt);
+        fixture.staySilent(attempt, SILENCE_MILLIS);
+        fixture.grantMemory("hold-2");
+        while (fixture.retryAllowance.tryAcquire("service")) {}
+        attempt.bytes("id: 2\nda");
+        attempt.fail(ResultCode.UPSTREAM_TRUNCATED, ExecutionState.UNKNOWN);
+        assertThat(fixture.caller.aborted).isFalse();
+        fixture.client.last().respond(200, "handle-2");
+        assertThat(fixture.client.last().request().path()).isEqualTo("/d2/run");
+    }
 }
