An instance that pauses again and again is replaced only after a longer silence

Cause: each silence of 1.2 s had the prompt computed at another instance; a stream with three pauses had 4 prompts computed at max_attempts 2.

Change: the limit doubles each time that the instance goes on before its replacement is sent. repeatedSilenceDoesNotComputeThePromptAgainAndAgain failed before.

--- a/gateway/src/main/java/org/merlinwood/gateway/front/StreamRequestProcessor.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/StreamRequestProcessor.java
@@ -77,6 +77,9 @@
     private long interruptedAtMillis;
     private long lastReceivedMillis;
 
+    /** Time without data after which the current attempt is offered to another instance, in milliseconds. */
+    private long silenceLimitMillis = SILENCE_LIMIT_MILLIS;
+
     StreamRequestProcessor(
             RequestProcessorContext context,
             CallerRequest request,
@@ -285,6 +288,7 @@
         }
         GenerationAttempt generation = new GenerationAttempt(instance, prefillResult);
         currentAttempt = Optional.of(generation);
+        silenceLimitMillis = SILENCE_LIMIT_MILLIS;
         recordReceived();
         reservation = Optional.empty();
         prefillResult = Optional.empty();
@@ -308,13 +312,17 @@
         }
         lastReceivedMillis = context.clock().monotonicMillis();
         if (route.resumable() && silentAttempt.isEmpty()) {
-            silenceTimer.restart(SILENCE_LIMIT_MILLIS);
+            silenceTimer.restart(silenceLimitMillis);
         }
     }
 
-    /** Drops the replacement because the silent instance goes on. */
+    /**
+     * Drops the replacement because the silent instance goes on. The next one is prepared only after a longer silence:
+     * an instance that pauses again and again would have the prompt computed for nothing each time.
+     */
     private void onSilentInstanceGoesOn() {
         if (silentAttempt.isPresent() && !isFinished()) {
+            silenceLimitMillis *= 2;
             dropReplacement("the silent instance goes on");
         }
     }
@@ -338,7 +346,7 @@
                 .write();
         context.metrics().count(replaced ? "silent_attempts_offered" : "silent_attempts_kept");
         if (!replaced) {
-            silenceTimer.restart(SILENCE_LIMIT_MILLIS);
+            silenceTimer.restart(silenceLimitMillis);
             return;
         }
         silentAttempt = Optional.of(new SilentAttempt(silent, activeGeneration));
@@ -356,7 +364,7 @@
         cancelPlacement();
         activeRequest = Optional.of(kept.work());
         activeGeneration = kept.generation();
-        silenceTimer.restart(SILENCE_LIMIT_MILLIS);
+        silenceTimer.restart(silenceLimitMillis);
         decisionLine("replacement dropped")
                 .with("instance", kept.instance())
                 .with("reason", reason)
--- a/gateway/src/test/java/org/merlinwood/gateway/front/SilentStreamTest.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/front/SilentStreamTest.java
@@ -255,4 +255,21 @@
         fixture.client.last().respond(200, "handle-2");
         assertThat(fixture.client.last().request().path()).isEqualTo("/d2/run");
     }
+
+    /** Guards against an instance that pauses again and again and has the prompt computed for nothing each time. */
+    @Test
+    void repeatedSilenceDoesNotComputeThePromptAgainAndAgain() {
+        RequestProcessorFixture fixture = fixtureWithSentRequest();
+        SentRequest attempt = fixture.client.last();
+        attempt.head(200, RequestProcessorFixture.MATCHING_RESPONSE_HEADERS);
+        for (int event = 1; event <= 3; event++) {
+            attempt.bytes("id: " + event + "\ndata: a\n\n");
+            fixture.staySilent(attempt, 1_250);
+            fixture.grantMemory("hold-" + event);
+        }
+        attempt.bytes("id: 4\ndata: a\n\n");
+        assertThat(fixture.client.sent().stream()
+                        .filter(sent -> sent.request().path().equals("/f1/prefill")))
+                .hasSizeLessThanOrEqualTo(2);
+    }
 }
