Soak: an instance that responds with bodies without end

Signed bodies, to every kind of request, until the fault ends. Endless heads are not played: the stand-in's server can't send them.

--- a/proving/src/main/java/org/merlinwood/proving/soak/FaultKind.java
+++ b/proving/src/main/java/org/merlinwood/proving/soak/FaultKind.java
@@ -35,6 +35,8 @@
     CONFIGURATION_CHANGES(Target.STORE),
     /** An instance declines all requests until the end of the fault, and names the time. */
     INSTANCE_DECLINES(Target.INSTANCE),
+    /** An instance responds to every request with a body that has no end, until the end of the fault. */
+    INSTANCE_ENDLESS(Target.INSTANCE),
     /** The store is restored from a backup; what it lost is written again at the end of the fault. */
     STORE_RESTORED(Target.STORE);
 
--- a/proving/src/main/java/org/merlinwood/proving/soak/FaultPlan.java
+++ b/proving/src/main/java/org/merlinwood/proving/soak/FaultPlan.java
@@ -38,14 +38,18 @@
      */
     private static final List<FaultKind> ADDED_KINDS = List.of(FaultKind.INSTANCE_DECLINES, FaultKind.STORE_RESTORED);
 
+    /** As {@link #ADDED_KINDS}, in a third sequence. */
+    private static final List<FaultKind> LATER_ADDED_KINDS = List.of(FaultKind.INSTANCE_ENDLESS);
+
     private static final List<FaultKind> KINDS = Arrays.stream(FaultKind.values())
-            .filter(kind -> !ADDED_KINDS.contains(kind))
+            .filter(kind -> !ADDED_KINDS.contains(kind) && !LATER_ADDED_KINDS.contains(kind))
             .toList();
 
     static FaultPlan of(long seed, long lengthMillis, int entries, int instances) {
         List<ScheduledFault> faults = new ArrayList<>();
         addFaults(faults, KINDS, MEAN_INTERVAL_MILLIS, seed, lengthMillis, entries, instances);
         addFaults(faults, ADDED_KINDS, ADDED_MEAN_INTERVAL_MILLIS, ~seed, lengthMillis, entries, instances);
+        addFaults(faults, LATER_ADDED_KINDS, ADDED_MEAN_INTERVAL_MILLIS, -seed, lengthMillis, entries, instances);
         faults.sort(Comparator.comparingLong(ScheduledFault::atMillis));
         return new FaultPlan(List.copyOf(faults));
     }
--- a/proving/src/main/java/org/merlinwood/proving/soak/SoakDeployment.java
+++ b/proving/src/main/java/org/merlinwood/proving/soak/SoakDeployment.java
@@ -161,6 +161,7 @@
                 register(target, true);
             }
             case INSTANCE_DECLINES -> instances.get(target).decline(fault.forMillis());
+            case INSTANCE_ENDLESS -> instances.get(target).endless(true);
             case STORE_RESTORED -> store.restore(BACKUP_AGE_MILLIS);
             case STORE_SILENT -> storePath.mode(ForwardingMode.SILENT, ForwardingDirection.BOTH, 0);
             case STORE_RESET -> storePath.mode(ForwardingMode.DROP, ForwardingDirection.BOTH, 0);
@@ -185,6 +186,7 @@
                 register(target, false);
             }
             case INSTANCE_DECLINES -> instances.get(target).decline(0);
+            case INSTANCE_ENDLESS -> instances.get(target).endless(false);
             case STORE_RESTORED -> writeAgain();
             case STORE_SILENT, STORE_RESET -> storePath.mode(ForwardingMode.PASS, ForwardingDirection.BOTH, 0);
             case ENTRY_RELOADS, CONFIGURATION_CHANGES -> {}
