The head of a stream is forwarded with its first event

What callers saw: a stream whose instance was lost between the head of its response and the first event ended with a closed connection, although the caller had received no byte.

Cause: the response counted as begun with the head of the instance, while the server sends the head only together with the first bytes.

Change: the head is forwarded with the first event or the end; until then an error response can be sent, or another attempt's head. streamWithoutAnyEventEndsWithAnErrorResponse failed before (aborted).

--- a/gateway/src/main/java/org/merlinwood/gateway/front/StreamRequestProcessor.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/StreamRequestProcessor.java
@@ -511,6 +511,7 @@
                 .with("firstEventMillis", generation.firstEventElapsedMillis)
                 .write();
         context.metrics().recordCompletion(route.kind(), generation.head.status(), elapsedMillis());
+        generation.beginResponse();
         byte[] incompleteEvent = events.drainIncomplete();
         if (incompleteEvent.length > 0) {
             channel.write(incompleteEvent);
@@ -610,9 +611,16 @@
             if (streaming) {
                 onSilentInstanceGoesOn();
             }
-            if (streaming && !responseStarted && !isFinished()) {
+        }
+
+        /**
+         * Forwards the head, before the first part of the response. Until then the caller has received nothing, so an
+         * error response can still be sent, and another attempt can send its own head.
+         */
+        private void beginResponse() {
+            if (!responseStarted) {
                 responseStarted = true;
-                channel.begin(status, head.forwardedHeaders());
+                channel.begin(head.status(), head.forwardedHeaders());
             }
         }
 
@@ -649,6 +657,7 @@
                 firstEventAtMillis = context.clock().monotonicMillis();
                 context.metrics().recordDuration("first_event_milliseconds", firstEventElapsedMillis);
             }
+            beginResponse();
             channel.write(completeEvents);
         }
 
--- a/gateway/src/test/java/org/merlinwood/gateway/front/SilentStreamTest.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/front/SilentStreamTest.java
@@ -272,4 +272,16 @@
                         .filter(sent -> sent.request().path().equals("/f1/prefill")))
                 .hasSizeLessThanOrEqualTo(2);
     }
+
+    /** Guards against a stream that ends with a bare close although its caller has not received anything yet. */
+    @Test
+    void streamWithoutAnyEventEndsWithAnErrorResponse() {
+        RequestProcessorFixture fixture = fixtureWithSentRequest();
+        SentRequest attempt = fixture.client.last();
+        attempt.head(200, RequestProcessorFixture.MATCHING_RESPONSE_HEADERS);
+        while (fixture.retryAllowance.tryAcquire("service")) {}
+        attempt.fail(ResultCode.UPSTREAM_TRUNCATED, ExecutionState.UNKNOWN);
+        assertThat(fixture.caller.aborted).isFalse();
+        assertThat(fixture.caller.status).isGreaterThanOrEqualTo(502);
+    }
 }
