--- a/gateway/src/test/java/org/merlinwood/gateway/front/PlainRequestProcessorTest.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/front/PlainRequestProcessorTest.java
@@ -160,4 +160,22 @@
         assertThat(fixture.caller.body).isEqualTo("retried");
         assertThat(fixture.pool.sharedWork().own()).isEmpty();
     }
+
+    /** Guards against a body without end that drips, and takes the time of another attempt with it. */
+    @Test
+    void attemptWhoseBodyDripsIsCancelledWhenAnotherInstanceIsTried() {
+        RequestProcessorFixture fixture = new RequestProcessorFixture(RequestKind.IDEMPOTENT, false);
+        fixture.register(Stage.PLAIN, "p1", "p2");
+        fixture.sendRequest("/p/x");
+        FakeHttpClient.SentRequest dripping = fixture.client.last();
+        dripping.head(200, RequestProcessorFixture.MATCHING_RESPONSE_HEADERS);
+        long halfMillis = RequestProcessorFixture.CALLER_TIME_MILLIS / 2;
+        for (long elapsedMillis = 0; elapsedMillis <= halfMillis && !dripping.ended(); elapsedMillis += 100) {
+            dripping.bytes("x");
+            fixture.loop.advance(100);
+        }
+        assertThat(dripping.ended()).isTrue();
+        fixture.client.last().respond(200, "retried", RequestProcessorFixture.MATCHING_RESPONSE_HEADERS);
+        assertThat(fixture.caller.body).isEqualTo("retried");
+    }
 }
