--- a/gateway/src/main/java/org/merlinwood/gateway/front/StreamRequestProcessor.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/StreamRequestProcessor.java
@@ -333,11 +333,7 @@
         Failure silence = Failure.of(ResultCode.UPSTREAM_TIMEOUT, "the instance is silent");
         pauseInstance(silent.instance(), silence);
         NextStep step = RetryPolicy.decide(
-                new AttemptOutcome.Broken(silence),
-                route,
-                attemptsSent + 1,
-                unreachedAttempts,
-                () -> context.retryAllowance().tryAcquire(service));
+                new AttemptOutcome.Broken(silence), route, attemptsSent + 1, unreachedAttempts, this::tryAcquireRetry);
         boolean replaced = step instanceof NextStep.Repeat;
         decisionLine("instance silent")
                 .with("instance", silent.instance().identifier())
@@ -441,12 +437,7 @@
         }
         NextStep step = prefillResultLost
                 ? nextStepWithoutPrefillResult()
-                : RetryPolicy.decide(
-                        outcome,
-                        route,
-                        attemptsSent,
-                        unreachedAttempts,
-                        () -> context.retryAllowance().tryAcquire(service));
+                : RetryPolicy.decide(outcome, route, attemptsSent, unreachedAttempts, this::tryAcquireRetry);
         decisionLine("attempt ended")
                 .with("instance", generation.instance.identifier())
                 .with("outcome", outcome.toString())
@@ -481,6 +472,11 @@
         }
     }
 
+    /** Consumes one retry of the allowance if there is one and its response could still reach the caller in time. */
+    private boolean tryAcquireRetry() {
+        return timeLeftMillis() > 0 && context.retryAllowance().tryAcquire(service);
+    }
+
     /**
      * Decides what follows when an instance declines because the prefill result no longer exists: if the retry
      * allowance permits, the same instance is sent the request again and computes the prompt itself.
--- a/gateway/src/test/java/org/merlinwood/gateway/front/SilentStreamTest.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/front/SilentStreamTest.java
@@ -284,4 +284,34 @@
         assertThat(fixture.caller.aborted).isFalse();
         assertThat(fixture.caller.status).isGreaterThanOrEqualTo(502);
     }
+
+    /** Guards against work for a caller whose time is over. */
+    @Test
+    void noReplacementIsPreparedAfterTheTimeOfTheCaller() {
+        RequestProcessorFixture fixture = fixtureWithSentRequest();
+        SentRequest attempt = fixture.client.last();
+        begin(attempt);
+        for (int event = 2; event <= 4; event++) {
+            fixture.loop.advance(1_000);
+            attempt.bytes("id: " + event + "\ndata: a\n\n");
+        }
+        int sent = fixture.client.sent().size();
+        fixture.loop.advance(1_250);
+        assertThat(fixture.client.sent()).hasSize(sent);
+    }
+
+    /** Guards against a retry of an attempt that ended because the time of its caller was over. */
+    @Test
+    void attemptThatEndsWithTheTimeOfTheCallerIsNotRetried() {
+        RequestProcessorFixture fixture = fixtureWithSentRequest();
+        SentRequest attempt = fixture.client.last();
+        fixture.fleet.remove("d2");
+        fixture.loop.advance(3_750);
+        attempt.bytes("");
+        fixture.register(Stage.DECODE, "d2");
+        int sent = fixture.client.sent().size();
+        fixture.loop.advance(250);
+        attempt.fail(ResultCode.UPSTREAM_TIMEOUT, ExecutionState.UNKNOWN);
+        assertThat(fixture.client.sent()).hasSize(sent);
+    }
 }
