--- a/gateway/src/main/java/org/merlinwood/gateway/decision/InstanceNotices.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/decision/InstanceNotices.java
@@ -16,9 +16,10 @@
  * instance leaves may also be learned from another entry.
  *
  * <p>That an instance leaves is about one start of it: a restarted instance, or another one at the same address, is not
- * bound by it, and a late response of a former start says nothing about the current one. What was heard while the start
- * was unknown holds for the start that is told later. A named time holds for the instance whatever its start, since it
- * ends by itself and the response may come before the registration of a new start. Confined to the event loop.
+ * bound by it, and a late response of a former start says nothing about the current one. What was learned while the
+ * start was unknown holds for the start that is registered later. A named time holds for the instance whatever its
+ * start, since it ends by itself and the response may come before the registration of a new start. Confined to the
+ * event loop.
  */
 public final class InstanceNotices {
 
@@ -54,7 +55,7 @@
             return new Incarnation(instance.identifier(), instance.startedUnixMillis());
         }
 
-        /** Returns what stands for an instance in notices that were heard before its start was known. */
+        /** Returns what stands for an instance in notices that came before its start was known. */
         static Incarnation ofUnknownStart(UpstreamInstance instance) {
             return new Incarnation(instance.identifier(), UpstreamInstance.UNKNOWN_START);
         }
--- a/gateway/src/main/java/org/merlinwood/gateway/process/InstanceNoticeRecorder.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/process/InstanceNoticeRecorder.java
@@ -11,8 +11,8 @@
 import org.merlinwood.operation.log.DecisionLog;
 
 /**
- * Records what instances state about themselves, with a log line for each news, and reports requests that are sent to
- * an instance against what it stated. Confined to the event loop.
+ * Records what instances state about themselves, with a log line for each notice that tells more than was known, and
+ * reports requests that are sent to an instance against what it stated. Confined to the event loop.
  */
 final class InstanceNoticeRecorder implements InstanceListener {
 
