--- a/gateway/src/main/java/org/merlinwood/gateway/order/StageOrders.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/order/StageOrders.java
@@ -216,7 +216,7 @@
                 .with("fence", leadership.fencingToken())
                 .with("promptTokensPerSecond", Math.round(view.highestPromptRate() * 1_000))
                 .with("prefillTokensPerSecond", Math.round(view.prefillTokensPerMilli() * 1_000))
-                .with("withoutRoom", view.requestsWithoutCapacity())
+                .with("requestsWithoutCapacity", view.requestsWithoutCapacity())
                 .write();
         HttpRequest request = protocol.order(instance, change.stage(), entryName, leadership.fencingToken())
                 .withTimeouts(RESPONSE_TIMEOUT_MILLIS, RESPONSE_TIMEOUT_MILLIS)
--- a/gateway/src/main/java/org/merlinwood/gateway/peer/PeerMessages.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/peer/PeerMessages.java
@@ -19,18 +19,18 @@
     private PeerMessages() {}
 
     static Frame.Builder status(EntryStatus status) {
-        org.merlinwood.wire.EntryNews.Builder builder = org.merlinwood.wire.EntryNews.newBuilder()
+        org.merlinwood.wire.EntryStatus.Builder builder = org.merlinwood.wire.EntryStatus.newBuilder()
                 .setAddress(status.address())
                 .addAllMembers(status.members())
                 .setStoreRevision(status.storePosition().revision())
                 .setStoreEra(status.storePosition().era())
                 .addAllSwitching(status.switching())
-                .setHighestFence(status.highestFencingToken());
+                .setHighestFencingToken(status.highestFencingToken());
         status.demands()
                 .forEach(demand -> builder.addDemands(org.merlinwood.wire.ServiceDemand.newBuilder()
                         .setService(demand.service())
                         .setPromptTokens(demand.promptTokens())
-                        .setWithoutRoom(demand.requestsWithoutCapacity())));
+                        .setRequestsWithoutCapacity(demand.requestsWithoutCapacity())));
         status.work().forEach(work -> builder.addWork(work(work)));
         status.lostRuns()
                 .forEach(run -> builder.addLostRuns(org.merlinwood.wire.LostRun.newBuilder()
@@ -40,10 +40,10 @@
                 .forEach(instance -> builder.addLeaving(org.merlinwood.wire.LeavingInstance.newBuilder()
                         .setInstance(instance.instance())
                         .setStartedUnixMillis(instance.startedUnixMillis())));
-        return Frame.newBuilder().setEntryNews(builder);
+        return Frame.newBuilder().setEntryStatus(builder);
     }
 
-    static EntryStatus status(org.merlinwood.wire.EntryNews wire) {
+    static EntryStatus status(org.merlinwood.wire.EntryStatus wire) {
         return new EntryStatus(
                 wire.getAddress(),
                 List.copyOf(wire.getMembersList()),
@@ -54,10 +54,10 @@
                         .toList(),
                 wire.getDemandsList().stream()
                         .map(demand -> new EntryStatus.ServiceDemand(
-                                demand.getService(), demand.getPromptTokens(), demand.getWithoutRoom()))
+                                demand.getService(), demand.getPromptTokens(), demand.getRequestsWithoutCapacity()))
                         .toList(),
                 List.copyOf(wire.getSwitchingList()),
-                wire.getHighestFence(),
+                wire.getHighestFencingToken(),
                 wire.getLeavingList().stream()
                         .map(instance -> new EntryStatus.LeavingInstance(
                                 instance.getInstance(), instance.getStartedUnixMillis()))
@@ -108,16 +108,16 @@
                 .setRunning(work.running())
                 .setPromptTokens(work.promptTokens());
         work.generations()
-                .forEach(generation -> builder.addHeldTokens(generation.occupiedTokens())
+                .forEach(generation -> builder.addOccupiedTokens(generation.occupiedTokens())
                         .addRemainingTokens(generation.remainingTokens()));
         return builder;
     }
 
     private static EntryStatus.InstanceWork work(org.merlinwood.wire.InstanceWork wire) {
         List<MemoryForecast.Growth> generations = new ArrayList<>();
-        int count = Math.min(wire.getHeldTokensCount(), wire.getRemainingTokensCount());
+        int count = Math.min(wire.getOccupiedTokensCount(), wire.getRemainingTokensCount());
         for (int index = 0; index < count; index++) {
-            generations.add(new MemoryForecast.Growth(wire.getHeldTokens(index), wire.getRemainingTokens(index)));
+            generations.add(new MemoryForecast.Growth(wire.getOccupiedTokens(index), wire.getRemainingTokens(index)));
         }
         return new EntryStatus.InstanceWork(wire.getInstance(), wire.getRunning(), wire.getPromptTokens(), generations);
     }
--- a/gateway/src/main/java/org/merlinwood/gateway/peer/PeerSessions.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/peer/PeerSessions.java
@@ -115,7 +115,7 @@
                 .keys(List.of(key))
                 .listenAddress(listenAddress)
                 .threads(1)
-                .acceptor(Frame.BodyCase.ENTRY_NEWS, this::accept)
+                .acceptor(Frame.BodyCase.ENTRY_STATUS, this::accept)
                 .build();
     }
 
@@ -238,7 +238,7 @@
             @Override
             public void onFrame(Exchange source, Frame frame) {
                 switch (frame.getBodyCase()) {
-                    case ENTRY_NEWS -> loop.execute(() -> onStatus(frame));
+                    case ENTRY_STATUS -> loop.execute(() -> onStatus(frame));
                     case STORE_CHANGES_REQUEST ->
                         loop.execute(() -> sendChanges(source, PeerMessages.after(frame.getStoreChangesRequest())));
                     default -> source.connection().close(ResultCode.PROTOCOL_VIOLATION);
@@ -253,7 +253,7 @@
     }
 
     private void onStatus(Frame frame) {
-        EntryStatus status = PeerMessages.status(frame.getEntryNews());
+        EntryStatus status = PeerMessages.status(frame.getEntryStatus());
         lastStatusMillis.put(status.address(), clock.monotonicMillis());
         addAddress(status.address());
         status.members().forEach(this::addAddress);
--- a/gateway/src/test/java/org/merlinwood/gateway/peer/PeerMessagesTest.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/peer/PeerMessagesTest.java
@@ -29,7 +29,7 @@
                 List.of("i-3"),
                 99,
                 List.of(new EntryStatus.LeavingInstance("i-4", 1_764_832_382_000L)));
-        assertThat(PeerMessages.status(PeerMessages.status(status).build().getEntryNews()))
+        assertThat(PeerMessages.status(PeerMessages.status(status).build().getEntryStatus()))
                 .isEqualTo(status);
     }
 
--- a/wire-generated/src/main/java/org/merlinwood/wire/EntryNews.java
+++ b/wire-generated/src/main/java/org/merlinwood/wire/EntryStatus.java
@@ -10,13 +10,13 @@
  * What one entry tells the others, several times a second.
  * </pre>
  *
- * Protobuf type {@code merlinwood.wire.v1.EntryNews}
+ * Protobuf type {@code merlinwood.wire.v1.EntryStatus}
  */
 @com.google.protobuf.Generated
-public final class EntryNews extends
+public final class EntryStatus extends
     com.google.protobuf.GeneratedMessage implements
-    // @@protoc_insertion_point(message_implements:merlinwood.wire.v1.EntryNews)
-    EntryNewsOrBuilder {
+    // @@protoc_insertion_point(message_implements:merlinwood.wire.v1.EntryStatus)
+    EntryStatusOrBuilder {
 private static final long serialVersionUID = 0L;
   static {
     com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
@@ -25,13 +25,13 @@
       /* minor= */ 36,
       /* patch= */ 2,
       /* suffix= */ "",
-      "EntryNews");
+      "EntryStatus");
   }
-  // Use EntryNews.newBuilder() to construct.
-  private EntryNews(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+  // Use EntryStatus.newBuilder() to construct.
+  private EntryStatus(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
     super(builder);
   }
-  private EntryNews() {
+  private EntryStatus() {
     address_ = "";
     members_ =
         com.google.protobuf.LazyStringArrayList.emptyList();
@@ -45,20 +45,20 @@
 
   public static final com.google.protobuf.Descriptors.Descriptor
       getDescriptor() {
-    return org.merlinwood.wire.Merlinwood.internal_static_merlinwood_wire_v1_EntryNews_descriptor;
+    return org.merlinwood.wire.Merlinwood.internal_static_merlinwood_wire_v1_EntryStatus_descriptor;
   }
 
   @java.lang.Override
   public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
-    return org.merlinwood.wire.Merlinwood.internal_static_merlinwood_wire_v1_EntryNews_descriptor;
+    return org.merlinwood.wire.Merlinwood.internal_static_merlinwood_wire_v1_EntryStatus_descriptor;
   }
 
   @java.lang.Override
   protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internalGetFieldAccessorTable() {
-    return org.merlinwood.wire.Merlinwood.internal_static_merlinwood_wire_v1_EntryNews_fieldAccessorTable
+    return org.merlinwood.wire.Merlinwood.internal_static_merlinwood_wire_v1_EntryStatus_fieldAccessorTable
         .ensureFieldAccessorsInitialized(
-            org.merlinwood.wire.EntryNews.class, org.merlinwood.wire.EntryNews.Builder.class);
+            org.merlinwood.wire.EntryStatus.class, org.merlinwood.wire.EntryStatus.Builder.class);
   }
 
   public static final int ADDRESS_FIELD_NUMBER = 1;
@@ -222,7 +222,7 @@
   private java.util.List<org.merlinwood.wire.LostRun> lostRuns_;
   /**
    * <pre>
-   * Requests whose runs ended with a lost instance since the news before.
+   * Requests whose runs ended with a lost instance since the status before.
    * </pre>
    *
    * <code>repeated .merlinwood.wire.v1.LostRun lost_runs = 5;</code>
@@ -233,7 +233,7 @@
   }
   /**
    * <pre>
-   * Requests whose runs ended with a lost instance since the news before.
+   * Requests whose runs ended with a lost instance since the status before.
    * </pre>
    *
    * <code>repeated .merlinwood.wire.v1.LostRun lost_runs = 5;</code>
@@ -245,7 +245,7 @@
   }
   /**
    * <pre>
-   * Requests whose runs ended with a lost instance since the news before.
+   * Requests whose runs ended with a lost instance since the status before.
    * </pre>
    *
    * <code>repeated .merlinwood.wire.v1.LostRun lost_runs = 5;</code>
@@ -256,7 +256,7 @@
   }
   /**
    * <pre>
-   * Requests whose runs ended with a lost instance since the news before.
+   * Requests whose runs ended with a lost instance since the status before.
    * </pre>
    *
    * <code>repeated .merlinwood.wire.v1.LostRun lost_runs = 5;</code>
@@ -267,7 +267,7 @@
   }
   /**
    * <pre>
-   * Requests whose runs ended with a lost instance since the news before.
+   * Requests whose runs ended with a lost instance since the status before.
    * </pre>
    *
    * <code>repeated .merlinwood.wire.v1.LostRun lost_runs = 5;</code>
@@ -372,19 +372,19 @@
     return switching_.getByteString(index);
   }
 
-  public static final int HIGHEST_FENCE_FIELD_NUMBER = 8;
-  private long highestFence_ = 0L;
+  public static final int HIGHEST_FENCING_TOKEN_FIELD_NUMBER = 8;
+  private long highestFencingToken_ = 0L;
   /**
    * <pre>
    * Highest fencing token of an order that the sender knows of.
    * </pre>
    *
-   * <code>uint64 highest_fence = 8;</code>
-   * @return The highestFence.
+   * <code>uint64 highest_fencing_token = 8;</code>
+   * @return The highestFencingToken.
    */
   @java.lang.Override
-  public long getHighestFence() {
-    return highestFence_;
+  public long getHighestFencingToken() {
+    return highestFencingToken_;
   }
 
   public static final int STORE_ERA_FIELD_NUMBER = 9;
@@ -498,8 +498,8 @@
     for (int i = 0; i < switching_.size(); i++) {
       com.google.protobuf.GeneratedMessage.writeString(output, 7, switching_.getRaw(i));
     }
-    if (highestFence_ != 0L) {
-      output.writeUInt64(8, highestFence_);
+    if (highestFencingToken_ != 0L) {
+      output.writeUInt64(8, highestFencingToken_);
     }
     if (storeEra_ != 0L) {
       output.writeUInt64(9, storeEra_);
@@ -561,9 +561,9 @@
       size += dataSize;
       size += 1 * getSwitchingList().size();
     }
-    if (highestFence_ != 0L) {
+    if (highestFencingToken_ != 0L) {
       size += com.google.protobuf.CodedOutputStream
-        .computeUInt64Size(8, highestFence_);
+        .computeUInt64Size(8, highestFencingToken_);
     }
     if (storeEra_ != 0L) {
       size += com.google.protobuf.CodedOutputStream
@@ -597,10 +597,10 @@
     if (obj == this) {
      return true;
     }
-    if (!(obj instanceof org.merlinwood.wire.EntryNews)) {
+    if (!(obj instanceof org.merlinwood.wire.EntryStatus)) {
       return super.equals(obj);
     }
-    org.merlinwood.wire.EntryNews other = (org.merlinwood.wire.EntryNews) obj;
+    org.merlinwood.wire.EntryStatus other = (org.merlinwood.wire.EntryStatus) obj;
 
     if (!getAddress()
         .equals(other.getAddress())) return false;
@@ -616,8 +616,8 @@
         .equals(other.getDemandsList())) return false;
     if (!getSwitchingList()
         .equals(other.getSwitchingList())) return false;
-    if (getHighestFence()
-        != other.getHighestFence()) return false;
+    if (getHighestFencingToken()
+        != other.getHighestFencingToken()) return false;
     if (getStoreEra()
         != other.getStoreEra()) return false;
     if (!getLeavingList()
@@ -658,9 +658,9 @@
       hash = (37 * hash) + SWITCHING_FIELD_NUMBER;
       hash = (53 * hash) + getSwitchingList().hashCode();
     }
-    hash = (37 * hash) + HIGHEST_FENCE_FIELD_NUMBER;
+    hash = (37 * hash) + HIGHEST_FENCING_TOKEN_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-        getHighestFence());
+        getHighestFencingToken());
     hash = (37 * hash) + STORE_ERA_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getStoreEra());
@@ -673,44 +673,44 @@
     return hash;
   }
 
-  public static org.merlinwood.wire.EntryNews parseFrom(
+  public static org.merlinwood.wire.EntryStatus parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
-  public static org.merlinwood.wire.EntryNews parseFrom(
+  public static org.merlinwood.wire.EntryStatus parseFrom(
       java.nio.ByteBuffer data,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
-  public static org.merlinwood.wire.EntryNews parseFrom(
+  public static org.merlinwood.wire.EntryStatus parseFrom(
       com.google.protobuf.ByteString data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
-  public static org.merlinwood.wire.EntryNews parseFrom(
+  public static org.merlinwood.wire.EntryStatus parseFrom(
       com.google.protobuf.ByteString data,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
-  public static org.merlinwood.wire.EntryNews parseFrom(byte[] data)
+  public static org.merlinwood.wire.EntryStatus parseFrom(byte[] data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
-  public static org.merlinwood.wire.EntryNews parseFrom(
+  public static org.merlinwood.wire.EntryStatus parseFrom(
       byte[] data,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
-  public static org.merlinwood.wire.EntryNews parseFrom(java.io.InputStream input)
+  public static org.merlinwood.wire.EntryStatus parseFrom(java.io.InputStream input)
       throws java.io.IOException {
     return com.google.protobuf.GeneratedMessage
         .parseWithIOException(PARSER, input);
   }
-  public static org.merlinwood.wire.EntryNews parseFrom(
+  public static org.merlinwood.wire.EntryStatus parseFrom(
       java.io.InputStream input,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
@@ -718,26 +718,26 @@
         .parseWithIOException(PARSER, input, extensionRegistry);
   }
 
-  public static org.merlinwood.wire.EntryNews parseDelimitedFrom(java.io.InputStream input)
+  public static org.merlinwood.wire.EntryStatus parseDelimitedFrom(java.io.InputStream input)
       throws java.io.IOException {
     return com.google.protobuf.GeneratedMessage
         .parseDelimitedWithIOException(PARSER, input);
   }
 
-  public static org.merlinwood.wire.EntryNews parseDelimitedFrom(
+  public static org.merlinwood.wire.EntryStatus parseDelimitedFrom(
       java.io.InputStream input,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
     return com.google.protobuf.GeneratedMessage
         .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
   }
-  public static org.merlinwood.wire.EntryNews parseFrom(
+  public static org.merlinwood.wire.EntryStatus parseFrom(
       com.google.protobuf.CodedInputStream input)
       throws java.io.IOException {
     return com.google.protobuf.GeneratedMessage
         .parseWithIOException(PARSER, input);
   }
-  public static org.merlinwood.wire.EntryNews parseFrom(
+  public static org.merlinwood.wire.EntryStatus parseFrom(
       com.google.protobuf.CodedInputStream input,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
@@ -750,7 +750,7 @@
   public static Builder newBuilder() {
     return DEFAULT_INSTANCE.toBuilder();
   }
-  public static Builder newBuilder(org.merlinwood.wire.EntryNews prototype) {
+  public static Builder newBuilder(org.merlinwood.wire.EntryStatus prototype) {
     return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
   }
   @java.lang.Override
@@ -770,26 +770,26 @@
    * What one entry tells the others, several times a second.
    * </pre>
    *
-   * Protobuf type {@code merlinwood.wire.v1.EntryNews}
+   * Protobuf type {@code merlinwood.wire.v1.EntryStatus}
    */
   public static final class Builder extends
       com.google.protobuf.GeneratedMessage.Builder<Builder> implements
-      // @@protoc_insertion_point(builder_implements:merlinwood.wire.v1.EntryNews)
-      org.merlinwood.wire.EntryNewsOrBuilder {
+      // @@protoc_insertion_point(builder_implements:merlinwood.wire.v1.EntryStatus)
+      org.merlinwood.wire.EntryStatusOrBuilder {
     public static final com.google.protobuf.Descriptors.Descriptor
         getDescriptor() {
-      return org.merlinwood.wire.Merlinwood.internal_static_merlinwood_wire_v1_EntryNews_descriptor;
+      return org.merlinwood.wire.Merlinwood.internal_static_merlinwood_wire_v1_EntryStatus_descriptor;
     }
 
     @java.lang.Override
     protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
         internalGetFieldAccessorTable() {
-      return org.merlinwood.wire.Merlinwood.internal_static_merlinwood_wire_v1_EntryNews_fieldAccessorTable
+      return org.merlinwood.wire.Merlinwood.internal_static_merlinwood_wire_v1_EntryStatus_fieldAccessorTable
           .ensureFieldAccessorsInitialized(
-              org.merlinwood.wire.EntryNews.class, org.merlinwood.wire.EntryNews.Builder.class);
+              org.merlinwood.wire.EntryStatus.class, org.merlinwood.wire.EntryStatus.Builder.class);
     }
 
-    // Construct using org.merlinwood.wire.EntryNews.newBuilder()
+    // Construct using org.merlinwood.wire.EntryStatus.newBuilder()
     private Builder() {
 
     }
@@ -830,7 +830,7 @@
       bitField0_ = (bitField0_ & ~0x00000020);
       switching_ =
           com.google.protobuf.LazyStringArrayList.emptyList();
-      highestFence_ = 0L;
+      highestFencingToken_ = 0L;
       storeEra_ = 0L;
       if (leavingBuilder_ == null) {
         leaving_ = java.util.Collections.emptyList();
@@ -845,17 +845,17 @@
     @java.lang.Override
     public com.google.protobuf.Descriptors.Descriptor
         getDescriptorForType() {
-      return org.merlinwood.wire.Merlinwood.internal_static_merlinwood_wire_v1_EntryNews_descriptor;
+      return org.merlinwood.wire.Merlinwood.internal_static_merlinwood_wire_v1_EntryStatus_descriptor;
     }
 
     @java.lang.Override
-    public org.merlinwood.wire.EntryNews getDefaultInstanceForType() {
-      return org.merlinwood.wire.EntryNews.getDefaultInstance();
+    public org.merlinwood.wire.EntryStatus getDefaultInstanceForType() {
+      return org.merlinwood.wire.EntryStatus.getDefaultInstance();
     }
 
     @java.lang.Override
-    public org.merlinwood.wire.EntryNews build() {
-      org.merlinwood.wire.EntryNews result = buildPartial();
+    public org.merlinwood.wire.EntryStatus build() {
+      org.merlinwood.wire.EntryStatus result = buildPartial();
       if (!result.isInitialized()) {
         throw newUninitializedMessageException(result);
       }
@@ -863,15 +863,15 @@
     }
 
     @java.lang.Override
-    public org.merlinwood.wire.EntryNews buildPartial() {
-      org.merlinwood.wire.EntryNews result = new org.merlinwood.wire.EntryNews(this);
+    public org.merlinwood.wire.EntryStatus buildPartial() {
+      org.merlinwood.wire.EntryStatus result = new org.merlinwood.wire.EntryStatus(this);
       buildPartialRepeatedFields(result);
       if (bitField0_ != 0) { buildPartial0(result); }
       onBuilt();
       return result;
     }
 
-    private void buildPartialRepeatedFields(org.merlinwood.wire.EntryNews result) {
+    private void buildPartialRepeatedFields(org.merlinwood.wire.EntryStatus result) {
       if (workBuilder_ == null) {
         if (((bitField0_ & 0x00000008) != 0)) {
           work_ = java.util.Collections.unmodifiableList(work_);
@@ -910,7 +910,7 @@
       }
     }
 
-    private void buildPartial0(org.merlinwood.wire.EntryNews result) {
+    private void buildPartial0(org.merlinwood.wire.EntryStatus result) {
       int from_bitField0_ = bitField0_;
       if (((from_bitField0_ & 0x00000001) != 0)) {
         result.address_ = address_;
@@ -927,7 +927,7 @@
         result.switching_ = switching_;
       }
       if (((from_bitField0_ & 0x00000080) != 0)) {
-        result.highestFence_ = highestFence_;
+        result.highestFencingToken_ = highestFencingToken_;
       }
       if (((from_bitField0_ & 0x00000100) != 0)) {
         result.storeEra_ = storeEra_;
@@ -936,16 +936,16 @@
 
     @java.lang.Override
     public Builder mergeFrom(com.google.protobuf.Message other) {
-      if (other instanceof org.merlinwood.wire.EntryNews) {
-        return mergeFrom((org.merlinwood.wire.EntryNews)other);
+      if (other instanceof org.merlinwood.wire.EntryStatus) {
+        return mergeFrom((org.merlinwood.wire.EntryStatus)other);
       } else {
         super.mergeFrom(other);
         return this;
       }
     }
 
-    public Builder mergeFrom(org.merlinwood.wire.EntryNews other) {
-      if (other == org.merlinwood.wire.EntryNews.getDefaultInstance()) return this;
+    public Builder mergeFrom(org.merlinwood.wire.EntryStatus other) {
+      if (other == org.merlinwood.wire.EntryStatus.getDefaultInstance()) return this;
       if (!other.getAddress().isEmpty()) {
         address_ = other.address_;
         bitField0_ |= 0x00000001;
@@ -1052,8 +1052,8 @@
         }
         onChanged();
       }
-      if (other.getHighestFence() != 0L) {
-        setHighestFence(other.getHighestFence());
+      if (other.getHighestFencingToken() != 0L) {
+        setHighestFencingToken(other.getHighestFencingToken());
       }
       if (other.getStoreEra() != 0L) {
         setStoreEra(other.getStoreEra());
@@ -1168,7 +1168,7 @@
               break;
             } // case 58
             case 64: {
-              highestFence_ = input.readUInt64();
+              highestFencingToken_ = input.readUInt64();
               bitField0_ |= 0x00000080;
               break;
             } // case 64
@@ -1738,7 +1738,7 @@
 
     /**
      * <pre>
-     * Requests whose runs ended with a lost instance since the news before.
+     * Requests whose runs ended with a lost instance since the status before.
      * </pre>
      *
      * <code>repeated .merlinwood.wire.v1.LostRun lost_runs = 5;</code>
@@ -1752,7 +1752,7 @@
     }
     /**
      * <pre>
-     * Requests whose runs ended with a lost instance since the news before.
+     * Requests whose runs ended with a lost instance since the status before.
      * </pre>
      *
      * <code>repeated .merlinwood.wire.v1.LostRun lost_runs = 5;</code>
@@ -1766,7 +1766,7 @@
     }
     /**
      * <pre>
-     * Requests whose runs ended with a lost instance since the news before.
+     * Requests whose runs ended with a lost instance since the status before.
      * </pre>
      *
      * <code>repeated .merlinwood.wire.v1.LostRun lost_runs = 5;</code>
@@ -1780,7 +1780,7 @@
     }
     /**
      * <pre>
-     * Requests whose runs ended with a lost instance since the news before.
+     * Requests whose runs ended with a lost instance since the status before.
      * </pre>
      *
      * <code>repeated .merlinwood.wire.v1.LostRun lost_runs = 5;</code>
@@ -1799,7 +1799,7 @@
     }
     /**
      * <pre>
-     * Requests whose runs ended with a lost instance since the news before.
+     * Requests whose runs ended with a lost instance since the status before.
      * </pre>
      *
      * <code>repeated .merlinwood.wire.v1.LostRun lost_runs = 5;</code>
@@ -1817,7 +1817,7 @@
     }
     /**
      * <pre>
-     * Requests whose runs ended with a lost instance since the news before.
+     * Requests whose runs ended with a lost instance since the status before.
      * </pre>
      *
      * <code>repeated .merlinwood.wire.v1.LostRun lost_runs = 5;</code>
@@ -1835,7 +1835,7 @@
     }
     /**
      * <pre>
-     * Requests whose runs ended with a lost instance since the news before.
+     * Requests whose runs ended with a lost instance since the status before.
      * </pre>
      *
      * <code>repeated .merlinwood.wire.v1.LostRun lost_runs = 5;</code>
@@ -1854,7 +1854,7 @@
     }
     /**
      * <pre>
-     * Requests whose runs ended with a lost instance since the news before.
+     * Requests whose runs ended with a lost instance since the status before.
      * </pre>
      *
      * <code>repeated .merlinwood.wire.v1.LostRun lost_runs = 5;</code>
@@ -1872,7 +1872,7 @@
     }
     /**
      * <pre>
-     * Requests whose runs ended with a lost instance since the news before.
+     * Requests whose runs ended with a lost instance since the status before.
      * </pre>
      *
      * <code>repeated .merlinwood.wire.v1.LostRun lost_runs = 5;</code>
@@ -1890,7 +1890,7 @@
     }
     /**
      * <pre>
-     * Requests whose runs ended with a lost instance since the news before.
+     * Requests whose runs ended with a lost instance since the status before.
      * </pre>
      *
      * <code>repeated .merlinwood.wire.v1.LostRun lost_runs = 5;</code>
@@ -1909,7 +1909,7 @@
     }
     /**
      * <pre>
-     * Requests whose runs ended with a lost instance since the news before.
+     * Requests whose runs ended with a lost instance since the status before.
      * </pre>
      *
      * <code>repeated .merlinwood.wire.v1.LostRun lost_runs = 5;</code>
@@ -1926,7 +1926,7 @@
     }
     /**
      * <pre>
-     * Requests whose runs ended with a lost instance since the news before.
+     * Requests whose runs ended with a lost instance since the status before.
      * </pre>
      *
      * <code>repeated .merlinwood.wire.v1.LostRun lost_runs = 5;</code>
@@ -1943,7 +1943,7 @@
     }
     /**
      * <pre>
-     * Requests whose runs ended with a lost instance since the news before.
+     * Requests whose runs ended with a lost instance since the status before.
      * </pre>
      *
      * <code>repeated .merlinwood.wire.v1.LostRun lost_runs = 5;</code>
@@ -1954,7 +1954,7 @@
     }
     /**
      * <pre>
-     * Requests whose runs ended with a lost instance since the news before.
+     * Requests whose runs ended with a lost instance since the status before.
      * </pre>
      *
      * <code>repeated .merlinwood.wire.v1.LostRun lost_runs = 5;</code>
@@ -1968,7 +1968,7 @@
     }
     /**
      * <pre>
-     * Requests whose runs ended with a lost instance since the news before.
+     * Requests whose runs ended with a lost instance since the status before.
      * </pre>
      *
      * <code>repeated .merlinwood.wire.v1.LostRun lost_runs = 5;</code>
@@ -1983,7 +1983,7 @@
     }
     /**
      * <pre>
-     * Requests whose runs ended with a lost instance since the news before.
+     * Requests whose runs ended with a lost instance since the status before.
      * </pre>
      *
      * <code>repeated .merlinwood.wire.v1.LostRun lost_runs = 5;</code>
@@ -1994,7 +1994,7 @@
     }
     /**
      * <pre>
-     * Requests whose runs ended with a lost instance since the news before.
+     * Requests whose runs ended with a lost instance since the status before.
      * </pre>
      *
      * <code>repeated .merlinwood.wire.v1.LostRun lost_runs = 5;</code>
@@ -2006,7 +2006,7 @@
     }
     /**
      * <pre>
-     * Requests whose runs ended with a lost instance since the news before.
+     * Requests whose runs ended with a lost instance since the status before.
      * </pre>
      *
      * <code>repeated .merlinwood.wire.v1.LostRun lost_runs = 5;</code>
@@ -2411,31 +2411,31 @@
       return this;
     }
 
-    private long highestFence_ ;
+    private long highestFencingToken_ ;
     /**
      * <pre>
      * Highest fencing token of an order that the sender knows of.
      * </pre>
      *
-     * <code>uint64 highest_fence = 8;</code>
-     * @return The highestFence.
+     * <code>uint64 highest_fencing_token = 8;</code>
+     * @return The highestFencingToken.
      */
     @java.lang.Override
-    public long getHighestFence() {
-      return highestFence_;
+    public long getHighestFencingToken() {
+      return highestFencingToken_;
     }
     /**
      * <pre>
      * Highest fencing token of an order that the sender knows of.
      * </pre>
      *
-     * <code>uint64 highest_fence = 8;</code>
-     * @param value The highestFence to set.
+     * <code>uint64 highest_fencing_token = 8;</code>
+     * @param value The highestFencingToken to set.
      * @return This builder for chaining.
      */
-    public Builder setHighestFence(long value) {
+    public Builder setHighestFencingToken(long value) {
 
-      highestFence_ = value;
+      highestFencingToken_ = value;
       bitField0_ |= 0x00000080;
       onChanged();
       return this;
@@ -2445,12 +2445,12 @@
      * Highest fencing token of an order that the sender knows of.
      * </pre>
      *
-     * <code>uint64 highest_fence = 8;</code>
+     * <code>uint64 highest_fencing_token = 8;</code>
      * @return This builder for chaining.
      */
-    public Builder clearHighestFence() {
+    public Builder clearHighestFencingToken() {
       bitField0_ = (bitField0_ & ~0x00000080);
-      highestFence_ = 0L;
+      highestFencingToken_ = 0L;
       onChanged();
       return this;
     }
@@ -2805,23 +2805,23 @@
       return leavingBuilder_;
     }
 
-    // @@protoc_insertion_point(builder_scope:merlinwood.wire.v1.EntryNews)
+    // @@protoc_insertion_point(builder_scope:merlinwood.wire.v1.EntryStatus)
   }
 
-  // @@protoc_insertion_point(class_scope:merlinwood.wire.v1.EntryNews)
-  private static final org.merlinwood.wire.EntryNews DEFAULT_INSTANCE;
+  // @@protoc_insertion_point(class_scope:merlinwood.wire.v1.EntryStatus)
+  private static final org.merlinwood.wire.EntryStatus DEFAULT_INSTANCE;
   static {
-    DEFAULT_INSTANCE = new org.merlinwood.wire.EntryNews();
+    DEFAULT_INSTANCE = new org.merlinwood.wire.EntryStatus();
   }
 
-  public static org.merlinwood.wire.EntryNews getDefaultInstance() {
+  public static org.merlinwood.wire.EntryStatus getDefaultInstance() {
     return DEFAULT_INSTANCE;
   }
 
-  private static final com.google.protobuf.Parser<EntryNews>
-      PARSER = new com.google.protobuf.AbstractParser<EntryNews>() {
+  private static final com.google.protobuf.Parser<EntryStatus>
+      PARSER = new com.google.protobuf.AbstractParser<EntryStatus>() {
     @java.lang.Override
-    public EntryNews parsePartialFrom(
+    public EntryStatus parsePartialFrom(
         com.google.protobuf.CodedInputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
@@ -2840,17 +2840,17 @@
     }
   };
 
-  public static com.google.protobuf.Parser<EntryNews> parser() {
+  public static com.google.protobuf.Parser<EntryStatus> parser() {
     return PARSER;
   }
 
   @java.lang.Override
-  public com.google.protobuf.Parser<EntryNews> getParserForType() {
+  public com.google.protobuf.Parser<EntryStatus> getParserForType() {
     return PARSER;
   }
 
   @java.lang.Override
-  public org.merlinwood.wire.EntryNews getDefaultInstanceForType() {
+  public org.merlinwood.wire.EntryStatus getDefaultInstanceForType() {
     return DEFAULT_INSTANCE;
   }
 
--- a/wire-generated/src/main/java/org/merlinwood/wire/EntryNewsOrBuilder.java
+++ b/wire-generated/src/main/java/org/merlinwood/wire/EntryStatusOrBuilder.java
@@ -6,8 +6,8 @@
 package org.merlinwood.wire;
 
 @com.google.protobuf.Generated
-public interface EntryNewsOrBuilder extends
-    // @@protoc_insertion_point(interface_extends:merlinwood.wire.v1.EntryNews)
+public interface EntryStatusOrBuilder extends
+    // @@protoc_insertion_point(interface_extends:merlinwood.wire.v1.EntryStatus)
     com.google.protobuf.MessageOrBuilder {
 
   /**
@@ -107,7 +107,7 @@
 
   /**
    * <pre>
-   * Requests whose runs ended with a lost instance since the news before.
+   * Requests whose runs ended with a lost instance since the status before.
    * </pre>
    *
    * <code>repeated .merlinwood.wire.v1.LostRun lost_runs = 5;</code>
@@ -116,7 +116,7 @@
       getLostRunsList();
   /**
    * <pre>
-   * Requests whose runs ended with a lost instance since the news before.
+   * Requests whose runs ended with a lost instance since the status before.
    * </pre>
    *
    * <code>repeated .merlinwood.wire.v1.LostRun lost_runs = 5;</code>
@@ -124,7 +124,7 @@
   org.merlinwood.wire.LostRun getLostRuns(int index);
   /**
    * <pre>
-   * Requests whose runs ended with a lost instance since the news before.
+   * Requests whose runs ended with a lost instance since the status before.
    * </pre>
    *
    * <code>repeated .merlinwood.wire.v1.LostRun lost_runs = 5;</code>
@@ -132,7 +132,7 @@
   int getLostRunsCount();
   /**
    * <pre>
-   * Requests whose runs ended with a lost instance since the news before.
+   * Requests whose runs ended with a lost instance since the status before.
    * </pre>
    *
    * <code>repeated .merlinwood.wire.v1.LostRun lost_runs = 5;</code>
@@ -141,7 +141,7 @@
       getLostRunsOrBuilderList();
   /**
    * <pre>
-   * Requests whose runs ended with a lost instance since the news before.
+   * Requests whose runs ended with a lost instance since the status before.
    * </pre>
    *
    * <code>repeated .merlinwood.wire.v1.LostRun lost_runs = 5;</code>
@@ -219,10 +219,10 @@
    * Highest fencing token of an order that the sender knows of.
    * </pre>
    *
-   * <code>uint64 highest_fence = 8;</code>
-   * @return The highestFence.
+   * <code>uint64 highest_fencing_token = 8;</code>
+   * @return The highestFencingToken.
    */
-  long getHighestFence();
+  long getHighestFencingToken();
 
   /**
    * <pre>
--- a/wire-generated/src/main/java/org/merlinwood/wire/Frame.java
+++ b/wire-generated/src/main/java/org/merlinwood/wire/Frame.java
@@ -80,7 +80,7 @@
     SUSPICION_REPORT(70),
     SUSPICION_ANSWER(71),
     LOAD_REPORT(80),
-    ENTRY_NEWS(90),
+    ENTRY_STATUS(90),
     STORE_CHANGES_REQUEST(91),
     STORE_CHANGES(92),
     BODY_NOT_SET(0);
@@ -126,7 +126,7 @@
         case 70: return SUSPICION_REPORT;
         case 71: return SUSPICION_ANSWER;
         case 80: return LOAD_REPORT;
-        case 90: return ENTRY_NEWS;
+        case 90: return ENTRY_STATUS;
         case 91: return STORE_CHANGES_REQUEST;
         case 92: return STORE_CHANGES;
         case 0: return BODY_NOT_SET;
@@ -966,35 +966,35 @@
     return org.merlinwood.wire.LoadReport.getDefaultInstance();
   }
 
-  public static final int ENTRY_NEWS_FIELD_NUMBER = 90;
+  public static final int ENTRY_STATUS_FIELD_NUMBER = 90;
   /**
-   * <code>.merlinwood.wire.v1.EntryNews entry_news = 90;</code>
-   * @return Whether the entryNews field is set.
+   * <code>.merlinwood.wire.v1.EntryStatus entry_status = 90;</code>
+   * @return Whether the entryStatus field is set.
    */
   @java.lang.Override
-  public boolean hasEntryNews() {
+  public boolean hasEntryStatus() {
     return bodyCase_ == 90;
   }
   /**
-   * <code>.merlinwood.wire.v1.EntryNews entry_news = 90;</code>
-   * @return The entryNews.
+   * <code>.merlinwood.wire.v1.EntryStatus entry_status = 90;</code>
+   * @return The entryStatus.
    */
   @java.lang.Override
-  public org.merlinwood.wire.EntryNews getEntryNews() {
+  public org.merlinwood.wire.EntryStatus getEntryStatus() {
     if (bodyCase_ == 90) {
-       return (org.merlinwood.wire.EntryNews) body_;
+       return (org.merlinwood.wire.EntryStatus) body_;
     }
-    return org.merlinwood.wire.EntryNews.getDefaultInstance();
+    return org.merlinwood.wire.EntryStatus.getDefaultInstance();
   }
   /**
-   * <code>.merlinwood.wire.v1.EntryNews entry_news = 90;</code>
+   * <code>.merlinwood.wire.v1.EntryStatus entry_status = 90;</code>
    */
   @java.lang.Override
-  public org.merlinwood.wire.EntryNewsOrBuilder getEntryNewsOrBuilder() {
+  public org.merlinwood.wire.EntryStatusOrBuilder getEntryStatusOrBuilder() {
     if (bodyCase_ == 90) {
-       return (org.merlinwood.wire.EntryNews) body_;
+       return (org.merlinwood.wire.EntryStatus) body_;
     }
-    return org.merlinwood.wire.EntryNews.getDefaultInstance();
+    return org.merlinwood.wire.EntryStatus.getDefaultInstance();
   }
 
   public static final int STORE_CHANGES_REQUEST_FIELD_NUMBER = 91;
@@ -1155,7 +1155,7 @@
       output.writeMessage(80, (org.merlinwood.wire.LoadReport) body_);
     }
     if (bodyCase_ == 90) {
-      output.writeMessage(90, (org.merlinwood.wire.EntryNews) body_);
+      output.writeMessage(90, (org.merlinwood.wire.EntryStatus) body_);
     }
     if (bodyCase_ == 91) {
       output.writeMessage(91, (org.merlinwood.wire.StoreChangesRequest) body_);
@@ -1277,7 +1277,7 @@
     }
     if (bodyCase_ == 90) {
       size += com.google.protobuf.CodedOutputStream
-        .computeMessageSize(90, (org.merlinwood.wire.EntryNews) body_);
+        .computeMessageSize(90, (org.merlinwood.wire.EntryStatus) body_);
     }
     if (bodyCase_ == 91) {
       size += com.google.protobuf.CodedOutputStream
@@ -1420,8 +1420,8 @@
             .equals(other.getLoadReport())) return false;
         break;
       case 90:
-        if (!getEntryNews()
-            .equals(other.getEntryNews())) return false;
+        if (!getEntryStatus()
+            .equals(other.getEntryStatus())) return false;
         break;
       case 91:
         if (!getStoreChangesRequest()
@@ -1554,8 +1554,8 @@
         hash = (53 * hash) + getLoadReport().hashCode();
         break;
       case 90:
-        hash = (37 * hash) + ENTRY_NEWS_FIELD_NUMBER;
-        hash = (53 * hash) + getEntryNews().hashCode();
+        hash = (37 * hash) + ENTRY_STATUS_FIELD_NUMBER;
+        hash = (53 * hash) + getEntryStatus().hashCode();
         break;
       case 91:
         hash = (37 * hash) + STORE_CHANGES_REQUEST_FIELD_NUMBER;
@@ -1778,8 +1778,8 @@
       if (loadReportBuilder_ != null) {
         loadReportBuilder_.clear();
       }
-      if (entryNewsBuilder_ != null) {
-        entryNewsBuilder_.clear();
+      if (entryStatusBuilder_ != null) {
+        entryStatusBuilder_.clear();
       }
       if (storeChangesRequestBuilder_ != null) {
         storeChangesRequestBuilder_.clear();
@@ -1936,8 +1936,8 @@
         result.body_ = loadReportBuilder_.build();
       }
       if (bodyCase_ == 90 &&
-          entryNewsBuilder_ != null) {
-        result.body_ = entryNewsBuilder_.build();
+          entryStatusBuilder_ != null) {
+        result.body_ = entryStatusBuilder_.build();
       }
       if (bodyCase_ == 91 &&
           storeChangesRequestBuilder_ != null) {
@@ -2069,8 +2069,8 @@
           mergeLoadReport(other.getLoadReport());
           break;
         }
-        case ENTRY_NEWS: {
-          mergeEntryNews(other.getEntryNews());
+        case ENTRY_STATUS: {
+          mergeEntryStatus(other.getEntryStatus());
           break;
         }
         case STORE_CHANGES_REQUEST: {
@@ -2298,7 +2298,7 @@
             } // case 642
             case 722: {
               input.readMessage(
-                  internalGetEntryNewsFieldBuilder().getBuilder(),
+                  internalGetEntryStatusFieldBuilder().getBuilder(),
                   extensionRegistry);
               bodyCase_ = 90;
               break;
@@ -6037,69 +6037,69 @@
     }
 
     private com.google.protobuf.SingleFieldBuilder<
-        org.merlinwood.wire.EntryNews, org.merlinwood.wire.EntryNews.Builder, org.merlinwood.wire.EntryNewsOrBuilder> entryNewsBuilder_;
+        org.merlinwood.wire.EntryStatus, org.merlinwood.wire.EntryStatus.Builder, org.merlinwood.wire.EntryStatusOrBuilder> entryStatusBuilder_;
     /**
-     * <code>.merlinwood.wire.v1.EntryNews entry_news = 90;</code>
-     * @return Whether the entryNews field is set.
+     * <code>.merlinwood.wire.v1.EntryStatus entry_status = 90;</code>
+     * @return Whether the entryStatus field is set.
      */
     @java.lang.Override
-    public boolean hasEntryNews() {
+    public boolean hasEntryStatus() {
       return bodyCase_ == 90;
     }
     /**
-     * <code>.merlinwood.wire.v1.EntryNews entry_news = 90;</code>
-     * @return The entryNews.
+     * <code>.merlinwood.wire.v1.EntryStatus entry_status = 90;</code>
+     * @return The entryStatus.
      */
     @java.lang.Override
-    public org.merlinwood.wire.EntryNews getEntryNews() {
-      if (entryNewsBuilder_ == null) {
+    public org.merlinwood.wire.EntryStatus getEntryStatus() {
+      if (entryStatusBuilder_ == null) {
         if (bodyCase_ == 90) {
-          return (org.merlinwood.wire.EntryNews) body_;
+          return (org.merlinwood.wire.EntryStatus) body_;
         }
-        return org.merlinwood.wire.EntryNews.getDefaultInstance();
+        return org.merlinwood.wire.EntryStatus.getDefaultInstance();
       } else {
         if (bodyCase_ == 90) {
-          return entryNewsBuilder_.getMessage();
+          return entryStatusBuilder_.getMessage();
         }
-        return org.merlinwood.wire.EntryNews.getDefaultInstance();
+        return org.merlinwood.wire.EntryStatus.getDefaultInstance();
       }
     }
     /**
-     * <code>.merlinwood.wire.v1.EntryNews entry_news = 90;</code>
+     * <code>.merlinwood.wire.v1.EntryStatus entry_status = 90;</code>
      */
-    public Builder setEntryNews(org.merlinwood.wire.EntryNews value) {
-      if (entryNewsBuilder_ == null) {
+    public Builder setEntryStatus(org.merlinwood.wire.EntryStatus value) {
+      if (entryStatusBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
         body_ = value;
         onChanged();
       } else {
-        entryNewsBuilder_.setMessage(value);
+        entryStatusBuilder_.setMessage(value);
       }
       bodyCase_ = 90;
       return this;
     }
     /**
-     * <code>.merlinwood.wire.v1.EntryNews entry_news = 90;</code>
+     * <code>.merlinwood.wire.v1.EntryStatus entry_status = 90;</code>
      */
-    public Builder setEntryNews(
-        org.merlinwood.wire.EntryNews.Builder builderForValue) {
-      if (entryNewsBuilder_ == null) {
+    public Builder setEntryStatus(
+        org.merlinwood.wire.EntryStatus.Builder builderForValue) {
+      if (entryStatusBuilder_ == null) {
         body_ = builderForValue.build();
         onChanged();
       } else {
-        entryNewsBuilder_.setMessage(builderForValue.build());
+        entryStatusBuilder_.setMessage(builderForValue.build());
       }
       bodyCase_ = 90;
       return this;
     }
     /**
-     * <code>.merlinwood.wire.v1.EntryNews entry_news = 90;</code>
+     * <code>.merlinwood.wire.v1.EntryStatus entry_status = 90;</code>
      */
-    public Builder mergeEntryNews(org.merlinwood.wire.EntryNews value) {
-      if (entryNewsBuilder_ == null) {
+    public Builder mergeEntryStatus(org.merlinwood.wire.EntryStatus value) {
+      if (entryStatusBuilder_ == null) {
         if (bodyCase_ == 90 &&
-            body_ != org.merlinwood.wire.EntryNews.getDefaultInstance()) {
-          body_ = org.merlinwood.wire.EntryNews.newBuilder((org.merlinwood.wire.EntryNews) body_)
+            body_ != org.merlinwood.wire.EntryStatus.getDefaultInstance()) {
+          body_ = org.merlinwood.wire.EntryStatus.newBuilder((org.merlinwood.wire.EntryStatus) body_)
               .mergeFrom(value).buildPartial();
         } else {
           body_ = value;
@@ -6107,19 +6107,19 @@
         onChanged();
       } else {
         if (bodyCase_ == 90) {
-          entryNewsBuilder_.mergeFrom(value);
+          entryStatusBuilder_.mergeFrom(value);
         } else {
-          entryNewsBuilder_.setMessage(value);
+          entryStatusBuilder_.setMessage(value);
         }
       }
       bodyCase_ = 90;
       return this;
     }
     /**
-     * <code>.merlinwood.wire.v1.EntryNews entry_news = 90;</code>
+     * <code>.merlinwood.wire.v1.EntryStatus entry_status = 90;</code>
      */
-    public Builder clearEntryNews() {
-      if (entryNewsBuilder_ == null) {
+    public Builder clearEntryStatus() {
+      if (entryStatusBuilder_ == null) {
         if (bodyCase_ == 90) {
           bodyCase_ = 0;
           body_ = null;
@@ -6130,50 +6130,50 @@
           bodyCase_ = 0;
           body_ = null;
         }
-        entryNewsBuilder_.clear();
+        entryStatusBuilder_.clear();
       }
       return this;
     }
     /**
-     * <code>.merlinwood.wire.v1.EntryNews entry_news = 90;</code>
+     * <code>.merlinwood.wire.v1.EntryStatus entry_status = 90;</code>
      */
-    public org.merlinwood.wire.EntryNews.Builder getEntryNewsBuilder() {
-      return internalGetEntryNewsFieldBuilder().getBuilder();
+    public org.merlinwood.wire.EntryStatus.Builder getEntryStatusBuilder() {
+      return internalGetEntryStatusFieldBuilder().getBuilder();
     }
     /**
-     * <code>.merlinwood.wire.v1.EntryNews entry_news = 90;</code>
+     * <code>.merlinwood.wire.v1.EntryStatus entry_status = 90;</code>
      */
     @java.lang.Override
-    public org.merlinwood.wire.EntryNewsOrBuilder getEntryNewsOrBuilder() {
-      if ((bodyCase_ == 90) && (entryNewsBuilder_ != null)) {
-        return entryNewsBuilder_.getMessageOrBuilder();
+    public org.merlinwood.wire.EntryStatusOrBuilder getEntryStatusOrBuilder() {
+      if ((bodyCase_ == 90) && (entryStatusBuilder_ != null)) {
+        return entryStatusBuilder_.getMessageOrBuilder();
       } else {
         if (bodyCase_ == 90) {
-          return (org.merlinwood.wire.EntryNews) body_;
+          return (org.merlinwood.wire.EntryStatus) body_;
         }
-        return org.merlinwood.wire.EntryNews.getDefaultInstance();
+        return org.merlinwood.wire.EntryStatus.getDefaultInstance();
       }
     }
     /**
-     * <code>.merlinwood.wire.v1.EntryNews entry_news = 90;</code>
+     * <code>.merlinwood.wire.v1.EntryStatus entry_status = 90;</code>
      */
     private com.google.protobuf.SingleFieldBuilder<
-        org.merlinwood.wire.EntryNews, org.merlinwood.wire.EntryNews.Builder, org.merlinwood.wire.EntryNewsOrBuilder> 
-        internalGetEntryNewsFieldBuilder() {
-      if (entryNewsBuilder_ == null) {
+        org.merlinwood.wire.EntryStatus, org.merlinwood.wire.EntryStatus.Builder, org.merlinwood.wire.EntryStatusOrBuilder> 
+        internalGetEntryStatusFieldBuilder() {
+      if (entryStatusBuilder_ == null) {
         if (!(bodyCase_ == 90)) {
-          body_ = org.merlinwood.wire.EntryNews.getDefaultInstance();
+          body_ = org.merlinwood.wire.EntryStatus.getDefaultInstance();
         }
-        entryNewsBuilder_ = new com.google.protobuf.SingleFieldBuilder<
-            org.merlinwood.wire.EntryNews, org.merlinwood.wire.EntryNews.Builder, org.merlinwood.wire.EntryNewsOrBuilder>(
-                (org.merlinwood.wire.EntryNews) body_,
+        entryStatusBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.merlinwood.wire.EntryStatus, org.merlinwood.wire.EntryStatus.Builder, org.merlinwood.wire.EntryStatusOrBuilder>(
+                (org.merlinwood.wire.EntryStatus) body_,
                 getParentForChildren(),
                 isClean());
         body_ = null;
       }
       bodyCase_ = 90;
       onChanged();
-      return entryNewsBuilder_;
+      return entryStatusBuilder_;
     }
 
     private com.google.protobuf.SingleFieldBuilder<
--- a/wire-generated/src/main/java/org/merlinwood/wire/FrameOrBuilder.java
+++ b/wire-generated/src/main/java/org/merlinwood/wire/FrameOrBuilder.java
@@ -412,19 +412,19 @@
   org.merlinwood.wire.LoadReportOrBuilder getLoadReportOrBuilder();
 
   /**
-   * <code>.merlinwood.wire.v1.EntryNews entry_news = 90;</code>
-   * @return Whether the entryNews field is set.
+   * <code>.merlinwood.wire.v1.EntryStatus entry_status = 90;</code>
+   * @return Whether the entryStatus field is set.
    */
-  boolean hasEntryNews();
+  boolean hasEntryStatus();
   /**
-   * <code>.merlinwood.wire.v1.EntryNews entry_news = 90;</code>
-   * @return The entryNews.
+   * <code>.merlinwood.wire.v1.EntryStatus entry_status = 90;</code>
+   * @return The entryStatus.
    */
-  org.merlinwood.wire.EntryNews getEntryNews();
+  org.merlinwood.wire.EntryStatus getEntryStatus();
   /**
-   * <code>.merlinwood.wire.v1.EntryNews entry_news = 90;</code>
+   * <code>.merlinwood.wire.v1.EntryStatus entry_status = 90;</code>
    */
-  org.merlinwood.wire.EntryNewsOrBuilder getEntryNewsOrBuilder();
+  org.merlinwood.wire.EntryStatusOrBuilder getEntryStatusOrBuilder();
 
   /**
    * <code>.merlinwood.wire.v1.StoreChangesRequest store_changes_request = 91;</code>
--- a/wire-generated/src/main/java/org/merlinwood/wire/InstanceWork.java
+++ b/wire-generated/src/main/java/org/merlinwood/wire/InstanceWork.java
@@ -33,7 +33,7 @@
   }
   private InstanceWork() {
     instance_ = "";
-    heldTokens_ = emptyIntList();
+    occupiedTokens_ = emptyIntList();
     remainingTokens_ = emptyIntList();
   }
 
@@ -120,47 +120,47 @@
     return promptTokens_;
   }
 
-  public static final int HELD_TOKENS_FIELD_NUMBER = 4;
+  public static final int OCCUPIED_TOKENS_FIELD_NUMBER = 4;
   @SuppressWarnings("serial")
-  private com.google.protobuf.Internal.IntList heldTokens_ =
+  private com.google.protobuf.Internal.IntList occupiedTokens_ =
       emptyIntList();
   /**
    * <pre>
-   * For each answer under way: tokens that it holds now.
+   * For each answer under way: tokens of memory that it occupies now.
    * </pre>
    *
-   * <code>repeated uint32 held_tokens = 4;</code>
-   * @return A list containing the heldTokens.
+   * <code>repeated uint32 occupied_tokens = 4;</code>
+   * @return A list containing the occupiedTokens.
    */
   @java.lang.Override
   public java.util.List<java.lang.Integer>
-      getHeldTokensList() {
-    return heldTokens_;
+      getOccupiedTokensList() {
+    return occupiedTokens_;
   }
   /**
    * <pre>
-   * For each answer under way: tokens that it holds now.
+   * For each answer under way: tokens of memory that it occupies now.
    * </pre>
    *
-   * <code>repeated uint32 held_tokens = 4;</code>
-   * @return The count of heldTokens.
+   * <code>repeated uint32 occupied_tokens = 4;</code>
+   * @return The count of occupiedTokens.
    */
-  public int getHeldTokensCount() {
-    return heldTokens_.size();
+  public int getOccupiedTokensCount() {
+    return occupiedTokens_.size();
   }
   /**
    * <pre>
-   * For each answer under way: tokens that it holds now.
+   * For each answer under way: tokens of memory that it occupies now.
    * </pre>
    *
-   * <code>repeated uint32 held_tokens = 4;</code>
+   * <code>repeated uint32 occupied_tokens = 4;</code>
    * @param index The index of the element to return.
-   * @return The heldTokens at the given index.
+   * @return The occupiedTokens at the given index.
    */
-  public int getHeldTokens(int index) {
-    return heldTokens_.getInt(index);
+  public int getOccupiedTokens(int index) {
+    return occupiedTokens_.getInt(index);
   }
-  private int heldTokensMemoizedSerializedSize = -1;
+  private int occupiedTokensMemoizedSerializedSize = -1;
 
   public static final int REMAINING_TOKENS_FIELD_NUMBER = 5;
   @SuppressWarnings("serial")
@@ -228,12 +228,12 @@
     if (promptTokens_ != 0) {
       output.writeUInt32(3, promptTokens_);
     }
-    if (getHeldTokensList().size() > 0) {
+    if (getOccupiedTokensList().size() > 0) {
       output.writeUInt32NoTag(34);
-      output.writeUInt32NoTag(heldTokensMemoizedSerializedSize);
+      output.writeUInt32NoTag(occupiedTokensMemoizedSerializedSize);
     }
-    for (int i = 0; i < heldTokens_.size(); i++) {
-      output.writeUInt32NoTag(heldTokens_.getInt(i));
+    for (int i = 0; i < occupiedTokens_.size(); i++) {
+      output.writeUInt32NoTag(occupiedTokens_.getInt(i));
     }
     if (getRemainingTokensList().size() > 0) {
       output.writeUInt32NoTag(42);
@@ -259,17 +259,17 @@
     }
     {
       int dataSize = 0;
-      for (int i = 0; i < heldTokens_.size(); i++) {
+      for (int i = 0; i < occupiedTokens_.size(); i++) {
         dataSize += com.google.protobuf.CodedOutputStream
-          .computeUInt32SizeNoTag(heldTokens_.getInt(i));
+          .computeUInt32SizeNoTag(occupiedTokens_.getInt(i));
       }
       size += dataSize;
-      if (!getHeldTokensList().isEmpty()) {
+      if (!getOccupiedTokensList().isEmpty()) {
         size += 1;
         size += com.google.protobuf.CodedOutputStream
             .computeInt32SizeNoTag(dataSize);
       }
-      heldTokensMemoizedSerializedSize = dataSize;
+      occupiedTokensMemoizedSerializedSize = dataSize;
     }
     {
       int dataSize = 0;
@@ -315,8 +315,8 @@
         != other.getRunning()) return false;
     if (getPromptTokens()
         != other.getPromptTokens()) return false;
-    if (!getHeldTokensList()
-        .equals(other.getHeldTokensList())) return false;
+    if (!getOccupiedTokensList()
+        .equals(other.getOccupiedTokensList())) return false;
     if (!getRemainingTokensList()
         .equals(other.getRemainingTokensList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
@@ -336,9 +336,9 @@
     hash = (53 * hash) + getRunning();
     hash = (37 * hash) + PROMPT_TOKENS_FIELD_NUMBER;
     hash = (53 * hash) + getPromptTokens();
-    if (getHeldTokensCount() > 0) {
-      hash = (37 * hash) + HELD_TOKENS_FIELD_NUMBER;
-      hash = (53 * hash) + getHeldTokensList().hashCode();
+    if (getOccupiedTokensCount() > 0) {
+      hash = (37 * hash) + OCCUPIED_TOKENS_FIELD_NUMBER;
+      hash = (53 * hash) + getOccupiedTokensList().hashCode();
     }
     if (getRemainingTokensCount() > 0) {
       hash = (37 * hash) + REMAINING_TOKENS_FIELD_NUMBER;
@@ -482,7 +482,7 @@
       instance_ = "";
       running_ = 0;
       promptTokens_ = 0;
-      heldTokens_ = emptyIntList();
+      occupiedTokens_ = emptyIntList();
       remainingTokens_ = emptyIntList();
       return this;
     }
@@ -527,8 +527,8 @@
         result.promptTokens_ = promptTokens_;
       }
       if (((from_bitField0_ & 0x00000008) != 0)) {
-        heldTokens_.makeImmutable();
-        result.heldTokens_ = heldTokens_;
+        occupiedTokens_.makeImmutable();
+        result.occupiedTokens_ = occupiedTokens_;
       }
       if (((from_bitField0_ & 0x00000010) != 0)) {
         remainingTokens_.makeImmutable();
@@ -559,14 +559,14 @@
       if (other.getPromptTokens() != 0) {
         setPromptTokens(other.getPromptTokens());
       }
-      if (!other.heldTokens_.isEmpty()) {
-        if (heldTokens_.isEmpty()) {
-          heldTokens_ = other.heldTokens_;
-          heldTokens_.makeImmutable();
+      if (!other.occupiedTokens_.isEmpty()) {
+        if (occupiedTokens_.isEmpty()) {
+          occupiedTokens_ = other.occupiedTokens_;
+          occupiedTokens_.makeImmutable();
           bitField0_ |= 0x00000008;
         } else {
-          ensureHeldTokensIsMutable();
-          heldTokens_.addAll(other.heldTokens_);
+          ensureOccupiedTokensIsMutable();
+          occupiedTokens_.addAll(other.occupiedTokens_);
         }
         onChanged();
       }
@@ -622,16 +622,16 @@
             } // case 24
             case 32: {
               int v = input.readUInt32();
-              ensureHeldTokensIsMutable();
-              heldTokens_.addInt(v);
+              ensureOccupiedTokensIsMutable();
+              occupiedTokens_.addInt(v);
               break;
             } // case 32
             case 34: {
               int length = input.readRawVarint32();
               int limit = input.pushLimit(length);
-              ensureHeldTokensIsMutable();
+              ensureOccupiedTokensIsMutable();
               while (input.getBytesUntilLimit() > 0) {
-                heldTokens_.addInt(input.readUInt32());
+                occupiedTokens_.addInt(input.readUInt32());
               }
               input.popLimit(limit);
               break;
@@ -817,113 +817,113 @@
       return this;
     }
 
-    private com.google.protobuf.Internal.IntList heldTokens_ = emptyIntList();
-    private void ensureHeldTokensIsMutable() {
-      if (!heldTokens_.isModifiable()) {
-        heldTokens_ = makeMutableCopy(heldTokens_);
+    private com.google.protobuf.Internal.IntList occupiedTokens_ = emptyIntList();
+    private void ensureOccupiedTokensIsMutable() {
+      if (!occupiedTokens_.isModifiable()) {
+        occupiedTokens_ = makeMutableCopy(occupiedTokens_);
       }
       bitField0_ |= 0x00000008;
     }
     /**
      * <pre>
-     * For each answer under way: tokens that it holds now.
+     * For each answer under way: tokens of memory that it occupies now.
      * </pre>
      *
-     * <code>repeated uint32 held_tokens = 4;</code>
-     * @return A list containing the heldTokens.
+     * <code>repeated uint32 occupied_tokens = 4;</code>
+     * @return A list containing the occupiedTokens.
      */
     public java.util.List<java.lang.Integer>
-        getHeldTokensList() {
-      heldTokens_.makeImmutable();
-      return heldTokens_;
+        getOccupiedTokensList() {
+      occupiedTokens_.makeImmutable();
+      return occupiedTokens_;
     }
     /**
      * <pre>
-     * For each answer under way: tokens that it holds now.
+     * For each answer under way: tokens of memory that it occupies now.
      * </pre>
      *
-     * <code>repeated uint32 held_tokens = 4;</code>
-     * @return The count of heldTokens.
+     * <code>repeated uint32 occupied_tokens = 4;</code>
+     * @return The count of occupiedTokens.
      */
-    public int getHeldTokensCount() {
-      return heldTokens_.size();
+    public int getOccupiedTokensCount() {
+      return occupiedTokens_.size();
     }
     /**
      * <pre>
-     * For each answer under way: tokens that it holds now.
+     * For each answer under way: tokens of memory that it occupies now.
      * </pre>
      *
-     * <code>repeated uint32 held_tokens = 4;</code>
+     * <code>repeated uint32 occupied_tokens = 4;</code>
      * @param index The index of the element to return.
-     * @return The heldTokens at the given index.
+     * @return The occupiedTokens at the given index.
      */
-    public int getHeldTokens(int index) {
-      return heldTokens_.getInt(index);
+    public int getOccupiedTokens(int index) {
+      return occupiedTokens_.getInt(index);
     }
     /**
      * <pre>
-     * For each answer under way: tokens that it holds now.
+     * For each answer under way: tokens of memory that it occupies now.
      * </pre>
      *
-     * <code>repeated uint32 held_tokens = 4;</code>
+     * <code>repeated uint32 occupied_tokens = 4;</code>
      * @param index The index to set the value at.
-     * @param value The heldTokens to set.
+     * @param value The occupiedTokens to set.
      * @return This builder for chaining.
      */
-    public Builder setHeldTokens(
+    public Builder setOccupiedTokens(
         int index, int value) {
 
-      ensureHeldTokensIsMutable();
-      heldTokens_.setInt(index, value);
+      ensureOccupiedTokensIsMutable();
+      occupiedTokens_.setInt(index, value);
       bitField0_ |= 0x00000008;
       onChanged();
       return this;
     }
     /**
      * <pre>
-     * For each answer under way: tokens that it holds now.
+     * For each answer under way: tokens of memory that it occupies now.
      * </pre>
      *
-     * <code>repeated uint32 held_tokens = 4;</code>
-     * @param value The heldTokens to add.
+     * <code>repeated uint32 occupied_tokens = 4;</code>
+     * @param value The occupiedTokens to add.
      * @return This builder for chaining.
      */
-    public Builder addHeldTokens(int value) {
+    public Builder addOccupiedTokens(int value) {
 
-      ensureHeldTokensIsMutable();
-      heldTokens_.addInt(value);
+      ensureOccupiedTokensIsMutable();
+      occupiedTokens_.addInt(value);
       bitField0_ |= 0x00000008;
       onChanged();
       return this;
     }
     /**
      * <pre>
-     * For each answer under way: tokens that it holds now.
+     * For each answer under way: tokens of memory that it occupies now.
      * </pre>
      *
-     * <code>repeated uint32 held_tokens = 4;</code>
-     * @param values The heldTokens to add.
+     * <code>repeated uint32 occupied_tokens = 4;</code>
+     * @param values The occupiedTokens to add.
      * @return This builder for chaining.
      */
-    public Builder addAllHeldTokens(
+    public Builder addAllOccupiedTokens(
         java.lang.Iterable<? extends java.lang.Integer> values) {
-      ensureHeldTokensIsMutable();
+      ensureOccupiedTokensIsMutable();
       com.google.protobuf.AbstractMessageLite.Builder.addAll(
-          values, heldTokens_);
+          values, occupiedTokens_);
       bitField0_ |= 0x00000008;
       onChanged();
       return this;
     }
     /**
      * <pre>
-     * For each answer under way: tokens that it holds now.
+     * For each answer under way: tokens of memory that it occupies now.
      * </pre>
      *
-     * <code>repeated uint32 held_tokens = 4;</code>
+     * <code>repeated uint32 occupied_tokens = 4;</code>
      * @return This builder for chaining.
      */
-    public Builder clearHeldTokens() {
-      heldTokens_ = emptyIntList();
+    public Builder clearOccupiedTokens() {
+      occupiedTokens_ = emptyIntList();
       bitField0_ = (bitField0_ & ~0x00000008);
       onChanged();
       return this;
--- a/wire-generated/src/main/java/org/merlinwood/wire/InstanceWorkOrBuilder.java
+++ b/wire-generated/src/main/java/org/merlinwood/wire/InstanceWorkOrBuilder.java
@@ -40,32 +40,32 @@
 
   /**
    * <pre>
-   * For each answer under way: tokens that it holds now.
+   * For each answer under way: tokens of memory that it occupies now.
    * </pre>
    *
-   * <code>repeated uint32 held_tokens = 4;</code>
-   * @return A list containing the heldTokens.
+   * <code>repeated uint32 occupied_tokens = 4;</code>
+   * @return A list containing the occupiedTokens.
    */
-  java.util.List<java.lang.Integer> getHeldTokensList();
+  java.util.List<java.lang.Integer> getOccupiedTokensList();
   /**
    * <pre>
-   * For each answer under way: tokens that it holds now.
+   * For each answer under way: tokens of memory that it occupies now.
    * </pre>
    *
-   * <code>repeated uint32 held_tokens = 4;</code>
-   * @return The count of heldTokens.
+   * <code>repeated uint32 occupied_tokens = 4;</code>
+   * @return The count of occupiedTokens.
    */
-  int getHeldTokensCount();
+  int getOccupiedTokensCount();
   /**
    * <pre>
-   * For each answer under way: tokens that it holds now.
+   * For each answer under way: tokens of memory that it occupies now.
    * </pre>
    *
-   * <code>repeated uint32 held_tokens = 4;</code>
+   * <code>repeated uint32 occupied_tokens = 4;</code>
    * @param index The index of the element to return.
-   * @return The heldTokens at the given index.
+   * @return The occupiedTokens at the given index.
    */
-  int getHeldTokens(int index);
+  int getOccupiedTokens(int index);
 
   /**
    * <pre>
--- a/wire-generated/src/main/java/org/merlinwood/wire/Merlinwood.java
+++ b/wire-generated/src/main/java/org/merlinwood/wire/Merlinwood.java
@@ -217,10 +217,10 @@
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_merlinwood_wire_v1_LoadReport_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_merlinwood_wire_v1_EntryNews_descriptor;
+    internal_static_merlinwood_wire_v1_EntryStatus_descriptor;
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internal_static_merlinwood_wire_v1_EntryNews_fieldAccessorTable;
+      internal_static_merlinwood_wire_v1_EntryStatus_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_merlinwood_wire_v1_LeavingInstance_descriptor;
   static final 
@@ -265,7 +265,7 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\020merlinwood.proto\022\022merlinwood.wire.v1\"\331" +
+      "\n\020merlinwood.proto\022\022merlinwood.wire.v1\"\335" +
       "\014\n\005Frame\022\020\n\010exchange\030\001 \001(\004\022*\n\005hello\030\n \001(" +
       "\0132\031.merlinwood.wire.v1.HelloH\000\0222\n\tchalle" +
       "nge\030\013 \001(\0132\035.merlinwood.wire.v1.Challenge" +
@@ -301,160 +301,161 @@
       "inwood.wire.v1.SuspicionReportH\000\022?\n\020susp" +
       "icion_answer\030G \001(\0132#.merlinwood.wire.v1." +
       "SuspicionAnswerH\000\0225\n\013load_report\030P \001(\0132\036" +
-      ".merlinwood.wire.v1.LoadReportH\000\0223\n\nentr" +
-      "y_news\030Z \001(\0132\035.merlinwood.wire.v1.EntryN" +
-      "ewsH\000\022H\n\025store_changes_request\030[ \001(\0132\'.m" +
-      "erlinwood.wire.v1.StoreChangesRequestH\000\022" +
-      "9\n\rstore_changes\030\\ \001(\0132 .merlinwood.wire" +
-      ".v1.StoreChangesH\000B\006\n\004body\"`\n\010Identity\022\020" +
-      "\n\010instance\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\006\022-\n" +
-      "\004role\030\003 \001(\0162\037.merlinwood.wire.v1.Process" +
-      "Role\"0\n\014RevisionPair\022\021\n\tinventory\030\001 \001(\004\022" +
-      "\r\n\005rules\030\002 \001(\004\"W\n\005Hello\022\017\n\007version\030\001 \001(\r" +
-      "\022.\n\010identity\030\002 \001(\0132\034.merlinwood.wire.v1." +
-      "Identity\022\r\n\005nonce\030\003 \001(\014\"\202\001\n\tChallenge\022\017\n" +
-      "\007version\030\001 \001(\r\022.\n\010identity\030\002 \001(\0132\034.merli" +
-      "nwood.wire.v1.Identity\022\r\n\005nonce\030\003 \001(\014\022\026\n" +
-      "\016key_identifier\030\004 \001(\r\022\r\n\005proof\030\005 \001(\014\".\n\005" +
-      "Proof\022\026\n\016key_identifier\030\001 \001(\r\022\r\n\005proof\030\002" +
-      " \001(\014\">\n\007Welcome\0223\n\trevisions\030\001 \001(\0132 .mer" +
-      "linwood.wire.v1.RevisionPair\"@\n\tHeartbea" +
-      "t\0223\n\trevisions\030\001 \001(\0132 .merlinwood.wire.v" +
-      "1.RevisionPair\"M\n\017RequestIdentity\022\024\n\014req" +
-      "uest_high\030\001 \001(\006\022\023\n\013request_low\030\002 \001(\006\022\017\n\007" +
-      "attempt\030\003 \001(\r\"\215\003\n\014GrantRequest\0224\n\007reques" +
-      "t\030\001 \001(\0132#.merlinwood.wire.v1.RequestIden" +
-      "tity\022*\n\004kind\030\002 \001(\0162\034.merlinwood.wire.v1." +
-      "WorkKind\0223\n\trevisions\030\003 \001(\0132 .merlinwood" +
-      ".wire.v1.RevisionPair\022\016\n\006caller\030\004 \001(\t\022\024\n" +
-      "\014caller_class\030\005 \001(\t\022\020\n\010priority\030\006 \001(\r\022\r\n" +
-      "\005model\030\007 \001(\t\022\025\n\rprompt_tokens\030\010 \001(\r\022\026\n\016m" +
-      "aximum_tokens\030\t \001(\r\022\025\n\rprefix_blocks\030\n \003" +
-      "(\006\022\023\n\013wait_millis\030\013 \001(\r\022\023\n\013fingerprint\030\014" +
-      " \001(\014\022\027\n\017idempotency_key\030\r \001(\t\022\026\n\016non_ide" +
-      "mpotent\030\016 \001(\010\"\231\001\n\004Load\022\023\n\013free_pieces\030\001 " +
-      "\001(\r\022\024\n\014total_pieces\030\002 \001(\r\022\017\n\007running\030\003 \001" +
-      "(\r\022\016\n\006queued\030\004 \001(\r\022\034\n\024expected_wait_mill" +
-      "is\030\005 \001(\r\022\025\n\rqueued_tokens\030\006 \001(\004\022\020\n\010drain" +
-      "ing\030\007 \001(\010\"\245\001\n\007Granted\022\r\n\005grant\030\001 \001(\006\022\023\n\013" +
-      "incarnation\030\002 \001(\006\022\031\n\021expires_in_millis\030\003" +
-      " \001(\r\022&\n\004load\030\004 \001(\0132\030.merlinwood.wire.v1." +
-      "Load\0223\n\trevisions\030\005 \001(\0132 .merlinwood.wir" +
-      "e.v1.RevisionPair\"N\n\006Queued\022\034\n\024expected_" +
-      "wait_millis\030\001 \001(\r\022&\n\004load\030\002 \001(\0132\030.merlin" +
-      "wood.wire.v1.Load\"\322\001\n\007Refused\022\014\n\004code\030\001 " +
-      "\001(\r\022\016\n\006detail\030\002 \001(\t\0220\n\texecution\030\003 \001(\0162\035" +
-      ".merlinwood.wire.v1.Execution\022\032\n\022retry_a" +
-      "fter_millis\030\004 \001(\022\022&\n\004load\030\005 \001(\0132\030.merlin" +
-      "wood.wire.v1.Load\0223\n\trevisions\030\006 \001(\0132 .m" +
-      "erlinwood.wire.v1.RevisionPair\"\030\n\007Releas" +
-      "e\022\r\n\005grant\030\001 \001(\006\"d\n\010GrantUse\022\r\n\005grant\030\001 " +
-      "\001(\006\022\023\n\013incarnation\030\002 \001(\006\0224\n\007request\030\003 \001(" +
-      "\0132#.merlinwood.wire.v1.RequestIdentity\"E" +
-      "\n\010Sampling\022\026\n\016maximum_tokens\030\001 \001(\r\022\023\n\013te" +
-      "mperature\030\002 \001(\001\022\014\n\004seed\030\003 \001(\004\"l\n\016Execute" +
-      "Prefill\022)\n\003use\030\001 \001(\0132\034.merlinwood.wire.v" +
+      ".merlinwood.wire.v1.LoadReportH\000\0227\n\014entr" +
+      "y_status\030Z \001(\0132\037.merlinwood.wire.v1.Entr" +
+      "yStatusH\000\022H\n\025store_changes_request\030[ \001(\013" +
+      "2\'.merlinwood.wire.v1.StoreChangesReques" +
+      "tH\000\0229\n\rstore_changes\030\\ \001(\0132 .merlinwood." +
+      "wire.v1.StoreChangesH\000B\006\n\004body\"`\n\010Identi" +
+      "ty\022\020\n\010instance\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(" +
+      "\006\022-\n\004role\030\003 \001(\0162\037.merlinwood.wire.v1.Pro" +
+      "cessRole\"0\n\014RevisionPair\022\021\n\tinventory\030\001 " +
+      "\001(\004\022\r\n\005rules\030\002 \001(\004\"W\n\005Hello\022\017\n\007version\030\001" +
+      " \001(\r\022.\n\010identity\030\002 \001(\0132\034.merlinwood.wire" +
+      ".v1.Identity\022\r\n\005nonce\030\003 \001(\014\"\202\001\n\tChalleng" +
+      "e\022\017\n\007version\030\001 \001(\r\022.\n\010identity\030\002 \001(\0132\034.m" +
+      "erlinwood.wire.v1.Identity\022\r\n\005nonce\030\003 \001(" +
+      "\014\022\026\n\016key_identifier\030\004 \001(\r\022\r\n\005proof\030\005 \001(\014" +
+      "\".\n\005Proof\022\026\n\016key_identifier\030\001 \001(\r\022\r\n\005pro" +
+      "of\030\002 \001(\014\">\n\007Welcome\0223\n\trevisions\030\001 \001(\0132 " +
+      ".merlinwood.wire.v1.RevisionPair\"@\n\tHear" +
+      "tbeat\0223\n\trevisions\030\001 \001(\0132 .merlinwood.wi" +
+      "re.v1.RevisionPair\"M\n\017RequestIdentity\022\024\n" +
+      "\014request_high\030\001 \001(\006\022\023\n\013request_low\030\002 \001(\006" +
+      "\022\017\n\007attempt\030\003 \001(\r\"\215\003\n\014GrantRequest\0224\n\007re" +
+      "quest\030\001 \001(\0132#.merlinwood.wire.v1.Request" +
+      "Identity\022*\n\004kind\030\002 \001(\0162\034.merlinwood.wire" +
+      ".v1.WorkKind\0223\n\trevisions\030\003 \001(\0132 .merlin" +
+      "wood.wire.v1.RevisionPair\022\016\n\006caller\030\004 \001(" +
+      "\t\022\024\n\014caller_class\030\005 \001(\t\022\020\n\010priority\030\006 \001(" +
+      "\r\022\r\n\005model\030\007 \001(\t\022\025\n\rprompt_tokens\030\010 \001(\r\022" +
+      "\026\n\016maximum_tokens\030\t \001(\r\022\025\n\rprefix_blocks" +
+      "\030\n \003(\006\022\023\n\013wait_millis\030\013 \001(\r\022\023\n\013fingerpri" +
+      "nt\030\014 \001(\014\022\027\n\017idempotency_key\030\r \001(\t\022\026\n\016non" +
+      "_idempotent\030\016 \001(\010\"\231\001\n\004Load\022\023\n\013free_piece" +
+      "s\030\001 \001(\r\022\024\n\014total_pieces\030\002 \001(\r\022\017\n\007running" +
+      "\030\003 \001(\r\022\016\n\006queued\030\004 \001(\r\022\034\n\024expected_wait_" +
+      "millis\030\005 \001(\r\022\025\n\rqueued_tokens\030\006 \001(\004\022\020\n\010d" +
+      "raining\030\007 \001(\010\"\245\001\n\007Granted\022\r\n\005grant\030\001 \001(\006" +
+      "\022\023\n\013incarnation\030\002 \001(\006\022\031\n\021expires_in_mill" +
+      "is\030\003 \001(\r\022&\n\004load\030\004 \001(\0132\030.merlinwood.wire" +
+      ".v1.Load\0223\n\trevisions\030\005 \001(\0132 .merlinwood" +
+      ".wire.v1.RevisionPair\"N\n\006Queued\022\034\n\024expec" +
+      "ted_wait_millis\030\001 \001(\r\022&\n\004load\030\002 \001(\0132\030.me" +
+      "rlinwood.wire.v1.Load\"\322\001\n\007Refused\022\014\n\004cod" +
+      "e\030\001 \001(\r\022\016\n\006detail\030\002 \001(\t\0220\n\texecution\030\003 \001" +
+      "(\0162\035.merlinwood.wire.v1.Execution\022\032\n\022ret" +
+      "ry_after_millis\030\004 \001(\022\022&\n\004load\030\005 \001(\0132\030.me" +
+      "rlinwood.wire.v1.Load\0223\n\trevisions\030\006 \001(\013" +
+      "2 .merlinwood.wire.v1.RevisionPair\"\030\n\007Re" +
+      "lease\022\r\n\005grant\030\001 \001(\006\"d\n\010GrantUse\022\r\n\005gran" +
+      "t\030\001 \001(\006\022\023\n\013incarnation\030\002 \001(\006\0224\n\007request\030" +
+      "\003 \001(\0132#.merlinwood.wire.v1.RequestIdenti" +
+      "ty\"E\n\010Sampling\022\026\n\016maximum_tokens\030\001 \001(\r\022\023" +
+      "\n\013temperature\030\002 \001(\001\022\014\n\004seed\030\003 \001(\004\"l\n\016Exe" +
+      "cutePrefill\022)\n\003use\030\001 \001(\0132\034.merlinwood.wi" +
+      "re.v1.GrantUse\022\r\n\005model\030\002 \001(\t\022\016\n\006prompt\030" +
+      "\003 \001(\t\022\020\n\010priority\030\004 \001(\r\"T\n\013CacheHandle\022\026" +
+      "\n\016engine_address\030\001 \001(\t\022\016\n\006handle\030\002 \001(\t\022\016" +
+      "\n\006tokens\030\003 \001(\r\022\r\n\005bytes\030\004 \001(\004\"\342\001\n\rExecut" +
+      "eDecode\022)\n\003use\030\001 \001(\0132\034.merlinwood.wire.v" +
       "1.GrantUse\022\r\n\005model\030\002 \001(\t\022\016\n\006prompt\030\003 \001(" +
-      "\t\022\020\n\010priority\030\004 \001(\r\"T\n\013CacheHandle\022\026\n\016en" +
-      "gine_address\030\001 \001(\t\022\016\n\006handle\030\002 \001(\t\022\016\n\006to" +
-      "kens\030\003 \001(\r\022\r\n\005bytes\030\004 \001(\004\"\342\001\n\rExecuteDec" +
-      "ode\022)\n\003use\030\001 \001(\0132\034.merlinwood.wire.v1.Gr" +
-      "antUse\022\r\n\005model\030\002 \001(\t\022\016\n\006prompt\030\003 \001(\t\022.\n" +
-      "\010sampling\030\004 \001(\0132\034.merlinwood.wire.v1.Sam" +
-      "pling\022.\n\005cache\030\005 \001(\0132\037.merlinwood.wire.v" +
-      "1.CacheHandle\022\025\n\rtokens_so_far\030\006 \003(\t\022\020\n\010" +
-      "priority\030\007 \001(\r\"%\n\006Header\022\014\n\004name\030\001 \001(\t\022\r" +
-      "\n\005value\030\002 \001(\t\"\252\001\n\014ExecutePlain\022)\n\003use\030\001 " +
-      "\001(\0132\034.merlinwood.wire.v1.GrantUse\022\016\n\006met" +
-      "hod\030\002 \001(\t\022\014\n\004path\030\003 \001(\t\022+\n\007headers\030\004 \003(\013" +
-      "2\032.merlinwood.wire.v1.Header\022\014\n\004body\030\005 \001" +
-      "(\014\022\026\n\016timeout_millis\030\006 \001(\r\"S\n\006Cancel\0224\n\007" +
-      "request\030\001 \001(\0132#.merlinwood.wire.v1.Reque" +
-      "stIdentity\022\023\n\013reason_code\030\002 \001(\r\"\264\001\n\013Pref" +
-      "illDone\0224\n\007request\030\001 \001(\0132#.merlinwood.wi" +
-      "re.v1.RequestIdentity\022.\n\005cache\030\002 \001(\0132\037.m" +
-      "erlinwood.wire.v1.CacheHandle\022\027\n\017compute" +
-      "d_tokens\030\003 \001(\r\022&\n\004load\030\004 \001(\0132\030.merlinwoo" +
-      "d.wire.v1.Load\"\246\001\n\nAnswerHead\0224\n\007request" +
-      "\030\001 \001(\0132#.merlinwood.wire.v1.RequestIdent" +
-      "ity\022\023\n\013incarnation\030\002 \001(\006\022\016\n\006status\030\003 \001(\r" +
-      "\022+\n\007headers\030\004 \003(\0132\032.merlinwood.wire.v1.H" +
-      "eader\022\020\n\010replayed\030\005 \001(\010\"\205\001\n\nAnswerPart\0224" +
-      "\n\007request\030\001 \001(\0132#.merlinwood.wire.v1.Req" +
-      "uestIdentity\022\023\n\013incarnation\030\002 \001(\006\022\016\n\006off" +
-      "set\030\003 \001(\004\022\016\n\006tokens\030\004 \003(\t\022\014\n\004body\030\005 \001(\014\"" +
-      "\221\002\n\tAnswerEnd\0224\n\007request\030\001 \001(\0132#.merlinw" +
-      "ood.wire.v1.RequestIdentity\022\023\n\013incarnati" +
-      "on\030\002 \001(\006\022\016\n\006length\030\003 \001(\004\022\014\n\004code\030\004 \001(\r\022\016" +
-      "\n\006detail\030\005 \001(\t\0220\n\texecution\030\006 \001(\0162\035.merl" +
-      "inwood.wire.v1.Execution\022\032\n\022retry_after_" +
-      "millis\030\007 \001(\022\022\025\n\rfinish_reason\030\010 \001(\t\022&\n\004l" +
-      "oad\030\t \001(\0132\030.merlinwood.wire.v1.Load\"C\n\020D" +
-      "ocumentsRequest\022/\n\005known\030\001 \001(\0132 .merlinw" +
-      "ood.wire.v1.RevisionPair\"I\n\rDocumentStat" +
-      "e\022\020\n\010revision\030\001 \001(\004\022\025\n\rbase_revision\030\002 \001" +
-      "(\004\022\017\n\007content\030\003 \001(\014\"s\n\tDocuments\0224\n\tinve" +
-      "ntory\030\001 \001(\0132!.merlinwood.wire.v1.Documen" +
-      "tState\0220\n\005rules\030\002 \001(\0132!.merlinwood.wire." +
-      "v1.DocumentState\"<\n\tSubscribe\022/\n\005known\030\001" +
-      " \001(\0132 .merlinwood.wire.v1.RevisionPair\"8" +
-      "\n\014TableRequest\022\014\n\004home\030\001 \001(\t\022\032\n\022inventor" +
-      "y_revision\030\002 \001(\004\"\235\001\n\nTableEntry\022\013\n\003key\030\001" +
-      " \001(\t\022\023\n\013fingerprint\030\002 \001(\014\022\r\n\005state\030\003 \001(\r" +
-      "\022\022\n\nage_millis\030\004 \001(\022\022,\n\004head\030\005 \001(\0132\036.mer" +
-      "linwood.wire.v1.AnswerHead\022\014\n\004body\030\006 \001(\014" +
-      "\022\016\n\006caller\030\007 \001(\t\"_\n\010HomeSpan\022\025\n\rfrom_rev" +
-      "ision\030\001 \001(\004\022\023\n\013to_revision\030\002 \001(\004\022\r\n\005home" +
-      "s\030\003 \003(\t\022\030\n\020ended_age_millis\030\004 \001(\022\"\266\002\n\tTa" +
-      "blePart\022\014\n\004home\030\001 \001(\t\022\023\n\013incarnation\030\002 \001" +
-      "(\006\022\016\n\006sealed\030\003 \001(\010\022\014\n\004last\030\004 \001(\010\022/\n\007entr" +
-      "ies\030\005 \003(\0132\036.merlinwood.wire.v1.TableEntr" +
-      "y\022\037\n\027served_since_age_millis\030\006 \001(\022\022\022\n\ncu" +
-      "stodians\030\007 \003(\t\022+\n\005homes\030\010 \003(\0132\034.merlinwo" +
-      "od.wire.v1.HomeSpan\022\036\n\026homes_known_age_m" +
-      "illis\030\t \001(\022\022\032\n\022inventory_revision\030\n \001(\004\022" +
-      "\031\n\021sealed_age_millis\030\013 \001(\022\"\260\001\n\017Suspicion" +
-      "Report\022\023\n\013fingerprint\030\001 \001(\014\022\r\n\005alone\030\002 \001" +
-      "(\010\022\020\n\010instance\030\003 \001(\t\0221\n\005event\030\004 \001(\0162\".me" +
-      "rlinwood.wire.v1.SuspicionEvent\0224\n\007reque" +
-      "st\030\005 \001(\0132#.merlinwood.wire.v1.RequestIde" +
-      "ntity\"\224\001\n\017SuspicionAnswer\022\023\n\013fingerprint" +
-      "\030\001 \001(\014\022\017\n\007crashes\030\002 \001(\r\022\023\n\013quarantined\030\003" +
-      " \001(\010\022\017\n\007isolate\030\004 \001(\010\022\031\n\021expires_in_mill" +
-      "is\030\005 \001(\r\022\032\n\022retry_after_millis\030\006 \001(\r\"[\n\n" +
-      "LoadReport\022\020\n\010instance\030\001 \001(\t\022\023\n\013incarnat" +
-      "ion\030\002 \001(\006\022&\n\004load\030\003 \001(\0132\030.merlinwood.wir" +
-      "e.v1.Load\"\314\002\n\tEntryNews\022\017\n\007address\030\001 \001(\t" +
-      "\022\017\n\007members\030\002 \003(\t\022\026\n\016store_revision\030\003 \001(" +
-      "\004\022.\n\004work\030\004 \003(\0132 .merlinwood.wire.v1.Ins" +
-      "tanceWork\022.\n\tlost_runs\030\005 \003(\0132\033.merlinwoo" +
-      "d.wire.v1.LostRun\0222\n\007demands\030\006 \003(\0132!.mer" +
-      "linwood.wire.v1.ServiceDemand\022\021\n\tswitchi" +
-      "ng\030\007 \003(\t\022\025\n\rhighest_fence\030\010 \001(\004\022\021\n\tstore" +
-      "_era\030\t \001(\004\0224\n\007leaving\030\n \003(\0132#.merlinwood" +
-      ".wire.v1.LeavingInstance\"@\n\017LeavingInsta" +
-      "nce\022\020\n\010instance\030\001 \001(\t\022\033\n\023started_unix_mi" +
-      "llis\030\002 \001(\003\"M\n\rServiceDemand\022\017\n\007service\030\001" +
-      " \001(\t\022\025\n\rprompt_tokens\030\002 \001(\r\022\024\n\014without_r" +
-      "oom\030\003 \001(\r\"w\n\014InstanceWork\022\020\n\010instance\030\001 " +
-      "\001(\t\022\017\n\007running\030\002 \001(\r\022\025\n\rprompt_tokens\030\003 " +
-      "\001(\r\022\023\n\013held_tokens\030\004 \003(\r\022\030\n\020remaining_to" +
-      "kens\030\005 \003(\r\"0\n\007LostRun\022\023\n\013fingerprint\030\001 \001" +
-      "(\006\022\020\n\010instance\030\002 \001(\t\"7\n\023StoreChangesRequ" +
-      "est\022\r\n\005after\030\001 \001(\004\022\021\n\tafter_era\030\002 \001(\004\"Y\n" +
-      "\014StoreChanges\022*\n\004keys\030\001 \003(\0132\034.merlinwood" +
-      ".wire.v1.StoreKey\022\020\n\010revision\030\002 \001(\004\022\013\n\003e" +
-      "ra\030\003 \001(\004\"V\n\010StoreKey\022\013\n\003key\030\001 \001(\t\022\020\n\010rev" +
-      "ision\030\002 \001(\004\022\r\n\005value\030\003 \001(\014\022\017\n\007removed\030\004 " +
-      "\001(\010\022\013\n\003era\030\005 \001(\004*P\n\013ProcessRole\022\034\n\030PROCE" +
-      "SS_ROLE_UNSPECIFIED\020\000\022\t\n\005ENTRY\020\001\022\013\n\007SIDE" +
-      "CAR\020\002\022\013\n\007COMMAND\020\003*I\n\010WorkKind\022\031\n\025WORK_K" +
-      "IND_UNSPECIFIED\020\000\022\013\n\007PREFILL\020\001\022\n\n\006DECODE" +
-      "\020\002\022\t\n\005PLAIN\020\003*I\n\tExecution\022\031\n\025EXECUTION_" +
-      "UNSPECIFIED\020\000\022\013\n\007NOT_RUN\020\001\022\013\n\007UNKNOWN\020\002\022" +
-      "\007\n\003RAN\020\003*8\n\016SuspicionEvent\022\013\n\007CRASHED\020\000\022" +
-      "\013\n\007INQUIRY\020\001\022\014\n\010SURVIVED\020\002B\031\n\023org.merlin" +
-      "wood.wireH\001P\001b\006proto3"
+      "\t\022.\n\010sampling\030\004 \001(\0132\034.merlinwood.wire.v1" +
+      ".Sampling\022.\n\005cache\030\005 \001(\0132\037.merlinwood.wi" +
+      "re.v1.CacheHandle\022\025\n\rtokens_so_far\030\006 \003(\t" +
+      "\022\020\n\010priority\030\007 \001(\r\"%\n\006Header\022\014\n\004name\030\001 \001" +
+      "(\t\022\r\n\005value\030\002 \001(\t\"\252\001\n\014ExecutePlain\022)\n\003us" +
+      "e\030\001 \001(\0132\034.merlinwood.wire.v1.GrantUse\022\016\n" +
+      "\006method\030\002 \001(\t\022\014\n\004path\030\003 \001(\t\022+\n\007headers\030\004" +
+      " \003(\0132\032.merlinwood.wire.v1.Header\022\014\n\004body" +
+      "\030\005 \001(\014\022\026\n\016timeout_millis\030\006 \001(\r\"S\n\006Cancel" +
+      "\0224\n\007request\030\001 \001(\0132#.merlinwood.wire.v1.R" +
+      "equestIdentity\022\023\n\013reason_code\030\002 \001(\r\"\264\001\n\013" +
+      "PrefillDone\0224\n\007request\030\001 \001(\0132#.merlinwoo" +
+      "d.wire.v1.RequestIdentity\022.\n\005cache\030\002 \001(\013" +
+      "2\037.merlinwood.wire.v1.CacheHandle\022\027\n\017com" +
+      "puted_tokens\030\003 \001(\r\022&\n\004load\030\004 \001(\0132\030.merli" +
+      "nwood.wire.v1.Load\"\246\001\n\nAnswerHead\0224\n\007req" +
+      "uest\030\001 \001(\0132#.merlinwood.wire.v1.RequestI" +
+      "dentity\022\023\n\013incarnation\030\002 \001(\006\022\016\n\006status\030\003" +
+      " \001(\r\022+\n\007headers\030\004 \003(\0132\032.merlinwood.wire." +
+      "v1.Header\022\020\n\010replayed\030\005 \001(\010\"\205\001\n\nAnswerPa" +
+      "rt\0224\n\007request\030\001 \001(\0132#.merlinwood.wire.v1" +
+      ".RequestIdentity\022\023\n\013incarnation\030\002 \001(\006\022\016\n" +
+      "\006offset\030\003 \001(\004\022\016\n\006tokens\030\004 \003(\t\022\014\n\004body\030\005 " +
+      "\001(\014\"\221\002\n\tAnswerEnd\0224\n\007request\030\001 \001(\0132#.mer" +
+      "linwood.wire.v1.RequestIdentity\022\023\n\013incar" +
+      "nation\030\002 \001(\006\022\016\n\006length\030\003 \001(\004\022\014\n\004code\030\004 \001" +
+      "(\r\022\016\n\006detail\030\005 \001(\t\0220\n\texecution\030\006 \001(\0162\035." +
+      "merlinwood.wire.v1.Execution\022\032\n\022retry_af" +
+      "ter_millis\030\007 \001(\022\022\025\n\rfinish_reason\030\010 \001(\t\022" +
+      "&\n\004load\030\t \001(\0132\030.merlinwood.wire.v1.Load\"" +
+      "C\n\020DocumentsRequest\022/\n\005known\030\001 \001(\0132 .mer" +
+      "linwood.wire.v1.RevisionPair\"I\n\rDocument" +
+      "State\022\020\n\010revision\030\001 \001(\004\022\025\n\rbase_revision" +
+      "\030\002 \001(\004\022\017\n\007content\030\003 \001(\014\"s\n\tDocuments\0224\n\t" +
+      "inventory\030\001 \001(\0132!.merlinwood.wire.v1.Doc" +
+      "umentState\0220\n\005rules\030\002 \001(\0132!.merlinwood.w" +
+      "ire.v1.DocumentState\"<\n\tSubscribe\022/\n\005kno" +
+      "wn\030\001 \001(\0132 .merlinwood.wire.v1.RevisionPa" +
+      "ir\"8\n\014TableRequest\022\014\n\004home\030\001 \001(\t\022\032\n\022inve" +
+      "ntory_revision\030\002 \001(\004\"\235\001\n\nTableEntry\022\013\n\003k" +
+      "ey\030\001 \001(\t\022\023\n\013fingerprint\030\002 \001(\014\022\r\n\005state\030\003" +
+      " \001(\r\022\022\n\nage_millis\030\004 \001(\022\022,\n\004head\030\005 \001(\0132\036" +
+      ".merlinwood.wire.v1.AnswerHead\022\014\n\004body\030\006" +
+      " \001(\014\022\016\n\006caller\030\007 \001(\t\"_\n\010HomeSpan\022\025\n\rfrom" +
+      "_revision\030\001 \001(\004\022\023\n\013to_revision\030\002 \001(\004\022\r\n\005" +
+      "homes\030\003 \003(\t\022\030\n\020ended_age_millis\030\004 \001(\022\"\266\002" +
+      "\n\tTablePart\022\014\n\004home\030\001 \001(\t\022\023\n\013incarnation" +
+      "\030\002 \001(\006\022\016\n\006sealed\030\003 \001(\010\022\014\n\004last\030\004 \001(\010\022/\n\007" +
+      "entries\030\005 \003(\0132\036.merlinwood.wire.v1.Table" +
+      "Entry\022\037\n\027served_since_age_millis\030\006 \001(\022\022\022" +
+      "\n\ncustodians\030\007 \003(\t\022+\n\005homes\030\010 \003(\0132\034.merl" +
+      "inwood.wire.v1.HomeSpan\022\036\n\026homes_known_a" +
+      "ge_millis\030\t \001(\022\022\032\n\022inventory_revision\030\n " +
+      "\001(\004\022\031\n\021sealed_age_millis\030\013 \001(\022\"\260\001\n\017Suspi" +
+      "cionReport\022\023\n\013fingerprint\030\001 \001(\014\022\r\n\005alone" +
+      "\030\002 \001(\010\022\020\n\010instance\030\003 \001(\t\0221\n\005event\030\004 \001(\0162" +
+      "\".merlinwood.wire.v1.SuspicionEvent\0224\n\007r" +
+      "equest\030\005 \001(\0132#.merlinwood.wire.v1.Reques" +
+      "tIdentity\"\224\001\n\017SuspicionAnswer\022\023\n\013fingerp" +
+      "rint\030\001 \001(\014\022\017\n\007crashes\030\002 \001(\r\022\023\n\013quarantin" +
+      "ed\030\003 \001(\010\022\017\n\007isolate\030\004 \001(\010\022\031\n\021expires_in_" +
+      "millis\030\005 \001(\r\022\032\n\022retry_after_millis\030\006 \001(\r" +
+      "\"[\n\nLoadReport\022\020\n\010instance\030\001 \001(\t\022\023\n\013inca" +
+      "rnation\030\002 \001(\006\022&\n\004load\030\003 \001(\0132\030.merlinwood" +
+      ".wire.v1.Load\"\326\002\n\013EntryStatus\022\017\n\007address" +
+      "\030\001 \001(\t\022\017\n\007members\030\002 \003(\t\022\026\n\016store_revisio" +
+      "n\030\003 \001(\004\022.\n\004work\030\004 \003(\0132 .merlinwood.wire." +
+      "v1.InstanceWork\022.\n\tlost_runs\030\005 \003(\0132\033.mer" +
+      "linwood.wire.v1.LostRun\0222\n\007demands\030\006 \003(\013" +
+      "2!.merlinwood.wire.v1.ServiceDemand\022\021\n\ts" +
+      "witching\030\007 \003(\t\022\035\n\025highest_fencing_token\030" +
+      "\010 \001(\004\022\021\n\tstore_era\030\t \001(\004\0224\n\007leaving\030\n \003(" +
+      "\0132#.merlinwood.wire.v1.LeavingInstance\"@" +
+      "\n\017LeavingInstance\022\020\n\010instance\030\001 \001(\t\022\033\n\023s" +
+      "tarted_unix_millis\030\002 \001(\003\"Z\n\rServiceDeman" +
+      "d\022\017\n\007service\030\001 \001(\t\022\025\n\rprompt_tokens\030\002 \001(" +
+      "\r\022!\n\031requests_without_capacity\030\003 \001(\r\"{\n\014" +
+      "InstanceWork\022\020\n\010instance\030\001 \001(\t\022\017\n\007runnin" +
+      "g\030\002 \001(\r\022\025\n\rprompt_tokens\030\003 \001(\r\022\027\n\017occupi" +
+      "ed_tokens\030\004 \003(\r\022\030\n\020remaining_tokens\030\005 \003(" +
+      "\r\"0\n\007LostRun\022\023\n\013fingerprint\030\001 \001(\006\022\020\n\010ins" +
+      "tance\030\002 \001(\t\"7\n\023StoreChangesRequest\022\r\n\005af" +
+      "ter\030\001 \001(\004\022\021\n\tafter_era\030\002 \001(\004\"Y\n\014StoreCha" +
+      "nges\022*\n\004keys\030\001 \003(\0132\034.merlinwood.wire.v1." +
+      "StoreKey\022\020\n\010revision\030\002 \001(\004\022\013\n\003era\030\003 \001(\004\"" +
+      "V\n\010StoreKey\022\013\n\003key\030\001 \001(\t\022\020\n\010revision\030\002 \001" +
+      "(\004\022\r\n\005value\030\003 \001(\014\022\017\n\007removed\030\004 \001(\010\022\013\n\003er" +
+      "a\030\005 \001(\004*P\n\013ProcessRole\022\034\n\030PROCESS_ROLE_U" +
+      "NSPECIFIED\020\000\022\t\n\005ENTRY\020\001\022\013\n\007SIDECAR\020\002\022\013\n\007" +
+      "COMMAND\020\003*I\n\010WorkKind\022\031\n\025WORK_KIND_UNSPE" +
+      "CIFIED\020\000\022\013\n\007PREFILL\020\001\022\n\n\006DECODE\020\002\022\t\n\005PLA" +
+      "IN\020\003*I\n\tExecution\022\031\n\025EXECUTION_UNSPECIFI" +
+      "ED\020\000\022\013\n\007NOT_RUN\020\001\022\013\n\007UNKNOWN\020\002\022\007\n\003RAN\020\003*" +
+      "8\n\016SuspicionEvent\022\013\n\007CRASHED\020\000\022\013\n\007INQUIR" +
+      "Y\020\001\022\014\n\010SURVIVED\020\002B\031\n\023org.merlinwood.wire" +
+      "H\001P\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -465,7 +466,7 @@
     internal_static_merlinwood_wire_v1_Frame_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_merlinwood_wire_v1_Frame_descriptor,
-        new java.lang.String[] { "Exchange", "Hello", "Challenge", "Proof", "Welcome", "Heartbeat", "GrantRequest", "Granted", "Queued", "Refused", "Release", "ExecutePrefill", "ExecuteDecode", "ExecutePlain", "Cancel", "PrefillDone", "AnswerHead", "AnswerPart", "AnswerEnd", "DocumentsRequest", "Documents", "Subscribe", "TableRequest", "TablePart", "SuspicionReport", "SuspicionAnswer", "LoadReport", "EntryNews", "StoreChangesRequest", "StoreChanges", "Body", });
+        new java.lang.String[] { "Exchange", "Hello", "Challenge", "Proof", "Welcome", "Heartbeat", "GrantRequest", "Granted", "Queued", "Refused", "Release", "ExecutePrefill", "ExecuteDecode", "ExecutePlain", "Cancel", "PrefillDone", "AnswerHead", "AnswerPart", "AnswerEnd", "DocumentsRequest", "Documents", "Subscribe", "TableRequest", "TablePart", "SuspicionReport", "SuspicionAnswer", "LoadReport", "EntryStatus", "StoreChangesRequest", "StoreChanges", "Body", });
     internal_static_merlinwood_wire_v1_Identity_descriptor =
       getDescriptor().getMessageType(1);
     internal_static_merlinwood_wire_v1_Identity_fieldAccessorTable = new
@@ -688,12 +689,12 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_merlinwood_wire_v1_LoadReport_descriptor,
         new java.lang.String[] { "Instance", "Incarnation", "Load", });
-    internal_static_merlinwood_wire_v1_EntryNews_descriptor =
+    internal_static_merlinwood_wire_v1_EntryStatus_descriptor =
       getDescriptor().getMessageType(38);
-    internal_static_merlinwood_wire_v1_EntryNews_fieldAccessorTable = new
+    internal_static_merlinwood_wire_v1_EntryStatus_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
-        internal_static_merlinwood_wire_v1_EntryNews_descriptor,
-        new java.lang.String[] { "Address", "Members", "StoreRevision", "Work", "LostRuns", "Demands", "Switching", "HighestFence", "StoreEra", "Leaving", });
+        internal_static_merlinwood_wire_v1_EntryStatus_descriptor,
+        new java.lang.String[] { "Address", "Members", "StoreRevision", "Work", "LostRuns", "Demands", "Switching", "HighestFencingToken", "StoreEra", "Leaving", });
     internal_static_merlinwood_wire_v1_LeavingInstance_descriptor =
       getDescriptor().getMessageType(39);
     internal_static_merlinwood_wire_v1_LeavingInstance_fieldAccessorTable = new
@@ -705,13 +706,13 @@
     internal_static_merlinwood_wire_v1_ServiceDemand_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_merlinwood_wire_v1_ServiceDemand_descriptor,
-        new java.lang.String[] { "Service", "PromptTokens", "WithoutRoom", });
+        new java.lang.String[] { "Service", "PromptTokens", "RequestsWithoutCapacity", });
     internal_static_merlinwood_wire_v1_InstanceWork_descriptor =
       getDescriptor().getMessageType(41);
     internal_static_merlinwood_wire_v1_InstanceWork_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_merlinwood_wire_v1_InstanceWork_descriptor,
-        new java.lang.String[] { "Instance", "Running", "PromptTokens", "HeldTokens", "RemainingTokens", });
+        new java.lang.String[] { "Instance", "Running", "PromptTokens", "OccupiedTokens", "RemainingTokens", });
     internal_static_merlinwood_wire_v1_LostRun_descriptor =
       getDescriptor().getMessageType(42);
     internal_static_merlinwood_wire_v1_LostRun_fieldAccessorTable = new
--- a/wire-generated/src/main/java/org/merlinwood/wire/ServiceDemand.java
+++ b/wire-generated/src/main/java/org/merlinwood/wire/ServiceDemand.java
@@ -103,15 +103,15 @@
     return promptTokens_;
   }
 
-  public static final int WITHOUT_ROOM_FIELD_NUMBER = 3;
-  private int withoutRoom_ = 0;
+  public static final int REQUESTS_WITHOUT_CAPACITY_FIELD_NUMBER = 3;
+  private int requestsWithoutCapacity_ = 0;
   /**
-   * <code>uint32 without_room = 3;</code>
-   * @return The withoutRoom.
+   * <code>uint32 requests_without_capacity = 3;</code>
+   * @return The requestsWithoutCapacity.
    */
   @java.lang.Override
-  public int getWithoutRoom() {
-    return withoutRoom_;
+  public int getRequestsWithoutCapacity() {
+    return requestsWithoutCapacity_;
   }
 
   private byte memoizedIsInitialized = -1;
@@ -134,8 +134,8 @@
     if (promptTokens_ != 0) {
       output.writeUInt32(2, promptTokens_);
     }
-    if (withoutRoom_ != 0) {
-      output.writeUInt32(3, withoutRoom_);
+    if (requestsWithoutCapacity_ != 0) {
+      output.writeUInt32(3, requestsWithoutCapacity_);
     }
     getUnknownFields().writeTo(output);
   }
@@ -148,9 +148,9 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt32Size(2, promptTokens_);
     }
-    if (withoutRoom_ != 0) {
+    if (requestsWithoutCapacity_ != 0) {
       size += com.google.protobuf.CodedOutputStream
-        .computeUInt32Size(3, withoutRoom_);
+        .computeUInt32Size(3, requestsWithoutCapacity_);
     }
     return size;
   }
@@ -180,8 +180,8 @@
         .equals(other.getService())) return false;
     if (getPromptTokens()
         != other.getPromptTokens()) return false;
-    if (getWithoutRoom()
-        != other.getWithoutRoom()) return false;
+    if (getRequestsWithoutCapacity()
+        != other.getRequestsWithoutCapacity()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -197,8 +197,8 @@
     hash = (53 * hash) + getService().hashCode();
     hash = (37 * hash) + PROMPT_TOKENS_FIELD_NUMBER;
     hash = (53 * hash) + getPromptTokens();
-    hash = (37 * hash) + WITHOUT_ROOM_FIELD_NUMBER;
-    hash = (53 * hash) + getWithoutRoom();
+    hash = (37 * hash) + REQUESTS_WITHOUT_CAPACITY_FIELD_NUMBER;
+    hash = (53 * hash) + getRequestsWithoutCapacity();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -336,7 +336,7 @@
       bitField0_ = 0;
       service_ = "";
       promptTokens_ = 0;
-      withoutRoom_ = 0;
+      requestsWithoutCapacity_ = 0;
       return this;
     }
 
@@ -377,7 +377,7 @@
         result.promptTokens_ = promptTokens_;
       }
       if (((from_bitField0_ & 0x00000004) != 0)) {
-        result.withoutRoom_ = withoutRoom_;
+        result.requestsWithoutCapacity_ = requestsWithoutCapacity_;
       }
     }
 
@@ -401,8 +401,8 @@
       if (other.getPromptTokens() != 0) {
         setPromptTokens(other.getPromptTokens());
       }
-      if (other.getWithoutRoom() != 0) {
-        setWithoutRoom(other.getWithoutRoom());
+      if (other.getRequestsWithoutCapacity() != 0) {
+        setRequestsWithoutCapacity(other.getRequestsWithoutCapacity());
       }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
@@ -439,7 +439,7 @@
               break;
             } // case 16
             case 24: {
-              withoutRoom_ = input.readUInt32();
+              requestsWithoutCapacity_ = input.readUInt32();
               bitField0_ |= 0x00000004;
               break;
             } // case 24
@@ -564,34 +564,34 @@
       return this;
     }
 
-    private int withoutRoom_ ;
+    private int requestsWithoutCapacity_ ;
     /**
-     * <code>uint32 without_room = 3;</code>
-     * @return The withoutRoom.
+     * <code>uint32 requests_without_capacity = 3;</code>
+     * @return The requestsWithoutCapacity.
      */
     @java.lang.Override
-    public int getWithoutRoom() {
-      return withoutRoom_;
+    public int getRequestsWithoutCapacity() {
+      return requestsWithoutCapacity_;
     }
     /**
-     * <code>uint32 without_room = 3;</code>
-     * @param value The withoutRoom to set.
+     * <code>uint32 requests_without_capacity = 3;</code>
+     * @param value The requestsWithoutCapacity to set.
      * @return This builder for chaining.
      */
-    public Builder setWithoutRoom(int value) {
+    public Builder setRequestsWithoutCapacity(int value) {
 
-      withoutRoom_ = value;
+      requestsWithoutCapacity_ = value;
       bitField0_ |= 0x00000004;
       onChanged();
       return this;
     }
     /**
-     * <code>uint32 without_room = 3;</code>
+     * <code>uint32 requests_without_capacity = 3;</code>
      * @return This builder for chaining.
      */
-    public Builder clearWithoutRoom() {
+    public Builder clearRequestsWithoutCapacity() {
       bitField0_ = (bitField0_ & ~0x00000004);
-      withoutRoom_ = 0;
+      requestsWithoutCapacity_ = 0;
       onChanged();
       return this;
     }
--- a/wire-generated/src/main/java/org/merlinwood/wire/ServiceDemandOrBuilder.java
+++ b/wire-generated/src/main/java/org/merlinwood/wire/ServiceDemandOrBuilder.java
@@ -29,8 +29,8 @@
   int getPromptTokens();
 
   /**
-   * <code>uint32 without_room = 3;</code>
-   * @return The withoutRoom.
+   * <code>uint32 requests_without_capacity = 3;</code>
+   * @return The requestsWithoutCapacity.
    */
-  int getWithoutRoom();
+  int getRequestsWithoutCapacity();
 }
