Tests: the steps of a stream that was sent stand in one place

SilentStreamTest and OpenRetryFaultsTest each had the fixture with a sent stream, its first event and the drained allowance.

--- a/gateway/src/test/java/org/merlinwood/gateway/front/OpenRetryFaultsTest.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/front/OpenRetryFaultsTest.java
@@ -1,6 +1,11 @@
 package org.merlinwood.gateway.front;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.merlinwood.gateway.front.SentStream.SILENCE_MILLIS;
+import static org.merlinwood.gateway.front.SentStream.begin;
+import static org.merlinwood.gateway.front.SentStream.drainRetries;
+import static org.merlinwood.gateway.front.SentStream.fixtureWithSentRequest;
+import static org.merlinwood.gateway.front.SentStream.replace;
 
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Tag;
@@ -22,40 +27,12 @@
 @Tag("known-red")
 final class OpenRetryFaultsTest {
 
-    private static final long SILENCE_MILLIS = 1_500;
-    private static final String FIRST_EVENT = "id: 1\ndata: a\n\n";
-
-    private static RequestProcessorFixture fixtureWithSentRequest() {
-        RequestProcessorFixture fixture = new RequestProcessorFixture(RequestKind.STREAM, true);
-        fixture.register(Stage.DECODE, "d1");
-        fixture.register(Stage.PREFILL, "f1");
-        fixture.sendRequest("/p/x");
-        fixture.grantMemory("hold-1");
-        fixture.client.last().respond(200, "handle-1");
-        fixture.register(Stage.DECODE, "d2");
-        return fixture;
-    }
-
-    private static void begin(SentRequest attempt) {
-        attempt.head(200, RequestProcessorFixture.MATCHING_RESPONSE_HEADERS);
-        attempt.bytes(FIRST_EVENT);
-    }
-
     private static long count(RequestProcessorFixture fixture, String path) {
         return fixture.client.sent().stream()
                 .filter(sent -> sent.request().path().equals(path))
                 .count();
     }
 
-    private static SentRequest replace(RequestProcessorFixture fixture, SentRequest attempt) {
-        fixture.staySilent(attempt, SILENCE_MILLIS);
-        fixture.grantMemory("hold-2");
-        fixture.client.last().respond(200, "handle-2");
-        SentRequest replacement = fixture.client.last();
-        assertThat(replacement.request().path()).isEqualTo("/d2/run");
-        return replacement;
-    }
-
     /** A sound instance falls silent; the replacement declines without running the request. */
     @Test
     void streamOutlivesAReplacementThatDeclines() {
@@ -63,7 +40,7 @@
         SentRequest attempt = fixture.client.last();
         begin(attempt);
         SentRequest replacement = replace(fixture, attempt);
-        while (fixture.retryAllowance.tryAcquire("service")) {}
+        drainRetries(fixture);
         replacement.respond(503, "", FakeUpstreamProtocol.NOT_RUN);
         assertThat(fixture.caller.aborted).isFalse();
     }
@@ -91,15 +68,7 @@
         fixture.staySilent(attempt, SILENCE_MILLIS);
         attempt.bytes("id: 2\ndata: b\n\n");
         RequestProcessorFixture calm = fixtureWithSentRequest();
-        assertThat(retriesLeft(fixture)).isEqualTo(retriesLeft(calm));
-    }
-
-    private static int retriesLeft(RequestProcessorFixture fixture) {
-        int left = 0;
-        while (fixture.retryAllowance.tryAcquire("service")) {
-            left++;
-        }
-        return left;
+        assertThat(drainRetries(fixture)).isEqualTo(drainRetries(calm));
     }
 
     /** Accepted late in the drain, its instance silent for a while: an error response fits before the exit. */
@@ -125,7 +94,7 @@
         replace(fixture, attempt);
         RequestProcessorFixture calm = fixtureWithSentRequest();
         assertThat(count(fixture, "/f1/prefill")).isEqualTo(2);
-        assertThat(retriesLeft(calm) - retriesLeft(fixture)).isEqualTo(2);
+        assertThat(drainRetries(calm) - drainRetries(fixture)).isEqualTo(2);
     }
 
     /** The same for an ordinary retry, without any silence. */
@@ -138,7 +107,7 @@
         fixture.client.last().respond(200, "handle-2");
         assertThat(fixture.client.last().request().path()).isEqualTo("/d2/run");
         RequestProcessorFixture calm = fixtureWithSentRequest();
-        assertThat(retriesLeft(calm) - retriesLeft(fixture)).isEqualTo(2);
+        assertThat(drainRetries(calm) - drainRetries(fixture)).isEqualTo(2);
     }
 
     /** The silent instance is dead; another one gets memory free a little after the wait for it was given up. */
--- a/gateway/src/test/java/org/merlinwood/gateway/front/SilentStreamTest.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/front/SilentStreamTest.java
@@ -1,6 +1,13 @@
 package org.merlinwood.gateway.front;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.merlinwood.gateway.front.SentStream.FIRST_EVENT;
+import static org.merlinwood.gateway.front.SentStream.SECOND_EVENT;
+import static org.merlinwood.gateway.front.SentStream.SILENCE_MILLIS;
+import static org.merlinwood.gateway.front.SentStream.assertComplete;
+import static org.merlinwood.gateway.front.SentStream.begin;
+import static org.merlinwood.gateway.front.SentStream.drainRetries;
+import static org.merlinwood.gateway.front.SentStream.fixtureWithSentRequest;
 
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -11,7 +18,6 @@
 import org.merlinwood.gateway.FakeHttpClient.SentRequest;
 import org.merlinwood.gateway.FakeUpstreamProtocol;
 import org.merlinwood.gateway.fleet.Stage;
-import org.merlinwood.gateway.route.RequestKind;
 
 /**
  * Guards against streams that are cut because their instance is silent for a while: a silent attempt may be replaced,
@@ -19,12 +25,6 @@
  */
 final class SilentStreamTest {
 
-    /** Longer than an instance may be silent before the entry looks for another one, in milliseconds. */
-    private static final long SILENCE_MILLIS = 1_500;
-
-    private static final String FIRST_EVENT = "id: 1\ndata: a\n\n";
-    private static final String SECOND_EVENT = "id: 2\ndata: b\n\n";
-
     /** Why no other instance can take over the stream. */
     enum Obstacle {
         NO_RETRY_ALLOWED,
@@ -33,9 +33,7 @@
 
         private void apply(RequestProcessorFixture fixture) {
             switch (this) {
-                case NO_RETRY_ALLOWED -> {
-                    while (fixture.retryAllowance.tryAcquire("service")) {}
-                }
+                case NO_RETRY_ALLOWED -> drainRetries(fixture);
                 case NO_OTHER_INSTANCE -> fixture.fleet.remove("d2");
                 case NO_INSTANCE_REGISTERED -> {
                     fixture.fleet.remove("d1");
@@ -45,28 +43,6 @@
         }
     }
 
-    private static RequestProcessorFixture fixtureWithSentRequest() {
-        RequestProcessorFixture fixture = new RequestProcessorFixture(RequestKind.STREAM, true);
-        fixture.register(Stage.DECODE, "d1");
-        fixture.register(Stage.PREFILL, "f1");
-        fixture.sendRequest("/p/x");
-        fixture.grantMemory("hold-1");
-        fixture.client.last().respond(200, "handle-1");
-        fixture.register(Stage.DECODE, "d2");
-        return fixture;
-    }
-
-    private static void begin(SentRequest attempt) {
-        attempt.head(200, RequestProcessorFixture.MATCHING_RESPONSE_HEADERS);
-        attempt.bytes(FIRST_EVENT);
-    }
-
-    private static void assertComplete(RequestProcessorFixture fixture) {
-        assertThat(fixture.caller.body).isEqualTo(FIRST_EVENT + SECOND_EVENT);
-        assertThat(fixture.caller.ended).isTrue();
-        assertThat(fixture.caller.aborted).isFalse();
-    }
-
     @ParameterizedTest
     @EnumSource(Obstacle.class)
     void streamOfASilentInstanceGoesOnWhenNoOtherInstanceCanTakeItOver(Obstacle obstacle) {
@@ -233,7 +209,7 @@
         SentRequest attempt = fixture.client.last();
         fixture.staySilent(attempt, SILENCE_MILLIS);
         fixture.grantMemory("hold-2");
-        while (fixture.retryAllowance.tryAcquire("service")) {}
+        drainRetries(fixture);
         attempt.respond(503, "", FakeUpstreamProtocol.NOT_RUN);
         assertThat(fixture.caller.status).isZero();
         fixture.client.last().respond(200, "handle-2");
@@ -248,7 +224,7 @@
         begin(attempt);
         fixture.staySilent(attempt, SILENCE_MILLIS);
         fixture.grantMemory("hold-2");
-        while (fixture.retryAllowance.tryAcquire("service")) {}
+        drainRetries(fixture);
         attempt.bytes("id: 2\nda");
         attempt.fail(ResultCode.UPSTREAM_TRUNCATED, ExecutionState.UNKNOWN);
         assertThat(fixture.caller.aborted).isFalse();
@@ -279,7 +255,7 @@
         RequestProcessorFixture fixture = fixtureWithSentRequest();
         SentRequest attempt = fixture.client.last();
         attempt.head(200, RequestProcessorFixture.MATCHING_RESPONSE_HEADERS);
-        while (fixture.retryAllowance.tryAcquire("service")) {}
+        drainRetries(fixture);
         attempt.fail(ResultCode.UPSTREAM_TRUNCATED, ExecutionState.UNKNOWN);
         assertThat(fixture.caller.aborted).isFalse();
         assertThat(fixture.caller.status).isGreaterThanOrEqualTo(502);
