A replacement that comes to nothing no longer cuts the stream of a silent instance

What callers saw: a stream whose instance was silent for more than 1.2 s was closed without its end, though that instance would have gone on, since the instance that was to take over declined, could not be reached or broke off, and no retry was left or no other instance had memory.

Cause: the silent attempt was cancelled as its replacement was sent. That the instance is silent is a suspicion, and that the other one will take the request over is a hope; both were treated as proofs. Ruled out: the reservation before it, which shows memory and a slot but neither that the computed prompt can be fetched nor that the next connection is made.

Change: the silent attempt stays open until an instance has accepted the replacement, that is until its head with success. What the silent instance sends in these 200 ms is held back, since events of two runs must not be joined: it is delivered if the replacement comes to nothing, left out if the replacement is accepted, and after 200 ms without any word of the replacement it is that which ends. A declined or unreached replacement was not run and costs no attempt of the route; one that was sent and dropped may have run, so it counts against max_attempts and no later failure says that the request was not run.

Open: a replacement that is declined later than 200 ms after it was sent, where no retry is left.

--- a/gateway/src/main/java/org/merlinwood/gateway/front/StreamRequestProcessor.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/StreamRequestProcessor.java
@@ -36,8 +36,8 @@
  *
  * <p>Memory is reserved first because it is the scarce resource: a prefill result is wasted if no decode instance can
  * take it over. If a stream is interrupted and its route is resumable, it continues at another instance after its last
- * complete event. An instance that is silent may go on at any time: its attempt ends only when another instance is
- * ready to take over, or with the time of the request. Used by the event loop alone.
+ * complete event. An instance that is silent may go on at any time: its attempt ends only when another instance has
+ * taken over or is about to, or with the time of the request. Used by the event loop alone.
  */
 final class StreamRequestProcessor extends RequestProcessor {
 
@@ -47,6 +47,12 @@
     /** Time without data after which a resumable stream is offered to another instance, in milliseconds. */
     private static final long SILENCE_LIMIT_MILLIS = 1_200;
 
+    /**
+     * Time after which a silent attempt ends although its replacement, which was sent, has not been accepted yet, in
+     * milliseconds: two instances must not work on one stream for longer.
+     */
+    private static final long OVERLAP_LIMIT_MILLIS = 200;
+
     /** Status of a server that is not the addressed instance, or whose stage has changed. */
     private static final int MISDIRECTED_REQUEST_STATUS = 421;
 
@@ -55,15 +61,19 @@
     private final CapacityReleaser releaser = new CapacityReleaser(this);
     private final PrefillCall prefillCall;
     private final SilenceTimer silenceTimer;
+    private final SilenceTimer overlapTimer;
     private final EventSplitter events = new EventSplitter();
     private final Set<String> excludedInstances = new HashSet<>();
     private Optional<UpstreamWork> activeRequest = Optional.empty();
     private Optional<ActiveGeneration> activeGeneration = Optional.empty();
 
     /** The attempt that was sent last, until it ends or is replaced. */
-    private Optional<GenerationAttempt> currentAttempt = Optional.empty();
+    private Optional<HttpListener> currentAttempt = Optional.empty();
 
-    /** The current attempt, if it is silent and {@link #activeRequest} prepares its replacement. */
+    /**
+     * The attempt that {@link #activeRequest} replaces. It is the current attempt as well until its replacement is
+     * sent, and stays open until an instance has accepted that.
+     */
     private Optional<SilentAttempt> silentAttempt = Optional.empty();
 
     /** A reservation that no attempt has used yet. */
@@ -92,6 +102,7 @@
         this.limits = limits;
         this.prefillCall = new PrefillCall(this, prompt, releaser::release);
         this.silenceTimer = new SilenceTimer(context.loop(), this::onSilence);
+        this.overlapTimer = new SilenceTimer(context.loop(), this::onOverlapLimit);
     }
 
     @Override
@@ -264,7 +275,6 @@
             placeAgain(instance, "the instance wants no request now");
             return;
         }
-        cancelSilentAttempt();
         AttemptTerms terms = new AttemptTerms(
                 upstreamTimeLeftMillis(),
                 reservation.map(MemoryReservation::identifier),
@@ -288,8 +298,12 @@
         }
         GenerationAttempt generation = new GenerationAttempt(instance, prefillResult);
         currentAttempt = Optional.of(generation);
-        silenceLimitMillis = SILENCE_LIMIT_MILLIS;
-        recordReceived();
+        if (silentAttempt.isPresent()) {
+            overlapTimer.restart(OVERLAP_LIMIT_MILLIS);
+        } else {
+            silenceLimitMillis = SILENCE_LIMIT_MILLIS;
+            recordReceived();
+        }
         reservation = Optional.empty();
         prefillResult = Optional.empty();
         HttpStream stream = context.client().send(instance, generationRequest, generation);
@@ -345,7 +359,7 @@
             silenceTimer.restart(silenceLimitMillis);
             return;
         }
-        silentAttempt = Optional.of(new SilentAttempt(silent, activeGeneration));
+        silentAttempt = Optional.of(new SilentAttempt(silent, activeGeneration, currentAttempt.orElseThrow()));
         activeRequest = Optional.empty();
         activeGeneration = Optional.empty();
         interruptedAtMillis = context.clock().monotonicMillis();
@@ -356,7 +370,13 @@
     /** Gives up what was prepared to replace the silent attempt, and waits for its instance again. */
     private void dropReplacement(String reason) {
         SilentAttempt kept = silentAttempt.orElseThrow();
+        if (isReplacementSent()) {
+            attemptsSent++;
+            recordUnknownOutcome(ResultCode.UPSTREAM_TIMEOUT);
+        }
+        overlapTimer.stop();
         silentAttempt = Optional.empty();
+        currentAttempt = Optional.of(kept.attempt());
         cancelPlacement();
         activeRequest = Optional.of(kept.work());
         activeGeneration = kept.generation();
@@ -365,9 +385,29 @@
                 .with("instance", kept.instance())
                 .with("reason", reason)
                 .write();
+        kept.release();
+    }
+
+    /** Returns whether the replacement of the silent attempt was sent and has neither been accepted nor ended. */
+    private boolean isReplacementSent() {
+        return silentAttempt.isPresent()
+                && currentAttempt.isPresent()
+                && !currentAttempt.equals(silentAttempt.map(SilentAttempt::attempt));
     }
 
-    /** Ends the silent attempt because its replacement is being sent. */
+    /** Ends one of two attempts that have been open together for as long as they may be: the one that is silent. */
+    private void onOverlapLimit() {
+        if (isFinished()) {
+            return;
+        }
+        if (silentAttempt.orElseThrow().holdsBack()) {
+            onSilentInstanceGoesOn();
+        } else {
+            cancelSilentAttempt();
+        }
+    }
+
+    /** Ends the silent attempt because its replacement has been accepted, or could be at any moment. */
     private void cancelSilentAttempt() {
         silentAttempt.ifPresent(silent -> {
             endSilentAttempt(silent);
@@ -377,10 +417,14 @@
                     .with("instance", silent.instance())
                     .with("silentMillis", context.clock().monotonicMillis() - lastReceivedMillis)
                     .write();
+            silenceLimitMillis = SILENCE_LIMIT_MILLIS;
+            recordReceived();
         });
     }
 
-    /** Records that the silent attempt ended by itself. Its replacement, which is being prepared, is its retry. */
+    /**
+     * Records that the silent attempt ended by itself. Its replacement, which is being prepared or sent, is its retry.
+     */
     private void onSilentAttemptEnded(SilentAttempt silent, AttemptOutcome outcome) {
         endSilentAttempt(silent);
         if (outcome instanceof AttemptOutcome.Broken broken) {
@@ -391,11 +435,16 @@
                 .with("outcome", outcome.toString())
                 .with("next", "its replacement")
                 .write();
+        if (currentAttempt.isPresent()) {
+            silenceLimitMillis = SILENCE_LIMIT_MILLIS;
+            recordReceived();
+        }
     }
 
     private void endSilentAttempt(SilentAttempt silent) {
+        overlapTimer.stop();
+        currentAttempt = isReplacementSent() ? currentAttempt : Optional.empty();
         silentAttempt = Optional.empty();
-        currentAttempt = Optional.empty();
         attemptsSent++;
         events.drainIncomplete();
         silent.generation().ifPresent(context.pool()::endGeneration);
@@ -417,7 +466,8 @@
 
     private void onAttemptEnded(GenerationAttempt generation, AttemptOutcome outcome) {
         activeRequest = Optional.empty();
-        currentAttempt = Optional.empty();
+        currentAttempt = silentAttempt.map(SilentAttempt::attempt);
+        overlapTimer.stop();
         silenceTimer.stop();
         interruptedAtMillis = context.clock().monotonicMillis();
         unregisterGeneration();
@@ -429,15 +479,13 @@
             unreachedAttempts++;
             prefillResult = generation.prefillUsed;
             excludedInstances.add(generation.instance.identifier());
-        } else if (!prefillResultLost) {
+        } else if (!prefillResultLost && !isDeclinedReplacement(outcome)) {
             attemptsSent++;
         }
         if (outcome instanceof AttemptOutcome.Broken broken) {
             recordUnknownOutcome(broken.failure().code());
         }
-        NextStep step = prefillResultLost
-                ? nextStepWithoutPrefillResult()
-                : RetryPolicy.decide(outcome, route, attemptsSent, unreachedAttempts, this::tryAcquireRetry);
+        NextStep step = decideNextStep(outcome, prefillResultLost);
         decisionLine("attempt ended")
                 .with("instance", generation.instance.identifier())
                 .with("outcome", outcome.toString())
@@ -446,8 +494,33 @@
         executeNextStep(generation, outcome, step, prefillResultLost);
     }
 
+    /** Returns whether a replacement was not run although it was sent; it costs the request no attempt then. */
+    private boolean isDeclinedReplacement(AttemptOutcome outcome) {
+        return silentAttempt.isPresent() && outcome instanceof AttemptOutcome.Declined;
+    }
+
+    /** Decides what follows an attempt; a failure that follows a replacement only means that there is no other one. */
+    private NextStep decideNextStep(AttemptOutcome outcome, boolean prefillResultLost) {
+        if (silentAttempt.filter(SilentAttempt::holdsBack).isPresent()) {
+            return new NextStep.Fail(ResultCode.NO_CAPACITY);
+        }
+        if (prefillResultLost) {
+            return nextStepWithoutPrefillResult();
+        }
+        if (isDeclinedReplacement(outcome)) {
+            return new NextStep.Fail(ResultCode.NO_CAPACITY);
+        }
+        int openAttempts = silentAttempt.isPresent() ? 1 : 0;
+        return RetryPolicy.decide(
+                outcome, route, attemptsSent + openAttempts, unreachedAttempts, this::tryAcquireRetry);
+    }
+
     private void executeNextStep(
             GenerationAttempt generation, AttemptOutcome outcome, NextStep step, boolean prefillResultLost) {
+        if (silentAttempt.isPresent() && !(step instanceof NextStep.Repeat)) {
+            dropReplacement(outcome.toString());
+            return;
+        }
         switch (step) {
             case NextStep.Deliver deliver ->
                 deliver(
@@ -518,6 +591,7 @@
     @Override
     void cancelUpstream() {
         silenceTimer.stop();
+        overlapTimer.stop();
         cancelPlacement();
         silentAttempt.ifPresent(silent -> {
             silent.generation().ifPresent(context.pool()::endGeneration);
@@ -600,15 +674,36 @@
 
         @Override
         public void onHead(int status, List<HttpHeader> headers) {
+            if (holdBack(() -> onHead(status, headers))) {
+                return;
+            }
             recordReceived();
             head = context.protocol().readHead(status, headers);
             head.load().ifPresent(load -> context.pool().recordLoad(instance.identifier(), load));
             streaming = head.success() && belongsToRequest();
             if (streaming) {
+                onAlive();
+            }
+        }
+
+        /** Drops the replacement of this attempt if there is one, or ends the silent attempt that this one replaces. */
+        private void onAlive() {
+            if (isReplacementSent()) {
+                cancelSilentAttempt();
+            } else {
                 onSilentInstanceGoesOn();
             }
         }
 
+        /** Holds a part of the response back while this attempt is silent and its replacement was sent. */
+        private boolean holdBack(Runnable part) {
+            if (!isReplacementSent() || currentAttempt.equals(Optional.of(this))) {
+                return false;
+            }
+            silentAttempt.orElseThrow().holdBack(part);
+            return true;
+        }
+
         /**
          * Forwards the head, before the first part of the response. Until then the caller has received nothing, so an
          * error response can still be sent, and another attempt can send its own head.
@@ -626,6 +721,9 @@
 
         @Override
         public void onBytes(byte[] bytes) {
+            if (holdBack(() -> onBytes(bytes))) {
+                return;
+            }
             recordReceived();
             if (!streaming) {
                 body.writeBytes(bytes);
@@ -659,6 +757,9 @@
 
         @Override
         public void onEnd() {
+            if (holdBack(this::onEnd)) {
+                return;
+            }
             recordReceived();
             if (streaming) {
                 onSilentInstanceGoesOn();
@@ -686,15 +787,30 @@
 
         @Override
         public void onFailure(Failure failure) {
-            if (isFinished() || !currentAttempt.equals(Optional.of(this))) {
+            if (isFinished() || !isOpen()) {
                 return;
             }
-            events.drainIncomplete();
+            if (!isReplacementOfOpenAttempt()) {
+                events.drainIncomplete();
+            }
             endAttempt(recordFailedAttempt(instance, failure));
         }
 
+        private boolean isOpen() {
+            return currentAttempt.equals(Optional.of(this))
+                    || silentAttempt.map(SilentAttempt::attempt).equals(Optional.of(this));
+        }
+
+        private boolean isReplacementOfOpenAttempt() {
+            return isReplacementSent() && currentAttempt.equals(Optional.of(this));
+        }
+
         /** Ends this attempt. A replacement that is being prepared is its retry, unless the instance has answered. */
         private void endAttempt(AttemptOutcome outcome) {
+            if (isReplacementOfOpenAttempt()) {
+                onAttemptEnded(this, outcome);
+                return;
+            }
             boolean answered = outcome instanceof AttemptOutcome.Answered;
             if (silentAttempt.isPresent() && !answered && !isFinished()) {
                 onSilentAttemptEnded(silentAttempt.get(), outcome);
