--- a/proving/src/main/java/org/merlinwood/proving/soak/SoakDeployment.java
+++ b/proving/src/main/java/org/merlinwood/proving/soak/SoakDeployment.java
@@ -16,6 +16,7 @@
 import org.merlinwood.http.HttpRequest;
 import org.merlinwood.http.HttpResponse;
 import org.merlinwood.platform.GatewayMain;
+import org.merlinwood.platform.standin.InstanceDocuments;
 import org.merlinwood.platform.standin.RunLedger;
 import org.merlinwood.platform.standin.StandInInstance;
 import org.merlinwood.platform.standin.StandInStore;
@@ -85,7 +86,7 @@
         InetSocketAddress storeAddress = ports.next();
         store = new StandInStore(storeAddress);
         storePath = new Forwarder(ports.next(), ports.next(), storeAddress);
-        store.configure(StandInInstance.configuration(version));
+        store.configure(InstanceDocuments.configuration(version));
         STAGES.forEach(this::addInstance);
         addEntries(folder);
         entries.forEach(FleetProcess::start);
@@ -185,7 +186,7 @@
             case STORE_RESET -> storePath.mode(ForwardingMode.DROP, ForwardingDirection.BOTH, 0);
             case CONFIGURATION_CHANGES -> {
                 version++;
-                store.configure(StandInInstance.configuration(version));
+                store.configure(InstanceDocuments.configuration(version));
             }
         }
     }
@@ -243,7 +244,7 @@
         for (int index = 0; index < instances.size(); index++) {
             register(index, leavingInstances.contains(index));
         }
-        store.configure(StandInInstance.configuration(version));
+        store.configure(InstanceDocuments.configuration(version));
     }
 
     private void register(int index, boolean leaving) {
@@ -254,7 +255,7 @@
         }
         store.register(
                 name(index),
-                StandInInstance.registration(
+                InstanceDocuments.registration(
                         STAGES.get(index), paths.get(index).address(), leaving, starts.getOrDefault(index, 1L)));
     }
 
--- a/proving/src/test/java/org/merlinwood/proving/gateway/EntryFixture.java
+++ b/proving/src/test/java/org/merlinwood/proving/gateway/EntryFixture.java
@@ -20,6 +20,7 @@
 import org.merlinwood.platform.PlatformStoreProtocol;
 import org.merlinwood.platform.PlatformUpstreamProtocol;
 import org.merlinwood.platform.standin.CallerCalls;
+import org.merlinwood.platform.standin.InstanceDocuments;
 import org.merlinwood.platform.standin.RunLedger;
 import org.merlinwood.platform.standin.StandInInstance;
 import org.merlinwood.platform.standin.StandInStore;
@@ -50,7 +51,7 @@
     EntryFixture(int instanceCount) throws InterruptedException {
         InetSocketAddress storeAddress = PORTS.next();
         store = new StandInStore(storeAddress);
-        store.configure(StandInInstance.configuration(1));
+        store.configure(InstanceDocuments.configuration(1));
         for (int index = 0; index < instanceCount; index++) {
             addInstance();
         }
@@ -95,7 +96,7 @@
     void register(int index) {
         store.register(
                 name(index),
-                StandInInstance.registration(StandInInstance.Stage.PLAIN, addresses.get(index), false, index + 1));
+                InstanceDocuments.registration(StandInInstance.Stage.PLAIN, addresses.get(index), false, index + 1));
     }
 
     StandInInstance instance(int index) {
--- a/proving/src/test/java/org/merlinwood/proving/gateway/StoreRestoreOnLoopbackTest.java
+++ b/proving/src/test/java/org/merlinwood/proving/gateway/StoreRestoreOnLoopbackTest.java
@@ -6,7 +6,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
-import org.merlinwood.platform.standin.StandInInstance;
+import org.merlinwood.platform.standin.InstanceDocuments;
 
 /** The store is restored from a backup while an entry serves, over real connections. */
 final class StoreRestoreOnLoopbackTest {
@@ -29,7 +29,7 @@
     }
 
     private static String configuration(long version, String bookingPrefix) {
-        return StandInInstance.configuration(version).replace("/book/", bookingPrefix);
+        return InstanceDocuments.configuration(version).replace("/book/", bookingPrefix);
     }
 
     /** Guards against an entry that ignores the restored store until its revisions have caught up. */
