--- a/stand-ins/src/test/java/org/merlinwood/standin/engine/DecodeTest.java
+++ b/stand-ins/src/test/java/org/merlinwood/standin/engine/DecodeTest.java
@@ -124,6 +124,20 @@
                 .isEqualTo(ResultCode.UPSTREAM_UNREACHABLE);
     }
 
+    /** Guards the proofs of prompts that crash engines by a portion that they share, whatever follows it. */
+    @ParameterizedTest
+    @ValueSource(strings = {"hydrant 1", "hydrant 2"})
+    void crashesBeforeFirstTokenOnMarkerInLeadingPortion(String ownPart) throws Exception {
+        ModelEngine engine = fixture.start(EngineOptions.builder());
+        String portion = "[crash-decode]".repeat(4 * PrefixBlocks.BLOCK_TOKENS);
+        String body = EngineFixture.decodeBody(portion + ownPart, 20, List.of(), "");
+        fixture.client().sendExpectingFailure("POST", engine.address(), "/v1/decode", body);
+        assertThat(engine.ledger().runs()).singleElement().satisfies(run -> {
+            assertThat(run.outcome()).isEqualTo(EngineRun.Outcome.CRASHED);
+            assertThat(run.tokens()).isZero();
+        });
+    }
+
     @Test
     void sendsNothingWhileSilent() throws Exception {
         ModelEngine engine = fixture.start(EngineOptions.builder());
