Connections of callers that end with an unanswered request are counted and logged

Nothing told what lay in a connection that the end of a process, an idle timeout or the end of a drain closed. Each connection is known from its opening on; the counters connections_unanswered_exit, _idle_timeout and _drain and the line "connection ended unanswered" tell the part that was received, and the line "stop" tells how many connections without a request are still open. Listeners of callers and operators are started separately for that.

--- /dev/null
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/CallerConnections.java
@@ -0,0 +1,124 @@
+package org.merlinwood.gateway.front;
+
+import com.codahale.metrics.MetricRegistry;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.server.protocol.http.HttpServerConnection;
+import java.util.LinkedHashMap;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import org.merlinwood.core.time.MillisClock;
+import org.merlinwood.operation.log.DecisionLog;
+import org.xnio.StreamConnection;
+
+/**
+ * The open connections of callers. Records each one that this entry ends with a request, or a part of one, that has no
+ * response. Confined to the event loop.
+ */
+public final class CallerConnections {
+
+    /** Why this entry ends a connection. */
+    public enum EndCause {
+        /** The connection is closed behind its last response. */
+        DRAIN,
+        /** Nothing was received for the idle timeout. */
+        IDLE_TIMEOUT,
+        /** The process ends. */
+        EXIT
+    }
+
+    /** Number of opened connections after which those that have been closed are removed. */
+    private static final int REMOVAL_INTERVAL = 64;
+
+    private final Map<StreamConnection, CallerConnection> connections = new LinkedHashMap<>();
+    private final MillisClock clock;
+    private final long idleTimeoutMillis;
+    private final DecisionLog log;
+    private final MetricRegistry metrics;
+    private int openedSinceRemoval;
+
+    /**
+     * Creates an empty set.
+     *
+     * @param clock source of the monotonic time
+     * @param idleTimeoutMillis time without a byte after which the server closes a connection, in milliseconds
+     * @param log receives a line for each connection that ends with an unanswered request
+     * @param metrics receives the number of open connections, and counters of unanswered ones by cause
+     */
+    public CallerConnections(MillisClock clock, long idleTimeoutMillis, DecisionLog log, MetricRegistry metrics) {
+        this.clock = clock;
+        this.idleTimeoutMillis = idleTimeoutMillis;
+        this.log = log;
+        this.metrics = metrics;
+        metrics.gauge("caller_connections_open", () -> connections::size);
+    }
+
+    void add(StreamConnection connection) {
+        openedSinceRemoval++;
+        if (openedSinceRemoval >= REMOVAL_INTERVAL) {
+            removeClosed();
+        }
+        connections.put(connection, new CallerConnection(connection, clock.monotonicMillis()));
+    }
+
+    Optional<CallerConnection> find(HttpServerExchange exchange) {
+        return exchange.getConnection() instanceof HttpServerConnection connection
+                ? Optional.ofNullable(connections.get(connection.getChannel()))
+                : Optional.empty();
+    }
+
+    void completeRequest(HttpServerExchange exchange) {
+        find(exchange).ifPresent(connection -> {
+            connection.completeRequest(exchange, clock.monotonicMillis());
+            if (!exchange.isPersistent()) {
+                recordIfUnanswered(connection, EndCause.DRAIN);
+            }
+        });
+    }
+
+    /** Records every connection that has an unanswered request as ended by the exit. */
+    public void recordExit() {
+        removeClosed();
+        connections.values().forEach(connection -> recordIfUnanswered(connection, EndCause.EXIT));
+    }
+
+    /**
+     * Returns the number of open connections on which no request, or part of one, is unanswered.
+     *
+     * @return the number, at least 0
+     */
+    public int countWithoutRequest() {
+        removeClosed();
+        return (int) connections.values().stream()
+                .filter(connection -> !connection.state().unanswered())
+                .count();
+    }
+
+    private void removeClosed() {
+        openedSinceRemoval = 0;
+        connections.values().removeIf(connection -> {
+            if (connection.isOpen()) {
+                return false;
+            }
+            if (connection.unchangedMillis(clock.monotonicMillis()) >= idleTimeoutMillis) {
+                recordIfUnanswered(connection, EndCause.IDLE_TIMEOUT);
+            }
+            return true;
+        });
+    }
+
+    private void recordIfUnanswered(CallerConnection connection, EndCause cause) {
+        CallerConnection.State state = connection.state();
+        if (!state.unanswered()) {
+            return;
+        }
+        metrics.counter("connections_unanswered_" + cause.name().toLowerCase(Locale.ROOT))
+                .inc();
+        log.line("connection ended unanswered")
+                .with("cause", cause.name())
+                .with("state", state.name())
+                .with("receivedBytes", connection.receivedBytes())
+                .with("unchangedMillis", connection.unchangedMillis(clock.monotonicMillis()))
+                .write();
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/CallerListener.java
@@ -0,0 +1,82 @@
+package org.merlinwood.gateway.front;
+
+import io.undertow.connector.ByteBufferPool;
+import io.undertow.server.HttpHandler;
+import io.undertow.server.protocol.http.HttpOpenListener;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetSocketAddress;
+import org.xnio.ChannelListeners;
+import org.xnio.IoUtils;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.StreamConnection;
+import org.xnio.XnioWorker;
+import org.xnio.channels.AcceptingChannel;
+
+/** Accepts the connections of callers. */
+public final class CallerListener {
+
+    /** Connections that the operating system may hold for this process. */
+    private static final int BACKLOG = 1_000;
+
+    private final InetSocketAddress address;
+    private final XnioWorker worker;
+    private final HttpOpenListener openListener;
+    private final CallerConnections connections;
+    private AcceptingChannel<StreamConnection> server;
+
+    /**
+     * Creates a listener that does not listen yet.
+     *
+     * @param address address to listen on
+     * @param worker has the I/O thread that processes all connections
+     * @param buffers pool for the bytes of requests and responses
+     * @param options options of the HTTP connections
+     * @param handler handles the requests
+     * @param connections receives each connection
+     */
+    public CallerListener(
+            InetSocketAddress address,
+            XnioWorker worker,
+            ByteBufferPool buffers,
+            OptionMap options,
+            HttpHandler handler,
+            CallerConnections connections) {
+        this.address = address;
+        this.worker = worker;
+        this.openListener = new HttpOpenListener(buffers, options);
+        this.openListener.setRootHandler(handler);
+        this.connections = connections;
+    }
+
+    /**
+     * Starts to listen. Call once, on any thread.
+     *
+     * @throws UncheckedIOException if the address can't be bound
+     */
+    public void start() {
+        OptionMap options = OptionMap.builder()
+                .set(Options.TCP_NODELAY, true)
+                .set(Options.REUSE_ADDRESSES, true)
+                .set(Options.BACKLOG, BACKLOG)
+                .getMap();
+        try {
+            server = worker.createStreamConnectionServer(
+                    address, ChannelListeners.openListenerAdapter(this::open), options);
+        } catch (IOException exception) {
+            throw new UncheckedIOException("could not listen on " + address, exception);
+        }
+        server.resumeAccepts();
+    }
+
+    /** Stops listening. Open connections stay open. May be called on any thread. */
+    public void close() {
+        IoUtils.safeClose(server);
+    }
+
+    private void open(StreamConnection connection) {
+        connections.add(connection);
+        openListener.handleEvent(connection);
+    }
+}
--- a/gateway/src/main/java/org/merlinwood/gateway/front/FrontHandler.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/FrontHandler.java
@@ -26,6 +26,7 @@
     private final LongSupplier maximumBodyBytes;
     private final DrainPolicy drainPolicy;
     private final OpenRequests openRequests;
+    private final CallerConnections connections;
 
     FrontHandler(
             RequestDispatcher dispatcher,
@@ -33,21 +34,25 @@
             MillisClock clock,
             LongSupplier maximumBodyBytes,
             DrainPolicy drainPolicy,
-            OpenRequests openRequests) {
+            OpenRequests openRequests,
+            CallerConnections connections) {
         this.dispatcher = dispatcher;
         this.protocol = protocol;
         this.clock = clock;
         this.maximumBodyBytes = maximumBodyBytes;
         this.drainPolicy = drainPolicy;
         this.openRequests = openRequests;
+        this.connections = connections;
     }
 
     @Override
     public void handleRequest(HttpServerExchange exchange) {
         long arrivedMillis = clock.monotonicMillis();
         openRequests.increment();
+        connections.find(exchange).ifPresent(CallerConnection::startRequest);
         exchange.addExchangeCompleteListener((completed, next) -> {
             openRequests.decrement();
+            connections.completeRequest(completed);
             next.proceed();
         });
         if (drainPolicy.draining()) {
@@ -63,6 +68,7 @@
         receiver.setMaxBufferSize(Math.toIntExact(Math.min(Integer.MAX_VALUE, maximumBodyBytes.getAsLong())));
         receiver.receiveFullBytes(
                 (received, body) -> received.dispatch(SameThreadExecutor.INSTANCE, () -> {
+                    connections.find(received).ifPresent(CallerConnection::completeBody);
                     channel.watchForDisconnect();
                     dispatcher.dispatch(
                             protocol.read(
--- a/gateway/src/main/java/org/merlinwood/gateway/front/FrontHandlerFactory.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/FrontHandlerFactory.java
@@ -72,16 +72,22 @@
      * @param protocol decodes requests of callers
      * @param drainPolicy decides whether a draining entry accepts a request
      * @param openRequests counts the requests in progress
+     * @param connections the connections of the requests
      * @return the handler; it must run on the event loop's thread
      */
-    public HttpHandler handler(CallerProtocol protocol, DrainPolicy drainPolicy, OpenRequests openRequests) {
+    public HttpHandler handler(
+            CallerProtocol protocol,
+            DrainPolicy drainPolicy,
+            OpenRequests openRequests,
+            CallerConnections connections) {
         return new FrontHandler(
                 new RequestDispatcher(context, drainPolicy),
                 protocol,
                 context.clock(),
                 this::maximumBodyBytes,
                 drainPolicy,
-                openRequests);
+                openRequests,
+                connections);
     }
 
     private long maximumBodyBytes() {
--- a/gateway/src/main/java/org/merlinwood/gateway/process/DrainSequence.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/process/DrainSequence.java
@@ -2,6 +2,7 @@
 
 import java.util.function.IntSupplier;
 import org.merlinwood.gateway.decision.DrainPolicy;
+import org.merlinwood.gateway.front.CallerConnections;
 import org.merlinwood.gateway.loop.EventLoop;
 import org.merlinwood.operation.log.DecisionLog;
 
@@ -22,6 +23,7 @@
 
     private final DrainPolicy policy;
     private final IntSupplier openRequests;
+    private final CallerConnections connections;
     private final EventLoop loop;
     private final DecisionLog log;
 
@@ -30,12 +32,19 @@
      *
      * @param policy decides which requests are still accepted, and when the process exits
      * @param openRequests returns the number of requests without a complete response
+     * @param connections the open connections of callers
      * @param loop runs the checks for the end
      * @param log receives one line at the start and one at the end
      */
-    DrainSequence(DrainPolicy policy, IntSupplier openRequests, EventLoop loop, DecisionLog log) {
+    DrainSequence(
+            DrainPolicy policy,
+            IntSupplier openRequests,
+            CallerConnections connections,
+            EventLoop loop,
+            DecisionLog log) {
         this.policy = policy;
         this.openRequests = openRequests;
+        this.connections = connections;
         this.loop = loop;
         this.log = log;
     }
@@ -67,8 +76,10 @@
             loop.schedule(DRAIN_POLL_MILLIS, () -> exitWhenDone(exit));
             return;
         }
+        connections.recordExit();
         log.line("stop")
                 .with("openRequests", openRequests.getAsInt())
+                .with("connectionsWithoutRequest", connections.countWithoutRequest())
                 .with("drainMillis", policy.elapsedMillis())
                 .write();
         loop.schedule(LOG_FLUSH_MILLIS, exit);
--- a/gateway/src/main/java/org/merlinwood/gateway/process/EntryComposition.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/process/EntryComposition.java
@@ -3,7 +3,8 @@
 import com.codahale.metrics.MetricRegistry;
 import io.undertow.Undertow;
 import io.undertow.UndertowOptions;
-import io.undertow.server.HttpHandler;
+import io.undertow.connector.ByteBufferPool;
+import io.undertow.server.DefaultByteBufferPool;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.math.BigInteger;
@@ -21,6 +22,8 @@
 import org.merlinwood.gateway.fleet.FleetState;
 import org.merlinwood.gateway.follow.StoreFollower;
 import org.merlinwood.gateway.follow.StoreProtocol;
+import org.merlinwood.gateway.front.CallerConnections;
+import org.merlinwood.gateway.front.CallerListener;
 import org.merlinwood.gateway.front.FrontHandlerFactory;
 import org.merlinwood.gateway.front.OpenRequests;
 import org.merlinwood.gateway.front.RequestMetrics;
@@ -47,12 +50,22 @@
     /** Idle timeout of caller connections, in milliseconds. Longer than any timeout that operators configure. */
     private static final int IDLE_TIMEOUT_MILLIS = 120_000;
 
+    /** Size of a buffer for bytes of a connection, in bytes. */
+    private static final int CONNECTION_BUFFER_BYTES = 1_024;
+
+    private static final OptionMap CONNECTION_OPTIONS = OptionMap.builder()
+            .set(UndertowOptions.DECODE_URL, false)
+            .set(UndertowOptions.ALWAYS_SET_DATE, false)
+            .set(UndertowOptions.NO_REQUEST_TIMEOUT, IDLE_TIMEOUT_MILLIS)
+            .getMap();
+
     final DecisionLog log;
     final XnioWorker worker;
     final EventLoop loop;
     final StoreFollower follower;
     final PeerSessions peers;
-    final Undertow server;
+    final CallerListener callerListener;
+    final Undertow operatorServer;
     final DrainSequence drainSequence;
 
     private final MillisClock clock = SystemMillisClock.shared();
@@ -63,6 +76,7 @@
     private final OpenRequests openRequests = new OpenRequests();
     private final GatewaySettings settings;
     private final DrainPolicy drainPolicy;
+    private final CallerConnections connections;
     private final InstancePool pool;
     private final InstanceNoticeRecorder noticeRecorder;
 
@@ -85,7 +99,8 @@
         this.drainPolicy = new DrainPolicy(clock, settings.terminationGraceMillis());
         this.worker = createWorker();
         this.loop = new IoThreadLoop(worker.getIoThread());
-        this.drainSequence = new DrainSequence(drainPolicy, openRequests::count, loop, log);
+        this.connections = new CallerConnections(clock, IDLE_TIMEOUT_MILLIS, log, metrics);
+        this.drainSequence = new DrainSequence(drainPolicy, openRequests::count, connections, loop, log);
         HttpClient client = HttpClient.withWorker(worker);
         this.pool = new InstancePool(
                 fleet, clock, settings.failureDomain(), settings.instance().hashCode());
@@ -95,7 +110,15 @@
         UpstreamClient upstreamClient = new UpstreamClient(client, upstreamProtocol, noticeRecorder);
         FrontHandlerFactory handlerFactory = createHandlerFactory(upstreamClient, upstreamProtocol);
         this.peers = createPeers(createOrders(upstreamClient, upstreamProtocol));
-        this.server = createServer(handlerFactory.handler(callerProtocol, drainPolicy, openRequests));
+        ByteBufferPool buffers = new DefaultByteBufferPool(true, CONNECTION_BUFFER_BYTES);
+        this.callerListener = new CallerListener(
+                settings.callerAddress(),
+                worker,
+                buffers,
+                CONNECTION_OPTIONS,
+                handlerFactory.handler(callerProtocol, drainPolicy, openRequests, connections),
+                connections);
+        this.operatorServer = createOperatorServer(buffers);
         addGauges(client);
     }
 
@@ -167,16 +190,13 @@
                 log);
     }
 
-    private Undertow createServer(HttpHandler callerHandler) {
+    private Undertow createOperatorServer(ByteBufferPool buffers) {
         return Undertow.builder()
                 .setWorker(worker)
+                .setByteBufferPool(buffers)
                 .setServerOption(UndertowOptions.DECODE_URL, false)
                 .setServerOption(UndertowOptions.ALWAYS_SET_DATE, false)
                 .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, IDLE_TIMEOUT_MILLIS)
-                .addHttpListener(
-                        settings.callerAddress().getPort(),
-                        settings.callerAddress().getHostString(),
-                        callerHandler)
                 .addHttpListener(
                         settings.readyAddress().getPort(),
                         settings.readyAddress().getHostString(),
--- a/gateway/src/main/java/org/merlinwood/gateway/process/GatewayProcess.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/process/GatewayProcess.java
@@ -37,7 +37,8 @@
 
     /** Starts to listen, to read the configuration store and to connect to other entries. Call once. */
     public void start() {
-        entry.server.start();
+        entry.operatorServer.start();
+        entry.callerListener.start();
         entry.loop.execute(entry.follower::start);
         entry.peers.start();
         entry.log
@@ -77,7 +78,8 @@
     @Override
     public void close() {
         entry.peers.close();
-        entry.server.stop();
+        entry.callerListener.close();
+        entry.operatorServer.stop();
         entry.worker.shutdownNow();
     }
 }
--- a/gateway/src/test/java/org/merlinwood/gateway/process/DrainSequenceTest.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/process/DrainSequenceTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import com.codahale.metrics.MetricRegistry;
 import java.io.OutputStream;
 import java.io.PrintStream;
 import org.junit.jupiter.api.BeforeEach;
@@ -9,6 +10,7 @@
 import org.merlinwood.core.time.ManualMillisClock;
 import org.merlinwood.gateway.ManualLoop;
 import org.merlinwood.gateway.decision.DrainPolicy;
+import org.merlinwood.gateway.front.CallerConnections;
 import org.merlinwood.gateway.route.RequestKind;
 import org.merlinwood.operation.log.DecisionLog;
 
@@ -30,7 +32,12 @@
     @BeforeEach
     void createSequence() {
         DecisionLog log = new DecisionLog("test", clock, new PrintStream(OutputStream.nullOutputStream()));
-        sequence = new DrainSequence(policy, () -> openRequests, loop, log);
+        sequence = new DrainSequence(
+                policy,
+                () -> openRequests,
+                new CallerConnections(clock, 120_000, log, new MetricRegistry()),
+                loop,
+                log);
     }
 
     @Test
