A stream that ends inside an event counts as broken off, not as complete

What callers saw: a stream whose instance broke off inside an event, in a response that ends with its connection, was passed on with the part of that event and ended as whole; nobody retried or resumed it.

Cause: completeStream took every orderly end of a response for the end of its stream and wrote the bytes behind the last complete event. Ruled out: the framing below it.

Change: a stream that ends inside an event is a broken attempt, whatever tells the end of its response. It is resumed behind its last complete event, or fails with an error response or the end of the connection; the part of an event is never passed on. The same for a stream that is collected before it is forwarded (a streaming route without a model).

EventSplitterTest looked at the bytes that are discarded now; it checks that they are there, and that the rest of their event completes them.

--- a/gateway/src/main/java/org/merlinwood/gateway/front/EventSplitter.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/EventSplitter.java
@@ -47,11 +47,14 @@
         return incomplete.size() > MAXIMUM_EVENT_BYTES;
     }
 
-    /** Returns the bytes after the last complete event and discards them. */
-    byte[] drainIncomplete() {
-        byte[] incompleteEvent = incomplete.toByteArray();
+    /** Returns whether there are bytes after the last complete event: a stream that ends now is broken off. */
+    boolean isInsideEvent() {
+        return incomplete.size() > 0;
+    }
+
+    /** Discards the bytes after the last complete event. */
+    void discardIncomplete() {
         incomplete.reset();
-        return incompleteEvent;
     }
 
     /** Returns the last number in an {@code id} field of a complete event, or empty if there was none. */
--- a/gateway/src/main/java/org/merlinwood/gateway/front/PlainRequestProcessor.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/PlainRequestProcessor.java
@@ -16,6 +16,7 @@
 import org.merlinwood.gateway.fleet.Stage;
 import org.merlinwood.gateway.fleet.UpstreamInstance;
 import org.merlinwood.gateway.request.CallerRequest;
+import org.merlinwood.gateway.route.RequestKind;
 import org.merlinwood.gateway.route.Route;
 import org.merlinwood.gateway.upstream.AttemptTerms;
 import org.merlinwood.gateway.upstream.ResponseHead;
@@ -251,6 +252,10 @@
                 return new AttemptOutcome.Broken(
                         Failure.of(ResultCode.UPSTREAM_MALFORMED, "the response does not belong to this request"));
             }
+            if (head.success() && route.kind() == RequestKind.STREAM && endsInsideEvent()) {
+                return recordFailedAttempt(
+                        instance, Failure.of(ResultCode.UPSTREAM_TRUNCATED, "the response ended inside an event"));
+            }
             if (head.status() >= 500) {
                 context.pool().recordErrorResponse(instance.identifier());
             } else {
@@ -261,6 +266,12 @@
             return new AttemptOutcome.Answered(head.status());
         }
 
+        private boolean endsInsideEvent() {
+            EventSplitter events = new EventSplitter();
+            events.split(body.toByteArray());
+            return events.isInsideEvent();
+        }
+
         @Override
         public void onFailure(Failure failure) {
             if (!markEnded() || isFinished()) {
--- a/gateway/src/main/java/org/merlinwood/gateway/front/StreamRequestProcessor.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/StreamRequestProcessor.java
@@ -446,7 +446,7 @@
         currentAttempt = isReplacementSent() ? currentAttempt : Optional.empty();
         silentAttempt = Optional.empty();
         attemptsSent++;
-        events.drainIncomplete();
+        events.discardIncomplete();
         silent.generation().ifPresent(context.pool()::endGeneration);
     }
 
@@ -581,10 +581,6 @@
                 .write();
         context.metrics().recordCompletion(route.kind(), generation.head.status(), elapsedMillis());
         generation.beginResponse();
-        byte[] incompleteEvent = events.drainIncomplete();
-        if (incompleteEvent.length > 0) {
-            channel.write(incompleteEvent);
-        }
         channel.end();
     }
 
@@ -761,6 +757,10 @@
                 return;
             }
             recordReceived();
+            if (streaming && events.isInsideEvent()) {
+                onFailure(Failure.of(ResultCode.UPSTREAM_TRUNCATED, "the response ended inside an event"));
+                return;
+            }
             if (streaming) {
                 onSilentInstanceGoesOn();
                 completeStream(this);
@@ -791,7 +791,7 @@
                 return;
             }
             if (!isReplacementOfOpenAttempt()) {
-                events.drainIncomplete();
+                events.discardIncomplete();
             }
             endAttempt(recordFailedAttempt(instance, failure));
         }
--- a/gateway/src/test/java/org/merlinwood/gateway/front/EventSplitterTest.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/front/EventSplitterTest.java
@@ -23,7 +23,7 @@
         }
         assertThat(completeEvents).hasToString(STREAM);
         assertThat(splitter.lastEventNumber()).isEqualTo(OptionalLong.of(13));
-        assertThat(splitter.drainIncomplete()).isEmpty();
+        assertThat(splitter.isInsideEvent()).isFalse();
     }
 
     @Test
@@ -32,7 +32,9 @@
         byte[] completeEvents = splitter.split("id: 1\ndata: a\n\nid: 2\ndat".getBytes(StandardCharsets.UTF_8));
         assertThat(text(completeEvents)).isEqualTo("id: 1\ndata: a\n\n");
         assertThat(splitter.lastEventNumber()).isEqualTo(OptionalLong.of(1));
-        assertThat(text(splitter.drainIncomplete())).isEqualTo("id: 2\ndat");
+        assertThat(splitter.isInsideEvent()).isTrue();
+        assertThat(text(splitter.split("a: b\n\n".getBytes(StandardCharsets.UTF_8))))
+                .isEqualTo("id: 2\ndata: b\n\n");
     }
 
     private static String text(byte[] bytes) {
--- a/gateway/src/test/java/org/merlinwood/gateway/front/RequestProcessorFixture.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/front/RequestProcessorFixture.java
@@ -74,6 +74,11 @@
     private CallerRequest request;
 
     RequestProcessorFixture(RequestKind kind, boolean resumable) {
+        this(kind, resumable, kind == RequestKind.STREAM);
+    }
+
+    /** Creates a dispatcher whose service has model engines, or plain instances that may stream as well. */
+    RequestProcessorFixture(RequestKind kind, boolean resumable, boolean hasEngines) {
         clock.advanceMillis(RETRY_WINDOW_MILLIS);
         DecisionLog log = new DecisionLog("test", clock, new PrintStream(OutputStream.nullOutputStream()));
         RequestProcessorContext context = new RequestProcessorContext(
@@ -102,7 +107,7 @@
                 List.of(new ServiceShare("service", 1)),
                 2,
                 resumable);
-        Optional<EngineLimits> limits = kind == RequestKind.STREAM ? Optional.of(LIMITS) : Optional.empty();
+        Optional<EngineLimits> limits = hasEngines ? Optional.of(LIMITS) : Optional.empty();
         fleet.replaceRoutes(
                 RouteTable.of(1, List.of(route), List.of(new UpstreamService("service", 10, limits)), BODY_BYTES));
     }
