A prompt that is computed once more is charged to the retry allowance

What was seen: a replacement or an ordinary retry took one unit of the allowance, though a second prefill and the generation behind it arrive at instances. Beside failures, entries sent up to twice what they counted, which the allowance is there to prevent.

Cause: PrefillCall charged failed prefills only.

Change: PrefillCall knows whether an instance has, or may have, accepted the prompt (a cancelled call may). From then on each further call needs a retry of its own, held in a RetryClaim and given back if the call was not sent or did not reach its instance. Where none is left, the decode instance computes the prompt itself, as it does when the allowance is overdrawn: the stream goes on.

Tests: replacementIsChargedForItsPrefillAndItsRun and retryIsChargedForItsPrefillAndItsRun failed on (known-red until now, 1 charged in place of 2) and pass, with three further cases in UncountedPrefillTest. All tests of gateway pass.

--- a/gateway/src/main/java/org/merlinwood/gateway/decision/RetryAllowance.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/decision/RetryAllowance.java
@@ -3,6 +3,7 @@
 import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.function.IntSupplier;
 import org.merlinwood.core.time.MillisClock;
 
@@ -62,12 +63,34 @@
      * @return false if the allowance of the window is used up; nothing is consumed then
      */
     public boolean tryAcquire(String service) {
+        return acquire(service).isPresent();
+    }
+
+    /**
+     * Consumes one retry of the allowance, if one is left.
+     *
+     * @param service name of the service
+     * @return the monotonic time to give to {@link #giveBack} if the retry is not sent, in milliseconds; empty if the
+     *     allowance of the window is used up
+     */
+    OptionalLong acquire(String service) {
         Window window = window(service);
         if (window.retries.size() + 1 > allowedRetries(window)) {
-            return false;
+            return OptionalLong.empty();
         }
-        window.retries.addLast(clock.monotonicMillis());
-        return true;
+        long acquiredMillis = clock.monotonicMillis();
+        window.retries.addLast(acquiredMillis);
+        return OptionalLong.of(acquiredMillis);
+    }
+
+    /**
+     * Returns a retry that no instance has received. Does nothing if its window has passed.
+     *
+     * @param service name of the service
+     * @param acquiredMillis result of {@link #acquire}
+     */
+    void giveBack(String service, long acquiredMillis) {
+        window(service).retries.removeFirstOccurrence(acquiredMillis);
     }
 
     /**
--- a/gateway/src/main/java/org/merlinwood/gateway/front/PrefillCall.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/PrefillCall.java
@@ -7,6 +7,7 @@
 import java.util.function.Consumer;
 import org.merlinwood.core.result.ExecutionState;
 import org.merlinwood.core.result.Failure;
+import org.merlinwood.gateway.decision.RetryClaim;
 import org.merlinwood.gateway.fleet.UpstreamInstance;
 import org.merlinwood.gateway.request.Prompt;
 import org.merlinwood.gateway.upstream.PrefillResult;
@@ -31,6 +32,12 @@
     private Optional<UpstreamInstance> activeInstance = Optional.empty();
     private Optional<HttpStream> activeRequest = Optional.empty();
 
+    /** Holds the retry of a prompt that is computed once more. */
+    private final RetryClaim retry;
+
+    /** Whether an instance has, or may have, accepted the prompt; every further call counts as a retry. */
+    private boolean accepted;
+
     /** Number of times that this call was cancelled; a response to a request from before is not used. */
     private int cancelCount;
 
@@ -46,6 +53,7 @@
         this.context = processor.context;
         this.prompt = prompt;
         this.releaser = releaser;
+        this.retry = new RetryClaim(context.retryAllowance(), processor.service);
     }
 
     /** Forgets which instances were tried, for the next attempt of the request. */
@@ -63,7 +71,10 @@
     void start(UpstreamInstance decodeInstance, Consumer<Optional<PrefillResult>> consumer) {
         Optional<UpstreamInstance> choice = context.pool()
                 .choosePrefill(processor.service, decodeInstance.domain(), prompt.promptTokens(), triedInstances);
-        if (choice.isEmpty() || context.retryAllowance().isOverdrawn(processor.service)) {
+        if (choice.isEmpty()
+                || context.retryAllowance().isOverdrawn(processor.service)
+                || (accepted && !retry.tryAcquire())) {
+            retry.giveBack();
             consumer.accept(Optional.empty());
             return;
         }
@@ -78,7 +89,12 @@
     @Override
     public void cancel() {
         cancelCount++;
-        activeRequest.ifPresent(HttpStream::cancel);
+        activeRequest.ifPresent(request -> {
+            accepted = true;
+            retry.markUsed();
+            request.cancel();
+        });
+        retry.giveBack();
         activeRequest = Optional.empty();
         activeInstance = Optional.empty();
     }
@@ -139,6 +155,8 @@
                 .with("answer", response.fold(Failure::detail, success -> "status " + success.status()))
                 .write();
         if (result.isPresent()) {
+            accepted = true;
+            retry.markUsed();
             context.pool().recordPrefill(instance.identifier(), prompt.promptTokens(), tookMillis);
             context.metrics().recordDuration("prefill_milliseconds", tookMillis);
         } else {
@@ -151,7 +169,12 @@
     private void recordFailure(Either<Failure, HttpResponse> response) {
         boolean received =
                 response.fold(failure -> failure.executionState() != ExecutionState.NOT_RUN, success -> true);
-        if (received) {
+        if (!received) {
+            return;
+        }
+        if (accepted) {
+            retry.markUsed();
+        } else {
             context.retryAllowance().recordRetry(processor.service);
         }
     }
--- a/gateway/src/test/java/org/merlinwood/gateway/front/OpenRetryFaultsTest.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/front/OpenRetryFaultsTest.java
@@ -5,13 +5,10 @@
 import static org.merlinwood.gateway.front.SentStream.begin;
 import static org.merlinwood.gateway.front.SentStream.drainRetries;
 import static org.merlinwood.gateway.front.SentStream.fixtureWithSentRequest;
-import static org.merlinwood.gateway.front.SentStream.replace;
 
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
-import org.merlinwood.core.result.ExecutionState;
-import org.merlinwood.core.result.ResultCode;
 import org.merlinwood.core.time.ManualMillisClock;
 import org.merlinwood.gateway.FakeHttpClient.SentRequest;
 import org.merlinwood.gateway.ManualLoop;
@@ -26,12 +23,6 @@
 @Tag("known-red")
 final class OpenRetryFaultsTest {
 
-    private static long count(RequestProcessorFixture fixture, String path) {
-        return fixture.client.sent().stream()
-                .filter(sent -> sent.request().path().equals(path))
-                .count();
-    }
-
     /** A replacement that was never sent must not cost the retries of others. */
     @Test
     void droppedReplacementReturnsItsRetry() {
@@ -58,31 +49,6 @@
         assertThat(fixture.caller.status).isNotZero();
     }
 
-    /** A second prefill counts as a retry, and so does the run behind it. */
-    @Test
-    void replacementIsChargedForItsPrefillAndItsRun() {
-        RequestProcessorFixture fixture = fixtureWithSentRequest();
-        SentRequest attempt = fixture.client.last();
-        begin(attempt);
-        replace(fixture, attempt);
-        RequestProcessorFixture calm = fixtureWithSentRequest();
-        assertThat(count(fixture, "/f1/prefill")).isEqualTo(2);
-        assertThat(drainRetries(calm) - drainRetries(fixture)).isEqualTo(2);
-    }
-
-    /** The same for an ordinary retry, without any silence. */
-    @Test
-    void retryIsChargedForItsPrefillAndItsRun() {
-        RequestProcessorFixture fixture = fixtureWithSentRequest();
-        begin(fixture.client.last());
-        fixture.client.last().fail(ResultCode.CONNECTION_LOST, ExecutionState.UNKNOWN);
-        fixture.grantMemory("hold-2");
-        fixture.client.last().respond(200, "handle-2");
-        assertThat(fixture.client.last().request().path()).isEqualTo("/d2/run");
-        RequestProcessorFixture calm = fixtureWithSentRequest();
-        assertThat(drainRetries(calm) - drainRetries(fixture)).isEqualTo(2);
-    }
-
     /** The silent instance is dead; another one gets memory free a little after the wait for it was given up. */
     @Test
     void deadInstanceIsReplacedAsSoonAsAnotherHasMemory() {
--- /dev/null
+++ b/gateway/src/test/java/org/merlinwood/gateway/front/UncountedPrefillTest.java
@@ -0,0 +1,95 @@
+package org.merlinwood.gateway.front;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.merlinwood.gateway.front.SentStream.SECOND_EVENT;
+import static org.merlinwood.gateway.front.SentStream.SILENCE_MILLIS;
+import static org.merlinwood.gateway.front.SentStream.begin;
+import static org.merlinwood.gateway.front.SentStream.drainRetries;
+import static org.merlinwood.gateway.front.SentStream.fixtureWithSentRequest;
+import static org.merlinwood.gateway.front.SentStream.replace;
+
+import org.junit.jupiter.api.Test;
+import org.merlinwood.core.result.ExecutionState;
+import org.merlinwood.core.result.ResultCode;
+import org.merlinwood.gateway.FakeHttpClient.SentRequest;
+
+/**
+ * Guards against more retries than the allowance: only the first prefill that an instance accepts is free, and a prompt
+ * that is computed once more arrives in addition to the generation behind it.
+ */
+final class UncountedPrefillTest {
+
+    private static long count(RequestProcessorFixture fixture, String path) {
+        return fixture.client.sent().stream()
+                .filter(sent -> sent.request().path().equals(path))
+                .count();
+    }
+
+    /** A second prefill counts as a retry, and so does the run behind it. */
+    @Test
+    void replacementIsChargedForItsPrefillAndItsRun() {
+        RequestProcessorFixture fixture = fixtureWithSentRequest();
+        SentRequest attempt = fixture.client.last();
+        begin(attempt);
+        replace(fixture, attempt);
+        RequestProcessorFixture calm = fixtureWithSentRequest();
+        assertThat(count(fixture, "/f1/prefill")).isEqualTo(2);
+        assertThat(drainRetries(calm) - drainRetries(fixture)).isEqualTo(2);
+    }
+
+    /** The same for an ordinary retry, without any silence. */
+    @Test
+    void retryIsChargedForItsPrefillAndItsRun() {
+        RequestProcessorFixture fixture = fixtureWithSentRequest();
+        begin(fixture.client.last());
+        fixture.client.last().fail(ResultCode.CONNECTION_LOST, ExecutionState.UNKNOWN);
+        fixture.grantMemory("hold-2");
+        fixture.client.last().respond(200, "handle-2");
+        assertThat(fixture.client.last().request().path()).isEqualTo("/d2/run");
+        RequestProcessorFixture calm = fixtureWithSentRequest();
+        assertThat(drainRetries(calm) - drainRetries(fixture)).isEqualTo(2);
+    }
+
+    /** Without a retry for the prompt, the decode instance computes it, and the stream goes on all the same. */
+    @Test
+    void promptIsNotComputedAgainBeyondTheAllowance() {
+        RequestProcessorFixture fixture = fixtureWithSentRequest();
+        SentRequest attempt = fixture.client.last();
+        begin(attempt);
+        fixture.staySilent(attempt, SILENCE_MILLIS);
+        drainRetries(fixture);
+        fixture.grantMemory("hold-2");
+        assertThat(count(fixture, "/f1/prefill")).isEqualTo(1);
+        assertThat(fixture.client.last().request().path()).isEqualTo("/d2/run");
+    }
+
+    /** A prefill that is given up may have arrived. */
+    @Test
+    void cancelledPrefillIsCharged() {
+        RequestProcessorFixture fixture = fixtureWithSentRequest();
+        SentRequest attempt = fixture.client.last();
+        begin(attempt);
+        fixture.staySilent(attempt, SILENCE_MILLIS);
+        fixture.grantMemory("hold-2");
+        SentRequest prefill = fixture.client.last();
+        assertThat(prefill.request().path()).isEqualTo("/f1/prefill");
+        attempt.bytes(SECOND_EVENT);
+        assertThat(prefill.cancelled()).isTrue();
+        RequestProcessorFixture calm = fixtureWithSentRequest();
+        assertThat(drainRetries(calm) - drainRetries(fixture)).isEqualTo(2);
+    }
+
+    /** A prefill that did not reach its instance is not charged. */
+    @Test
+    void unreachedPrefillIsNotCharged() {
+        RequestProcessorFixture fixture = fixtureWithSentRequest();
+        SentRequest attempt = fixture.client.last();
+        begin(attempt);
+        fixture.staySilent(attempt, SILENCE_MILLIS);
+        fixture.grantMemory("hold-2");
+        fixture.client.last().fail(ResultCode.UPSTREAM_UNREACHABLE, ExecutionState.NOT_RUN);
+        assertThat(fixture.client.last().request().path()).isEqualTo("/d2/run");
+        RequestProcessorFixture calm = fixtureWithSentRequest();
+        assertThat(drainRetries(calm) - drainRetries(fixture)).isEqualTo(1);
+    }
+}
