An instance that leaves is remembered as long as its start can be registered

What callers saw: nothing that is known. Behind 4,096 other starts that left, a registered instance that leaves got requests again, and a process kept up to 4,096 starts for its life, gone or not. A late response of a removed instance whose start was unknown closed the next instance with that identifier until its removal.

Cause: the map of leaving starts dropped the oldest whatever is registered. Ruled out as a bound: registered starts alone, since a start may be missing during an outage of the store and come back from a backup.

Change: LeavingStarts remembers a start as long as it is registered and for an hour without a registration; what is said without a start is left out unless the instance is registered.

--- a/gateway/src/main/java/org/merlinwood/gateway/decision/InstanceNotices.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/decision/InstanceNotices.java
@@ -2,11 +2,11 @@
 
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
 import org.merlinwood.core.time.MillisClock;
+import org.merlinwood.gateway.fleet.FleetState;
 import org.merlinwood.gateway.fleet.UpstreamInstance;
 import org.merlinwood.gateway.upstream.InstanceNotice;
 
@@ -17,9 +17,9 @@
  *
  * <p>That an instance leaves is about one start of it: a restarted instance, or another one at the same address, is not
  * bound by it, and a late response of a former start says nothing about the current one. What was learned while the
- * start was unknown holds for the start that is registered later. A named time holds for the instance whatever its
- * start, since it ends by itself and the response may come before the registration of a new start. Confined to the
- * event loop.
+ * start was unknown holds for the start that is registered later. A start is forgotten once it can't be registered any
+ * more, see {@link LeavingStarts}. A named time holds for the instance whatever its start, since it ends by itself and
+ * the response may come before the registration of a new start. Confined to the event loop.
  */
 public final class InstanceNotices {
 
@@ -32,45 +32,21 @@
     /** Time for which this entry tells the others that an instance leaves, in milliseconds: many status messages. */
     private static final long REPORT_MILLIS = 2_000;
 
-    /** Number of leaving incarnations that are remembered; the oldest are dropped first. */
-    private static final int MAXIMUM_LEAVING = 4_096;
-
     private final MillisClock clock;
-    private final Map<Incarnation, LearnedLeaving> leaving = new LinkedHashMap<>() {
-        private static final long serialVersionUID = 1;
-
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<Incarnation, LearnedLeaving> eldest) {
-            return size() > MAXIMUM_LEAVING;
-        }
-    };
+    private final LeavingStarts leaving;
 
     /** End of the time that an instance named, by its identifier. */
     private final Map<String, Long> declinedUntilMillis = new HashMap<>();
 
-    /** One start of an instance. */
-    private record Incarnation(String identifier, long startedUnixMillis) {
-
-        static Incarnation of(UpstreamInstance instance) {
-            return new Incarnation(instance.identifier(), instance.startedUnixMillis());
-        }
-
-        /** Returns what stands for an instance in notices that came before its start was known. */
-        static Incarnation ofUnknownStart(UpstreamInstance instance) {
-            return new Incarnation(instance.identifier(), UpstreamInstance.UNKNOWN_START);
-        }
-    }
-
-    /** How this entry learned that an instance leaves: when, and whether from the instance itself. */
-    private record LearnedLeaving(long atMillis, boolean fromInstance) {}
-
     /**
      * Creates an empty registry.
      *
+     * @param fleet the registered instances
      * @param clock source of the monotonic time
      */
-    public InstanceNotices(MillisClock clock) {
+    public InstanceNotices(FleetState fleet, MillisClock clock) {
         this.clock = clock;
+        this.leaving = new LeavingStarts(fleet, clock);
     }
 
     /**
@@ -81,8 +57,8 @@
      * @return true if the notice tells more than what was known
      */
     public boolean record(UpstreamInstance instance, InstanceNotice notice) {
-        Incarnation incarnation = Incarnation.of(instance);
-        boolean newlyLeaving = notice.leaving() && recordLeaving(incarnation, true);
+        boolean newlyLeaving =
+                notice.leaving() && leaving.add(instance.identifier(), instance.startedUnixMillis(), true);
         boolean longer = notice.declinedMillis().isPresent()
                 && extendDeclined(instance.identifier(), notice.declinedMillis().getAsLong());
         return newlyLeaving || longer;
@@ -95,7 +71,7 @@
      * @return true if this was not known
      */
     public boolean recordFromPeer(EntryStatus.LeavingInstance reported) {
-        return recordLeaving(new Incarnation(reported.instance(), reported.startedUnixMillis()), false);
+        return leaving.add(reported.instance(), reported.startedUnixMillis(), false);
     }
 
     /**
@@ -104,17 +80,7 @@
      * @return the instances, in no particular order
      */
     public List<EntryStatus.LeavingInstance> recentlyLeaving() {
-        long oldestMillis = clock.monotonicMillis() - REPORT_MILLIS;
-        return leaving.entrySet().stream()
-                .filter(entry ->
-                        entry.getValue().fromInstance() && entry.getValue().atMillis() > oldestMillis)
-                .map(entry -> new EntryStatus.LeavingInstance(
-                        entry.getKey().identifier(), entry.getKey().startedUnixMillis()))
-                .toList();
-    }
-
-    private boolean recordLeaving(Incarnation incarnation, boolean fromInstance) {
-        return leaving.putIfAbsent(incarnation, new LearnedLeaving(clock.monotonicMillis(), fromInstance)) == null;
+        return leaving.learnedFromInstancesWithin(REPORT_MILLIS);
     }
 
     private boolean extendDeclined(String identifier, long millis) {
@@ -134,7 +100,7 @@
      * @param instance the last registration
      */
     public void onRemoved(UpstreamInstance instance) {
-        leaving.remove(Incarnation.ofUnknownStart(instance));
+        leaving.forgetUnknownStart(instance);
     }
 
     /**
@@ -154,8 +120,7 @@
      * @return true if this incarnation leaves
      */
     public boolean isLeaving(UpstreamInstance instance) {
-        return leaving.containsKey(Incarnation.of(instance))
-                || leaving.containsKey(Incarnation.ofUnknownStart(instance));
+        return leaving.contains(instance);
     }
 
     /**
@@ -184,7 +149,7 @@
     /**
      * Returns the number of incarnations that are known to leave.
      *
-     * @return number, those that are gone by now included
+     * @return number, those that were registered within the last hour included
      */
     public int leavingCount() {
         return leaving.size();
--- a/gateway/src/main/java/org/merlinwood/gateway/decision/InstancePool.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/decision/InstancePool.java
@@ -40,7 +40,7 @@
      */
     public InstancePool(FleetState fleet, MillisClock clock, String ownDomain, long seed) {
         this.clock = clock;
-        this.notices = new InstanceNotices(clock);
+        this.notices = new InstanceNotices(fleet, clock);
         this.candidates = new InstanceCandidates(fleet, notices);
         this.ranking = new InstanceRanking(statistics, clock, seed);
         this.plainPlacement = new PlainPlacement(candidates, statistics, ranking, clock, ownDomain);
