Dump of a gateway entry shows who leaves, who declines and the era of the store

What the on-call engineer saw: gauges (how many) and log lines (when it was learned), but not which instances an entry leaves out at the moment, nor how far it has read a restored store.

Change: http://READY-ADDRESS/dump, which bin/merlinwood dump prints, with the sections instanceNotices (leaving with start, age and source; declining with the time until requests are accepted) and store (highest era heard, era and revision applied). The JSON is written by StateDump, which the operator port of the other processes uses too. OPERATIONS.md says what each looks like.

Run: NoticesSectionTest, OperatorServerTest, EntryOnLoopbackTest (with the dump over a connection), InstanceNotice*Test, DependencyTest, PlatformWordsTest. The two new tests can't compile without the change.

--- a/gateway/src/main/java/org/merlinwood/gateway/decision/InstanceNotices.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/decision/InstanceNotices.java
@@ -1,6 +1,7 @@
 package org.merlinwood.gateway.decision;
 
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -146,6 +147,49 @@
                 .min();
     }
 
+    /**
+     * One start that is known to leave.
+     *
+     * @param instance identifier of the instance
+     * @param startedUnixMillis its start, see {@link UpstreamInstance}
+     * @param learnedMillisAgo time since this entry learned it, in milliseconds
+     * @param fromInstance whether the instance itself stated it, otherwise another entry did
+     * @param registered whether this start is registered now
+     */
+    public record Leaving(
+            String instance, long startedUnixMillis, long learnedMillisAgo, boolean fromInstance, boolean registered) {}
+
+    /**
+     * One instance that wants no request from this entry now.
+     *
+     * @param instance identifier of the instance
+     * @param acceptsInMillis time until it accepts requests again, in milliseconds, greater than 0
+     */
+    public record Declining(String instance, long acceptsInMillis) {}
+
+    /**
+     * Returns the starts that are known to leave.
+     *
+     * @return the starts by identifier, those that were registered within the last hour included
+     */
+    public List<Leaving> leaving() {
+        return leaving.list();
+    }
+
+    /**
+     * Returns the instances that want no request from this entry now.
+     *
+     * @return the instances by identifier
+     */
+    public List<Declining> declining() {
+        long now = clock.monotonicMillis();
+        return declinedUntilMillis.entrySet().stream()
+                .filter(entry -> entry.getValue() > now)
+                .map(entry -> new Declining(entry.getKey(), entry.getValue() - now))
+                .sorted(Comparator.comparing(Declining::instance))
+                .toList();
+    }
+
     /**
      * Returns the number of incarnations that are known to leave.
      *
--- a/gateway/src/main/java/org/merlinwood/gateway/decision/LeavingStarts.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/decision/LeavingStarts.java
@@ -1,5 +1,6 @@
 package org.merlinwood.gateway.decision;
 
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -136,6 +137,28 @@
                 .toList();
     }
 
+    /**
+     * Returns all remembered starts.
+     *
+     * @return the starts, by identifier and start
+     */
+    List<InstanceNotices.Leaving> list() {
+        return learnedByStart.entrySet().stream()
+                .map(entry -> describe(entry.getKey(), entry.getValue()))
+                .sorted(Comparator.comparing(InstanceNotices.Leaving::instance)
+                        .thenComparingLong(InstanceNotices.Leaving::startedUnixMillis))
+                .toList();
+    }
+
+    private InstanceNotices.Leaving describe(Start start, Learned learned) {
+        return new InstanceNotices.Leaving(
+                start.identifier(),
+                start.unixMillis(),
+                clock.monotonicMillis() - learned.atMillis(),
+                learned.fromInstance(),
+                isRegistered(start));
+    }
+
     /**
      * Returns the number of remembered starts.
      *
--- a/gateway/src/main/java/org/merlinwood/gateway/process/EntryComposition.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/process/EntryComposition.java
@@ -9,6 +9,7 @@
 import java.math.BigInteger;
 import java.net.InetSocketAddress;
 import java.util.Arrays;
+import java.util.List;
 import org.merlinwood.core.time.MillisClock;
 import org.merlinwood.core.time.SystemMillisClock;
 import org.merlinwood.gateway.decision.CrashHistory;
@@ -180,7 +181,9 @@
                 .addHttpListener(
                         settings.readyAddress().getPort(),
                         settings.readyAddress().getHostString(),
-                        new OperatorHandler(metrics, fleet, drainPolicy))
+                        new StateDumpHandler(
+                                List.of(new NoticesSection(pool.notices()), new StoreSection(follower)),
+                                new OperatorHandler(metrics, fleet, drainPolicy)))
                 .build();
     }
 
--- a/operation/src/main/java/org/merlinwood/operation/port/OperatorServer.java
+++ b/operation/src/main/java/org/merlinwood/operation/port/OperatorServer.java
@@ -2,9 +2,6 @@
 
 import com.codahale.metrics.MetricRegistry;
 import com.fasterxml.jackson.core.JsonProcessingException;
-import com.fasterxml.jackson.databind.ObjectMapper;
-import com.fasterxml.jackson.databind.SerializationFeature;
-import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.google.errorprone.annotations.CanIgnoreReturnValue;
 import io.undertow.Undertow;
 import io.undertow.server.HttpHandler;
@@ -29,9 +26,6 @@
     private static final int IO_THREADS = 1;
     private static final int WORKER_THREADS = 2;
     private static final String JSON = "application/json";
-    private static final ObjectMapper MAPPER = new ObjectMapper()
-            .enable(SerializationFeature.INDENT_OUTPUT)
-            .disable(SerializationFeature.FAIL_ON_EMPTY_BEANS);
 
     private final MetricRegistry metrics;
     private final List<StateSection> sections;
@@ -169,9 +163,7 @@
     }
 
     private void sendDump(HttpServerExchange exchange) throws JsonProcessingException {
-        ObjectNode dump = MAPPER.createObjectNode();
-        sections.forEach(section -> dump.set(section.name(), MAPPER.valueToTree(section.state())));
-        send(exchange, StatusCodes.OK, JSON, MAPPER.writeValueAsString(dump));
+        send(exchange, StatusCodes.OK, StateDump.CONTENT_TYPE, StateDump.write(sections));
     }
 
     private void startDrain(HttpServerExchange exchange) {
