Soak: requests whose prompts share a part that crashes instances

One seed in three gets such requests beside sound ones, at any entry, no two alike. Two checks, from what instances and callers see: at most three requests with the part reach instances later than 3 s after the fifth crash, and sound streams begin at least half as often as without faults. The other faults of a seed stay what they were; all streams now name the parts of their prompts, as callers of the platform do.

--- a/proving/src/main/java/org/merlinwood/proving/soak/FaultKind.java
+++ b/proving/src/main/java/org/merlinwood/proving/soak/FaultKind.java
@@ -38,13 +38,16 @@
     /** An instance responds to every request with a body that has no end, until the end of the fault. */
     INSTANCE_ENDLESS(Target.INSTANCE),
     /** The store is restored from a backup; what it lost is written again at the end of the fault. */
-    STORE_RESTORED(Target.STORE);
+    STORE_RESTORED(Target.STORE),
+    /** Requests come whose prompts share a part that crashes each instance about to begin a response to one. */
+    CRASHING_PART(Target.LOAD);
 
-    /** The part of the deployment that a fault affects. */
+    /** The part of the deployment, or of its load, that a fault affects. */
     enum Target {
         ENTRY,
         INSTANCE,
-        STORE
+        STORE,
+        LOAD
     }
 
     private final Target target;
--- a/proving/src/main/java/org/merlinwood/proving/soak/FaultPlan.java
+++ b/proving/src/main/java/org/merlinwood/proving/soak/FaultPlan.java
@@ -30,6 +30,11 @@
      */
     private static final int MEAN_INTERVAL_MILLIS = 900;
 
+    private static final int SEEDS_PER_CRASHING_PART = 3;
+
+    /** Latest start of a crashing part after the warm-up, in milliseconds. */
+    private static final int MAXIMUM_CRASHING_PART_DELAY_MILLIS = 1_500;
+
     /** Mean time between two faults of the kinds that have a sequence of their own, in milliseconds. */
     private static final int ADDED_MEAN_INTERVAL_MILLIS = 3_000;
 
@@ -43,6 +48,7 @@
 
     private static final List<FaultKind> KINDS = Arrays.stream(FaultKind.values())
             .filter(kind -> !ADDED_KINDS.contains(kind) && !LATER_ADDED_KINDS.contains(kind))
+            .filter(kind -> kind != FaultKind.CRASHING_PART)
             .toList();
 
     static FaultPlan of(long seed, long lengthMillis, int entries, int instances) {
@@ -50,6 +56,7 @@
         addFaults(faults, KINDS, MEAN_INTERVAL_MILLIS, seed, lengthMillis, entries, instances);
         addFaults(faults, ADDED_KINDS, ADDED_MEAN_INTERVAL_MILLIS, ~seed, lengthMillis, entries, instances);
         addFaults(faults, LATER_ADDED_KINDS, ADDED_MEAN_INTERVAL_MILLIS, -seed, lengthMillis, entries, instances);
+        addCrashingPart(faults, seed, lengthMillis);
         faults.sort(Comparator.comparingLong(ScheduledFault::atMillis));
         return new FaultPlan(List.copyOf(faults));
     }
@@ -76,6 +83,15 @@
         }
     }
 
+    /** Adds a crashing part to one in {@value #SEEDS_PER_CRASHING_PART} seeds; it comes until the last fault ends. */
+    private static void addCrashingPart(List<ScheduledFault> faults, long seed, long lengthMillis) {
+        UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create(Long.reverse(seed));
+        long at = WARM_UP_MILLIS + random.nextInt(MAXIMUM_CRASHING_PART_DELAY_MILLIS);
+        if (random.nextInt(SEEDS_PER_CRASHING_PART) == 0 && at < lengthMillis) {
+            faults.add(new ScheduledFault(FaultKind.CRASHING_PART, 0, at, lengthMillis - at));
+        }
+    }
+
     /** Returns the end of the last fault, in milliseconds from the start of the load; 0 without faults. */
     long endMillis() {
         return faults.stream().mapToLong(ScheduledFault::endMillis).max().orElse(0);
@@ -85,7 +101,7 @@
         return switch (kind.target()) {
             case ENTRY -> random.nextInt(entries);
             case INSTANCE -> random.nextInt(instances);
-            case STORE -> 0;
+            case STORE, LOAD -> 0;
         };
     }
 
--- a/proving/src/main/java/org/merlinwood/proving/soak/SoakDeployment.java
+++ b/proving/src/main/java/org/merlinwood/proving/soak/SoakDeployment.java
@@ -8,6 +8,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
@@ -16,6 +17,7 @@
 import org.merlinwood.http.HttpRequest;
 import org.merlinwood.http.HttpResponse;
 import org.merlinwood.platform.GatewayMain;
+import org.merlinwood.platform.standin.CrashingPart;
 import org.merlinwood.platform.standin.InstanceDocuments;
 import org.merlinwood.platform.standin.RunLedger;
 import org.merlinwood.platform.standin.StandInInstance;
@@ -58,10 +60,14 @@
     /** Age of the backup from which the store is restored, in milliseconds. */
     private static final long BACKUP_AGE_MILLIS = 3_000;
 
+    /** Time until an instance that a part of a prompt has crashed serves again, in milliseconds. */
+    private static final long DOWN_MILLIS = 1_500;
+
     private static final String REQUESTS_TO_DECLINING = "merlinwood_requests_to_declining_instances ";
     private static final String NO_REQUESTS_TO_DECLINING = REQUESTS_TO_DECLINING + "0.0";
     private static final long READY_POLL_MILLIS = 50;
     private static final int READY_POLLS = 400;
+    private static final String NAME_PREFIX = "instance-";
     private static final String HEAP = "96m";
 
     private final FreePorts ports = new FreePorts();
@@ -181,6 +187,7 @@
             }
             case INSTANCE_DECLINES -> instances.get(target).decline(fault.forMillis());
             case INSTANCE_ENDLESS -> instances.get(target).endless(true);
+            case CRASHING_PART -> armCrashingPart();
             case STORE_RESTORED -> store.restore(BACKUP_AGE_MILLIS);
             case STORE_SILENT -> storePath.mode(ForwardingMode.SILENT, ForwardingDirection.BOTH, 0);
             case STORE_RESET -> storePath.mode(ForwardingMode.DROP, ForwardingDirection.BOTH, 0);
@@ -208,6 +215,7 @@
             case INSTANCE_ENDLESS -> instances.get(target).endless(false);
             case STORE_RESTORED -> writeAgain();
             case STORE_SILENT, STORE_RESET -> storePath.mode(ForwardingMode.PASS, ForwardingDirection.BOTH, 0);
+            case CRASHING_PART -> instances.forEach(instance -> instance.crashingPart(Optional.empty()));
             case ENTRY_RELOADS, CONFIGURATION_CHANGES -> {}
         }
     }
@@ -227,6 +235,19 @@
         entry.start();
     }
 
+    private void armCrashingPart() {
+        for (int index = 0; index < instances.size(); index++) {
+            int armed = index;
+            CrashingPart part = new CrashingPart(SoakLoad.CRASHING_PART, DOWN_MILLIS, () -> registerNewStart(armed));
+            instances.get(index).crashingPart(Optional.of(part));
+        }
+    }
+
+    private void registerNewStart(int index) {
+        starts.merge(index, 1L, Long::sum);
+        register(index, leavingInstances.contains(index));
+    }
+
     private void setPathMode(int target, ForwardingMode mode, ForwardingDirection direction) {
         paths.get(target).mode(mode, direction, DELAY_MILLIS);
     }
@@ -259,9 +280,14 @@
                         STAGES.get(index), paths.get(index).address(), leaving, starts.getOrDefault(index, 1L)));
     }
 
+    /** Returns the kind of work of an instance. */
+    static StandInInstance.Stage stage(String instance) {
+        return STAGES.get(Integer.parseInt(instance.substring(NAME_PREFIX.length())));
+    }
+
     /** Returns the identifier of an instance. */
     static String name(int index) {
-        return "instance-" + index;
+        return NAME_PREFIX + index;
     }
 
     private void addEntries(Path folder) {
--- a/proving/src/main/java/org/merlinwood/proving/soak/SoakLoad.java
+++ b/proving/src/main/java/org/merlinwood/proving/soak/SoakLoad.java
@@ -5,6 +5,8 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Queue;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
 import org.apache.commons.rng.UniformRandomProvider;
@@ -16,6 +18,7 @@
 import org.merlinwood.http.HttpClient;
 import org.merlinwood.http.HttpHeader;
 import org.merlinwood.http.HttpListener;
+import org.merlinwood.http.HttpRequest;
 import org.merlinwood.http.HttpStream;
 import org.merlinwood.platform.standin.CallerCalls;
 
@@ -31,17 +34,37 @@
     /** Longest delay before such a caller disconnects, in milliseconds; shorter than a stream. */
     private static final int MAXIMUM_DISCONNECT_DELAY_MILLIS = 300;
 
+    /** One of this many requests is followed by one with the crashing part while that fault lasts. */
+    private static final int REQUESTS_PER_CRASHING_REQUEST = 12;
+
+    /** Part that crashes instances, in hexadecimal. */
+    static final String CRASHING_PART = "dd";
+
+    /** First part of all prompts, in hexadecimal. */
+    private static final String COMMON_PART = "aa";
+
+    private static final long FIRST_SECOND_PART = 0x100;
+    private static final int SECOND_PARTS = 4;
+
     private static final List<CallerCalls.Kind> KINDS = List.of(CallerCalls.Kind.values());
 
     private final MillisClock clock = SystemMillisClock.shared();
     private final HttpClient client = HttpClient.create("soak", 2);
     private final Queue<Observation> observations = new ConcurrentLinkedQueue<>();
     private final UniformRandomProvider random;
+
+    /** Draws the requests with a crashing part, so that the others of a seed stay what they are. */
+    private final UniformRandomProvider crashingRandom;
+
+    private final FaultPlan plan;
+    private final Set<String> crashingAttempts = ConcurrentHashMap.newKeySet();
     private final List<InetSocketAddress> entries;
     private final long startMillis;
     private long sequence;
 
-    SoakLoad(long seed, List<InetSocketAddress> entries) {
+    SoakLoad(long seed, List<InetSocketAddress> entries, FaultPlan plan) {
+        this.plan = plan;
+        this.crashingRandom = RandomSource.XO_RO_SHI_RO_128_PP.create(seed + 2);
         this.random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed + 1);
         this.entries = List.copyOf(entries);
         this.startMillis = clock.monotonicMillis();
@@ -51,6 +74,7 @@
     List<Observation> run(long untilMillis) throws InterruptedException {
         while (now() < untilMillis) {
             sendRequest();
+            sendCrashingRequest();
             TimeUnit.MILLISECONDS.sleep(random.nextInt(2 * MEAN_INTERVAL_MILLIS));
         }
         long latestEnd = now() + 2 * CallerCalls.STREAM_TIMEOUT_MILLIS;
@@ -65,6 +89,11 @@
         return sequence - observations.size();
     }
 
+    /** Returns the identifiers of the attempts whose prompt has the crashing part; a copy. */
+    Set<String> crashingAttempts() {
+        return Set.copyOf(crashingAttempts);
+    }
+
     /** Returns the monotonic time of the start of the load, in milliseconds. */
     long startMillis() {
         return startMillis;
@@ -85,13 +114,43 @@
         CallerCalls.Kind kind = KINDS.get(random.nextInt(KINDS.size()));
         int entry = random.nextInt(entries.size());
         Caller caller = new Caller(kind, "a" + sequence, entry);
-        HttpStream stream = client.send(CallerCalls.create(entries.get(entry), kind, caller.attempt), caller);
+        HttpStream stream = client.send(request(kind, entry, caller.attempt), caller);
         if (random.nextInt(REQUESTS_PER_DISCONNECT) == 0) {
             long after = random.nextInt(MAXIMUM_DISCONNECT_DELAY_MILLIS);
             Thread.ofVirtual().start(() -> disconnectAfter(caller, stream, after));
         }
     }
 
+    /** The prompts of all streams share their first part, some also the second. */
+    private HttpRequest request(CallerCalls.Kind kind, int entry, String attempt) {
+        return kind == CallerCalls.Kind.STREAM
+                ? CallerCalls.stream(entries.get(entry), attempt, List.of(COMMON_PART, secondPart()))
+                : CallerCalls.create(entries.get(entry), kind, attempt);
+    }
+
+    private String secondPart() {
+        return Long.toHexString(FIRST_SECOND_PART + sequence % SECOND_PARTS);
+    }
+
+    private void sendCrashingRequest() {
+        if (!isCrashingPartDue() || crashingRandom.nextInt(REQUESTS_PER_CRASHING_REQUEST) > 0) {
+            return;
+        }
+        sequence++;
+        int entry = crashingRandom.nextInt(entries.size());
+        Caller caller = new Caller(CallerCalls.Kind.STREAM, "a" + sequence, entry);
+        crashingAttempts.add(caller.attempt);
+        List<String> parts = List.of(COMMON_PART, CRASHING_PART, secondPart());
+        client.send(CallerCalls.stream(entries.get(entry), caller.attempt, parts), caller);
+    }
+
+    private boolean isCrashingPartDue() {
+        long now = now();
+        return plan.faults().stream()
+                .anyMatch(fault ->
+                        fault.kind() == FaultKind.CRASHING_PART && fault.atMillis() <= now && now < fault.endMillis());
+    }
+
     private static void disconnectAfter(Caller caller, HttpStream stream, long afterMillis) {
         try {
             TimeUnit.MILLISECONDS.sleep(afterMillis);
--- a/proving/src/main/java/org/merlinwood/proving/soak/SoakSeed.java
+++ b/proving/src/main/java/org/merlinwood/proving/soak/SoakSeed.java
@@ -39,7 +39,7 @@
     }
 
     private SoakResult run(FaultPlan plan, SoakDeployment deployment) throws InterruptedException {
-        try (SoakLoad load = new SoakLoad(seed, deployment.callerAddresses());
+        try (SoakLoad load = new SoakLoad(seed, deployment.callerAddresses(), plan);
                 ExecutorService faults = Executors.newVirtualThreadPerTaskExecutor()) {
             List<Future<Void>> steps = plan.faults().stream()
                     .map(fault -> faults.submit(steps(fault, deployment)))
@@ -51,6 +51,14 @@
                     plan, observations, attempt -> deployment.ledger().runs(attempt)));
             violations.addAll(NoticeChecker.violations(
                     plan, observations, deployment.ledger().arrivals(), load.startMillis()));
+            violations.addAll(new CrashingPartChecker(
+                            plan,
+                            observations,
+                            load.crashingAttempts(),
+                            deployment.ledger().arrivals(),
+                            deployment.ledger().crashes(),
+                            load.startMillis())
+                    .violations());
             deployment
                     .requestsToDeclining()
                     .forEach(count -> violations.add("an entry counts requests to declining instances: " + count));
