A retry that is not sent returns to the allowance

What callers saw: streams were cut and requests failed for lack of retries that others had acquired and never sent: the replacement of a silent instance that went on, a retry that waited for memory until its caller left, a plain retry for which no instance was left.

Cause: a retry was taken from the allowance when it was decided, and nothing brought it back.

Change: a request holds its retry in a RetryClaim until an attempt that was sent has or may have reached an instance. What was not sent, or did not reach an instance, is given back or used for the next instance. A declined attempt, a broken one and one that was cancelled on its way stay charged, since arrivals that an instance rejects count too.

--- a/gateway/src/main/java/org/merlinwood/gateway/front/PlainRequestProcessor.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/PlainRequestProcessor.java
@@ -12,6 +12,7 @@
 import org.merlinwood.gateway.decision.CrashHistory;
 import org.merlinwood.gateway.decision.MemoryWaitPolicy;
 import org.merlinwood.gateway.decision.NextStep;
+import org.merlinwood.gateway.decision.RetryClaim;
 import org.merlinwood.gateway.decision.RetryPolicy;
 import org.merlinwood.gateway.fleet.Stage;
 import org.merlinwood.gateway.fleet.UpstreamInstance;
@@ -40,6 +41,10 @@
 
     private final Set<String> triedInstances = new HashSet<>();
     private final SilenceTimer silenceTimer;
+
+    /** Holds the retry of the next attempt, until that has or may have reached an instance. */
+    private final RetryClaim retry;
+
     private int attemptsSent;
     private int unreachedAttempts;
     private Optional<Attempt> currentAttempt = Optional.empty();
@@ -49,12 +54,16 @@
 
     PlainRequestProcessor(RequestProcessorContext context, CallerRequest request, Route route, CallerChannel channel) {
         super(context, request, route, channel);
+        this.retry = new RetryClaim(context.retryAllowance(), service);
         this.silenceTimer = new SilenceTimer(context.loop(), this::onSilence);
     }
 
     @Override
     void proceed() {
         Optional<UpstreamInstance> choice = context.pool().choosePlain(service, triedInstances);
+        if (choice.isEmpty()) {
+            retry.giveBack();
+        }
         if (choice.isEmpty() && lastAnsweredAttempt.isPresent()) {
             deliver(lastAnsweredAttempt.get());
             return;
@@ -136,11 +145,12 @@
     /** Replaces an attempt without a complete response if there is another instance and a retry is allowed. */
     private void onSilence() {
         Attempt silent = currentAttempt.orElseThrow();
+        retry.markUsed();
         Failure silence = Failure.of(ResultCode.UPSTREAM_TIMEOUT, "the instance is silent");
         pauseInstance(silent.instance, silence);
         boolean replaced = timeLeftMillis() > 0
                 && context.pool().choosePlain(service, triedInstances).isPresent()
-                && context.retryAllowance().tryAcquire(service);
+                && retry.tryAcquire();
         decisionLine("instance silent")
                 .with("instance", silent.instance.identifier())
                 .with("next", replaced ? "replace" : "wait")
@@ -163,6 +173,9 @@
         if (isFinished()) {
             return;
         }
+        if (!(outcome instanceof AttemptOutcome.Unreached)) {
+            retry.markUsed();
+        }
         switch (outcome) {
             case AttemptOutcome.Unreached none -> unreachedAttempts++;
             case AttemptOutcome.Declined declined -> attemptsSent++;
@@ -176,11 +189,7 @@
             }
         }
         NextStep step = RetryPolicy.decide(
-                outcome,
-                route,
-                attemptsSent,
-                unreachedAttempts,
-                () -> timeLeftMillis() > 0 && context.retryAllowance().tryAcquire(service));
+                outcome, route, attemptsSent, unreachedAttempts, () -> timeLeftMillis() > 0 && retry.tryAcquire());
         decisionLine("attempt ended")
                 .with("instance", attempt.instance.identifier())
                 .with("outcome", outcome.toString())
--- a/gateway/src/main/java/org/merlinwood/gateway/front/StreamRequestProcessor.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/StreamRequestProcessor.java
@@ -15,6 +15,7 @@
 import org.merlinwood.gateway.decision.MemoryWaitPolicy;
 import org.merlinwood.gateway.decision.MemoryWaitQueue;
 import org.merlinwood.gateway.decision.NextStep;
+import org.merlinwood.gateway.decision.RetryClaim;
 import org.merlinwood.gateway.decision.RetryPolicy;
 import org.merlinwood.gateway.fleet.UpstreamInstance;
 import org.merlinwood.gateway.request.CallerRequest;
@@ -62,6 +63,10 @@
     private final PrefillCall prefillCall;
     private final SilenceTimer silenceTimer;
     private final SilenceTimer overlapTimer;
+
+    /** Holds the retry of the next attempt, until that has or may have reached an instance. */
+    private final RetryClaim retry;
+
     private final EventSplitter events = new EventSplitter();
     private final Set<String> excludedInstances = new HashSet<>();
     private Optional<UpstreamWork> activeRequest = Optional.empty();
@@ -102,6 +107,7 @@
         this.limits = limits;
         this.prefillCall = new PrefillCall(this, prompt, releaser::release);
         this.silenceTimer = new SilenceTimer(context.loop(), this::onSilence);
+        this.retry = new RetryClaim(context.retryAllowance(), service);
         this.overlapTimer = new SilenceTimer(context.loop(), this::onOverlapLimit);
     }
 
@@ -373,7 +379,9 @@
         if (isReplacementSent()) {
             attemptsSent++;
             recordUnknownOutcome(ResultCode.UPSTREAM_TIMEOUT);
+            retry.markUsed();
         }
+        retry.giveBack();
         overlapTimer.stop();
         silentAttempt = Optional.empty();
         currentAttempt = Optional.of(kept.attempt());
@@ -474,6 +482,9 @@
         if (isFinished()) {
             return;
         }
+        if (!(outcome instanceof AttemptOutcome.Unreached)) {
+            retry.markUsed();
+        }
         boolean prefillResultLost = outcome instanceof AttemptOutcome.Declined && generation.prefillUsed.isPresent();
         if (outcome instanceof AttemptOutcome.Unreached) {
             unreachedAttempts++;
@@ -547,7 +558,7 @@
 
     /** Consumes one retry of the allowance if there is one and its response could still reach the caller in time. */
     private boolean tryAcquireRetry() {
-        return timeLeftMillis() > 0 && context.retryAllowance().tryAcquire(service);
+        return timeLeftMillis() > 0 && retry.tryAcquire();
     }
 
     /**
@@ -555,9 +566,7 @@
      * allowance permits, the same instance is sent the request again and computes the prompt itself.
      */
     private NextStep nextStepWithoutPrefillResult() {
-        return context.retryAllowance().tryAcquire(service)
-                ? new NextStep.Repeat()
-                : new NextStep.Fail(ResultCode.TRANSFER_FAILED);
+        return retry.tryAcquire() ? new NextStep.Repeat() : new NextStep.Fail(ResultCode.TRANSFER_FAILED);
     }
 
     private void completeStream(GenerationAttempt generation) {
@@ -588,6 +597,10 @@
     void cancelUpstream() {
         silenceTimer.stop();
         overlapTimer.stop();
+        boolean attemptOpen = currentAttempt.isPresent() && (silentAttempt.isEmpty() || isReplacementSent());
+        if (!attemptOpen) {
+            retry.giveBack();
+        }
         cancelPlacement();
         silentAttempt.ifPresent(silent -> {
             silent.generation().ifPresent(context.pool()::endGeneration);
