A draining entry answers what it can't complete before it must exit

What callers saw: a plain request that was accepted late in a drain, or was open when it began, had no response when the entry had to exit (where its route allows more than the 2 s after which a plain response is usually complete): the connection just ended.

Cause: the forced exit knows the number of open requests and nothing of the requests; no request knew of the exit.

Change: ForcedExitGuard looks at the open requests every 50 ms, and in the last 100 ms before the forced exit has each answered whose response has not begun: 504 if an instance may have run it, otherwise 503 with the code of a draining entry. Responses that have begun are left alone, they may still be completed. DrainPolicy gets one accessor, the time until the forced exit.

--- a/gateway/src/main/java/org/merlinwood/gateway/decision/DrainPolicy.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/decision/DrainPolicy.java
@@ -116,6 +116,15 @@
         return openRequests == 0 || isForcedExitNear();
     }
 
+    /**
+     * Returns the time until the entry may exit whatever is open.
+     *
+     * @return milliseconds, 0 or less if it may exit now; {@link Long#MAX_VALUE} if the entry is not draining
+     */
+    public long millisUntilForcedExit() {
+        return draining ? graceMillis - FORCED_EXIT_MARGIN_MILLIS - elapsedMillis() : Long.MAX_VALUE;
+    }
+
     private boolean isForcedExitNear() {
         return elapsedMillis() >= graceMillis - FORCED_EXIT_MARGIN_MILLIS;
     }
--- /dev/null
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/ForcedExitGuard.java
@@ -0,0 +1,55 @@
+package org.merlinwood.gateway.front;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.merlinwood.gateway.decision.DrainPolicy;
+import org.merlinwood.gateway.loop.EventLoop;
+
+/**
+ * Answers the requests that a draining entry could not complete, just before it exits whatever is open. Used by the
+ * event loop alone.
+ *
+ * <p>A response that has begun is left alone: it may still be completed, and no other response can be sent.
+ */
+final class ForcedExitGuard {
+
+    /** Interval between looks at the open requests, in milliseconds. */
+    private static final long POLL_MILLIS = 50;
+
+    /**
+     * Time before the exit at which requests are answered, in milliseconds: one look late, and the response is sent.
+     */
+    private static final long ANSWER_MILLIS = 2 * POLL_MILLIS;
+
+    private final DrainPolicy drainPolicy;
+    private final EventLoop loop;
+    private final List<RequestProcessor> open = new ArrayList<>();
+    private boolean scheduled;
+
+    ForcedExitGuard(DrainPolicy drainPolicy, EventLoop loop) {
+        this.drainPolicy = drainPolicy;
+        this.loop = loop;
+    }
+
+    /** Watches over a request until it is finished. */
+    void add(RequestProcessor processor) {
+        open.add(processor);
+        schedule();
+    }
+
+    private void schedule() {
+        if (!scheduled && !open.isEmpty()) {
+            scheduled = true;
+            loop.schedule(POLL_MILLIS, this::look);
+        }
+    }
+
+    private void look() {
+        scheduled = false;
+        open.removeIf(RequestProcessor::isFinished);
+        if (drainPolicy.millisUntilForcedExit() <= ANSWER_MILLIS) {
+            List.copyOf(open).forEach(RequestProcessor::onForcedExit);
+        }
+        schedule();
+    }
+}
--- a/gateway/src/main/java/org/merlinwood/gateway/front/RequestDispatcher.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/RequestDispatcher.java
@@ -25,10 +25,12 @@
 
     private final RequestProcessorContext context;
     private final DrainPolicy drainPolicy;
+    private final ForcedExitGuard forcedExitGuard;
 
     RequestDispatcher(RequestProcessorContext context, DrainPolicy drainPolicy) {
         this.context = context;
         this.drainPolicy = drainPolicy;
+        this.forcedExitGuard = new ForcedExitGuard(drainPolicy, context.loop());
     }
 
     void dispatch(CallerRequest request, CallerChannel channel) {
@@ -68,12 +70,17 @@
             context.demandMeter()
                     .recordRequest(
                             route.serviceFor(request.attempt()), prompt.get().promptTokens());
-            new StreamRequestProcessor(context, request, route, channel, prompt.get(), limits.get()).start();
+            start(new StreamRequestProcessor(context, request, route, channel, prompt.get(), limits.get()));
         } else {
-            new PlainRequestProcessor(context, request, route, channel).start();
+            start(new PlainRequestProcessor(context, request, route, channel));
         }
     }
 
+    private void start(RequestProcessor processor) {
+        forcedExitGuard.add(processor);
+        processor.start();
+    }
+
     private void refuse(CallerRequest request, CallerChannel channel, ResultCode code, long retryAfterMillis) {
         context.log()
                 .line("refused")
--- a/gateway/src/main/java/org/merlinwood/gateway/front/RequestProcessor.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/RequestProcessor.java
@@ -194,6 +194,14 @@
         return new AttemptOutcome.Broken(failure);
     }
 
+    /** Answers the request, unless its response has begun, because the entry is about to exit. */
+    final void onForcedExit() {
+        if (!isFinished() && !responseStarted()) {
+            boolean sent = timeoutCode().executionState() != ExecutionState.NOT_RUN;
+            fail(sent ? timeoutCode() : ResultCode.DRAINING, 0, "the entry exits");
+        }
+    }
+
     private void onTimeout() {
         fail(timeoutCode(), 0, "route timeout exceeded");
     }
