A generation lost with its instance is logged with its prompt's parts, and whether its response had begun

The entries' logs could not tell which requests were about to begin when an instance ended, nor what they have in common: counters generations_lost_before_first_event and generations_lost_after_first_event, line 'generation lost' with identifiers and fingerprints of the parts that other requests can share. No decision changes.

--- a/gateway/src/main/java/org/merlinwood/gateway/front/StreamRequestProcessor.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/StreamRequestProcessor.java
@@ -15,6 +15,7 @@
 import org.merlinwood.gateway.decision.MemoryWaitPolicy;
 import org.merlinwood.gateway.decision.MemoryWaitQueue;
 import org.merlinwood.gateway.decision.NextStep;
+import org.merlinwood.gateway.decision.PartFingerprints;
 import org.merlinwood.gateway.decision.RetryPolicy;
 import org.merlinwood.gateway.fleet.UpstreamInstance;
 import org.merlinwood.gateway.request.CallerRequest;
@@ -690,9 +691,25 @@
                 return;
             }
             events.drainIncomplete();
+            recordLostGeneration(failure);
             endAttempt(recordFailedAttempt(instance, failure));
         }
 
+        /** Records a lost connection; the request is a suspect if its response had not begun. */
+        private void recordLostGeneration(Failure failure) {
+            if (failure.code() != ResultCode.CONNECTION_LOST && failure.code() != ResultCode.UPSTREAM_TRUNCATED) {
+                return;
+            }
+            boolean suspect = firstEventElapsedMillis < 0;
+            decisionLine("generation lost")
+                    .with("instance", instance.identifier())
+                    .with("suspect", String.valueOf(suspect))
+                    .with("parts", PartFingerprints.describe(prompt))
+                    .write();
+            context.metrics()
+                    .count(suspect ? "generations_lost_before_first_event" : "generations_lost_after_first_event");
+        }
+
         /** Ends this attempt. A replacement that is being prepared is its retry, unless the instance has answered. */
         private void endAttempt(AttemptOutcome outcome) {
             boolean answered = outcome instanceof AttemptOutcome.Answered;
