--- a/gateway/src/test/java/org/merlinwood/gateway/front/RequestProcessorFixture.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/front/RequestProcessorFixture.java
@@ -11,6 +11,7 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
+import java.util.stream.Stream;
 import org.merlinwood.core.result.ExecutionState;
 import org.merlinwood.core.result.ResultCode;
 import org.merlinwood.core.time.ManualMillisClock;
@@ -27,6 +28,7 @@
 import org.merlinwood.gateway.fleet.UpstreamInstance;
 import org.merlinwood.gateway.request.CallerRequest;
 import org.merlinwood.gateway.request.Prompt;
+import org.merlinwood.gateway.request.PromptPart;
 import org.merlinwood.gateway.route.EngineLimits;
 import org.merlinwood.gateway.route.RequestKind;
 import org.merlinwood.gateway.route.Route;
@@ -130,8 +132,19 @@
         sendRequest(path, OptionalLong.of(lastEvent));
     }
 
+    /** Sends a request with a body of its own whose prompt has these parts. */
+    void sendRequestWithParts(String path, String... parts) {
+        List<PromptPart> promptParts =
+                Stream.of(parts).map(part -> new PromptPart(part, 100)).toList();
+        sendRequest(path, OptionalLong.empty(), promptParts, String.join(" ", parts));
+    }
+
     private void sendRequest(String path, OptionalLong lastEvent) {
-        Optional<Prompt> prompt = Optional.of(new Prompt("m", 1_000, 100, OptionalInt.empty(), List.of()));
+        sendRequest(path, lastEvent, List.of(), "body");
+    }
+
+    private void sendRequest(String path, OptionalLong lastEvent, List<PromptPart> parts, String body) {
+        Optional<Prompt> prompt = Optional.of(new Prompt("m", 1_000, 100, OptionalInt.empty(), parts));
         request = new CallerRequest(
                 ATTEMPT,
                 "POST",
@@ -142,7 +155,7 @@
                 prompt,
                 lastEvent,
                 List.of(),
-                "body".getBytes(StandardCharsets.UTF_8),
+                body.getBytes(StandardCharsets.UTF_8),
                 clock.monotonicMillis());
         caller = new RecordingCaller();
         dispatcher.dispatch(request, caller);
