--- a/gateway/src/main/java/org/merlinwood/gateway/decision/EntryStatus.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/decision/EntryStatus.java
@@ -15,6 +15,7 @@
  * @param switching identifiers of the instances that were ordered to change their stage and have not finished
  * @param highestFencingToken highest fencing token of an order that it knows of; 0 if none
  * @param leaving instances that have recently told it that they leave
+ * @param crashReport crashes of instances, and the parts of prompts that it blocks because of them
  */
 public record EntryStatus(
         String address,
@@ -25,7 +26,8 @@
         List<ServiceDemand> demands,
         List<String> switching,
         long highestFencingToken,
-        List<LeavingInstance> leaving) {
+        List<LeavingInstance> leaving,
+        CrashReport crashReport) {
 
     /** Copies the lists. */
     public EntryStatus {
--- a/gateway/src/main/java/org/merlinwood/gateway/front/FrontHandlerFactory.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/FrontHandlerFactory.java
@@ -2,6 +2,7 @@
 
 import io.undertow.server.HttpHandler;
 import org.merlinwood.core.time.MillisClock;
+import org.merlinwood.gateway.decision.CrashCausingParts;
 import org.merlinwood.gateway.decision.CrashHistory;
 import org.merlinwood.gateway.decision.DemandMeter;
 import org.merlinwood.gateway.decision.DrainPolicy;
@@ -34,6 +35,7 @@
      * @param pool load and health of the instances
      * @param retryAllowance limits the retries that this entry sends
      * @param crashHistory the requests that lost instances
+     * @param crashCausingParts the parts of prompts that crash instances
      * @param demandMeter measures the demand for each model service
      * @param log the decision log
      * @param metrics the request metrics
@@ -47,6 +49,7 @@
             InstancePool pool,
             RetryAllowance retryAllowance,
             CrashHistory crashHistory,
+            CrashCausingParts crashCausingParts,
             DemandMeter demandMeter,
             DecisionLog log,
             RequestMetrics metrics) {
@@ -59,6 +62,7 @@
                 pool,
                 retryAllowance,
                 crashHistory,
+                crashCausingParts,
                 demandMeter,
                 new MemoryWaitQueues(loop, clock),
                 new CollectedBytes(),
--- a/gateway/src/main/java/org/merlinwood/gateway/front/RequestDispatcher.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/RequestDispatcher.java
@@ -4,6 +4,7 @@
 import org.merlinwood.core.result.ResultCode;
 import org.merlinwood.gateway.decision.CrashHistory;
 import org.merlinwood.gateway.decision.DrainPolicy;
+import org.merlinwood.gateway.decision.PartFingerprints;
 import org.merlinwood.gateway.request.CallerRequest;
 import org.merlinwood.gateway.request.Prompt;
 import org.merlinwood.gateway.route.EngineLimits;
@@ -42,7 +43,7 @@
             refuse(request, channel, ResultCode.UNKNOWN_ROUTE, 0);
             return;
         }
-        if (context.crashHistory().isBlocked(CrashHistory.fingerprint(request))) {
+        if (context.crashHistory().isBlocked(CrashHistory.fingerprint(request)) || hasBlockedParts(request)) {
             refuse(request, channel, ResultCode.NO_INSTANCE, 0);
             return;
         }
@@ -53,6 +54,16 @@
         startProcessing(request, channel, routes.get(), route.get());
     }
 
+    private boolean hasBlockedParts(CallerRequest request) {
+        boolean blocked = request.prompt()
+                .filter(prompt -> context.crashCausingParts().isBlocked(PartFingerprints.of(prompt)))
+                .isPresent();
+        if (blocked) {
+            context.metrics().count(RequestProcessor.BLOCKED_PARTS_COUNTER);
+        }
+        return blocked;
+    }
+
     private void startProcessing(CallerRequest request, CallerChannel channel, RouteTable routes, Route route) {
         context.log()
                 .line("accepted")
--- a/gateway/src/main/java/org/merlinwood/gateway/front/RequestProcessor.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/RequestProcessor.java
@@ -10,6 +10,7 @@
 import org.merlinwood.core.result.ResultCode;
 import org.merlinwood.gateway.decision.AttemptOutcome;
 import org.merlinwood.gateway.decision.CrashHistory;
+import org.merlinwood.gateway.decision.PartFingerprints;
 import org.merlinwood.gateway.fleet.UpstreamInstance;
 import org.merlinwood.gateway.loop.EventLoop;
 import org.merlinwood.gateway.request.CallerRequest;
@@ -29,6 +30,9 @@
     /** Connect timeout, in milliseconds: many round trips within a region, but no retransmission of a lost packet. */
     static final long CONNECT_TIMEOUT_MILLIS = 120;
 
+    /** Counts how often a request was not sent because of its parts. */
+    static final String BLOCKED_PARTS_COUNTER = "requests_with_blocked_parts";
+
     private static final double MILLIS_PER_SECOND = 1_000;
 
     final RequestProcessorContext context;
@@ -36,6 +40,10 @@
     final Route route;
     final String service;
     final CallerChannel channel;
+
+    /** Fingerprints of the parts of the prompt that other requests can share; empty without a prompt. */
+    final List<Long> sharedParts;
+
     private Optional<ResultCode> unknownOutcome = Optional.empty();
     private boolean finished;
     private Optional<EventLoop.Timer> timeoutTimer = Optional.empty();
@@ -46,6 +54,7 @@
         this.route = route;
         this.service = route.serviceFor(request.attempt());
         this.channel = channel;
+        this.sharedParts = request.prompt().map(PartFingerprints::of).orElse(List.of());
     }
 
     /** Starts processing. Called once. */
@@ -182,6 +191,19 @@
                 .write();
     }
 
+    /** Returns whether the request must not be sent to an instance, since it would probably crash it. */
+    final boolean isBlocked() {
+        return context.crashHistory().isBlocked(CrashHistory.fingerprint(request)) || hasBlockedParts();
+    }
+
+    private boolean hasBlockedParts() {
+        boolean blocked = context.crashCausingParts().isBlocked(sharedParts);
+        if (blocked) {
+            context.metrics().count(BLOCKED_PARTS_COUNTER);
+        }
+        return blocked;
+    }
+
     /** Records what a failed attempt tells about its instance and about the request; returns its outcome. */
     final AttemptOutcome recordFailedAttempt(UpstreamInstance instance, Failure failure) {
         pauseInstance(instance, failure);
--- a/gateway/src/main/java/org/merlinwood/gateway/front/RequestProcessorContext.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/RequestProcessorContext.java
@@ -1,6 +1,7 @@
 package org.merlinwood.gateway.front;
 
 import org.merlinwood.core.time.MillisClock;
+import org.merlinwood.gateway.decision.CrashCausingParts;
 import org.merlinwood.gateway.decision.CrashHistory;
 import org.merlinwood.gateway.decision.DemandMeter;
 import org.merlinwood.gateway.decision.InstancePool;
@@ -22,6 +23,7 @@
  * @param pool load and health of the instances
  * @param retryAllowance limits the retries that this entry sends
  * @param crashHistory the requests that lost instances
+ * @param crashCausingParts the parts of prompts that crash instances
  * @param demandMeter measures the demand for each model service
  * @param memoryWaitQueues the queues of requests that wait for memory
  * @param collectedBytes the bytes of all plain responses that are being collected
@@ -37,6 +39,7 @@
         InstancePool pool,
         RetryAllowance retryAllowance,
         CrashHistory crashHistory,
+        CrashCausingParts crashCausingParts,
         DemandMeter demandMeter,
         MemoryWaitQueues memoryWaitQueues,
         CollectedBytes collectedBytes,
--- a/gateway/src/main/java/org/merlinwood/gateway/front/StreamRequestProcessor.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/StreamRequestProcessor.java
@@ -97,6 +97,10 @@
 
     @Override
     void proceed() {
+        if (isBlocked()) {
+            failBlocked();
+            return;
+        }
         Optional<UpstreamInstance> choice = chooseInstance();
         if (choice.isEmpty()) {
             waitForMemory();
@@ -227,7 +231,7 @@
             if (isFinished()) {
                 return true;
             }
-            if (chooseInstance().isPresent()) {
+            if (isBlocked() || chooseInstance().isPresent()) {
                 queuedRequest = Optional.empty();
                 proceed();
                 return true;
@@ -257,7 +261,7 @@
     }
 
     private void startGeneration(UpstreamInstance instance) {
-        if (context.crashHistory().isBlocked(CrashHistory.fingerprint(request))) {
+        if (isBlocked()) {
             failBlocked();
             return;
         }
@@ -293,12 +297,13 @@
         recordReceived();
         reservation = Optional.empty();
         prefillResult = Optional.empty();
+        context.crashCausingParts().recordSent(sharedParts);
         HttpStream stream = context.client().send(instance, generationRequest, generation);
         activeRequest = Optional.of(new UpstreamWork("generation", instance, stream));
     }
 
     private void failBlocked() {
-        String reason = "earlier attempts of this request lost their instances";
+        String reason = "requests like this one lost their instances";
         if (silentAttempt.isPresent()) {
             dropReplacement(reason);
         } else {
@@ -584,6 +589,7 @@
         private final ByteArrayOutputStream body = new ByteArrayOutputStream();
         private ResponseHead head;
         private boolean streaming;
+        private final long sentMillis = context.clock().monotonicMillis();
         private long firstEventElapsedMillis = -1;
         private long firstEventAtMillis;
         private int eventCount;
@@ -648,10 +654,12 @@
             }
             onSilentInstanceGoesOn();
             eventCount++;
+            context.crashCausingParts().recordSignOfLife(instance);
             activeGeneration.ifPresent(generation -> generation.addTokens(limits.tokensPerEvent()));
             if (firstEventElapsedMillis < 0) {
                 firstEventElapsedMillis = elapsedMillis();
                 firstEventAtMillis = context.clock().monotonicMillis();
+                context.crashCausingParts().recordBegun(sharedParts);
                 context.metrics().recordDuration("first_event_milliseconds", firstEventElapsedMillis);
             }
             beginResponse();
@@ -708,6 +716,7 @@
                     .write();
             context.metrics()
                     .count(suspect ? "generations_lost_before_first_event" : "generations_lost_after_first_event");
+            context.crashCausingParts().recordLoss(instance, sentMillis, suspect ? sharedParts : List.of());
         }
 
         /** Ends this attempt. A replacement that is being prepared is its retry, unless the instance has answered. */
--- a/gateway/src/main/java/org/merlinwood/gateway/peer/PeerMessages.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/peer/PeerMessages.java
@@ -40,6 +40,7 @@
                 .forEach(instance -> builder.addLeaving(org.merlinwood.wire.LeavingInstance.newBuilder()
                         .setInstance(instance.instance())
                         .setStartedUnixMillis(instance.startedUnixMillis())));
+        CrashReportMessages.add(status.crashReport(), builder);
         return Frame.newBuilder().setEntryStatus(builder);
     }
 
@@ -61,7 +62,8 @@
                 wire.getLeavingList().stream()
                         .map(instance -> new EntryStatus.LeavingInstance(
                                 instance.getInstance(), instance.getStartedUnixMillis()))
-                        .toList());
+                        .toList(),
+                CrashReportMessages.read(wire));
     }
 
     static Frame.Builder changesRequest(StorePosition after) {
--- a/gateway/src/main/java/org/merlinwood/gateway/process/EntryComposition.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/process/EntryComposition.java
@@ -11,6 +11,7 @@
 import java.util.Arrays;
 import org.merlinwood.core.time.MillisClock;
 import org.merlinwood.core.time.SystemMillisClock;
+import org.merlinwood.gateway.decision.CrashCausingParts;
 import org.merlinwood.gateway.decision.CrashHistory;
 import org.merlinwood.gateway.decision.DemandMeter;
 import org.merlinwood.gateway.decision.DrainPolicy;
@@ -47,6 +48,12 @@
     /** Idle timeout of caller connections, in milliseconds. Longer than any timeout that operators configure. */
     private static final int IDLE_TIMEOUT_MILLIS = 120_000;
 
+    /** Number of different lengths of a block of prompt parts among the entries. */
+    private static final int BLOCK_TIME_STEPS = 1_024;
+
+    /** Spreads the hash codes of similar names. */
+    private static final int BLOCK_TIME_HASH_FACTOR = 0x9E3779B1;
+
     final DecisionLog log;
     final XnioWorker worker;
     final EventLoop loop;
@@ -59,6 +66,7 @@
     private final MetricRegistry metrics = new MetricRegistry();
     private final FleetState fleet = new FleetState();
     private final CrashHistory crashHistory = new CrashHistory(clock);
+    private final CrashCausingParts crashCausingParts;
     private final DemandMeter demandMeter = new DemandMeter(clock);
     private final OpenRequests openRequests = new OpenRequests();
     private final GatewaySettings settings;
@@ -82,6 +90,8 @@
             StoreProtocol storeProtocol) {
         this.settings = settings;
         this.log = new DecisionLog(settings.instance(), clock, System.out);
+        this.crashCausingParts =
+                new CrashCausingParts(clock, blockTimeFactor(settings.instance()), new CrashRecorder(log, metrics));
         this.drainPolicy = new DrainPolicy(clock, settings.terminationGraceMillis());
         this.worker = createWorker();
         this.loop = new IoThreadLoop(worker.getIoThread());
@@ -107,6 +117,7 @@
                 "upstream_connections_abandoned",
                 () -> () -> client.connectionCounts().abandoned());
         metrics.gauge("store_era", () -> follower::era);
+        metrics.gauge("prompt_parts_blocked", () -> crashCausingParts::blockedCount);
     }
 
     private FrontHandlerFactory createHandlerFactory(UpstreamClient upstreamClient, UpstreamProtocol upstreamProtocol) {
@@ -125,6 +136,7 @@
                 pool,
                 retryAllowance,
                 crashHistory,
+                crashCausingParts,
                 demandMeter,
                 log,
                 new RequestMetrics(metrics));
@@ -150,6 +162,7 @@
                 noticeRecorder,
                 follower,
                 crashHistory,
+                crashCausingParts,
                 demandMeter,
                 orders,
                 this::knownEntryCount,
@@ -200,6 +213,13 @@
         return new BigInteger(1, Arrays.copyOfRange(octets, octets.length - 3, octets.length)).longValue();
     }
 
+    /** Returns a factor from 1 to 2 that differs between entries. */
+    private static double blockTimeFactor(String instance) {
+        return 1
+                + Math.floorMod(instance.hashCode() * BLOCK_TIME_HASH_FACTOR, BLOCK_TIME_STEPS)
+                        / (double) BLOCK_TIME_STEPS;
+    }
+
     private static XnioWorker createWorker() {
         try {
             return Xnio.getInstance()
--- a/gateway/src/main/java/org/merlinwood/gateway/process/PeerUpdates.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/process/PeerUpdates.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.function.BooleanSupplier;
 import java.util.function.IntSupplier;
+import org.merlinwood.gateway.decision.CrashCausingParts;
 import org.merlinwood.gateway.decision.CrashHistory;
 import org.merlinwood.gateway.decision.DemandMeter;
 import org.merlinwood.gateway.decision.EntryStatus;
@@ -24,6 +25,7 @@
     private final InstanceNoticeRecorder noticeRecorder;
     private final StoreFollower follower;
     private final CrashHistory crashHistory;
+    private final CrashCausingParts crashCausingParts;
     private final DemandMeter demandMeter;
     private final StageOrders orders;
     private final IntSupplier knownEntries;
@@ -37,6 +39,7 @@
      * @param noticeRecorder records which instances other entries report as leaving
      * @param follower position and changes of the configuration store
      * @param crashHistory requests that lost instances
+     * @param crashCausingParts parts of prompts that crash instances
      * @param demandMeter demand of the callers of this entry
      * @param orders orders to change the stage of an instance
      * @param knownEntries returns the number of other known entries
@@ -48,6 +51,7 @@
             InstanceNoticeRecorder noticeRecorder,
             StoreFollower follower,
             CrashHistory crashHistory,
+            CrashCausingParts crashCausingParts,
             DemandMeter demandMeter,
             StageOrders orders,
             IntSupplier knownEntries,
@@ -57,6 +61,7 @@
         this.noticeRecorder = noticeRecorder;
         this.follower = follower;
         this.crashHistory = crashHistory;
+        this.crashCausingParts = crashCausingParts;
         this.demandMeter = demandMeter;
         this.orders = orders;
         this.knownEntries = knownEntries;
@@ -79,7 +84,8 @@
                 demandMeter.demands(),
                 orders.switching(),
                 orders.highestFencingToken(),
-                pool.notices().recentlyLeaving());
+                pool.notices().recentlyLeaving(),
+                crashCausingParts.report());
     }
 
     @Override
@@ -87,6 +93,7 @@
         pool.sharedWork().updatePeer(status);
         orders.onStatus(status);
         status.leaving().forEach(instance -> noticeRecorder.onPeerNotice(status.address(), instance));
+        crashCausingParts.onPeerReport(status.address(), status.crashReport());
         status.lostRuns().forEach(run -> crashHistory.recordPeerLoss(run.fingerprint(), run.instance()));
     }
 
--- a/gateway/src/test/java/org/merlinwood/gateway/front/RequestProcessorFixture.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/front/RequestProcessorFixture.java
@@ -18,10 +18,12 @@
 import org.merlinwood.gateway.FakeHttpClient;
 import org.merlinwood.gateway.FakeUpstreamProtocol;
 import org.merlinwood.gateway.ManualLoop;
+import org.merlinwood.gateway.decision.CrashCausingParts;
 import org.merlinwood.gateway.decision.CrashHistory;
 import org.merlinwood.gateway.decision.DemandMeter;
 import org.merlinwood.gateway.decision.DrainPolicy;
 import org.merlinwood.gateway.decision.InstancePool;
+import org.merlinwood.gateway.decision.RecordingCrashListener;
 import org.merlinwood.gateway.decision.RetryAllowance;
 import org.merlinwood.gateway.fleet.FleetState;
 import org.merlinwood.gateway.fleet.Stage;
@@ -72,6 +74,7 @@
     final DrainPolicy drainPolicy = new DrainPolicy(clock, 8_000);
     final RetryAllowance retryAllowance = new RetryAllowance(clock, RETRY_WINDOW_MILLIS, 0.2, FIXED_RETRIES, () -> 1);
     final CrashHistory crashHistory = new CrashHistory(clock);
+    final CrashCausingParts crashCausingParts = new CrashCausingParts(clock, 1, new RecordingCrashListener());
     private final RequestDispatcher dispatcher;
     private CallerRequest request;
 
@@ -87,6 +90,7 @@
                 pool,
                 retryAllowance,
                 crashHistory,
+                crashCausingParts,
                 new DemandMeter(clock),
                 new MemoryWaitQueues(loop, clock),
                 new CollectedBytes(),
--- a/wire-generated/src/main/java/org/merlinwood/wire/EntryStatus.java
+++ b/wire-generated/src/main/java/org/merlinwood/wire/EntryStatus.java
@@ -41,6 +41,9 @@
     switching_ =
         com.google.protobuf.LazyStringArrayList.emptyList();
     leaving_ = java.util.Collections.emptyList();
+    crashes_ = java.util.Collections.emptyList();
+    begunParts_ = java.util.Collections.emptyList();
+    partBlocks_ = java.util.Collections.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -463,6 +466,189 @@
     return leaving_.get(index);
   }
 
+  public static final int CRASHES_FIELD_NUMBER = 11;
+  @SuppressWarnings("serial")
+  private java.util.List<org.merlinwood.wire.InstanceCrash> crashes_;
+  /**
+   * <pre>
+   * Crashes that the sender saw since the status before.
+   * </pre>
+   *
+   * <code>repeated .merlinwood.wire.v1.InstanceCrash crashes = 11;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.merlinwood.wire.InstanceCrash> getCrashesList() {
+    return crashes_;
+  }
+  /**
+   * <pre>
+   * Crashes that the sender saw since the status before.
+   * </pre>
+   *
+   * <code>repeated .merlinwood.wire.v1.InstanceCrash crashes = 11;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.merlinwood.wire.InstanceCrashOrBuilder> 
+      getCrashesOrBuilderList() {
+    return crashes_;
+  }
+  /**
+   * <pre>
+   * Crashes that the sender saw since the status before.
+   * </pre>
+   *
+   * <code>repeated .merlinwood.wire.v1.InstanceCrash crashes = 11;</code>
+   */
+  @java.lang.Override
+  public int getCrashesCount() {
+    return crashes_.size();
+  }
+  /**
+   * <pre>
+   * Crashes that the sender saw since the status before.
+   * </pre>
+   *
+   * <code>repeated .merlinwood.wire.v1.InstanceCrash crashes = 11;</code>
+   */
+  @java.lang.Override
+  public org.merlinwood.wire.InstanceCrash getCrashes(int index) {
+    return crashes_.get(index);
+  }
+  /**
+   * <pre>
+   * Crashes that the sender saw since the status before.
+   * </pre>
+   *
+   * <code>repeated .merlinwood.wire.v1.InstanceCrash crashes = 11;</code>
+   */
+  @java.lang.Override
+  public org.merlinwood.wire.InstanceCrashOrBuilder getCrashesOrBuilder(
+      int index) {
+    return crashes_.get(index);
+  }
+
+  public static final int BEGUN_PARTS_FIELD_NUMBER = 12;
+  @SuppressWarnings("serial")
+  private java.util.List<org.merlinwood.wire.BegunPart> begunParts_;
+  /**
+   * <pre>
+   * Parts of suspects to which a response has begun, since the status before.
+   * </pre>
+   *
+   * <code>repeated .merlinwood.wire.v1.BegunPart begun_parts = 12;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.merlinwood.wire.BegunPart> getBegunPartsList() {
+    return begunParts_;
+  }
+  /**
+   * <pre>
+   * Parts of suspects to which a response has begun, since the status before.
+   * </pre>
+   *
+   * <code>repeated .merlinwood.wire.v1.BegunPart begun_parts = 12;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.merlinwood.wire.BegunPartOrBuilder> 
+      getBegunPartsOrBuilderList() {
+    return begunParts_;
+  }
+  /**
+   * <pre>
+   * Parts of suspects to which a response has begun, since the status before.
+   * </pre>
+   *
+   * <code>repeated .merlinwood.wire.v1.BegunPart begun_parts = 12;</code>
+   */
+  @java.lang.Override
+  public int getBegunPartsCount() {
+    return begunParts_.size();
+  }
+  /**
+   * <pre>
+   * Parts of suspects to which a response has begun, since the status before.
+   * </pre>
+   *
+   * <code>repeated .merlinwood.wire.v1.BegunPart begun_parts = 12;</code>
+   */
+  @java.lang.Override
+  public org.merlinwood.wire.BegunPart getBegunParts(int index) {
+    return begunParts_.get(index);
+  }
+  /**
+   * <pre>
+   * Parts of suspects to which a response has begun, since the status before.
+   * </pre>
+   *
+   * <code>repeated .merlinwood.wire.v1.BegunPart begun_parts = 12;</code>
+   */
+  @java.lang.Override
+  public org.merlinwood.wire.BegunPartOrBuilder getBegunPartsOrBuilder(
+      int index) {
+    return begunParts_.get(index);
+  }
+
+  public static final int PART_BLOCKS_FIELD_NUMBER = 13;
+  @SuppressWarnings("serial")
+  private java.util.List<org.merlinwood.wire.PartBlock> partBlocks_;
+  /**
+   * <pre>
+   * Some of the combinations of prompt parts that the sender blocks, in turn.
+   * </pre>
+   *
+   * <code>repeated .merlinwood.wire.v1.PartBlock part_blocks = 13;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.merlinwood.wire.PartBlock> getPartBlocksList() {
+    return partBlocks_;
+  }
+  /**
+   * <pre>
+   * Some of the combinations of prompt parts that the sender blocks, in turn.
+   * </pre>
+   *
+   * <code>repeated .merlinwood.wire.v1.PartBlock part_blocks = 13;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.merlinwood.wire.PartBlockOrBuilder> 
+      getPartBlocksOrBuilderList() {
+    return partBlocks_;
+  }
+  /**
+   * <pre>
+   * Some of the combinations of prompt parts that the sender blocks, in turn.
+   * </pre>
+   *
+   * <code>repeated .merlinwood.wire.v1.PartBlock part_blocks = 13;</code>
+   */
+  @java.lang.Override
+  public int getPartBlocksCount() {
+    return partBlocks_.size();
+  }
+  /**
+   * <pre>
+   * Some of the combinations of prompt parts that the sender blocks, in turn.
+   * </pre>
+   *
+   * <code>repeated .merlinwood.wire.v1.PartBlock part_blocks = 13;</code>
+   */
+  @java.lang.Override
+  public org.merlinwood.wire.PartBlock getPartBlocks(int index) {
+    return partBlocks_.get(index);
+  }
+  /**
+   * <pre>
+   * Some of the combinations of prompt parts that the sender blocks, in turn.
+   * </pre>
+   *
+   * <code>repeated .merlinwood.wire.v1.PartBlock part_blocks = 13;</code>
+   */
+  @java.lang.Override
+  public org.merlinwood.wire.PartBlockOrBuilder getPartBlocksOrBuilder(
+      int index) {
+    return partBlocks_.get(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -507,6 +693,15 @@
     for (int i = 0; i < leaving_.size(); i++) {
       output.writeMessage(10, leaving_.get(i));
     }
+    for (int i = 0; i < crashes_.size(); i++) {
+      output.writeMessage(11, crashes_.get(i));
+    }
+    for (int i = 0; i < begunParts_.size(); i++) {
+      output.writeMessage(12, begunParts_.get(i));
+    }
+    for (int i = 0; i < partBlocks_.size(); i++) {
+      output.writeMessage(13, partBlocks_.get(i));
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -578,6 +773,33 @@
           }
           size += 1 * count;
         }
+
+        {
+          final int count = crashes_.size();
+          for (int i = 0; i < count; i++) {
+            size += com.google.protobuf.CodedOutputStream
+              .computeMessageSizeNoTag(crashes_.get(i));
+          }
+          size += 1 * count;
+        }
+
+        {
+          final int count = begunParts_.size();
+          for (int i = 0; i < count; i++) {
+            size += com.google.protobuf.CodedOutputStream
+              .computeMessageSizeNoTag(begunParts_.get(i));
+          }
+          size += 1 * count;
+        }
+
+        {
+          final int count = partBlocks_.size();
+          for (int i = 0; i < count; i++) {
+            size += com.google.protobuf.CodedOutputStream
+              .computeMessageSizeNoTag(partBlocks_.get(i));
+          }
+          size += 1 * count;
+        }
     return size;
   }
   @java.lang.Override
@@ -622,6 +844,12 @@
         != other.getStoreEra()) return false;
     if (!getLeavingList()
         .equals(other.getLeavingList())) return false;
+    if (!getCrashesList()
+        .equals(other.getCrashesList())) return false;
+    if (!getBegunPartsList()
+        .equals(other.getBegunPartsList())) return false;
+    if (!getPartBlocksList()
+        .equals(other.getPartBlocksList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -668,6 +896,18 @@
       hash = (37 * hash) + LEAVING_FIELD_NUMBER;
       hash = (53 * hash) + getLeavingList().hashCode();
     }
+    if (getCrashesCount() > 0) {
+      hash = (37 * hash) + CRASHES_FIELD_NUMBER;
+      hash = (53 * hash) + getCrashesList().hashCode();
+    }
+    if (getBegunPartsCount() > 0) {
+      hash = (37 * hash) + BEGUN_PARTS_FIELD_NUMBER;
+      hash = (53 * hash) + getBegunPartsList().hashCode();
+    }
+    if (getPartBlocksCount() > 0) {
+      hash = (37 * hash) + PART_BLOCKS_FIELD_NUMBER;
+      hash = (53 * hash) + getPartBlocksList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -839,6 +1079,27 @@
         leavingBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000200);
+      if (crashesBuilder_ == null) {
+        crashes_ = java.util.Collections.emptyList();
+      } else {
+        crashes_ = null;
+        crashesBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000400);
+      if (begunPartsBuilder_ == null) {
+        begunParts_ = java.util.Collections.emptyList();
+      } else {
+        begunParts_ = null;
+        begunPartsBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000800);
+      if (partBlocksBuilder_ == null) {
+        partBlocks_ = java.util.Collections.emptyList();
+      } else {
+        partBlocks_ = null;
+        partBlocksBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00001000);
       return this;
     }
 
@@ -908,6 +1169,33 @@
       } else {
         result.leaving_ = leavingBuilder_.build();
       }
+      if (crashesBuilder_ == null) {
+        if (((bitField0_ & 0x00000400) != 0)) {
+          crashes_ = java.util.Collections.unmodifiableList(crashes_);
+          bitField0_ = (bitField0_ & ~0x00000400);
+        }
+        result.crashes_ = crashes_;
+      } else {
+        result.crashes_ = crashesBuilder_.build();
+      }
+      if (begunPartsBuilder_ == null) {
+        if (((bitField0_ & 0x00000800) != 0)) {
+          begunParts_ = java.util.Collections.unmodifiableList(begunParts_);
+          bitField0_ = (bitField0_ & ~0x00000800);
+        }
+        result.begunParts_ = begunParts_;
+      } else {
+        result.begunParts_ = begunPartsBuilder_.build();
+      }
+      if (partBlocksBuilder_ == null) {
+        if (((bitField0_ & 0x00001000) != 0)) {
+          partBlocks_ = java.util.Collections.unmodifiableList(partBlocks_);
+          bitField0_ = (bitField0_ & ~0x00001000);
+        }
+        result.partBlocks_ = partBlocks_;
+      } else {
+        result.partBlocks_ = partBlocksBuilder_.build();
+      }
     }
 
     private void buildPartial0(org.merlinwood.wire.EntryStatus result) {
@@ -1084,6 +1372,84 @@
           }
         }
       }
+      if (crashesBuilder_ == null) {
+        if (!other.crashes_.isEmpty()) {
+          if (crashes_.isEmpty()) {
+            crashes_ = other.crashes_;
+            bitField0_ = (bitField0_ & ~0x00000400);
+          } else {
+            ensureCrashesIsMutable();
+            crashes_.addAll(other.crashes_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.crashes_.isEmpty()) {
+          if (crashesBuilder_.isEmpty()) {
+            crashesBuilder_.dispose();
+            crashesBuilder_ = null;
+            crashes_ = other.crashes_;
+            bitField0_ = (bitField0_ & ~0x00000400);
+            crashesBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetCrashesFieldBuilder() : null;
+          } else {
+            crashesBuilder_.addAllMessages(other.crashes_);
+          }
+        }
+      }
+      if (begunPartsBuilder_ == null) {
+        if (!other.begunParts_.isEmpty()) {
+          if (begunParts_.isEmpty()) {
+            begunParts_ = other.begunParts_;
+            bitField0_ = (bitField0_ & ~0x00000800);
+          } else {
+            ensureBegunPartsIsMutable();
+            begunParts_.addAll(other.begunParts_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.begunParts_.isEmpty()) {
+          if (begunPartsBuilder_.isEmpty()) {
+            begunPartsBuilder_.dispose();
+            begunPartsBuilder_ = null;
+            begunParts_ = other.begunParts_;
+            bitField0_ = (bitField0_ & ~0x00000800);
+            begunPartsBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetBegunPartsFieldBuilder() : null;
+          } else {
+            begunPartsBuilder_.addAllMessages(other.begunParts_);
+          }
+        }
+      }
+      if (partBlocksBuilder_ == null) {
+        if (!other.partBlocks_.isEmpty()) {
+          if (partBlocks_.isEmpty()) {
+            partBlocks_ = other.partBlocks_;
+            bitField0_ = (bitField0_ & ~0x00001000);
+          } else {
+            ensurePartBlocksIsMutable();
+            partBlocks_.addAll(other.partBlocks_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.partBlocks_.isEmpty()) {
+          if (partBlocksBuilder_.isEmpty()) {
+            partBlocksBuilder_.dispose();
+            partBlocksBuilder_ = null;
+            partBlocks_ = other.partBlocks_;
+            bitField0_ = (bitField0_ & ~0x00001000);
+            partBlocksBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetPartBlocksFieldBuilder() : null;
+          } else {
+            partBlocksBuilder_.addAllMessages(other.partBlocks_);
+          }
+        }
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1190,6 +1556,45 @@
               }
               break;
             } // case 82
+            case 90: {
+              org.merlinwood.wire.InstanceCrash m =
+                  input.readMessage(
+                      org.merlinwood.wire.InstanceCrash.parser(),
+                      extensionRegistry);
+              if (crashesBuilder_ == null) {
+                ensureCrashesIsMutable();
+                crashes_.add(m);
+              } else {
+                crashesBuilder_.addMessage(m);
+              }
+              break;
+            } // case 90
+            case 98: {
+              org.merlinwood.wire.BegunPart m =
+                  input.readMessage(
+                      org.merlinwood.wire.BegunPart.parser(),
+                      extensionRegistry);
+              if (begunPartsBuilder_ == null) {
+                ensureBegunPartsIsMutable();
+                begunParts_.add(m);
+              } else {
+                begunPartsBuilder_.addMessage(m);
+              }
+              break;
+            } // case 98
+            case 106: {
+              org.merlinwood.wire.PartBlock m =
+                  input.readMessage(
+                      org.merlinwood.wire.PartBlock.parser(),
+                      extensionRegistry);
+              if (partBlocksBuilder_ == null) {
+                ensurePartBlocksIsMutable();
+                partBlocks_.add(m);
+              } else {
+                partBlocksBuilder_.addMessage(m);
+              }
+              break;
+            } // case 106
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -2805,6 +3210,924 @@
       return leavingBuilder_;
     }
 
+    private java.util.List<org.merlinwood.wire.InstanceCrash> crashes_ =
+      java.util.Collections.emptyList();
+    private void ensureCrashesIsMutable() {
+      if (!((bitField0_ & 0x00000400) != 0)) {
+        crashes_ = new java.util.ArrayList<org.merlinwood.wire.InstanceCrash>(crashes_);
+        bitField0_ |= 0x00000400;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.merlinwood.wire.InstanceCrash, org.merlinwood.wire.InstanceCrash.Builder, org.merlinwood.wire.InstanceCrashOrBuilder> crashesBuilder_;
+
+    /**
+     * <pre>
+     * Crashes that the sender saw since the status before.
+     * </pre>
+     *
+     * <code>repeated .merlinwood.wire.v1.InstanceCrash crashes = 11;</code>
+     */
+    public java.util.List<org.merlinwood.wire.InstanceCrash> getCrashesList() {
+      if (crashesBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(crashes_);
+      } else {
+        return crashesBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <pre>
+     * Crashes that the sender saw since the status before.
+     * </pre>
+     *
+     * <code>repeated .merlinwood.wire.v1.InstanceCrash crashes = 11;</code>
+     */
+    public int getCrashesCount() {
+      if (crashesBuilder_ == null) {
+        return crashes_.size();
+      } else {
+        return crashesBuilder_.getCount();
+      }
+    }
+    /**
+     * <pre>
+     * Crashes that the sender saw since the status before.
+     * </pre>
+     *
+     * <code>repeated .merlinwood.wire.v1.InstanceCrash crashes = 11;</code>
+     */
+    public org.merlinwood.wire.InstanceCrash getCrashes(int index) {
+      if (crashesBuilder_ == null) {
+        return crashes_.get(index);
+      } else {
+        return crashesBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <pre>
+     * Crashes that the sender saw since the status before.
+     * </pre>
+     *
+     * <code>repeated .merlinwood.wire.v1.InstanceCrash crashes = 11;</code>
+     */
+    public Builder setCrashes(
+        int index, org.merlinwood.wire.InstanceCrash value) {
+      if (crashesBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureCrashesIsMutable();
+        crashes_.set(index, value);
+        onChanged();
+      } else {
+        crashesBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Crashes that the sender saw since the status before.
+     * </pre>
+     *
+     * <code>repeated .merlinwood.wire.v1.InstanceCrash crashes = 11;</code>
+     */
+    public Builder setCrashes(
+        int index, org.merlinwood.wire.InstanceCrash.Builder builderForValue) {
+      if (crashesBuilder_ == null) {
+        ensureCrashesIsMutable();
+        crashes_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        crashesBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Crashes that the sender saw since the status before.
+     * </pre>
+     *
+     * <code>repeated .merlinwood.wire.v1.InstanceCrash crashes = 11;</code>
+     */
+    public Builder addCrashes(org.merlinwood.wire.InstanceCrash value) {
+      if (crashesBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureCrashesIsMutable();
+        crashes_.add(value);
+        onChanged();
+      } else {
+        crashesBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Crashes that the sender saw since the status before.
+     * </pre>
+     *
+     * <code>repeated .merlinwood.wire.v1.InstanceCrash crashes = 11;</code>
+     */
+    public Builder addCrashes(
+        int index, org.merlinwood.wire.InstanceCrash value) {
+      if (crashesBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureCrashesIsMutable();
+        crashes_.add(index, value);
+        onChanged();
+      } else {
+        crashesBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Crashes that the sender saw since the status before.
+     * </pre>
+     *
+     * <code>repeated .merlinwood.wire.v1.InstanceCrash crashes = 11;</code>
+     */
+    public Builder addCrashes(
+        org.merlinwood.wire.InstanceCrash.Builder builderForValue) {
+      if (crashesBuilder_ == null) {
+        ensureCrashesIsMutable();
+        crashes_.add(builderForValue.build());
+        onChanged();
+      } else {
+        crashesBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Crashes that the sender saw since the status before.
+     * </pre>
+     *
+     * <code>repeated .merlinwood.wire.v1.InstanceCrash crashes = 11;</code>
+     */
+    public Builder addCrashes(
+        int index, org.merlinwood.wire.InstanceCrash.Builder builderForValue) {
+      if (crashesBuilder_ == null) {
+        ensureCrashesIsMutable();
+        crashes_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        crashesBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Crashes that the sender saw since the status before.
+     * </pre>
+     *
+     * <code>repeated .merlinwood.wire.v1.InstanceCrash crashes = 11;</code>
+     */
+    public Builder addAllCrashes(
+        java.lang.Iterable<? extends org.merlinwood.wire.InstanceCrash> values) {
+      if (crashesBuilder_ == null) {
+        ensureCrashesIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, crashes_);
+        onChanged();
+      } else {
+        crashesBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Crashes that the sender saw since the status before.
+     * </pre>
+     *
+     * <code>repeated .merlinwood.wire.v1.InstanceCrash crashes = 11;</code>
+     */
+    public Builder clearCrashes() {
+      if (crashesBuilder_ == null) {
+        crashes_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000400);
+        onChanged();
+      } else {
+        crashesBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Crashes that the sender saw since the status before.
+     * </pre>
+     *
+     * <code>repeated .merlinwood.wire.v1.InstanceCrash crashes = 11;</code>
+     */
+    public Builder removeCrashes(int index) {
+      if (crashesBuilder_ == null) {
+        ensureCrashesIsMutable();
+        crashes_.remove(index);
+        onChanged();
+      } else {
+        crashesBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Crashes that the sender saw since the status before.
+     * </pre>
+     *
+     * <code>repeated .merlinwood.wire.v1.InstanceCrash crashes = 11;</code>
+     */
+    public org.merlinwood.wire.InstanceCrash.Builder getCrashesBuilder(
+        int index) {
+      return internalGetCrashesFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <pre>
+     * Crashes that the sender saw since the status before.
+     * </pre>
+     *
+     * <code>repeated .merlinwood.wire.v1.InstanceCrash crashes = 11;</code>
+     */
+    public org.merlinwood.wire.InstanceCrashOrBuilder getCrashesOrBuilder(
+        int index) {
+      if (crashesBuilder_ == null) {
+        return crashes_.get(index);  } else {
+        return crashesBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <pre>
+     * Crashes that the sender saw since the status before.
+     * </pre>
+     *
+     * <code>repeated .merlinwood.wire.v1.InstanceCrash crashes = 11;</code>
+     */
+    public java.util.List<? extends org.merlinwood.wire.InstanceCrashOrBuilder> 
+         getCrashesOrBuilderList() {
+      if (crashesBuilder_ != null) {
+        return crashesBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(crashes_);
+      }
+    }
+    /**
+     * <pre>
+     * Crashes that the sender saw since the status before.
+     * </pre>
+     *
+     * <code>repeated .merlinwood.wire.v1.InstanceCrash crashes = 11;</code>
+     */
+    public org.merlinwood.wire.InstanceCrash.Builder addCrashesBuilder() {
+      return internalGetCrashesFieldBuilder().addBuilder(
+          org.merlinwood.wire.InstanceCrash.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * Crashes that the sender saw since the status before.
+     * </pre>
+     *
+     * <code>repeated .merlinwood.wire.v1.InstanceCrash crashes = 11;</code>
+     */
+    public org.merlinwood.wire.InstanceCrash.Builder addCrashesBuilder(
+        int index) {
+      return internalGetCrashesFieldBuilder().addBuilder(
+          index, org.merlinwood.wire.InstanceCrash.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * Crashes that the sender saw since the status before.
+     * </pre>
+     *
+     * <code>repeated .merlinwood.wire.v1.InstanceCrash crashes = 11;</code>
+     */
+    public java.util.List<org.merlinwood.wire.InstanceCrash.Builder> 
+         getCrashesBuilderList() {
+      return internalGetCrashesFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.merlinwood.wire.InstanceCrash, org.merlinwood.wire.InstanceCrash.Builder, org.merlinwood.wire.InstanceCrashOrBuilder> 
+        internalGetCrashesFieldBuilder() {
+      if (crashesBuilder_ == null) {
+        crashesBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.merlinwood.wire.InstanceCrash, org.merlinwood.wire.InstanceCrash.Builder, org.merlinwood.wire.InstanceCrashOrBuilder>(
+                crashes_,
+                ((bitField0_ & 0x00000400) != 0),
+                getParentForChildren(),
+                isClean());
+        crashes_ = null;
+      }
+      return crashesBuilder_;
+    }
+
+    private java.util.List<org.merlinwood.wire.BegunPart> begunParts_ =
+      java.util.Collections.emptyList();
+    private void ensureBegunPartsIsMutable() {
+      if (!((bitField0_ & 0x00000800) != 0)) {
+        begunParts_ = new java.util.ArrayList<org.merlinwood.wire.BegunPart>(begunParts_);
+        bitField0_ |= 0x00000800;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.merlinwood.wire.BegunPart, org.merlinwood.wire.BegunPart.Builder, org.merlinwood.wire.BegunPartOrBuilder> begunPartsBuilder_;
+
+    /**
+     * <pre>
+     * Parts of suspects to which a response has begun, since the status before.
+     * </pre>
+     *
+     * <code>repeated .merlinwood.wire.v1.BegunPart begun_parts = 12;</code>
+     */
+    public java.util.List<org.merlinwood.wire.BegunPart> getBegunPartsList() {
+      if (begunPartsBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(begunParts_);
+      } else {
+        return begunPartsBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <pre>
+     * Parts of suspects to which a response has begun, since the status before.
+     * </pre>
+     *
+     * <code>repeated .merlinwood.wire.v1.BegunPart begun_parts = 12;</code>
+     */
+    public int getBegunPartsCount() {
+      if (begunPartsBuilder_ == null) {
+        return begunParts_.size();
+      } else {
+        return begunPartsBuilder_.getCount();
+      }
+    }
+    /**
+     * <pre>
+     * Parts of suspects to which a response has begun, since the status before.
+     * </pre>
+     *
+     * <code>repeated .merlinwood.wire.v1.BegunPart begun_parts = 12;</code>
+     */
+    public org.merlinwood.wire.BegunPart getBegunParts(int index) {
+      if (begunPartsBuilder_ == null) {
+        return begunParts_.get(index);
+      } else {
+        return begunPartsBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <pre>
+     * Parts of suspects to which a response has begun, since the status before.
+     * </pre>
+     *
+     * <code>repeated .merlinwood.wire.v1.BegunPart begun_parts = 12;</code>
+     */
+    public Builder setBegunParts(
+        int index, org.merlinwood.wire.BegunPart value) {
+      if (begunPartsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureBegunPartsIsMutable();
+        begunParts_.set(index, value);
+        onChanged();
+      } else {
+        begunPartsBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Parts of suspects to which a response has begun, since the status before.
+     * </pre>
+     *
+     * <code>repeated .merlinwood.wire.v1.BegunPart begun_parts = 12;</code>
+     */
+    public Builder setBegunParts(
+        int index, org.merlinwood.wire.BegunPart.Builder builderForValue) {
+      if (begunPartsBuilder_ == null) {
+        ensureBegunPartsIsMutable();
+        begunParts_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        begunPartsBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Parts of suspects to which a response has begun, since the status before.
+     * </pre>
+     *
+     * <code>repeated .merlinwood.wire.v1.BegunPart begun_parts = 12;</code>
+     */
+    public Builder addBegunParts(org.merlinwood.wire.BegunPart value) {
+      if (begunPartsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureBegunPartsIsMutable();
+        begunParts_.add(value);
+        onChanged();
+      } else {
+        begunPartsBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Parts of suspects to which a response has begun, since the status before.
+     * </pre>
+     *
+     * <code>repeated .merlinwood.wire.v1.BegunPart begun_parts = 12;</code>
+     */
+    public Builder addBegunParts(
+        int index, org.merlinwood.wire.BegunPart value) {
+      if (begunPartsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureBegunPartsIsMutable();
+        begunParts_.add(index, value);
+        onChanged();
+      } else {
+        begunPartsBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Parts of suspects to which a response has begun, since the status before.
+     * </pre>
+     *
+     * <code>repeated .merlinwood.wire.v1.BegunPart begun_parts = 12;</code>
+     */
+    public Builder addBegunParts(
+        org.merlinwood.wire.BegunPart.Builder builderForValue) {
+      if (begunPartsBuilder_ == null) {
+        ensureBegunPartsIsMutable();
+        begunParts_.add(builderForValue.build());
+        onChanged();
+      } else {
+        begunPartsBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Parts of suspects to which a response has begun, since the status before.
+     * </pre>
+     *
+     * <code>repeated .merlinwood.wire.v1.BegunPart begun_parts = 12;</code>
+     */
+    public Builder addBegunParts(
+        int index, org.merlinwood.wire.BegunPart.Builder builderForValue) {
+      if (begunPartsBuilder_ == null) {
+        ensureBegunPartsIsMutable();
+        begunParts_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        begunPartsBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Parts of suspects to which a response has begun, since the status before.
+     * </pre>
+     *
+     * <code>repeated .merlinwood.wire.v1.BegunPart begun_parts = 12;</code>
+     */
+    public Builder addAllBegunParts(
+        java.lang.Iterable<? extends org.merlinwood.wire.BegunPart> values) {
+      if (begunPartsBuilder_ == null) {
+        ensureBegunPartsIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, begunParts_);
+        onChanged();
+      } else {
+        begunPartsBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Parts of suspects to which a response has begun, since the status before.
+     * </pre>
+     *
+     * <code>repeated .merlinwood.wire.v1.BegunPart begun_parts = 12;</code>
+     */
+    public Builder clearBegunParts() {
+      if (begunPartsBuilder_ == null) {
+        begunParts_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000800);
+        onChanged();
+      } else {
+        begunPartsBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Parts of suspects to which a response has begun, since the status before.
+     * </pre>
+     *
+     * <code>repeated .merlinwood.wire.v1.BegunPart begun_parts = 12;</code>
+     */
+    public Builder removeBegunParts(int index) {
+      if (begunPartsBuilder_ == null) {
+        ensureBegunPartsIsMutable();
+        begunParts_.remove(index);
+        onChanged();
+      } else {
+        begunPartsBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Parts of suspects to which a response has begun, since the status before.
+     * </pre>
+     *
+     * <code>repeated .merlinwood.wire.v1.BegunPart begun_parts = 12;</code>
+     */
+    public org.merlinwood.wire.BegunPart.Builder getBegunPartsBuilder(
+        int index) {
+      return internalGetBegunPartsFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <pre>
+     * Parts of suspects to which a response has begun, since the status before.
+     * </pre>
+     *
+     * <code>repeated .merlinwood.wire.v1.BegunPart begun_parts = 12;</code>
+     */
+    public org.merlinwood.wire.BegunPartOrBuilder getBegunPartsOrBuilder(
+        int index) {
+      if (begunPartsBuilder_ == null) {
+        return begunParts_.get(index);  } else {
+        return begunPartsBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <pre>
+     * Parts of suspects to which a response has begun, since the status before.
+     * </pre>
+     *
+     * <code>repeated .merlinwood.wire.v1.BegunPart begun_parts = 12;</code>
+     */
+    public java.util.List<? extends org.merlinwood.wire.BegunPartOrBuilder> 
+         getBegunPartsOrBuilderList() {
+      if (begunPartsBuilder_ != null) {
+        return begunPartsBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(begunParts_);
+      }
+    }
+    /**
+     * <pre>
+     * Parts of suspects to which a response has begun, since the status before.
+     * </pre>
+     *
+     * <code>repeated .merlinwood.wire.v1.BegunPart begun_parts = 12;</code>
+     */
+    public org.merlinwood.wire.BegunPart.Builder addBegunPartsBuilder() {
+      return internalGetBegunPartsFieldBuilder().addBuilder(
+          org.merlinwood.wire.BegunPart.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * Parts of suspects to which a response has begun, since the status before.
+     * </pre>
+     *
+     * <code>repeated .merlinwood.wire.v1.BegunPart begun_parts = 12;</code>
+     */
+    public org.merlinwood.wire.BegunPart.Builder addBegunPartsBuilder(
+        int index) {
+      return internalGetBegunPartsFieldBuilder().addBuilder(
+          index, org.merlinwood.wire.BegunPart.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * Parts of suspects to which a response has begun, since the status before.
+     * </pre>
+     *
+     * <code>repeated .merlinwood.wire.v1.BegunPart begun_parts = 12;</code>
+     */
+    public java.util.List<org.merlinwood.wire.BegunPart.Builder> 
+         getBegunPartsBuilderList() {
+      return internalGetBegunPartsFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.merlinwood.wire.BegunPart, org.merlinwood.wire.BegunPart.Builder, org.merlinwood.wire.BegunPartOrBuilder> 
+        internalGetBegunPartsFieldBuilder() {
+      if (begunPartsBuilder_ == null) {
+        begunPartsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.merlinwood.wire.BegunPart, org.merlinwood.wire.BegunPart.Builder, org.merlinwood.wire.BegunPartOrBuilder>(
+                begunParts_,
+                ((bitField0_ & 0x00000800) != 0),
+                getParentForChildren(),
+                isClean());
+        begunParts_ = null;
+      }
+      return begunPartsBuilder_;
+    }
+
+    private java.util.List<org.merlinwood.wire.PartBlock> partBlocks_ =
+      java.util.Collections.emptyList();
+    private void ensurePartBlocksIsMutable() {
+      if (!((bitField0_ & 0x00001000) != 0)) {
+        partBlocks_ = new java.util.ArrayList<org.merlinwood.wire.PartBlock>(partBlocks_);
+        bitField0_ |= 0x00001000;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.merlinwood.wire.PartBlock, org.merlinwood.wire.PartBlock.Builder, org.merlinwood.wire.PartBlockOrBuilder> partBlocksBuilder_;
+
+    /**
+     * <pre>
+     * Some of the combinations of prompt parts that the sender blocks, in turn.
+     * </pre>
+     *
+     * <code>repeated .merlinwood.wire.v1.PartBlock part_blocks = 13;</code>
+     */
+    public java.util.List<org.merlinwood.wire.PartBlock> getPartBlocksList() {
+      if (partBlocksBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(partBlocks_);
+      } else {
+        return partBlocksBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <pre>
+     * Some of the combinations of prompt parts that the sender blocks, in turn.
+     * </pre>
+     *
+     * <code>repeated .merlinwood.wire.v1.PartBlock part_blocks = 13;</code>
+     */
+    public int getPartBlocksCount() {
+      if (partBlocksBuilder_ == null) {
+        return partBlocks_.size();
+      } else {
+        return partBlocksBuilder_.getCount();
+      }
+    }
+    /**
+     * <pre>
+     * Some of the combinations of prompt parts that the sender blocks, in turn.
+     * </pre>
+     *
+     * <code>repeated .merlinwood.wire.v1.PartBlock part_blocks = 13;</code>
+     */
+    public org.merlinwood.wire.PartBlock getPartBlocks(int index) {
+      if (partBlocksBuilder_ == null) {
+        return partBlocks_.get(index);
+      } else {
+        return partBlocksBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <pre>
+     * Some of the combinations of prompt parts that the sender blocks, in turn.
+     * </pre>
+     *
+     * <code>repeated .merlinwood.wire.v1.PartBlock part_blocks = 13;</code>
+     */
+    public Builder setPartBlocks(
+        int index, org.merlinwood.wire.PartBlock value) {
+      if (partBlocksBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensurePartBlocksIsMutable();
+        partBlocks_.set(index, value);
+        onChanged();
+      } else {
+        partBlocksBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Some of the combinations of prompt parts that the sender blocks, in turn.
+     * </pre>
+     *
+     * <code>repeated .merlinwood.wire.v1.PartBlock part_blocks = 13;</code>
+     */
+    public Builder setPartBlocks(
+        int index, org.merlinwood.wire.PartBlock.Builder builderForValue) {
+      if (partBlocksBuilder_ == null) {
+        ensurePartBlocksIsMutable();
+        partBlocks_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        partBlocksBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Some of the combinations of prompt parts that the sender blocks, in turn.
+     * </pre>
+     *
+     * <code>repeated .merlinwood.wire.v1.PartBlock part_blocks = 13;</code>
+     */
+    public Builder addPartBlocks(org.merlinwood.wire.PartBlock value) {
+      if (partBlocksBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensurePartBlocksIsMutable();
+        partBlocks_.add(value);
+        onChanged();
+      } else {
+        partBlocksBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Some of the combinations of prompt parts that the sender blocks, in turn.
+     * </pre>
+     *
+     * <code>repeated .merlinwood.wire.v1.PartBlock part_blocks = 13;</code>
+     */
+    public Builder addPartBlocks(
+        int index, org.merlinwood.wire.PartBlock value) {
+      if (partBlocksBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensurePartBlocksIsMutable();
+        partBlocks_.add(index, value);
+        onChanged();
+      } else {
+        partBlocksBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Some of the combinations of prompt parts that the sender blocks, in turn.
+     * </pre>
+     *
+     * <code>repeated .merlinwood.wire.v1.PartBlock part_blocks = 13;</code>
+     */
+    public Builder addPartBlocks(
+        org.merlinwood.wire.PartBlock.Builder builderForValue) {
+      if (partBlocksBuilder_ == null) {
+        ensurePartBlocksIsMutable();
+        partBlocks_.add(builderForValue.build());
+        onChanged();
+      } else {
+        partBlocksBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Some of the combinations of prompt parts that the sender blocks, in turn.
+     * </pre>
+     *
+     * <code>repeated .merlinwood.wire.v1.PartBlock part_blocks = 13;</code>
+     */
+    public Builder addPartBlocks(
+        int index, org.merlinwood.wire.PartBlock.Builder builderForValue) {
+      if (partBlocksBuilder_ == null) {
+        ensurePartBlocksIsMutable();
+        partBlocks_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        partBlocksBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Some of the combinations of prompt parts that the sender blocks, in turn.
+     * </pre>
+     *
+     * <code>repeated .merlinwood.wire.v1.PartBlock part_blocks = 13;</code>
+     */
+    public Builder addAllPartBlocks(
+        java.lang.Iterable<? extends org.merlinwood.wire.PartBlock> values) {
+      if (partBlocksBuilder_ == null) {
+        ensurePartBlocksIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, partBlocks_);
+        onChanged();
+      } else {
+        partBlocksBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Some of the combinations of prompt parts that the sender blocks, in turn.
+     * </pre>
+     *
+     * <code>repeated .merlinwood.wire.v1.PartBlock part_blocks = 13;</code>
+     */
+    public Builder clearPartBlocks() {
+      if (partBlocksBuilder_ == null) {
+        partBlocks_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00001000);
+        onChanged();
+      } else {
+        partBlocksBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Some of the combinations of prompt parts that the sender blocks, in turn.
+     * </pre>
+     *
+     * <code>repeated .merlinwood.wire.v1.PartBlock part_blocks = 13;</code>
+     */
+    public Builder removePartBlocks(int index) {
+      if (partBlocksBuilder_ == null) {
+        ensurePartBlocksIsMutable();
+        partBlocks_.remove(index);
+        onChanged();
+      } else {
+        partBlocksBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Some of the combinations of prompt parts that the sender blocks, in turn.
+     * </pre>
+     *
+     * <code>repeated .merlinwood.wire.v1.PartBlock part_blocks = 13;</code>
+     */
+    public org.merlinwood.wire.PartBlock.Builder getPartBlocksBuilder(
+        int index) {
+      return internalGetPartBlocksFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <pre>
+     * Some of the combinations of prompt parts that the sender blocks, in turn.
+     * </pre>
+     *
+     * <code>repeated .merlinwood.wire.v1.PartBlock part_blocks = 13;</code>
+     */
+    public org.merlinwood.wire.PartBlockOrBuilder getPartBlocksOrBuilder(
+        int index) {
+      if (partBlocksBuilder_ == null) {
+        return partBlocks_.get(index);  } else {
+        return partBlocksBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <pre>
+     * Some of the combinations of prompt parts that the sender blocks, in turn.
+     * </pre>
+     *
+     * <code>repeated .merlinwood.wire.v1.PartBlock part_blocks = 13;</code>
+     */
+    public java.util.List<? extends org.merlinwood.wire.PartBlockOrBuilder> 
+         getPartBlocksOrBuilderList() {
+      if (partBlocksBuilder_ != null) {
+        return partBlocksBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(partBlocks_);
+      }
+    }
+    /**
+     * <pre>
+     * Some of the combinations of prompt parts that the sender blocks, in turn.
+     * </pre>
+     *
+     * <code>repeated .merlinwood.wire.v1.PartBlock part_blocks = 13;</code>
+     */
+    public org.merlinwood.wire.PartBlock.Builder addPartBlocksBuilder() {
+      return internalGetPartBlocksFieldBuilder().addBuilder(
+          org.merlinwood.wire.PartBlock.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * Some of the combinations of prompt parts that the sender blocks, in turn.
+     * </pre>
+     *
+     * <code>repeated .merlinwood.wire.v1.PartBlock part_blocks = 13;</code>
+     */
+    public org.merlinwood.wire.PartBlock.Builder addPartBlocksBuilder(
+        int index) {
+      return internalGetPartBlocksFieldBuilder().addBuilder(
+          index, org.merlinwood.wire.PartBlock.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * Some of the combinations of prompt parts that the sender blocks, in turn.
+     * </pre>
+     *
+     * <code>repeated .merlinwood.wire.v1.PartBlock part_blocks = 13;</code>
+     */
+    public java.util.List<org.merlinwood.wire.PartBlock.Builder> 
+         getPartBlocksBuilderList() {
+      return internalGetPartBlocksFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.merlinwood.wire.PartBlock, org.merlinwood.wire.PartBlock.Builder, org.merlinwood.wire.PartBlockOrBuilder> 
+        internalGetPartBlocksFieldBuilder() {
+      if (partBlocksBuilder_ == null) {
+        partBlocksBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.merlinwood.wire.PartBlock, org.merlinwood.wire.PartBlock.Builder, org.merlinwood.wire.PartBlockOrBuilder>(
+                partBlocks_,
+                ((bitField0_ & 0x00001000) != 0),
+                getParentForChildren(),
+                isClean());
+        partBlocks_ = null;
+      }
+      return partBlocksBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:merlinwood.wire.v1.EntryStatus)
   }
 
--- a/wire-generated/src/main/java/org/merlinwood/wire/EntryStatusOrBuilder.java
+++ b/wire-generated/src/main/java/org/merlinwood/wire/EntryStatusOrBuilder.java
@@ -277,4 +277,136 @@
    */
   org.merlinwood.wire.LeavingInstanceOrBuilder getLeavingOrBuilder(
       int index);
+
+  /**
+   * <pre>
+   * Crashes that the sender saw since the status before.
+   * </pre>
+   *
+   * <code>repeated .merlinwood.wire.v1.InstanceCrash crashes = 11;</code>
+   */
+  java.util.List<org.merlinwood.wire.InstanceCrash> 
+      getCrashesList();
+  /**
+   * <pre>
+   * Crashes that the sender saw since the status before.
+   * </pre>
+   *
+   * <code>repeated .merlinwood.wire.v1.InstanceCrash crashes = 11;</code>
+   */
+  org.merlinwood.wire.InstanceCrash getCrashes(int index);
+  /**
+   * <pre>
+   * Crashes that the sender saw since the status before.
+   * </pre>
+   *
+   * <code>repeated .merlinwood.wire.v1.InstanceCrash crashes = 11;</code>
+   */
+  int getCrashesCount();
+  /**
+   * <pre>
+   * Crashes that the sender saw since the status before.
+   * </pre>
+   *
+   * <code>repeated .merlinwood.wire.v1.InstanceCrash crashes = 11;</code>
+   */
+  java.util.List<? extends org.merlinwood.wire.InstanceCrashOrBuilder> 
+      getCrashesOrBuilderList();
+  /**
+   * <pre>
+   * Crashes that the sender saw since the status before.
+   * </pre>
+   *
+   * <code>repeated .merlinwood.wire.v1.InstanceCrash crashes = 11;</code>
+   */
+  org.merlinwood.wire.InstanceCrashOrBuilder getCrashesOrBuilder(
+      int index);
+
+  /**
+   * <pre>
+   * Parts of suspects to which a response has begun, since the status before.
+   * </pre>
+   *
+   * <code>repeated .merlinwood.wire.v1.BegunPart begun_parts = 12;</code>
+   */
+  java.util.List<org.merlinwood.wire.BegunPart> 
+      getBegunPartsList();
+  /**
+   * <pre>
+   * Parts of suspects to which a response has begun, since the status before.
+   * </pre>
+   *
+   * <code>repeated .merlinwood.wire.v1.BegunPart begun_parts = 12;</code>
+   */
+  org.merlinwood.wire.BegunPart getBegunParts(int index);
+  /**
+   * <pre>
+   * Parts of suspects to which a response has begun, since the status before.
+   * </pre>
+   *
+   * <code>repeated .merlinwood.wire.v1.BegunPart begun_parts = 12;</code>
+   */
+  int getBegunPartsCount();
+  /**
+   * <pre>
+   * Parts of suspects to which a response has begun, since the status before.
+   * </pre>
+   *
+   * <code>repeated .merlinwood.wire.v1.BegunPart begun_parts = 12;</code>
+   */
+  java.util.List<? extends org.merlinwood.wire.BegunPartOrBuilder> 
+      getBegunPartsOrBuilderList();
+  /**
+   * <pre>
+   * Parts of suspects to which a response has begun, since the status before.
+   * </pre>
+   *
+   * <code>repeated .merlinwood.wire.v1.BegunPart begun_parts = 12;</code>
+   */
+  org.merlinwood.wire.BegunPartOrBuilder getBegunPartsOrBuilder(
+      int index);
+
+  /**
+   * <pre>
+   * Some of the combinations of prompt parts that the sender blocks, in turn.
+   * </pre>
+   *
+   * <code>repeated .merlinwood.wire.v1.PartBlock part_blocks = 13;</code>
+   */
+  java.util.List<org.merlinwood.wire.PartBlock> 
+      getPartBlocksList();
+  /**
+   * <pre>
+   * Some of the combinations of prompt parts that the sender blocks, in turn.
+   * </pre>
+   *
+   * <code>repeated .merlinwood.wire.v1.PartBlock part_blocks = 13;</code>
+   */
+  org.merlinwood.wire.PartBlock getPartBlocks(int index);
+  /**
+   * <pre>
+   * Some of the combinations of prompt parts that the sender blocks, in turn.
+   * </pre>
+   *
+   * <code>repeated .merlinwood.wire.v1.PartBlock part_blocks = 13;</code>
+   */
+  int getPartBlocksCount();
+  /**
+   * <pre>
+   * Some of the combinations of prompt parts that the sender blocks, in turn.
+   * </pre>
+   *
+   * <code>repeated .merlinwood.wire.v1.PartBlock part_blocks = 13;</code>
+   */
+  java.util.List<? extends org.merlinwood.wire.PartBlockOrBuilder> 
+      getPartBlocksOrBuilderList();
+  /**
+   * <pre>
+   * Some of the combinations of prompt parts that the sender blocks, in turn.
+   * </pre>
+   *
+   * <code>repeated .merlinwood.wire.v1.PartBlock part_blocks = 13;</code>
+   */
+  org.merlinwood.wire.PartBlockOrBuilder getPartBlocksOrBuilder(
+      int index);
 }
--- a/wire-generated/src/main/java/org/merlinwood/wire/Merlinwood.java
+++ b/wire-generated/src/main/java/org/merlinwood/wire/Merlinwood.java
@@ -221,6 +221,26 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_merlinwood_wire_v1_EntryStatus_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_merlinwood_wire_v1_InstanceCrash_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_merlinwood_wire_v1_InstanceCrash_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_merlinwood_wire_v1_SuspectRequest_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_merlinwood_wire_v1_SuspectRequest_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_merlinwood_wire_v1_BegunPart_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_merlinwood_wire_v1_BegunPart_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_merlinwood_wire_v1_PartBlock_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_merlinwood_wire_v1_PartBlock_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_merlinwood_wire_v1_LeavingInstance_descriptor;
   static final 
@@ -424,7 +444,7 @@
       "millis\030\005 \001(\r\022\032\n\022retry_after_millis\030\006 \001(\r" +
       "\"[\n\nLoadReport\022\020\n\010instance\030\001 \001(\t\022\023\n\013inca" +
       "rnation\030\002 \001(\006\022&\n\004load\030\003 \001(\0132\030.merlinwood" +
-      ".wire.v1.Load\"\326\002\n\013EntryStatus\022\017\n\007address" +
+      ".wire.v1.Load\"\362\003\n\013EntryStatus\022\017\n\007address" +
       "\030\001 \001(\t\022\017\n\007members\030\002 \003(\t\022\026\n\016store_revisio" +
       "n\030\003 \001(\004\022.\n\004work\030\004 \003(\0132 .merlinwood.wire." +
       "v1.InstanceWork\022.\n\tlost_runs\030\005 \003(\0132\033.mer" +
@@ -432,30 +452,42 @@
       "2!.merlinwood.wire.v1.ServiceDemand\022\021\n\ts" +
       "witching\030\007 \003(\t\022\035\n\025highest_fencing_token\030" +
       "\010 \001(\004\022\021\n\tstore_era\030\t \001(\004\0224\n\007leaving\030\n \003(" +
-      "\0132#.merlinwood.wire.v1.LeavingInstance\"@" +
-      "\n\017LeavingInstance\022\020\n\010instance\030\001 \001(\t\022\033\n\023s" +
-      "tarted_unix_millis\030\002 \001(\003\"Z\n\rServiceDeman" +
-      "d\022\017\n\007service\030\001 \001(\t\022\025\n\rprompt_tokens\030\002 \001(" +
-      "\r\022!\n\031requests_without_capacity\030\003 \001(\r\"{\n\014" +
-      "InstanceWork\022\020\n\010instance\030\001 \001(\t\022\017\n\007runnin" +
-      "g\030\002 \001(\r\022\025\n\rprompt_tokens\030\003 \001(\r\022\027\n\017occupi" +
-      "ed_tokens\030\004 \003(\r\022\030\n\020remaining_tokens\030\005 \003(" +
-      "\r\"0\n\007LostRun\022\023\n\013fingerprint\030\001 \001(\006\022\020\n\010ins" +
-      "tance\030\002 \001(\t\"7\n\023StoreChangesRequest\022\r\n\005af" +
-      "ter\030\001 \001(\004\022\021\n\tafter_era\030\002 \001(\004\"Y\n\014StoreCha" +
-      "nges\022*\n\004keys\030\001 \003(\0132\034.merlinwood.wire.v1." +
-      "StoreKey\022\020\n\010revision\030\002 \001(\004\022\013\n\003era\030\003 \001(\004\"" +
-      "V\n\010StoreKey\022\013\n\003key\030\001 \001(\t\022\020\n\010revision\030\002 \001" +
-      "(\004\022\r\n\005value\030\003 \001(\014\022\017\n\007removed\030\004 \001(\010\022\013\n\003er" +
-      "a\030\005 \001(\004*P\n\013ProcessRole\022\034\n\030PROCESS_ROLE_U" +
-      "NSPECIFIED\020\000\022\t\n\005ENTRY\020\001\022\013\n\007SIDECAR\020\002\022\013\n\007" +
-      "COMMAND\020\003*I\n\010WorkKind\022\031\n\025WORK_KIND_UNSPE" +
-      "CIFIED\020\000\022\013\n\007PREFILL\020\001\022\n\n\006DECODE\020\002\022\t\n\005PLA" +
-      "IN\020\003*I\n\tExecution\022\031\n\025EXECUTION_UNSPECIFI" +
-      "ED\020\000\022\013\n\007NOT_RUN\020\001\022\013\n\007UNKNOWN\020\002\022\007\n\003RAN\020\003*" +
-      "8\n\016SuspicionEvent\022\013\n\007CRASHED\020\000\022\013\n\007INQUIR" +
-      "Y\020\001\022\014\n\010SURVIVED\020\002B\031\n\023org.merlinwood.wire" +
-      "H\001P\001b\006proto3"
+      "\0132#.merlinwood.wire.v1.LeavingInstance\0222" +
+      "\n\007crashes\030\013 \003(\0132!.merlinwood.wire.v1.Ins" +
+      "tanceCrash\0222\n\013begun_parts\030\014 \003(\0132\035.merlin" +
+      "wood.wire.v1.BegunPart\0222\n\013part_blocks\030\r " +
+      "\003(\0132\035.merlinwood.wire.v1.PartBlock\"\244\001\n\rI" +
+      "nstanceCrash\022\020\n\010instance\030\001 \001(\t\022\033\n\023starte" +
+      "d_unix_millis\030\002 \001(\003\022\022\n\nage_millis\030\003 \001(\r\022" +
+      "\032\n\022suspect_age_millis\030\004 \001(\r\0224\n\010suspects\030" +
+      "\005 \003(\0132\".merlinwood.wire.v1.SuspectReques" +
+      "t\"\037\n\016SuspectRequest\022\r\n\005parts\030\001 \003(\006\"-\n\tBe" +
+      "gunPart\022\014\n\004part\030\001 \001(\006\022\022\n\nage_millis\030\002 \001(" +
+      "\r\"H\n\tPartBlock\022\r\n\005parts\030\001 \003(\006\022\035\n\025last_cr" +
+      "ash_age_millis\030\002 \001(\r\022\r\n\005count\030\003 \001(\r\"@\n\017L" +
+      "eavingInstance\022\020\n\010instance\030\001 \001(\t\022\033\n\023star" +
+      "ted_unix_millis\030\002 \001(\003\"Z\n\rServiceDemand\022\017" +
+      "\n\007service\030\001 \001(\t\022\025\n\rprompt_tokens\030\002 \001(\r\022!" +
+      "\n\031requests_without_capacity\030\003 \001(\r\"{\n\014Ins" +
+      "tanceWork\022\020\n\010instance\030\001 \001(\t\022\017\n\007running\030\002" +
+      " \001(\r\022\025\n\rprompt_tokens\030\003 \001(\r\022\027\n\017occupied_" +
+      "tokens\030\004 \003(\r\022\030\n\020remaining_tokens\030\005 \003(\r\"0" +
+      "\n\007LostRun\022\023\n\013fingerprint\030\001 \001(\006\022\020\n\010instan" +
+      "ce\030\002 \001(\t\"7\n\023StoreChangesRequest\022\r\n\005after" +
+      "\030\001 \001(\004\022\021\n\tafter_era\030\002 \001(\004\"Y\n\014StoreChange" +
+      "s\022*\n\004keys\030\001 \003(\0132\034.merlinwood.wire.v1.Sto" +
+      "reKey\022\020\n\010revision\030\002 \001(\004\022\013\n\003era\030\003 \001(\004\"V\n\010" +
+      "StoreKey\022\013\n\003key\030\001 \001(\t\022\020\n\010revision\030\002 \001(\004\022" +
+      "\r\n\005value\030\003 \001(\014\022\017\n\007removed\030\004 \001(\010\022\013\n\003era\030\005" +
+      " \001(\004*P\n\013ProcessRole\022\034\n\030PROCESS_ROLE_UNSP" +
+      "ECIFIED\020\000\022\t\n\005ENTRY\020\001\022\013\n\007SIDECAR\020\002\022\013\n\007COM" +
+      "MAND\020\003*I\n\010WorkKind\022\031\n\025WORK_KIND_UNSPECIF" +
+      "IED\020\000\022\013\n\007PREFILL\020\001\022\n\n\006DECODE\020\002\022\t\n\005PLAIN\020" +
+      "\003*I\n\tExecution\022\031\n\025EXECUTION_UNSPECIFIED\020" +
+      "\000\022\013\n\007NOT_RUN\020\001\022\013\n\007UNKNOWN\020\002\022\007\n\003RAN\020\003*8\n\016" +
+      "SuspicionEvent\022\013\n\007CRASHED\020\000\022\013\n\007INQUIRY\020\001" +
+      "\022\014\n\010SURVIVED\020\002B\031\n\023org.merlinwood.wireH\001P" +
+      "\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -694,45 +726,69 @@
     internal_static_merlinwood_wire_v1_EntryStatus_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_merlinwood_wire_v1_EntryStatus_descriptor,
-        new java.lang.String[] { "Address", "Members", "StoreRevision", "Work", "LostRuns", "Demands", "Switching", "HighestFencingToken", "StoreEra", "Leaving", });
-    internal_static_merlinwood_wire_v1_LeavingInstance_descriptor =
+        new java.lang.String[] { "Address", "Members", "StoreRevision", "Work", "LostRuns", "Demands", "Switching", "HighestFencingToken", "StoreEra", "Leaving", "Crashes", "BegunParts", "PartBlocks", });
+    internal_static_merlinwood_wire_v1_InstanceCrash_descriptor =
       getDescriptor().getMessageType(39);
+    internal_static_merlinwood_wire_v1_InstanceCrash_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_merlinwood_wire_v1_InstanceCrash_descriptor,
+        new java.lang.String[] { "Instance", "StartedUnixMillis", "AgeMillis", "SuspectAgeMillis", "Suspects", });
+    internal_static_merlinwood_wire_v1_SuspectRequest_descriptor =
+      getDescriptor().getMessageType(40);
+    internal_static_merlinwood_wire_v1_SuspectRequest_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_merlinwood_wire_v1_SuspectRequest_descriptor,
+        new java.lang.String[] { "Parts", });
+    internal_static_merlinwood_wire_v1_BegunPart_descriptor =
+      getDescriptor().getMessageType(41);
+    internal_static_merlinwood_wire_v1_BegunPart_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_merlinwood_wire_v1_BegunPart_descriptor,
+        new java.lang.String[] { "Part", "AgeMillis", });
+    internal_static_merlinwood_wire_v1_PartBlock_descriptor =
+      getDescriptor().getMessageType(42);
+    internal_static_merlinwood_wire_v1_PartBlock_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_merlinwood_wire_v1_PartBlock_descriptor,
+        new java.lang.String[] { "Parts", "LastCrashAgeMillis", "Count", });
+    internal_static_merlinwood_wire_v1_LeavingInstance_descriptor =
+      getDescriptor().getMessageType(43);
     internal_static_merlinwood_wire_v1_LeavingInstance_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_merlinwood_wire_v1_LeavingInstance_descriptor,
         new java.lang.String[] { "Instance", "StartedUnixMillis", });
     internal_static_merlinwood_wire_v1_ServiceDemand_descriptor =
-      getDescriptor().getMessageType(40);
+      getDescriptor().getMessageType(44);
     internal_static_merlinwood_wire_v1_ServiceDemand_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_merlinwood_wire_v1_ServiceDemand_descriptor,
         new java.lang.String[] { "Service", "PromptTokens", "RequestsWithoutCapacity", });
     internal_static_merlinwood_wire_v1_InstanceWork_descriptor =
-      getDescriptor().getMessageType(41);
+      getDescriptor().getMessageType(45);
     internal_static_merlinwood_wire_v1_InstanceWork_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_merlinwood_wire_v1_InstanceWork_descriptor,
         new java.lang.String[] { "Instance", "Running", "PromptTokens", "OccupiedTokens", "RemainingTokens", });
     internal_static_merlinwood_wire_v1_LostRun_descriptor =
-      getDescriptor().getMessageType(42);
+      getDescriptor().getMessageType(46);
     internal_static_merlinwood_wire_v1_LostRun_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_merlinwood_wire_v1_LostRun_descriptor,
         new java.lang.String[] { "Fingerprint", "Instance", });
     internal_static_merlinwood_wire_v1_StoreChangesRequest_descriptor =
-      getDescriptor().getMessageType(43);
+      getDescriptor().getMessageType(47);
     internal_static_merlinwood_wire_v1_StoreChangesRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_merlinwood_wire_v1_StoreChangesRequest_descriptor,
         new java.lang.String[] { "After", "AfterEra", });
     internal_static_merlinwood_wire_v1_StoreChanges_descriptor =
-      getDescriptor().getMessageType(44);
+      getDescriptor().getMessageType(48);
     internal_static_merlinwood_wire_v1_StoreChanges_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_merlinwood_wire_v1_StoreChanges_descriptor,
         new java.lang.String[] { "Keys", "Revision", "Era", });
     internal_static_merlinwood_wire_v1_StoreKey_descriptor =
-      getDescriptor().getMessageType(45);
+      getDescriptor().getMessageType(49);
     internal_static_merlinwood_wire_v1_StoreKey_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_merlinwood_wire_v1_StoreKey_descriptor,
