--- a/gateway/src/main/java/org/merlinwood/gateway/front/StreamRequestProcessor.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/StreamRequestProcessor.java
@@ -15,6 +15,7 @@
 import org.merlinwood.gateway.decision.MemoryWaitPolicy;
 import org.merlinwood.gateway.decision.MemoryWaitQueue;
 import org.merlinwood.gateway.decision.NextStep;
+import org.merlinwood.gateway.decision.PartFingerprints;
 import org.merlinwood.gateway.decision.RetryClaim;
 import org.merlinwood.gateway.decision.RetryPolicy;
 import org.merlinwood.gateway.fleet.UpstreamInstance;
@@ -113,6 +114,10 @@
 
     @Override
     void proceed() {
+        if (isBlocked()) {
+            failBlocked();
+            return;
+        }
         Optional<UpstreamInstance> choice = chooseInstance();
         if (choice.isEmpty()) {
             waitForMemory();
@@ -249,7 +254,7 @@
             if (isFinished()) {
                 return true;
             }
-            if (timeLeftMillis() > 0 && chooseInstance().isPresent()) {
+            if (isBlocked() || (timeLeftMillis() > 0 && chooseInstance().isPresent())) {
                 queuedRequest = Optional.empty();
                 proceed();
                 return true;
@@ -279,7 +284,7 @@
     }
 
     private void startGeneration(UpstreamInstance instance) {
-        if (context.crashHistory().isBlocked(CrashHistory.fingerprint(request))) {
+        if (isBlocked()) {
             failBlocked();
             return;
         }
@@ -318,12 +323,13 @@
         }
         reservation = Optional.empty();
         prefillResult = Optional.empty();
+        context.crashCausingParts().recordSent(sharedParts);
         HttpStream stream = context.client().send(instance, generationRequest, generation);
         activeRequest = Optional.of(new UpstreamWork("generation", instance, stream));
     }
 
     private void failBlocked() {
-        String reason = "earlier attempts of this request lost their instances";
+        String reason = "requests like this one lost their instances";
         if (silentAttempt.isPresent()) {
             dropReplacement(reason);
         } else {
@@ -673,6 +679,7 @@
         private final ByteArrayOutputStream body = new ByteArrayOutputStream();
         private ResponseHead head;
         private boolean streaming;
+        private final long sentMillis = context.clock().monotonicMillis();
         private long firstEventElapsedMillis = -1;
         private long firstEventAtMillis;
         private int eventCount;
@@ -761,10 +768,12 @@
             }
             onSilentInstanceGoesOn();
             eventCount++;
+            context.crashCausingParts().recordSignOfLife(instance);
             activeGeneration.ifPresent(generation -> generation.addTokens(limits.tokensPerEvent()));
             if (firstEventElapsedMillis < 0) {
                 firstEventElapsedMillis = elapsedMillis();
                 firstEventAtMillis = context.clock().monotonicMillis();
+                context.crashCausingParts().recordBegun(sharedParts);
                 context.metrics().recordDuration("first_event_milliseconds", firstEventElapsedMillis);
             }
             beginResponse();
@@ -813,6 +822,7 @@
             if (!isReplacementOfOpenAttempt()) {
                 events.discardIncomplete();
             }
+            recordLostGeneration(failure);
             endAttempt(recordFailedAttempt(instance, failure));
         }
 
@@ -825,6 +835,22 @@
             return isReplacementSent() && currentAttempt.equals(Optional.of(this));
         }
 
+        /** Records a lost connection; the request is a suspect if its response had not begun. */
+        private void recordLostGeneration(Failure failure) {
+            if (failure.code() != ResultCode.CONNECTION_LOST && failure.code() != ResultCode.UPSTREAM_TRUNCATED) {
+                return;
+            }
+            boolean suspect = firstEventElapsedMillis < 0;
+            decisionLine("generation lost")
+                    .with("instance", instance.identifier())
+                    .with("suspect", String.valueOf(suspect))
+                    .with("parts", PartFingerprints.describe(prompt))
+                    .write();
+            context.metrics()
+                    .count(suspect ? "generations_lost_before_first_event" : "generations_lost_after_first_event");
+            context.crashCausingParts().recordLoss(instance, sentMillis, suspect ? sharedParts : List.of());
+        }
+
         /** Ends this attempt. A replacement that is being prepared is its retry, unless the instance has answered. */
         private void endAttempt(AttemptOutcome outcome) {
             if (isReplacementOfOpenAttempt()) {
--- a/gateway/src/main/java/org/merlinwood/gateway/process/EntryComposition.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/process/EntryComposition.java
@@ -13,6 +13,7 @@
 import java.util.List;
 import org.merlinwood.core.time.MillisClock;
 import org.merlinwood.core.time.SystemMillisClock;
+import org.merlinwood.gateway.decision.CrashCausingParts;
 import org.merlinwood.gateway.decision.CrashHistory;
 import org.merlinwood.gateway.decision.DemandMeter;
 import org.merlinwood.gateway.decision.DrainPolicy;
@@ -60,6 +61,12 @@
             .set(UndertowOptions.NO_REQUEST_TIMEOUT, IDLE_TIMEOUT_MILLIS)
             .getMap();
 
+    /** Number of different lengths of a block of prompt parts among the entries. */
+    private static final int BLOCK_TIME_STEPS = 1_024;
+
+    /** Spreads the hash codes of similar names. */
+    private static final int BLOCK_TIME_HASH_FACTOR = 0x9E3779B1;
+
     final DecisionLog log;
     final XnioWorker worker;
     final EventLoop loop;
@@ -73,6 +80,7 @@
     private final MetricRegistry metrics = new MetricRegistry();
     private final FleetState fleet = new FleetState();
     private final CrashHistory crashHistory = new CrashHistory(clock);
+    private final CrashCausingParts crashCausingParts;
     private final DemandMeter demandMeter = new DemandMeter(clock);
     private final OpenRequests openRequests = new OpenRequests();
     private final GatewaySettings settings;
@@ -97,6 +105,8 @@
             StoreProtocol storeProtocol) {
         this.settings = settings;
         this.log = new DecisionLog(settings.instance(), clock, System.out);
+        this.crashCausingParts =
+                new CrashCausingParts(clock, blockTimeFactor(settings.instance()), new CrashRecorder(log, metrics));
         this.drainPolicy = new DrainPolicy(clock, settings.terminationGraceMillis());
         this.worker = createWorker();
         this.loop = new IoThreadLoop(worker.getIoThread());
@@ -131,6 +141,7 @@
                 "upstream_connections_abandoned",
                 () -> () -> client.connectionCounts().abandoned());
         metrics.gauge("store_era", () -> follower::era);
+        metrics.gauge("prompt_parts_blocked", () -> crashCausingParts::blockedCount);
     }
 
     private FrontHandlerFactory createHandlerFactory(UpstreamClient upstreamClient, UpstreamProtocol upstreamProtocol) {
@@ -149,6 +160,7 @@
                 pool,
                 retryAllowance,
                 crashHistory,
+                crashCausingParts,
                 demandMeter,
                 log,
                 new RequestMetrics(metrics));
@@ -174,6 +186,7 @@
                 noticeRecorder,
                 follower,
                 crashHistory,
+                crashCausingParts,
                 demandMeter,
                 orders,
                 this::knownEntryCount,
@@ -223,6 +236,13 @@
         return new BigInteger(1, Arrays.copyOfRange(octets, octets.length - 3, octets.length)).longValue();
     }
 
+    /** Returns a factor from 1 to 2 that differs between entries. */
+    private static double blockTimeFactor(String instance) {
+        return 1
+                + Math.floorMod(instance.hashCode() * BLOCK_TIME_HASH_FACTOR, BLOCK_TIME_STEPS)
+                        / (double) BLOCK_TIME_STEPS;
+    }
+
     private static XnioWorker createWorker() {
         try {
             return Xnio.getInstance()
