--- a/operation/src/main/java/org/merlinwood/operation/lifecycle/ProcessLifecycle.java
+++ b/operation/src/main/java/org/merlinwood/operation/lifecycle/ProcessLifecycle.java
@@ -45,9 +45,10 @@
      * Installs a handler of SIGHUP. Without a handler this signal ends the process.
      *
      * @param handler called for each signal, on a thread of the JDK
+     * @return false if the signal was ignored when the process was started, as {@code nohup} does: it stays ignored
      */
-    public static void onEachReload(Runnable handler) {
-        ProcessSignals.onReload(handler);
+    public static boolean onEachReload(Runnable handler) {
+        return ProcessSignals.onReload(handler);
     }
 
     /** Requests a graceful shutdown, like the first signal. Idempotent. */
--- a/operation/src/main/java/org/merlinwood/operation/lifecycle/ProcessSignals.java
+++ b/operation/src/main/java/org/merlinwood/operation/lifecycle/ProcessSignals.java
@@ -22,12 +22,16 @@
         handle(TERMINATION_SIGNALS, handler);
     }
 
-    /** Calls the handler on a thread of the JDK for each SIGHUP. */
-    static void onReload(Runnable handler) {
-        handle(RELOAD_SIGNALS, handler);
+    /**
+     * Calls the handler on a thread of the JDK for each SIGHUP.
+     *
+     * @return false if the signal was ignored when the process was started, so that the JDK installed no handler
+     */
+    static boolean onReload(Runnable handler) {
+        return handle(RELOAD_SIGNALS, handler);
     }
 
-    private static void handle(List<String> names, Runnable handler) {
+    private static boolean handle(List<String> names, Runnable handler) {
         try {
             Class<?> signalType = Class.forName("sun.misc.Signal");
             Class<?> handlerType = Class.forName("sun.misc.SignalHandler");
@@ -36,10 +40,15 @@
                         handler.run();
                         return null;
                     });
+            Object ignoring = handlerType.getField("SIG_IGN").get(null);
+            boolean handled = true;
             for (String name : names) {
                 Object signal = signalType.getConstructor(String.class).newInstance(name);
-                signalType.getMethod("handle", signalType, handlerType).invoke(null, signal, proxy);
+                Object previous =
+                        signalType.getMethod("handle", signalType, handlerType).invoke(null, signal, proxy);
+                handled &= !ignoring.equals(previous);
             }
+            return handled;
         } catch (ReflectiveOperationException exception) {
             throw new IllegalStateException("this Java runtime does not support sun.misc.Signal", exception);
         }
--- a/operation/src/test/java/org/merlinwood/operation/lifecycle/ReloadSignalTest.java
+++ b/operation/src/test/java/org/merlinwood/operation/lifecycle/ReloadSignalTest.java
@@ -2,27 +2,42 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import java.util.concurrent.Semaphore;
-import java.util.concurrent.TimeUnit;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.List;
 import org.junit.jupiter.api.Test;
 
-/** SIGHUP requests a reload of the settings; it must not end the process. */
+/**
+ * SIGHUP requests a reload of the settings; it must not end the process. The signal is not handled by a process that
+ * was started with it ignored (as {@code nohup} does), so each test starts a process with a known disposition, whatever
+ * that of the build is.
+ */
 final class ReloadSignalTest {
 
     @Test
     void hangUpSignalCallsHandlerWithoutEndingProcess() throws Exception {
-        Semaphore calls = new Semaphore(0);
-        ProcessLifecycle.onEachReload(calls::release);
-        for (int number = 0; number < 2; number++) {
-            raise("HUP");
-            assertThat(calls.tryAcquire(2, TimeUnit.SECONDS)).isTrue();
-        }
+        assertThat(outputOf("--default-signal=HUP")).containsExactly("handled", "reload", "reload");
     }
 
-    /** Called by reflection because the compiler warns about direct uses of {@code sun.misc.Signal}. */
-    private static void raise(String name) throws ReflectiveOperationException {
-        Class<?> type = Class.forName("sun.misc.Signal");
-        Object signal = type.getConstructor(String.class).newInstance(name);
-        type.getMethod("raise", type).invoke(null, signal);
+    /** Guards against an entry that never reloads and doesn't say why. */
+    @Test
+    void processThatWasStartedWithTheSignalIgnoredKnowsIt() throws Exception {
+        assertThat(outputOf("--ignore-signal=HUP")).containsExactly("ignored");
+    }
+
+    private static List<String> outputOf(String signalOption) throws Exception {
+        Process process = new ProcessBuilder(
+                        "env",
+                        signalOption,
+                        Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                        "-Xmx32m",
+                        "-cp",
+                        System.getProperty("java.class.path"),
+                        ReloadingProcess.class.getName())
+                .redirectErrorStream(true)
+                .start();
+        String output = new String(process.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        assertThat(process.waitFor()).as(output).isZero();
+        return output.lines().toList();
     }
 }
