A sound request beside the culprit in both crashes doesn't get their common part blocked

Where a request with nothing but a common part that nobody had seen begin waited beside the culprit in both crashes, the common part alone was blocked, and with it all of its route until the trial. The wider combination is blocked now.

--- a/gateway/src/main/java/org/merlinwood/gateway/decision/CrashEvidence.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/decision/CrashEvidence.java
@@ -189,13 +189,19 @@
             return sound ? CONVICTING_COUNT_OF_SOUND_PART : CONVICTING_COUNT;
         }
 
-        /** Returns one conviction for each combination of the parts in one suspect. */
+        /**
+         * Returns one conviction for each combination of the parts in one suspect. One that is within another is left
+         * out: if its parts are the cause, requests without the rest crash the next instance, and tell them apart.
+         */
         private List<Conviction> convictions() {
-            return occurrences.stream()
+            List<Set<Long>> combinations = occurrences.stream()
                     .flatMap(occurrence -> occurrence.suspects.stream())
                     .map(suspect -> suspect.stream().filter(parts::contains).collect(Collectors.toSet()))
-                    .filter(combination -> !combination.isEmpty())
                     .distinct()
+                    .toList();
+            return combinations.stream()
+                    .filter(combination -> combinations.stream()
+                            .noneMatch(other -> other.size() > combination.size() && other.containsAll(combination)))
                     .map(combination -> new Conviction(combination, occurrences.getLast().atMillis))
                     .toList();
         }
--- a/gateway/src/test/java/org/merlinwood/gateway/decision/CrashCausingPartsTest.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/decision/CrashCausingPartsTest.java
@@ -181,6 +181,16 @@
         assertThat(parts.isBlocked(List.of(CRASHING))).isTrue();
     }
 
+    /** Guards against a block of the first part of a route because a sound request waited beside the culprit twice. */
+    @Test
+    void soundRequestBesideTheCulpritInBothCrashesDoesNotGetItsCommonPartBlocked() {
+        crashOfTwo("a", List.of(FIRST, CRASHING), List.of(FIRST));
+        crashOfTwo("b", List.of(FIRST, CRASHING), List.of(FIRST));
+        parts.recordBegun(List.of(99L));
+        assertThat(parts.isBlocked(List.of(FIRST, CRASHING))).isTrue();
+        assertThat(parts.isBlocked(List.of(FIRST, OTHER))).isFalse();
+    }
+
     private void crash(String instance, Long... suspectParts) {
         parts.recordLoss(instance(instance), clock.monotonicMillis(), List.of(suspectParts));
         confirm();
