--- a/gateway/src/main/java/org/merlinwood/gateway/decision/BlockedParts.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/decision/BlockedParts.java
@@ -156,6 +156,15 @@
         return reported;
     }
 
+    /** Returns all combinations, those whose block has lapsed too. */
+    List<CrashCausingParts.Block> describe() {
+        long now = clock.monotonicMillis();
+        return blocks.stream()
+                .map(block -> new CrashCausingParts.Block(
+                        block.parts, now - block.lastCrashMillis, lapsesAtMillis(block) - now, block.count))
+                .toList();
+    }
+
     /** Returns the number of combinations that are blocked now. */
     int activeCount() {
         long now = clock.monotonicMillis();
--- a/gateway/src/main/java/org/merlinwood/gateway/decision/CrashCausingParts.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/decision/CrashCausingParts.java
@@ -153,6 +153,25 @@
         convict();
     }
 
+    /**
+     * A combination of parts that is blocked, or was until its block lapsed.
+     *
+     * @param parts the parts
+     * @param lastCrashMillisAgo time since the last crash that it explains, in milliseconds
+     * @param lapsesInMillis time until it is tried again, in milliseconds; 0 or less if it may be
+     * @param count how often it was blocked
+     */
+    public record Block(Set<Long> parts, long lastCrashMillisAgo, long lapsesInMillis, int count) {}
+
+    /**
+     * Returns all combinations of parts that were blocked and not cleared since.
+     *
+     * @return the combinations, in no particular order
+     */
+    public List<Block> blocks() {
+        return blockedParts.describe();
+    }
+
     /**
      * Returns the number of combinations of parts that are blocked.
      *
--- a/gateway/src/main/java/org/merlinwood/gateway/process/EntryComposition.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/process/EntryComposition.java
@@ -215,7 +215,10 @@
                         settings.readyAddress().getPort(),
                         settings.readyAddress().getHostString(),
                         new StateDumpHandler(
-                                List.of(new NoticesSection(pool.notices()), new StoreSection(follower)),
+                                List.of(
+                                        new NoticesSection(pool.notices()),
+                                        new StoreSection(follower),
+                                        new BlockedPartsSection(crashCausingParts)),
                                 new OperatorHandler(metrics, fleet, drainPolicy)))
                 .build();
     }
