--- a/gateway/src/main/java/org/merlinwood/gateway/front/StreamRequestProcessor.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/StreamRequestProcessor.java
@@ -452,7 +452,7 @@
         currentAttempt = isReplacementSent() ? currentAttempt : Optional.empty();
         silentAttempt = Optional.empty();
         attemptsSent++;
-        events.drainIncomplete();
+        events.discardIncomplete();
         silent.generation().ifPresent(context.pool()::endGeneration);
     }
 
@@ -587,10 +587,6 @@
                 .write();
         context.metrics().recordCompletion(route.kind(), generation.head.status(), elapsedMillis());
         generation.beginResponse();
-        byte[] incompleteEvent = events.drainIncomplete();
-        if (incompleteEvent.length > 0) {
-            channel.write(incompleteEvent);
-        }
         channel.end();
     }
 
@@ -770,6 +766,10 @@
                 return;
             }
             recordReceived();
+            if (streaming && events.isInsideEvent()) {
+                onFailure(Failure.of(ResultCode.UPSTREAM_TRUNCATED, "the response ended inside an event"));
+                return;
+            }
             if (streaming) {
                 onSilentInstanceGoesOn();
                 completeStream(this);
@@ -800,7 +800,7 @@
                 return;
             }
             if (!isReplacementOfOpenAttempt()) {
-                events.drainIncomplete();
+                events.discardIncomplete();
             }
             recordLostGeneration(failure);
             endAttempt(recordFailedAttempt(instance, failure));
