bin/prove: crashing-prompt-portion

Fourteen requests, no two alike, crash decode engines by a portion that their prompts share, beside streams that share the block before it. At most eight engines may be lost, from 3 s after the fifth crash at most three more runs may begin, and the other streams must be whole.

--- a/proving/src/main/java/org/merlinwood/proving/prove/CrashingRequest.java
+++ b/proving/src/main/java/org/merlinwood/proving/prove/CrashingRequest.java
@@ -58,8 +58,8 @@
     }
 
     /** Restarts exited engines, as the platform does, until all requests have completed. */
-    private static void restartEnginesUntilCompleted(
-            ProofContext context, StreamSet otherStreams, RequestInProgress crashing) throws InterruptedException {
+    static void restartEnginesUntilCompleted(ProofContext context, StreamSet otherStreams, RequestInProgress crashing)
+            throws InterruptedException {
         while (otherStreams.open() > 0 || !crashing.response().isDone()) {
             Thread.sleep(RESTART_MILLIS);
             context.fleet()
--- a/proving/src/main/java/org/merlinwood/proving/prove/Promises.java
+++ b/proving/src/main/java/org/merlinwood/proving/prove/Promises.java
@@ -67,6 +67,7 @@
                         new Proof("inventory-never-reverts", InventoryInForce::neverReverts),
                         new Proof("crashing-request-at-prefill", CrashingRequest::atPrefill),
                         new Proof("crashing-request-at-decode", CrashingRequest::atDecode),
+                        new Proof("crashing-prompt-portion", CrashingPromptPortion::atDecode),
                         new Proof("all-under-two-failures", Combined::twoAtATime)));
     }
 }
--- a/proving/src/main/java/org/merlinwood/proving/prove/StreamSet.java
+++ b/proving/src/main/java/org/merlinwood/proving/prove/StreamSet.java
@@ -23,10 +23,17 @@
 
     private final List<Stream> streams = new ArrayList<>();
     private final ProofContext context;
+    private final String leadingPortion;
     private int sentAgain;
 
     StreamSet(ProofContext context) {
+        this(context, "");
+    }
+
+    /** Creates a set whose prompts all begin with a portion. */
+    StreamSet(ProofContext context, String leadingPortion) {
         this.context = context;
+        this.leadingPortion = leadingPortion;
     }
 
     /** Sends streams through all entries in turn, without waiting for responses. */
@@ -39,8 +46,8 @@
 
     /** Sends one stream through one entry. */
     Stream sendTo(int entry, int tokens) {
-        String prompt =
-                "Report " + context.random().nextLong() + ". " + "Hydrant checked, cap in place. ".repeat(SENTENCES);
+        String prompt = leadingPortion + "Report " + context.random().nextLong() + ". "
+                + "Hydrant checked, cap in place. ".repeat(SENTENCES);
         Stream stream = send(entry, prompt, tokens);
         streams.add(stream);
         return stream;
