--- a/gateway/src/main/java/org/merlinwood/gateway/front/StreamRequestProcessor.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/StreamRequestProcessor.java
@@ -15,6 +15,8 @@
 import org.merlinwood.gateway.decision.MemoryWaitPolicy;
 import org.merlinwood.gateway.decision.MemoryWaitQueue;
 import org.merlinwood.gateway.decision.NextStep;
+import org.merlinwood.gateway.decision.PartFingerprints;
+import org.merlinwood.gateway.decision.RetryClaim;
 import org.merlinwood.gateway.decision.RetryPolicy;
 import org.merlinwood.gateway.fleet.UpstreamInstance;
 import org.merlinwood.gateway.request.CallerRequest;
@@ -62,6 +64,10 @@
     private final PrefillCall prefillCall;
     private final SilenceTimer silenceTimer;
     private final SilenceTimer overlapTimer;
+
+    /** Holds the retry of the next attempt, until that has or may have reached an instance. */
+    private final RetryClaim retry;
+
     private final EventSplitter events = new EventSplitter();
     private final Set<String> excludedInstances = new HashSet<>();
     private Optional<UpstreamWork> activeRequest = Optional.empty();
@@ -102,11 +108,16 @@
         this.limits = limits;
         this.prefillCall = new PrefillCall(this, prompt, releaser::release);
         this.silenceTimer = new SilenceTimer(context.loop(), this::onSilence);
+        this.retry = new RetryClaim(context.retryAllowance(), service);
         this.overlapTimer = new SilenceTimer(context.loop(), this::onOverlapLimit);
     }
 
     @Override
     void proceed() {
+        if (isBlocked()) {
+            failBlocked();
+            return;
+        }
         Optional<UpstreamInstance> choice = chooseInstance();
         if (choice.isEmpty()) {
             waitForMemory();
@@ -189,8 +200,14 @@
         context.memoryWaitQueues().add(service, queuedRequest.get());
     }
 
-    /** Returns whether the request keeps waiting for memory; if not, fails it or drops its replacement. */
+    /**
+     * Returns whether the request keeps waiting for memory; if not, fails it or drops its replacement. A replacement
+     * waits as long as its request has time: the silent attempt may still go on meanwhile.
+     */
     private boolean applyWaitPolicy() {
+        if (silentAttempt.isPresent() && timeLeftMillis() > 0) {
+            return true;
+        }
         MemoryWaitPolicy.Situation situation = new MemoryWaitPolicy.Situation(
                 context.clock().monotonicMillis() - memoryWaitStartMillis(),
                 isContinuation(),
@@ -237,7 +254,7 @@
             if (isFinished()) {
                 return true;
             }
-            if (chooseInstance().isPresent()) {
+            if (isBlocked() || (timeLeftMillis() > 0 && chooseInstance().isPresent())) {
                 queuedRequest = Optional.empty();
                 proceed();
                 return true;
@@ -267,7 +284,7 @@
     }
 
     private void startGeneration(UpstreamInstance instance) {
-        if (context.crashHistory().isBlocked(CrashHistory.fingerprint(request))) {
+        if (isBlocked()) {
             failBlocked();
             return;
         }
@@ -306,12 +323,13 @@
         }
         reservation = Optional.empty();
         prefillResult = Optional.empty();
+        context.crashCausingParts().recordSent(sharedParts);
         HttpStream stream = context.client().send(instance, generationRequest, generation);
         activeRequest = Optional.of(new UpstreamWork("generation", instance, stream));
     }
 
     private void failBlocked() {
-        String reason = "earlier attempts of this request lost their instances";
+        String reason = "requests like this one lost their instances";
         if (silentAttempt.isPresent()) {
             dropReplacement(reason);
         } else {
@@ -373,7 +391,9 @@
         if (isReplacementSent()) {
             attemptsSent++;
             recordUnknownOutcome(ResultCode.UPSTREAM_TIMEOUT);
+            retry.markUsed();
         }
+        retry.giveBack();
         overlapTimer.stop();
         silentAttempt = Optional.empty();
         currentAttempt = Optional.of(kept.attempt());
@@ -427,6 +447,7 @@
      */
     private void onSilentAttemptEnded(SilentAttempt silent, AttemptOutcome outcome) {
         endSilentAttempt(silent);
+        interruptedAtMillis = context.clock().monotonicMillis();
         if (outcome instanceof AttemptOutcome.Broken broken) {
             recordUnknownOutcome(broken.failure().code());
         }
@@ -474,6 +495,9 @@
         if (isFinished()) {
             return;
         }
+        if (!(outcome instanceof AttemptOutcome.Unreached)) {
+            retry.markUsed();
+        }
         boolean prefillResultLost = outcome instanceof AttemptOutcome.Declined && generation.prefillUsed.isPresent();
         if (outcome instanceof AttemptOutcome.Unreached) {
             unreachedAttempts++;
@@ -547,7 +571,7 @@
 
     /** Consumes one retry of the allowance if there is one and its response could still reach the caller in time. */
     private boolean tryAcquireRetry() {
-        return timeLeftMillis() > 0 && context.retryAllowance().tryAcquire(service);
+        return timeLeftMillis() > 0 && retry.tryAcquire();
     }
 
     /**
@@ -555,9 +579,7 @@
      * allowance permits, the same instance is sent the request again and computes the prompt itself.
      */
     private NextStep nextStepWithoutPrefillResult() {
-        return context.retryAllowance().tryAcquire(service)
-                ? new NextStep.Repeat()
-                : new NextStep.Fail(ResultCode.TRANSFER_FAILED);
+        return retry.tryAcquire() ? new NextStep.Repeat() : new NextStep.Fail(ResultCode.TRANSFER_FAILED);
     }
 
     private void completeStream(GenerationAttempt generation) {
@@ -588,6 +610,10 @@
     void cancelUpstream() {
         silenceTimer.stop();
         overlapTimer.stop();
+        boolean attemptOpen = currentAttempt.isPresent() && (silentAttempt.isEmpty() || isReplacementSent());
+        if (!attemptOpen) {
+            retry.giveBack();
+        }
         cancelPlacement();
         silentAttempt.ifPresent(silent -> {
             silent.generation().ifPresent(context.pool()::endGeneration);
@@ -653,6 +679,7 @@
         private final ByteArrayOutputStream body = new ByteArrayOutputStream();
         private ResponseHead head;
         private boolean streaming;
+        private final long sentMillis = context.clock().monotonicMillis();
         private long firstEventElapsedMillis = -1;
         private long firstEventAtMillis;
         private int eventCount;
@@ -741,10 +768,12 @@
             }
             onSilentInstanceGoesOn();
             eventCount++;
+            context.crashCausingParts().recordSignOfLife(instance);
             activeGeneration.ifPresent(generation -> generation.addTokens(limits.tokensPerEvent()));
             if (firstEventElapsedMillis < 0) {
                 firstEventElapsedMillis = elapsedMillis();
                 firstEventAtMillis = context.clock().monotonicMillis();
+                context.crashCausingParts().recordBegun(sharedParts);
                 context.metrics().recordDuration("first_event_milliseconds", firstEventElapsedMillis);
             }
             beginResponse();
@@ -793,6 +822,7 @@
             if (!isReplacementOfOpenAttempt()) {
                 events.discardIncomplete();
             }
+            recordLostGeneration(failure);
             endAttempt(recordFailedAttempt(instance, failure));
         }
 
@@ -805,6 +835,22 @@
             return isReplacementSent() && currentAttempt.equals(Optional.of(this));
         }
 
+        /** Records a lost connection; the request is a suspect if its response had not begun. */
+        private void recordLostGeneration(Failure failure) {
+            if (failure.code() != ResultCode.CONNECTION_LOST && failure.code() != ResultCode.UPSTREAM_TRUNCATED) {
+                return;
+            }
+            boolean suspect = firstEventElapsedMillis < 0;
+            decisionLine("generation lost")
+                    .with("instance", instance.identifier())
+                    .with("suspect", String.valueOf(suspect))
+                    .with("parts", PartFingerprints.describe(prompt))
+                    .write();
+            context.metrics()
+                    .count(suspect ? "generations_lost_before_first_event" : "generations_lost_after_first_event");
+            context.crashCausingParts().recordLoss(instance, sentMillis, suspect ? sharedParts : List.of());
+        }
+
         /** Ends this attempt. A replacement that is being prepared is its retry, unless the instance has answered. */
         private void endAttempt(AttemptOutcome outcome) {
             if (isReplacementOfOpenAttempt()) {
--- a/gateway/src/test/java/org/merlinwood/gateway/front/RequestProcessorFixture.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/front/RequestProcessorFixture.java
@@ -11,22 +11,26 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
+import java.util.stream.Stream;
 import org.merlinwood.core.result.ExecutionState;
 import org.merlinwood.core.result.ResultCode;
 import org.merlinwood.core.time.ManualMillisClock;
 import org.merlinwood.gateway.FakeHttpClient;
 import org.merlinwood.gateway.FakeUpstreamProtocol;
 import org.merlinwood.gateway.ManualLoop;
+import org.merlinwood.gateway.decision.CrashCausingParts;
 import org.merlinwood.gateway.decision.CrashHistory;
 import org.merlinwood.gateway.decision.DemandMeter;
 import org.merlinwood.gateway.decision.DrainPolicy;
 import org.merlinwood.gateway.decision.InstancePool;
+import org.merlinwood.gateway.decision.RecordingCrashListener;
 import org.merlinwood.gateway.decision.RetryAllowance;
 import org.merlinwood.gateway.fleet.FleetState;
 import org.merlinwood.gateway.fleet.Stage;
 import org.merlinwood.gateway.fleet.UpstreamInstance;
 import org.merlinwood.gateway.request.CallerRequest;
 import org.merlinwood.gateway.request.Prompt;
+import org.merlinwood.gateway.request.PromptPart;
 import org.merlinwood.gateway.route.EngineLimits;
 import org.merlinwood.gateway.route.RequestKind;
 import org.merlinwood.gateway.route.Route;
@@ -70,6 +74,7 @@
     final DrainPolicy drainPolicy = new DrainPolicy(clock, 8_000);
     final RetryAllowance retryAllowance = new RetryAllowance(clock, RETRY_WINDOW_MILLIS, 0.2, FIXED_RETRIES, () -> 1);
     final CrashHistory crashHistory = new CrashHistory(clock);
+    final CrashCausingParts crashCausingParts = new CrashCausingParts(clock, 1, new RecordingCrashListener());
     private final RequestDispatcher dispatcher;
     private CallerRequest request;
 
@@ -90,6 +95,7 @@
                 pool,
                 retryAllowance,
                 crashHistory,
+                crashCausingParts,
                 new DemandMeter(clock),
                 new MemoryWaitQueues(loop, clock),
                 new CollectedBytes(),
@@ -135,8 +141,19 @@
         sendRequest(path, OptionalLong.of(lastEvent));
     }
 
+    /** Sends a request with a body of its own whose prompt has these parts. */
+    void sendRequestWithParts(String path, String... parts) {
+        List<PromptPart> promptParts =
+                Stream.of(parts).map(part -> new PromptPart(part, 100)).toList();
+        sendRequest(path, OptionalLong.empty(), promptParts, String.join(" ", parts));
+    }
+
     private void sendRequest(String path, OptionalLong lastEvent) {
-        Optional<Prompt> prompt = Optional.of(new Prompt("m", 1_000, 100, OptionalInt.empty(), List.of()));
+        sendRequest(path, lastEvent, List.of(), "body");
+    }
+
+    private void sendRequest(String path, OptionalLong lastEvent, List<PromptPart> parts, String body) {
+        Optional<Prompt> prompt = Optional.of(new Prompt("m", 1_000, 100, OptionalInt.empty(), parts));
         request = new CallerRequest(
                 ATTEMPT,
                 "POST",
@@ -147,7 +164,7 @@
                 prompt,
                 lastEvent,
                 List.of(),
-                "body".getBytes(StandardCharsets.UTF_8),
+                body.getBytes(StandardCharsets.UTF_8),
                 clock.monotonicMillis());
         caller = new RecordingCaller();
         dispatcher.dispatch(request, caller);
