A timer that comes late because the thread stood still no longer speaks against the upstream

What callers saw: behind a pause of an entry's I/O thread (a paused or starved process), requests that were being connected failed as 'not established within the connect timeout' (120 ms) and those whose response had arrived meanwhile as silent; the instances were paused and the requests refused (503) or answered by another attempt.

Cause: the I/O thread runs timers that are due before it looks at its sockets, so after standing still for longer than a timeout it failed requests whose connection or bytes were already there.

Change: a timer that comes 20 ms late or more gives the thread 20 ms to take what has arrived, once, and then decides as before. Timers that come in time decide at once as before.

--- a/http/src/main/java/org/merlinwood/http/impl/ActiveHttpRequest.java
+++ b/http/src/main/java/org/merlinwood/http/impl/ActiveHttpRequest.java
@@ -42,6 +42,12 @@
 
     private static final int READ_BUFFER_BYTES = 16 * 1024;
 
+    /**
+     * Lateness of a timer, in milliseconds, from which on the I/O thread is taken to have stood still; also the time
+     * that it then gets for what has arrived.
+     */
+    private static final long STALL_MILLIS = 20;
+
     /** Lowest status of a response that is not an interim one. Undertow skips the interim status 100 itself. */
     private static final int FIRST_FINAL_STATUS = 200;
 
@@ -74,13 +80,16 @@
     }
 
     void startConnectTimeout(XnioIoThread thread) {
-        timeout = thread.executeAfter(
-                () -> fail(Failure.of(
-                                ResultCode.UPSTREAM_UNREACHABLE,
-                                "the connection was not established within the connect timeout")
-                        .withExecutionState(ExecutionState.NOT_RUN)),
-                request.connectTimeoutMillis(),
-                TimeUnit.MILLISECONDS);
+        startTimer(thread, request.connectTimeoutMillis(), this::failUnconnected);
+    }
+
+    private void failUnconnected() {
+        if (connection == null) {
+            fail(Failure.of(
+                            ResultCode.UPSTREAM_UNREACHABLE,
+                            "the connection was not established within the connect timeout")
+                    .withExecutionState(ExecutionState.NOT_RUN));
+        }
     }
 
     void start(ClientConnection opened) {
@@ -300,12 +309,25 @@
             fail(Failure.of(ResultCode.UPSTREAM_TIMEOUT, "the response did not end within its time limit"));
         } else {
             removeTimeout();
-            timeout = connection
-                    .getIoThread()
-                    .executeAfter(
-                            this::startResponseTimeout,
-                            Math.min(readLeftMillis, responseLeftMillis),
-                            TimeUnit.MILLISECONDS);
+            startTimer(
+                    connection.getIoThread(), Math.min(readLeftMillis, responseLeftMillis), this::startResponseTimeout);
+        }
+    }
+
+    private void startTimer(XnioIoThread thread, long delayMillis, Runnable onExpired) {
+        long dueMillis = clock.monotonicMillis() + delayMillis;
+        timeout = thread.executeAfter(() -> onTimer(thread, dueMillis, onExpired), delayMillis, TimeUnit.MILLISECONDS);
+    }
+
+    /**
+     * A thread that stood still runs its timers before it looks at its sockets, so a late timer says nothing about the
+     * upstream: what has arrived meanwhile is taken first.
+     */
+    private void onTimer(XnioIoThread thread, long dueMillis, Runnable onExpired) {
+        if (clock.monotonicMillis() - dueMillis < STALL_MILLIS) {
+            onExpired.run();
+        } else {
+            timeout = thread.executeAfter(onExpired, STALL_MILLIS, TimeUnit.MILLISECONDS);
         }
     }
 
