Ports of tests, demo, proofs and soak are reserved until they are used

Cause: a port was found free by binding it, released, and bound by its process later; every run drew from the same range. Two objects of the former FreePorts that were asked for 200 ports each returned 380 of 4,000 ports twice (20 objects). The check also took a port for free that closed connections still held, which the sidecar's guard port doesn't accept. The platform's loopback tests took theirs from the range of outgoing connections.

--- a/command/src/test/java/org/merlinwood/command/DumpCommandTest.java
+++ b/command/src/test/java/org/merlinwood/command/DumpCommandTest.java
@@ -6,7 +6,7 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
+import java.net.Socket;
 import org.junit.jupiter.api.Test;
 import org.merlinwood.operation.port.OperatorServer;
 import org.merlinwood.operation.port.StateSection;
@@ -35,15 +35,12 @@
 
     @Test
     void unreachableProcessReturnsUnreachableStatus() throws IOException {
-        CommandRun run = CommandRun.of("dump", "127.0.0.1:" + freePort());
+        try (Socket boundWithoutListening = new Socket()) {
+            boundWithoutListening.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+            CommandRun run = CommandRun.of("dump", "127.0.0.1:" + boundWithoutListening.getLocalPort());
 
-        assertThat(run.status()).isEqualTo(ExitStatus.UNREACHABLE);
-        assertThat(run.errors()).contains("no connection");
-    }
-
-    private static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return socket.getLocalPort();
+            assertThat(run.status()).isEqualTo(ExitStatus.UNREACHABLE);
+            assertThat(run.errors()).contains("no connection");
         }
     }
 }
--- a/proving/src/main/java/org/merlinwood/proving/fleet/Fleet.java
+++ b/proving/src/main/java/org/merlinwood/proving/fleet/Fleet.java
@@ -39,6 +39,7 @@
     private final List<Entry> entries = new ArrayList<>();
     private final List<Sidecar> sidecars = new ArrayList<>();
     private final FleetProbe probe = new FleetProbe();
+    private final FreePorts ports = new FreePorts();
     private final Thread shutdownHook = new Thread(this::killAll, "fleet-shutdown");
     private Platform platform;
 
@@ -70,6 +71,7 @@
     public void close() {
         killAll();
         probe.close();
+        ports.close();
         Runtime.getRuntime().removeShutdownHook(shutdownHook);
         deleteFolder();
     }
@@ -218,7 +220,6 @@
      * @return the process of the second sidecar, which {@link #repair()} does not restart
      */
     public FleetProcess startBeside(Sidecar sidecar) {
-        FreePorts ports = new FreePorts();
         List<String> arguments = SettingsFile.copyOf(folder, sidecar.instance(), "second")
                 .address("peerAddress", ports.next())
                 .address("operatorAddress", ports.next())
@@ -239,6 +240,10 @@
                 .forEach(forwarder -> forwarder.mode(ForwardingMode.PASS, ForwardingDirection.BOTH, 0));
     }
 
+    FreePorts ports() {
+        return ports;
+    }
+
     Path folder() {
         return folder;
     }
--- a/proving/src/main/java/org/merlinwood/proving/fleet/FleetAssembly.java
+++ b/proving/src/main/java/org/merlinwood/proving/fleet/FleetAssembly.java
@@ -35,13 +35,14 @@
     private static final JavaCommand STAND_IN_JAVA = new JavaCommand("64m");
     private static final JavaCommand SERVING_JAVA = new JavaCommand("128m");
 
-    private final FreePorts ports = new FreePorts();
+    private final FreePorts ports;
     private final Fleet fleet;
     private final FleetPlan plan;
     private final List<PlannedInstance> plannedInstances = new ArrayList<>();
 
     FleetAssembly(Fleet fleet, FleetPlan plan) {
         this.fleet = fleet;
+        this.ports = fleet.ports();
         this.plan = plan;
     }
 
--- a/proving/src/main/java/org/merlinwood/proving/soak/SoakDeployment.java
+++ b/proving/src/main/java/org/merlinwood/proving/soak/SoakDeployment.java
@@ -114,6 +114,7 @@
         instances.forEach(StandInInstance::close);
         storePath.close();
         store.close();
+        ports.close();
     }
 
     List<InetSocketAddress> callerAddresses() {
--- a/proving/src/test/java/org/merlinwood/proving/fleet/FleetProcessTest.java
+++ b/proving/src/test/java/org/merlinwood/proving/fleet/FleetProcessTest.java
@@ -21,12 +21,12 @@
     private Path folder;
 
     private final FleetProbe probe = new FleetProbe();
+    private final FreePorts ports = new FreePorts();
     private FleetProcess process;
     private InetSocketAddress address;
 
     @BeforeEach
     void start() {
-        FreePorts ports = new FreePorts();
         address = ports.next();
         List<String> arguments =
                 List.of("plain", "--listen", Addresses.text(address), "--admin", Addresses.text(ports.next()));
@@ -42,6 +42,7 @@
     void stop() {
         process.kill();
         probe.close();
+        ports.close();
     }
 
     @Test
