--- a/gateway/src/main/java/org/merlinwood/gateway/front/RequestDispatcher.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/RequestDispatcher.java
@@ -4,6 +4,7 @@
 import org.merlinwood.core.result.ResultCode;
 import org.merlinwood.gateway.decision.CrashHistory;
 import org.merlinwood.gateway.decision.DrainPolicy;
+import org.merlinwood.gateway.decision.PartFingerprints;
 import org.merlinwood.gateway.request.CallerRequest;
 import org.merlinwood.gateway.request.Prompt;
 import org.merlinwood.gateway.route.EngineLimits;
@@ -25,10 +26,12 @@
 
     private final RequestProcessorContext context;
     private final DrainPolicy drainPolicy;
+    private final ForcedExitGuard forcedExitGuard;
 
     RequestDispatcher(RequestProcessorContext context, DrainPolicy drainPolicy) {
         this.context = context;
         this.drainPolicy = drainPolicy;
+        this.forcedExitGuard = new ForcedExitGuard(drainPolicy, context.loop());
     }
 
     void dispatch(CallerRequest request, CallerChannel channel) {
@@ -42,7 +45,7 @@
             refuse(request, channel, ResultCode.UNKNOWN_ROUTE, 0);
             return;
         }
-        if (context.crashHistory().isBlocked(CrashHistory.fingerprint(request))) {
+        if (context.crashHistory().isBlocked(CrashHistory.fingerprint(request)) || hasBlockedParts(request)) {
             refuse(request, channel, ResultCode.NO_INSTANCE, 0);
             return;
         }
@@ -53,6 +56,16 @@
         startProcessing(request, channel, routes.get(), route.get());
     }
 
+    private boolean hasBlockedParts(CallerRequest request) {
+        boolean blocked = request.prompt()
+                .filter(prompt -> context.crashCausingParts().isBlocked(PartFingerprints.of(prompt)))
+                .isPresent();
+        if (blocked) {
+            context.metrics().count(RequestProcessor.BLOCKED_PARTS_COUNTER);
+        }
+        return blocked;
+    }
+
     private void startProcessing(CallerRequest request, CallerChannel channel, RouteTable routes, Route route) {
         context.log()
                 .line("accepted")
@@ -68,12 +81,17 @@
             context.demandMeter()
                     .recordRequest(
                             route.serviceFor(request.attempt()), prompt.get().promptTokens());
-            new StreamRequestProcessor(context, request, route, channel, prompt.get(), limits.get()).start();
+            start(new StreamRequestProcessor(context, request, route, channel, prompt.get(), limits.get()));
         } else {
-            new PlainRequestProcessor(context, request, route, channel).start();
+            start(new PlainRequestProcessor(context, request, route, channel));
         }
     }
 
+    private void start(RequestProcessor processor) {
+        forcedExitGuard.add(processor);
+        processor.start();
+    }
+
     private void refuse(CallerRequest request, CallerChannel channel, ResultCode code, long retryAfterMillis) {
         context.log()
                 .line("refused")
