A waiting request whose step throws ends, and no longer keeps the others from memory

What callers could have seen: all requests that wait for memory at an entry stand still until another one joins them, and the request whose step threw never gets a response. No such step is known.

Cause: an exception left the periodic search before it was scheduled again, and nothing ended the request.

Change: the queue tries the others all the same and ends the request whose step threw: with a response or the end of its stream and a log line (code INTERNAL), or, while a silent attempt is open, with the loss of its replacement only. The search is scheduled again whatever happens.

--- a/gateway/src/main/java/org/merlinwood/gateway/decision/MemoryWaitQueue.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/decision/MemoryWaitQueue.java
@@ -42,6 +42,13 @@
          * @return true if the request no longer waits, because it was placed or has ended
          */
         boolean tryNow();
+
+        /**
+         * Ends the request, with a response and a log line, because its step threw. It no longer waits.
+         *
+         * @param exception what {@link #tryNow} threw
+         */
+        void onException(RuntimeException exception);
     }
 
     /**
@@ -85,12 +92,22 @@
         List<Waiter> sorted = new ArrayList<>(waiters);
         sorted.sort(Comparator.comparing(this::missesTarget).thenComparingLong(Waiter::arrivedMillis));
         for (Waiter waiter : sorted) {
-            if (waiters.contains(waiter) && waiter.tryNow()) {
+            if (waiters.contains(waiter) && tryNow(waiter)) {
                 waiters.remove(waiter);
             }
         }
     }
 
+    /** Tries one request. If its step throws, the request ends, and the others are tried all the same. */
+    private static boolean tryNow(Waiter waiter) {
+        try {
+            return waiter.tryNow();
+        } catch (RuntimeException exception) {
+            waiter.onException(exception);
+            return true;
+        }
+    }
+
     private boolean missesTarget(Waiter waiter) {
         return clock.monotonicMillis() + FIRST_EVENT_MILLIS > waiter.arrivedMillis() + waiter.targetMillis();
     }
--- a/gateway/src/main/java/org/merlinwood/gateway/front/MemoryWaitQueues.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/MemoryWaitQueues.java
@@ -51,7 +51,14 @@
 
     private void tryAll() {
         scheduled = false;
-        queuesByService.values().forEach(MemoryWaitQueue::tryAll);
+        try {
+            queuesByService.values().forEach(MemoryWaitQueue::tryAll);
+        } finally {
+            scheduleIfAnyWaits();
+        }
+    }
+
+    private void scheduleIfAnyWaits() {
         if (queuesByService.values().stream().anyMatch(queue -> queue.size() > 0)) {
             schedule();
         }
--- a/gateway/src/main/java/org/merlinwood/gateway/front/StreamRequestProcessor.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/StreamRequestProcessor.java
@@ -260,6 +260,17 @@
             }
             return false;
         }
+
+        @Override
+        public void onException(RuntimeException exception) {
+            queuedRequest = Optional.empty();
+            String reason = "the search for memory threw " + exception;
+            if (silentAttempt.isPresent()) {
+                dropReplacement(reason);
+            } else {
+                fail(ResultCode.INTERNAL, 0, reason);
+            }
+        }
     }
 
     private void failWithoutCapacity(long retryAfterMillis) {
--- a/gateway/src/test/java/org/merlinwood/gateway/FakeHttpClient.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/FakeHttpClient.java
@@ -4,6 +4,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CompletionStage;
 import java.util.function.Consumer;
 import org.merlinwood.core.result.ExecutionState;
@@ -22,6 +23,7 @@
 public final class FakeHttpClient implements HttpClient {
 
     private final List<SentRequest> sent = new ArrayList<>();
+    private Optional<RuntimeException> nextException = Optional.empty();
 
     /** A recorded request and its listener, which hears nothing more once the request has ended. */
     public static final class SentRequest implements HttpStream {
@@ -96,8 +98,18 @@
         return sent.getLast();
     }
 
+    /** Makes the client throw when the next request is sent, as no client should. */
+    public void throwOnNextSend(RuntimeException exception) {
+        nextException = Optional.of(exception);
+    }
+
     @Override
     public HttpStream send(HttpRequest request, HttpListener listener) {
+        Optional<RuntimeException> exception = nextException;
+        nextException = Optional.empty();
+        if (exception.isPresent()) {
+            throw exception.get();
+        }
         SentRequest next = new SentRequest(request, listener);
         sent.add(next);
         return next;
--- a/gateway/src/test/java/org/merlinwood/gateway/decision/MemoryWaitQueueTest.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/decision/MemoryWaitQueueTest.java
@@ -51,6 +51,11 @@
                 tried.add(name);
                 return placed;
             }
+
+            @Override
+            public void onException(RuntimeException exception) {
+                throw exception;
+            }
         });
     }
 }
