--- a/gateway/src/main/java/org/merlinwood/gateway/process/EntryComposition.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/process/EntryComposition.java
@@ -3,14 +3,17 @@
 import com.codahale.metrics.MetricRegistry;
 import io.undertow.Undertow;
 import io.undertow.UndertowOptions;
-import io.undertow.server.HttpHandler;
+import io.undertow.connector.ByteBufferPool;
+import io.undertow.server.DefaultByteBufferPool;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.math.BigInteger;
 import java.net.InetSocketAddress;
 import java.util.Arrays;
+import java.util.List;
 import org.merlinwood.core.time.MillisClock;
 import org.merlinwood.core.time.SystemMillisClock;
+import org.merlinwood.gateway.decision.CrashCausingParts;
 import org.merlinwood.gateway.decision.CrashHistory;
 import org.merlinwood.gateway.decision.DemandMeter;
 import org.merlinwood.gateway.decision.DrainPolicy;
@@ -21,6 +24,8 @@
 import org.merlinwood.gateway.fleet.FleetState;
 import org.merlinwood.gateway.follow.StoreFollower;
 import org.merlinwood.gateway.follow.StoreProtocol;
+import org.merlinwood.gateway.front.CallerConnections;
+import org.merlinwood.gateway.front.CallerListener;
 import org.merlinwood.gateway.front.FrontHandlerFactory;
 import org.merlinwood.gateway.front.OpenRequests;
 import org.merlinwood.gateway.front.RequestMetrics;
@@ -47,22 +52,40 @@
     /** Idle timeout of caller connections, in milliseconds. Longer than any timeout that operators configure. */
     private static final int IDLE_TIMEOUT_MILLIS = 120_000;
 
+    /** Number of different lengths of a block of prompt parts among the entries. */
+    private static final int BLOCK_TIME_STEPS = 1_024;
+
+    /** Spreads the hash codes of similar names. */
+    private static final int BLOCK_TIME_HASH_FACTOR = 0x9E3779B1;
+
+    /** Size of a buffer for bytes of a connection, in bytes. */
+    private static final int CONNECTION_BUFFER_BYTES = 1_024;
+
+    private static final OptionMap CONNECTION_OPTIONS = OptionMap.builder()
+            .set(UndertowOptions.DECODE_URL, false)
+            .set(UndertowOptions.ALWAYS_SET_DATE, false)
+            .set(UndertowOptions.NO_REQUEST_TIMEOUT, IDLE_TIMEOUT_MILLIS)
+            .getMap();
+
     final DecisionLog log;
     final XnioWorker worker;
     final EventLoop loop;
     final StoreFollower follower;
     final PeerSessions peers;
-    final Undertow server;
+    final CallerListener callerListener;
+    final Undertow operatorServer;
     final DrainSequence drainSequence;
 
     private final MillisClock clock = SystemMillisClock.shared();
     private final MetricRegistry metrics = new MetricRegistry();
     private final FleetState fleet = new FleetState();
     private final CrashHistory crashHistory = new CrashHistory(clock);
+    private final CrashCausingParts crashCausingParts;
     private final DemandMeter demandMeter = new DemandMeter(clock);
     private final OpenRequests openRequests = new OpenRequests();
     private final GatewaySettings settings;
     private final DrainPolicy drainPolicy;
+    private final CallerConnections connections;
     private final InstancePool pool;
     private final InstanceNoticeRecorder noticeRecorder;
 
@@ -82,10 +105,13 @@
             StoreProtocol storeProtocol) {
         this.settings = settings;
         this.log = new DecisionLog(settings.instance(), clock, System.out);
+        this.crashCausingParts =
+                new CrashCausingParts(clock, blockTimeFactor(settings.instance()), new CrashRecorder(log, metrics));
         this.drainPolicy = new DrainPolicy(clock, settings.terminationGraceMillis());
         this.worker = createWorker();
         this.loop = new IoThreadLoop(worker.getIoThread());
-        this.drainSequence = new DrainSequence(drainPolicy, openRequests::count, loop, log);
+        this.connections = new CallerConnections(clock, IDLE_TIMEOUT_MILLIS, log, metrics);
+        this.drainSequence = new DrainSequence(drainPolicy, openRequests::count, connections, loop, log);
         HttpClient client = HttpClient.withWorker(worker);
         this.pool = new InstancePool(
                 fleet, clock, settings.failureDomain(), settings.instance().hashCode());
@@ -95,7 +121,15 @@
         UpstreamClient upstreamClient = new UpstreamClient(client, upstreamProtocol, noticeRecorder);
         FrontHandlerFactory handlerFactory = createHandlerFactory(upstreamClient, upstreamProtocol);
         this.peers = createPeers(createOrders(upstreamClient, upstreamProtocol));
-        this.server = createServer(handlerFactory.handler(callerProtocol, drainPolicy, openRequests));
+        ByteBufferPool buffers = new DefaultByteBufferPool(true, CONNECTION_BUFFER_BYTES);
+        this.callerListener = new CallerListener(
+                settings.callerAddress(),
+                worker,
+                buffers,
+                CONNECTION_OPTIONS,
+                handlerFactory.handler(callerProtocol, drainPolicy, openRequests, connections),
+                connections);
+        this.operatorServer = createOperatorServer(buffers);
         addGauges(client);
     }
 
@@ -107,6 +141,7 @@
                 "upstream_connections_abandoned",
                 () -> () -> client.connectionCounts().abandoned());
         metrics.gauge("store_era", () -> follower::era);
+        metrics.gauge("prompt_parts_blocked", () -> crashCausingParts::blockedCount);
     }
 
     private FrontHandlerFactory createHandlerFactory(UpstreamClient upstreamClient, UpstreamProtocol upstreamProtocol) {
@@ -125,6 +160,7 @@
                 pool,
                 retryAllowance,
                 crashHistory,
+                crashCausingParts,
                 demandMeter,
                 log,
                 new RequestMetrics(metrics));
@@ -150,6 +186,7 @@
                 noticeRecorder,
                 follower,
                 crashHistory,
+                crashCausingParts,
                 demandMeter,
                 orders,
                 this::knownEntryCount,
@@ -167,20 +204,22 @@
                 log);
     }
 
-    private Undertow createServer(HttpHandler callerHandler) {
+    private Undertow createOperatorServer(ByteBufferPool buffers) {
         return Undertow.builder()
                 .setWorker(worker)
+                .setByteBufferPool(buffers)
                 .setServerOption(UndertowOptions.DECODE_URL, false)
                 .setServerOption(UndertowOptions.ALWAYS_SET_DATE, false)
                 .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, IDLE_TIMEOUT_MILLIS)
-                .addHttpListener(
-                        settings.callerAddress().getPort(),
-                        settings.callerAddress().getHostString(),
-                        callerHandler)
                 .addHttpListener(
                         settings.readyAddress().getPort(),
                         settings.readyAddress().getHostString(),
-                        new OperatorHandler(metrics, fleet, drainPolicy))
+                        new StateDumpHandler(
+                                List.of(
+                                        new NoticesSection(pool.notices()),
+                                        new StoreSection(follower),
+                                        new BlockedPartsSection(crashCausingParts)),
+                                new OperatorHandler(metrics, fleet, drainPolicy)))
                 .build();
     }
 
@@ -200,6 +239,13 @@
         return new BigInteger(1, Arrays.copyOfRange(octets, octets.length - 3, octets.length)).longValue();
     }
 
+    /** Returns a factor from 1 to 2 that differs between entries. */
+    private static double blockTimeFactor(String instance) {
+        return 1
+                + Math.floorMod(instance.hashCode() * BLOCK_TIME_HASH_FACTOR, BLOCK_TIME_STEPS)
+                        / (double) BLOCK_TIME_STEPS;
+    }
+
     private static XnioWorker createWorker() {
         try {
             return Xnio.getInstance()
