A process of the proofs counts as frozen once all its threads stand

Seen: FleetProcessTest.doesNotRespondWhileFrozen failed once of three parallel plays beside load: the process answered although it had got SIGSTOP. Proofs and soak that freeze a process judged it from the same moment on.

Change: freeze() waits until the system shows all threads of the process as stopped (10 s at most, then it fails).

Run: FleetProcessTest, 4 passed. That the former failure came from this was concluded by reading, and not provoked again.

--- a/proving/src/main/java/org/merlinwood/proving/fleet/FleetProcess.java
+++ b/proving/src/main/java/org/merlinwood/proving/fleet/FleetProcess.java
@@ -7,12 +7,20 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
+import org.merlinwood.core.time.SystemMillisClock;
 
 /** A process of a fleet. It can be started again after its end and appends to the same log. Thread-safe. */
 public final class FleetProcess {
 
     private static final int LOG_LINES_SHOWN = 25;
 
+    /** Time within which a signal must have stopped all threads of a process, in milliseconds. */
+    private static final long FREEZE_TIMEOUT_MILLIS = 10_000;
+
+    /** State of a stopped thread in its status line. */
+    private static final char STOPPED = 'T';
+
     private final String name;
     private final List<String> command;
     private final Path log;
@@ -61,9 +69,49 @@
         process.destroy();
     }
 
-    /** Suspends the process (SIGSTOP). */
+    /**
+     * Suspends the process (SIGSTOP) and waits until all its threads stand: the signal is delivered to each of them
+     * only when the machine runs it next.
+     *
+     * @throws IllegalStateException if a thread still runs after {@link #FREEZE_TIMEOUT_MILLIS}
+     */
     public void freeze() {
         signal("STOP");
+        long deadlineMillis = SystemMillisClock.shared().monotonicMillis() + FREEZE_TIMEOUT_MILLIS;
+        while (!allThreadsStopped()) {
+            if (SystemMillisClock.shared().monotonicMillis() > deadlineMillis) {
+                throw new IllegalStateException(name + " could not be suspended");
+            }
+            pause();
+        }
+    }
+
+    private boolean allThreadsStopped() {
+        Path threads = Path.of("/proc", String.valueOf(current().pid()), "task");
+        try (Stream<Path> statuses = Files.list(threads)) {
+            return statuses.allMatch(FleetProcess::isStopped);
+        } catch (IOException exception) {
+            throw new UncheckedIOException(name + " has ended or can't be observed", exception);
+        }
+    }
+
+    /** Returns whether a thread is stopped or has ended. */
+    private static boolean isStopped(Path thread) {
+        try {
+            String status = Files.readString(thread.resolve("stat"));
+            return status.charAt(status.lastIndexOf(')') + 2) == STOPPED;
+        } catch (IOException ended) {
+            return true;
+        }
+    }
+
+    private static void pause() {
+        try {
+            TimeUnit.MILLISECONDS.sleep(1);
+        } catch (InterruptedException exception) {
+            Thread.currentThread().interrupt();
+            throw new IllegalStateException("interrupted while a process was suspended", exception);
+        }
     }
 
     /** Resumes a frozen process (SIGCONT). */
