--- a/gateway/src/test/java/org/merlinwood/gateway/front/OpenReplacementFaultsTest.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/front/OpenReplacementFaultsTest.java
@@ -8,6 +8,8 @@
 
 import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
+import org.merlinwood.core.result.ExecutionState;
+import org.merlinwood.core.result.ResultCode;
 import org.merlinwood.gateway.FakeHttpClient.SentRequest;
 import org.merlinwood.gateway.FakeUpstreamProtocol;
 import org.merlinwood.gateway.fleet.Stage;
@@ -39,6 +41,33 @@
         assertThat(fixture.caller.aborted).isFalse();
     }
 
+    /**
+     * A retry falls silent, and its replacement is one more: both arrive, each with a prompt that is computed again.
+     */
+    @Test
+    void replacementOfARetryIsChargedAsWell() {
+        RequestProcessorFixture fixture = new RequestProcessorFixture(RequestKind.STREAM, true, true, 3);
+        fixture.register(Stage.DECODE, "d1", "d2", "d3");
+        fixture.register(Stage.PREFILL, "f1");
+        fixture.sendRequest("/p/x");
+        sendPreparedAttempt(fixture, 1);
+        begin(fixture.client.last());
+        fixture.client.last().fail(ResultCode.CONNECTION_LOST, ExecutionState.UNKNOWN);
+        sendPreparedAttempt(fixture, 2);
+        fixture.staySilent(fixture.client.last(), SILENCE_MILLIS);
+        sendPreparedAttempt(fixture, 3);
+        RequestProcessorFixture calm = new RequestProcessorFixture(RequestKind.STREAM, true, true, 3);
+        calm.register(Stage.DECODE, "d1");
+        calm.sendRequest("/p/x");
+        assertThat(drainRetries(calm) - drainRetries(fixture)).isEqualTo(4);
+    }
+
+    private static void sendPreparedAttempt(RequestProcessorFixture fixture, int number) {
+        fixture.grantMemory("hold-" + number);
+        fixture.client.last().respond(200, "handle-" + number);
+        assertThat(fixture.client.last().request().path()).endsWith("/run");
+    }
+
     /** A sound instance is silent for half the time of a plain request; its replacement declines. */
     @Test
     void plainRequestOutlivesAReplacementThatDeclines() {
--- a/gateway/src/test/java/org/merlinwood/gateway/front/RequestProcessorFixture.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/front/RequestProcessorFixture.java
@@ -84,6 +84,11 @@
 
     /** Creates a dispatcher whose service has model engines, or plain instances that may stream as well. */
     RequestProcessorFixture(RequestKind kind, boolean resumable, boolean hasEngines) {
+        this(kind, resumable, hasEngines, 2);
+    }
+
+    /** Creates a dispatcher whose route allows a number of attempts. */
+    RequestProcessorFixture(RequestKind kind, boolean resumable, boolean hasEngines, int maximumAttempts) {
         clock.advanceMillis(RETRY_WINDOW_MILLIS);
         DecisionLog log = new DecisionLog("test", clock, new PrintStream(OutputStream.nullOutputStream()));
         RequestProcessorContext context = new RequestProcessorContext(
@@ -111,7 +116,7 @@
                 900,
                 1,
                 List.of(new ServiceShare("service", 1)),
-                2,
+                maximumAttempts,
                 resumable);
         Optional<EngineLimits> limits = hasEngines ? Optional.of(LIMITS) : Optional.empty();
         fleet.replaceRoutes(
