Callers are told how long an idle connection may be used again, so that an exit cuts none

Cause: callers keep idle connections and may use them at any moment; the process exits with them open. None of the cut attempts had been read (connections are counted since: 7 cut, none with a request or a part of one), so they were on their way or unread when the process ended. `Connection: close` was decided when a request arrived: a request that came before the signal kept its connection for after the drain.

Change: each response names in Keep-Alive for how long its connection may be used again, 2 s, less than the shortest drain (2.5 s); a drain ends each connection behind its response, also one whose request came before the signal. So no caller that honours the header has a connection to use when the process ends.

--- a/gateway/src/main/java/org/merlinwood/gateway/front/FrontHandler.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/FrontHandler.java
@@ -24,7 +24,7 @@
     private final CallerProtocol protocol;
     private final MillisClock clock;
     private final LongSupplier maximumBodyBytes;
-    private final DrainPolicy drainPolicy;
+    private final ConnectionReuse connectionReuse;
     private final OpenRequests openRequests;
     private final CallerConnections connections;
 
@@ -40,7 +40,7 @@
         this.protocol = protocol;
         this.clock = clock;
         this.maximumBodyBytes = maximumBodyBytes;
-        this.drainPolicy = drainPolicy;
+        this.connectionReuse = new ConnectionReuse(drainPolicy);
         this.openRequests = openRequests;
         this.connections = connections;
     }
@@ -52,13 +52,11 @@
         connections.find(exchange).ifPresent(CallerConnection::startRequest);
         exchange.addExchangeCompleteListener((completed, next) -> {
             openRequests.decrement();
+            connectionReuse.applyAtEnd(completed);
             connections.completeRequest(completed);
             next.proceed();
         });
-        if (drainPolicy.draining()) {
-            exchange.setPersistent(false);
-        }
-        UndertowCallerChannel channel = new UndertowCallerChannel(exchange);
+        UndertowCallerChannel channel = new UndertowCallerChannel(exchange, connectionReuse);
         if (!hasValidFraming(exchange)) {
             exchange.setPersistent(false);
             RequestProcessor.ErrorResponses.send(channel, ResultCode.MALFORMED_REQUEST, 0);
--- a/gateway/src/main/java/org/merlinwood/gateway/front/UndertowCallerChannel.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/UndertowCallerChannel.java
@@ -34,6 +34,7 @@
     private static final int PROBE_BUFFER_BYTES = 1_024;
 
     private final HttpServerExchange exchange;
+    private final ConnectionReuse connectionReuse;
     private final ArrayDeque<ByteBuffer> pendingBuffers = new ArrayDeque<>();
     private Runnable disconnectAction = () -> {};
     private boolean finished;
@@ -41,8 +42,9 @@
     private int pendingBytes;
     private StreamSinkChannel sink;
 
-    UndertowCallerChannel(HttpServerExchange exchange) {
+    UndertowCallerChannel(HttpServerExchange exchange, ConnectionReuse connectionReuse) {
         this.exchange = exchange;
+        this.connectionReuse = connectionReuse;
         exchange.getConnection().addCloseListener(this::onConnectionClosed);
     }
 
@@ -205,6 +207,7 @@
 
     private void setResponseHead(int status, List<HttpHeader> headers) {
         exchange.setStatusCode(status);
+        connectionReuse.announce(exchange);
         headers.forEach(
                 header -> exchange.getResponseHeaders().add(HttpString.tryFromString(header.name()), header.value()));
     }
