--- a/gateway/src/main/java/org/merlinwood/gateway/process/EntryComposition.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/process/EntryComposition.java
@@ -52,6 +52,12 @@
     /** Idle timeout of caller connections, in milliseconds. Longer than any timeout that operators configure. */
     private static final int IDLE_TIMEOUT_MILLIS = 120_000;
 
+    /** Number of different lengths of a block of prompt parts among the entries. */
+    private static final int BLOCK_TIME_STEPS = 1_024;
+
+    /** Spreads the hash codes of similar names. */
+    private static final int BLOCK_TIME_HASH_FACTOR = 0x9E3779B1;
+
     /** Size of a buffer for bytes of a connection, in bytes. */
     private static final int CONNECTION_BUFFER_BYTES = 1_024;
 
@@ -61,12 +67,6 @@
             .set(UndertowOptions.NO_REQUEST_TIMEOUT, IDLE_TIMEOUT_MILLIS)
             .getMap();
 
-    /** Number of different lengths of a block of prompt parts among the entries. */
-    private static final int BLOCK_TIME_STEPS = 1_024;
-
-    /** Spreads the hash codes of similar names. */
-    private static final int BLOCK_TIME_HASH_FACTOR = 0x9E3779B1;
-
     final DecisionLog log;
     final XnioWorker worker;
     final EventLoop loop;
@@ -215,7 +215,10 @@
                         settings.readyAddress().getPort(),
                         settings.readyAddress().getHostString(),
                         new StateDumpHandler(
-                                List.of(new NoticesSection(pool.notices()), new StoreSection(follower)),
+                                List.of(
+                                        new NoticesSection(pool.notices()),
+                                        new StoreSection(follower),
+                                        new BlockedPartsSection(crashCausingParts)),
                                 new OperatorHandler(metrics, fleet, drainPolicy)))
                 .build();
     }
