Tests of a restored store go back to the time before the change that they lose

Cause, by reading: the backup was 600 ms old when it was taken, but the instances were registered before reads that beside load take longer than that, so the backup had them.

Change: each test notes the time of its backup before it writes, and the store is restored to that time. The bounds stay.

The failure was not provoked again with the former test.

--- a/proving/src/test/java/org/merlinwood/proving/gateway/StoreRestoreOnLoopbackTest.java
+++ b/proving/src/test/java/org/merlinwood/proving/gateway/StoreRestoreOnLoopbackTest.java
@@ -6,6 +6,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.merlinwood.core.time.SystemMillisClock;
 import org.merlinwood.platform.standin.InstanceDocuments;
 
 /** The store is restored from a backup while an entry serves, over real connections. */
@@ -14,7 +15,11 @@
     /** Time after which what the store says holds, in milliseconds. */
     private static final long SETTLE_MILLIS = 2_000;
 
-    private static final long BACKUP_AGE_MILLIS = 600;
+    /** Time for which a state is observed behind the settling time, in milliseconds. */
+    private static final long AFTER_SETTLING_MILLIS = 600;
+
+    /** Time between the last write that the backup has and the first that it lacks, in milliseconds. */
+    private static final long BACKUP_GAP_MILLIS = 20;
 
     private EntryFixture fixture;
 
@@ -28,6 +33,14 @@
         fixture.close();
     }
 
+    /** Returns the time of a backup that has all writes so far and lacks all later ones. */
+    private static long backup() throws InterruptedException {
+        TimeUnit.MILLISECONDS.sleep(BACKUP_GAP_MILLIS);
+        long backupMillis = SystemMillisClock.shared().monotonicMillis();
+        TimeUnit.MILLISECONDS.sleep(BACKUP_GAP_MILLIS);
+        return backupMillis;
+    }
+
     private static String configuration(long version, String bookingPrefix) {
         return InstanceDocuments.configuration(version).replace("/book/", bookingPrefix);
     }
@@ -35,12 +48,12 @@
     /** Guards against an entry that ignores the restored store until its revisions have caught up. */
     @Test
     void changeBehindARestoreIsInForceAlthoughItsRevisionWasGivenOutBefore() throws Exception {
-        TimeUnit.MILLISECONDS.sleep(BACKUP_AGE_MILLIS);
+        long backupMillis = backup();
         for (long version = 2; version <= 9; version++) {
             fixture.store.configure(configuration(version, "/v" + version + "/"));
         }
         EntryFixture.await(() -> fixture.send("/v9/").status() == 200);
-        fixture.store.restore(BACKUP_AGE_MILLIS);
+        fixture.store.restoreTo(backupMillis);
         fixture.store.configure(configuration(10, "/v10/"));
         EntryFixture.await(() -> fixture.send("/v10/").status() == 200);
     }
@@ -48,11 +61,11 @@
     /** Guards against a change that reverts: the configuration of the backup is older than the one in force. */
     @Test
     void configurationInForceStaysWhenTheBackupHasAnOlderOne() throws Exception {
-        TimeUnit.MILLISECONDS.sleep(BACKUP_AGE_MILLIS);
+        long backupMillis = backup();
         fixture.store.configure(configuration(2, "/write/"));
         EntryFixture.await(() -> fixture.send("/write/").status() == 200);
-        fixture.store.restore(BACKUP_AGE_MILLIS);
-        long untilNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(SETTLE_MILLIS + BACKUP_AGE_MILLIS);
+        fixture.store.restoreTo(backupMillis);
+        long untilNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(SETTLE_MILLIS + AFTER_SETTLING_MILLIS);
         while (System.nanoTime() < untilNanos) {
             assertThat(fixture.send("/write/").status()).isEqualTo(200);
         }
@@ -61,12 +74,12 @@
     /** An instance that the backup lacks serves on, and is gone only if it doesn't write again. */
     @Test
     void instanceThatTheBackupLacksServesOnUntilItsTimeToWriteAgainHasPassed() throws Exception {
-        TimeUnit.MILLISECONDS.sleep(BACKUP_AGE_MILLIS);
+        long backupMillis = backup();
         fixture.addInstance();
         fixture.addInstance();
         EntryFixture.await(() -> fixture.readsSucceedAt(1));
         EntryFixture.await(() -> fixture.readsSucceedAt(2));
-        fixture.store.restore(BACKUP_AGE_MILLIS);
+        fixture.store.restoreTo(backupMillis);
         TimeUnit.MILLISECONDS.sleep(SETTLE_MILLIS / 4);
         EntryFixture.await(() -> fixture.readsSucceedAt(1));
         fixture.register(2);
