Of a silent stream and its replacement, the one that sends first goes on

What callers saw: beside a replacement that was on its way, an event of the silent instance came up to 200 ms late; a stream that its instance had completed was cut when the replacement was accepted and then lost, or by the timeout of its route; an instance that declined, answered with another's response or broke off inside an event took its sound replacement with it; a replacement whose head declined still ended the silent attempt after 200 ms; a declined replacement was followed by one at a third instance where the route allows two.

Cause: what the silent instance sent after its replacement was sent was held back, and whatever it was decided the end of the overlap; a head that declines was not looked at; a declined replacement cost no attempt.

Change: nothing is held back. The first complete event or orderly end of the silent instance is forwarded and cancels the replacement in the same step; the success head of the replacement cancels the silent attempt. A head of the silent instance, or a refusing one of the replacement, is kept as OverlapState and decides when the 200 ms are over. A declined replacement counts as an attempt.

--- a/gateway/src/main/java/org/merlinwood/gateway/front/StreamRequestProcessor.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/StreamRequestProcessor.java
@@ -39,7 +39,8 @@
  * <p>Memory is reserved first because it is the scarce resource: a prefill result is wasted if no decode instance can
  * take it over. If a stream is interrupted and its route is resumable, it continues at another instance after its last
  * complete event. An instance that is silent may go on at any time: its attempt ends only when another instance has
- * taken over or is about to, or with the time of the request. Used by the event loop alone.
+ * taken over or is about to, or with the time of the request. Of the two, the one that sends first goes on. Used by the
+ * event loop alone.
  */
 final class StreamRequestProcessor extends RequestProcessor {
 
@@ -78,10 +79,13 @@
 
     /**
      * The attempt that {@link #activeRequest} replaces. It is the current attempt as well until its replacement is
-     * sent, and stays open until an instance has accepted that.
+     * sent, and stays open until one of the two goes on.
      */
     private Optional<SilentAttempt> silentAttempt = Optional.empty();
 
+    /** Of the silent attempt and its replacement, since that was sent. */
+    private OverlapState overlap = OverlapState.UNDECIDED;
+
     /** A reservation that no attempt has used yet. */
     private Optional<MemoryReservation> reservation = Optional.empty();
 
@@ -327,6 +331,7 @@
         GenerationAttempt generation = new GenerationAttempt(instance, prefillResult);
         currentAttempt = Optional.of(generation);
         if (silentAttempt.isPresent()) {
+            overlap = OverlapState.UNDECIDED;
             overlapTimer.restart(OVERLAP_LIMIT_MILLIS);
         } else {
             silenceLimitMillis = SILENCE_LIMIT_MILLIS;
@@ -416,7 +421,6 @@
                 .with("instance", kept.instance())
                 .with("reason", reason)
                 .write();
-        kept.release();
     }
 
     /** Returns whether the replacement of the silent attempt was sent and has neither been accepted nor ended. */
@@ -426,15 +430,15 @@
                 && !currentAttempt.equals(silentAttempt.map(SilentAttempt::attempt));
     }
 
-    /** Ends one of two attempts that have been open together for as long as they may be: the one that is silent. */
+    /** Ends one of two attempts that have been open together for as long as they may be; neither has sent an event. */
     private void onOverlapLimit() {
         if (isFinished()) {
             return;
         }
-        if (silentAttempt.orElseThrow().holdsBack()) {
-            onSilentInstanceGoesOn();
-        } else {
-            cancelSilentAttempt();
+        switch (overlap) {
+            case UNDECIDED -> cancelSilentAttempt();
+            case SILENT_INSTANCE_BEGAN -> onSilentInstanceGoesOn();
+            case REPLACEMENT_REFUSED -> dropReplacement("the replacement was refused");
         }
     }
 
@@ -514,7 +518,7 @@
             unreachedAttempts++;
             prefillResult = generation.prefillUsed;
             excludedInstances.add(generation.instance.identifier());
-        } else if (!prefillResultLost && !isDeclinedReplacement(outcome)) {
+        } else if (!prefillResultLost) {
             attemptsSent++;
         }
         if (outcome instanceof AttemptOutcome.Broken broken) {
@@ -529,16 +533,13 @@
         executeNextStep(generation, outcome, step, prefillResultLost);
     }
 
-    /** Returns whether a replacement was not run although it was sent; it costs the request no attempt then. */
+    /** Returns whether a replacement was not run although it was sent. */
     private boolean isDeclinedReplacement(AttemptOutcome outcome) {
         return silentAttempt.isPresent() && outcome instanceof AttemptOutcome.Declined;
     }
 
     /** Decides what follows an attempt; a failure that follows a replacement only means that there is no other one. */
     private NextStep decideNextStep(AttemptOutcome outcome, boolean prefillResultLost) {
-        if (silentAttempt.filter(SilentAttempt::holdsBack).isPresent()) {
-            return new NextStep.Fail(ResultCode.NO_CAPACITY);
-        }
         if (prefillResultLost) {
             return nextStepWithoutPrefillResult();
         }
@@ -708,36 +709,31 @@
 
         @Override
         public void onHead(int status, List<HttpHeader> headers) {
-            if (holdBack(() -> onHead(status, headers))) {
-                return;
-            }
             recordReceived();
             head = context.protocol().readHead(status, headers);
             head.load().ifPresent(load -> context.pool().recordLoad(instance.identifier(), load));
             streaming = head.success() && belongsToRequest();
             if (streaming) {
-                onAlive();
+                onAccepted();
+            } else if (isReplacementOfOpenAttempt()) {
+                overlap = OverlapState.REPLACEMENT_REFUSED;
             }
         }
 
-        /** Drops the replacement of this attempt if there is one, or ends the silent attempt that this one replaces. */
-        private void onAlive() {
-            if (isReplacementSent()) {
+        /**
+         * Ends the silent attempt that this one replaces, or drops the replacement of this one unless it was sent: then
+         * the first complete event decides.
+         */
+        private void onAccepted() {
+            if (isReplacementOfOpenAttempt()) {
                 cancelSilentAttempt();
+            } else if (isReplacementSent()) {
+                overlap = OverlapState.SILENT_INSTANCE_BEGAN;
             } else {
                 onSilentInstanceGoesOn();
             }
         }
 
-        /** Holds a part of the response back while this attempt is silent and its replacement was sent. */
-        private boolean holdBack(Runnable part) {
-            if (!isReplacementSent() || currentAttempt.equals(Optional.of(this))) {
-                return false;
-            }
-            silentAttempt.orElseThrow().holdBack(part);
-            return true;
-        }
-
         /**
          * Forwards the head, before the first part of the response. Until then the caller has received nothing, so an
          * error response can still be sent, and another attempt can send its own head.
@@ -755,9 +751,6 @@
 
         @Override
         public void onBytes(byte[] bytes) {
-            if (holdBack(() -> onBytes(bytes))) {
-                return;
-            }
             recordReceived();
             if (!streaming) {
                 body.writeBytes(bytes);
@@ -793,9 +786,6 @@
 
         @Override
         public void onEnd() {
-            if (holdBack(this::onEnd)) {
-                return;
-            }
             recordReceived();
             if (streaming && events.isInsideEvent()) {
                 onFailure(Failure.of(ResultCode.UPSTREAM_TRUNCATED, "the response ended inside an event"));
