The replacement of a stream that was itself a retry costs a retry of its own

What was seen: a silent attempt that had been sent as a retry was replaced under the same retry: two arrivals for one charge, so more retries than the allowance permits.

Cause: the claim was marked as used only when an attempt ended; at the silence it still held the retry of the attempt that was open.

Change: the claim is marked as used at the silence, as the processor of plain requests does. The test, moved from OpenLostFaultsTest to UnsentRetryTest, failed on (2 charged in place of 3).

Run: UnsentRetryTest, SilentStreamTest, ReplacementWithoutMemoryTest and the classes of the package front that begin with Stream: all passed.

--- a/gateway/src/main/java/org/merlinwood/gateway/front/StreamRequestProcessor.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/StreamRequestProcessor.java
@@ -377,6 +377,7 @@
 
     /** Prepares a replacement of the current attempt if a retry is allowed; otherwise keeps waiting. */
     private void onSilence() {
+        retry.markUsed();
         UpstreamWork silent = activeRequest.orElseThrow();
         Failure silence = Failure.of(ResultCode.UPSTREAM_TIMEOUT, "the instance is silent");
         pauseInstance(silent.instance(), silence);
--- a/gateway/src/test/java/org/merlinwood/gateway/front/OpenLostFaultsTest.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/front/OpenLostFaultsTest.java
@@ -1,10 +1,6 @@
 package org.merlinwood.gateway.front;
 
 import static org.assertj.core.api.Assertions.assertThat;
-import static org.merlinwood.gateway.front.SentStream.begin;
-import static org.merlinwood.gateway.front.SentStream.drainRetries;
-import static org.merlinwood.gateway.front.SentStream.fixtureWithSentRequest;
-import static org.merlinwood.gateway.front.SentStream.replace;
 
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
@@ -53,20 +49,6 @@
         }
     }
 
-    /** The retry under which a silent attempt was sent must not pay for its replacement as well: both arrive. */
-    @Test
-    void replacementOfARetryCostsARetryOfItsOwn() {
-        RequestProcessorFixture calm = fixtureWithSentRequest();
-        RequestProcessorFixture fixture = fixtureWithSentRequest();
-        fixture.client.last().respond(503, "", FakeUpstreamProtocol.NOT_RUN);
-        SentRequest retry = fixture.client.last();
-        assertThat(retry.request().path()).isEqualTo("/d1/run");
-        begin(retry);
-        replace(fixture, retry);
-        int extraArrivals = 3;
-        assertThat(drainRetries(calm) - drainRetries(fixture)).isEqualTo(extraArrivals);
-    }
-
     /** A sound instance takes longer than half the time; its attempt must outlive a replacement that is not run. */
     @ParameterizedTest
     @EnumSource(ReplacementEnd.class)
--- a/gateway/src/test/java/org/merlinwood/gateway/front/UnsentRetryTest.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/front/UnsentRetryTest.java
@@ -79,6 +79,20 @@
         assertThat(drainRetries(fixture)).isEqualTo(left);
     }
 
+    /** The retry under which a silent attempt was sent must not pay for its replacement as well: both arrive. */
+    @Test
+    void replacementOfARetryCostsARetryOfItsOwn() {
+        RequestProcessorFixture calm = fixtureWithSentRequest();
+        RequestProcessorFixture fixture = fixtureWithSentRequest();
+        fixture.client.last().respond(503, "", FakeUpstreamProtocol.NOT_RUN);
+        SentRequest retry = fixture.client.last();
+        assertThat(retry.request().path()).isEqualTo("/d1/run");
+        begin(retry);
+        replace(fixture, retry);
+        int extraArrivals = 3;
+        assertThat(drainRetries(calm) - drainRetries(fixture)).isEqualTo(extraArrivals);
+    }
+
     private static int retriesOfAPlainRequest() {
         RequestProcessorFixture calm = new RequestProcessorFixture(RequestKind.IDEMPOTENT, false);
         calm.register(Stage.PLAIN, "a");
