An event over the limit cancels the attempt that sent it, not its replacement

What callers saw: a silent instance whose event then exceeded the limit took the work of its replacement with it, and its own response was read on.

Cause: the active request was cancelled, which is that of the replacement while one is prepared or sent.

Change: an attempt knows its own stream and cancels that. Both cases of StreamWithOversizedEventTest failed on: the attempt was not cancelled.

Run: UnsentRetryTest, SilentStreamTest, ReplacementWithoutMemoryTest and the classes of the package front that begin with Stream: all passed.

--- a/gateway/src/main/java/org/merlinwood/gateway/front/StreamRequestProcessor.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/StreamRequestProcessor.java
@@ -341,6 +341,7 @@
         prefillResult = Optional.empty();
         context.crashCausingParts().recordSent(sharedParts);
         HttpStream stream = context.client().send(instance, generationRequest, generation);
+        generation.stream = Optional.of(stream);
         activeRequest = Optional.of(new UpstreamWork("generation", instance, stream));
     }
 
@@ -690,6 +691,10 @@
         private final UpstreamInstance instance;
         private final Optional<PrefillResult> prefillUsed;
         private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+
+        /** Cancels this attempt, whichever of two it is; empty while it is being sent. */
+        private Optional<HttpStream> stream = Optional.empty();
+
         private ResponseHead head;
         private boolean streaming;
         private final long sentMillis = context.clock().monotonicMillis();
@@ -759,11 +764,10 @@
             }
             forward(events.split(bytes));
             if (events.exceedsLimit()) {
-                Optional<UpstreamWork> work = activeRequest;
                 onFailure(Failure.of(
                         ResultCode.UPSTREAM_MALFORMED,
                         "an event exceeds " + EventSplitter.MAXIMUM_EVENT_BYTES + " bytes"));
-                work.ifPresent(generation -> generation.request().cancel());
+                stream.ifPresent(HttpStream::cancel);
             }
         }
 
