A response that ends wrongly but in order is no crash of its instance

What callers saw: after two responses that ended inside an event, were malformed or held an event over the limit, the same request was refused for 60 s as one that crashes instances, here and at the other entries, though no instance had crashed.

Cause: every failed attempt but a timeout counted as the loss of an instance in CrashHistory.

Change: only a connection that the HTTP client reports as lost counts. That is also so inside a response (UPSTREAM_TRUNCATED): a crash in the middle of a stream in chunks is reported with that code, so the code alone doesn't tell, and the end inside an event that the processors find themselves is recorded apart. A response without a length or chunks ends with its connection: a crash inside such a one no longer counts here. What counts against the parts of a prompt is as before.

--- a/gateway/src/main/java/org/merlinwood/gateway/front/PlainRequestProcessor.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/PlainRequestProcessor.java
@@ -286,6 +286,7 @@
             if (!markEnded() || isFinished()) {
                 return;
             }
+            recordLostConnection(instance, failure);
             onAttemptEnded(this, recordFailedAttempt(instance, failure));
         }
 
--- a/gateway/src/main/java/org/merlinwood/gateway/front/RequestProcessor.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/RequestProcessor.java
@@ -204,15 +204,26 @@
         return blocked;
     }
 
-    /** Records what a failed attempt tells about its instance and about the request; returns its outcome. */
+    /**
+     * Records that the request may have crashed an instance, if the HTTP client reports that a connection was lost. A
+     * response that ends in order, but wrongly, was sent by an instance that lives.
+     *
+     * @param instance the instance
+     * @param failure the failure as the HTTP client reports it
+     */
+    final void recordLostConnection(UpstreamInstance instance, Failure failure) {
+        boolean lost = failure.code() == ResultCode.CONNECTION_LOST || failure.code() == ResultCode.UPSTREAM_TRUNCATED;
+        if (lost && failure.executionState() != ExecutionState.NOT_RUN) {
+            context.crashHistory().recordLoss(CrashHistory.fingerprint(request), instance.identifier());
+        }
+    }
+
+    /** Records what a failed attempt tells about its instance; returns its outcome. */
     final AttemptOutcome recordFailedAttempt(UpstreamInstance instance, Failure failure) {
         pauseInstance(instance, failure);
         if (failure.executionState() == ExecutionState.NOT_RUN) {
             return new AttemptOutcome.Unreached(failure);
         }
-        if (failure.code() != ResultCode.UPSTREAM_TIMEOUT) {
-            context.crashHistory().recordLoss(CrashHistory.fingerprint(request), instance.identifier());
-        }
         return new AttemptOutcome.Broken(failure);
     }
 
--- a/gateway/src/main/java/org/merlinwood/gateway/front/StreamRequestProcessor.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/StreamRequestProcessor.java
@@ -764,7 +764,7 @@
             }
             forward(events.split(bytes));
             if (events.exceedsLimit()) {
-                onFailure(Failure.of(
+                endFailedAttempt(Failure.of(
                         ResultCode.UPSTREAM_MALFORMED,
                         "an event exceeds " + EventSplitter.MAXIMUM_EVENT_BYTES + " bytes"));
                 stream.ifPresent(HttpStream::cancel);
@@ -793,7 +793,7 @@
         public void onEnd() {
             recordReceived();
             if (streaming && events.isInsideEvent()) {
-                onFailure(Failure.of(ResultCode.UPSTREAM_TRUNCATED, "the response ended inside an event"));
+                endFailedAttempt(Failure.of(ResultCode.UPSTREAM_TRUNCATED, "the response ended inside an event"));
                 return;
             }
             if (streaming) {
@@ -822,6 +822,14 @@
 
         @Override
         public void onFailure(Failure failure) {
+            if (!isFinished() && isOpen()) {
+                recordLostConnection(instance, failure);
+                endFailedAttempt(failure);
+            }
+        }
+
+        /** Ends this attempt without a valid response; does nothing if it has ended before. */
+        private void endFailedAttempt(Failure failure) {
             if (isFinished() || !isOpen()) {
                 return;
             }
