Fix: a silent plain attempt stays open beside its replacement

Callers of idempotent routes got 504 or 502 although an instance would have answered: after half the time of the request without a complete response the attempt was cancelled as the next one was sent, and if that one declined, was not reached or broke, nothing was left. A suspicion (silence) was taken for a loss.

Now both stay open. The first response that can be delivered ends the other attempts; an attempt that ends without one leaves them, and what follows is decided as before once none is open. Attempts and retries are counted as before; a replacement that was not reached gives its retry back, and an attempt that is still silent may be replaced again within the attempts of its route. A server error is delivered while another attempt is open only if the route allows no further attempt, as before. The end of the request cancels all.

--- a/gateway/src/main/java/org/merlinwood/gateway/front/PlainRequestProcessor.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/PlainRequestProcessor.java
@@ -1,11 +1,14 @@
 package org.merlinwood.gateway.front;
 
 import java.io.ByteArrayOutputStream;
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
+import java.util.stream.Collectors;
 import org.merlinwood.core.result.Failure;
 import org.merlinwood.core.result.ResultCode;
 import org.merlinwood.gateway.decision.AttemptOutcome;
@@ -28,8 +31,11 @@
 import org.merlinwood.operation.log.DecisionLog;
 
 /**
- * Processes a plain request: sends one attempt at a time and reads a response completely before forwarding any of it to
- * the caller, so that a broken response can still be retried. Used by the event loop alone.
+ * Processes a plain request: reads a response completely before forwarding any of it to the caller, so that a broken
+ * response can still be retried. Used by the event loop alone.
+ *
+ * <p>An attempt whose instance is silent stays open beside its replacement: the first response that can be delivered
+ * ends the others, and an attempt that ends without one leaves them.
  */
 final class PlainRequestProcessor extends RequestProcessor {
 
@@ -47,7 +53,9 @@
 
     private int attemptsSent;
     private int unreachedAttempts;
-    private Optional<Attempt> currentAttempt = Optional.empty();
+
+    /** The attempts that have not ended, in the order of their sending. All but the last one are silent. */
+    private final List<Attempt> openAttempts = new ArrayList<>();
 
     /** The attempt with the last error response, which is forwarded if no other instance is left to try. */
     private Optional<Attempt> lastAnsweredAttempt = Optional.empty();
@@ -89,19 +97,22 @@
     @Override
     void cancelUpstream() {
         silenceTimer.stop();
-        currentAttempt.ifPresent(Attempt::cancel);
+        List.copyOf(openAttempts).forEach(Attempt::abandon);
+        openAttempts.clear();
     }
 
     @Override
     String describeUpstreamWork() {
-        return currentAttempt
-                .map(attempt -> "attempt at " + attempt.instance.identifier())
-                .orElse("none");
+        return openAttempts.isEmpty()
+                ? "none"
+                : openAttempts.stream()
+                        .map(attempt -> "attempt at " + attempt.instance.identifier())
+                        .collect(Collectors.joining(", "));
     }
 
     @Override
     ResultCode timeoutCode() {
-        return attemptsSent == 0 && currentAttempt.isEmpty() ? ResultCode.NO_CAPACITY : ResultCode.DEADLINE_PASSED;
+        return attemptsSent == 0 && openAttempts.isEmpty() ? ResultCode.NO_CAPACITY : ResultCode.DEADLINE_PASSED;
     }
 
     /** Returns false: a response is forwarded only once it is complete. */
@@ -129,7 +140,7 @@
                 .withTimeouts(CONNECT_TIMEOUT_MILLIS, attemptTimeoutMillis)
                 .withResponseTimeout(attemptTimeoutMillis);
         Attempt attempt = new Attempt(instance);
-        currentAttempt = Optional.of(attempt);
+        openAttempts.add(attempt);
         context.pool().beginPlainAttempt(instance.identifier());
         restartSilenceTimer();
         attempt.stream = Optional.of(context.client().send(instance, upstreamRequest, attempt));
@@ -137,14 +148,17 @@
 
     /** Leaves as much time for another attempt as the instance has for its response, if another one is allowed. */
     private void restartSilenceTimer() {
-        if (route.repeatable() && attemptsSent + 1 < route.maximumAttempts()) {
+        silenceTimer.stop();
+        long uncounted =
+                openAttempts.stream().filter(attempt -> !attempt.counted).count();
+        if (route.repeatable() && attemptsSent + uncounted < route.maximumAttempts()) {
             silenceTimer.restart(Math.max(MINIMUM_SILENCE_MILLIS, timeLeftMillis() / 2));
         }
     }
 
-    /** Replaces an attempt without a complete response if there is another instance and a retry is allowed. */
+    /** Sends another attempt beside one without a complete response if an instance is left and a retry is allowed. */
     private void onSilence() {
-        Attempt silent = currentAttempt.orElseThrow();
+        Attempt silent = openAttempts.getLast();
         retry.markUsed();
         Failure silence = Failure.of(ResultCode.UPSTREAM_TIMEOUT, "the instance is silent");
         pauseInstance(silent.instance, silence);
@@ -159,42 +173,57 @@
             restartSilenceTimer();
             return;
         }
-        silent.markEnded();
-        silent.cancel();
-        currentAttempt = Optional.empty();
-        attemptsSent++;
+        silent.count();
         recordUnknownOutcome(silence.code());
         proceed();
     }
 
     private void onAttemptEnded(Attempt attempt, AttemptOutcome outcome) {
-        currentAttempt = Optional.empty();
-        silenceTimer.stop();
+        boolean sentLast = attempt.equals(openAttempts.getLast());
+        openAttempts.remove(attempt);
+        if (sentLast) {
+            silenceTimer.stop();
+        }
         if (isFinished()) {
             return;
         }
-        if (!(outcome instanceof AttemptOutcome.Unreached)) {
+        if (sentLast && !(outcome instanceof AttemptOutcome.Unreached)) {
             retry.markUsed();
         }
+        record(attempt, outcome);
+        if (openAttempts.isEmpty()) {
+            takeNextStep(attempt, outcome, decide(outcome, () -> timeLeftMillis() > 0 && retry.tryAcquire()));
+        } else if (decide(outcome, () -> true) instanceof NextStep.Deliver deliver) {
+            takeNextStep(attempt, outcome, deliver);
+        } else {
+            leaveOthers(attempt, outcome, sentLast);
+        }
+    }
+
+    private void record(Attempt attempt, AttemptOutcome outcome) {
         switch (outcome) {
-            case AttemptOutcome.Unreached none -> unreachedAttempts++;
-            case AttemptOutcome.Declined declined -> attemptsSent++;
+            case AttemptOutcome.Unreached none -> {
+                unreachedAttempts++;
+                attempt.discount();
+            }
+            case AttemptOutcome.Declined declined -> attempt.count();
             case AttemptOutcome.Broken broken -> {
-                attemptsSent++;
+                attempt.count();
                 recordUnknownOutcome(broken.failure().code());
             }
             case AttemptOutcome.Answered answered -> {
-                attemptsSent++;
+                attempt.count();
                 lastAnsweredAttempt = Optional.of(attempt);
             }
         }
-        NextStep step = RetryPolicy.decide(
-                outcome, route, attemptsSent, unreachedAttempts, () -> timeLeftMillis() > 0 && retry.tryAcquire());
-        decisionLine("attempt ended")
-                .with("instance", attempt.instance.identifier())
-                .with("outcome", outcome.toString())
-                .with("next", step.toString())
-                .write();
+    }
+
+    private NextStep decide(AttemptOutcome outcome, BooleanSupplier mayRetry) {
+        return RetryPolicy.decide(outcome, route, attemptsSent, unreachedAttempts, mayRetry);
+    }
+
+    private void takeNextStep(Attempt attempt, AttemptOutcome outcome, NextStep step) {
+        logEnd(attempt, outcome, step.toString());
         switch (step) {
             case NextStep.Deliver deliver -> deliver(attempt);
             case NextStep.Repeat repeat -> proceed();
@@ -202,7 +231,25 @@
         }
     }
 
+    /** Goes on with the open attempts, the last of which may be replaced again if its replacement came to nothing. */
+    private void leaveOthers(Attempt attempt, AttemptOutcome outcome, boolean sentLast) {
+        logEnd(attempt, outcome, "wait for " + describeUpstreamWork());
+        if (sentLast) {
+            retry.giveBack();
+            restartSilenceTimer();
+        }
+    }
+
+    private void logEnd(Attempt attempt, AttemptOutcome outcome, String next) {
+        decisionLine("attempt ended")
+                .with("instance", attempt.instance.identifier())
+                .with("outcome", outcome.toString())
+                .with("next", next)
+                .write();
+    }
+
     private void deliver(Attempt attempt) {
+        cancelUpstream();
         deliver(attempt.head.status(), attempt.head.forwardedHeaders(), attempt.body.toByteArray(), attempt.instance);
     }
 
@@ -216,6 +263,9 @@
         private ResponseHead head;
         private boolean ended;
 
+        /** Whether this attempt is one of the attempts sent. */
+        private boolean counted;
+
         private Attempt(UpstreamInstance instance) {
             this.instance = instance;
         }
@@ -224,6 +274,22 @@
             stream.ifPresent(HttpStream::cancel);
         }
 
+        /** Ends this attempt without an outcome. */
+        private void abandon() {
+            markEnded();
+            cancel();
+        }
+
+        private void count() {
+            attemptsSent += counted ? 0 : 1;
+            counted = true;
+        }
+
+        private void discount() {
+            attemptsSent -= counted ? 1 : 0;
+            counted = false;
+        }
+
         @Override
         public void onHead(int status, List<HttpHeader> headers) {
             head = context.protocol().readHead(status, headers);
