Fix: a late grant ends only its own exchange, not its connection

A caller whose request was being executed by a sidecar got 504 because another request of the same sidecar had no response to its grant request for 750 ms: the entry then closed the connection that all exchanges with that sidecar share. The silence of one exchange was taken for that of the connection.

Now only that exchange is cancelled, and asked for again as before: once at the same sidecar, then elsewhere. Heartbeats find a connection that is silent as a whole. Until they have closed it, requests repeat over it.

--- a/entry/src/main/java/org/merlinwood/entry/dispatch/EntryMetrics.java
+++ b/entry/src/main/java/org/merlinwood/entry/dispatch/EntryMetrics.java
@@ -19,7 +19,7 @@
     private final Timer betweenTokens;
     private final Meter droppedFrames;
     private final Meter retries;
-    private final Meter silentConnections;
+    private final Meter unansweredGrantRequests;
 
     /**
      * Registers the metrics.
@@ -32,7 +32,7 @@
         this.betweenTokens = registry.timer("entry.between_tokens");
         this.droppedFrames = registry.meter("entry.dropped_frames");
         this.retries = registry.meter("entry.retries");
-        this.silentConnections = registry.meter("entry.silent_connections");
+        this.unansweredGrantRequests = registry.meter("entry.silent_connections");
         for (ResultCode code : ResultCode.values()) {
             requests.put(code, registry.meter("entry.requests." + code.name()));
         }
@@ -86,8 +86,8 @@
         retries.mark();
     }
 
-    /** Counts a connection that was closed because no response arrived on it. */
-    public void silentConnection() {
-        silentConnections.mark();
+    /** Counts a grant request that got no response in time. */
+    public void unansweredGrantRequest() {
+        unansweredGrantRequests.mark();
     }
 }
--- a/entry/src/main/java/org/merlinwood/entry/dispatch/UpstreamAttempt.java
+++ b/entry/src/main/java/org/merlinwood/entry/dispatch/UpstreamAttempt.java
@@ -210,7 +210,10 @@
         exchange.send(Frame.newBuilder().setGrantRequest(grantRequestFactory.apply(connection)));
     }
 
-    /** Closes a connection on which no response arrived; the close event ends the attempt. */
+    /**
+     * Ends an attempt whose grant request got no response. Its connection stays open: other exchanges share it, and
+     * heartbeats find a silent one.
+     */
     private void onResponseTimeout() {
         if (phase != Phase.ASKING) {
             return;
@@ -219,8 +222,10 @@
             fail(Failure.of(ResultCode.UPSTREAM_UNREACHABLE, "connecting to the sidecar timed out"));
             return;
         }
-        metrics.silentConnection();
-        exchange.connection().close(ResultCode.PEER_SILENT);
+        metrics.unansweredGrantRequest();
+        cancel(ResultCode.PEER_SILENT);
+        reportLoss(Failure.of(ResultCode.PEER_SILENT, "the sidecar did not respond to the grant request")
+                .withExecutionState(ExecutionState.NOT_RUN));
     }
 
     // ------------------------------------------------------------------ internals: frames
@@ -349,6 +354,10 @@
         if (mayStillRun) {
             cancelOnNewConnection();
         }
+        reportLoss(failure);
+    }
+
+    private void reportLoss(Failure failure) {
         listener.onFailure(this, failure);
         listener.onEvent(this, new RequestEvent.Lost(number, failure));
     }
