--- a/gateway/src/main/java/org/merlinwood/gateway/decision/CrashCausingParts.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/decision/CrashCausingParts.java
@@ -23,7 +23,7 @@
 
     private static final int MAXIMUM_BEGUN_PARTS = 16_384;
 
-    /** Bound of the crashes, and of the begun parts, in one report; further ones are not told. */
+    /** Bound of the crashes, and of the begun parts, in one report; further ones are left out. */
     private static final int MAXIMUM_REPORTED = 64;
 
     private final MillisClock clock;
@@ -121,7 +121,7 @@
     }
 
     /**
-     * Returns what the other entries have to be told. Crashes and begun parts are considered told afterwards.
+     * Returns what the other entries do not know yet. Crashes and begun parts count as reported afterwards.
      *
      * @return the report; empty in the usual case
      */
--- a/gateway/src/main/java/org/merlinwood/gateway/decision/CrashReport.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/decision/CrashReport.java
@@ -4,8 +4,8 @@
 import java.util.Set;
 
 /**
- * What an entry tells the others about crashes of instances and the parts of prompts that may have caused them. Parts
- * are given by their fingerprints, see {@link PartFingerprints}. Immutable.
+ * What an entry reports to the others about crashes of instances and the parts of prompts that may have caused them.
+ * Parts are given by their fingerprints, see {@link PartFingerprints}. Immutable.
  *
  * @param crashes crashes that it saw since the previous report
  * @param begunParts parts of suspects of which it knows, since the previous report, that a response to them began
@@ -13,7 +13,7 @@
  */
 public record CrashReport(List<Crash> crashes, List<BegunPart> begunParts, List<Block> blocks) {
 
-    /** The report of an entry that has nothing to tell. */
+    /** The report of an entry that has nothing to report. */
     public static final CrashReport EMPTY = new CrashReport(List.of(), List.of(), List.of());
 
     /** Copies the lists. */
@@ -52,7 +52,7 @@
     /**
      * A combination of parts. A request that has all of them is blocked.
      *
-     * @param parts the parts, at least one; more than one if no request has told them apart
+     * @param parts the parts, at least one; more than one if no request has distinguished them
      * @param lastCrashAgeMillis time since the last crash that they caused, in milliseconds, 0 or more
      * @param count how often they were blocked after they had been tried again, at least 1
      */
--- a/gateway/src/main/java/org/merlinwood/gateway/decision/EntryStatus.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/decision/EntryStatus.java
@@ -14,7 +14,7 @@
  * @param demands recent demand of callers, one element per service
  * @param switching identifiers of the instances that were ordered to change their stage and have not finished
  * @param highestFencingToken highest fencing token of an order that it knows of; 0 if none
- * @param leaving instances that have recently told it that they leave
+ * @param leaving instances that have recently stated to it that they leave
  * @param crashReport crashes of instances, and the parts of prompts that it blocks because of them
  */
 public record EntryStatus(
--- a/gateway/src/main/java/org/merlinwood/gateway/decision/InstanceNotices.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/decision/InstanceNotices.java
@@ -30,7 +30,7 @@
     /** Precision of the clock, in milliseconds. A time that began within one of its ticks ends within a later one. */
     private static final long CLOCK_TICK_MILLIS = 1;
 
-    /** Time for which this entry tells the others that an instance leaves, in milliseconds: many status messages. */
+    /** Time for which this entry reports that an instance leaves, in milliseconds: many status messages. */
     private static final long REPORT_MILLIS = 2_000;
 
     private final MillisClock clock;
@@ -55,7 +55,7 @@
      *
      * @param instance the instance, as it was registered when the request was sent
      * @param notice what its response states
-     * @return true if the notice tells more than what was known
+     * @return true if the notice states more than what was known
      */
     public boolean record(UpstreamInstance instance, InstanceNotice notice) {
         boolean newlyLeaving =
@@ -66,7 +66,7 @@
     }
 
     /**
-     * Records that another entry was told by an instance that it leaves. It is not passed on to third entries.
+     * Records that an instance has stated to another entry that it leaves. It is not passed on to third entries.
      *
      * @param reported the instance, as that entry knows it
      * @return true if this was not known
@@ -76,7 +76,7 @@
     }
 
     /**
-     * Returns the instances that have recently told this entry that they leave, to be sent to the other entries.
+     * Returns the instances that have recently stated to this entry that they leave, to be sent to the other entries.
      *
      * @return the instances, in no particular order
      */
--- a/gateway/src/main/java/org/merlinwood/gateway/decision/PendingCrashes.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/decision/PendingCrashes.java
@@ -9,8 +9,8 @@
 import org.merlinwood.core.time.MillisClock;
 
 /**
- * Tells crashes of instances from lost connections: an instance that goes on to send on another connection has not
- * crashed. Confined to the event loop.
+ * Distinguishes crashes of instances from lost connections: an instance that goes on to send on another connection has
+ * not crashed. Confined to the event loop.
  */
 final class PendingCrashes {
 
--- a/gateway/src/main/java/org/merlinwood/gateway/follow/StoreFollower.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/follow/StoreFollower.java
@@ -100,7 +100,7 @@
     /**
      * Returns the era of the store.
      *
-     * @return the highest era that the store or a peer has told
+     * @return the highest era that the store or a peer has reported
      */
     public long era() {
         return era;
--- a/gateway/src/main/java/org/merlinwood/gateway/front/SilentAttempt.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/SilentAttempt.java
@@ -5,8 +5,9 @@
 import org.merlinwood.http.HttpListener;
 
 /**
- * An attempt whose instance is silent, kept open while a replacement at another instance is prepared and until one of
- * the two goes on: the one that sends a complete event or an orderly end first.
+ * An attempt whose instance is silent, kept open while a replacement at another instance is prepared, and then until
+ * one of the two goes on: the silent instance with a complete event or an orderly end, the other one with the head of a
+ * successful response.
  *
  * @param work the request to the instance
  * @param generation the generation as it is registered with the instance pool
--- a/gateway/src/main/java/org/merlinwood/gateway/process/InstanceNoticeRecorder.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/process/InstanceNoticeRecorder.java
@@ -11,7 +11,7 @@
 import org.merlinwood.operation.log.DecisionLog;
 
 /**
- * Records what instances state about themselves, with a log line for each notice that tells more than was known, and
+ * Records what instances state about themselves, with a log line for each notice that states more than was known, and
  * reports requests that are sent to an instance against what it stated. Confined to the event loop.
  */
 final class InstanceNoticeRecorder implements InstanceListener {
@@ -61,7 +61,7 @@
     }
 
     /**
-     * Records that another entry was told by an instance that it leaves.
+     * Records that an instance has stated to another entry that it leaves.
      *
      * @param peer peer address of that entry
      * @param instance the instance, as that entry knows it
--- a/gateway/src/main/java/org/merlinwood/gateway/process/StoreSection.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/process/StoreSection.java
@@ -15,7 +15,7 @@
     /**
      * State of the section.
      *
-     * @param era highest era that the store or a peer has told
+     * @param era highest era that the store or a peer has reported
      * @param appliedEra era of the position up to which all changes are applied; lower than {@code era} until the
      *     restored store has been read completely
      * @param appliedRevision revision of that position
--- a/gateway/src/test/java/org/merlinwood/gateway/decision/RecordingCrashListener.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/decision/RecordingCrashListener.java
@@ -4,7 +4,7 @@
 import java.util.List;
 import java.util.Set;
 
-/** Records what it is told. */
+/** Records what is reported to it. */
 public final class RecordingCrashListener implements CrashListener {
 
     final List<Set<Long>> blocked = new ArrayList<>();
--- a/proving/src/main/java/org/merlinwood/proving/soak/CrashingPartChecker.java
+++ b/proving/src/main/java/org/merlinwood/proving/soak/CrashingPartChecker.java
@@ -22,7 +22,7 @@
     /** Number of crashes after which entries must know the part. */
     private static final int CRASHES_TO_LEARN = 5;
 
-    /** Time that entries have to tell one another, in milliseconds. */
+    /** Time that entries have to report to each other, in milliseconds. */
     private static final long CONTACT_MILLIS = 3_000;
 
     /** Number of requests with the part that are tolerated later on. */
--- a/proving/src/main/java/org/merlinwood/proving/soak/NoticeChecker.java
+++ b/proving/src/main/java/org/merlinwood/proving/soak/NoticeChecker.java
@@ -29,7 +29,7 @@
     /** Time after the end of a fault within which an entry may still start anew, in milliseconds. */
     private static final long RESTART_MILLIS = 5_000;
 
-    /** Faults of an entry after which it doesn't know, or couldn't read, what it was told. */
+    /** Faults of an entry after which it doesn't know, or couldn't read, what was stated to it. */
     private static final Set<FaultKind> FORGETTING =
             Set.of(FaultKind.ENTRY_KILLED, FaultKind.ENTRY_PAUSED, FaultKind.ENTRY_LEAVES);
 
