The processor of streams is split: placement, attempt, open attempts, retries, response

Moves only, no change of behaviour or of a log line:

- GenerationPlacement: chooses a decode instance, reserves memory, waits for it, has the prompt computed; holds what is reserved until it is sent.
- GenerationAttempt: one attempt and its response.
- OpenAttempts: the current attempt, a silent one and its replacement, and which of two goes on.
- StreamRetries: counts attempts and decides on another one.
- StreamResponse: head and events as the caller receives them.
- GenerationRegistration: the registration with the instance pool.

What three places did to give up an attempt (blocked, no memory, an exception in the queue) is giveUpAttempt now.

--- /dev/null
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/GenerationAttempt.java
@@ -0,0 +1,230 @@
+package org.merlinwood.gateway.front;
+
+import java.io.ByteArrayOutputStream;
+import java.util.List;
+import java.util.Optional;
+import org.merlinwood.core.result.Failure;
+import org.merlinwood.core.result.ResultCode;
+import org.merlinwood.gateway.decision.AttemptOutcome;
+import org.merlinwood.gateway.decision.PartFingerprints;
+import org.merlinwood.gateway.fleet.UpstreamInstance;
+import org.merlinwood.gateway.request.Prompt;
+import org.merlinwood.gateway.upstream.PrefillResult;
+import org.merlinwood.gateway.upstream.ResponseHead;
+import org.merlinwood.http.HttpHeader;
+import org.merlinwood.http.HttpListener;
+import org.merlinwood.http.HttpStream;
+import org.merlinwood.operation.log.DecisionLog;
+
+/**
+ * One attempt to generate the response of a stream, at one instance: reads its response, forwards complete events, and
+ * tells the processor how it ended. What follows is decided there, and by {@link OpenAttempts} which of two goes on.
+ * Used by the event loop alone.
+ */
+final class GenerationAttempt implements HttpListener {
+
+    /** Status of a server that is not the addressed instance, or whose stage has changed. */
+    private static final int MISDIRECTED_REQUEST_STATUS = 421;
+
+    private final StreamRequestProcessor processor;
+    private final OpenAttempts attempts;
+    private final RequestProcessorContext context;
+    private final StreamResponse response;
+    private final Prompt prompt;
+    private final UpstreamInstance instance;
+    private final Optional<PrefillResult> prefillUsed;
+    private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+
+    /** Cancels this attempt, whichever of two it is; empty while it is being sent. */
+    private Optional<HttpStream> stream = Optional.empty();
+
+    private ResponseHead head;
+    private boolean streaming;
+    private final long sentMillis;
+    private long firstEventElapsedMillis = -1;
+    private long firstEventAtMillis;
+    private int eventCount;
+
+    /**
+     * Creates an attempt that is sent now.
+     *
+     * @param processor processes the request
+     * @param attempts the open attempts, of which this one is to be one
+     * @param response receives the events
+     * @param prompt the prompt
+     * @param instance the instance
+     * @param prefillUsed the computed prompt that the instance is to use, empty if it computes the prompt itself
+     */
+    GenerationAttempt(
+            StreamRequestProcessor processor,
+            OpenAttempts attempts,
+            StreamResponse response,
+            Prompt prompt,
+            UpstreamInstance instance,
+            Optional<PrefillResult> prefillUsed) {
+        this.processor = processor;
+        this.attempts = attempts;
+        this.context = processor.context;
+        this.response = response;
+        this.prompt = prompt;
+        this.instance = instance;
+        this.prefillUsed = prefillUsed;
+        this.sentMillis = context.clock().monotonicMillis();
+    }
+
+    void sent(HttpStream sentStream) {
+        stream = Optional.of(sentStream);
+    }
+
+    UpstreamInstance instance() {
+        return instance;
+    }
+
+    Optional<PrefillResult> prefillUsed() {
+        return prefillUsed;
+    }
+
+    /** Returns the head of the response; null before it has come. */
+    ResponseHead head() {
+        return head;
+    }
+
+    /** Returns the body of a response that is not forwarded as a stream. */
+    byte[] body() {
+        return body.toByteArray();
+    }
+
+    /** Returns the mean time between events in milliseconds, at least 1; a measure of the instance's speed. */
+    long millisPerEvent() {
+        long streamedMillis = context.clock().monotonicMillis() - firstEventAtMillis;
+        return Math.max(1, streamedMillis / Math.max(1, eventCount));
+    }
+
+    /** Adds what the complete response was like to a log line, and returns the line. */
+    DecisionLog.Line addResponse(DecisionLog.Line line, int generatedTokens) {
+        return line.with("status", head.status())
+                .with("instance", instance.identifier())
+                .with("events", eventCount)
+                .with("generatedTokens", generatedTokens)
+                .with("lengthHint", prompt.lengthHint().orElse(-1))
+                .with("longestTokens", prompt.outputTokens())
+                .with("firstEventMillis", firstEventElapsedMillis);
+    }
+
+    @Override
+    public void onHead(int status, List<HttpHeader> headers) {
+        attempts.recordReceived();
+        head = context.protocol().readHead(status, headers);
+        head.load().ifPresent(load -> context.pool().recordLoad(instance.identifier(), load));
+        streaming = head.success() && belongsToRequest();
+        if (streaming) {
+            attempts.onAccepted(this);
+        } else {
+            attempts.onRefused(this);
+        }
+    }
+
+    private boolean belongsToRequest() {
+        return head.attempt().equals(processor.request.attempt()) && head.signed() && !head.encoded();
+    }
+
+    @Override
+    public void onBytes(byte[] bytes) {
+        attempts.recordReceived();
+        if (!streaming) {
+            body.writeBytes(bytes);
+            return;
+        }
+        forward(response.events().split(bytes));
+        if (response.events().exceedsLimit()) {
+            endFailedAttempt(Failure.of(
+                    ResultCode.UPSTREAM_MALFORMED, "an event exceeds " + EventSplitter.MAXIMUM_EVENT_BYTES + " bytes"));
+            stream.ifPresent(HttpStream::cancel);
+        }
+    }
+
+    private void forward(byte[] completeEvents) {
+        if (completeEvents.length == 0 || processor.isFinished()) {
+            return;
+        }
+        processor.onEvents();
+        eventCount++;
+        context.crashCausingParts().recordSignOfLife(instance);
+        if (firstEventElapsedMillis < 0) {
+            recordFirstEvent();
+        }
+        response.write(head, completeEvents);
+    }
+
+    private void recordFirstEvent() {
+        firstEventElapsedMillis = processor.elapsedMillis();
+        firstEventAtMillis = context.clock().monotonicMillis();
+        context.crashCausingParts().recordBegun(processor.sharedParts);
+        context.metrics().recordDuration("first_event_milliseconds", firstEventElapsedMillis);
+    }
+
+    @Override
+    public void onEnd() {
+        attempts.recordReceived();
+        if (streaming && response.events().isInsideEvent()) {
+            endFailedAttempt(Failure.of(ResultCode.UPSTREAM_TRUNCATED, "the response ended inside an event"));
+            return;
+        }
+        if (streaming) {
+            processor.completeStream(this);
+            return;
+        }
+        processor.onAttemptEnded(this, classifyOutcome());
+    }
+
+    private AttemptOutcome classifyOutcome() {
+        if (head.notRun()) {
+            if (head.status() == MISDIRECTED_REQUEST_STATUS) {
+                context.pool().recordFailure(instance.identifier());
+            }
+            return new AttemptOutcome.Declined(head.status());
+        }
+        context.pool().recordErrorResponse(instance.identifier());
+        if (!belongsToRequest() || response.started()) {
+            return new AttemptOutcome.Broken(
+                    Failure.of(ResultCode.UPSTREAM_MALFORMED, "the response does not belong to this request"));
+        }
+        return new AttemptOutcome.Answered(head.status());
+    }
+
+    @Override
+    public void onFailure(Failure failure) {
+        if (!processor.isFinished() && attempts.isOpen(this)) {
+            processor.recordLostConnection(instance, failure);
+            endFailedAttempt(failure);
+        }
+    }
+
+    /** Ends this attempt without a valid response; does nothing if it has ended before. */
+    private void endFailedAttempt(Failure failure) {
+        if (processor.isFinished() || !attempts.isOpen(this)) {
+            return;
+        }
+        if (!attempts.isReplacementOfOpenAttempt(this)) {
+            response.events().discardIncomplete();
+        }
+        recordLostGeneration(failure);
+        processor.onAttemptEnded(this, processor.recordFailedAttempt(instance, failure));
+    }
+
+    /** Records a lost connection; the request is a suspect if its response had not begun. */
+    private void recordLostGeneration(Failure failure) {
+        if (failure.code() != ResultCode.CONNECTION_LOST && failure.code() != ResultCode.UPSTREAM_TRUNCATED) {
+            return;
+        }
+        boolean suspect = firstEventElapsedMillis < 0;
+        processor
+                .decisionLine("generation lost")
+                .with("instance", instance.identifier())
+                .with("suspect", String.valueOf(suspect))
+                .with("parts", PartFingerprints.describe(prompt))
+                .write();
+        context.metrics().count(suspect ? "generations_lost_before_first_event" : "generations_lost_after_first_event");
+        context.crashCausingParts().recordLoss(instance, sentMillis, suspect ? processor.sharedParts : List.of());
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/GenerationPlacement.java
@@ -0,0 +1,281 @@
+package org.merlinwood.gateway.front;
+
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+import org.merlinwood.core.result.Failure;
+import org.merlinwood.core.result.ResultCode;
+import org.merlinwood.gateway.decision.MemoryNeed;
+import org.merlinwood.gateway.decision.MemoryWaitPolicy;
+import org.merlinwood.gateway.decision.MemoryWaitQueue;
+import org.merlinwood.gateway.fleet.UpstreamInstance;
+import org.merlinwood.gateway.request.Prompt;
+import org.merlinwood.gateway.route.EngineLimits;
+import org.merlinwood.gateway.upstream.PrefillResult;
+
+/**
+ * Prepares the next attempt of a stream: chooses a decode instance, reserves memory there, and has a prefill instance
+ * compute the prompt. Waits for memory if no instance has enough. Holds what is reserved until the attempt is sent.
+ *
+ * <p>Memory is reserved first because it is the scarce resource: a prefill result is wasted if no decode instance can
+ * take it over. Used by the event loop alone; may be started again, for the next attempt of the request.
+ */
+final class GenerationPlacement {
+
+    /** Delay before excluded instances may be chosen again, in milliseconds. */
+    private static final long EXCLUSION_RESET_MILLIS = 100;
+
+    private final StreamRequestProcessor processor;
+    private final RequestProcessorContext context;
+    private final Prompt prompt;
+    private final EngineLimits limits;
+    private final GenerationRegistration registration;
+    private final CapacityReleaser releaser;
+    private final PrefillCall prefillCall;
+    private final Set<String> excludedInstances = new HashSet<>();
+    private Optional<UpstreamWork> reservationCall = Optional.empty();
+
+    /** A reservation that no attempt has used yet. */
+    private Optional<MemoryReservation> reservation = Optional.empty();
+
+    /** A computed prompt that no attempt has used yet. */
+    private Optional<PrefillResult> prefillResult = Optional.empty();
+
+    private Optional<QueuedRequest> queuedRequest = Optional.empty();
+
+    /**
+     * Creates a placement that has not started.
+     *
+     * @param processor processes the request; sends the attempt that was prepared
+     * @param prompt the prompt
+     * @param limits limits of the service
+     * @param registration registers the generation that is prepared
+     */
+    GenerationPlacement(
+            StreamRequestProcessor processor, Prompt prompt, EngineLimits limits, GenerationRegistration registration) {
+        this.processor = processor;
+        this.context = processor.context;
+        this.prompt = prompt;
+        this.limits = limits;
+        this.registration = registration;
+        this.releaser = new CapacityReleaser(processor);
+        this.prefillCall = new PrefillCall(processor, prompt, releaser::release);
+    }
+
+    /** Chooses an instance and prepares an attempt there, or waits for memory. */
+    void start() {
+        Optional<UpstreamInstance> choice = chooseInstance();
+        if (choice.isEmpty()) {
+            waitForMemory();
+        } else if (limits.reservationMillis() > 0) {
+            reserveMemory(choice.get());
+        } else {
+            startPrefill(choice.get());
+        }
+    }
+
+    /** Forgets which prefill instances were tried, for the next attempt of the request. */
+    void clearTriedPrefillInstances() {
+        prefillCall.clearTriedInstances();
+    }
+
+    /** Excludes an instance for a short time. */
+    void exclude(UpstreamInstance instance) {
+        excludedInstances.add(instance.identifier());
+    }
+
+    /** Returns the identifier of the reservation for the attempt, empty if nothing was reserved. */
+    Optional<String> reservationIdentifier() {
+        return reservation.map(MemoryReservation::identifier);
+    }
+
+    /** Returns the computed prompt for the attempt, empty if its instance is to compute the prompt. */
+    Optional<PrefillResult> prefillResult() {
+        return prefillResult;
+    }
+
+    /** Holds a computed prompt again whose attempt did not reach its instance. */
+    void restore(Optional<PrefillResult> unused) {
+        prefillResult = unused;
+    }
+
+    /** Records that the attempt which uses what was prepared is being sent. */
+    void handOver() {
+        reservation = Optional.empty();
+        prefillResult = Optional.empty();
+    }
+
+    /** Gives up what is reserved at a decode instance and chooses another one. */
+    void placeAgain(UpstreamInstance instance, String reason) {
+        processor
+                .decisionLine("placed again")
+                .with("instance", instance.identifier())
+                .with("reason", reason)
+                .write();
+        reservation.ifPresent(releaser::release);
+        reservation = Optional.empty();
+        registration.end();
+        exclude(instance);
+        processor.proceed();
+    }
+
+    /** Cancels the preparation, and releases what is reserved for an attempt that was not sent. */
+    void cancel() {
+        prefillCall.cancel();
+        reservationCall.ifPresent(work -> work.request().cancel());
+        reservationCall = Optional.empty();
+        registration.end();
+        reservation.ifPresent(releaser::release);
+        reservation = Optional.empty();
+        prefillResult.ifPresent(releaser::release);
+        prefillResult = Optional.empty();
+        queuedRequest.ifPresent(waiter -> context.memoryWaitQueues().remove(processor.service, waiter));
+        queuedRequest = Optional.empty();
+    }
+
+    /** Describes the request to an upstream that is in progress, for log lines; empty if there is none. */
+    Optional<String> describe() {
+        return prefillCall
+                .activeInstance()
+                .map(instance -> "prefill at " + instance.identifier())
+                .or(() -> reservationCall.map(UpstreamWork::describe));
+    }
+
+    private Optional<UpstreamInstance> chooseInstance() {
+        Set<String> excluded = new HashSet<>(excludedInstances);
+        processor.silentInstance().ifPresent(excluded::add);
+        return context.pool().chooseDecode(processor.service, prompt, limits, excluded);
+    }
+
+    private void reserveMemory(UpstreamInstance instance) {
+        MemoryNeed need = context.pool().memoryNeed(instance.identifier(), prompt, limits);
+        registration.begin(instance);
+        MemoryReservationCall call = new MemoryReservationCall(
+                context,
+                instance,
+                need,
+                limits.reservationMillis(),
+                result -> onReservationResult(instance, result),
+                releaser::release);
+        reservationCall = Optional.of(new UpstreamWork("reservation", instance, call));
+        call.start();
+    }
+
+    private void onReservationResult(UpstreamInstance instance, MemoryReservationCall.Result result) {
+        reservationCall = Optional.empty();
+        result.response().peekLeft(failure -> processor.pauseInstance(instance, failure));
+        processor
+                .decisionLine(result.reservation().isPresent() ? "memory reserved" : "no memory")
+                .with("instance", instance.identifier())
+                .with("tokens", result.tokens())
+                .with("answer", result.response().fold(Failure::detail, response -> "status " + response.status()))
+                .write();
+        if (result.reservation().isEmpty()) {
+            onNoReservation(instance, result);
+            return;
+        }
+        reservation = result.reservation();
+        if (context.pool().notices().isLeaving(instance)) {
+            placeAgain(instance, "the instance leaves");
+        } else if (prefillResult.isPresent()) {
+            processor.startGeneration(instance);
+        } else {
+            startPrefill(instance);
+        }
+    }
+
+    private void onNoReservation(UpstreamInstance instance, MemoryReservationCall.Result result) {
+        if (result.declined()) {
+            context.pool().recordDeclinedReservation(instance.identifier(), result.tokens());
+        }
+        registration.end();
+        exclude(instance);
+        processor.proceed();
+    }
+
+    private void startPrefill(UpstreamInstance decodeInstance) {
+        prefillCall.start(decodeInstance, result -> {
+            prefillResult = result;
+            processor.startGeneration(decodeInstance);
+        });
+    }
+
+    private void waitForMemory() {
+        context.loop().schedule(EXCLUSION_RESET_MILLIS, excludedInstances::clear);
+        context.demandMeter().recordNoCapacity(processor.service);
+        if (!applyWaitPolicy()) {
+            return;
+        }
+        queuedRequest = Optional.of(new QueuedRequest());
+        context.memoryWaitQueues().add(processor.service, queuedRequest.get());
+    }
+
+    /**
+     * Returns whether the request keeps waiting for memory; if not, gives the attempt up. A replacement waits as long
+     * as its request has time: the silent attempt may still go on meanwhile.
+     */
+    private boolean applyWaitPolicy() {
+        if (processor.silentInstance().isPresent() && processor.timeLeftMillis() > 0) {
+            return true;
+        }
+        MemoryWaitPolicy.Situation situation = new MemoryWaitPolicy.Situation(
+                context.clock().monotonicMillis() - processor.memoryWaitStartMillis(),
+                processor.isContinuation(),
+                context.pool().millisUntilCapacity(processor.service, prompt, limits),
+                context.memoryWaitQueues().size(processor.service),
+                context.pool().decodeInstances(processor.service),
+                processor.timeLeftMillis(),
+                context.clock().monotonicMillis());
+        MemoryWaitPolicy.Decision decision = MemoryWaitPolicy.decide(situation);
+        if (decision instanceof MemoryWaitPolicy.Decision.Refuse refuse) {
+            processor
+                    .decisionLine("no room")
+                    .with("situation", situation.toString())
+                    .with("next", decision.toString())
+                    .write();
+            processor.giveUpAttempt(
+                    ResultCode.NO_CAPACITY, refuse.retryAfterMillis(), "no instance has enough free memory");
+            return false;
+        }
+        return true;
+    }
+
+    /** The entry of this request in the queue of requests that wait for memory. */
+    private final class QueuedRequest implements MemoryWaitQueue.Waiter {
+
+        @Override
+        public long arrivedMillis() {
+            return processor.request.arrivedMillis();
+        }
+
+        @Override
+        public long targetMillis() {
+            return processor.route.targetMillis();
+        }
+
+        @Override
+        public boolean tryNow() {
+            if (processor.isFinished()) {
+                return true;
+            }
+            boolean mayProceed = processor.isBlocked()
+                    || (processor.timeLeftMillis() > 0 && chooseInstance().isPresent());
+            if (mayProceed) {
+                queuedRequest = Optional.empty();
+                processor.proceed();
+                return true;
+            }
+            if (!applyWaitPolicy()) {
+                queuedRequest = Optional.empty();
+                return true;
+            }
+            return false;
+        }
+
+        @Override
+        public void onException(RuntimeException exception) {
+            queuedRequest = Optional.empty();
+            processor.giveUpAttempt(ResultCode.INTERNAL, 0, "the search for memory threw " + exception);
+        }
+    }
+}
--- a/gateway/src/main/java/org/merlinwood/gateway/front/SilentAttempt.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/SilentAttempt.java
@@ -2,7 +2,6 @@
 
 import java.util.Optional;
 import org.merlinwood.gateway.decision.ActiveGeneration;
-import org.merlinwood.http.HttpListener;
 
 /**
  * An attempt whose instance is silent, kept open while a replacement at another instance is prepared and until one of
@@ -12,7 +11,7 @@
  * @param generation the generation as it is registered with the instance pool
  * @param attempt receives the response
  */
-record SilentAttempt(UpstreamWork work, Optional<ActiveGeneration> generation, HttpListener attempt) {
+record SilentAttempt(UpstreamWork work, Optional<ActiveGeneration> generation, GenerationAttempt attempt) {
 
     /** Returns the identifier of the instance. */
     String instance() {
--- a/gateway/src/main/java/org/merlinwood/gateway/front/UpstreamWork.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/UpstreamWork.java
@@ -10,4 +10,10 @@
  * @param instance the instance that received it
  * @param request cancels it
  */
-record UpstreamWork(String purpose, UpstreamInstance instance, HttpStream request) {}
+record UpstreamWork(String purpose, UpstreamInstance instance, HttpStream request) {
+
+    /** Returns the purpose and the instance, for log lines. */
+    String describe() {
+        return purpose + " at " + instance.identifier();
+    }
+}
