Names: explanations and expiry of blocked parts, unanswered grant requests

The metric of grant requests without a response is named for what it counts since: merlinwood_entry_unanswered_grant_requests_total.

--- a/entry/src/main/java/org/merlinwood/entry/dispatch/EntryMetrics.java
+++ b/entry/src/main/java/org/merlinwood/entry/dispatch/EntryMetrics.java
@@ -32,7 +32,7 @@
         this.betweenTokens = registry.timer("entry.between_tokens");
         this.droppedFrames = registry.meter("entry.dropped_frames");
         this.retries = registry.meter("entry.retries");
-        this.unansweredGrantRequests = registry.meter("entry.silent_connections");
+        this.unansweredGrantRequests = registry.meter("entry.unanswered_grant_requests");
         for (ResultCode code : ResultCode.values()) {
             requests.put(code, registry.meter("entry.requests." + code.name()));
         }
--- a/gateway/src/main/java/org/merlinwood/gateway/decision/BlockedParts.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/decision/BlockedParts.java
@@ -10,7 +10,7 @@
 import org.merlinwood.core.time.MillisClock;
 
 /**
- * The combinations of prompt parts that are blocked. A block lapses a long time after the last crash that it explains;
+ * The combinations of prompt parts that are blocked. A block expires a long time after the last crash that it explains;
  * then one request is let through as a trial. If that crashes its instance, the block holds for twice as long. Confined
  * to the event loop.
  */
@@ -31,7 +31,7 @@
     private static final int MAXIMUM_BLOCKS = 64;
 
     private final MillisClock clock;
-    private final double lapseFactor;
+    private final double expiryFactor;
     private final List<Block> blocks = new ArrayList<>();
     private int nextReported;
 
@@ -39,12 +39,12 @@
      * Creates an empty collection.
      *
      * @param clock source of the monotonic time
-     * @param lapseFactor factor of the time of all blocks, from 1 to 2; differs between entries, so that one tries
+     * @param expiryFactor factor of the time of all blocks, from 1 to 2; differs between entries, so that one tries
      *     first
      */
-    BlockedParts(MillisClock clock, double lapseFactor) {
+    BlockedParts(MillisClock clock, double expiryFactor) {
         this.clock = clock;
-        this.lapseFactor = lapseFactor;
+        this.expiryFactor = expiryFactor;
     }
 
     private static final class Block {
@@ -66,10 +66,10 @@
         long now = clock.monotonicMillis();
         return blocks.stream()
                 .filter(block -> requestParts.containsAll(block.parts))
-                .anyMatch(block -> now < lapsesAtMillis(block) || now < block.trialUntilMillis);
+                .anyMatch(block -> now < expiresAtMillis(block) || now < block.trialUntilMillis);
     }
 
-    /** Makes a request with these parts, which is being sent, the trial of its lapsed blocks. */
+    /** Makes a request with these parts, which is being sent, the trial of its expired blocks. */
     void beginTrial(Collection<Long> requestParts) {
         blocks.stream()
                 .filter(block -> requestParts.containsAll(block.parts))
@@ -110,7 +110,7 @@
         block.count = Math.max(block.count, count);
     }
 
-    /** Records a crash that requests with these parts may have caused. Blocks that had lapsed by then begin anew. */
+    /** Records a crash that requests with these parts may have caused. Blocks that had expired by then begin anew. */
     void recordCrash(Collection<Long> suspectParts, long atMillis) {
         for (Block block : blocks) {
             if (suspectParts.containsAll(block.parts)) {
@@ -156,12 +156,12 @@
         return reported;
     }
 
-    /** Returns all combinations, those whose block has lapsed too. */
+    /** Returns all combinations, those whose block has expired too. */
     List<CrashCausingParts.Block> describe() {
         long now = clock.monotonicMillis();
         return blocks.stream()
                 .map(block -> new CrashCausingParts.Block(
-                        block.parts, now - block.lastCrashMillis, lapsesAtMillis(block) - now, block.count))
+                        block.parts, now - block.lastCrashMillis, expiresAtMillis(block) - now, block.count))
                 .toList();
     }
 
@@ -169,7 +169,7 @@
     int activeCount() {
         long now = clock.monotonicMillis();
         return (int)
-                blocks.stream().filter(block -> now < lapsesAtMillis(block)).count();
+                blocks.stream().filter(block -> now < expiresAtMillis(block)).count();
     }
 
     private static long blockMillis(Block block) {
@@ -177,7 +177,7 @@
         return Math.min(FIRST_BLOCK_MILLIS << doublings, LONGEST_BLOCK_MILLIS);
     }
 
-    private long lapsesAtMillis(Block block) {
-        return block.lastCrashMillis + (long) (lapseFactor * blockMillis(block));
+    private long expiresAtMillis(Block block) {
+        return block.lastCrashMillis + (long) (expiryFactor * blockMillis(block));
     }
 }
--- a/gateway/src/main/java/org/merlinwood/gateway/decision/CrashCausingParts.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/decision/CrashCausingParts.java
@@ -49,15 +49,15 @@
      * Creates a search that knows nothing.
      *
      * @param clock source of the monotonic time
-     * @param lapseFactor factor of the time after which blocks lapse, from 1 to 2; should differ between entries, so
+     * @param expiryFactor factor of the time after which blocks expire, from 1 to 2; should differ between entries, so
      *     that not all try a blocked part again at the same time
      * @param listener observes crashes and blocks
      */
-    public CrashCausingParts(MillisClock clock, double lapseFactor, CrashListener listener) {
+    public CrashCausingParts(MillisClock clock, double expiryFactor, CrashListener listener) {
         this.clock = clock;
         this.listener = listener;
         this.pendingCrashes = new PendingCrashes(clock);
-        this.blockedParts = new BlockedParts(clock, lapseFactor);
+        this.blockedParts = new BlockedParts(clock, expiryFactor);
     }
 
     /**
@@ -72,7 +72,7 @@
     }
 
     /**
-     * Records that a request is sent to an instance that will begin its response. If a block of its parts has lapsed,
+     * Records that a request is sent to an instance that will begin its response. If a block of its parts has expired,
      * it is their trial, and others with these parts are blocked until its outcome is known.
      *
      * @param parts parts of the request, which are not blocked
@@ -86,8 +86,8 @@
      *
      * @param instance the instance
      */
-    public void recordSignOfLife(UpstreamInstance instance) {
-        if (pendingCrashes.recordSignOfLife(instance.identifier())) {
+    public void recordResponding(UpstreamInstance instance) {
+        if (pendingCrashes.recordResponding(instance.identifier())) {
             listener.onConnectionLost(instance.identifier());
         }
     }
@@ -106,7 +106,7 @@
             }
             clear(part, now);
         }
-        convict();
+        blockExplained();
     }
 
     /**
@@ -150,18 +150,18 @@
         report.begunParts().forEach(begun -> clear(begun.part(), now - begun.ageMillis()));
         report.crashes().forEach(crash -> addCrash(crash, peer));
         report.blocks().forEach(block -> adoptBlock(block, now - block.lastCrashAgeMillis(), peer));
-        convict();
+        blockExplained();
     }
 
     /**
-     * A combination of parts that is blocked, or was until its block lapsed.
+     * A combination of parts that is blocked, or was until its block expired.
      *
      * @param parts the parts
      * @param lastCrashMillisAgo time since the last crash that it explains, in milliseconds
-     * @param lapsesInMillis time until it is tried again, in milliseconds; 0 or less if it may be
+     * @param expiresInMillis time until it is tried again, in milliseconds; 0 or less if it may be
      * @param count how often it was blocked
      */
-    public record Block(Set<Long> parts, long lastCrashMillisAgo, long lapsesInMillis, int count) {}
+    public record Block(Set<Long> parts, long lastCrashMillisAgo, long expiresInMillis, int count) {}
 
     /**
      * Returns all combinations of parts that were blocked and not cleared since.
@@ -204,14 +204,14 @@
                 .forEach(unsentBegunParts::add);
         evidence.add(crash, atMillis, now - crash.suspectAgeMillis(), suspects);
         suspects.forEach(parts -> blockedParts.recordCrash(parts, atMillis));
-        convict();
+        blockExplained();
     }
 
-    private void convict() {
+    private void blockExplained() {
         if (!evidence.isEmpty()) {
-            evidence.convicted(begunMillisByPart::containsKey, lastBegunMillis)
-                    .forEach(conviction ->
-                            block(conviction.parts(), conviction.lastMillis(), 1, CrashListener.THIS_ENTRY));
+            evidence.explanations(begunMillisByPart::containsKey, lastBegunMillis)
+                    .forEach(explanation ->
+                            block(explanation.parts(), explanation.lastMillis(), 1, CrashListener.THIS_ENTRY));
         }
     }
 
--- a/gateway/src/main/java/org/merlinwood/gateway/decision/CrashEvidence.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/decision/CrashEvidence.java
@@ -20,11 +20,13 @@
  */
 final class CrashEvidence {
 
-    /** Number of occurrences that convict a part of which no response has ever begun, if other parts are sound. */
-    static final int CONVICTING_COUNT = 2;
+    /**
+     * Number of occurrences that suffice to block a part of which no response has ever begun, if other parts are sound.
+     */
+    static final int BLOCKING_COUNT = 2;
 
-    /** Number of occurrences that convict a part that was sound before, or that is in all requests. */
-    static final int CONVICTING_COUNT_OF_SOUND_PART = 5;
+    /** Number of occurrences that suffice to block a part that was sound before, or that is in all requests. */
+    static final int BLOCKING_COUNT_OF_SOUND_PART = 5;
 
     /** Time from the first crash of an occurrence within which others belong to it, in milliseconds. */
     static final long OCCURRENCE_MILLIS = 300;
@@ -128,18 +130,18 @@
      *
      * @param sound whether a response to a part has ever begun
      * @param lastBegunMillis monotonic time at which the last response of any request began, in milliseconds
-     * @return the convictions
+     * @return the explanations that suffice for a block
      */
-    List<Conviction> convicted(LongPredicate sound, long lastBegunMillis) {
-        List<Conviction> convicted = new ArrayList<>();
+    List<Explanation> explanations(LongPredicate sound, long lastBegunMillis) {
+        List<Explanation> explanations = new ArrayList<>();
         List<Occurrence> unexplained = new ArrayList<>(occurrences);
         Optional<Candidate> best = bestCandidate(unexplained, sound);
-        while (best.isPresent() && best.get().isConvicted(lastBegunMillis)) {
-            convicted.addAll(best.get().convictions());
+        while (best.isPresent() && best.get().isSufficient(lastBegunMillis)) {
+            explanations.addAll(best.get().explanations());
             unexplained.removeAll(best.get().occurrences);
             best = bestCandidate(unexplained, sound);
         }
-        return convicted;
+        return explanations;
     }
 
     private static Optional<Candidate> bestCandidate(List<Occurrence> unexplained, LongPredicate sound) {
@@ -163,7 +165,7 @@
      * @param parts the parts, more than one if the suspects had them together each time
      * @param lastMillis monotonic time of the last of the occurrences, in milliseconds
      */
-    record Conviction(Set<Long> parts, long lastMillis) {}
+    record Explanation(Set<Long> parts, long lastMillis) {}
 
     /** Parts that were in the same occurrences. */
     private record Candidate(Set<Long> parts, List<Occurrence> occurrences, boolean sound) {
@@ -178,22 +180,21 @@
             return new Candidate(all, occurrences, sound);
         }
 
-        /** Compares by the share of the occurrences that would convict the parts. */
+        /** Compares by the share of the occurrences that suffice for a block. */
         private int compareWeight(Candidate other) {
             return Integer.compare(
-                    occurrences.size() * other.usualConvictingCount(),
-                    other.occurrences.size() * usualConvictingCount());
+                    occurrences.size() * other.usualBlockingCount(), other.occurrences.size() * usualBlockingCount());
         }
 
-        private int usualConvictingCount() {
-            return sound ? CONVICTING_COUNT_OF_SOUND_PART : CONVICTING_COUNT;
+        private int usualBlockingCount() {
+            return sound ? BLOCKING_COUNT_OF_SOUND_PART : BLOCKING_COUNT;
         }
 
         /**
-         * Returns one conviction for each combination of the parts in one suspect. One that is within another is left
+         * Returns one explanation for each combination of the parts in one suspect. One that is within another is left
          * out: if its parts are the cause, requests without the rest crash the next instance, and tell them apart.
          */
-        private List<Conviction> convictions() {
+        private List<Explanation> explanations() {
             List<Set<Long>> combinations = occurrences.stream()
                     .flatMap(occurrence -> occurrence.suspects.stream())
                     .map(suspect -> suspect.stream().filter(parts::contains).collect(Collectors.toSet()))
@@ -202,13 +203,13 @@
             return combinations.stream()
                     .filter(combination -> combinations.stream()
                             .noneMatch(other -> other.size() > combination.size() && other.containsAll(combination)))
-                    .map(combination -> new Conviction(combination, occurrences.getLast().atMillis))
+                    .map(combination -> new Explanation(combination, occurrences.getLast().atMillis))
                     .toList();
         }
 
-        private boolean isConvicted(long lastBegunMillis) {
+        private boolean isSufficient(long lastBegunMillis) {
             boolean othersAreSound = lastBegunMillis > occurrences.getFirst().atMillis;
-            return occurrences.size() >= (othersAreSound ? usualConvictingCount() : CONVICTING_COUNT_OF_SOUND_PART);
+            return occurrences.size() >= (othersAreSound ? usualBlockingCount() : BLOCKING_COUNT_OF_SOUND_PART);
         }
     }
 }
--- a/gateway/src/main/java/org/merlinwood/gateway/decision/PendingCrashes.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/decision/PendingCrashes.java
@@ -58,7 +58,7 @@
      * @param instance identifier of the instance
      * @return true if it had been taken for crashed
      */
-    boolean recordSignOfLife(String instance) {
+    boolean recordResponding(String instance) {
         Pending pending = pendingByInstance.get(instance);
         return pending != null
                 && pending.ageMillis(clock) >= DELAYED_BYTES_MILLIS
--- a/gateway/src/main/java/org/merlinwood/gateway/front/GenerationAttempt.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/GenerationAttempt.java
@@ -149,7 +149,7 @@
         }
         processor.onEvents();
         eventCount++;
-        context.crashCausingParts().recordSignOfLife(instance);
+        context.crashCausingParts().recordResponding(instance);
         if (firstEventElapsedMillis < 0) {
             recordFirstEvent();
         }
--- a/gateway/src/main/java/org/merlinwood/gateway/process/BlockedPartsSection.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/process/BlockedPartsSection.java
@@ -22,10 +22,10 @@
      *
      * @param parts fingerprints as in log lines, in ascending order
      * @param lastCrashMillisAgo time since the last crash that it explains, in milliseconds
-     * @param lapsesInMillis time until it is tried again, in milliseconds; 0 or less if it may be
+     * @param expiresInMillis time until it is tried again, in milliseconds; 0 or less if it may be
      * @param count how often it was blocked
      */
-    record Block(List<String> parts, long lastCrashMillisAgo, long lapsesInMillis, int count) {}
+    record Block(List<String> parts, long lastCrashMillisAgo, long expiresInMillis, int count) {}
 
     @Override
     public String name() {
@@ -41,7 +41,7 @@
                                 .sorted()
                                 .toList(),
                         block.lastCrashMillisAgo(),
-                        block.lapsesInMillis(),
+                        block.expiresInMillis(),
                         block.count()))
                 .toList();
     }
--- a/gateway/src/test/java/org/merlinwood/gateway/decision/CrashCausingPartsTest.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/decision/CrashCausingPartsTest.java
@@ -107,7 +107,7 @@
         for (String instance : List.of("a", "b", "c")) {
             parts.recordLoss(instance(instance), clock.monotonicMillis(), List.of(CRASHING));
             clock.advanceMillis(80);
-            parts.recordSignOfLife(instance(instance));
+            parts.recordResponding(instance(instance));
             confirm();
             parts.recordBegun(List.of(OTHER));
         }
@@ -147,7 +147,7 @@
 
     /** Guards against blocks that never end, and against more than one trial at a time when they do. */
     @Test
-    void lapsedBlockLetsOneTrialThroughAndOneCrashBeginsItAnewForLonger() {
+    void expiredBlockLetsOneTrialThroughAndOneCrashBeginsItAnewForLonger() {
         crash("a", CRASHING);
         crash("b", CRASHING);
         parts.recordBegun(List.of(OTHER));
