UpstreamAttempt: the cancel message moved into a class of its own

AttemptCancellation builds the message and sends it over a new connection when the one of the attempt was lost: a pure move.

--- a/entry/src/main/java/org/merlinwood/entry/dispatch/UpstreamAttempt.java
+++ b/entry/src/main/java/org/merlinwood/entry/dispatch/UpstreamAttempt.java
@@ -17,7 +17,6 @@
 import org.merlinwood.protocol.PeerConnection;
 import org.merlinwood.protocol.PeerEndpoint;
 import org.merlinwood.protocol.WireValues;
-import org.merlinwood.wire.Cancel;
 import org.merlinwood.wire.Frame;
 import org.merlinwood.wire.GrantRequest;
 import org.merlinwood.wire.GrantUse;
@@ -46,14 +45,6 @@
      */
     static final long GRACE_MILLIS = 1_000;
 
-    private static final ExchangeListener NO_OP_LISTENER = new ExchangeListener() {
-        @Override
-        public void onFrame(Exchange exchange, Frame frame) {}
-
-        @Override
-        public void onClosed(Exchange exchange, ResultCode code) {}
-    };
-
     private final int number;
     private final InstanceRole role;
     private final Instance instance;
@@ -62,6 +53,7 @@
     private final ControlLoop control;
     private final EntryMetrics metrics;
     private final AttemptListener listener;
+    private final AttemptCancellation cancellation;
     private Function<PeerConnection, GrantRequest> grantRequestFactory;
     private volatile Exchange exchange;
     private Future<?> timer;
@@ -99,6 +91,7 @@
         this.control = control;
         this.metrics = metrics;
         this.listener = listener;
+        this.cancellation = new AttemptCancellation(endpoint, address(), identity);
     }
 
     /**
@@ -171,7 +164,7 @@
             return;
         }
         phase = Phase.CANCELLED;
-        exchange.send(cancelFrame(reason));
+        exchange.send(cancellation.frame(reason));
         timer = control.schedule(waitMillis + GRACE_MILLIS, this::end);
     }
 
@@ -352,7 +345,7 @@
         boolean mayStillRun = exchange != null && role != InstanceRole.PLAIN;
         end();
         if (mayStillRun) {
-            cancelOnNewConnection();
+            cancellation.sendOnNewConnection();
         }
         reportLoss(failure);
     }
@@ -372,16 +365,6 @@
 
     // ------------------------------------------------------------------ internals: sending
 
-    /** Cancels work that was started on a lost connection, using another connection. The result is not awaited. */
-    private void cancelOnNewConnection() {
-        var unused = endpoint.connect(address())
-                .thenAccept(result -> result.peek(connection -> {
-                    Exchange cancelling = connection.open(NO_OP_LISTENER);
-                    cancelling.send(cancelFrame(ResultCode.CONNECTION_LOST));
-                    cancelling.finish();
-                }));
-    }
-
     private InetSocketAddress address() {
         return new InetSocketAddress(
                 instance.address().host(), instance.address().port());
@@ -392,14 +375,6 @@
                 .setRelease(Release.newBuilder().setGrant(grant).build()));
     }
 
-    private Frame.Builder cancelFrame(ResultCode reason) {
-        return Frame.newBuilder()
-                .setCancel(Cancel.newBuilder()
-                        .setRequest(identity)
-                        .setReasonCode(reason.number())
-                        .build());
-    }
-
     private void restartTimer(long delayMillis, Runnable task) {
         stopTimer();
         timer = control.schedule(delayMillis, task);
