Gateway tests: steps of streams and of plain attempts that were repeated stand once

fixtureWithBegunStream and prepareReplacement hold steps that tests of silent streams repeated; the response that cancels the other plain attempt is checked in one place. All checks stay; prepareReplacement adds that the prompt of the replacement was sent to f1 where a test did not look at it.

--- a/gateway/src/test/java/org/merlinwood/gateway/front/ReplacementFaultsTest.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/front/ReplacementFaultsTest.java
@@ -4,7 +4,7 @@
 import static org.merlinwood.gateway.front.SentStream.SILENCE_MILLIS;
 import static org.merlinwood.gateway.front.SentStream.begin;
 import static org.merlinwood.gateway.front.SentStream.drainRetries;
-import static org.merlinwood.gateway.front.SentStream.fixtureWithSentRequest;
+import static org.merlinwood.gateway.front.SentStream.fixtureWithBegunStream;
 
 import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
@@ -28,9 +28,8 @@
     @Test
     @Tag("known-red")
     void streamOutlivesAReplacementThatDeclinesLate() {
-        RequestProcessorFixture fixture = fixtureWithSentRequest();
+        RequestProcessorFixture fixture = fixtureWithBegunStream();
         SentRequest attempt = fixture.client.last();
-        begin(attempt);
         fixture.fleet.remove("f1");
         fixture.staySilent(attempt, SILENCE_MILLIS);
         fixture.grantMemory("hold-2");
--- a/gateway/src/test/java/org/merlinwood/gateway/front/ReplacementWithoutMemoryTest.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/front/ReplacementWithoutMemoryTest.java
@@ -3,8 +3,8 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.merlinwood.gateway.front.SentStream.SECOND_EVENT;
 import static org.merlinwood.gateway.front.SentStream.assertComplete;
-import static org.merlinwood.gateway.front.SentStream.begin;
 import static org.merlinwood.gateway.front.SentStream.drainRetries;
+import static org.merlinwood.gateway.front.SentStream.fixtureWithBegunStream;
 import static org.merlinwood.gateway.front.SentStream.fixtureWithSentRequest;
 
 import org.junit.jupiter.api.Test;
@@ -25,9 +25,7 @@
     /** The silent instance is dead; another one gets memory free a little after the wait for it was given up. */
     @Test
     void deadInstanceIsReplacedAsSoonAsAnotherHasMemory() {
-        RequestProcessorFixture fixture = fixtureWithSentRequest();
-        SentRequest attempt = fixture.client.last();
-        begin(attempt);
+        RequestProcessorFixture fixture = fixtureWithBegunStream();
         fixture.fleet.remove("d2");
         fixture.loop.advance(3_760);
         fixture.register(Stage.DECODE, "d2");
@@ -39,9 +37,8 @@
     /** The silent instance goes on after a long wait: its stream is complete, and its retry is free for others. */
     @Test
     void streamGoesOnAfterALongWaitForMemory() {
-        RequestProcessorFixture fixture = fixtureWithSentRequest();
+        RequestProcessorFixture fixture = fixtureWithBegunStream();
         SentRequest attempt = fixture.client.last();
-        begin(attempt);
         fixture.fleet.remove("d2");
         fixture.loop.advance(3_900);
         attempt.bytes(SECOND_EVENT);
@@ -54,9 +51,8 @@
     /** Once the silent instance is lost, the wait has the same limit as without the silence, counted from the loss. */
     @Test
     void waitIsCountedFromTheLossOfTheSilentInstance() {
-        RequestProcessorFixture fixture = fixtureWithSentRequest();
+        RequestProcessorFixture fixture = fixtureWithBegunStream();
         SentRequest attempt = fixture.client.last();
-        begin(attempt);
         fixture.fleet.remove("d2");
         fixture.loop.advance(1_300);
         attempt.fail(ResultCode.CONNECTION_LOST, ExecutionState.UNKNOWN);
--- a/gateway/src/test/java/org/merlinwood/gateway/front/RequestCutByForcedExitTest.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/front/RequestCutByForcedExitTest.java
@@ -1,8 +1,7 @@
 package org.merlinwood.gateway.front;
 
 import static org.assertj.core.api.Assertions.assertThat;
-import static org.merlinwood.gateway.front.SentStream.begin;
-import static org.merlinwood.gateway.front.SentStream.fixtureWithSentRequest;
+import static org.merlinwood.gateway.front.SentStream.fixtureWithBegunStream;
 
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -77,8 +76,7 @@
     /** A response that has begun may still be completed in the time that is left. */
     @Test
     void streamThatHasBegunIsLeftAlone() {
-        RequestProcessorFixture fixture = fixtureWithSentRequest();
-        begin(fixture.client.last());
+        RequestProcessorFixture fixture = fixtureWithBegunStream();
         fixture.drainPolicy.start();
         fixture.clock.advanceMillis(FORCED_EXIT_MILLIS - 50);
         fixture.loop.advance(0);
--- a/gateway/src/test/java/org/merlinwood/gateway/front/SentStream.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/front/SentStream.java
@@ -29,17 +29,31 @@
         return fixture;
     }
 
+    /** Returns a fixture whose last request is the generation of the stream at d1, which has sent its first event. */
+    static RequestProcessorFixture fixtureWithBegunStream() {
+        RequestProcessorFixture fixture = fixtureWithSentRequest();
+        begin(fixture.client.last());
+        return fixture;
+    }
+
     /** Sends the head of the response and its first event. */
     static void begin(SentRequest attempt) {
         attempt.head(200, RequestProcessorFixture.MATCHING_RESPONSE_HEADERS);
         attempt.bytes(FIRST_EVENT);
     }
 
-    /** Keeps an attempt silent until its replacement was sent to d2, which is returned. */
-    static SentRequest replace(RequestProcessorFixture fixture, SentRequest attempt) {
+    /** Keeps an attempt silent until the prompt of its replacement was sent to f1, which is returned. */
+    static SentRequest prepareReplacement(RequestProcessorFixture fixture, SentRequest attempt) {
         fixture.staySilent(attempt, SILENCE_MILLIS);
         fixture.grantMemory("hold-2");
-        fixture.client.last().respond(200, "handle-2");
+        SentRequest prefill = fixture.client.last();
+        assertThat(prefill.request().path()).isEqualTo("/f1/prefill");
+        return prefill;
+    }
+
+    /** Keeps an attempt silent until its replacement was sent to d2, which is returned. */
+    static SentRequest replace(RequestProcessorFixture fixture, SentRequest attempt) {
+        prepareReplacement(fixture, attempt).respond(200, "handle-2");
         SentRequest replacement = fixture.client.last();
         assertThat(replacement.request().path()).isEqualTo("/d2/run");
         return replacement;
--- a/gateway/src/test/java/org/merlinwood/gateway/front/SilentPlainAttemptTest.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/front/SilentPlainAttemptTest.java
@@ -72,6 +72,12 @@
         assertThat(fixture.pool.sharedWork().own()).isEmpty();
     }
 
+    private void assertFirstResponseIsForwarded(SentRequest answered, SentRequest other, String body) {
+        answered.respond(200, body, RequestProcessorFixture.MATCHING_RESPONSE_HEADERS);
+        assertThat(other.cancelled()).isTrue();
+        assertAnswered(body);
+    }
+
     /** A sound instance takes longer than half the time; its attempt must outlive a replacement that is not run. */
     @ParameterizedTest
     @EnumSource(ReplacementEnd.class)
@@ -92,18 +98,14 @@
     void responseOfTheSilentInstanceIsForwardedAndCancelsTheReplacement() {
         SentRequest silent = sendRequest("a", "b");
         SentRequest replacement = replace(silent);
-        silent.respond(200, "whole", RequestProcessorFixture.MATCHING_RESPONSE_HEADERS);
-        assertThat(replacement.cancelled()).isTrue();
-        assertAnswered("whole");
+        assertFirstResponseIsForwarded(silent, replacement, "whole");
     }
 
     @Test
     void responseOfTheReplacementIsForwardedAndCancelsTheSilentAttempt() {
         SentRequest silent = sendRequest("a", "b");
         SentRequest replacement = replace(silent);
-        replacement.respond(200, "other", RequestProcessorFixture.MATCHING_RESPONSE_HEADERS);
-        assertThat(silent.cancelled()).isTrue();
-        assertAnswered("other");
+        assertFirstResponseIsForwarded(replacement, silent, "other");
     }
 
     /** The end of the silent attempt must not end its healthy replacement. */
@@ -164,8 +166,6 @@
         unreached.fail(ResultCode.UPSTREAM_UNREACHABLE, ExecutionState.NOT_RUN);
         SentRequest next = replace(unreached);
         assertThat(silent.cancelled()).isFalse();
-        next.respond(200, "third", RequestProcessorFixture.MATCHING_RESPONSE_HEADERS);
-        assertThat(silent.cancelled()).isTrue();
-        assertAnswered("third");
+        assertFirstResponseIsForwarded(next, silent, "third");
     }
 }
--- a/gateway/src/test/java/org/merlinwood/gateway/front/SilentStreamTest.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/front/SilentStreamTest.java
@@ -7,7 +7,9 @@
 import static org.merlinwood.gateway.front.SentStream.assertComplete;
 import static org.merlinwood.gateway.front.SentStream.begin;
 import static org.merlinwood.gateway.front.SentStream.drainRetries;
+import static org.merlinwood.gateway.front.SentStream.fixtureWithBegunStream;
 import static org.merlinwood.gateway.front.SentStream.fixtureWithSentRequest;
+import static org.merlinwood.gateway.front.SentStream.prepareReplacement;
 
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -46,9 +48,8 @@
     @ParameterizedTest
     @EnumSource(Obstacle.class)
     void streamOfASilentInstanceGoesOnWhenNoOtherInstanceCanTakeItOver(Obstacle obstacle) {
-        RequestProcessorFixture fixture = fixtureWithSentRequest();
+        RequestProcessorFixture fixture = fixtureWithBegunStream();
         SentRequest attempt = fixture.client.last();
-        begin(attempt);
         obstacle.apply(fixture);
         fixture.staySilent(attempt, SILENCE_MILLIS);
         assertThat(attempt.cancelled()).isFalse();
@@ -72,8 +73,7 @@
 
     @Test
     void streamGoesOnWhenItsLastAttemptIsSilent() {
-        RequestProcessorFixture fixture = fixtureWithSentRequest();
-        begin(fixture.client.last());
+        RequestProcessorFixture fixture = fixtureWithBegunStream();
         fixture.client.last().fail(ResultCode.UPSTREAM_TRUNCATED, ExecutionState.UNKNOWN);
         fixture.grantMemory("hold-2");
         fixture.client.last().respond(200, "handle-2");
@@ -88,9 +88,8 @@
     /** The other instance declines memory; the stream must neither end nor wait for it in vain. */
     @Test
     void streamGoesOnWhenTheOtherInstanceHasNoMemory() {
-        RequestProcessorFixture fixture = fixtureWithSentRequest();
+        RequestProcessorFixture fixture = fixtureWithBegunStream();
         SentRequest attempt = fixture.client.last();
-        begin(attempt);
         fixture.staySilent(attempt, SILENCE_MILLIS);
         fixture.client.last().respond(503, "");
         fixture.staySilent(attempt, SILENCE_MILLIS);
@@ -103,9 +102,8 @@
     @ParameterizedTest
     @ValueSource(ints = {0, 1, 2})
     void replacementIsDroppedWhenTheSilentInstanceGoesOn(int answeredSteps) {
-        RequestProcessorFixture fixture = fixtureWithSentRequest();
+        RequestProcessorFixture fixture = fixtureWithBegunStream();
         SentRequest attempt = fixture.client.last();
-        begin(attempt);
         fixture.staySilent(attempt, SILENCE_MILLIS);
         for (int step = 0; step < answeredSteps; step++) {
             fixture.client.last().respond(200, "hold-2");
@@ -144,9 +142,8 @@
 
     @Test
     void replacementContinuesWhenTheSilentInstanceIsLost() {
-        RequestProcessorFixture fixture = fixtureWithSentRequest();
+        RequestProcessorFixture fixture = fixtureWithBegunStream();
         SentRequest attempt = fixture.client.last();
-        begin(attempt);
         fixture.staySilent(attempt, SILENCE_MILLIS);
         attempt.fail(ResultCode.CONNECTION_LOST, ExecutionState.UNKNOWN);
         assertThat(fixture.caller.aborted).isFalse();
@@ -161,9 +158,8 @@
     /** An instance may be lost while its replacement finds no memory: then the stream ends, as without the silence. */
     @Test
     void streamEndsWhenTheSilentInstanceIsLostAndNoneHasMemory() {
-        RequestProcessorFixture fixture = fixtureWithSentRequest();
+        RequestProcessorFixture fixture = fixtureWithBegunStream();
         SentRequest attempt = fixture.client.last();
-        begin(attempt);
         fixture.fleet.remove("d2");
         fixture.staySilent(attempt, SILENCE_MILLIS);
         attempt.fail(ResultCode.CONNECTION_LOST, ExecutionState.UNKNOWN);
@@ -174,13 +170,9 @@
 
     @Test
     void callerDisconnectEndsTheSilentAttemptAndItsReplacement() {
-        RequestProcessorFixture fixture = fixtureWithSentRequest();
+        RequestProcessorFixture fixture = fixtureWithBegunStream();
         SentRequest attempt = fixture.client.last();
-        begin(attempt);
-        fixture.staySilent(attempt, SILENCE_MILLIS);
-        fixture.grantMemory("hold-2");
-        SentRequest prefill = fixture.client.last();
-        assertThat(prefill.request().path()).isEqualTo("/f1/prefill");
+        SentRequest prefill = prepareReplacement(fixture, attempt);
         fixture.caller.disconnect();
         assertThat(attempt.cancelled()).isTrue();
         assertThat(prefill.cancelled()).isTrue();
@@ -191,9 +183,8 @@
     /** Without replacement the attempt ends with the time of its caller, not before. */
     @Test
     void silentStreamEndsAtItsDeadline() {
-        RequestProcessorFixture fixture = fixtureWithSentRequest();
+        RequestProcessorFixture fixture = fixtureWithBegunStream();
         SentRequest attempt = fixture.client.last();
-        begin(attempt);
         Obstacle.NO_RETRY_ALLOWED.apply(fixture);
         assertThat(attempt.request().readTimeoutMillis()).isEqualTo(RequestProcessorFixture.CALLER_TIME_MILLIS);
         fixture.staySilent(attempt, RequestProcessorFixture.CALLER_TIME_MILLIS - 1);
@@ -207,8 +198,7 @@
     void replacementIsUsedWhenTheSilentInstanceDeclinesAtLast() {
         RequestProcessorFixture fixture = fixtureWithSentRequest();
         SentRequest attempt = fixture.client.last();
-        fixture.staySilent(attempt, SILENCE_MILLIS);
-        fixture.grantMemory("hold-2");
+        prepareReplacement(fixture, attempt);
         drainRetries(fixture);
         attempt.respond(503, "", FakeUpstreamProtocol.NOT_RUN);
         assertThat(fixture.caller.status).isZero();
@@ -219,11 +209,9 @@
     /** Guards against a stream that is cut although its replacement was ready, since the silent instance broke off. */
     @Test
     void replacementIsUsedWhenTheSilentInstanceFailsAtLast() {
-        RequestProcessorFixture fixture = fixtureWithSentRequest();
+        RequestProcessorFixture fixture = fixtureWithBegunStream();
         SentRequest attempt = fixture.client.last();
-        begin(attempt);
-        fixture.staySilent(attempt, SILENCE_MILLIS);
-        fixture.grantMemory("hold-2");
+        prepareReplacement(fixture, attempt);
         drainRetries(fixture);
         attempt.bytes("id: 2\nda");
         attempt.fail(ResultCode.UPSTREAM_TRUNCATED, ExecutionState.UNKNOWN);
@@ -264,9 +252,8 @@
     /** Guards against work for a caller whose time is over. */
     @Test
     void noReplacementIsPreparedAfterTheTimeOfTheCaller() {
-        RequestProcessorFixture fixture = fixtureWithSentRequest();
+        RequestProcessorFixture fixture = fixtureWithBegunStream();
         SentRequest attempt = fixture.client.last();
-        begin(attempt);
         for (int event = 2; event <= 4; event++) {
             fixture.loop.advance(1_000);
             attempt.bytes("id: " + event + "\ndata: a\n\n");
--- a/gateway/src/test/java/org/merlinwood/gateway/front/StreamCutByItsReplacementTest.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/front/StreamCutByItsReplacementTest.java
@@ -5,8 +5,8 @@
 import static org.merlinwood.gateway.front.SentStream.SECOND_EVENT;
 import static org.merlinwood.gateway.front.SentStream.SILENCE_MILLIS;
 import static org.merlinwood.gateway.front.SentStream.assertComplete;
-import static org.merlinwood.gateway.front.SentStream.begin;
 import static org.merlinwood.gateway.front.SentStream.drainRetries;
+import static org.merlinwood.gateway.front.SentStream.fixtureWithBegunStream;
 import static org.merlinwood.gateway.front.SentStream.fixtureWithSentRequest;
 import static org.merlinwood.gateway.front.SentStream.replace;
 
@@ -68,9 +68,8 @@
     /** A sound instance falls silent; the replacement declines without running the request. */
     @Test
     void streamOutlivesAReplacementThatDeclines() {
-        RequestProcessorFixture fixture = fixtureWithSentRequest();
+        RequestProcessorFixture fixture = fixtureWithBegunStream();
         SentRequest attempt = fixture.client.last();
-        begin(attempt);
         SentRequest replacement = replace(fixture, attempt);
         drainRetries(fixture);
         replacement.respond(503, "", FakeUpstreamProtocol.NOT_RUN);
@@ -80,9 +79,8 @@
     /** The replacement can't be reached and no other instance has memory. */
     @Test
     void streamOutlivesAReplacementThatCannotBeReached() {
-        RequestProcessorFixture fixture = fixtureWithSentRequest();
+        RequestProcessorFixture fixture = fixtureWithBegunStream();
         SentRequest attempt = fixture.client.last();
-        begin(attempt);
         SentRequest replacement = replace(fixture, attempt);
         fixture.fleet.remove("d1");
         fixture.fleet.remove("d2");
@@ -95,9 +93,8 @@
     @ParameterizedTest
     @EnumSource(ReplacementEnd.class)
     void silentInstanceGoesOnAfterItsReplacementCameToNothing(ReplacementEnd end) {
-        RequestProcessorFixture fixture = fixtureWithSentRequest();
+        RequestProcessorFixture fixture = fixtureWithBegunStream();
         SentRequest attempt = fixture.client.last();
-        begin(attempt);
         SentRequest replacement = replace(fixture, attempt);
         drainRetries(fixture);
         end.apply(replacement);
@@ -112,9 +109,8 @@
     @ParameterizedTest
     @EnumSource(ReplacementEnd.class)
     void eventsThatComeBeforeTheReplacementCameToNothingReachTheCaller(ReplacementEnd end) {
-        RequestProcessorFixture fixture = fixtureWithSentRequest();
+        RequestProcessorFixture fixture = fixtureWithBegunStream();
         SentRequest attempt = fixture.client.last();
-        begin(attempt);
         SentRequest replacement = replace(fixture, attempt);
         drainRetries(fixture);
         attempt.bytes(SECOND_EVENT);
@@ -127,9 +123,8 @@
     @ParameterizedTest
     @ValueSource(booleans = {false, true})
     void onlyOneAttemptIsOpenAfterTheTimeThatTwoMayBe(boolean goesOn) {
-        RequestProcessorFixture fixture = fixtureWithSentRequest();
+        RequestProcessorFixture fixture = fixtureWithBegunStream();
         SentRequest attempt = fixture.client.last();
-        begin(attempt);
         SentRequest replacement = replace(fixture, attempt);
         fixture.loop.advance(OVERLAP_MILLIS - 1);
         if (goesOn) {
@@ -151,9 +146,8 @@
     /** The silent instance is lost while its replacement is on its way: that one is the retry. */
     @Test
     void replacementIsKeptWhenTheSilentInstanceIsLost() {
-        RequestProcessorFixture fixture = fixtureWithSentRequest();
+        RequestProcessorFixture fixture = fixtureWithBegunStream();
         SentRequest attempt = fixture.client.last();
-        begin(attempt);
         SentRequest replacement = replace(fixture, attempt);
         drainRetries(fixture);
         attempt.fail(ResultCode.CONNECTION_LOST, ExecutionState.UNKNOWN);
@@ -167,9 +161,8 @@
     /** A replacement that was dropped may have run: it counts against the attempts of the route. */
     @Test
     void droppedReplacementThatWasSentCountsAsAnAttempt() {
-        RequestProcessorFixture fixture = fixtureWithSentRequest();
+        RequestProcessorFixture fixture = fixtureWithBegunStream();
         SentRequest attempt = fixture.client.last();
-        begin(attempt);
         replace(fixture, attempt);
         attempt.bytes(SECOND_EVENT);
         fixture.loop.advance(OVERLAP_MILLIS);
@@ -181,9 +174,8 @@
     /** A caller that leaves must leave no work behind, neither at the silent instance nor at its replacement. */
     @Test
     void callerDisconnectEndsBothAttempts() {
-        RequestProcessorFixture fixture = fixtureWithSentRequest();
+        RequestProcessorFixture fixture = fixtureWithBegunStream();
         SentRequest attempt = fixture.client.last();
-        begin(attempt);
         SentRequest replacement = replace(fixture, attempt);
         fixture.caller.disconnect();
         assertThat(attempt.cancelled()).isTrue();
@@ -199,9 +191,8 @@
      */
     @Test
     void eventOfTheSilentInstanceIsForwardedAtOnceAndEndsItsReplacement() {
-        RequestProcessorFixture fixture = fixtureWithSentRequest();
+        RequestProcessorFixture fixture = fixtureWithBegunStream();
         SentRequest attempt = fixture.client.last();
-        begin(attempt);
         SentRequest replacement = replace(fixture, attempt);
         attempt.bytes(SECOND_EVENT);
         assertThat(fixture.caller.body).isEqualTo(FIRST_EVENT + SECOND_EVENT);
@@ -218,9 +209,8 @@
     /** The same where the replacement is accepted first: what the silent instance sends late is left out. */
     @Test
     void eventsOfTheSilentInstanceAreLeftOutOnceItsReplacementIsAccepted() {
-        RequestProcessorFixture fixture = fixtureWithSentRequest();
+        RequestProcessorFixture fixture = fixtureWithBegunStream();
         SentRequest attempt = fixture.client.last();
-        begin(attempt);
         SentRequest replacement = replace(fixture, attempt);
         replacement.head(200, RequestProcessorFixture.MATCHING_RESPONSE_HEADERS);
         assertThat(attempt.cancelled()).isTrue();
@@ -234,9 +224,8 @@
     /** A stream that its silent instance has completed must not be thrown away for a replacement that only begins. */
     @Test
     void completeStreamOfTheSilentInstanceIsNotThrownAwayForItsReplacement() {
-        RequestProcessorFixture fixture = fixtureWithSentRequest();
+        RequestProcessorFixture fixture = fixtureWithBegunStream();
         SentRequest attempt = fixture.client.last();
-        begin(attempt);
         SentRequest replacement = replace(fixture, attempt);
         attempt.bytes(SECOND_EVENT);
         attempt.end();
@@ -248,9 +237,8 @@
     /** The route's timeout must not cut a stream whose last event and end were received before it. */
     @Test
     void completeStreamIsNotCutByTheTimeoutOfItsRouteBesideItsReplacement() {
-        RequestProcessorFixture fixture = fixtureWithSentRequest();
+        RequestProcessorFixture fixture = fixtureWithBegunStream();
         SentRequest attempt = fixture.client.last();
-        begin(attempt);
         fixture.loop.advance(1_000);
         attempt.bytes(SECOND_EVENT);
         fixture.loop.advance(1_000);
@@ -286,9 +274,8 @@
     /** The same for a stream that has begun: its instance breaks off inside an event. */
     @Test
     void replacementGoesOnWhenTheSilentInstanceBreaksOffInsideAnEvent() {
-        RequestProcessorFixture fixture = fixtureWithSentRequest();
+        RequestProcessorFixture fixture = fixtureWithBegunStream();
         SentRequest attempt = fixture.client.last();
-        begin(attempt);
         SentRequest replacement = replace(fixture, attempt);
         attempt.bytes("id: 2\nda");
         attempt.end();
@@ -303,9 +290,8 @@
     /** The head of a refusal says that the replacement comes to nothing: the silent attempt must outlive it. */
     @Test
     void silentAttemptIsNotEndedForAReplacementWhoseHeadDeclines() {
-        RequestProcessorFixture fixture = fixtureWithSentRequest();
+        RequestProcessorFixture fixture = fixtureWithBegunStream();
         SentRequest attempt = fixture.client.last();
-        begin(attempt);
         SentRequest replacement = replace(fixture, attempt);
         fixture.loop.advance(OVERLAP_MILLIS - 1);
         replacement.head(503, FakeUpstreamProtocol.NOT_RUN);
@@ -316,9 +302,8 @@
     /** A request must not be sent to more instances than its route allows because some of them decline it. */
     @Test
     void declinedReplacementsCountAgainstTheInstancesOfTheRoute() {
-        RequestProcessorFixture fixture = fixtureWithSentRequest();
+        RequestProcessorFixture fixture = fixtureWithBegunStream();
         SentRequest attempt = fixture.client.last();
-        begin(attempt);
         replace(fixture, attempt).respond(503, "", FakeUpstreamProtocol.NOT_RUN);
         fixture.client.last().respond(503, "", FakeUpstreamProtocol.NOT_RUN);
         fixture.fleet.remove("d2");
--- a/gateway/src/test/java/org/merlinwood/gateway/front/StreamEndedInsideAnEventTest.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/front/StreamEndedInsideAnEventTest.java
@@ -3,11 +3,12 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.merlinwood.gateway.front.SentStream.FIRST_EVENT;
 import static org.merlinwood.gateway.front.SentStream.SECOND_EVENT;
-import static org.merlinwood.gateway.front.SentStream.SILENCE_MILLIS;
 import static org.merlinwood.gateway.front.SentStream.assertComplete;
 import static org.merlinwood.gateway.front.SentStream.begin;
 import static org.merlinwood.gateway.front.SentStream.drainRetries;
+import static org.merlinwood.gateway.front.SentStream.fixtureWithBegunStream;
 import static org.merlinwood.gateway.front.SentStream.fixtureWithSentRequest;
+import static org.merlinwood.gateway.front.SentStream.prepareReplacement;
 
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -26,8 +27,7 @@
     @ParameterizedTest
     @ValueSource(strings = {"i", "id: 2\ndata: b", "id: 2\ndata: b\n"})
     void streamContinuesBehindItsLastCompleteEvent(String part) {
-        RequestProcessorFixture fixture = fixtureWithSentRequest();
-        begin(fixture.client.last());
+        RequestProcessorFixture fixture = fixtureWithBegunStream();
         fixture.client.last().bytes(part);
         fixture.client.last().end();
         assertThat(fixture.caller.ended).isFalse();
@@ -67,11 +67,9 @@
     /** The replacement of a silent instance is its retry if that instance breaks off. */
     @Test
     void replacementIsUsedWhenTheSilentInstanceEndsInsideAnEvent() {
-        RequestProcessorFixture fixture = fixtureWithSentRequest();
+        RequestProcessorFixture fixture = fixtureWithBegunStream();
         SentRequest attempt = fixture.client.last();
-        begin(attempt);
-        fixture.staySilent(attempt, SILENCE_MILLIS);
-        fixture.grantMemory("hold-2");
+        prepareReplacement(fixture, attempt);
         drainRetries(fixture);
         attempt.bytes("id: 2\nda");
         attempt.end();
--- a/gateway/src/test/java/org/merlinwood/gateway/front/StreamWithOversizedEventTest.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/front/StreamWithOversizedEventTest.java
@@ -4,8 +4,7 @@
 import static org.merlinwood.gateway.front.SentStream.SECOND_EVENT;
 import static org.merlinwood.gateway.front.SentStream.SILENCE_MILLIS;
 import static org.merlinwood.gateway.front.SentStream.assertComplete;
-import static org.merlinwood.gateway.front.SentStream.begin;
-import static org.merlinwood.gateway.front.SentStream.fixtureWithSentRequest;
+import static org.merlinwood.gateway.front.SentStream.fixtureWithBegunStream;
 import static org.merlinwood.gateway.front.SentStream.replace;
 
 import org.junit.jupiter.api.Test;
@@ -19,9 +18,8 @@
     /** The event comes while memory is being reserved for the replacement: that reservation must not be cancelled. */
     @Test
     void preparedReplacementIsKeptAndTheAttemptIsCancelled() {
-        RequestProcessorFixture fixture = fixtureWithSentRequest();
+        RequestProcessorFixture fixture = fixtureWithBegunStream();
         SentRequest attempt = fixture.client.last();
-        begin(attempt);
         fixture.staySilent(attempt, SILENCE_MILLIS);
         SentRequest reservation = fixture.client.last();
         assertThat(reservation).isNotSameAs(attempt);
@@ -37,9 +35,8 @@
     /** The event comes after the replacement was sent: that attempt must not be cancelled. */
     @Test
     void sentReplacementIsKeptAndTheAttemptIsCancelled() {
-        RequestProcessorFixture fixture = fixtureWithSentRequest();
+        RequestProcessorFixture fixture = fixtureWithBegunStream();
         SentRequest attempt = fixture.client.last();
-        begin(attempt);
         SentRequest replacement = replace(fixture, attempt);
         attempt.bytes(OVERSIZED_PART);
         assertThat(attempt.cancelled()).isTrue();
--- a/gateway/src/test/java/org/merlinwood/gateway/front/UncountedPrefillTest.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/front/UncountedPrefillTest.java
@@ -3,9 +3,10 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.merlinwood.gateway.front.SentStream.SECOND_EVENT;
 import static org.merlinwood.gateway.front.SentStream.SILENCE_MILLIS;
-import static org.merlinwood.gateway.front.SentStream.begin;
 import static org.merlinwood.gateway.front.SentStream.drainRetries;
+import static org.merlinwood.gateway.front.SentStream.fixtureWithBegunStream;
 import static org.merlinwood.gateway.front.SentStream.fixtureWithSentRequest;
+import static org.merlinwood.gateway.front.SentStream.prepareReplacement;
 import static org.merlinwood.gateway.front.SentStream.replace;
 
 import org.junit.jupiter.api.Test;
@@ -28,9 +29,8 @@
     /** A second prefill counts as a retry, and so does the run behind it. */
     @Test
     void replacementIsChargedForItsPrefillAndItsRun() {
-        RequestProcessorFixture fixture = fixtureWithSentRequest();
+        RequestProcessorFixture fixture = fixtureWithBegunStream();
         SentRequest attempt = fixture.client.last();
-        begin(attempt);
         replace(fixture, attempt);
         RequestProcessorFixture calm = fixtureWithSentRequest();
         assertThat(count(fixture, "/f1/prefill")).isEqualTo(2);
@@ -40,8 +40,7 @@
     /** The same for an ordinary retry, without any silence. */
     @Test
     void retryIsChargedForItsPrefillAndItsRun() {
-        RequestProcessorFixture fixture = fixtureWithSentRequest();
-        begin(fixture.client.last());
+        RequestProcessorFixture fixture = fixtureWithBegunStream();
         fixture.client.last().fail(ResultCode.CONNECTION_LOST, ExecutionState.UNKNOWN);
         fixture.grantMemory("hold-2");
         fixture.client.last().respond(200, "handle-2");
@@ -53,9 +52,8 @@
     /** Without a retry for the prompt, the decode instance computes it, and the stream goes on all the same. */
     @Test
     void promptIsNotComputedAgainBeyondTheAllowance() {
-        RequestProcessorFixture fixture = fixtureWithSentRequest();
+        RequestProcessorFixture fixture = fixtureWithBegunStream();
         SentRequest attempt = fixture.client.last();
-        begin(attempt);
         fixture.staySilent(attempt, SILENCE_MILLIS);
         drainRetries(fixture);
         fixture.grantMemory("hold-2");
@@ -66,13 +64,9 @@
     /** A prefill that is given up may have arrived; the generation behind it was not sent. */
     @Test
     void cancelledPrefillIsCharged() {
-        RequestProcessorFixture fixture = fixtureWithSentRequest();
+        RequestProcessorFixture fixture = fixtureWithBegunStream();
         SentRequest attempt = fixture.client.last();
-        begin(attempt);
-        fixture.staySilent(attempt, SILENCE_MILLIS);
-        fixture.grantMemory("hold-2");
-        SentRequest prefill = fixture.client.last();
-        assertThat(prefill.request().path()).isEqualTo("/f1/prefill");
+        SentRequest prefill = prepareReplacement(fixture, attempt);
         attempt.bytes(SECOND_EVENT);
         assertThat(prefill.cancelled()).isTrue();
         RequestProcessorFixture calm = fixtureWithSentRequest();
@@ -82,12 +76,9 @@
     /** A prefill that did not reach its instance is not charged. */
     @Test
     void unreachedPrefillIsNotCharged() {
-        RequestProcessorFixture fixture = fixtureWithSentRequest();
+        RequestProcessorFixture fixture = fixtureWithBegunStream();
         SentRequest attempt = fixture.client.last();
-        begin(attempt);
-        fixture.staySilent(attempt, SILENCE_MILLIS);
-        fixture.grantMemory("hold-2");
-        fixture.client.last().fail(ResultCode.UPSTREAM_UNREACHABLE, ExecutionState.NOT_RUN);
+        prepareReplacement(fixture, attempt).fail(ResultCode.UPSTREAM_UNREACHABLE, ExecutionState.NOT_RUN);
         assertThat(fixture.client.last().request().path()).isEqualTo("/d2/run");
         RequestProcessorFixture calm = fixtureWithSentRequest();
         assertThat(drainRetries(calm) - drainRetries(fixture)).isEqualTo(1);
--- a/gateway/src/test/java/org/merlinwood/gateway/front/UnsentRetryTest.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/front/UnsentRetryTest.java
@@ -5,6 +5,7 @@
 import static org.merlinwood.gateway.front.SentStream.SILENCE_MILLIS;
 import static org.merlinwood.gateway.front.SentStream.begin;
 import static org.merlinwood.gateway.front.SentStream.drainRetries;
+import static org.merlinwood.gateway.front.SentStream.fixtureWithBegunStream;
 import static org.merlinwood.gateway.front.SentStream.fixtureWithSentRequest;
 import static org.merlinwood.gateway.front.SentStream.replace;
 
@@ -24,9 +25,8 @@
     /** A replacement that was never sent must not cost the retries of others. */
     @Test
     void droppedReplacementReturnsItsRetry() {
-        RequestProcessorFixture fixture = fixtureWithSentRequest();
+        RequestProcessorFixture fixture = fixtureWithBegunStream();
         SentRequest attempt = fixture.client.last();
-        begin(attempt);
         fixture.staySilent(attempt, SILENCE_MILLIS);
         attempt.bytes("id: 2\ndata: b\n\n");
         RequestProcessorFixture calm = fixtureWithSentRequest();
@@ -36,8 +36,7 @@
     /** The caller leaves while its retry waits for memory. */
     @Test
     void retryOfACallerThatLeftIsReturned() {
-        RequestProcessorFixture fixture = fixtureWithSentRequest();
-        begin(fixture.client.last());
+        RequestProcessorFixture fixture = fixtureWithBegunStream();
         fixture.fleet.remove("d2");
         fixture.client.last().fail(ResultCode.CONNECTION_LOST, ExecutionState.UNKNOWN);
         fixture.caller.disconnect();
@@ -49,9 +48,8 @@
     @ParameterizedTest
     @ValueSource(ints = {0, 1, 2, 3})
     void retryThatWasSentIsNotReturned(int end) {
-        RequestProcessorFixture fixture = fixtureWithSentRequest();
+        RequestProcessorFixture fixture = fixtureWithBegunStream();
         SentRequest attempt = fixture.client.last();
-        begin(attempt);
         SentRequest replacement = replace(fixture, attempt);
         switch (end) {
             case 0 -> fixture.caller.disconnect();
--- a/gateway/src/test/java/org/merlinwood/gateway/front/WaitingRequestThatThrowsTest.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/front/WaitingRequestThatThrowsTest.java
@@ -4,8 +4,7 @@
 import static org.merlinwood.gateway.front.SentStream.SECOND_EVENT;
 import static org.merlinwood.gateway.front.SentStream.SILENCE_MILLIS;
 import static org.merlinwood.gateway.front.SentStream.assertComplete;
-import static org.merlinwood.gateway.front.SentStream.begin;
-import static org.merlinwood.gateway.front.SentStream.fixtureWithSentRequest;
+import static org.merlinwood.gateway.front.SentStream.fixtureWithBegunStream;
 
 import java.util.ArrayList;
 import java.util.List;
@@ -72,8 +71,7 @@
     /** A caller whose stream has begun sees its end. */
     @Test
     void streamWhoseStepThrowsIsBrokenOff() {
-        RequestProcessorFixture fixture = fixtureWithSentRequest();
-        begin(fixture.client.last());
+        RequestProcessorFixture fixture = fixtureWithBegunStream();
         fixture.fleet.remove("d1");
         fixture.fleet.remove("d2");
         fixture.client.last().fail(ResultCode.CONNECTION_LOST, ExecutionState.UNKNOWN);
@@ -87,9 +85,8 @@
     /** The step that throws belongs to a replacement: the silent attempt still goes on. */
     @Test
     void silentAttemptGoesOnWhenTheStepOfItsReplacementThrows() {
-        RequestProcessorFixture fixture = fixtureWithSentRequest();
+        RequestProcessorFixture fixture = fixtureWithBegunStream();
         SentRequest attempt = fixture.client.last();
-        begin(attempt);
         fixture.fleet.remove("d2");
         fixture.staySilent(attempt, SILENCE_MILLIS);
         fixture.register(Stage.DECODE, "d3");
