SuspicionQueries: a refusal that may be retried is built in one place

Three outcomes of a query built the same failure by themselves.

Result: the 67 tests of module sidecar and the 40 of architecture-tests pass.

--- a/sidecar/src/main/java/org/merlinwood/sidecar/admission/SuspicionQueries.java
+++ b/sidecar/src/main/java/org/merlinwood/sidecar/admission/SuspicionQueries.java
@@ -103,12 +103,11 @@
 
     private void refuse(OpenAttempt attempt, PrefixDecision.Refuse decision) {
         if (pending.remove(attempt.attempt(), attempt)) {
-            onRefused.accept(
+            refuse(
                     attempt,
-                    Failure.retryable(
-                            ResultCode.REQUEST_QUARANTINED,
-                            decision.crashes() + " engines crashed when responses to such prompts were about to begin",
-                            decision.expiresInMillis()));
+                    ResultCode.REQUEST_QUARANTINED,
+                    decision.crashes() + " engines crashed when responses to such prompts were about to begin",
+                    decision.expiresInMillis());
         }
     }
 
@@ -120,19 +119,21 @@
             case SuspicionDecision.Free free -> onFree.accept(attempt);
             case SuspicionDecision.Isolate isolate -> onIsolated.accept(attempt);
             case SuspicionDecision.Wait wait ->
-                onRefused.accept(
+                refuse(
                         attempt,
-                        Failure.retryable(
-                                ResultCode.NO_CAPACITY,
-                                "the same request is already running on trial",
-                                wait.retryAfterMillis()));
+                        ResultCode.NO_CAPACITY,
+                        "the same request is already running on trial",
+                        wait.retryAfterMillis());
             case SuspicionDecision.Quarantined quarantined ->
-                onRefused.accept(
+                refuse(
                         attempt,
-                        Failure.retryable(
-                                ResultCode.REQUEST_QUARANTINED,
-                                quarantined.crashes() + " engines crashed while the request ran",
-                                quarantined.expiresInMillis()));
+                        ResultCode.REQUEST_QUARANTINED,
+                        quarantined.crashes() + " engines crashed while the request ran",
+                        quarantined.expiresInMillis());
         }
     }
+
+    private void refuse(OpenAttempt attempt, ResultCode code, String detail, long retryAfterMillis) {
+        onRefused.accept(attempt, Failure.retryable(code, detail, retryAfterMillis));
+    }
 }
