A crash keeps its moment however long its report waits

Change: what was not sent yet keeps the time of its ages, and the report adds what has passed.

Test: crashesKeepTheirMomentsHoweverLongTheirReportWaits failed before and passes; all tests of gateway and platform's own pass.

--- a/gateway/src/main/java/org/merlinwood/gateway/decision/CrashCausingParts.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/decision/CrashCausingParts.java
@@ -31,10 +31,13 @@
     private final PendingCrashes pendingCrashes;
     private final CrashEvidence evidence = new CrashEvidence();
     private final BlockedParts blockedParts;
-    private final List<CrashReport.Crash> unsentCrashes = new ArrayList<>();
+    private final List<UnsentCrash> unsentCrashes = new ArrayList<>();
     private final Set<Long> unsentBegunParts = new LinkedHashSet<>();
     private long lastBegunMillis = Long.MIN_VALUE;
 
+    /** A crash that has not been reported, with its ages as they were at a monotonic time, in milliseconds. */
+    private record UnsentCrash(CrashReport.Crash crash, long atMillis) {}
+
     /** Monotonic time at which the last response to a part began, in milliseconds. */
     private final Map<Long, Long> begunMillisByPart = new LinkedHashMap<>() {
         private static final long serialVersionUID = 1;
@@ -133,7 +136,10 @@
                 .filter(begunMillisByPart::containsKey)
                 .map(part -> new CrashReport.BegunPart(part, now - begunMillisByPart.get(part)))
                 .toList();
-        CrashReport report = new CrashReport(unsentCrashes, begunParts, blockedParts.nextReport());
+        List<CrashReport.Crash> crashes = unsentCrashes.stream()
+                .map(unsent -> unsent.crash().after(now - unsent.atMillis()))
+                .toList();
+        CrashReport report = new CrashReport(crashes, begunParts, blockedParts.nextReport());
         unsentCrashes.clear();
         unsentBegunParts.clear();
         return report;
@@ -184,7 +190,7 @@
     private void confirmCrashes() {
         for (CrashReport.Crash crash : pendingCrashes.takeConfirmed()) {
             if (!crash.suspects().isEmpty() && unsentCrashes.size() < MAXIMUM_REPORTED) {
-                unsentCrashes.add(crash);
+                unsentCrashes.add(new UnsentCrash(crash, clock.monotonicMillis()));
             }
             addCrash(crash, CrashListener.THIS_ENTRY);
         }
--- a/gateway/src/main/java/org/merlinwood/gateway/decision/CrashReport.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/decision/CrashReport.java
@@ -39,6 +39,16 @@
         public Crash {
             suspects = suspects.stream().map(Set::copyOf).toList();
         }
+
+        /**
+         * Returns the same crash as it is reported some time later.
+         *
+         * @param millis time that has passed, in milliseconds, 0 or more
+         * @return the crash with both ages increased
+         */
+        public Crash after(long millis) {
+            return new Crash(instance, startedUnixMillis, ageMillis + millis, suspectAgeMillis + millis, suspects);
+        }
     }
 
     /**
--- a/gateway/src/test/java/org/merlinwood/gateway/decision/CrashCausingPartsTest.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/decision/CrashCausingPartsTest.java
@@ -101,6 +101,25 @@
         assertThat(parts.isBlocked(List.of(CRASHING))).isTrue();
     }
 
+    /** Guards against two crashes that peers count as one because the report of the first waited for its turn. */
+    @Test
+    void crashesKeepTheirMomentsHoweverLongTheirReportWaits() {
+        CrashCausingParts peer = new CrashCausingParts(clock, 1, new RecordingCrashListener());
+        parts.recordLoss(instance("a"), clock.monotonicMillis() - 50, List.of(FIRST, CRASHING));
+        clock.advanceMillis(9);
+        long sentAgainMillis = clock.monotonicMillis();
+        clock.advanceMillis(129);
+        parts.recordLoss(instance("b"), sentAgainMillis, List.of(FIRST, CRASHING));
+        clock.advanceMillis(25);
+        assertThat(parts.isBlocked(List.of(FIRST, CRASHING))).isFalse();
+        clock.advanceMillis(74);
+        peer.onPeerReport("peer", parts.report());
+        clock.advanceMillis(60);
+        peer.onPeerReport("peer", parts.report());
+        peer.recordBegun(List.of(OTHER));
+        assertThat(peer.isBlocked(List.of(FIRST, CRASHING))).isTrue();
+    }
+
     /** Guards against blame for a connection that was reset while its instance went on. */
     @Test
     void instanceThatGoesOnToSendHasNotCrashed() {
