Closed connections of callers are removed each second, not with the 64th that is opened

What the on-call engineer saw: the gauge caller_connections_open stayed up to 63 too high. By reading: a connection that its caller had left with a part of a request was counted as ended by the idle timeout, if 120 s passed before the next 64 connections came.

Cause: closed connections were looked for only when many others had been opened.

--- a/gateway/src/main/java/org/merlinwood/gateway/front/CallerConnections.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/CallerConnections.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import org.merlinwood.core.time.MillisClock;
+import org.merlinwood.gateway.loop.EventLoop;
 import org.merlinwood.operation.log.DecisionLog;
 import org.xnio.StreamConnection;
 
@@ -27,25 +28,29 @@
         EXIT
     }
 
-    /** Number of opened connections after which those that have been closed are removed. */
-    private static final int REMOVAL_INTERVAL = 64;
+    /** Interval at which connections that have been closed are removed, in milliseconds. */
+    private static final long REMOVAL_INTERVAL_MILLIS = 1_000;
 
     private final Map<StreamConnection, CallerConnection> connections = new LinkedHashMap<>();
+    private final EventLoop loop;
     private final MillisClock clock;
     private final long idleTimeoutMillis;
     private final DecisionLog log;
     private final MetricRegistry metrics;
-    private int openedSinceRemoval;
+    private boolean removalScheduled;
 
     /**
      * Creates an empty set.
      *
+     * @param loop runs the removal of closed connections
      * @param clock source of the monotonic time
      * @param idleTimeoutMillis time without a byte after which the server closes a connection, in milliseconds
      * @param log receives a line for each connection that ends with an unanswered request
      * @param metrics receives the number of open connections, and counters of unanswered ones by cause
      */
-    public CallerConnections(MillisClock clock, long idleTimeoutMillis, DecisionLog log, MetricRegistry metrics) {
+    public CallerConnections(
+            EventLoop loop, MillisClock clock, long idleTimeoutMillis, DecisionLog log, MetricRegistry metrics) {
+        this.loop = loop;
         this.clock = clock;
         this.idleTimeoutMillis = idleTimeoutMillis;
         this.log = log;
@@ -54,11 +59,8 @@
     }
 
     void add(StreamConnection connection) {
-        openedSinceRemoval++;
-        if (openedSinceRemoval >= REMOVAL_INTERVAL) {
-            removeClosed();
-        }
         connections.put(connection, new CallerConnection(connection, clock.monotonicMillis()));
+        scheduleRemoval();
     }
 
     Optional<CallerConnection> find(HttpServerExchange exchange) {
@@ -94,8 +96,18 @@
                 .count();
     }
 
+    private void scheduleRemoval() {
+        if (!removalScheduled && !connections.isEmpty()) {
+            removalScheduled = true;
+            loop.schedule(REMOVAL_INTERVAL_MILLIS, () -> {
+                removalScheduled = false;
+                removeClosed();
+                scheduleRemoval();
+            });
+        }
+    }
+
     private void removeClosed() {
-        openedSinceRemoval = 0;
         connections.values().removeIf(connection -> {
             if (connection.isOpen()) {
                 return false;
--- a/gateway/src/main/java/org/merlinwood/gateway/process/EntryComposition.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/process/EntryComposition.java
@@ -110,7 +110,7 @@
         this.drainPolicy = new DrainPolicy(clock, settings.terminationGraceMillis());
         this.worker = createWorker();
         this.loop = new IoThreadLoop(worker.getIoThread());
-        this.connections = new CallerConnections(clock, IDLE_TIMEOUT_MILLIS, log, metrics);
+        this.connections = new CallerConnections(loop, clock, IDLE_TIMEOUT_MILLIS, log, metrics);
         this.drainSequence = new DrainSequence(drainPolicy, openRequests::count, connections, loop, log);
         HttpClient client = HttpClient.withWorker(worker);
         this.pool = new InstancePool(
--- a/gateway/src/test/java/org/merlinwood/gateway/process/DrainSequenceTest.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/process/DrainSequenceTest.java
@@ -35,7 +35,7 @@
         sequence = new DrainSequence(
                 policy,
                 () -> openRequests,
-                new CallerConnections(clock, 120_000, log, new MetricRegistry()),
+                new CallerConnections(loop, clock, 120_000, log, new MetricRegistry()),
                 loop,
                 log);
     }
