A request whose first step throws is answered at once

Callers saw, by reading: if the first step of a request threw, its caller waited for the timeout of the route, and the request kept what it had reserved until then. Of the class of the requests without a response: an exception outside the steps that are guarded (waiting requests, status messages) is logged by the loop and ends nothing.

FirstStepThatThrowsTest: 3 of 3 failed before, pass. UnansweredRequestTest (44 cases: unusual heads of responses, headers and targets of callers, over real connections) found no other way to leave a caller without a response; it passed before as well.

--- a/gateway/src/main/java/org/merlinwood/gateway/front/RequestProcessor.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/RequestProcessor.java
@@ -57,12 +57,16 @@
         this.sharedParts = request.prompt().map(PartFingerprints::of).orElse(List.of());
     }
 
-    /** Starts processing. Called once. */
+    /** Starts processing. Called once. If the first step throws, the request is answered with an error at once. */
     final void start() {
         context.retryAllowance().recordRequest(service);
         channel.onDisconnect(this::onCallerDisconnected);
         timeoutTimer = Optional.of(context.loop().schedule(Math.max(1, routeTimeLeftMillis()), this::onTimeout));
-        proceed();
+        try {
+            proceed();
+        } catch (RuntimeException exception) {
+            fail(ResultCode.INTERNAL, 0, "the first step threw " + exception);
+        }
     }
 
     /** Chooses an instance and starts the next attempt; waits or fails the request if there is no instance. */
