An entry exits with no connection of a caller open

Callers saw attempts cut without a response at the exit of an entry that restarts, though none had been accepted.

Cause: from the last turn of the event loop until the operating system closes the sockets nobody reads, connections are still accepted, and all of it is reset. Requests that had been read were ruled out before.

The end is now a sequence on the event loop: accept what is pending and close the listener; read each idle connection once more and close it in order; keep one without a first request for 500 ms; exit once none is open. It adds 5 ms to a restart without a connection, 10 ms with idle ones, up to about 510 ms with one that never sends a request. The same begins 650 ms before a forced exit. A request whose body is incomplete is refused with 503 just before that.

DrainSequenceTest has the order without a network.

--- a/gateway/src/main/java/org/merlinwood/gateway/decision/DrainPolicy.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/decision/DrainPolicy.java
@@ -20,6 +20,12 @@
     /** Time before the forced exit at which the entry exits by itself, in milliseconds. */
     private static final long FORCED_EXIT_MARGIN_MILLIS = 300;
 
+    /**
+     * Time from the last moment at which a request is accepted to the forced exit, in milliseconds. Connections without
+     * a request are closed in this time.
+     */
+    private static final long CONNECTION_END_MILLIS = 650;
+
     /** Usual maximum duration of a streamed response, in milliseconds. */
     private static final long STREAM_MILLIS = 6_500;
 
@@ -99,11 +105,12 @@
      * Returns whether the entry may stop accepting requests.
      *
      * @param openRequests number of requests without a complete response
-     * @return true if no request is open and the minimum drain time has passed, or if the forced exit is near
+     * @return true if no request is open and the minimum drain time has passed, or if the time until the forced exit is
+     *     needed to end the connections of callers
      */
     public boolean mayStopAccepting(int openRequests) {
         boolean finished = openRequests == 0 && elapsedMillis() >= MINIMUM_DRAIN_MILLIS;
-        return finished || isForcedExitNear();
+        return finished || millisUntilForcedExit() <= CONNECTION_END_MILLIS;
     }
 
     /**
@@ -113,7 +120,7 @@
      * @return true if no request is open or the forced exit is near
      */
     public boolean mayExit(int openRequests) {
-        return openRequests == 0 || isForcedExitNear();
+        return openRequests == 0 || millisUntilForcedExit() <= 0;
     }
 
     /**
@@ -124,8 +131,4 @@
     public long millisUntilForcedExit() {
         return draining ? graceMillis - FORCED_EXIT_MARGIN_MILLIS - elapsedMillis() : Long.MAX_VALUE;
     }
-
-    private boolean isForcedExitNear() {
-        return elapsedMillis() >= graceMillis - FORCED_EXIT_MARGIN_MILLIS;
-    }
 }
--- a/gateway/src/main/java/org/merlinwood/gateway/front/CallerConnection.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/CallerConnection.java
@@ -4,6 +4,7 @@
 import io.undertow.server.AbstractServerConnection;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.server.ServerConnection;
+import org.xnio.IoUtils;
 import org.xnio.StreamConnection;
 
 /** One connection of a caller and what it holds of a request. Confined to the event loop. */
@@ -19,12 +20,14 @@
         PARTIAL_HEAD,
         /** The head of a request has been received and its body is incomplete. */
         PARTIAL_BODY,
+        /** A request has been refused before its body was complete. */
+        REFUSED,
         /** A request has been received whose response is incomplete. */
         PROCESSING;
 
         /** Returns whether a request, or a part of one, has no complete response. */
         boolean unanswered() {
-            return this != UNUSED && this != IDLE;
+            return this != UNUSED && this != IDLE && this != REFUSED;
         }
     }
 
@@ -34,6 +37,7 @@
     private boolean used;
     private boolean processing;
     private boolean bodyReceived;
+    private boolean refused;
 
     CallerConnection(StreamConnection connection, long openedMillis) {
         this.connection = connection;
@@ -52,6 +56,20 @@
         bodyReceived = true;
     }
 
+    /** Records that the request was refused before its body was complete. The connection serves no other one. */
+    void refuseIncompleteBody() {
+        refused = true;
+    }
+
+    /** Reads what lies unread in the connection, within the present turn of the event loop. */
+    void readUnread() {
+        connection.getSourceChannel().wakeupReads();
+    }
+
+    void close() {
+        IoUtils.safeClose(connection);
+    }
+
     void completeRequest(HttpServerExchange exchange, long nowMillis) {
         processing = false;
         unchangedSinceMillis = nowMillis;
@@ -67,6 +85,9 @@
     }
 
     State state() {
+        if (refused) {
+            return State.REFUSED;
+        }
         if (processing) {
             return bodyReceived ? State.PROCESSING : State.PARTIAL_BODY;
         }
--- a/gateway/src/main/java/org/merlinwood/gateway/front/CallerConnections.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/CallerConnections.java
@@ -78,18 +78,44 @@
         });
     }
 
+    /** Lets each connection without a request read what lies unread in it, within the present turn of the loop. */
+    void readUnread() {
+        removeClosed();
+        connections.values().stream()
+                .filter(connection -> !connection.state().unanswered())
+                .forEach(CallerConnection::readUnread);
+    }
+
+    /** Closes the connections that are idle, and those that have been unused for so many milliseconds. */
+    void closeIdle(long unusedMillis) {
+        long nowMillis = clock.monotonicMillis();
+        connections.values().stream()
+                .filter(connection -> mayClose(connection, nowMillis, unusedMillis))
+                .forEach(CallerConnection::close);
+        removeClosed();
+    }
+
+    private static boolean mayClose(CallerConnection connection, long nowMillis, long unusedMillis) {
+        return switch (connection.state()) {
+            case IDLE -> true;
+            case UNUSED -> connection.unchangedMillis(nowMillis) >= unusedMillis;
+            case PARTIAL_HEAD, PARTIAL_BODY, REFUSED, PROCESSING -> false;
+        };
+    }
+
+    int countOpen() {
+        removeClosed();
+        return connections.size();
+    }
+
     /** Records every connection that has an unanswered request as ended by the exit. */
-    public void recordExit() {
+    void recordExit() {
         removeClosed();
         connections.values().forEach(connection -> recordIfUnanswered(connection, EndCause.EXIT));
     }
 
-    /**
-     * Returns the number of open connections on which no request, or part of one, is unanswered.
-     *
-     * @return the number, at least 0
-     */
-    public int countWithoutRequest() {
+    /** Returns the number of open connections on which no request, or part of one, is unanswered. */
+    int countWithoutRequest() {
         removeClosed();
         return (int) connections.values().stream()
                 .filter(connection -> !connection.state().unanswered())
--- a/gateway/src/main/java/org/merlinwood/gateway/front/CallerListener.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/CallerListener.java
@@ -6,6 +6,7 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
+import org.merlinwood.gateway.loop.EventLoop;
 import org.xnio.ChannelListeners;
 import org.xnio.IoUtils;
 import org.xnio.OptionMap;
@@ -14,8 +15,8 @@
 import org.xnio.XnioWorker;
 import org.xnio.channels.AcceptingChannel;
 
-/** Accepts the connections of callers. */
-public final class CallerListener {
+/** Accepts the connections of callers. Confined to the event loop, apart from {@link #start} and {@link #close}. */
+public final class CallerListener implements CallerEndpoint {
 
     /** Connections that the operating system may hold for this process. */
     private static final int BACKLOG = 1_000;
@@ -24,6 +25,7 @@
     private final XnioWorker worker;
     private final HttpOpenListener openListener;
     private final CallerConnections connections;
+    private final EventLoop loop;
     private AcceptingChannel<StreamConnection> server;
 
     /**
@@ -35,6 +37,7 @@
      * @param options options of the HTTP connections
      * @param handler handles the requests
      * @param connections receives each connection
+     * @param loop the event loop on the I/O thread of the worker
      */
     public CallerListener(
             InetSocketAddress address,
@@ -42,12 +45,14 @@
             ByteBufferPool buffers,
             OptionMap options,
             HttpHandler handler,
-            CallerConnections connections) {
+            CallerConnections connections,
+            EventLoop loop) {
         this.address = address;
         this.worker = worker;
         this.openListener = new HttpOpenListener(buffers, options);
         this.openListener.setRootHandler(handler);
         this.connections = connections;
+        this.loop = loop;
     }
 
     /**
@@ -75,6 +80,35 @@
         IoUtils.safeClose(server);
     }
 
+    /** Uses a deprecated method, since XNIO has no other one that accepts what is pending on request. */
+    @Override
+    @SuppressWarnings("deprecation")
+    public void stopListening() {
+        server.wakeupAccepts();
+        loop.execute(this::close);
+    }
+
+    @Override
+    public void closeIdleConnections(long unusedMillis) {
+        connections.readUnread();
+        loop.execute(() -> connections.closeIdle(unusedMillis));
+    }
+
+    @Override
+    public int openConnections() {
+        return connections.countOpen();
+    }
+
+    @Override
+    public void recordExit() {
+        connections.recordExit();
+    }
+
+    @Override
+    public int connectionsWithoutRequest() {
+        return connections.countWithoutRequest();
+    }
+
     private void open(StreamConnection connection) {
         connections.add(connection);
         openListener.handleEvent(connection);
--- a/gateway/src/main/java/org/merlinwood/gateway/front/ForcedExitGuard.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/ForcedExitGuard.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.BooleanSupplier;
 import org.merlinwood.gateway.decision.DrainPolicy;
 import org.merlinwood.gateway.loop.EventLoop;
 
@@ -21,9 +22,11 @@
      */
     private static final long ANSWER_MILLIS = 2 * POLL_MILLIS;
 
+    private record OpenRequest(BooleanSupplier finished, Runnable answer) {}
+
     private final DrainPolicy drainPolicy;
     private final EventLoop loop;
-    private final List<RequestProcessor> open = new ArrayList<>();
+    private final List<OpenRequest> open = new ArrayList<>();
     private boolean scheduled;
 
     ForcedExitGuard(DrainPolicy drainPolicy, EventLoop loop) {
@@ -33,7 +36,17 @@
 
     /** Watches over a request until it is finished. */
     void add(RequestProcessor processor) {
-        open.add(processor);
+        add(processor::isFinished, processor::onForcedExit);
+    }
+
+    /**
+     * Watches over a request until it is finished.
+     *
+     * @param finished returns whether the request needs no answer any more
+     * @param answer answers the request; called several times if the request isn't finished by it
+     */
+    void add(BooleanSupplier finished, Runnable answer) {
+        open.add(new OpenRequest(finished, answer));
         schedule();
     }
 
@@ -46,9 +59,9 @@
 
     private void look() {
         scheduled = false;
-        open.removeIf(RequestProcessor::isFinished);
+        open.removeIf(request -> request.finished().getAsBoolean());
         if (drainPolicy.millisUntilForcedExit() <= ANSWER_MILLIS) {
-            List.copyOf(open).forEach(RequestProcessor::onForcedExit);
+            List.copyOf(open).forEach(request -> request.answer().run());
         }
         schedule();
     }
--- a/gateway/src/main/java/org/merlinwood/gateway/front/FrontHandler.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/FrontHandler.java
@@ -14,6 +14,7 @@
 import org.merlinwood.gateway.decision.DrainPolicy;
 import org.merlinwood.gateway.request.CallerProtocol;
 import org.merlinwood.http.HttpHeader;
+import org.merlinwood.operation.log.DecisionLog;
 
 /** Reads requests from Undertow connections and passes them to the dispatcher. Runs on the event loop. */
 final class FrontHandler implements HttpHandler {
@@ -25,8 +26,10 @@
     private final MillisClock clock;
     private final LongSupplier maximumBodyBytes;
     private final ConnectionReuse connectionReuse;
+    private final ForcedExitGuard forcedExitGuard;
     private final OpenRequests openRequests;
     private final CallerConnections connections;
+    private final DecisionLog log;
 
     FrontHandler(
             RequestDispatcher dispatcher,
@@ -34,15 +37,19 @@
             MillisClock clock,
             LongSupplier maximumBodyBytes,
             DrainPolicy drainPolicy,
+            ForcedExitGuard forcedExitGuard,
             OpenRequests openRequests,
-            CallerConnections connections) {
+            CallerConnections connections,
+            DecisionLog log) {
         this.dispatcher = dispatcher;
         this.protocol = protocol;
         this.clock = clock;
         this.maximumBodyBytes = maximumBodyBytes;
         this.connectionReuse = new ConnectionReuse(drainPolicy);
+        this.forcedExitGuard = forcedExitGuard;
         this.openRequests = openRequests;
         this.connections = connections;
+        this.log = log;
     }
 
     @Override
@@ -62,28 +69,46 @@
             RequestProcessor.ErrorResponses.send(channel, ResultCode.MALFORMED_REQUEST, 0);
             return;
         }
+        readBody(exchange, channel, arrivedMillis);
+    }
+
+    private void readBody(HttpServerExchange exchange, UndertowCallerChannel channel, long arrivedMillis) {
+        IncompleteBody incompleteBody = new IncompleteBody(exchange, channel, connections, log);
         Receiver receiver = exchange.getRequestReceiver();
         receiver.setMaxBufferSize(Math.toIntExact(Math.min(Integer.MAX_VALUE, maximumBodyBytes.getAsLong())));
         receiver.receiveFullBytes(
-                (received, body) -> received.dispatch(SameThreadExecutor.INSTANCE, () -> {
-                    connections.find(received).ifPresent(CallerConnection::completeBody);
-                    channel.watchForDisconnect();
-                    dispatcher.dispatch(
-                            protocol.read(
-                                    received.getRequestMethod().toString(),
-                                    target(received),
-                                    headers(received),
-                                    body,
-                                    arrivedMillis),
-                            channel);
-                }),
+                (received, body) -> {
+                    if (incompleteBody.end()) {
+                        received.dispatch(
+                                SameThreadExecutor.INSTANCE, () -> dispatch(received, body, channel, arrivedMillis));
+                    }
+                },
                 (failed, exception) -> {
+                    if (!incompleteBody.end()) {
+                        return;
+                    }
                     failed.setPersistent(false);
                     ResultCode code = exception instanceof Receiver.RequestToLargeException
                             ? ResultCode.BODY_TOO_LARGE
                             : ResultCode.MALFORMED_REQUEST;
                     RequestProcessor.ErrorResponses.send(channel, code, 0);
                 });
+        if (!incompleteBody.isEnded()) {
+            forcedExitGuard.add(incompleteBody::isEnded, incompleteBody::refuse);
+        }
+    }
+
+    private void dispatch(HttpServerExchange received, byte[] body, UndertowCallerChannel channel, long arrivedMillis) {
+        connections.find(received).ifPresent(CallerConnection::completeBody);
+        channel.watchForDisconnect();
+        dispatcher.dispatch(
+                protocol.read(
+                        received.getRequestMethod().toString(),
+                        target(received),
+                        headers(received),
+                        body,
+                        arrivedMillis),
+                channel);
     }
 
     /**
--- a/gateway/src/main/java/org/merlinwood/gateway/front/FrontHandlerFactory.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/FrontHandlerFactory.java
@@ -84,14 +84,17 @@
             DrainPolicy drainPolicy,
             OpenRequests openRequests,
             CallerConnections connections) {
+        ForcedExitGuard forcedExitGuard = new ForcedExitGuard(drainPolicy, context.loop());
         return new FrontHandler(
-                new RequestDispatcher(context, drainPolicy),
+                new RequestDispatcher(context, drainPolicy, forcedExitGuard),
                 protocol,
                 context.clock(),
                 this::maximumBodyBytes,
                 drainPolicy,
+                forcedExitGuard,
                 openRequests,
-                connections);
+                connections,
+                context.log());
     }
 
     private long maximumBodyBytes() {
--- a/gateway/src/main/java/org/merlinwood/gateway/front/RequestDispatcher.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/RequestDispatcher.java
@@ -28,10 +28,10 @@
     private final DrainPolicy drainPolicy;
     private final ForcedExitGuard forcedExitGuard;
 
-    RequestDispatcher(RequestProcessorContext context, DrainPolicy drainPolicy) {
+    RequestDispatcher(RequestProcessorContext context, DrainPolicy drainPolicy, ForcedExitGuard forcedExitGuard) {
         this.context = context;
         this.drainPolicy = drainPolicy;
-        this.forcedExitGuard = new ForcedExitGuard(drainPolicy, context.loop());
+        this.forcedExitGuard = forcedExitGuard;
     }
 
     void dispatch(CallerRequest request, CallerChannel channel) {
--- a/gateway/src/main/java/org/merlinwood/gateway/process/DrainSequence.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/process/DrainSequence.java
@@ -2,28 +2,43 @@
 
 import java.util.function.IntSupplier;
 import org.merlinwood.gateway.decision.DrainPolicy;
-import org.merlinwood.gateway.front.CallerConnections;
+import org.merlinwood.gateway.front.CallerEndpoint;
 import org.merlinwood.gateway.loop.EventLoop;
 import org.merlinwood.operation.log.DecisionLog;
 
 /**
- * The end of an entry: waits for its open requests as long as {@link DrainPolicy} allows, then exits. Runs once.
- * Confined to the event loop.
+ * The end of an entry: waits for its open requests as long as {@link DrainPolicy} allows, stops listening, ends the
+ * connections of callers, then exits. Runs once. Confined to the event loop.
+ *
+ * <p>The end of a process takes some milliseconds in which nobody reads from its connections, and the operating system
+ * still accepts new ones. What arrives in that time is cut, so the process exits with no connection open, if it can.
  */
 final class DrainSequence {
 
     /** Interval between two checks for the end of the drain, in milliseconds. */
     private static final long DRAIN_POLL_MILLIS = 20;
 
-    /** Time between the last response and exit, in milliseconds. Requests that arrive in this time are refused. */
-    private static final long EXIT_DELAY_MILLIS = 100;
+    /** Time from the last response until the entry stops listening, in milliseconds. Requests are refused in it. */
+    private static final long LISTENER_DELAY_MILLIS = 100;
+
+    /** Time for which a connection is kept for its first request once nothing listens any more, in milliseconds. */
+    private static final long FIRST_REQUEST_MILLIS = 500;
+
+    /**
+     * Time for which the entry waits for responses once it may exit whatever is open, in milliseconds. Those that have
+     * begun may still be completed.
+     */
+    private static final long LAST_RESPONSE_MILLIS = 100;
+
+    /** Interval between two looks at the open connections once nothing listens any more, in milliseconds. */
+    private static final long CONNECTION_POLL_MILLIS = 5;
 
     /** Time for the last log lines to be written before exit, in milliseconds. */
     private static final long LOG_FLUSH_MILLIS = 5;
 
     private final DrainPolicy policy;
     private final IntSupplier openRequests;
-    private final CallerConnections connections;
+    private final CallerEndpoint callers;
     private final EventLoop loop;
     private final DecisionLog log;
 
@@ -32,19 +47,15 @@
      *
      * @param policy decides which requests are still accepted, and when the process exits
      * @param openRequests returns the number of requests without a complete response
-     * @param connections the open connections of callers
+     * @param callers where callers connect
      * @param loop runs the checks for the end
      * @param log receives one line at the start and one at the end
      */
     DrainSequence(
-            DrainPolicy policy,
-            IntSupplier openRequests,
-            CallerConnections connections,
-            EventLoop loop,
-            DecisionLog log) {
+            DrainPolicy policy, IntSupplier openRequests, CallerEndpoint callers, EventLoop loop, DecisionLog log) {
         this.policy = policy;
         this.openRequests = openRequests;
-        this.connections = connections;
+        this.callers = callers;
         this.loop = loop;
         this.log = log;
     }
@@ -65,23 +76,44 @@
     private void pollUntilDrained(Runnable exit) {
         if (policy.mayStopAccepting(openRequests.getAsInt())) {
             policy.stopAccepting();
-            loop.schedule(EXIT_DELAY_MILLIS, () -> exitWhenDone(exit));
+            loop.schedule(LISTENER_DELAY_MILLIS, () -> stopListening(exit));
         } else {
             loop.schedule(DRAIN_POLL_MILLIS, () -> pollUntilDrained(exit));
         }
     }
 
-    private void exitWhenDone(Runnable exit) {
-        if (!policy.mayExit(openRequests.getAsInt())) {
-            loop.schedule(DRAIN_POLL_MILLIS, () -> exitWhenDone(exit));
+    private void stopListening(Runnable exit) {
+        callers.stopListening();
+        long endMillis = policy.elapsedMillis() + FIRST_REQUEST_MILLIS + CONNECTION_POLL_MILLIS;
+        loop.schedule(CONNECTION_POLL_MILLIS, () -> endConnections(endMillis, exit));
+    }
+
+    /** Ends the connections without a request, until none is left, and exits. */
+    private void endConnections(long endMillis, Runnable exit) {
+        if (mayExit(endMillis)) {
+            recordStop();
+            loop.schedule(LOG_FLUSH_MILLIS, exit);
             return;
         }
-        connections.recordExit();
+        callers.closeIdleConnections(FIRST_REQUEST_MILLIS);
+        loop.schedule(CONNECTION_POLL_MILLIS, () -> endConnections(endMillis, exit));
+    }
+
+    private boolean mayExit(long endMillis) {
+        if (openRequests.getAsInt() > 0) {
+            return policy.millisUntilForcedExit() <= -LAST_RESPONSE_MILLIS;
+        }
+        return callers.openConnections() == 0
+                || policy.elapsedMillis() > endMillis
+                || policy.millisUntilForcedExit() <= 0;
+    }
+
+    private void recordStop() {
+        callers.recordExit();
         log.line("stop")
                 .with("openRequests", openRequests.getAsInt())
-                .with("connectionsWithoutRequest", connections.countWithoutRequest())
+                .with("connectionsWithoutRequest", callers.connectionsWithoutRequest())
                 .with("drainMillis", policy.elapsedMillis())
                 .write();
-        loop.schedule(LOG_FLUSH_MILLIS, exit);
     }
 }
--- a/gateway/src/main/java/org/merlinwood/gateway/process/EntryComposition.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/process/EntryComposition.java
@@ -111,7 +111,6 @@
         this.worker = createWorker();
         this.loop = new IoThreadLoop(worker.getIoThread());
         this.connections = new CallerConnections(loop, clock, IDLE_TIMEOUT_MILLIS, log, metrics);
-        this.drainSequence = new DrainSequence(drainPolicy, openRequests::count, connections, loop, log);
         HttpClient client = HttpClient.withWorker(worker);
         this.pool = new InstancePool(
                 fleet, clock, settings.failureDomain(), settings.instance().hashCode());
@@ -128,7 +127,9 @@
                 buffers,
                 CONNECTION_OPTIONS,
                 handlerFactory.handler(callerProtocol, drainPolicy, openRequests, connections),
-                connections);
+                connections,
+                loop);
+        this.drainSequence = new DrainSequence(drainPolicy, openRequests::count, callerListener, loop, log);
         this.operatorServer = createOperatorServer(buffers);
         addGauges(client);
     }
--- a/gateway/src/test/java/org/merlinwood/gateway/front/RequestProcessorFixture.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/front/RequestProcessorFixture.java
@@ -106,7 +106,7 @@
                 new CollectedBytes(),
                 log,
                 new RequestMetrics(new MetricRegistry()));
-        dispatcher = new RequestDispatcher(context, drainPolicy);
+        dispatcher = new RequestDispatcher(context, drainPolicy, new ForcedExitGuard(drainPolicy, loop));
         Route route = new Route(
                 "route",
                 "host",
--- a/gateway/src/test/java/org/merlinwood/gateway/process/DrainSequenceTest.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/process/DrainSequenceTest.java
@@ -2,7 +2,6 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import com.codahale.metrics.MetricRegistry;
 import java.io.OutputStream;
 import java.io.PrintStream;
 import org.junit.jupiter.api.BeforeEach;
@@ -10,7 +9,7 @@
 import org.merlinwood.core.time.ManualMillisClock;
 import org.merlinwood.gateway.ManualLoop;
 import org.merlinwood.gateway.decision.DrainPolicy;
-import org.merlinwood.gateway.front.CallerConnections;
+import org.merlinwood.gateway.front.CallerEndpoint;
 import org.merlinwood.gateway.route.RequestKind;
 import org.merlinwood.operation.log.DecisionLog;
 
@@ -25,6 +24,7 @@
     private final ManualMillisClock clock = new ManualMillisClock(0);
     private final ManualLoop loop = new ManualLoop(clock);
     private final DrainPolicy policy = new DrainPolicy(clock, GRACE_MILLIS);
+    private final CountedCallers callers = new CountedCallers();
     private int openRequests;
     private int exits;
     private DrainSequence sequence;
@@ -32,12 +32,7 @@
     @BeforeEach
     void createSequence() {
         DecisionLog log = new DecisionLog("test", clock, new PrintStream(OutputStream.nullOutputStream()));
-        sequence = new DrainSequence(
-                policy,
-                () -> openRequests,
-                new CallerConnections(loop, clock, 120_000, log, new MetricRegistry()),
-                loop,
-                log);
+        sequence = new DrainSequence(policy, () -> openRequests, callers, loop, log);
     }
 
     @Test
@@ -75,6 +70,77 @@
         assertThat(exits).isEqualTo(1);
     }
 
+    /** The operating system accepts connections while the process ends, and nobody reads their requests. */
+    @Test
+    void exitsOnlyAfterItStoppedListening() {
+        sequence.start(() -> exits++);
+        while (exits == 0) {
+            loop.advance(1);
+            assertThat(exits == 0 || !callers.listening).isTrue();
+        }
+        assertThat(callers.exitRecorded).isTrue();
+    }
+
+    /** A restart that takes longer costs callers as well. */
+    @Test
+    void withoutConnectionsTheEndTakesLittleLonger() {
+        sequence.start(() -> exits++);
+        advanceUntilNothingListens();
+        loop.advance(10);
+        assertThat(exits).isEqualTo(1);
+    }
+
+    /** Requests on open connections would be cut by the exit; idle ones are used until nothing listens any more. */
+    @Test
+    void exitsOnlyOnceItsConnectionsHaveEnded() {
+        callers.idle = 2;
+        callers.unused = 1;
+        sequence.start(() -> exits++);
+        advanceUntilNothingListens();
+        assertThat(callers.idle).isEqualTo(2);
+        loop.advance(10);
+        assertThat(callers.idle).isZero();
+        loop.advance(300);
+        assertThat(exits).as("waits for the first request").isZero();
+        callers.unused = 0;
+        loop.advance(20);
+        assertThat(exits).isEqualTo(1);
+    }
+
+    /** A caller that has sent half a head must not hold up a restart. */
+    @Test
+    void connectionThatIsNeverIdleDelaysTheExitForHalfASecond() {
+        callers.busy = 1;
+        sequence.start(() -> exits++);
+        advanceUntilNothingListens();
+        loop.advance(450);
+        assertThat(exits).isZero();
+        loop.advance(100);
+        assertThat(exits).isEqualTo(1);
+    }
+
+    /** Requests are open until the end, and connections wait for their first one. */
+    @Test
+    void connectionsEndBeforeTheForcedExit() {
+        openRequests = 1;
+        callers.unused = 1;
+        callers.idle = 1;
+        sequence.start(() -> exits++);
+        while (exits == 0) {
+            loop.advance(1);
+        }
+        assertThat(clock.monotonicMillis())
+                .as("a response that has begun may be completed")
+                .isBetween(GRACE_MILLIS - 200, GRACE_MILLIS - 100);
+        assertThat(callers.openConnections()).isZero();
+    }
+
+    private void advanceUntilNothingListens() {
+        while (callers.listening) {
+            loop.advance(1);
+        }
+    }
+
     @Test
     void secondStartHasNoEffect() {
         sequence.start(() -> exits++);
@@ -82,4 +148,44 @@
         loop.advance(GRACE_MILLIS);
         assertThat(exits).isEqualTo(1);
     }
+
+    /** Callers that have so many connections of each kind. */
+    private final class CountedCallers implements CallerEndpoint {
+
+        private boolean listening = true;
+        private boolean exitRecorded;
+        private int idle;
+        private int unused;
+        private int busy;
+        private long stoppedMillis;
+
+        @Override
+        public void stopListening() {
+            listening = false;
+            stoppedMillis = clock.monotonicMillis();
+        }
+
+        @Override
+        public void closeIdleConnections(long unusedMillis) {
+            idle = 0;
+            if (clock.monotonicMillis() - stoppedMillis >= unusedMillis) {
+                unused = 0;
+            }
+        }
+
+        @Override
+        public int openConnections() {
+            return idle + unused + busy;
+        }
+
+        @Override
+        public void recordExit() {
+            exitRecorded = true;
+        }
+
+        @Override
+        public int connectionsWithoutRequest() {
+            return idle + unused;
+        }
+    }
 }
