A paused plain instance with an unread response gets one request at a time

Cause: its responses weren't read, since the requests behind them had been given up. When all plain instances of the service were paused, the choice fell back to the one whose pause ends first, for each waiting or new request, however many it had: five went there together before the first could tell again that it wants none. Ruled out: a notice that was read and lost.

Change: attempts of plain requests are known by identity. An attempt that ends without the head of a response, although it may have been sent, leaves a response unread until the next head of that instance. While the service has no instance that accepts work, an instance with an unread response gets one request at a time until it responds, or the next one after 500 ms without a response, so that an instance that works long isn't kept from requests that it could serve. The others go to another paused instance or are refused at once (2006). Instances whose attempts are still open, that weren't reached or that aren't paused get requests as before.

Not done: after the end of a time that was read nothing is held back, since the entry knows that the time is over; prompts, generations and reservations are chosen as before.

--- /dev/null
+++ b/gateway/src/main/java/org/merlinwood/gateway/decision/ActivePlainAttempt.java
@@ -0,0 +1,37 @@
+package org.merlinwood.gateway.decision;
+
+/**
+ * An attempt of a plain request at an instance that has not ended. Whoever sends it reports its response or that it was
+ * not sent, and its end, to {@link InstancePool}. Confined to the event loop.
+ */
+public final class ActivePlainAttempt {
+
+    private final String instance;
+    private final long startedMillis;
+    private boolean responsePossible = true;
+
+    ActivePlainAttempt(String instance, long startedMillis) {
+        this.instance = instance;
+        this.startedMillis = startedMillis;
+    }
+
+    /** Returns the identifier of the instance. */
+    String instance() {
+        return instance;
+    }
+
+    /** Returns the monotonic time of the start, in milliseconds. */
+    long startedMillis() {
+        return startedMillis;
+    }
+
+    /** Records that the head of the response was read, or that there will be none since the request was not sent. */
+    void excludeFurtherResponse() {
+        responsePossible = false;
+    }
+
+    /** Returns whether the instance may send a response whose head was not read yet. */
+    boolean responsePossible() {
+        return responsePossible;
+    }
+}
--- a/gateway/src/main/java/org/merlinwood/gateway/decision/InstancePool.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/decision/InstancePool.java
@@ -201,18 +201,39 @@
      * Records the start of a plain request's attempt at an instance.
      *
      * @param identifier identifier of the instance
+     * @return the attempt; the caller passes it to the methods below
      */
-    public void beginPlainAttempt(String identifier) {
-        statistics.of(identifier).beginPlainAttempt();
+    public ActivePlainAttempt beginPlainAttempt(String identifier) {
+        ActivePlainAttempt attempt = new ActivePlainAttempt(identifier, clock.monotonicMillis());
+        statistics.of(identifier).beginPlainAttempt(attempt);
+        return attempt;
     }
 
     /**
-     * Records the end of a plain request's attempt, whatever its outcome.
+     * Records that the head of the response to an attempt was read, whatever it states.
      *
-     * @param identifier identifier of the instance
+     * @param attempt the attempt
+     */
+    public void recordPlainResponse(ActivePlainAttempt attempt) {
+        statistics.of(attempt.instance()).recordPlainResponse(attempt);
+    }
+
+    /**
+     * Records that an attempt was not sent, so that it has no response. Called before its end.
+     *
+     * @param attempt the attempt
+     */
+    public void recordUnsent(ActivePlainAttempt attempt) {
+        attempt.excludeFurtherResponse();
+    }
+
+    /**
+     * Records the end of a plain request's attempt, whatever its outcome. Called once.
+     *
+     * @param attempt the attempt
      */
-    public void endPlainAttempt(String identifier) {
-        statistics.of(identifier).endPlainAttempt();
+    public void endPlainAttempt(ActivePlainAttempt attempt) {
+        statistics.of(attempt.instance()).endPlainAttempt(attempt);
     }
 
     /**
--- a/gateway/src/main/java/org/merlinwood/gateway/decision/InstanceRanking.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/decision/InstanceRanking.java
@@ -13,7 +13,8 @@
  *
  * <p>An instance that failed is not chosen during a pause, which doubles with each consecutive failure. After the pause
  * it gets one request at a time until it responds. If all candidates are paused, the one whose pause ends first is
- * chosen, since it may have recovered. Confined to the event loop.
+ * chosen, since it may have recovered, except one that may have declined requests in a response that was not read: that
+ * one gets a single request then as well. Confined to the event loop.
  */
 final class InstanceRanking {
 
@@ -50,7 +51,7 @@
      *
      * @param candidates instances that may be chosen
      * @param score score of an instance
-     * @return the chosen instance, empty if there is no candidate
+     * @return the chosen instance, empty if there is no candidate or each gets a single request now and has it
      */
     Optional<UpstreamInstance> chooseBest(List<UpstreamInstance> candidates, ToDoubleFunction<UpstreamInstance> score) {
         long now = clock.monotonicMillis();
@@ -58,11 +59,14 @@
                 .filter(instance -> statistics.of(instance.identifier()).acceptsWork(now))
                 .sorted(Comparator.comparingDouble(score))
                 .toList();
-        return randomizer
-                .pick(available)
-                .or(() -> candidates.stream()
-                        .min(Comparator.comparingLong(
-                                instance -> statistics.of(instance.identifier()).pausedUntilMillis())));
+        return randomizer.pick(available).or(() -> firstToRecover(candidates, now));
+    }
+
+    private Optional<UpstreamInstance> firstToRecover(List<UpstreamInstance> candidates, long now) {
+        return candidates.stream()
+                .filter(instance -> statistics.of(instance.identifier()).mayBeTried(now))
+                .min(Comparator.comparingLong(
+                        instance -> statistics.of(instance.identifier()).pausedUntilMillis()));
     }
 
     /** Returns the lowest error rate among the candidates, between 0 and 1; 0 if there are none. */
--- a/gateway/src/main/java/org/merlinwood/gateway/decision/InstanceStatistics.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/decision/InstanceStatistics.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import org.merlinwood.gateway.upstream.UpstreamLoad;
 
 /**
@@ -30,6 +31,9 @@
     /** Age above which the load that the instance reported is ignored, in milliseconds. */
     private static final long MAXIMUM_LOAD_AGE_MILLIS = 500;
 
+    /** Time within which the response of an instance that wants no request has been read, in milliseconds. */
+    private static final long TRIAL_MILLIS = 500;
+
     private int running;
     private int promptTokens;
     private final List<ActiveGeneration> generations = new ArrayList<>();
@@ -44,12 +48,30 @@
     private long errorRateMillis;
     private double averageMillis;
 
-    void beginPlainAttempt() {
+    /** Whether an attempt was given up since the last response, so that the instance may have declined unheard. */
+    private boolean responseUnread;
+
+    /** The last attempt that was begun while a response was unread; empty once it has ended. */
+    private Optional<ActivePlainAttempt> trial = Optional.empty();
+
+    void beginPlainAttempt(ActivePlainAttempt attempt) {
         running++;
+        if (responseUnread) {
+            trial = Optional.of(attempt);
+        }
+    }
+
+    /** Records the head of a response. What the instance states in it about itself is recorded elsewhere. */
+    void recordPlainResponse(ActivePlainAttempt attempt) {
+        attempt.excludeFurtherResponse();
+        responseUnread = false;
+        trial = Optional.empty();
     }
 
-    void endPlainAttempt() {
+    void endPlainAttempt(ActivePlainAttempt attempt) {
         running--;
+        trial = trial.filter(open -> !open.equals(attempt));
+        responseUnread |= attempt.responsePossible();
     }
 
     void beginPrompt(int tokens) {
@@ -180,6 +202,17 @@
         return nowMillis >= pausedUntilMillis && running == 0;
     }
 
+    /**
+     * Returns whether a paused instance may get a request if no other instance accepts work: always, unless a response
+     * of it was not read. It may want no request then, and gets one at a time until it responds, or the next one after
+     * {@link #TRIAL_MILLIS} without a response.
+     */
+    boolean mayBeTried(long nowMillis) {
+        return !responseUnread
+                || trial.map(open -> nowMillis - open.startedMillis() >= TRIAL_MILLIS)
+                        .orElse(true);
+    }
+
     long pausedUntilMillis() {
         return pausedUntilMillis;
     }
--- a/gateway/src/main/java/org/merlinwood/gateway/front/PlainRequestProcessor.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/PlainRequestProcessor.java
@@ -9,8 +9,10 @@
 import java.util.Set;
 import java.util.function.BooleanSupplier;
 import java.util.stream.Collectors;
+import org.merlinwood.core.result.ExecutionState;
 import org.merlinwood.core.result.Failure;
 import org.merlinwood.core.result.ResultCode;
+import org.merlinwood.gateway.decision.ActivePlainAttempt;
 import org.merlinwood.gateway.decision.AttemptOutcome;
 import org.merlinwood.gateway.decision.CrashHistory;
 import org.merlinwood.gateway.decision.MemoryWaitPolicy;
@@ -141,7 +143,6 @@
                 .withResponseTimeout(attemptTimeoutMillis);
         Attempt attempt = new Attempt(instance);
         openAttempts.add(attempt);
-        context.pool().beginPlainAttempt(instance.identifier());
         restartSilenceTimer();
         attempt.stream = Optional.of(context.client().send(instance, upstreamRequest, attempt));
     }
@@ -258,6 +259,7 @@
 
         private final UpstreamInstance instance;
         private final long startedMillis = context.clock().monotonicMillis();
+        private final ActivePlainAttempt work;
         private final ByteArrayOutputStream body = new ByteArrayOutputStream();
         private Optional<HttpStream> stream = Optional.empty();
         private ResponseHead head;
@@ -268,6 +270,7 @@
 
         private Attempt(UpstreamInstance instance) {
             this.instance = instance;
+            this.work = context.pool().beginPlainAttempt(instance.identifier());
         }
 
         private void cancel() {
@@ -293,6 +296,7 @@
         @Override
         public void onHead(int status, List<HttpHeader> headers) {
             head = context.protocol().readHead(status, headers);
+            context.pool().recordPlainResponse(work);
             head.load().ifPresent(load -> context.pool().recordLoad(instance.identifier(), load));
         }
 
@@ -349,6 +353,9 @@
 
         @Override
         public void onFailure(Failure failure) {
+            if (failure.executionState() == ExecutionState.NOT_RUN) {
+                context.pool().recordUnsent(work);
+            }
             if (!markEnded() || isFinished()) {
                 return;
             }
@@ -362,7 +369,7 @@
             }
             ended = true;
             context.collectedBytes().remove(body.size());
-            context.pool().endPlainAttempt(instance.identifier());
+            context.pool().endPlainAttempt(work);
             return true;
         }
     }
