UpstreamPool leaves comparison and prefill history to classes of their own

UpstreamPool (437 lines) kept the candidates, compared them in three ways, predicted waits and learned from prefills. It keeps the candidates (259 lines) now. LeastPrefillWork, MostFreePieces and LeastInFlight each compare and predict by one criterion, in place of CandidateScore, whose records named the criteria and held no logic. PrefillHistory knows which candidate may have which prefix, and the rate; only pools of prefill instances have one.

--- a/decision/src/main/java/org/merlinwood/decision/placement/UpstreamPool.java
+++ b/decision/src/main/java/org/merlinwood/decision/placement/UpstreamPool.java
@@ -8,7 +8,6 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
-import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
 import org.merlinwood.configuration.inventory.Instance;
 import org.merlinwood.configuration.inventory.InstanceRole;
@@ -18,12 +17,12 @@
 import org.merlinwood.core.identity.ModelName;
 import org.merlinwood.core.identity.ServiceName;
 import org.merlinwood.decision.placement.impl.Candidate;
-import org.merlinwood.decision.placement.impl.CandidateScore;
 import org.merlinwood.decision.placement.impl.CandidateSelection;
+import org.merlinwood.decision.placement.impl.PlacementCriterion;
 import org.merlinwood.decision.placement.impl.PoolFilter;
+import org.merlinwood.decision.placement.impl.PrefillHistory;
 import org.merlinwood.decision.placement.impl.ScoredInstance;
 import org.merlinwood.decision.prefix.PrefixBlocks;
-import org.merlinwood.decision.prefix.PrefixIndex;
 
 /**
  * One entry's view of a pool: the instances of a service that have the same role and serve the same model. Chooses the
@@ -41,40 +40,24 @@
     /** Maximum number of candidates of one pool. */
     public static final int MAXIMUM_CANDIDATES = 48;
 
-    private static final int PREFIX_ROWS = 1 << 15;
-    private static final long PREFIX_TTL_MILLIS = 600_000;
-    private static final double DEFAULT_PREFILL_TOKENS_PER_MILLI = 8;
-    private static final long MINIMUM_TOKENS_FOR_RATE = 256;
-    private static final double RATE_SMOOTHING_FACTOR = 0.1;
-    private static final double TIE_BREAK_JITTER = 0.02;
-
     private final PoolFilter filter;
     private final CandidateSelection selection;
-    private final CandidateScore score;
+    private final PlacementCriterion criterion;
+    private final Optional<PrefillHistory> prefillHistory;
     private final List<Candidate> candidates;
     private final Map<InstanceName, Candidate> byName;
-    private final Optional<PrefixIndex> prefixIndex;
-    private final UniformRandomProvider random;
-    private final int[] matchedBlocks = new int[PrefixIndex.MAXIMUM_HOLDERS];
-    private double prefillTokensPerMilli = DEFAULT_PREFILL_TOKENS_PER_MILLI;
-    private boolean rateKnown;
 
     // ------------------------------------------------------------------ lifecycle
 
     private UpstreamPool(
-            PoolFilter filter,
-            CandidateSelection selection,
-            List<Candidate> candidates,
-            Optional<PrefixIndex> prefixIndex,
-            UniformRandomProvider random) {
+            PoolFilter filter, CandidateSelection selection, PlacementCriterion criterion, List<Candidate> candidates) {
         this.filter = filter;
         this.selection = selection;
-        this.score = CandidateScore.forRole(filter.role());
+        this.criterion = criterion;
+        this.prefillHistory = criterion.prefillHistory();
         this.candidates = candidates;
         this.byName = new HashMap<>();
         candidates.forEach(candidate -> byName.put(candidate.instance().name(), candidate));
-        this.prefixIndex = prefixIndex;
-        this.random = random;
     }
 
     /**
@@ -95,16 +78,12 @@
             Optional<ModelName> model,
             InstanceName self,
             FailureDomain ownDomain) {
-        Optional<PrefixIndex> index = role == InstanceRole.PREFILL
-                ? Optional.of(new PrefixIndex(PREFIX_ROWS, PREFIX_TTL_MILLIS))
-                : Optional.empty();
         long seed = self.value().hashCode();
         UpstreamPool empty = new UpstreamPool(
                 new PoolFilter(service, role, model),
                 new CandidateSelection(self, ownDomain, MAXIMUM_CANDIDATES),
-                List.of(),
-                index,
-                RandomSource.XO_RO_SHI_RO_128_PP.create(seed));
+                PlacementCriterion.forRole(role, RandomSource.XO_RO_SHI_RO_128_PP.create(seed)),
+                List.of());
         return empty.withInventory(inventory);
     }
 
@@ -123,10 +102,7 @@
             Candidate known = byName.get(scored.instance().name());
             successors.add(known == null ? newCandidate(scored, usedSlots) : updatedCandidate(known, scored));
         }
-        UpstreamPool successor = new UpstreamPool(filter, selection, successors, prefixIndex, random);
-        successor.prefillTokensPerMilli = prefillTokensPerMilli;
-        successor.rateKnown = rateKnown;
-        return successor;
+        return new UpstreamPool(filter, selection, criterion, successors);
     }
 
     // ------------------------------------------------------------------ public API
@@ -139,7 +115,7 @@
      * @return the instance, or empty if none is eligible
      */
     public Optional<Instance> choose(PlacementQuery query, Set<InstanceName> excluded) {
-        Candidate best = best(query, excluded);
+        Candidate best = criterion.best(candidates, query, excluded);
         return best == null ? Optional.empty() : best.asOptional();
     }
 
@@ -150,8 +126,8 @@
      * @return the forecast, or empty if no instance is eligible
      */
     public Optional<PlacementForecast> forecast(PlacementQuery query) {
-        Candidate best = best(query, Set.of());
-        return best == null ? Optional.empty() : Optional.of(forecast(best, query));
+        Candidate best = criterion.best(candidates, query, Set.of());
+        return best == null ? Optional.empty() : Optional.of(criterion.forecast(best, candidates, query));
     }
 
     /**
@@ -165,9 +141,8 @@
      */
     public void observe(InstanceName name, LoadObservation observation, long nowMillis) {
         withCandidate(name, candidate -> candidate.observe(observation, nowMillis));
-        if (observation.queuedTokens() > 0 && observation.expectedWaitMillis() > 0) {
-            updatePrefillRate((double) observation.queuedTokens() / observation.expectedWaitMillis());
-        }
+        prefillHistory.ifPresent(
+                history -> history.recordQueue(observation.queuedTokens(), observation.expectedWaitMillis()));
     }
 
     /**
@@ -212,9 +187,7 @@
     public void recordPrefill(
             InstanceName name, PrefixBlocks blocks, long computedTokens, long millis, long nowMillis) {
         recordCached(name, blocks, nowMillis);
-        if (computedTokens >= MINIMUM_TOKENS_FOR_RATE && millis > 0) {
-            updatePrefillRate((double) computedTokens / millis);
-        }
+        prefillHistory.ifPresent(history -> history.recordDuration(computedTokens, millis));
     }
 
     /**
@@ -228,7 +201,8 @@
     public void recordCached(InstanceName name, PrefixBlocks blocks, long nowMillis) {
         withCandidate(
                 name,
-                candidate -> prefixIndex.ifPresent(index -> index.recordStored(candidate.slot(), blocks, nowMillis)));
+                candidate ->
+                        prefillHistory.ifPresent(history -> history.recordCached(candidate.slot(), blocks, nowMillis)));
     }
 
     /**
@@ -240,8 +214,7 @@
     public void recordEviction(InstanceName name, PrefixBlocks blocks) {
         withCandidate(
                 name,
-                candidate -> prefixIndex.ifPresent(
-                        index -> blocks.hashes().forEach(hash -> index.recordEviction(candidate.slot(), hash))));
+                candidate -> prefillHistory.ifPresent(history -> history.recordEviction(candidate.slot(), blocks)));
     }
 
     /**
@@ -253,157 +226,6 @@
         return candidates.stream().map(candidate -> candidate.instance().name()).toList();
     }
 
-    // ------------------------------------------------------------------ choice
-
-    private Candidate best(PlacementQuery query, Set<InstanceName> excluded) {
-        return switch (score) {
-            case CandidateScore.LeastPrefillWork prefill -> leastPrefillWork(query, excluded);
-            case CandidateScore.MostFreePieces decode -> mostFreePieces(query, excluded);
-            case CandidateScore.LeastInFlight plain -> leastInFlight(query, excluded);
-        };
-    }
-
-    private Candidate leastPrefillWork(PlacementQuery query, Set<InstanceName> excluded) {
-        matchPrefixes(query);
-        Candidate best = null;
-        double bestTokens = Double.MAX_VALUE;
-        for (Candidate candidate : candidates) {
-            if (isUsable(candidate, query, excluded)) {
-                double tokens = prefillCost(candidate, query);
-                if (tokens < bestTokens) {
-                    best = candidate;
-                    bestTokens = tokens;
-                }
-            }
-        }
-        return best;
-    }
-
-    private double prefillCost(Candidate candidate, PlacementQuery query) {
-        double jitter = random.nextDouble() * TIE_BREAK_JITTER * PrefixBlocks.BLOCK_TOKENS;
-        return candidate.waitingTokens(CandidateScore.TOKENS_PER_PIECE, query.nowMillis())
-                + uncachedTokens(candidate, query)
-                + candidate.distance().prefillTokens()
-                + jitter;
-    }
-
-    private long uncachedTokens(Candidate candidate, PlacementQuery query) {
-        long cached = (long) matchedBlocks[candidate.slot()] * PrefixBlocks.BLOCK_TOKENS;
-        return Math.max(0, query.promptTokens() - cached);
-    }
-
-    private void matchPrefixes(PlacementQuery query) {
-        if (prefixIndex.isPresent()) {
-            prefixIndex.get().match(query.blocks(), query.nowMillis(), matchedBlocks);
-        }
-    }
-
-    private Candidate mostFreePieces(PlacementQuery query, Set<InstanceName> excluded) {
-        double poolFreeShare = poolFreeShare(query.nowMillis());
-        Candidate best = null;
-        double bestScore = -Double.MAX_VALUE;
-        for (Candidate candidate : candidates) {
-            if (isUsable(candidate, query, excluded)) {
-                double candidateScore = decodeScore(candidate, query, poolFreeShare);
-                if (candidateScore > bestScore) {
-                    best = candidate;
-                    bestScore = candidateScore;
-                }
-            }
-        }
-        return best;
-    }
-
-    private double decodeScore(Candidate candidate, PlacementQuery query, double poolFreeShare) {
-        double jitter =
-                random.nextDouble() * TIE_BREAK_JITTER - candidate.distance().pieceShare();
-        double left = candidate.freePieces(poolFreeShare, query.nowMillis()) - query.pieces();
-        if (left >= 0 && !candidate.hasQueue(query.nowMillis())) {
-            return left / candidate.totalPieces() + jitter;
-        }
-        double missingShare = Math.max(0, -left) / candidate.totalPieces();
-        return jitter - 1 - missingShare - candidate.expectedWaitMillis(query.nowMillis());
-    }
-
-    private double poolFreeShare(long nowMillis) {
-        double totalFreshness = 0;
-        double weightedShare = 0;
-        for (Candidate candidate : candidates) {
-            double freshness = candidate.freshness(nowMillis);
-            totalFreshness += freshness;
-            weightedShare += freshness * candidate.observedFreeShare();
-        }
-        return totalFreshness == 0 ? 1 : weightedShare / totalFreshness;
-    }
-
-    private Candidate leastInFlight(PlacementQuery query, Set<InstanceName> excluded) {
-        Candidate first = null;
-        Candidate second = null;
-        int usable = 0;
-        for (Candidate candidate : candidates) {
-            if (isUsable(candidate, query, excluded)) {
-                usable++;
-                if (usable == 1) {
-                    first = candidate;
-                } else if (usable == 2) {
-                    second = candidate;
-                } else {
-                    int replaced = random.nextInt(usable);
-                    first = replaced == 0 ? candidate : first;
-                    second = replaced == 1 ? candidate : second;
-                }
-            }
-        }
-        if (second == null) {
-            return first;
-        }
-        return inFlight(second, query.nowMillis()) < inFlight(first, query.nowMillis()) ? second : first;
-    }
-
-    private double inFlight(Candidate candidate, long nowMillis) {
-        LoadObservation load = candidate.observation();
-        double others = Math.max(0, load.running() + load.queued() - candidate.openRequests());
-        return candidate.openRequests()
-                + candidate.freshness(nowMillis) * others
-                + random.nextDouble() * TIE_BREAK_JITTER;
-    }
-
-    private static boolean isUsable(Candidate candidate, PlacementQuery query, Set<InstanceName> excluded) {
-        return candidate.isEligible(query.nowMillis())
-                && !excluded.contains(candidate.instance().name());
-    }
-
-    // ------------------------------------------------------------------ forecast
-
-    private PlacementForecast forecast(Candidate candidate, PlacementQuery query) {
-        return switch (score) {
-            case CandidateScore.LeastPrefillWork prefill -> prefillForecast(candidate, query);
-            case CandidateScore.MostFreePieces decode -> decodeForecast(candidate, query);
-            case CandidateScore.LeastInFlight plain -> PlacementForecast.IMMEDIATE;
-        };
-    }
-
-    private PlacementForecast prefillForecast(Candidate candidate, PlacementQuery query) {
-        double waiting = candidate.waitingTokens(CandidateScore.TOKENS_PER_PIECE, query.nowMillis());
-        long work = uncachedTokens(candidate, query);
-        return new PlacementForecast(
-                Math.round(waiting / prefillTokensPerMilli), Math.round(work / prefillTokensPerMilli));
-    }
-
-    private PlacementForecast decodeForecast(Candidate candidate, PlacementQuery query) {
-        double free = candidate.freePieces(poolFreeShare(query.nowMillis()), query.nowMillis());
-        boolean fits = free >= query.pieces() && !candidate.hasQueue(query.nowMillis());
-        return fits
-                ? PlacementForecast.IMMEDIATE
-                : new PlacementForecast(candidate.expectedWaitMillis(query.nowMillis()), 0);
-    }
-
-    private void updatePrefillRate(double tokensPerMilli) {
-        double gain = rateKnown ? RATE_SMOOTHING_FACTOR : 1;
-        rateKnown = true;
-        prefillTokensPerMilli += gain * (tokensPerMilli - prefillTokensPerMilli);
-    }
-
     // ------------------------------------------------------------------ candidates
 
     private void withCandidate(InstanceName name, Consumer<Candidate> action) {
@@ -427,7 +249,7 @@
     private Candidate newCandidate(ScoredInstance scored, BitSet usedSlots) {
         int slot = usedSlots.nextClearBit(0);
         usedSlots.set(slot);
-        prefixIndex.ifPresent(index -> index.remove(slot));
+        prefillHistory.ifPresent(history -> history.clear(slot));
         return new Candidate(scored.instance(), scored.distance(), slot);
     }
 
--- a/decision/src/main/java/org/merlinwood/decision/placement/impl/Candidate.java
+++ b/decision/src/main/java/org/merlinwood/decision/placement/impl/Candidate.java
@@ -1,7 +1,9 @@
 package org.merlinwood.decision.placement.impl;
 
 import java.util.Optional;
+import java.util.Set;
 import org.merlinwood.configuration.inventory.Instance;
+import org.merlinwood.core.identity.InstanceName;
 import org.merlinwood.decision.placement.LoadObservation;
 
 /**
@@ -104,14 +106,15 @@
     }
 
     /**
-     * Returns whether the instance may be chosen.
+     * Returns whether the instance may be chosen for an attempt.
      *
      * @param nowMillis the monotonic time, in milliseconds
-     * @return false while it is avoided or a recent load reports that it is draining
+     * @param excluded instances that must not be chosen
+     * @return false if it is excluded, while it is avoided, or if a recent load reports that it is draining
      */
-    public boolean isEligible(long nowMillis) {
+    public boolean isUsable(long nowMillis, Set<InstanceName> excluded) {
         boolean draining = observation.draining() && freshness(nowMillis) > 0;
-        return nowMillis >= avoidedUntilMillis && !draining;
+        return nowMillis >= avoidedUntilMillis && !draining && !excluded.contains(instance.name());
     }
 
     /**
