One place says how many tokens a piece of engine memory holds

Four classes had their own TOKENS_PER_PIECE of 2,000 and two their own rounding, beside GrantDemand, which the sidecar uses: with another value in one of them, an entry would have asked for other pieces than the sidecar counts. They use GrantDemand now.

GrantDemand counts at least one piece; ClassifyFilter's sum is at least 1 token, since max_tokens has to be positive, so nothing changes there. decision 217 and entry 128 tests pass unchanged.

--- a/decision/src/main/java/org/merlinwood/decision/placement/impl/LeastPrefillWork.java
+++ b/decision/src/main/java/org/merlinwood/decision/placement/impl/LeastPrefillWork.java
@@ -5,6 +5,7 @@
 import java.util.Set;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.merlinwood.core.identity.InstanceName;
+import org.merlinwood.decision.grant.GrantDemand;
 import org.merlinwood.decision.placement.PlacementForecast;
 import org.merlinwood.decision.placement.PlacementQuery;
 import org.merlinwood.decision.prefix.PrefixBlocks;
@@ -15,8 +16,6 @@
  */
 final class LeastPrefillWork implements PlacementCriterion {
 
-    private static final long TOKENS_PER_PIECE = 2_000;
-
     private final PrefillHistory history;
     private final Optional<PrefillHistory> asOptional;
     private final UniformRandomProvider random;
@@ -46,7 +45,7 @@
 
     @Override
     public PlacementForecast forecast(Candidate best, List<Candidate> candidates, PlacementQuery query) {
-        double waiting = best.waitingTokens(TOKENS_PER_PIECE, query.nowMillis());
+        double waiting = best.waitingTokens(GrantDemand.TOKENS_PER_PIECE, query.nowMillis());
         double work = uncachedTokens(best, query);
         return new PlacementForecast(history.predictedMillis(waiting), history.predictedMillis(work));
     }
@@ -59,7 +58,7 @@
     /** Returns the prompt tokens until the prompt is complete, with the distance as tokens and a random part. */
     private double cost(Candidate candidate, PlacementQuery query) {
         double jitter = random.nextDouble() * TIE_BREAK_JITTER * PrefixBlocks.BLOCK_TOKENS;
-        return candidate.waitingTokens(TOKENS_PER_PIECE, query.nowMillis())
+        return candidate.waitingTokens(GrantDemand.TOKENS_PER_PIECE, query.nowMillis())
                 + uncachedTokens(candidate, query)
                 + candidate.distance().prefillTokens()
                 + jitter;
--- a/entry/src/main/java/org/merlinwood/entry/filter/ClassifyFilter.java
+++ b/entry/src/main/java/org/merlinwood/entry/filter/ClassifyFilter.java
@@ -21,6 +21,7 @@
 import org.merlinwood.core.identity.ServiceName;
 import org.merlinwood.core.result.Failure;
 import org.merlinwood.core.result.ResultCode;
+import org.merlinwood.decision.grant.GrantDemand;
 import org.merlinwood.decision.prefix.PrefixBlocks;
 import org.merlinwood.entry.request.AcceptedRequest;
 import org.merlinwood.entry.request.AnswerShape;
@@ -40,7 +41,6 @@
     private static final String KEYS_PATH = "/merlinwood/keys";
     private static final String POST = "POST";
     private static final int BYTES_PER_TOKEN = 4;
-    private static final int TOKENS_PER_PIECE = 2_000;
     private static final byte SEPARATOR = 0;
 
     private final KeyFilter keyFilter;
@@ -114,7 +114,7 @@
                 prompt.model(),
                 prompt.prompt(),
                 promptTokens,
-                Math.toIntExact((tokens + TOKENS_PER_PIECE - 1) / TOKENS_PER_PIECE),
+                GrantDemand.piecesOf(tokens),
                 prompt.sampling(),
                 responseFormat,
                 prompt.delivery(),
--- a/replay/src/main/java/org/merlinwood/replay/policy/BaselineDecisions.java
+++ b/replay/src/main/java/org/merlinwood/replay/policy/BaselineDecisions.java
@@ -12,6 +12,7 @@
 import org.merlinwood.configuration.inventory.Instance;
 import org.merlinwood.configuration.inventory.InstanceRole;
 import org.merlinwood.core.identity.InstanceName;
+import org.merlinwood.decision.grant.GrantDemand;
 import org.merlinwood.decision.placement.LoadObservation;
 import org.merlinwood.decision.prefix.PrefixBlocks;
 import org.merlinwood.replay.fake.VirtualTime;
@@ -24,7 +25,6 @@
 public final class BaselineDecisions implements RoutingDecisions {
 
     private static final long AVOID_MILLIS = 5_000;
-    private static final long TOKENS_PER_PIECE = 2_000;
 
     private final VirtualTime time;
     private final TraceHeader header;
@@ -154,7 +154,8 @@
         return switch (role) {
             case PREFILL ->
                 Math.max(
-                        (double) fleet.prefill(name).laggingLoad().queuedTokens(), (double) ownWork * TOKENS_PER_PIECE);
+                        (double) fleet.prefill(name).laggingLoad().queuedTokens(),
+                        (double) ownWork * GrantDemand.TOKENS_PER_PIECE);
             case DECODE -> {
                 LoadObservation load = fleet.decode(name).laggingLoad();
                 yield Math.max(load.totalPieces() - load.freePieces(), ownWork) + load.queued();
--- a/replay/src/main/java/org/merlinwood/replay/policy/ModelAttempt.java
+++ b/replay/src/main/java/org/merlinwood/replay/policy/ModelAttempt.java
@@ -7,6 +7,7 @@
 import org.HdrHistogram.Histogram;
 import org.apache.commons.codec.digest.MurmurHash3;
 import org.merlinwood.configuration.rules.CallerClass;
+import org.merlinwood.decision.grant.GrantDemand;
 import org.merlinwood.decision.prefix.PrefixBlocks;
 import org.merlinwood.replay.fake.DecodeStream;
 import org.merlinwood.replay.fake.VirtualTime;
@@ -15,7 +16,6 @@
 /** One attempt of a model request as the caller sees it. Not thread-safe. */
 public final class ModelAttempt implements DecodeStream {
 
-    private static final int TOKENS_PER_PIECE = 2_000;
     private static final double ALLOWED_LATE_GAP_SHARE = 0.05;
     private static final long NOT_YET = -1;
 
@@ -149,11 +149,11 @@
     }
 
     int decodePieces() {
-        return pieces(request.promptTokens() + request.maximumTokens());
+        return GrantDemand.piecesOf((long) request.promptTokens() + request.maximumTokens());
     }
 
     int prefillPieces() {
-        return pieces(request.promptTokens());
+        return GrantDemand.piecesOf(request.promptTokens());
     }
 
     long promptTokens() {
@@ -206,10 +206,6 @@
         }
     }
 
-    private static int pieces(int tokens) {
-        return Math.ceilDiv(tokens, TOKENS_PER_PIECE);
-    }
-
     private static PrefixBlocks blocksOf(ModelRequest request) {
         int whole = request.promptTokens() / PrefixBlocks.BLOCK_TOKENS;
         int shared = Math.min(whole, request.sharedTokens() / PrefixBlocks.BLOCK_TOKENS);
