Reservation and Reservations are named as their comments name them

The classes were called Holding and Holdings; their comments, the variables that hold them, ReservationEnd and the messages speak of reservations. The state dump keeps its key "holdings".

--- a/decision/src/main/java/org/merlinwood/decision/grant/GrantManager.java
+++ b/decision/src/main/java/org/merlinwood/decision/grant/GrantManager.java
@@ -13,11 +13,11 @@
 import org.merlinwood.decision.grant.impl.Capacity;
 import org.merlinwood.decision.grant.impl.DemandRules;
 import org.merlinwood.decision.grant.impl.GrantIssuer;
-import org.merlinwood.decision.grant.impl.Holding;
-import org.merlinwood.decision.grant.impl.Holdings;
 import org.merlinwood.decision.grant.impl.IssuedGrants;
 import org.merlinwood.decision.grant.impl.KnownAttempts;
+import org.merlinwood.decision.grant.impl.Reservation;
 import org.merlinwood.decision.grant.impl.ReservationEnd;
+import org.merlinwood.decision.grant.impl.Reservations;
 import org.merlinwood.decision.grant.impl.RetryableFailures;
 import org.merlinwood.decision.grant.impl.WaitingDemand;
 import org.merlinwood.decision.grant.impl.WaitingQueue;
@@ -43,7 +43,7 @@
 
     private final MillisClock clock;
     private final RetryableFailures failures;
-    private final Holdings reservations = new Holdings();
+    private final Reservations reservations = new Reservations();
     private final WaitingQueue queue = new WaitingQueue();
     private final Capacity capacity = new Capacity(reservations, queue);
     private final KnownAttempts attempts = new KnownAttempts(reservations, queue);
@@ -151,12 +151,12 @@
      * @return the grant, or the failure if the attempt must not be executed
      */
     public Either<Failure, Grant> use(SessionNumber session, long number, AttemptIdentity attempt) {
-        Optional<Holding> found = reservations.ofGrant(number);
+        Optional<Reservation> found = reservations.ofGrant(number);
         if (found.isEmpty()) {
             return Either.left(issued.unknownGrantFailure(number));
         }
-        Holding reservation = found.get();
-        if (reservation.phase() != Holding.Phase.UNUSED) {
+        Reservation reservation = found.get();
+        if (reservation.phase() != Reservation.Phase.UNUSED) {
             return Either.left(Failure.of(ResultCode.GRANT_UNKNOWN, "the grant has already been used")
                     .withExecutionState(ExecutionState.UNKNOWN));
         }
@@ -170,7 +170,7 @@
             reservationEnd.invalidate(reservation);
             return Either.left(failures.soon(ResultCode.GRANT_EXPIRED, "the grant expired before it was used", demand));
         }
-        reservations.replace(reservation.withPhase(Holding.Phase.RUNNING));
+        reservations.replace(reservation.withPhase(Reservation.Phase.RUNNING));
         return Either.right(reservation.grant());
     }
 
@@ -197,7 +197,7 @@
     public List<GrantEvent> retainResult(AttemptIdentity attempt) {
         reservations
                 .of(attempt)
-                .filter(reservation -> reservation.phase() == Holding.Phase.RUNNING)
+                .filter(reservation -> reservation.phase() == Reservation.Phase.RUNNING)
                 .ifPresent(reservationEnd::releaseUnits);
         return issuer.serveQueue();
     }
@@ -212,7 +212,7 @@
         trials.end(attempt);
         reservations
                 .of(attempt)
-                .ifPresent(reservation -> reservations.replace(reservation.withPhase(Holding.Phase.STOPPING)));
+                .ifPresent(reservation -> reservations.replace(reservation.withPhase(Reservation.Phase.STOPPING)));
     }
 
     /**
@@ -283,8 +283,8 @@
     public List<GrantEvent> advance() {
         long now = clock.monotonicMillis();
         List<GrantEvent> events = new ArrayList<>();
-        for (Holding reservation : reservations.all()) {
-            if (reservation.phase() == Holding.Phase.UNUSED
+        for (Reservation reservation : reservations.all()) {
+            if (reservation.phase() == Reservation.Phase.UNUSED
                     && now >= reservation.grant().expiresAtMillis()) {
                 reservationEnd.invalidate(reservation);
                 GrantDemand demand = reservation.grant().demand();
@@ -308,7 +308,7 @@
         return new LoadObservation(
                 (int) Math.max(0, capacity.freeUnits()),
                 capacity.totalUnits(),
-                reservations.count(Holding.Phase.RUNNING) + reservations.count(Holding.Phase.STOPPING),
+                reservations.count(Reservation.Phase.RUNNING) + reservations.count(Reservation.Phase.STOPPING),
                 queue.size(),
                 capacity.expectedWaitBehindQueueMillis(),
                 queue.tokens() + reservations.tokens(),
@@ -379,11 +379,11 @@
         if (waiting.isPresent()) {
             return List.of(new GrantEvent.Refused(attempt, notRun));
         }
-        Optional<Holding> reservation = reservations.of(attempt);
-        if (reservation.isEmpty() || reservation.get().phase() == Holding.Phase.STOPPING) {
+        Optional<Reservation> reservation = reservations.of(attempt);
+        if (reservation.isEmpty() || reservation.get().phase() == Reservation.Phase.STOPPING) {
             return List.of();
         }
-        if (reservation.get().phase() == Holding.Phase.UNUSED) {
+        if (reservation.get().phase() == Reservation.Phase.UNUSED) {
             reservationEnd.invalidate(reservation.get());
             return List.of(new GrantEvent.Refused(attempt, notRun));
         }
--- a/decision/src/main/java/org/merlinwood/decision/grant/GrantManagerState.java
+++ b/decision/src/main/java/org/merlinwood/decision/grant/GrantManagerState.java
@@ -1,7 +1,7 @@
 package org.merlinwood.decision.grant;
 
 import java.util.List;
-import org.merlinwood.decision.grant.impl.Holding;
+import org.merlinwood.decision.grant.impl.Reservation;
 import org.merlinwood.decision.grant.impl.WaitingDemand;
 import org.merlinwood.decision.placement.LoadObservation;
 
@@ -14,4 +14,4 @@
  * @param waiting queued demands in the order in which they are served
  */
 public record GrantManagerState(
-        LoadObservation load, long lastGrant, List<Holding> holdings, List<WaitingDemand> waiting) {}
+        LoadObservation load, long lastGrant, List<Reservation> holdings, List<WaitingDemand> waiting) {}
--- a/decision/src/main/java/org/merlinwood/decision/grant/impl/ActiveTrials.java
+++ b/decision/src/main/java/org/merlinwood/decision/grant/impl/ActiveTrials.java
@@ -10,7 +10,7 @@
  */
 public final class ActiveTrials {
 
-    private final Holdings reservations;
+    private final Reservations reservations;
     private final Set<AttemptIdentity> attempts = new LinkedHashSet<>();
 
     /**
@@ -18,7 +18,7 @@
      *
      * @param reservations the current reservations; an attempt without one is not on trial
      */
-    public ActiveTrials(Holdings reservations) {
+    public ActiveTrials(Reservations reservations) {
         this.reservations = reservations;
     }
 
--- a/decision/src/main/java/org/merlinwood/decision/grant/impl/Capacity.java
+++ b/decision/src/main/java/org/merlinwood/decision/grant/impl/Capacity.java
@@ -7,7 +7,7 @@
  */
 public final class Capacity {
 
-    private final Holdings reservations;
+    private final Reservations reservations;
     private final WaitingQueue queue;
     private final WaitEstimate estimate = new WaitEstimate();
     private int totalUnits;
@@ -18,7 +18,7 @@
      * @param reservations the current reservations
      * @param queue the demands that wait
      */
-    public Capacity(Holdings reservations, WaitingQueue queue) {
+    public Capacity(Reservations reservations, WaitingQueue queue) {
         this.reservations = reservations;
         this.queue = queue;
     }
@@ -105,7 +105,7 @@
      * @param reservation a reservation whose units are released
      * @param nowMillis monotonic time, in milliseconds
      */
-    public void observeRelease(Holding reservation, long nowMillis) {
+    public void observeRelease(Reservation reservation, long nowMillis) {
         int units = reservation.grant().demand().units();
         if (units > 0) {
             estimate.observe(units, nowMillis - reservation.sinceMillis(), totalUnits);
--- a/decision/src/main/java/org/merlinwood/decision/grant/impl/GrantIssuer.java
+++ b/decision/src/main/java/org/merlinwood/decision/grant/impl/GrantIssuer.java
@@ -16,7 +16,7 @@
 
     private final MillisClock clock;
     private final WaitingQueue queue;
-    private final Holdings reservations;
+    private final Reservations reservations;
     private final ActiveTrials trials;
     private final IssuedGrants issued;
     private final Capacity capacity;
@@ -37,7 +37,7 @@
     public GrantIssuer(
             MillisClock clock,
             WaitingQueue queue,
-            Holdings reservations,
+            Reservations reservations,
             ActiveTrials trials,
             IssuedGrants issued,
             Capacity capacity,
@@ -128,7 +128,7 @@
         }
         queue.remove(demand.attempt());
         Grant grant = new Grant(issued.issue(), demand, now + grantMillis);
-        reservations.add(new Holding(grant, Holding.Phase.UNUSED, now));
+        reservations.add(new Reservation(grant, Reservation.Phase.UNUSED, now));
         return new GrantEvent.Granted(demand.attempt(), grant, grantMillis);
     }
 
--- a/decision/src/main/java/org/merlinwood/decision/grant/impl/KnownAttempts.java
+++ b/decision/src/main/java/org/merlinwood/decision/grant/impl/KnownAttempts.java
@@ -10,7 +10,7 @@
 /** Finds attempts among the queued demands and the reservations. Stateless. */
 public final class KnownAttempts {
 
-    private final Holdings reservations;
+    private final Reservations reservations;
     private final WaitingQueue queue;
 
     /**
@@ -19,7 +19,7 @@
      * @param reservations the current reservations
      * @param queue the demands that wait
      */
-    public KnownAttempts(Holdings reservations, WaitingQueue queue) {
+    public KnownAttempts(Reservations reservations, WaitingQueue queue) {
         this.reservations = reservations;
         this.queue = queue;
     }
--- a/decision/src/main/java/org/merlinwood/decision/grant/impl/Holding.java
+++ b/decision/src/main/java/org/merlinwood/decision/grant/impl/Reservation.java
@@ -9,7 +9,7 @@
  * @param phase the phase of the attempt
  * @param sinceMillis monotonic time at which the grant was issued, in milliseconds
  */
-public record Holding(Grant grant, Phase phase, long sinceMillis) {
+public record Reservation(Grant grant, Phase phase, long sinceMillis) {
 
     /** Phases of an attempt that has a grant. */
     public enum Phase {
@@ -29,8 +29,8 @@
      * @param next the phase
      * @return a copy
      */
-    public Holding withPhase(Phase next) {
-        return new Holding(grant, next, sinceMillis);
+    public Reservation withPhase(Phase next) {
+        return new Reservation(grant, next, sinceMillis);
     }
 
     /**
@@ -38,8 +38,8 @@
      *
      * @return a copy
      */
-    public Holding withoutUnits() {
+    public Reservation withoutUnits() {
         Grant unitless = new Grant(grant.number(), grant.demand().withoutUnits(), grant.expiresAtMillis());
-        return new Holding(unitless, Phase.KEPT, sinceMillis);
+        return new Reservation(unitless, Phase.KEPT, sinceMillis);
     }
 }
--- a/decision/src/main/java/org/merlinwood/decision/grant/impl/ReservationEnd.java
+++ b/decision/src/main/java/org/merlinwood/decision/grant/impl/ReservationEnd.java
@@ -6,7 +6,7 @@
 public final class ReservationEnd {
 
     private final MillisClock clock;
-    private final Holdings reservations;
+    private final Reservations reservations;
     private final IssuedGrants issued;
     private final Capacity capacity;
 
@@ -18,7 +18,7 @@
      * @param issued remembers which grants were invalidated unused
      * @param capacity learns how long units were reserved
      */
-    public ReservationEnd(MillisClock clock, Holdings reservations, IssuedGrants issued, Capacity capacity) {
+    public ReservationEnd(MillisClock clock, Reservations reservations, IssuedGrants issued, Capacity capacity) {
         this.clock = clock;
         this.reservations = reservations;
         this.issued = issued;
@@ -30,7 +30,7 @@
      *
      * @param reservation an unused reservation
      */
-    public void invalidate(Holding reservation) {
+    public void invalidate(Reservation reservation) {
         reservations.remove(reservation.grant().demand().attempt());
         issued.recordInvalidated(reservation.grant().number());
     }
@@ -40,8 +40,8 @@
      *
      * @param reservation the reservation
      */
-    public void release(Holding reservation) {
-        if (reservation.phase() == Holding.Phase.UNUSED) {
+    public void release(Reservation reservation) {
+        if (reservation.phase() == Reservation.Phase.UNUSED) {
             invalidate(reservation);
             return;
         }
@@ -54,7 +54,7 @@
      *
      * @param reservation a reservation of a running attempt
      */
-    public void releaseUnits(Holding reservation) {
+    public void releaseUnits(Reservation reservation) {
         capacity.observeRelease(reservation, clock.monotonicMillis());
         reservations.replace(reservation.withoutUnits());
     }
--- a/decision/src/main/java/org/merlinwood/decision/grant/impl/Holdings.java
+++ b/decision/src/main/java/org/merlinwood/decision/grant/impl/Reservations.java
@@ -10,9 +10,9 @@
 import org.merlinwood.decision.grant.AttemptIdentity;
 
 /** The reservations of all attempts that have a grant, and the sums of their units and tokens. Not thread-safe. */
-public final class Holdings {
+public final class Reservations {
 
-    private final Map<AttemptIdentity, Holding> byAttempt = new LinkedHashMap<>();
+    private final Map<AttemptIdentity, Reservation> byAttempt = new LinkedHashMap<>();
     private final Map<RequestIdentifier, Integer> byRequest = new HashMap<>();
     private long units;
     private long tokens;
@@ -22,7 +22,7 @@
      *
      * @param reservation the reservation
      */
-    public void add(Holding reservation) {
+    public void add(Reservation reservation) {
         AttemptIdentity attempt = reservation.grant().demand().attempt();
         byAttempt.put(attempt, reservation);
         byRequest.merge(attempt.request(), 1, Integer::sum);
@@ -35,8 +35,8 @@
      *
      * @param reservation the reservation in its new phase
      */
-    public void replace(Holding reservation) {
-        Holding replaced = byAttempt.replace(reservation.grant().demand().attempt(), reservation);
+    public void replace(Reservation reservation) {
+        Reservation replaced = byAttempt.replace(reservation.grant().demand().attempt(), reservation);
         if (replaced != null) {
             units += reservation.grant().demand().units()
                     - replaced.grant().demand().units();
@@ -51,8 +51,8 @@
      * @param attempt the attempt
      * @return the reservation, or empty if there is none
      */
-    public Optional<Holding> remove(AttemptIdentity attempt) {
-        Holding reservation = byAttempt.remove(attempt);
+    public Optional<Reservation> remove(AttemptIdentity attempt) {
+        Reservation reservation = byAttempt.remove(attempt);
         if (reservation != null) {
             byRequest.computeIfPresent(attempt.request(), (request, count) -> count == 1 ? null : count - 1);
             units -= reservation.grant().demand().units();
@@ -67,7 +67,7 @@
      * @param attempt the attempt
      * @return the reservation, or empty if there is none
      */
-    public Optional<Holding> of(AttemptIdentity attempt) {
+    public Optional<Reservation> of(AttemptIdentity attempt) {
         return Optional.ofNullable(byAttempt.get(attempt));
     }
 
@@ -77,7 +77,7 @@
      * @param number number of the grant
      * @return the reservation, or empty if there is none
      */
-    public Optional<Holding> ofGrant(long number) {
+    public Optional<Reservation> ofGrant(long number) {
         return byAttempt.values().stream()
                 .filter(reservation -> reservation.grant().number() == number)
                 .findFirst();
@@ -99,7 +99,7 @@
      * @param condition selects reservations
      * @return the attempts, oldest first
      */
-    public List<AttemptIdentity> attempts(Predicate<Holding> condition) {
+    public List<AttemptIdentity> attempts(Predicate<Reservation> condition) {
         return byAttempt.values().stream()
                 .filter(condition)
                 .map(reservation -> reservation.grant().demand().attempt())
@@ -111,7 +111,7 @@
      *
      * @return a copy, oldest first
      */
-    public List<Holding> all() {
+    public List<Reservation> all() {
         return List.copyOf(byAttempt.values());
     }
 
@@ -121,7 +121,7 @@
      * @param phase the phase
      * @return the number of reservations
      */
-    public int count(Holding.Phase phase) {
+    public int count(Reservation.Phase phase) {
         return (int) byAttempt.values().stream()
                 .filter(reservation -> reservation.phase() == phase)
                 .count();
--- a/decision/src/test/java/org/merlinwood/decision/grant/CapacityTest.java
+++ b/decision/src/test/java/org/merlinwood/decision/grant/CapacityTest.java
@@ -5,8 +5,8 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.merlinwood.decision.grant.impl.Capacity;
-import org.merlinwood.decision.grant.impl.Holding;
-import org.merlinwood.decision.grant.impl.Holdings;
+import org.merlinwood.decision.grant.impl.Reservation;
+import org.merlinwood.decision.grant.impl.Reservations;
 import org.merlinwood.decision.grant.impl.WaitingQueue;
 
 final class CapacityTest {
@@ -14,7 +14,7 @@
     /** Reservation time of each unit, in milliseconds. */
     private static final long RESERVATION_MILLIS = 100;
 
-    private final Holdings reservations = new Holdings();
+    private final Reservations reservations = new Reservations();
     private final WaitingQueue queue = new WaitingQueue();
     private final Capacity capacity = new Capacity(reservations, queue);
 
@@ -59,7 +59,7 @@
 
     @Test
     void observedReservationTimeReplacesAssumedOne() {
-        Holding ended = reserve(1, 10);
+        Reservation ended = reserve(1, 10);
         capacity.observeRelease(ended, 10_000);
         long afterObservation = capacity.expectedWaitMillis(GrantManagerFixture.demand(2, 1));
         capacity.assumeReservationTime(RESERVATION_MILLIS);
@@ -70,7 +70,7 @@
 
     @Test
     void reservationWithoutUnitsIsNotObserved() {
-        Holding ended = reserve(1, 0);
+        Reservation ended = reserve(1, 0);
         reserve(2, 10);
         capacity.observeRelease(ended, 10_000);
         assertThat(capacity.expectedWaitMillis(GrantManagerFixture.demand(3, 1)))
@@ -88,9 +88,9 @@
                 .isZero();
     }
 
-    private Holding reserve(long request, int units) {
-        Holding reservation = new Holding(
-                new Grant(request, GrantManagerFixture.demand(request, units), 0), Holding.Phase.RUNNING, 0);
+    private Reservation reserve(long request, int units) {
+        Reservation reservation = new Reservation(
+                new Grant(request, GrantManagerFixture.demand(request, units), 0), Reservation.Phase.RUNNING, 0);
         reservations.add(reservation);
         return reservation;
     }
