Entry: what goes back to a caller is a response in every class name

The glossary's term is response. AnswerAssembly is ResponseAssembly now, its variables are called assembly as the class is, and AnswerShape, whose variables were called responseFormat already, is ResponseFormat. The messages on the wire (AnswerHead, AnswerPart) keep their names.

--- a/entry/src/main/java/org/merlinwood/entry/caller/ResponseJson.java
+++ b/entry/src/main/java/org/merlinwood/entry/caller/ResponseJson.java
@@ -12,8 +12,8 @@
 import org.merlinwood.core.result.Failure;
 import org.merlinwood.core.result.ResultCode;
 import org.merlinwood.entry.dispatch.ModelResponse;
-import org.merlinwood.entry.request.AnswerShape;
 import org.merlinwood.entry.request.ClassifiedRequest.ModelRequest;
+import org.merlinwood.entry.request.ResponseFormat;
 
 /** Writes the JSON of responses. Completions and chat completions are compatible with the OpenAI API. Stateless. */
 final class ResponseJson {
@@ -106,14 +106,14 @@
                 .put("model", request.model().value());
     }
 
-    private static String prefix(AnswerShape format) {
+    private static String prefix(ResponseFormat format) {
         return switch (format) {
             case COMPLETION -> "cmpl-";
             case CHAT_COMPLETION -> "chatcmpl-";
         };
     }
 
-    private static String object(AnswerShape format, boolean isPart) {
+    private static String object(ResponseFormat format, boolean isPart) {
         return switch (format) {
             case COMPLETION -> "text_completion";
             case CHAT_COMPLETION -> isPart ? "chat.completion.chunk" : "chat.completion";
--- a/entry/src/main/java/org/merlinwood/entry/dispatch/RequestRunner.java
+++ b/entry/src/main/java/org/merlinwood/entry/dispatch/RequestRunner.java
@@ -35,7 +35,7 @@
  * Runs the state machine of one request: performs its actions and passes events to it.
  *
  * <p>Exists from admission to the terminal event. Used by the control thread only, except for the parts of responses,
- * which arrive on event loops and go through the {@link AnswerAssembly}.
+ * which arrive on event loops and go through the {@link ResponseAssembly}.
  */
 final class RequestRunner implements AttemptListener, Placement {
 
@@ -56,7 +56,7 @@
     private final DispatchComponents components;
     private final ControlState state;
     private final RequestMessages messages;
-    private final AnswerAssembly assembler;
+    private final ResponseAssembly assembly;
     private final GrantWait grantWait;
     private final TokenTimings timings;
     private final ResponseDelivery delivery;
@@ -82,10 +82,10 @@
         this.state = state;
         this.onCompleted = onCompleted;
         this.messages = new RequestMessages(request, components, state);
-        this.assembler = new AnswerAssembly(sink, DispatchComponents.MAXIMUM_RESPONSE_BYTES);
+        this.assembly = new ResponseAssembly(sink, DispatchComponents.MAXIMUM_RESPONSE_BYTES);
         this.grantWait = new GrantWait(request, state);
         this.timings = new TokenTimings(request, components, state);
-        this.delivery = new ResponseDelivery(request, sink, assembler);
+        this.delivery = new ResponseDelivery(request, sink, assembly);
         this.machine = RequestMachines.create(request, this);
     }
 
@@ -164,7 +164,7 @@
             onResponseFailed(attempt, WireValues.fromWire(end));
         } else if (!delivery.isValid()) {
             onResponseFailed(attempt, Failure.of(ResultCode.UPSTREAM_MALFORMED, "the response has no valid status"));
-        } else if (assembler.isComplete(attempt.number(), end.getIncarnation(), end.getLength())) {
+        } else if (assembly.isComplete(attempt.number(), end.getIncarnation(), end.getLength())) {
             delivery.finishReason(end.getFinishReason());
             onEvent(attempt, new RequestEvent.ResponseCompleted(attempt.number()));
         } else {
@@ -209,17 +209,17 @@
 
     @Override
     public void onHead(UpstreamAttempt attempt, AnswerHead head) {
-        if (!isThisRequest(head.getRequest()) || assembler.head(head) == AnswerAssembly.Verdict.FOREIGN) {
+        if (!isThisRequest(head.getRequest()) || assembly.head(head) == ResponseAssembly.Verdict.FOREIGN) {
             components.metrics().droppedFrame();
         }
     }
 
     @Override
     public void onPart(UpstreamAttempt attempt, AnswerPart part) {
-        AnswerAssembly.Verdict result =
+        ResponseAssembly.Verdict result =
                 isThisRequest(part.getRequest()) && part.getRequest().getAttempt() == attempt.number()
-                        ? assembler.addPart(part)
-                        : AnswerAssembly.Verdict.FOREIGN;
+                        ? assembly.addPart(part)
+                        : ResponseAssembly.Verdict.FOREIGN;
         switch (result) {
             case TAKEN -> timings.recordPart(part);
             case FOREIGN -> components.metrics().droppedFrame();
@@ -264,7 +264,7 @@
                 UpstreamAttempt attempt = startExecution(execute.attempt());
                 responseStarted = true;
                 timings.decodeStarted(execute);
-                attempt.execute(messages.decode(attempt.grantUse(), execute.cache(), assembler.tokensSoFar()));
+                attempt.execute(messages.decode(attempt.grantUse(), execute.cache(), assembly.tokensSoFar()));
             }
             case RequestAction.ExecutePlain execute -> {
                 UpstreamAttempt attempt = startExecution(execute.attempt());
@@ -297,7 +297,7 @@
 
     private UpstreamAttempt startExecution(int number) {
         UpstreamAttempt attempt = attempts.get(number);
-        assembler.startAttempt(number, attempt.grantUse().getIncarnation());
+        assembly.startAttempt(number, attempt.grantUse().getIncarnation());
         return attempt;
     }
 
@@ -329,7 +329,7 @@
         completed = true;
         deadline.ifPresent(timer -> timer.cancel(false));
         ResultCode code = failure.map(Failure::code).orElse(ResultCode.OK);
-        assembler.end(() -> failure.ifPresentOrElse(sink::failure, delivery::deliver));
+        assembly.end(() -> failure.ifPresentOrElse(sink::failure, delivery::deliver));
         components.metrics().requestEnded(code);
         logger.atInfo().log(
                 "request %s of %s to %s: %s after %d ms, %d attempts%s",
--- a/entry/src/main/java/org/merlinwood/entry/dispatch/ResponseAssembly.java
+++ b/entry/src/main/java/org/merlinwood/entry/dispatch/ResponseAssembly.java
@@ -13,7 +13,7 @@
  * Thread-safe: parts arrive on event loops, while the control thread changes the current attempt. The sink is called
  * with the lock held, so that nothing follows the terminal event.
  */
-final class AnswerAssembly {
+final class ResponseAssembly {
 
     private final RequestSink sink;
     private final int maximumBytes;
@@ -36,7 +36,7 @@
         TOO_LARGE
     }
 
-    AnswerAssembly(RequestSink sink, int maximumBytes) {
+    ResponseAssembly(RequestSink sink, int maximumBytes) {
         this.sink = sink;
         this.maximumBytes = maximumBytes;
     }
--- a/entry/src/main/java/org/merlinwood/entry/dispatch/ResponseDelivery.java
+++ b/entry/src/main/java/org/merlinwood/entry/dispatch/ResponseDelivery.java
@@ -13,18 +13,18 @@
 
     private final ClassifiedRequest request;
     private final RequestSink sink;
-    private final AnswerAssembly assembler;
+    private final ResponseAssembly assembly;
     private String finishReason = "";
 
-    ResponseDelivery(ClassifiedRequest request, RequestSink sink, AnswerAssembly assembler) {
+    ResponseDelivery(ClassifiedRequest request, RequestSink sink, ResponseAssembly assembly) {
         this.request = request;
         this.sink = sink;
-        this.assembler = assembler;
+        this.assembly = assembly;
     }
 
     /** Returns whether the response may be delivered: a plain one needs a status that callers can receive. */
     boolean isValid() {
-        return !(request instanceof ClassifiedRequest.PlainRequest) || hasValidStatus(assembler.head());
+        return !(request instanceof ClassifiedRequest.PlainRequest) || hasValidStatus(assembly.head());
     }
 
     /** Sets why the generation ended, as its engine states it. */
@@ -36,7 +36,7 @@
     void deliver() {
         switch (request) {
             case ClassifiedRequest.ModelRequest model ->
-                sink.modelResponse(new ModelResponse(assembler.tokensSoFar(), finishReason));
+                sink.modelResponse(new ModelResponse(assembly.tokensSoFar(), finishReason));
             case ClassifiedRequest.PlainRequest plain -> sink.plainResponse(plainResponse());
             case ClassifiedRequest.MintRequest mint -> throw new IllegalStateException("a mint request has no runner");
         }
@@ -47,10 +47,10 @@
     }
 
     private PlainResponse plainResponse() {
-        AnswerHead head = assembler.head();
+        AnswerHead head = assembly.head();
         List<HttpHeader> headers = head.getHeadersList().stream()
                 .map(header -> new HttpHeader(header.getName(), header.getValue()))
                 .toList();
-        return new PlainResponse(head.getStatus(), headers, assembler.body(), head.getReplayed());
+        return new PlainResponse(head.getStatus(), headers, assembly.body(), head.getReplayed());
     }
 }
--- a/entry/src/main/java/org/merlinwood/entry/filter/ClassifyFilter.java
+++ b/entry/src/main/java/org/merlinwood/entry/filter/ClassifyFilter.java
@@ -24,9 +24,9 @@
 import org.merlinwood.decision.grant.GrantDemand;
 import org.merlinwood.decision.prefix.PrefixBlocks;
 import org.merlinwood.entry.request.AcceptedRequest;
-import org.merlinwood.entry.request.AnswerShape;
 import org.merlinwood.entry.request.ClassifiedRequest;
 import org.merlinwood.entry.request.IdentifiedRequest;
+import org.merlinwood.entry.request.ResponseFormat;
 import org.merlinwood.entry.request.SamplingParameters;
 import org.merlinwood.following.ActiveConfiguration;
 
@@ -68,10 +68,10 @@
     public Either<Failure, ClassifiedRequest> classify(IdentifiedRequest request, ActiveConfiguration configuration) {
         return switch (request.accepted().path()) {
             case COMPLETIONS_PATH ->
-                requirePost(request).flatMap(posted -> modelRequest(posted, configuration, AnswerShape.COMPLETION));
+                requirePost(request).flatMap(posted -> modelRequest(posted, configuration, ResponseFormat.COMPLETION));
             case CHAT_COMPLETIONS_PATH ->
                 requirePost(request)
-                        .flatMap(posted -> modelRequest(posted, configuration, AnswerShape.CHAT_COMPLETION));
+                        .flatMap(posted -> modelRequest(posted, configuration, ResponseFormat.CHAT_COMPLETION));
             case KEYS_PATH -> requirePost(request).flatMap(posted -> mintRequest(posted, configuration.rules()));
             default -> plainRequest(request, configuration.rules());
         };
@@ -86,7 +86,7 @@
     }
 
     private static Either<Failure, ClassifiedRequest> modelRequest(
-            IdentifiedRequest request, ActiveConfiguration configuration, AnswerShape responseFormat) {
+            IdentifiedRequest request, ActiveConfiguration configuration, ResponseFormat responseFormat) {
         return PromptReader.read(request.accepted().body(), responseFormat)
                 .flatMap(prompt -> service(prompt.model(), configuration)
                         .flatMap(service ->
@@ -98,7 +98,7 @@
             ServiceRule service,
             PromptRequest prompt,
             Inventory inventory,
-            AnswerShape responseFormat) {
+            ResponseFormat responseFormat) {
         int promptTokens = estimatedTokens(prompt.prompt());
         long tokens = (long) promptTokens + prompt.sampling().maximumTokens();
         int maximumTokens =
--- a/entry/src/main/java/org/merlinwood/entry/filter/PromptReader.java
+++ b/entry/src/main/java/org/merlinwood/entry/filter/PromptReader.java
@@ -10,8 +10,8 @@
 import org.merlinwood.core.identity.ModelName;
 import org.merlinwood.core.result.Failure;
 import org.merlinwood.core.result.ResultCode;
-import org.merlinwood.entry.request.AnswerShape;
 import org.merlinwood.entry.request.Delivery;
+import org.merlinwood.entry.request.ResponseFormat;
 import org.merlinwood.entry.request.SamplingParameters;
 
 /** Reads the JSON bodies of completion, chat completion and key requests. Stateless and thread-safe. */
@@ -28,7 +28,7 @@
 
     // ------------------------------------------------------------------ public API
 
-    static Either<Failure, PromptRequest> read(byte[] body, AnswerShape responseFormat) {
+    static Either<Failure, PromptRequest> read(byte[] body, ResponseFormat responseFormat) {
         try {
             return Either.right(request(object(MAPPER.readTree(body)), responseFormat));
         } catch (IOException exception) {
@@ -63,7 +63,7 @@
         return mapper;
     }
 
-    private static PromptRequest request(JsonNode body, AnswerShape responseFormat) throws MalformedBodyException {
+    private static PromptRequest request(JsonNode body, ResponseFormat responseFormat) throws MalformedBodyException {
         String prompt = switch (responseFormat) {
             case COMPLETION -> prompt(body);
             case CHAT_COMPLETION -> chatPrompt(body);
--- a/entry/src/main/java/org/merlinwood/entry/request/ClassifiedRequest.java
+++ b/entry/src/main/java/org/merlinwood/entry/request/ClassifiedRequest.java
@@ -46,7 +46,7 @@
             int promptTokens,
             int pieces,
             SamplingParameters sampling,
-            AnswerShape responseFormat,
+            ResponseFormat responseFormat,
             Delivery delivery,
             PrefixBlocks blocks,
             ByteString fingerprint)
--- a/entry/src/main/java/org/merlinwood/entry/request/ResponseFormat.java
+++ b/entry/src/main/java/org/merlinwood/entry/request/ResponseFormat.java
@@ -1,7 +1,7 @@
 package org.merlinwood.entry.request;
 
 /** JSON format of the response of a model. */
-public enum AnswerShape {
+public enum ResponseFormat {
     /** Format of {@code /v1/completions}: a text. */
     COMPLETION,
     /** Format of {@code /v1/chat/completions}: a message of the assistant. */
