--- a/decision/src/main/java/org/merlinwood/decision/admission/LinkReservation.java
+++ b/decision/src/main/java/org/merlinwood/decision/admission/LinkReservation.java
@@ -4,9 +4,9 @@
  * Limits the KV cache transfers that are reserved on the network link of one instance, so that no cache waits for the
  * link longer than the prefill instance retains it.
  *
- * <p>The sidecar reserves with each grant and releases when the transfer completes or the grant ends without one. The
- * transfer rate is an exponential moving average of the observed transfers. Exists as long as the sidecar. Not
- * thread-safe: used by its control thread only.
+ * <p>To be reserved with each grant, and released when the transfer completes or the grant ends without one. The
+ * transfer rate is an exponential moving average of the observed transfers. Exists as long as the instance. Not
+ * thread-safe. Only the replay uses it: the sidecar process does not reserve links.
  */
 public final class LinkReservation {
 
