Javadoc for public constructors, and for the package's own methods of requests and attempts

doclint found eleven public classes whose constructor had no comment; command, configuration, decision, following, entry and replay have no uncommented public item any more. ControlState, UpstreamAttempt with its phases, which operators read in the dump, RefusalSummary and the new classes of the request machine say what their methods do, and when a value is absent. WaitingQueue's comment spoke of callers where it meant code.

--- a/command/src/main/java/org/merlinwood/command/ExplainCommand.java
+++ b/command/src/main/java/org/merlinwood/command/ExplainCommand.java
@@ -39,6 +39,9 @@
             description = "log files with one JSON object per line")
     private List<Path> files;
 
+    /** Creates the command. Called by picocli. */
+    public ExplainCommand() {}
+
     /** A decision parsed from one line of a log. */
     private record Decision(String time, String process, JsonNode line) {}
 
--- a/command/src/main/java/org/merlinwood/command/LossesCommand.java
+++ b/command/src/main/java/org/merlinwood/command/LossesCommand.java
@@ -53,6 +53,9 @@
             description = "log files with one JSON object per line, each in the order of its lines")
     private List<Path> files;
 
+    /** Creates the command. Called by picocli. */
+    public LossesCommand() {}
+
     /**
      * Runs the command.
      *
--- a/configuration/src/main/java/org/merlinwood/configuration/document/impl/TableWriter.java
+++ b/configuration/src/main/java/org/merlinwood/configuration/document/impl/TableWriter.java
@@ -13,6 +13,9 @@
 
     private final List<String> members = new ArrayList<>();
 
+    /** Creates the writer of a document without tables. */
+    public TableWriter() {}
+
     /**
      * Creates an empty row.
      *
--- a/decision/src/main/java/org/merlinwood/decision/admission/TransferTimeEstimate.java
+++ b/decision/src/main/java/org/merlinwood/decision/admission/TransferTimeEstimate.java
@@ -16,6 +16,9 @@
 
     private double millisPerByte = 1 / DEFAULT_BYTES_PER_MILLI;
 
+    /** Creates an estimate without observations; it assumes 5 MB per millisecond. */
+    public TransferTimeEstimate() {}
+
     /**
      * Records a transfer that led to a first token. Transfers under 1 MB are ignored, since the fixed part dominates
      * their time.
--- a/decision/src/main/java/org/merlinwood/decision/grant/impl/IssuedGrants.java
+++ b/decision/src/main/java/org/merlinwood/decision/grant/impl/IssuedGrants.java
@@ -17,6 +17,9 @@
     private final Set<Long> invalidatedUnused = new LinkedHashSet<>();
     private long lastNumber;
 
+    /** Creates the memory of an incarnation that has issued no grant. */
+    public IssuedGrants() {}
+
     /**
      * Returns the number of a new grant.
      *
--- a/decision/src/main/java/org/merlinwood/decision/grant/impl/Reservations.java
+++ b/decision/src/main/java/org/merlinwood/decision/grant/impl/Reservations.java
@@ -17,6 +17,9 @@
     private long units;
     private long tokens;
 
+    /** Creates the reservations of an idle instance: none. */
+    public Reservations() {}
+
     /**
      * Adds a reservation for an attempt that has none.
      *
--- a/decision/src/main/java/org/merlinwood/decision/grant/impl/WaitEstimate.java
+++ b/decision/src/main/java/org/merlinwood/decision/grant/impl/WaitEstimate.java
@@ -15,6 +15,9 @@
     private boolean hasObservations;
     private double reservationMillis = INITIAL_RESERVATION_MILLIS;
 
+    /** Creates an estimate without observations; it assumes a reservation time of 500 milliseconds. */
+    public WaitEstimate() {}
+
     /**
      * Sets the reservation time that is assumed until the first observation. Ignored afterwards.
      *
--- a/decision/src/main/java/org/merlinwood/decision/grant/impl/WaitingQueue.java
+++ b/decision/src/main/java/org/merlinwood/decision/grant/impl/WaitingQueue.java
@@ -13,13 +13,16 @@
 /** The queue of demands that wait for a grant, sorted by priority, then by arrival. Not thread-safe. */
 public final class WaitingQueue {
 
-    /** Maximum number of demands. Callers keep to it: the queue itself accepts more. */
+    /** Maximum number of demands. To be checked before a demand is added: the queue itself accepts more. */
     public static final int MAXIMUM_SIZE = 512;
 
     private final TreeSet<WaitingDemand> ordered = new TreeSet<>();
     private final Map<AttemptIdentity, WaitingDemand> byAttempt = new HashMap<>();
     private long arrivals;
 
+    /** Creates an empty queue. */
+    public WaitingQueue() {}
+
     /**
      * Adds a demand after those of the same priority.
      *
--- a/entry/src/main/java/org/merlinwood/entry/dispatch/ControlState.java
+++ b/entry/src/main/java/org/merlinwood/entry/dispatch/ControlState.java
@@ -67,6 +67,7 @@
 
     // ------------------------------------------------------------------ life-cycle
 
+    /** Creates the state of an entry that has served no request. */
     ControlState(InstanceName self, FailureDomain failureDomain, MillisClock clock, ActiveConfiguration configuration) {
         this.self = self;
         this.failureDomain = failureDomain;
@@ -80,6 +81,7 @@
         this.contendedUntilMillis = clock.monotonicMillis();
     }
 
+    /** Activates a later configuration. Observed load and open requests are kept. */
     void configure(ActiveConfiguration changed) {
         configuration = changed;
         keyHomes = KeyHomes.of(changed.inventory());
@@ -89,35 +91,47 @@
 
     // ------------------------------------------------------------------ public API
 
+    /** Returns the active inventory and rules. */
     ActiveConfiguration configuration() {
         return configuration;
     }
 
+    /** Returns the active inventory. */
     Inventory inventory() {
         return configuration.inventory();
     }
 
+    /** Returns the homes of callers' own keys under the active inventory. */
     KeyHomes keyHomes() {
         return keyHomes;
     }
 
+    /** Returns the retry budget of all requests of this entry. */
     RetryBudget retryBudget() {
         return retryBudget;
     }
 
+    /** Returns the choice of times after which refused callers may retry. */
     RetryDelay retryDelay() {
         return retryDelay;
     }
 
+    /**
+     * Counts a request as open, within the limits of its caller.
+     *
+     * @return the caller's open requests including this one, or the refusal; a refused request must not be released
+     */
     Either<Failure, Integer> tryAcquire(IdentifiedRequest identified) {
         boolean isContended = clock.monotonicMillis() < contendedUntilMillis;
         return shares.tryAcquire(identified.caller(), identified.callerClass(), isContended);
     }
 
+    /** Ends a request that was acquired. */
     void release(IdentifiedRequest identified) {
         shares.release(identified.caller());
     }
 
+    /** Decides whether the first token of a request can be expected in time. Reserves nothing. */
     AdmissionDecision admit(ClassifiedRequest.ModelRequest request) {
         Optional<PlacementForecast> decode =
                 pool(request, InstanceRole.DECODE).forecast(query(request, InstanceRole.DECODE));
@@ -161,18 +175,22 @@
         return Math.max(0, untilMillis - clock.monotonicMillis());
     }
 
+    /** Chooses an instance for an attempt, empty if none is eligible. Records nothing. */
     Optional<Instance> choose(ClassifiedRequest request, InstanceRole role, Set<InstanceName> excluded) {
         return pool(request, role).choose(query(request, role), excluded);
     }
 
+    /** Records an attempt that is sent to an instance. */
     void recordStart(ClassifiedRequest request, InstanceRole role, InstanceName name) {
         pool(request, role).recordStart(name, pieces(request, role));
     }
 
+    /** Records that an attempt ended, was refused or was cancelled. Called once for each {@link #recordStart}. */
     void recordEnd(ClassifiedRequest request, InstanceRole role, InstanceName name) {
         pool(request, role).recordEnd(name, pieces(request, role));
     }
 
+    /** Records a load that a sidecar reported with a grant, a refusal or a response. */
     void observe(ClassifiedRequest request, InstanceRole role, InstanceName name, Load load) {
         LoadObservation observation = new LoadObservation(
                 load.getFreePieces(),
@@ -208,6 +226,7 @@
         }
     }
 
+    /** Returns the pools that requests have used so far, for the state dump. */
     List<PoolState> pools() {
         return pools.entrySet().stream()
                 .map(entry -> new PoolState(
@@ -220,6 +239,7 @@
                 .toList();
     }
 
+    /** Returns the number of callers that have open requests. */
     int activeCallers() {
         return shares.activeCallers();
     }
--- a/entry/src/main/java/org/merlinwood/entry/dispatch/UpstreamAttempt.java
+++ b/entry/src/main/java/org/merlinwood/entry/dispatch/UpstreamAttempt.java
@@ -62,18 +62,25 @@
     private long grantExpiresInMillis;
     private long waitMillis;
 
-    /** Phase of an attempt. */
+    /** Phase of an attempt. The names appear in the state dump. */
     enum Phase {
+        /** The grant is requested, or the connection for it is being opened. */
         ASKING,
+        /** The sidecar has put the request for a grant into its queue. */
         QUEUED,
+        /** Granted, not used. */
         GRANTED,
+        /** The execute message has been sent. */
         EXECUTING,
+        /** Cancelled; stays open for a time to release a grant that still arrives. */
         CANCELLED,
+        /** Nothing follows any more. */
         ENDED
     }
 
     // ------------------------------------------------------------------ life-cycle
 
+    /** Creates an attempt that sends nothing before {@link #start}. */
     UpstreamAttempt(
             int number,
             InstanceRole role,
@@ -108,30 +115,37 @@
 
     // ------------------------------------------------------------------ public API
 
+    /** Returns the number of the attempt within its request, from 1. */
     int number() {
         return number;
     }
 
+    /** Returns the kind of work. */
     InstanceRole role() {
         return role;
     }
 
+    /** Returns the instance whose sidecar is asked. */
     Instance instance() {
         return instance;
     }
 
+    /** Returns the current phase. */
     Phase phase() {
         return phase;
     }
 
+    /** Returns what an execute message names its grant with; the default instance before the grant. */
     GrantUse grantUse() {
         return grantUse;
     }
 
+    /** Returns how long the grant was valid when it arrived, in milliseconds; 0 before the grant. */
     long grantExpiresInMillis() {
         return grantExpiresInMillis;
     }
 
+    /** Returns whether the sidecar may still grant, execute or end this attempt for its request. */
     boolean isOpen() {
         return phase != Phase.ENDED && phase != Phase.CANCELLED;
     }
--- a/entry/src/main/java/org/merlinwood/entry/machine/ExcludedInstances.java
+++ b/entry/src/main/java/org/merlinwood/entry/machine/ExcludedInstances.java
@@ -20,6 +20,7 @@
         return role == InstanceRole.PREFILL ? prefills : decodes;
     }
 
+    /** Excludes an instance from further attempts of one role. */
     void exclude(InstanceRole role, InstanceName name) {
         of(role).add(name);
     }
--- a/entry/src/main/java/org/merlinwood/entry/machine/ModelAttempts.java
+++ b/entry/src/main/java/org/merlinwood/entry/machine/ModelAttempts.java
@@ -46,6 +46,12 @@
         BUDGET
     }
 
+    /**
+     * Creates the attempts of a request that has none.
+     *
+     * @param placement placement and retry decisions
+     * @param refusals the refusals of this request so far; determine the failure if no attempt can be placed
+     */
     ModelAttempts(Placement placement, RefusalSummary refusals) {
         this.placement = placement;
         this.refusals = refusals;
--- a/entry/src/main/java/org/merlinwood/entry/machine/ModelSteps.java
+++ b/entry/src/main/java/org/merlinwood/entry/machine/ModelSteps.java
@@ -40,6 +40,7 @@
     private Optional<InstanceName> resumingInstance = Optional.empty();
     private ExecutionState executionState = ExecutionState.NOT_RUN;
 
+    /** Creates the steps of a request that has not started. */
     ModelSteps(Placement placement) {
         this.refusals = new RefusalSummary(placement);
         this.attempts = new ModelAttempts(placement, refusals);
@@ -47,10 +48,12 @@
 
     // ------------------------------------------------------------------ life of the request
 
+    /** Requests the first decode grant. */
     void start() {
         requestDecodeGrant(Charge.FREE);
     }
 
+    /** Cancels all open attempts and completes the request with the failure. */
     void giveUp(Failure failure) {
         for (Attempt open : state.openAttempts()) {
             actions.add(new Cancel(open.attempt(), failure.code()));
@@ -58,6 +61,7 @@
         complete(Optional.of(failure.withExecutionState(executionState)));
     }
 
+    /** Returns the current state. */
     ModelState state() {
         return state;
     }
@@ -71,6 +75,7 @@
 
     // ------------------------------------------------------------------ decode grant
 
+    /** Starts the decode if it needs no prefill, otherwise requests the prefill grant. */
     void onDecodeGranted(Attempt decode) {
         boolean isResumedInPlace =
                 resumingInstance.filter(decode.instance().name()::equals).isPresent();
@@ -81,6 +86,7 @@
         }
     }
 
+    /** Waits for the revisions that the sidecar has and this entry hasn't, otherwise tries another decode instance. */
     void onDecodeRefused(Attempt decode, Failure failure) {
         if (failure.code() == ResultCode.REVISION_BEHIND) {
             refusals.add(failure);
@@ -91,6 +97,7 @@
         }
     }
 
+    /** Tries the same instance on another connection, otherwise another one. */
     void onDecodeUnreachable(Attempt decode, Failure failure) {
         attempts.recordUnreachable(failure);
         if (attempts.mayReconnect(decode, failure, executionState)) {
@@ -112,12 +119,14 @@
 
     // ------------------------------------------------------------------ prefill
 
+    /** Executes the prefill, whose grant has arrived. */
     void startPrefill(ModelState.AskingPrefill asking) {
         actions.add(new ExecutePrefill(asking.prefill().attempt()));
         executionState = ExecutionState.UNKNOWN;
         state = new ModelState.Prefilling(asking.decode(), asking.prefill());
     }
 
+    /** Requests a prefill grant of another instance; the decode grant is kept. */
     void tryNextPrefill(ModelState.AskingPrefill asking, Failure failure) {
         refusals.add(failure);
         excluded.exclude(InstanceRole.PREFILL, asking.prefill().instance().name());
@@ -129,6 +138,7 @@
         }
     }
 
+    /** Tries the same instance on another connection, otherwise another one; the decode grant is kept. */
     void onPrefillUnreachable(ModelState.AskingPrefill asking, Failure failure) {
         if (attempts.mayReconnect(asking.prefill(), failure, executionState)) {
             state = new ModelState.AskingPrefill(
@@ -138,6 +148,7 @@
         }
     }
 
+    /** Releases the decode grant and restarts the request without that prefill instance. */
     void onPrefillFailed(ModelState.Prefilling prefilling, Failure failure) {
         actions.add(new Release(prefilling.decode().attempt()));
         excluded.exclude(InstanceRole.PREFILL, prefilling.prefill().instance().name());
@@ -146,6 +157,11 @@
 
     // ------------------------------------------------------------------ decode
 
+    /**
+     * Executes the decode.
+     *
+     * @param cache result of the prefill, empty if the decode engine has to run the prefill itself
+     */
     void startDecode(Attempt decode, Optional<CacheHandle> cache) {
         actions.add(new ExecuteDecode(decode.attempt(), cache));
         executionState = ExecutionState.UNKNOWN;
@@ -153,10 +169,12 @@
         state = new ModelState.Decoding(decode);
     }
 
+    /** Completes the request without a failure. */
     void onResponseCompleted() {
         complete(Optional.empty());
     }
 
+    /** Cancels the decode, whose response ended early, and resumes it with a new grant. */
     void onResponseFailed(Attempt decode, Failure failure) {
         actions.add(new Cancel(decode.attempt(), failure.code()));
         onDecodeFailed(decode, failure);
@@ -175,6 +193,10 @@
         }
     }
 
+    /**
+     * Resumes the response with a new grant. Earlier exclusions are dropped; the instance itself is excluded unless its
+     * engine is not to blame.
+     */
     void onDecodeFailed(Attempt decode, Failure failure) {
         resumingInstance = Optional.empty();
         excluded.clear();
@@ -191,6 +213,7 @@
 
     // ------------------------------------------------------------------ waits
 
+    /** Requests a decode grant if the awaited revisions are active, otherwise completes the request with a failure. */
     void onRevisionsWaitEnded(boolean isReached) {
         if (isReached) {
             requestDecodeGrant(Charge.FREE);
@@ -199,6 +222,7 @@
         }
     }
 
+    /** Requests a decode grant again, of any instance but the one whose engine failed last. */
     void onInstanceWaitEnded() {
         excluded.clearExceptLastFailed();
         requestDecodeGrant(attempts.retryCharge());
--- a/entry/src/main/java/org/merlinwood/entry/machine/RefusalSummary.java
+++ b/entry/src/main/java/org/merlinwood/entry/machine/RefusalSummary.java
@@ -31,10 +31,12 @@
     private String detail = "no instance is available";
     private long earliestRetryMillis = Long.MAX_VALUE;
 
+    /** Creates a summary without refusals, which reports that no instance is available. */
     RefusalSummary(Placement placement) {
         this.placement = placement;
     }
 
+    /** Returns whether every other instance would refuse the request as well, so that no retry helps. */
     static boolean isFinal(Failure failure) {
         return FINAL_CODES.contains(failure.code());
     }
@@ -55,15 +57,18 @@
         }
     }
 
+    /** Returns the failure of a request for which no instance or attempt is left. */
     Failure noInstanceLeft(ExecutionState execution) {
         return new Failure(code, detail, execution, retryAfterMillis());
     }
 
+    /** Returns the failure of a request that needs another attempt after the retry budget is exhausted. */
     Failure retryBudgetExhausted(ExecutionState execution) {
         String message = "the retry budget is exhausted; the last attempt failed with " + code;
         return new Failure(ResultCode.RETRY_BUDGET_SPENT, message, execution, retryAfterMillis());
     }
 
+    /** Adds a failure and returns it with the time after which the caller may retry. */
     Failure retryLater(Failure failure) {
         add(failure);
         return new Failure(failure.code(), failure.detail(), failure.executionState(), retryAfterMillis());
--- a/replay/src/main/java/org/merlinwood/replay/ReplayCommand.java
+++ b/replay/src/main/java/org/merlinwood/replay/ReplayCommand.java
@@ -46,6 +46,9 @@
     @Option(names = "--seed", paramLabel = "N", defaultValue = "1", description = "Seed (default: ${DEFAULT-VALUE}).")
     private long seed;
 
+    /** Creates the command. Called by picocli. */
+    public ReplayCommand() {}
+
     @Override
     public Integer call() throws JsonProcessingException {
         Trace recorded = read();
--- a/replay/src/main/java/org/merlinwood/replay/fake/VirtualTime.java
+++ b/replay/src/main/java/org/merlinwood/replay/fake/VirtualTime.java
@@ -16,6 +16,9 @@
     private long nowMicros;
     private long nextSequence;
 
+    /** Creates a scheduler at time 0 without events. */
+    public VirtualTime() {}
+
     /**
      * Schedules an action.
      *
--- a/replay/src/main/java/org/merlinwood/replay/measure/MeasureCommand.java
+++ b/replay/src/main/java/org/merlinwood/replay/measure/MeasureCommand.java
@@ -43,6 +43,9 @@
     @Option(names = "--seed", paramLabel = "N", defaultValue = "1", description = "Seed (default: ${DEFAULT-VALUE}).")
     private long seed;
 
+    /** Creates the command. Called by picocli. */
+    public MeasureCommand() {}
+
     /**
      * Runs the command and exits with its status.
      *
