The next prefill candidate waits no longer than the decode grant is still valid

By reading: when a prefill instance refused after some time, the next one was asked to queue the request for the whole time that the decode grant had when it arrived. It could grant a prefill after the decode grant had expired; the entry cancels that one and begins again, so callers lost the wait, and the prefill pool a grant.

Cause: an attempt kept the duration of its grant, not its end. It keeps the end now, on the entry's clock. UpstreamAttempt takes DispatchComponents instead of three of its members.

--- a/entry/src/main/java/org/merlinwood/entry/dispatch/GrantWait.java
+++ b/entry/src/main/java/org/merlinwood/entry/dispatch/GrantWait.java
@@ -34,7 +34,7 @@
         }
         return attempts.stream()
                 .filter(attempt -> attempt.phase() == UpstreamAttempt.Phase.GRANTED)
-                .mapToLong(UpstreamAttempt::grantExpiresInMillis)
+                .mapToLong(UpstreamAttempt::grantRemainingMillis)
                 .reduce(waitMillis, Math::min);
     }
 
--- a/entry/src/main/java/org/merlinwood/entry/dispatch/RequestRunner.java
+++ b/entry/src/main/java/org/merlinwood/entry/dispatch/RequestRunner.java
@@ -285,9 +285,7 @@
                 grant.role(),
                 grant.instance(),
                 WireValues.toWire(identifier(), grant.attempt()),
-                components.endpoint(),
-                components.control(),
-                components.metrics(),
+                components,
                 this);
         attempts.put(grant.attempt(), attempt);
         state.recordStart(request, grant.role(), grant.instance().name());
--- a/entry/src/main/java/org/merlinwood/entry/dispatch/UpstreamAttempt.java
+++ b/entry/src/main/java/org/merlinwood/entry/dispatch/UpstreamAttempt.java
@@ -11,11 +11,9 @@
 import org.merlinwood.core.result.Failure;
 import org.merlinwood.core.result.ResultCode;
 import org.merlinwood.entry.machine.RequestEvent;
-import org.merlinwood.operation.control.ControlLoop;
 import org.merlinwood.protocol.Exchange;
 import org.merlinwood.protocol.ExchangeListener;
 import org.merlinwood.protocol.PeerConnection;
-import org.merlinwood.protocol.PeerEndpoint;
 import org.merlinwood.protocol.WireValues;
 import org.merlinwood.wire.Frame;
 import org.merlinwood.wire.GrantRequest;
@@ -49,9 +47,7 @@
     private final InstanceRole role;
     private final Instance instance;
     private final RequestIdentity identity;
-    private final PeerEndpoint endpoint;
-    private final ControlLoop control;
-    private final EntryMetrics metrics;
+    private final DispatchComponents components;
     private final AttemptListener listener;
     private final AttemptCancellation cancellation;
     private Function<PeerConnection, GrantRequest> grantRequestFactory;
@@ -59,7 +55,7 @@
     private Future<?> timer;
     private Phase phase = Phase.ASKING;
     private GrantUse grantUse = GrantUse.getDefaultInstance();
-    private long grantExpiresInMillis;
+    private long grantExpiresAtMillis;
     private long waitMillis;
 
     /** Phase of an attempt. The names appear in the state dump. */
@@ -86,19 +82,15 @@
             InstanceRole role,
             Instance instance,
             RequestIdentity identity,
-            PeerEndpoint endpoint,
-            ControlLoop control,
-            EntryMetrics metrics,
+            DispatchComponents components,
             AttemptListener listener) {
         this.number = number;
         this.role = role;
         this.instance = instance;
         this.identity = identity;
-        this.endpoint = endpoint;
-        this.control = control;
-        this.metrics = metrics;
+        this.components = components;
         this.listener = listener;
-        this.cancellation = new AttemptCancellation(endpoint, address(), identity);
+        this.cancellation = new AttemptCancellation(components.endpoint(), address(), identity);
     }
 
     /**
@@ -140,9 +132,9 @@
         return grantUse;
     }
 
-    /** Returns how long the grant was valid when it arrived, in milliseconds; 0 before the grant. */
-    long grantExpiresInMillis() {
-        return grantExpiresInMillis;
+    /** Returns how long the grant is still valid, in milliseconds; 0 before the grant and once it has expired. */
+    long grantRemainingMillis() {
+        return Math.max(0, grantExpiresAtMillis - components.clock().monotonicMillis());
     }
 
     /** Returns whether the sidecar may still grant, execute or end this attempt for its request. */
@@ -179,7 +171,7 @@
         }
         phase = Phase.CANCELLED;
         exchange.send(cancellation.frame(reason));
-        timer = control.schedule(waitMillis + GRACE_MILLIS, this::end);
+        timer = components.control().schedule(waitMillis + GRACE_MILLIS, this::end);
     }
 
     @Override
@@ -187,21 +179,23 @@
         switch (frame.getBodyCase()) {
             case ANSWER_HEAD -> listener.onHead(this, frame.getAnswerHead());
             case ANSWER_PART -> listener.onPart(this, frame.getAnswerPart());
-            default -> control.execute(() -> handleFrame(source, frame));
+            default -> components.control().execute(() -> handleFrame(source, frame));
         }
     }
 
     @Override
     public void onClosed(Exchange source, ResultCode code) {
-        control.execute(() -> handleClosed(source, code));
+        components.control().execute(() -> handleClosed(source, code));
     }
 
     // ------------------------------------------------------------------ internals: connecting
 
     private void connect() {
-        timer = control.schedule(GRANT_RESPONSE_TIMEOUT_MILLIS, this::onResponseTimeout);
-        var unused =
-                endpoint.connect(address()).whenComplete((result, none) -> control.execute(() -> onConnected(result)));
+        timer = components.control().schedule(GRANT_RESPONSE_TIMEOUT_MILLIS, this::onResponseTimeout);
+        var unused = components
+                .endpoint()
+                .connect(address())
+                .whenComplete((result, none) -> components.control().execute(() -> onConnected(result)));
     }
 
     private void onConnected(Either<Failure, PeerConnection> result) {
@@ -229,7 +223,7 @@
             fail(Failure.of(ResultCode.UPSTREAM_UNREACHABLE, "connecting to the sidecar timed out"));
             return;
         }
-        metrics.unansweredGrantRequest();
+        components.metrics().unansweredGrantRequest();
         cancel(ResultCode.PEER_SILENT);
         reportLoss(Failure.of(ResultCode.PEER_SILENT, "the sidecar did not respond to the grant request")
                 .withExecutionState(ExecutionState.NOT_RUN));
@@ -239,7 +233,7 @@
 
     private void handleFrame(Exchange source, Frame frame) {
         if (!source.equals(exchange) || phase == Phase.ENDED) {
-            metrics.droppedFrame();
+            components.metrics().droppedFrame();
             return;
         }
         if (phase == Phase.CANCELLED) {
@@ -273,7 +267,7 @@
                     listener.onResponseEnd(this, frame.getAnswerEnd());
                 }
             }
-            default -> metrics.droppedFrame();
+            default -> components.metrics().droppedFrame();
         }
     }
 
@@ -290,7 +284,7 @@
 
     private void onGranted(Granted granted) {
         if (phase != Phase.ASKING && phase != Phase.QUEUED) {
-            metrics.droppedFrame();
+            components.metrics().droppedFrame();
             return;
         }
         stopTimer();
@@ -300,7 +294,7 @@
                 .setIncarnation(granted.getIncarnation())
                 .setRequest(identity)
                 .build();
-        grantExpiresInMillis = granted.getExpiresInMillis();
+        grantExpiresAtMillis = components.clock().monotonicMillis() + granted.getExpiresInMillis();
         notifyLoad(granted.hasLoad(), granted.getLoad());
         notifyRevisions(granted.hasRevisions(), granted.getRevisions());
         listener.onEvent(this, new RequestEvent.Granted(number));
@@ -328,7 +322,7 @@
     private boolean isOwnIdentity(RequestIdentity received) {
         boolean isOwn = received.equals(identity);
         if (!isOwn) {
-            metrics.droppedFrame();
+            components.metrics().droppedFrame();
         }
         return isOwn;
     }
@@ -391,7 +385,7 @@
 
     private void restartTimer(long delayMillis, Runnable task) {
         stopTimer();
-        timer = control.schedule(delayMillis, task);
+        timer = components.control().schedule(delayMillis, task);
     }
 
     private void stopTimer() {
--- a/entry/src/test/java/org/merlinwood/entry/AdaptivePlacementTest.java
+++ b/entry/src/test/java/org/merlinwood/entry/AdaptivePlacementTest.java
@@ -36,6 +36,8 @@
     private static final int REPETITIONS = 10;
     private static final int WAITING_REQUESTS = 15;
     private static final int THREE_PIECES_TOKENS = 5_000;
+    private static final int DECODE_GRANT_MILLIS = 500;
+    private static final int REFUSAL_MILLIS = 300;
 
     private EntryFixture fixture;
 
@@ -145,6 +147,30 @@
         assertThat(waitMillis(decode) - waitMillis(prefill)).isGreaterThanOrEqualTo(300);
     }
 
+    /** Guards against a prefill that waits for its grant longer than the decode grant is still valid. */
+    @Test
+    void nextPrefillWaitsForRemainingTimeOfDecodeGrant() throws Exception {
+        FakeSidecar decode = new FakeSidecar("decode-1", InstanceRole.DECODE) {
+            @Override
+            void onGrantRequest(Exchange exchange, Frame frame) {
+                exchange.send(Frame.newBuilder()
+                        .setGranted(Granted.newBuilder()
+                                .setGrant(1)
+                                .setIncarnation(incarnation)
+                                .setExpiresInMillis(DECODE_GRANT_MILLIS)
+                                .setLoad(load(10))));
+            }
+        };
+        FakeSidecar first = new RefusingPrefill("prefill-1");
+        FakeSidecar second = new RefusingPrefill("prefill-2");
+        fixture = new EntryFixture(decode, first, second);
+
+        fixture.post(PATH, EntryFixture.COMPLETION);
+
+        assertThat(waitMillis(first)).isLessThanOrEqualTo(DECODE_GRANT_MILLIS);
+        assertThat(Math.abs(waitMillis(first) - waitMillis(second))).isGreaterThanOrEqualTo(REFUSAL_MILLIS);
+    }
+
     /** Each request needs one piece for its prompt, but three pieces for prompt and response. */
     @Test
     void waitingPrefillsAreCountedWithoutResponseMemory() throws Exception {
@@ -225,6 +251,20 @@
         }
     }
 
+    /** Refuses each grant request after a delay. */
+    private static final class RefusingPrefill extends FakeSidecar {
+
+        RefusingPrefill(String name) {
+            super(name, InstanceRole.PREFILL);
+        }
+
+        @Override
+        void onGrantRequest(Exchange exchange, Frame frame) {
+            pause(REFUSAL_MILLIS);
+            refuseWithLoad(exchange, 0);
+        }
+    }
+
     /** Reports the number of computed tokens after a delay. */
     private static final class ReportingPrefill extends FakeSidecar {
 
