NetworkAddress makes its socket address itself

Entry, follower and command line built it from host and port in six places, entry in three of them. UpstreamAttempt also reported a loss in two places with the same two calls; reportLoss does it in both now.

--- a/command/src/main/java/org/merlinwood/command/DumpCommand.java
+++ b/command/src/main/java/org/merlinwood/command/DumpCommand.java
@@ -54,8 +54,7 @@
 
     private InetSocketAddress parseAddress() {
         try {
-            NetworkAddress parsed = NetworkAddress.parse(address);
-            return new InetSocketAddress(parsed.host(), parsed.port());
+            return NetworkAddress.parse(address).toSocketAddress();
         } catch (IllegalArgumentException exception) {
             throw new CommandLine.ParameterException(specification.commandLine(), exception.getMessage(), exception);
         }
--- a/configuration/src/main/java/org/merlinwood/configuration/inventory/NetworkAddress.java
+++ b/configuration/src/main/java/org/merlinwood/configuration/inventory/NetworkAddress.java
@@ -1,5 +1,7 @@
 package org.merlinwood.configuration.inventory;
 
+import java.net.InetSocketAddress;
+
 /**
  * A numeric IP address with a port. Immutable.
  *
@@ -52,6 +54,15 @@
         }
     }
 
+    /**
+     * Returns the address in the form that connections and servers take. Nothing is resolved, as the host is numeric.
+     *
+     * @return a new socket address
+     */
+    public InetSocketAddress toSocketAddress() {
+        return new InetSocketAddress(host, port);
+    }
+
     @Override
     public String toString() {
         return host.contains(":") ? "[" + host + "]:" + port : host + ":" + port;
--- a/entry/src/main/java/org/merlinwood/entry/EntryMain.java
+++ b/entry/src/main/java/org/merlinwood/entry/EntryMain.java
@@ -4,7 +4,6 @@
 import com.google.common.flogger.FluentLogger;
 import io.vavr.control.Either;
 import java.io.IOException;
-import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -13,7 +12,6 @@
 import java.util.logging.Level;
 import org.merlinwood.configuration.document.DocumentErrors;
 import org.merlinwood.configuration.document.SettingsReader;
-import org.merlinwood.configuration.inventory.NetworkAddress;
 import org.merlinwood.configuration.settings.EntrySettings;
 import org.merlinwood.following.ConfigurationFollower;
 import org.merlinwood.http.HttpClient;
@@ -91,8 +89,8 @@
                         .build();
                 EntryProcess entry = new EntryProcess(
                         settings.process(),
-                        socketAddress(settings.callerAddress()),
-                        Optional.of(socketAddress(settings.process().peerAddress())),
+                        settings.callerAddress().toSocketAddress(),
+                        Optional.of(settings.process().peerAddress().toSocketAddress()),
                         ConfigurationSource.following(follower),
                         registry);
                 OperatorServer operators = operators(settings, registry, follower, entry, lifecycle)) {
@@ -114,15 +112,11 @@
             ConfigurationFollower follower,
             EntryProcess entry,
             ProcessLifecycle lifecycle) {
-        return OperatorServer.builder(socketAddress(settings.process().operatorAddress()), registry)
+        return OperatorServer.builder(settings.process().operatorAddress().toSocketAddress(), registry)
                 .section(follower)
                 .section(entry.dispatcher())
                 .ready(follower::isReady)
                 .drain(lifecycle::requestDrain)
                 .build();
     }
-
-    private static InetSocketAddress socketAddress(NetworkAddress address) {
-        return new InetSocketAddress(address.host(), address.port());
-    }
 }
--- a/entry/src/main/java/org/merlinwood/entry/dispatch/KeyMinting.java
+++ b/entry/src/main/java/org/merlinwood/entry/dispatch/KeyMinting.java
@@ -1,6 +1,5 @@
 package org.merlinwood.entry.dispatch;
 
-import java.net.InetSocketAddress;
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
@@ -55,11 +54,9 @@
     // ------------------------------------------------------------------ internals
 
     private void connect(Instance instance) {
-        InetSocketAddress address = new InetSocketAddress(
-                instance.address().host(), instance.address().port());
         var unused = components
                 .endpoint()
-                .connect(address)
+                .connect(instance.address().toSocketAddress())
                 .whenComplete((result, none) -> components
                         .control()
                         .execute(() -> result.peek(connection -> mint(instance, connection))
--- a/entry/src/main/java/org/merlinwood/entry/dispatch/UpstreamAttempt.java
+++ b/entry/src/main/java/org/merlinwood/entry/dispatch/UpstreamAttempt.java
@@ -1,7 +1,6 @@
 package org.merlinwood.entry.dispatch;
 
 import io.vavr.control.Either;
-import java.net.InetSocketAddress;
 import java.util.Optional;
 import java.util.concurrent.Future;
 import java.util.function.Function;
@@ -90,7 +89,8 @@
         this.identity = identity;
         this.components = components;
         this.listener = listener;
-        this.cancellation = new AttemptCancellation(components.endpoint(), address(), identity);
+        this.cancellation = new AttemptCancellation(
+                components.endpoint(), instance.address().toSocketAddress(), identity);
     }
 
     /**
@@ -194,7 +194,7 @@
         timer = components.control().schedule(GRANT_RESPONSE_TIMEOUT_MILLIS, this::onResponseTimeout);
         var unused = components
                 .endpoint()
-                .connect(address())
+                .connect(instance.address().toSocketAddress())
                 .whenComplete((result, none) -> components.control().execute(() -> onConnected(result)));
     }
 
@@ -330,10 +330,8 @@
     private void onQueueTimeout() {
         if (phase == Phase.QUEUED) {
             cancel(ResultCode.NO_CAPACITY);
-            Failure failure = Failure.of(
-                    ResultCode.NO_CAPACITY, "the sidecar did not grant the attempt within the requested wait");
-            listener.onFailure(this, failure);
-            listener.onEvent(this, new RequestEvent.Lost(number, failure));
+            reportLoss(Failure.of(
+                    ResultCode.NO_CAPACITY, "the sidecar did not grant the attempt within the requested wait"));
         }
     }
 
@@ -373,11 +371,6 @@
 
     // ------------------------------------------------------------------ internals: sending
 
-    private InetSocketAddress address() {
-        return new InetSocketAddress(
-                instance.address().host(), instance.address().port());
-    }
-
     private void sendRelease(long grant) {
         exchange.send(Frame.newBuilder()
                 .setRelease(Release.newBuilder().setGrant(grant).build()));
--- a/following/src/main/java/org/merlinwood/following/impl/HttpConfigurationService.java
+++ b/following/src/main/java/org/merlinwood/following/impl/HttpConfigurationService.java
@@ -39,9 +39,7 @@
      */
     public HttpConfigurationService(HttpClient client, List<NetworkAddress> addresses, int firstAddress) {
         this.client = client;
-        this.addresses = addresses.stream()
-                .map(address -> new InetSocketAddress(address.host(), address.port()))
-                .toList();
+        this.addresses = addresses.stream().map(NetworkAddress::toSocketAddress).toList();
         this.nextAddress = new AtomicInteger(firstAddress);
     }
 
--- a/following/src/main/java/org/merlinwood/following/impl/ProtocolPeers.java
+++ b/following/src/main/java/org/merlinwood/following/impl/ProtocolPeers.java
@@ -36,7 +36,7 @@
 
     @Override
     public Peer at(NetworkAddress address) {
-        InetSocketAddress socketAddress = new InetSocketAddress(address.host(), address.port());
+        InetSocketAddress socketAddress = address.toSocketAddress();
         return new ProtocolPeer(address.toString(), () -> endpoint.connect(socketAddress), timer);
     }
 
