--- a/decision/src/main/java/org/merlinwood/decision/placement/impl/Candidate.java
+++ b/decision/src/main/java/org/merlinwood/decision/placement/impl/Candidate.java
@@ -20,7 +20,6 @@
     private final int slot;
     private LoadObservation observation;
     private long observedMillis;
-    private int openPieces;
     private int openRequests;
     private int piecesSinceObservation;
     private long avoidedUntilMillis = Long.MIN_VALUE;
@@ -55,7 +54,6 @@
         Candidate successor = new Candidate(changed, changedDistance, slot);
         successor.observation = observation;
         successor.observedMillis = observedMillis;
-        successor.openPieces = openPieces;
         successor.openRequests = openRequests;
         successor.piecesSinceObservation = piecesSinceObservation;
         successor.avoidedUntilMillis = avoidedUntilMillis;
@@ -81,7 +79,6 @@
      */
     public void recordStart(int pieces) {
         openRequests++;
-        openPieces += pieces;
         piecesSinceObservation += pieces;
     }
 
@@ -92,7 +89,6 @@
      */
     public void recordEnd(int pieces) {
         openRequests = Math.max(0, openRequests - 1);
-        openPieces = Math.max(0, openPieces - pieces);
         piecesSinceObservation -= pieces;
     }
 
@@ -237,15 +233,6 @@
         return openRequests;
     }
 
-    /**
-     * Returns the pieces needed by this entry's requests in flight at the instance.
-     *
-     * @return number of pieces, not negative
-     */
-    public int openPieces() {
-        return openPieces;
-    }
-
     /**
      * Returns the last reported capacity.
      *
