--- a/decision/src/main/java/org/merlinwood/decision/placement/impl/Candidate.java
+++ b/decision/src/main/java/org/merlinwood/decision/placement/impl/Candidate.java
@@ -1,7 +1,9 @@
 package org.merlinwood.decision.placement.impl;
 
 import java.util.Optional;
+import java.util.Set;
 import org.merlinwood.configuration.inventory.Instance;
+import org.merlinwood.core.identity.InstanceName;
 import org.merlinwood.decision.placement.LoadObservation;
 
 /**
@@ -18,7 +20,6 @@
     private final int slot;
     private LoadObservation observation;
     private long observedMillis;
-    private int openPieces;
     private int openRequests;
     private int piecesSinceObservation;
     private long avoidedUntilMillis = Long.MIN_VALUE;
@@ -53,7 +54,6 @@
         Candidate successor = new Candidate(changed, changedDistance, slot);
         successor.observation = observation;
         successor.observedMillis = observedMillis;
-        successor.openPieces = openPieces;
         successor.openRequests = openRequests;
         successor.piecesSinceObservation = piecesSinceObservation;
         successor.avoidedUntilMillis = avoidedUntilMillis;
@@ -79,7 +79,6 @@
      */
     public void recordStart(int pieces) {
         openRequests++;
-        openPieces += pieces;
         piecesSinceObservation += pieces;
     }
 
@@ -90,7 +89,6 @@
      */
     public void recordEnd(int pieces) {
         openRequests = Math.max(0, openRequests - 1);
-        openPieces = Math.max(0, openPieces - pieces);
         piecesSinceObservation -= pieces;
     }
 
@@ -104,14 +102,15 @@
     }
 
     /**
-     * Returns whether the instance may be chosen.
+     * Returns whether the instance may be chosen for an attempt.
      *
      * @param nowMillis the monotonic time, in milliseconds
-     * @return false while it is avoided or a recent load reports that it is draining
+     * @param excluded instances that must not be chosen
+     * @return false if it is excluded, while it is avoided, or if a recent load reports that it is draining
      */
-    public boolean isEligible(long nowMillis) {
+    public boolean isUsable(long nowMillis, Set<InstanceName> excluded) {
         boolean draining = observation.draining() && freshness(nowMillis) > 0;
-        return nowMillis >= avoidedUntilMillis && !draining;
+        return nowMillis >= avoidedUntilMillis && !draining && !excluded.contains(instance.name());
     }
 
     /**
@@ -234,15 +233,6 @@
         return openRequests;
     }
 
-    /**
-     * Returns the pieces needed by this entry's requests in flight at the instance.
-     *
-     * @return number of pieces, not negative
-     */
-    public int openPieces() {
-        return openPieces;
-    }
-
     /**
      * Returns the last reported capacity.
      *
--- a/entry/src/main/java/org/merlinwood/entry/dispatch/UpstreamAttempt.java
+++ b/entry/src/main/java/org/merlinwood/entry/dispatch/UpstreamAttempt.java
@@ -1,7 +1,6 @@
 package org.merlinwood.entry.dispatch;
 
 import io.vavr.control.Either;
-import java.net.InetSocketAddress;
 import java.util.Optional;
 import java.util.concurrent.Future;
 import java.util.function.Function;
@@ -11,11 +10,9 @@
 import org.merlinwood.core.result.Failure;
 import org.merlinwood.core.result.ResultCode;
 import org.merlinwood.entry.machine.RequestEvent;
-import org.merlinwood.operation.control.ControlLoop;
 import org.merlinwood.protocol.Exchange;
 import org.merlinwood.protocol.ExchangeListener;
 import org.merlinwood.protocol.PeerConnection;
-import org.merlinwood.protocol.PeerEndpoint;
 import org.merlinwood.protocol.WireValues;
 import org.merlinwood.wire.Frame;
 import org.merlinwood.wire.GrantRequest;
@@ -49,9 +46,7 @@
     private final InstanceRole role;
     private final Instance instance;
     private final RequestIdentity identity;
-    private final PeerEndpoint endpoint;
-    private final ControlLoop control;
-    private final EntryMetrics metrics;
+    private final DispatchComponents components;
     private final AttemptListener listener;
     private final AttemptCancellation cancellation;
     private Function<PeerConnection, GrantRequest> grantRequestFactory;
@@ -59,39 +54,43 @@
     private Future<?> timer;
     private Phase phase = Phase.ASKING;
     private GrantUse grantUse = GrantUse.getDefaultInstance();
-    private long grantExpiresInMillis;
+    private long grantExpiresAtMillis;
     private long waitMillis;
 
-    /** Phase of an attempt. */
+    /** Phase of an attempt. The names appear in the state dump. */
     enum Phase {
+        /** The grant is requested, or the connection for it is being opened. */
         ASKING,
+        /** The sidecar has put the request for a grant into its queue. */
         QUEUED,
+        /** Granted, not used. */
         GRANTED,
+        /** The execute message has been sent. */
         EXECUTING,
+        /** Cancelled; stays open for a time to release a grant that still arrives. */
         CANCELLED,
+        /** Nothing follows any more. */
         ENDED
     }
 
     // ------------------------------------------------------------------ life-cycle
 
+    /** Creates an attempt that sends nothing before {@link #start}. */
     UpstreamAttempt(
             int number,
             InstanceRole role,
             Instance instance,
             RequestIdentity identity,
-            PeerEndpoint endpoint,
-            ControlLoop control,
-            EntryMetrics metrics,
+            DispatchComponents components,
             AttemptListener listener) {
         this.number = number;
         this.role = role;
         this.instance = instance;
         this.identity = identity;
-        this.endpoint = endpoint;
-        this.control = control;
-        this.metrics = metrics;
+        this.components = components;
         this.listener = listener;
-        this.cancellation = new AttemptCancellation(endpoint, address(), identity);
+        this.cancellation = new AttemptCancellation(
+                components.endpoint(), instance.address().toSocketAddress(), identity);
     }
 
     /**
@@ -108,30 +107,37 @@
 
     // ------------------------------------------------------------------ public API
 
+    /** Returns the number of the attempt within its request, from 1. */
     int number() {
         return number;
     }
 
+    /** Returns the kind of work. */
     InstanceRole role() {
         return role;
     }
 
+    /** Returns the instance whose sidecar is asked. */
     Instance instance() {
         return instance;
     }
 
+    /** Returns the current phase. */
     Phase phase() {
         return phase;
     }
 
+    /** Returns what an execute message names its grant with; the default instance before the grant. */
     GrantUse grantUse() {
         return grantUse;
     }
 
-    long grantExpiresInMillis() {
-        return grantExpiresInMillis;
+    /** Returns how long the grant is still valid, in milliseconds; 0 before the grant and once it has expired. */
+    long grantRemainingMillis() {
+        return Math.max(0, grantExpiresAtMillis - components.clock().monotonicMillis());
     }
 
+    /** Returns whether the sidecar may still grant, execute or end this attempt for its request. */
     boolean isOpen() {
         return phase != Phase.ENDED && phase != Phase.CANCELLED;
     }
@@ -165,7 +171,7 @@
         }
         phase = Phase.CANCELLED;
         exchange.send(cancellation.frame(reason));
-        timer = control.schedule(waitMillis + GRACE_MILLIS, this::end);
+        timer = components.control().schedule(waitMillis + GRACE_MILLIS, this::end);
     }
 
     @Override
@@ -173,21 +179,23 @@
         switch (frame.getBodyCase()) {
             case ANSWER_HEAD -> listener.onHead(this, frame.getAnswerHead());
             case ANSWER_PART -> listener.onPart(this, frame.getAnswerPart());
-            default -> control.execute(() -> handleFrame(source, frame));
+            default -> components.control().execute(() -> handleFrame(source, frame));
         }
     }
 
     @Override
     public void onClosed(Exchange source, ResultCode code) {
-        control.execute(() -> handleClosed(source, code));
+        components.control().execute(() -> handleClosed(source, code));
     }
 
     // ------------------------------------------------------------------ internals: connecting
 
     private void connect() {
-        timer = control.schedule(GRANT_RESPONSE_TIMEOUT_MILLIS, this::onResponseTimeout);
-        var unused =
-                endpoint.connect(address()).whenComplete((result, none) -> control.execute(() -> onConnected(result)));
+        timer = components.control().schedule(GRANT_RESPONSE_TIMEOUT_MILLIS, this::onResponseTimeout);
+        var unused = components
+                .endpoint()
+                .connect(instance.address().toSocketAddress())
+                .whenComplete((result, none) -> components.control().execute(() -> onConnected(result)));
     }
 
     private void onConnected(Either<Failure, PeerConnection> result) {
@@ -215,7 +223,7 @@
             fail(Failure.of(ResultCode.UPSTREAM_UNREACHABLE, "connecting to the sidecar timed out"));
             return;
         }
-        metrics.unansweredGrantRequest();
+        components.metrics().unansweredGrantRequest();
         cancel(ResultCode.PEER_SILENT);
         reportLoss(Failure.of(ResultCode.PEER_SILENT, "the sidecar did not respond to the grant request")
                 .withExecutionState(ExecutionState.NOT_RUN));
@@ -225,7 +233,7 @@
 
     private void handleFrame(Exchange source, Frame frame) {
         if (!source.equals(exchange) || phase == Phase.ENDED) {
-            metrics.droppedFrame();
+            components.metrics().droppedFrame();
             return;
         }
         if (phase == Phase.CANCELLED) {
@@ -259,7 +267,7 @@
                     listener.onResponseEnd(this, frame.getAnswerEnd());
                 }
             }
-            default -> metrics.droppedFrame();
+            default -> components.metrics().droppedFrame();
         }
     }
 
@@ -276,7 +284,7 @@
 
     private void onGranted(Granted granted) {
         if (phase != Phase.ASKING && phase != Phase.QUEUED) {
-            metrics.droppedFrame();
+            components.metrics().droppedFrame();
             return;
         }
         stopTimer();
@@ -286,7 +294,7 @@
                 .setIncarnation(granted.getIncarnation())
                 .setRequest(identity)
                 .build();
-        grantExpiresInMillis = granted.getExpiresInMillis();
+        grantExpiresAtMillis = components.clock().monotonicMillis() + granted.getExpiresInMillis();
         notifyLoad(granted.hasLoad(), granted.getLoad());
         notifyRevisions(granted.hasRevisions(), granted.getRevisions());
         listener.onEvent(this, new RequestEvent.Granted(number));
@@ -314,7 +322,7 @@
     private boolean isOwnIdentity(RequestIdentity received) {
         boolean isOwn = received.equals(identity);
         if (!isOwn) {
-            metrics.droppedFrame();
+            components.metrics().droppedFrame();
         }
         return isOwn;
     }
@@ -322,10 +330,8 @@
     private void onQueueTimeout() {
         if (phase == Phase.QUEUED) {
             cancel(ResultCode.NO_CAPACITY);
-            Failure failure = Failure.of(
-                    ResultCode.NO_CAPACITY, "the sidecar did not grant the attempt within the requested wait");
-            listener.onFailure(this, failure);
-            listener.onEvent(this, new RequestEvent.Lost(number, failure));
+            reportLoss(Failure.of(
+                    ResultCode.NO_CAPACITY, "the sidecar did not grant the attempt within the requested wait"));
         }
     }
 
@@ -365,11 +371,6 @@
 
     // ------------------------------------------------------------------ internals: sending
 
-    private InetSocketAddress address() {
-        return new InetSocketAddress(
-                instance.address().host(), instance.address().port());
-    }
-
     private void sendRelease(long grant) {
         exchange.send(Frame.newBuilder()
                 .setRelease(Release.newBuilder().setGrant(grant).build()));
@@ -377,7 +378,7 @@
 
     private void restartTimer(long delayMillis, Runnable task) {
         stopTimer();
-        timer = control.schedule(delayMillis, task);
+        timer = components.control().schedule(delayMillis, task);
     }
 
     private void stopTimer() {
