A failed request's log line says what became of each of its attempts

Callers of a stream that ended with 4001 got the code of its last attempt only, and so did the log: which attempts were made, where and when, was nowhere.

The entry now keeps the attempts, their ends and the waits of each request and writes them behind the detail of a failure. bin/prove reads the identifier of a request from its response, prints what entries and sidecars logged about each stream that is not whole, and when each engine did not serve (asked every 50 ms). The checks judge what they judged before.

--- a/entry/src/main/java/org/merlinwood/entry/dispatch/RequestRunner.java
+++ b/entry/src/main/java/org/merlinwood/entry/dispatch/RequestRunner.java
@@ -63,6 +63,7 @@
     private final RequestMachine machine;
     private final Runnable onCompleted;
     private final Map<Integer, UpstreamAttempt> attempts = new HashMap<>();
+    private final AttemptHistory history = new AttemptHistory();
     private Optional<Future<?>> deadline = Optional.empty();
     private Revisions awaitedRevisions = new Revisions(Revisions.NONE, Revisions.NONE);
     private boolean responseStarted;
@@ -103,12 +104,7 @@
     OpenRequest describe() {
         List<String> instances = attempts.values().stream()
                 .filter(UpstreamAttempt::isOpen)
-                .map(attempt -> "%d %s %s %s"
-                        .formatted(
-                                attempt.number(),
-                                attempt.role(),
-                                attempt.instance().name(),
-                                attempt.phase()))
+                .map(UpstreamAttempt::describe)
                 .toList();
         return new OpenRequest(
                 identifier().toString(),
@@ -143,9 +139,8 @@
 
     @Override
     public long retryAfterMillis(long expectedMillis) {
-        return state.retryDelay()
-                .retryAfterMillis(
-                        expectedMillis, request.identified().callerClass().priority());
+        int priority = request.identified().callerClass().priority();
+        return state.retryDelay().retryAfterMillis(expectedMillis, priority);
     }
 
     // ------------------------------------------------------------------ events of attempts
@@ -202,6 +197,7 @@
 
     @Override
     public void onFailure(UpstreamAttempt attempt, Failure failure) {
+        history.failed(attempt.number(), failure.code(), ageMillis());
         if (failure.code() != ResultCode.PEER_SILENT || isRepeatedConnection(attempt)) {
             state.recordFailure(request, attempt.role(), attempt.instance().name(), failure);
         }
@@ -258,6 +254,7 @@
             case RequestAction.ExecutePrefill execute -> {
                 UpstreamAttempt attempt = attempts.get(execute.attempt());
                 timings.prefillStarted();
+                history.executed(execute.attempt(), ageMillis());
                 attempt.execute(messages.prefill(attempt.grantUse()));
             }
             case RequestAction.ExecuteDecode execute -> {
@@ -290,12 +287,14 @@
                 components.metrics(),
                 this);
         attempts.put(grant.attempt(), attempt);
+        history.requested(grant.attempt(), grant.role(), grant.instance().name(), ageMillis());
         state.recordStart(request, grant.role(), grant.instance().name());
         long waitMillis = grantWait.millis(grant.role(), responseStarted, remainingMillis(), attempts.values());
         attempt.start(connection -> messages.grantRequest(grant, connection, waitMillis), waitMillis);
     }
 
     private UpstreamAttempt startExecution(int number) {
+        history.executed(number, ageMillis());
         UpstreamAttempt attempt = attempts.get(number);
         assembler.startAttempt(number, attempt.grantUse().getIncarnation());
         return attempt;
@@ -320,9 +319,9 @@
     }
 
     private void awaitInstance(long millis) {
-        var unused = components
-                .control()
-                .schedule(millis, () -> perform(() -> machine.handle(new RequestEvent.InstanceWaitEnded())));
+        history.waited(millis, ageMillis());
+        Supplier<List<RequestAction>> step = () -> machine.handle(new RequestEvent.InstanceWaitEnded());
+        var unused = components.control().schedule(millis, () -> perform(step));
     }
 
     private void complete(Optional<Failure> failure) {
@@ -339,7 +338,7 @@
                 code,
                 ageMillis(),
                 attempts.size(),
-                failure.map(present -> ": " + present.detail()).orElse(""));
+                failure.map(history::describe).orElse(""));
         onCompleted.run();
     }
 
@@ -363,9 +362,10 @@
     private void failFromEventLoop(UpstreamAttempt attempt, ResultCode code, String detail) {
         components.control().execute(() -> {
             if (attempt.isOpen()) {
+                Failure failure = Failure.of(code, detail);
+                onFailure(attempt, failure);
                 endAttempt(attempt.number(), open -> open.cancel(code));
-                perform(() ->
-                        machine.handle(new RequestEvent.ResponseFailed(attempt.number(), Failure.of(code, detail))));
+                perform(() -> machine.handle(new RequestEvent.ResponseFailed(attempt.number(), failure)));
             }
         });
     }
--- a/entry/src/main/java/org/merlinwood/entry/dispatch/UpstreamAttempt.java
+++ b/entry/src/main/java/org/merlinwood/entry/dispatch/UpstreamAttempt.java
@@ -124,6 +124,11 @@
         return phase;
     }
 
+    /** Describes the attempt for the state dump. */
+    String describe() {
+        return "%d %s %s %s".formatted(number, role, instance.name(), phase);
+    }
+
     GrantUse grantUse() {
         return grantUse;
     }
--- a/proving/src/main/java/org/merlinwood/proving/caller/CallerResponse.java
+++ b/proving/src/main/java/org/merlinwood/proving/caller/CallerResponse.java
@@ -6,6 +6,7 @@
 /**
  * The outcome of one request for its caller. Immutable.
  *
+ * @param request identifier that the entry gave the request, empty if no response head named one
  * @param status HTTP status, 0 if no response head was received
  * @param resultCode number of the result code, from the header, the error body or the last event of a stream
  * @param execution execution state stated in the response, empty if there is none
@@ -20,6 +21,7 @@
  * @param broken failure that ended the request early; empty if the response was read to its end
  */
 public record CallerResponse(
+        String request,
         int status,
         OptionalInt resultCode,
         String execution,
--- a/proving/src/main/java/org/merlinwood/proving/caller/RequestInProgress.java
+++ b/proving/src/main/java/org/merlinwood/proving/caller/RequestInProgress.java
@@ -94,6 +94,7 @@
         ResponseBody read = streamed ? events.body() : ResponseBody.of(body.toString(StandardCharsets.UTF_8));
         boolean whole = broken.isEmpty() && (!streamed || events.isDone());
         response.complete(new CallerResponse(
+                header("Merlinwood-Request").orElse(""),
                 status,
                 read.code()
                         .or(() -> header("Merlinwood-Result-Code").map(Integer::valueOf))
--- a/proving/src/main/java/org/merlinwood/proving/fleet/FleetProbe.java
+++ b/proving/src/main/java/org/merlinwood/proving/fleet/FleetProbe.java
@@ -99,6 +99,16 @@
         client.close();
     }
 
+    /**
+     * Tells whether a server answers at all.
+     *
+     * @param address its address
+     * @return false if it accepts no connection or does not answer in time
+     */
+    public boolean answers(InetSocketAddress address) {
+        return send("GET", address, "/", "").isPresent();
+    }
+
     boolean awaitStatus(InetSocketAddress address, String path, FleetProcess process, long millis) {
         return await(
                 process,
@@ -109,7 +119,7 @@
     }
 
     boolean awaitResponse(InetSocketAddress address, FleetProcess process, long millis) {
-        return await(process, millis, () -> send("GET", address, "/", "").isPresent());
+        return await(process, millis, () -> answers(address));
     }
 
     private static boolean await(FleetProcess process, long millis, BooleanSupplier condition) {
--- a/proving/src/main/java/org/merlinwood/proving/prove/CrashingPromptPortion.java
+++ b/proving/src/main/java/org/merlinwood/proving/prove/CrashingPromptPortion.java
@@ -46,6 +46,7 @@
     static ProofResult atDecode(ProofContext context) throws InterruptedException {
         StreamSet otherStreams = new StreamSet(context, COMMON);
         Set<String> prompts = new LinkedHashSet<>();
+        EngineOutages outages = new EngineOutages();
         List<String> codes = new ArrayList<>();
         for (int number = 0; number < REQUESTS; number++) {
             otherStreams.send(OTHER_STREAMS, OTHER_STREAM_TOKENS);
@@ -57,15 +58,20 @@
             CallerRequest request = CallerRequest.streamed(
                     FleetDocuments.INSPECTOR_TOKEN, FleetDocuments.SUMMARY_MODEL, prompt, TOKENS);
             RequestInProgress crashing = context.client().send(context.caller(number), request);
-            CrashingRequest.restartEnginesUntilCompleted(context, otherStreams, crashing);
+            CrashingRequest.restartEnginesUntilCompleted(context, otherStreams, crashing, outages);
             codes.add(CallerClient.await(crashing).codeText());
             otherStreams.responses();
             context.fleet().repair();
         }
-        return check(context.engineRuns(prompts), otherStreams, codes);
+        return check(context, context.engineRuns(prompts), otherStreams, codes, outages);
     }
 
-    private static ProofResult check(List<EngineRun> runs, StreamSet otherStreams, List<String> codes) {
+    private static ProofResult check(
+            ProofContext context,
+            List<EngineRun> runs,
+            StreamSet otherStreams,
+            List<String> codes,
+            EngineOutages outages) {
         List<Long> crashMillis = runs.stream()
                 .filter(run -> run.outcome() == EngineRun.Outcome.CRASHED)
                 .map(EngineRun::endedAtMillis)
@@ -81,7 +87,10 @@
             return ProofResult.unproved(figures);
         }
         boolean bounded = crashMillis.size() <= CRASHES_TO_LEARN + TOLERATED_REQUESTS && late <= TOLERATED_REQUESTS;
-        return bounded && faults.isEmpty() ? ProofResult.pass(figures) : ProofResult.fail(figures);
+        return bounded && faults.isEmpty()
+                ? ProofResult.pass(figures)
+                : ProofResult.fail(
+                        figures + "; " + outages.describe() + CrashingRequest.faultyRequests(context, otherStreams));
     }
 
     /** Counts the runs that began when the portion had to be known. */
--- a/proving/src/main/java/org/merlinwood/proving/prove/StreamSet.java
+++ b/proving/src/main/java/org/merlinwood/proving/prove/StreamSet.java
@@ -159,6 +159,15 @@
                 .toList();
     }
 
+    /** Waits for all responses and returns the identifiers of the requests whose responses are incorrect or failed. */
+    List<String> faultyRequests() {
+        return streams.stream()
+                .filter(stream ->
+                        !stream.fault(CallerClient.await(stream.inProgress)).isEmpty())
+                .map(stream -> CallerClient.await(stream.inProgress).request())
+                .toList();
+    }
+
     /** Waits for all responses and describes those that report success but are incorrect. */
     List<String> wrongResponses() {
         return streams.stream()
--- a/proving/src/test/java/org/merlinwood/proving/prove/ProofChecksTest.java
+++ b/proving/src/test/java/org/merlinwood/proving/prove/ProofChecksTest.java
@@ -73,6 +73,7 @@
 
     private static String streamFault(String text, int ends, boolean whole) {
         CallerResponse response = new CallerResponse(
+                "request",
                 200,
                 OptionalInt.of(0),
                 "",
@@ -90,6 +91,7 @@
 
     private static CallerResponse response(int code, String execution, String text) {
         return new CallerResponse(
+                "request",
                 code == 0 ? 201 : 503,
                 OptionalInt.of(code),
                 execution,
