A begun response is resumed at an instance as soon as its sidecar reaches the engine

An unreachable instance is now left out for the stated time, 1 s at most and where none is stated. Since a waiting response may so be refused up to 12 times, refusals for an unreachable engine don't count against its 12 attempts, as connections that can't be opened didn't before.

--- a/entry/src/main/java/org/merlinwood/entry/dispatch/ControlState.java
+++ b/entry/src/main/java/org/merlinwood/entry/dispatch/ControlState.java
@@ -43,12 +43,6 @@
  */
 final class ControlState {
 
-    /** How long an unreachable instance is excluded from placement. */
-    static final long UNREACHABLE_EXCLUSION_MILLIS = 1_000;
-
-    /** How long a draining instance is excluded from placement. */
-    static final long DRAINING_EXCLUSION_MILLIS = 5_000;
-
     /** How long a refusal for lack of capacity counts as contention. */
     static final long CONTENTION_MILLIS = 1_000;
 
@@ -199,12 +193,11 @@
     /** Records a refusal, or an attempt that failed for another reason than a single closed connection. */
     void recordFailure(ClassifiedRequest request, InstanceRole role, InstanceName name, Failure failure) {
         long nowMillis = clock.monotonicMillis();
-        switch (failure.code()) {
-            case DRAINING -> pool(request, role).avoid(name, nowMillis + DRAINING_EXCLUSION_MILLIS);
-            case UPSTREAM_UNREACHABLE, PEER_SILENT, AUTHENTICATION_FAILED ->
-                pool(request, role).avoid(name, nowMillis + UNREACHABLE_EXCLUSION_MILLIS);
-            case NO_CAPACITY -> contendedUntilMillis = nowMillis + CONTENTION_MILLIS;
-            default -> {}
+        long excludedMillis = ExclusionTime.millisAfter(failure);
+        if (excludedMillis > 0) {
+            pool(request, role).avoid(name, nowMillis + excludedMillis);
+        } else if (failure.code() == ResultCode.NO_CAPACITY) {
+            contendedUntilMillis = nowMillis + CONTENTION_MILLIS;
         }
     }
 
@@ -228,7 +221,8 @@
 
     private Failure noInstance(ClassifiedRequest request) {
         long retryAfterMillis = retryDelay.retryAfterMillis(
-                UNREACHABLE_EXCLUSION_MILLIS, request.identified().callerClass().priority());
+                ExclusionTime.UNREACHABLE_MILLIS,
+                request.identified().callerClass().priority());
         return Failure.retryable(ResultCode.NO_INSTANCE, "no instance of the service is available", retryAfterMillis);
     }
 
--- a/entry/src/main/java/org/merlinwood/entry/dispatch/KeyMinting.java
+++ b/entry/src/main/java/org/merlinwood/entry/dispatch/KeyMinting.java
@@ -79,8 +79,7 @@
 
     private void refuse() {
         int priority = request.identified().callerClass().priority();
-        long retryAfterMillis =
-                state.retryDelay().retryAfterMillis(ControlState.UNREACHABLE_EXCLUSION_MILLIS, priority);
+        long retryAfterMillis = state.retryDelay().retryAfterMillis(ExclusionTime.UNREACHABLE_MILLIS, priority);
         components.metrics().requestEnded(ResultCode.NO_INSTANCE);
         sink.failure(
                 Failure.retryable(ResultCode.NO_INSTANCE, "no instance of the service is reachable", retryAfterMillis));
--- a/entry/src/main/java/org/merlinwood/entry/machine/ModelMachine.java
+++ b/entry/src/main/java/org/merlinwood/entry/machine/ModelMachine.java
@@ -72,7 +72,7 @@
     private int attempts;
     private int failedTransfers;
     private int resumptions;
-    private int connectFailures;
+    private int unreachableInstances;
     private long instanceWaitMillis;
     private boolean responseStarted;
     private Optional<InstanceName> lastFailedInstance = Optional.empty();
@@ -261,12 +261,13 @@
             actions.add(new AwaitRevisions());
             state = new ModelState.AwaitingRevisions();
         } else {
+            unreachableInstances += failure.code() == ResultCode.UPSTREAM_UNREACHABLE ? 1 : 0;
             tryNextDecode(decode, failure);
         }
     }
 
     private void onDecodeUnreachable(Attempt decode, Failure failure) {
-        connectFailures += RefusalSummary.isConnectionEnd(failure) ? 0 : 1;
+        unreachableInstances += RefusalSummary.isConnectionEnd(failure) ? 0 : 1;
         if (mayReconnect(decode, failure)) {
             state = new ModelState.AskingDecode(requestGrantOnNewConnection(decode, InstanceRole.DECODE));
         } else {
@@ -382,9 +383,12 @@
         }
     }
 
-    /** Failed connection attempts are not counted once a started response has waited for an instance. */
+    /**
+     * Attempts at which a sidecar or its engine could not be reached are not counted once a started response has waited
+     * for an instance.
+     */
     private boolean hasAttemptsLeft() {
-        int uncounted = instanceWaitMillis > 0 ? connectFailures : 0;
+        int uncounted = instanceWaitMillis > 0 ? unreachableInstances : 0;
         return attempts - uncounted < MAXIMUM_ATTEMPTS;
     }
 
--- a/entry/src/test/java/org/merlinwood/entry/machine/StartedResponseWaitTest.java
+++ b/entry/src/test/java/org/merlinwood/entry/machine/StartedResponseWaitTest.java
@@ -55,6 +55,20 @@
         assertCompleted(stateMachine.handle(new RequestEvent.Lost(attempt, UNREACHABLE)));
     }
 
+    /** Guards against a begun response that is given up after 10 refusals, before its wait is over. */
+    @Test
+    void refusalsOfAnUnreachableEngineDoNotShortenTheWait() {
+        interruptResponse(CONNECTION_LOST);
+        for (int wait = 1; wait < WAITS; wait++) {
+            assertGrantRequested(stateMachine.handle(new RequestEvent.InstanceWaitEnded()));
+            assertThat(stateMachine.handle(new RequestEvent.Refused(attempt, UNREACHABLE)))
+                    .singleElement()
+                    .isInstanceOf(RequestAction.AwaitInstance.class);
+        }
+        assertGrantRequested(stateMachine.handle(new RequestEvent.InstanceWaitEnded()));
+        assertCompleted(stateMachine.handle(new RequestEvent.Refused(attempt, UNREACHABLE)));
+    }
+
     @Test
     void instanceWithCrashedEngineIsNotRetried() {
         interruptResponse(Failure.of(ResultCode.UPSTREAM_CRASHED, "the engine ended"));
