A ledger that is not read in time names the failure, and is asked for again

A stand-in has no thread that holds the lock of its ledger over anything but one append to its file.

The probe now prints the failure, the time and the threads of the stand-in (SIGQUIT), and reads the ledger again, five times in all. Nothing is judged less strictly: what ran, and when, is what the stand-in wrote down itself. Other commands and reads are asked once, as before, and name their failure.

--- a/proving/src/main/java/org/merlinwood/proving/fleet/FleetProbe.java
+++ b/proving/src/main/java/org/merlinwood/proving/fleet/FleetProbe.java
@@ -3,13 +3,14 @@
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import io.vavr.control.Either;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
-import java.util.Optional;
 import java.util.concurrent.ExecutionException;
 import java.util.function.BooleanSupplier;
+import org.merlinwood.core.result.Failure;
 import org.merlinwood.core.time.SystemMillisClock;
 import org.merlinwood.http.ConnectionUse;
 import org.merlinwood.http.HttpClient;
@@ -24,6 +25,14 @@
     private static final long CONNECT_TIMEOUT_MILLIS = 500;
     private static final long READ_TIMEOUT_MILLIS = 2_000;
     private static final long POLL_MILLIS = 25;
+
+    /** Number of times that a ledger is asked for before the proof is given up. */
+    private static final int LEDGER_ATTEMPTS = 5;
+
+    private static final String LEDGER = "/ledger";
+    private static final int OK = 200;
+    private static final int STATUS_CLASS = 100;
+    private static final int SUCCESS_CLASS = 2;
     private static final ObjectMapper MAPPER =
             new ObjectMapper().configure(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES, false);
 
@@ -36,7 +45,7 @@
      * @return the runs that the engine has executed
      */
     public EngineLedger engineLedger(Upstream engine) {
-        return read(get(engine.administration(), "/ledger"), EngineLedger.class);
+        return read(ledger(engine), EngineLedger.class);
     }
 
     /**
@@ -46,7 +55,7 @@
      * @return the runs that the service has executed
      */
     public PlainLedger plainLedger(Upstream service) {
-        return read(get(service.administration(), "/ledger"), PlainLedger.class);
+        return read(ledger(service), PlainLedger.class);
     }
 
     /**
@@ -106,16 +115,11 @@
      * @return false if it accepts no connection or does not answer in time
      */
     public boolean answers(InetSocketAddress address) {
-        return send("GET", address, "/", "").isPresent();
+        return send("GET", address, "/", "").isRight();
     }
 
     boolean awaitStatus(InetSocketAddress address, String path, FleetProcess process, long millis) {
-        return await(
-                process,
-                millis,
-                () -> send("GET", address, path, "")
-                        .filter(response -> response.status() == 200)
-                        .isPresent());
+        return await(process, millis, () -> send("GET", address, path, "").exists(response -> response.status() == OK));
     }
 
     boolean awaitResponse(InetSocketAddress address, FleetProcess process, long millis) {
@@ -146,18 +150,46 @@
         return require(send("GET", address, path, ""), address, path);
     }
 
-    private static HttpResponse require(Optional<HttpResponse> response, InetSocketAddress address, String path) {
-        return response.filter(received -> received.status() / 100 == 2)
-                .orElseThrow(() ->
-                        new IllegalStateException(address + path + " answered " + response.map(HttpResponse::status)));
+    /**
+     * Reads a ledger. A stand-in that does not answer in time is asked again, since its ledger is as true later: the
+     * times in it are its own. What it did meanwhile is printed, so that a stand-in that stands still is seen.
+     */
+    private HttpResponse ledger(Upstream upstream) {
+        for (int attempt = 1; attempt < LEDGER_ATTEMPTS; attempt++) {
+            long startMillis = SystemMillisClock.shared().monotonicMillis();
+            Either<Failure, HttpResponse> response = send("GET", upstream.administration(), LEDGER, "");
+            if (response.isRight()) {
+                return require(response, upstream.administration(), LEDGER);
+            }
+            System.err.printf(
+                    "  probe: the ledger of %s was not read, attempt %d, %d ms: %s%n%s%n",
+                    upstream.name(),
+                    attempt,
+                    SystemMillisClock.shared().monotonicMillis() - startMillis,
+                    response.getLeft(),
+                    upstream.process().threadDump());
+        }
+        return get(upstream.administration(), LEDGER);
+    }
+
+    private static HttpResponse require(
+            Either<Failure, HttpResponse> response, InetSocketAddress address, String path) {
+        if (response.isLeft()) {
+            throw new IllegalStateException(address + path + " did not answer: " + response.getLeft());
+        }
+        if (response.get().status() / STATUS_CLASS != SUCCESS_CLASS) {
+            throw new IllegalStateException(
+                    address + path + " answered " + response.get().status());
+        }
+        return response.get();
     }
 
-    private Optional<HttpResponse> send(String method, InetSocketAddress address, String path, String body) {
+    private Either<Failure, HttpResponse> send(String method, InetSocketAddress address, String path, String body) {
         HttpRequest request = HttpRequest.of(method, address, path, body.getBytes(StandardCharsets.UTF_8))
                 .withTimeouts(CONNECT_TIMEOUT_MILLIS, READ_TIMEOUT_MILLIS)
                 .withConnectionUse(ConnectionUse.FRESH);
         try {
-            return client.execute(request).toCompletableFuture().get().toJavaOptional();
+            return client.execute(request).toCompletableFuture().get();
         } catch (InterruptedException exception) {
             Thread.currentThread().interrupt();
             throw new IllegalStateException("interrupted", exception);
--- a/proving/src/main/java/org/merlinwood/proving/fleet/FleetProcess.java
+++ b/proving/src/main/java/org/merlinwood/proving/fleet/FleetProcess.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -18,6 +19,12 @@
     /** Time within which a signal must have stopped all threads of a process, in milliseconds. */
     private static final long FREEZE_TIMEOUT_MILLIS = 10_000;
 
+    /** Time within which a process must have written the stacks of its threads, in milliseconds. */
+    private static final long DUMP_MILLIS = 2_000;
+
+    /** Text that follows the stacks of all threads. */
+    private static final String END_OF_DUMP = "Heap";
+
     /** State of a stopped thread in its status line. */
     private static final char STOPPED = 'T';
 
@@ -175,6 +182,26 @@
         }
     }
 
+    /**
+     * Lets the process write the stacks of its threads to its log (SIGQUIT), and returns the end of the log.
+     *
+     * @return the stacks, for use in messages; incomplete if the process does not write them within
+     *     {@value #DUMP_MILLIS} ms
+     */
+    public String threadDump() {
+        if (!isAlive()) {
+            return name + " has ended with status " + exitStatus();
+        }
+        long before = logBytes();
+        signal("QUIT");
+        long deadlineMillis = SystemMillisClock.shared().monotonicMillis() + DUMP_MILLIS;
+        while (!logFrom(before).contains(END_OF_DUMP)
+                && SystemMillisClock.shared().monotonicMillis() < deadlineMillis) {
+            pause();
+        }
+        return logFrom(before);
+    }
+
     /**
      * Returns the lines of the log that contain a text, for use in messages.
      *
@@ -191,6 +218,24 @@
         }
     }
 
+    private long logBytes() {
+        try {
+            return Files.exists(log) ? Files.size(log) : 0;
+        } catch (IOException exception) {
+            throw new UncheckedIOException("could not read the log of " + name, exception);
+        }
+    }
+
+    private String logFrom(long position) {
+        try {
+            byte[] content = Files.readAllBytes(log);
+            int from = (int) Math.min(position, content.length);
+            return new String(content, from, content.length - from, StandardCharsets.UTF_8);
+        } catch (IOException exception) {
+            return "(no log: " + exception.getMessage() + ")";
+        }
+    }
+
     private synchronized Process current() {
         return process;
     }
