Loopback tests of the platform's new rules in pairs with another failure

Two restores of the store in a row; an instance that leaves while the backup still has it as ready; an instance that names a time to an entry that is cut off from the store. Each passed at once, twice, beside other work (load average about 30); none of them found a fault.

--- a/proving/src/test/java/org/merlinwood/proving/gateway/EntryFixture.java
+++ b/proving/src/test/java/org/merlinwood/proving/gateway/EntryFixture.java
@@ -94,9 +94,14 @@
 
     /** Writes the registration of an instance, as ready. */
     void register(int index) {
+        register(index, false);
+    }
+
+    /** Writes the registration of an instance, as ready or as leaving. */
+    void register(int index, boolean leaving) {
         store.register(
                 name(index),
-                InstanceDocuments.registration(StandInInstance.Stage.PLAIN, addresses.get(index), false, index + 1));
+                InstanceDocuments.registration(StandInInstance.Stage.PLAIN, addresses.get(index), leaving, index + 1));
     }
 
     StandInInstance instance(int index) {
--- a/proving/src/test/java/org/merlinwood/proving/gateway/InstanceNoticesOnLoopbackTest.java
+++ b/proving/src/test/java/org/merlinwood/proving/gateway/InstanceNoticesOnLoopbackTest.java
@@ -58,9 +58,20 @@
         assertThat(HttpHeader.find(refused.headers(), "Retry-After")).isPresent();
     }
 
+    /** Guards against an entry that forgets the stated time when it can't reach the store. */
+    @Test
+    void decliningInstanceGetsNothingMoreFromAnEntryThatIsCutOffFromTheStore() throws Exception {
+        fixture.store.close();
+        assertDecliningInstanceIsLeftAlone();
+    }
+
     /** Those that were sent together before the first response may reach it. */
     @Test
     void decliningInstanceGetsNothingMoreUntilTheTimeHasPassed() throws Exception {
+        assertDecliningInstanceIsLeftAlone();
+    }
+
+    private void assertDecliningInstanceIsLeftAlone() throws Exception {
         fixture.instance(0).decline(DECLINED_MILLIS);
         long untilNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(DECLINED_MILLIS);
         EntryFixture.await(() -> {
--- a/proving/src/test/java/org/merlinwood/proving/gateway/StoreRestoreOnLoopbackTest.java
+++ b/proving/src/test/java/org/merlinwood/proving/gateway/StoreRestoreOnLoopbackTest.java
@@ -58,6 +58,38 @@
         EntryFixture.await(() -> fixture.send("/v10/").status() == 200);
     }
 
+    /** Guards against an entry that follows the first of two restores only, or takes the second for an old answer. */
+    @Test
+    void changeBehindTheSecondOfTwoRestoresIsInForce() throws Exception {
+        long backupMillis = backup();
+        fixture.store.configure(configuration(2, "/v2/"));
+        EntryFixture.await(() -> fixture.send("/v2/").status() == 200);
+        fixture.store.restoreTo(backupMillis);
+        fixture.store.configure(configuration(3, "/v3/"));
+        EntryFixture.await(() -> fixture.send("/v3/").status() == 200);
+        fixture.store.restoreTo(backupMillis);
+        fixture.store.configure(configuration(4, "/v4/"));
+        EntryFixture.await(() -> fixture.send("/v4/").status() == 200);
+        assertThat(fixture.readsSucceedAt(0)).isTrue();
+    }
+
+    /** Guards against an instance that gets work again since the backup still has it as ready. */
+    @Test
+    void instanceThatLeavesGetsNothingWhenTheBackupHasItAsReady() throws Exception {
+        fixture.addInstance();
+        EntryFixture.await(() -> fixture.readsSucceedAt(1));
+        long backupMillis = backup();
+        fixture.instance(0).leaving(true);
+        fixture.register(0, true);
+        EntryFixture.await(() -> fixture.readsSucceed() && !fixture.lastRanAt(0));
+        fixture.store.restoreTo(backupMillis);
+        long untilNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(SETTLE_MILLIS - AFTER_SETTLING_MILLIS);
+        while (System.nanoTime() < untilNanos) {
+            assertThat(fixture.readsSucceed()).isTrue();
+            assertThat(fixture.lastRanAt(0)).isFalse();
+        }
+    }
+
     /** Guards against a change that reverts: the configuration of the backup is older than the one in force. */
     @Test
     void configurationInForceStaysWhenTheBackupHasAnOlderOne() throws Exception {
