bin/prove has lines for what instances and the store of the users' platform state

bin/prove ran entries with sidecars only; the three rules for instances that leave, instances that name a time and a store that comes back from a backup were in loopback tests and in the soak's random faults.

Five lines play each rule with another failure under the soak's load and checks: leaving with the store cut off and with a restore, a named time with an entry killed and with the store cut off, two restores within ten seconds.

--- a/proving/src/main/java/org/merlinwood/proving/prove/Promises.java
+++ b/proving/src/main/java/org/merlinwood/proving/prove/Promises.java
@@ -1,10 +1,13 @@
 package org.merlinwood.proving.prove;
 
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import org.merlinwood.proving.fleet.FleetDocuments;
 import org.merlinwood.proving.fleet.FleetPlan;
 import org.merlinwood.proving.fleet.FleetPlan.Forwarding;
 import org.merlinwood.proving.fleet.FleetPlan.PlainPool;
+import org.merlinwood.proving.soak.FaultPair;
 
 /** Lists all promises and their proofs. Stateless. */
 final class Promises {
@@ -19,6 +22,17 @@
         return List.of(plain(), streams());
     }
 
+    /** Returns the proofs of what instances and the store state on the users' platform, by name, in sequence. */
+    static Map<String, FaultPair> onThePlatform() {
+        Map<String, FaultPair> proofs = new LinkedHashMap<>();
+        proofs.put("leaving-instance-entry-cut-off", FaultPair.LEAVING_INSTANCE_ENTRY_CUT_OFF);
+        proofs.put("leaving-instance-store-restored", FaultPair.LEAVING_INSTANCE_STORE_RESTORED);
+        proofs.put("named-time-entry-restarted", FaultPair.NAMED_TIME_ENTRY_RESTARTED);
+        proofs.put("named-time-entry-cut-off", FaultPair.NAMED_TIME_ENTRY_CUT_OFF);
+        proofs.put("store-restored-twice", FaultPair.STORE_RESTORED_TWICE);
+        return proofs;
+    }
+
     private static ProofGroup plain() {
         FleetPlan plan = FleetPlan.builder()
                 .entries(2)
--- a/proving/src/main/java/org/merlinwood/proving/prove/ProveMain.java
+++ b/proving/src/main/java/org/merlinwood/proving/prove/ProveMain.java
@@ -8,6 +8,7 @@
 import org.apache.commons.rng.simple.RandomSource;
 import org.merlinwood.proving.caller.CallerClient;
 import org.merlinwood.proving.fleet.Fleet;
+import org.merlinwood.proving.soak.FaultPair;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
@@ -43,6 +44,9 @@
         LogManager.getLogManager().reset();
         UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
         Promises.groups().forEach(group -> execute(chosen(group), random));
+        Promises.onThePlatform().entrySet().stream()
+                .filter(proof -> proof.getKey().startsWith(only))
+                .forEach(proof -> report(proof.getKey(), execute(proof.getValue())));
         System.out.printf(
                 "promises: %d passed, %d failed, %d unproved%n",
                 count(Verdict.PASS), count(Verdict.FAIL), count(Verdict.UNPROVED));
@@ -63,10 +67,10 @@
         try (Fleet fleet = Fleet.start(group.plan());
                 CallerClient client = new CallerClient()) {
             ProofContext context = new ProofContext(fleet, client, random);
-            group.proofs().forEach(proof -> report(proof, execute(proof, context)));
+            group.proofs().forEach(proof -> report(proof.name(), execute(proof, context)));
         } catch (IllegalStateException exception) {
             ProofResult result = ProofResult.fail("the fleet did not start: " + exception.getMessage());
-            group.proofs().forEach(proof -> report(proof, result));
+            group.proofs().forEach(proof -> report(proof.name(), result));
         }
     }
 
@@ -82,10 +86,26 @@
         }
     }
 
-    private void report(Proof proof, ProofResult result) {
+    private ProofResult execute(FaultPair pair) {
+        try {
+            FaultPair.Outcome outcome = pair.run(seed);
+            String detail = outcome.summary() + " " + outcome.violations();
+            if (!outcome.provoked()) {
+                return ProofResult.unproved("no instance stated it; " + detail);
+            }
+            return ProofResult.of(outcome.violations().isEmpty(), detail);
+        } catch (IllegalStateException exception) {
+            return ProofResult.fail("could not be carried out: " + exception.getMessage());
+        } catch (InterruptedException exception) {
+            Thread.currentThread().interrupt();
+            return ProofResult.unproved("interrupted");
+        }
+    }
+
+    private void report(String proof, ProofResult result) {
         results.add(result);
-        System.out.printf("promise %s %s%n", proof.name(), result.verdict());
-        System.err.printf("  %s: %s%n", proof.name(), result.detail());
+        System.out.printf("promise %s %s%n", proof, result.verdict());
+        System.err.printf("  %s: %s%n", proof, result.detail());
     }
 
     private long count(Verdict verdict) {
--- a/proving/src/main/java/org/merlinwood/proving/soak/SoakResult.java
+++ b/proving/src/main/java/org/merlinwood/proving/soak/SoakResult.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.function.Predicate;
+import org.merlinwood.platform.standin.Arrival;
 import org.merlinwood.platform.standin.CallerCalls;
 
 /**
@@ -9,13 +10,15 @@
  *
  * @param plan the faults that were injected
  * @param observations the attempts as callers observed them
+ * @param arrivals the requests as they reached the instances
  * @param violations one message for each broken promise
  */
-record SoakResult(FaultPlan plan, List<Observation> observations, List<String> violations) {
+record SoakResult(FaultPlan plan, List<Observation> observations, List<Arrival> arrivals, List<String> violations) {
 
     /** Copies the lists. */
     SoakResult {
         observations = List.copyOf(observations);
+        arrivals = List.copyOf(arrivals);
         violations = List.copyOf(violations);
     }
 
--- a/proving/src/main/java/org/merlinwood/proving/soak/SoakSeed.java
+++ b/proving/src/main/java/org/merlinwood/proving/soak/SoakSeed.java
@@ -31,7 +31,11 @@
 
     /** Runs the seed and returns its result. */
     SoakResult run() throws InterruptedException {
-        FaultPlan plan = plan(seed, faultsMillis);
+        return run(plan(seed, faultsMillis));
+    }
+
+    /** Runs the load of the seed under other faults than its own, and returns the result. */
+    SoakResult run(FaultPlan plan) throws InterruptedException {
         try (SoakDeployment deployment = new SoakDeployment(folder)) {
             deployment.awaitReady();
             return run(plan, deployment);
@@ -70,7 +74,7 @@
                 violations.add(load.open() + " requests have no end");
             }
             steps.forEach(step -> addFailure(step, violations));
-            return new SoakResult(plan, observations, violations);
+            return new SoakResult(plan, observations, deployment.ledger().arrivals(), violations);
         }
     }
 
