The prompt of a resumed response is not suspected of crashing engines

By the log lines of the attempts: the first request crashed decode-2; the five other streams moved to decode-1 and had got no token there yet when that request crashed decode-1 as well, 0.7 s later. So the block that sound streams shared was in requests about to begin at two crashes, and was refused until quarantineMillis had passed, to all.

A resumed response has got tokens of its prompt at another engine, so its prompt isn't what crashes engines before the first token. It is not suspected with its prefixes any more; its fingerprint is, as before.

CrashingPromptPortionTest.portionOfResumedResponsesIsNotSuspected failed before.

--- a/sidecar/src/main/java/org/merlinwood/sidecar/admission/CrashDetector.java
+++ b/sidecar/src/main/java/org/merlinwood/sidecar/admission/CrashDetector.java
@@ -144,7 +144,10 @@
         }
     }
 
-    /** Only a request that has got no token is suspected for its prompt, as a crash strikes before the first one. */
+    /**
+     * Only a request that has got no token is suspected for its prompt, as a crash strikes before the first one. A
+     * resumed response has got some at another engine.
+     */
     private void reportPrefixes(LostAttempt each, Runnable onRecorded) {
         GrantRequest request = each.attempt.request();
         if (each.begun || request.getKind() != WorkKind.DECODE) {
--- a/sidecar/src/main/java/org/merlinwood/sidecar/execution/DecodeExecution.java
+++ b/sidecar/src/main/java/org/merlinwood/sidecar/execution/DecodeExecution.java
@@ -25,6 +25,7 @@
     private final DecodeResponseReader reader;
     private final Runnable onFirstToken;
     private final Runnable onTrialPassed;
+    private boolean firstTokenReported;
     private int status;
     private int trialTokensLeft = TRIAL_TOKENS;
 
@@ -53,6 +54,9 @@
         this.onFirstToken = onFirstToken;
         this.onTrialPassed = onTrialPassed;
         this.reader = new DecodeResponseReader(request.tokensSoFar().size());
+        if (!request.tokensSoFar().isEmpty()) {
+            markBegun();
+        }
     }
 
     @Override
@@ -97,8 +101,9 @@
     }
 
     private void begin() {
-        if (!hasBegun()) {
-            markBegun();
+        markBegun();
+        if (!firstTokenReported) {
+            firstTokenReported = true;
             onFirstToken.run();
         }
     }
--- a/sidecar/src/main/java/org/merlinwood/sidecar/execution/Execution.java
+++ b/sidecar/src/main/java/org/merlinwood/sidecar/execution/Execution.java
@@ -14,9 +14,10 @@
     void start(Consumer<ExecutionOutcome> onEnd);
 
     /**
-     * Tells whether the upstream has produced a part of the response.
+     * Tells whether a part of the response exists, produced by the upstream or, for a resumed response, by another one
+     * before.
      *
-     * @return whether it has
+     * @return whether there is a part
      */
     boolean hasBegun();
 
--- a/sidecar/src/main/java/org/merlinwood/sidecar/execution/HttpExecution.java
+++ b/sidecar/src/main/java/org/merlinwood/sidecar/execution/HttpExecution.java
@@ -47,7 +47,7 @@
         return begun;
     }
 
-    /** Records that the upstream has produced a part of the response. */
+    /** Records that a part of the response exists. */
     final void markBegun() {
         begun = true;
     }
--- a/sidecar/src/test/java/org/merlinwood/sidecar/CrashingPromptPortionTest.java
+++ b/sidecar/src/test/java/org/merlinwood/sidecar/CrashingPromptPortionTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.merlinwood.configuration.inventory.InstanceRole;
@@ -55,6 +56,41 @@
         }
     }
 
+    /**
+     * Guards against sound streams that are refused since the streams that moved to another engine when the first one
+     * crashed had got no token there yet when it crashed as well.
+     */
+    @Test
+    void portionOfResumedResponsesIsNotSuspected() throws Exception {
+        ModelEngine engine = DecodeRequests.engine(0);
+        int port = engine.address().getPort();
+        try (SidecarFixture fixture = new SidecarFixture(InstanceRole.DECODE, engine.address())) {
+            SidecarFixture.await(fixture.process()::isReady);
+            PeerConnection connection = fixture.connect();
+            for (int crash = 0; crash < CRASHES; crash++) {
+                assertThat(resume(connection, CRASHING)
+                                .untilEnd()
+                                .getLast()
+                                .getAnswerEnd()
+                                .getCode())
+                        .isEqualTo(ResultCode.UPSTREAM_CRASHED.number());
+                engine.close();
+                engine = DecodeRequests.engine(port);
+                SidecarFixture.await(() -> refusalCode(connection, "other") == 0);
+                TimeUnit.MILLISECONDS.sleep(APART_MILLIS);
+            }
+            assertThat(refusalCode(connection, CRASHING)).isZero();
+        } finally {
+            engine.close();
+        }
+    }
+
+    private ProbeExchange resume(PeerConnection connection, String portion) throws InterruptedException {
+        requests++;
+        String prompt = portion + " of hydrant " + requests;
+        return DecodeRequests.resume(connection, requests, prompt, 10, List.of("one"));
+    }
+
     /** Runs a request whose prompt begins with a portion and that did not come before. */
     private ProbeExchange run(PeerConnection connection, String portion) throws InterruptedException {
         requests++;
--- a/sidecar/src/test/java/org/merlinwood/sidecar/DecodeRequests.java
+++ b/sidecar/src/test/java/org/merlinwood/sidecar/DecodeRequests.java
@@ -30,13 +30,21 @@
     /** Waits for the grant of a request and starts its execution. */
     static ProbeExchange run(PeerConnection connection, long request, String prompt, int tokens)
             throws InterruptedException {
+        return resume(connection, request, prompt, tokens, List.of());
+    }
+
+    /** As {@link #run}, for a response of which the caller already has some tokens. */
+    static ProbeExchange resume(
+            PeerConnection connection, long request, String prompt, int tokens, List<String> tokensSoFar)
+            throws InterruptedException {
         ProbeExchange exchange = requestGrant(connection, request, prompt);
         Frame response = exchange.next();
         while (response.hasQueued()) {
             response = exchange.next();
         }
         Granted granted = response.getGranted();
-        return exchange.send(EntryFrames.frame(EntryFrames.decode(granted, request, prompt, tokens)));
+        return exchange.send(EntryFrames.frame(
+                EntryFrames.decode(granted, request, prompt, tokens).addAllTokensSoFar(tokensSoFar)));
     }
 
     /** Returns the code of the refusal, or 0 if a grant was issued. The request is cancelled in both cases. */
