--- a/entry/src/main/java/org/merlinwood/entry/dispatch/UpstreamAttempt.java
+++ b/entry/src/main/java/org/merlinwood/entry/dispatch/UpstreamAttempt.java
@@ -127,6 +127,11 @@
         return phase;
     }
 
+    /** Describes the attempt for the state dump. */
+    String describe() {
+        return "%d %s %s %s".formatted(number, role, instance.name(), phase);
+    }
+
     /** Returns what an execute message names its grant with; the default instance before the grant. */
     GrantUse grantUse() {
         return grantUse;
--- a/entry/src/main/java/org/merlinwood/entry/machine/ModelAttempts.java
+++ b/entry/src/main/java/org/merlinwood/entry/machine/ModelAttempts.java
@@ -10,6 +10,7 @@
 import org.merlinwood.core.identity.InstanceName;
 import org.merlinwood.core.result.ExecutionState;
 import org.merlinwood.core.result.Failure;
+import org.merlinwood.core.result.ResultCode;
 import org.merlinwood.entry.machine.ModelState.Attempt;
 
 /**
@@ -28,14 +29,14 @@
     private static final int FREE_RESUMPTIONS = 3;
 
     /** Total time that a response that has started waits for an instance. */
-    private static final long MAXIMUM_INSTANCE_WAIT_MILLIS = 3_000;
+    private static final long MAXIMUM_INSTANCE_WAIT_MILLIS = 10_000;
 
     private final Placement placement;
     private final RefusalSummary refusals;
     private final Map<InstanceName, Integer> reconnections = new HashMap<>();
     private int attempts;
     private int resumptions;
-    private int connectFailures;
+    private int unreachableInstances;
     private long instanceWaitMillis;
 
     /** Whether an attempt uses the retry budget. */
@@ -105,9 +106,14 @@
         resumptions++;
     }
 
+    /** Records that a sidecar refused an attempt, which may be since its engine could not be reached. */
+    void recordRefusal(Failure failure) {
+        unreachableInstances += failure.code() == ResultCode.UPSTREAM_UNREACHABLE ? 1 : 0;
+    }
+
     /** Records that a sidecar could not be reached before it granted an attempt. */
     void recordUnreachable(Failure failure) {
-        connectFailures += RefusalSummary.isConnectionEnd(failure) ? 0 : 1;
+        unreachableInstances += RefusalSummary.isConnectionEnd(failure) ? 0 : 1;
     }
 
     /**
@@ -124,9 +130,12 @@
         return true;
     }
 
-    /** Failed connection attempts are not counted once a started response has waited for an instance. */
+    /**
+     * Attempts at which a sidecar or its engine could not be reached are not counted once a started response has waited
+     * for an instance.
+     */
     private boolean hasAttemptsLeft() {
-        int uncounted = instanceWaitMillis > 0 ? connectFailures : 0;
+        int uncounted = instanceWaitMillis > 0 ? unreachableInstances : 0;
         return attempts - uncounted < MAXIMUM_ATTEMPTS;
     }
 }
--- a/entry/src/main/java/org/merlinwood/entry/machine/ModelSteps.java
+++ b/entry/src/main/java/org/merlinwood/entry/machine/ModelSteps.java
@@ -93,6 +93,7 @@
             actions.add(new AwaitRevisions());
             state = new ModelState.AwaitingRevisions();
         } else {
+            attempts.recordRefusal(failure);
             tryNextDecode(decode, failure);
         }
     }
