FakeHttpClient: what it leaves out behind a cancel is what the real client leaves out

Nobody saw a fault. Two tests of StreamCutByItsReplacementTest let a cancelled instance send on and rest on FakeHttpClient, which drops what comes behind a cancel; nothing showed that the real client does so.

Tried: with a fake that delivers late heads, bytes and ends, 2 of the 371 tests of the gateway fail, these two: the gateway itself doesn't leave out late events. So no product fault shows.

--- a/gateway/src/test/java/org/merlinwood/gateway/FakeHttpClient.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/FakeHttpClient.java
@@ -25,7 +25,10 @@
     private final List<SentRequest> sent = new ArrayList<>();
     private Optional<RuntimeException> nextException = Optional.empty();
 
-    /** A recorded request and its listener, which hears nothing more once the request has ended. */
+    /**
+     * A recorded request and its listener. As with the real client, the listener hears nothing more once the request
+     * has ended or was cancelled, whatever its instance still sends.
+     */
     public static final class SentRequest implements HttpStream {
 
         private final HttpRequest request;
@@ -77,8 +80,11 @@
         }
 
         public void fail(ResultCode code, ExecutionState state) {
-            ended = true;
-            listener.onFailure(Failure.of(code, "failure injected by the test").withExecutionState(state));
+            if (!ended) {
+                ended = true;
+                listener.onFailure(
+                        Failure.of(code, "failure injected by the test").withExecutionState(state));
+            }
         }
 
         @Override
