GrantAndExecuteTest waits for the memory that the engine frees behind a response

Cause: the test read the pieces at once behind AnswerEnd. The sidecar sends that frame with the engine's last line, so that no caller waits for more, and frees the units with the end of the engine's response, one step of its control thread later, as docs/design/grants.md says: units stay reserved until the upstream holds nothing any more, not until the answer ends. Ruled out: pieces that stay held, and a load in AnswerEnd that the entry takes for free memory too few: it observes that load first and then takes the ended attempt off it.

--- a/sidecar/src/test/java/org/merlinwood/sidecar/FakeEngine.java
+++ b/sidecar/src/test/java/org/merlinwood/sidecar/FakeEngine.java
@@ -3,24 +3,37 @@
 import io.undertow.Handlers;
 import io.undertow.Undertow;
 import io.undertow.server.HttpServerExchange;
+import io.undertow.server.handlers.BlockingHandler;
+import java.io.IOException;
+import java.io.OutputStream;
 import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.Collectors;
 
 /**
  * A stand-in engine that lists the given streams until they are deleted. Deletions fail while {@code confirmsDeletes}
- * is false. Closed by the test.
+ * is false. It sends the last line of a decode response at once, and ends the response once the test allows it. Closed
+ * by the test.
  */
 final class FakeEngine implements AutoCloseable {
 
+    /** Last line of a response without tokens. */
+    private static final String END_LINE = "{\"end\":true,\"length\":0,\"finishReason\":\"stop\"}\n";
+
     final Set<String> streams = ConcurrentHashMap.newKeySet();
     final AtomicInteger deletes = new AtomicInteger();
+    final CountDownLatch endOfResponseAllowed = new CountDownLatch(1);
     volatile boolean confirmsDeletes = true;
     private final Undertow server = Undertow.builder()
             .addHttpListener(0, "127.0.0.1")
-            .setHandler(Handlers.routing().get("/v1/streams", this::list).delete("/v1/streams/{request}", this::delete))
+            .setHandler(Handlers.routing()
+                    .get("/v1/streams", this::list)
+                    .delete("/v1/streams/{request}", this::delete)
+                    .post("/v1/decode", new BlockingHandler(this::decode)))
             .build();
 
     FakeEngine() {
@@ -33,6 +46,7 @@
 
     @Override
     public void close() {
+        endOfResponseAllowed.countDown();
         server.stop();
     }
 
@@ -43,6 +57,14 @@
         exchange.getResponseSender().send("{\"streams\":[" + rows + "]}");
     }
 
+    private void decode(HttpServerExchange exchange) throws IOException, InterruptedException {
+        OutputStream output = exchange.getOutputStream();
+        output.write(END_LINE.getBytes(StandardCharsets.UTF_8));
+        output.flush();
+        endOfResponseAllowed.await();
+        output.close();
+    }
+
     private void delete(HttpServerExchange exchange) {
         deletes.incrementAndGet();
         if (!confirmsDeletes) {
--- a/sidecar/src/test/java/org/merlinwood/sidecar/GrantAndExecuteTest.java
+++ b/sidecar/src/test/java/org/merlinwood/sidecar/GrantAndExecuteTest.java
@@ -38,7 +38,7 @@
             CacheHandle cache = prefill(prefill.connect());
             decodeExchange.send(EntryFrames.withCache(EntryFrames.decode(decodeGrant, 1, PROMPT, 30), cache));
             assertCompleteResponse(decodeExchange.untilEnd(), 30, 0);
-            assertThat(decode.process().state().grants().load().freePieces()).isEqualTo(SidecarFixture.UNITS);
+            SidecarFixture.await(() -> freePieces(decode) == SidecarFixture.UNITS);
         }
     }
 
@@ -79,6 +79,10 @@
         }
     }
 
+    private static int freePieces(SidecarFixture fixture) {
+        return fixture.process().state().grants().load().freePieces();
+    }
+
     private static CacheHandle prefill(PeerConnection connection) throws InterruptedException {
         ProbeExchange prefillExchange =
                 new ProbeExchange(connection).send(EntryFrames.grantRequest(WorkKind.PREFILL, 1));
