Loopback tests of notices and restore can't pass without having judged anything

Nobody saw a fault. decliningInstanceGetsNothingMoreUntilTheTimeHasPassed reads in a loop until the time that an instance named has passed: beside load the loop could run zero times and the test passed. configurationInForceStaysWhenTheBackupHasAnOlderOne read in such a loop and not once behind its end.

The second one reads once more behind the time.

--- a/proving/src/test/java/org/merlinwood/proving/gateway/InstanceNoticesOnLoopbackTest.java
+++ b/proving/src/test/java/org/merlinwood/proving/gateway/InstanceNoticesOnLoopbackTest.java
@@ -13,7 +13,7 @@
 final class InstanceNoticesOnLoopbackTest {
 
     private static final int ROUNDS = 10;
-    private static final long DECLINED_MILLIS = 2_000;
+    private static final long DECLINED_MILLIS = 4_000;
 
     private EntryFixture fixture;
 
@@ -34,7 +34,7 @@
         fixture.instance(0).leaving(true);
         EntryFixture.await(() -> fixture.readsSucceedAt(0));
         for (int round = 0; round < ROUNDS; round++) {
-            assertThat(fixture.readsSucceed()).isTrue();
+            assertThat(fixture.readTogether()).containsOnly(200);
             assertThat(fixture.lastRanAt(0)).isFalse();
         }
     }
@@ -68,10 +68,13 @@
             return fixture.instance(0).declinedCount() > 0;
         });
         long declinedFirst = fixture.instance(0).declinedCount();
+        int rounds = 0;
         while (System.nanoTime() < untilNanos) {
-            assertThat(fixture.readsSucceed()).isTrue();
+            assertThat(fixture.readTogether()).containsOnly(200);
             assertThat(fixture.lastRanAt(0)).isFalse();
+            rounds++;
         }
+        assertThat(rounds).as("rounds within the time").isPositive();
         assertThat(fixture.instance(0).declinedCount()).isEqualTo(declinedFirst);
         EntryFixture.await(() -> fixture.readsSucceedAt(0));
     }
--- a/proving/src/test/java/org/merlinwood/proving/gateway/StoreRestoreOnLoopbackTest.java
+++ b/proving/src/test/java/org/merlinwood/proving/gateway/StoreRestoreOnLoopbackTest.java
@@ -69,6 +69,7 @@
         while (System.nanoTime() < untilNanos) {
             assertThat(fixture.send("/write/").status()).isEqualTo(200);
         }
+        assertThat(fixture.send("/write/").status()).isEqualTo(200);
     }
 
     /** An instance that the backup lacks serves on, and is gone only if it doesn't write again. */
