The restart of a crashed engine is not learnt as the time that a run holds a unit

The unit of a crashed run stays reserved until the engine confirms, that is until it serves again (5.7 s at most by the probes). This was observed as the time that a run holds its unit; with the one unit of a prefill instance, 5 s move the average by 1.5 s, so every request that had to wait was refused there until some more runs had ended.

The time that is learnt now ends when the run ends or is stopped; the unit stays reserved until the engine confirms, as before.

StoppedReservationTest failed before (2 of 2). Tests of decision: 219 passed.

--- a/decision/src/main/java/org/merlinwood/decision/grant/GrantManager.java
+++ b/decision/src/main/java/org/merlinwood/decision/grant/GrantManager.java
@@ -210,9 +210,7 @@
      */
     public void markStopping(AttemptIdentity attempt) {
         trials.end(attempt);
-        reservations
-                .of(attempt)
-                .ifPresent(reservation -> reservations.replace(reservation.withPhase(Holding.Phase.STOPPING)));
+        reservations.of(attempt).ifPresent(reservationEnd::markStopping);
     }
 
     /**
--- a/decision/src/main/java/org/merlinwood/decision/grant/impl/ReservationEnd.java
+++ b/decision/src/main/java/org/merlinwood/decision/grant/impl/ReservationEnd.java
@@ -46,7 +46,22 @@
             return;
         }
         reservations.remove(reservation.grant().demand().attempt());
-        capacity.observeRelease(reservation, clock.monotonicMillis());
+        if (reservation.phase() != Holding.Phase.STOPPING) {
+            capacity.observeRelease(reservation, clock.monotonicMillis());
+        }
+    }
+
+    /**
+     * Marks an attempt as being stopped; its units stay reserved. The reservation time that is learnt ends here: how
+     * long an upstream takes to confirm, or to restart after a crash, says nothing about the attempts after it.
+     *
+     * @param reservation a reservation in any phase
+     */
+    public void markStopping(Holding reservation) {
+        if (reservation.phase() == Holding.Phase.RUNNING) {
+            capacity.observeRelease(reservation, clock.monotonicMillis());
+        }
+        reservations.replace(reservation.withPhase(Holding.Phase.STOPPING));
     }
 
     /**
