Processes of a fleet that was ended by a signal stay ended

A bin/prove that got SIGTERM while a proof repaired its fleet left 25 processes running: the shutdown hook killed them, and the main thread, which still ran, started them again. A fleet now closes its processes; a closed one can't be started. FleetProcessTest.isNotStartedAgainOnceClosed guards it (there was no close before). Not covered: processes that are added during the first start.

--- a/proving/src/main/java/org/merlinwood/proving/fleet/Fleet.java
+++ b/proving/src/main/java/org/merlinwood/proving/fleet/Fleet.java
@@ -276,8 +276,8 @@
     }
 
     private void killAll() {
-        processes.forEach(FleetProcess::kill);
-        temporaryProcesses.forEach(FleetProcess::kill);
+        processes.forEach(FleetProcess::close);
+        temporaryProcesses.forEach(FleetProcess::close);
         forwarders.forEach(StandIn::close);
     }
 
--- a/proving/src/main/java/org/merlinwood/proving/fleet/FleetProcess.java
+++ b/proving/src/main/java/org/merlinwood/proving/fleet/FleetProcess.java
@@ -32,6 +32,7 @@
     private final List<String> command;
     private final Path log;
     private Process process;
+    private boolean closed;
 
     /**
      * Creates a process without starting it.
@@ -48,9 +49,9 @@
         this.log = folder.resolve(name + ".log");
     }
 
-    /** Starts the process if it is not running. */
+    /** Starts the process if it is not running. Does nothing once it is closed. */
     public synchronized void start() {
-        if (process != null && process.isAlive()) {
+        if (closed || (process != null && process.isAlive())) {
             return;
         }
         try {
@@ -71,6 +72,12 @@
         }
     }
 
+    /** Kills the process for good: a thread that still repairs the fleet can't start it again. */
+    public synchronized void close() {
+        closed = true;
+        kill();
+    }
+
     /** Asks the process to exit (SIGTERM) without waiting for its end. */
     public synchronized void terminate() {
         process.destroy();
--- a/proving/src/test/java/org/merlinwood/proving/fleet/FleetProcessTest.java
+++ b/proving/src/test/java/org/merlinwood/proving/fleet/FleetProcessTest.java
@@ -73,6 +73,14 @@
         assertThat(probe.awaitStatus(address, "/load", process, TIMEOUT_MILLIS)).isTrue();
     }
 
+    /** Guards against processes that outlive a proof which was ended by a signal while it repaired its fleet. */
+    @Test
+    void isNotStartedAgainOnceClosed() {
+        process.close();
+        process.start();
+        assertThat(process.isAlive()).isFalse();
+    }
+
     @Test
     void canBeKilledWhileFrozen() {
         process.freeze();
