--- a/proving/src/main/java/org/merlinwood/proving/soak/SoakDeployment.java
+++ b/proving/src/main/java/org/merlinwood/proving/soak/SoakDeployment.java
@@ -84,6 +84,7 @@
     private final Map<Integer, Long> starts = new ConcurrentHashMap<>();
 
     private final Set<Integer> leavingInstances = ConcurrentHashMap.newKeySet();
+    private final EntryReloads reloads = new EntryReloads();
     private final StandInStore store;
     private final Forwarder storePath;
     private long version = 1;
@@ -95,7 +96,9 @@
         store.configure(InstanceDocuments.configuration(version));
         STAGES.forEach(this::addInstance);
         addEntries(folder);
-        entries.forEach(FleetProcess::start);
+        for (int index = 0; index < ENTRIES; index++) {
+            start(index);
+        }
     }
 
     /** Returns the number of instances. */
@@ -116,6 +119,7 @@
     public void close() {
         entries.forEach(FleetProcess::thaw);
         entries.forEach(FleetProcess::kill);
+        reloads.close();
         paths.forEach(Forwarder::close);
         instances.forEach(StandInInstance::close);
         storePath.close();
@@ -136,6 +140,16 @@
         return instances.stream().mapToInt(StandInInstance::heldCount).sum();
     }
 
+    /** Returns the process of an entry. */
+    FleetProcess entry(int index) {
+        return entries.get(index);
+    }
+
+    /** Returns the address of the readiness check of an entry. */
+    InetSocketAddress readyAddress(int index) {
+        return readyAddresses.get(index);
+    }
+
     /** Returns the end of the log of an entry. */
     String log(int entry) {
         return entries.get(entry).logTail();
@@ -163,7 +177,7 @@
         }
     }
 
-    void begin(ScheduledFault fault) {
+    void begin(ScheduledFault fault) throws InterruptedException {
         int target = fault.target();
         switch (fault.kind()) {
             case ENTRY_KILLED -> entries.get(target).kill();
@@ -172,7 +186,7 @@
                 leaving.put(target, entries.get(target).processIdentifier());
                 entries.get(target).terminate();
             }
-            case ENTRY_RELOADS -> entries.get(target).reload();
+            case ENTRY_RELOADS -> reloads.reload(entries.get(target));
             case INSTANCE_CRASHES -> {
                 setPathMode(target, ForwardingMode.DROP, ForwardingDirection.BOTH);
                 instances.get(target).crash();
@@ -202,7 +216,7 @@
     void end(ScheduledFault fault) {
         int target = fault.target();
         switch (fault.kind()) {
-            case ENTRY_KILLED -> entries.get(target).start();
+            case ENTRY_KILLED -> start(target);
             case ENTRY_PAUSED -> entries.get(target).thaw();
             case ENTRY_LEAVES -> restart(target);
             case INSTANCE_CRASHES, INSTANCE_SILENT, INSTANCE_DEAF, INSTANCE_MUTE, INSTANCE_RESET, INSTANCE_DELAYED ->
@@ -233,7 +247,13 @@
         if (!entry.awaitEnd(TimeUnit.SECONDS.toMillis(GRACE_SECONDS))) {
             entry.kill();
         }
+        start(target);
+    }
+
+    private void start(int target) {
+        FleetProcess entry = entries.get(target);
         entry.start();
+        reloads.onStarted(entry, readyAddresses.get(target));
     }
 
     private void armCrashingPart() {
