Entries of the soak handle SIGHUP also where the soak was started with it ignored

The entries had inherited the ignored signal and said so in a warning of their log, so the fault "told to read their settings again" did nothing.

Measured: ReloadWhileStartingTest started with SIGHUP ignored: 2 of 4 failed without the change, since the entry did not reload; 4 of 4 pass with it. A trial that printed the ignored signals of a process started this way: SIGHUP among them without the change, not with it.

--- a/proving/src/main/java/org/merlinwood/proving/fleet/FleetProcess.java
+++ b/proving/src/main/java/org/merlinwood/proving/fleet/FleetProcess.java
@@ -21,6 +21,12 @@
     /** State of a stopped thread in its status line. */
     private static final char STOPPED = 'T';
 
+    /**
+     * Prefix of the command that lets the process handle SIGHUP although this one ignores it ({@code nohup}): a Java
+     * process takes no handler of a signal that was ignored when it was started.
+     */
+    private static final List<String> HANDLING_RELOADS = List.of("env", "--default-signal=HUP");
+
     private final String name;
     private final List<String> command;
     private final Path log;
@@ -37,7 +43,8 @@
      */
     public FleetProcess(String name, JavaCommand java, String mainClass, List<String> arguments, Path folder) {
         this.name = name;
-        this.command = java.of(mainClass, arguments);
+        this.command = Stream.concat(HANDLING_RELOADS.stream(), java.of(mainClass, arguments).stream())
+                .toList();
         this.log = folder.resolve(name + ".log");
     }
 
