--- a/entry/src/main/java/org/merlinwood/entry/filter/ClassifyFilter.java
+++ b/entry/src/main/java/org/merlinwood/entry/filter/ClassifyFilter.java
@@ -21,11 +21,12 @@
 import org.merlinwood.core.identity.ServiceName;
 import org.merlinwood.core.result.Failure;
 import org.merlinwood.core.result.ResultCode;
+import org.merlinwood.decision.grant.GrantDemand;
 import org.merlinwood.decision.prefix.PrefixBlocks;
 import org.merlinwood.entry.request.AcceptedRequest;
-import org.merlinwood.entry.request.AnswerShape;
 import org.merlinwood.entry.request.ClassifiedRequest;
 import org.merlinwood.entry.request.IdentifiedRequest;
+import org.merlinwood.entry.request.ResponseFormat;
 import org.merlinwood.entry.request.SamplingParameters;
 import org.merlinwood.following.ActiveConfiguration;
 
@@ -40,7 +41,6 @@
     private static final String KEYS_PATH = "/merlinwood/keys";
     private static final String POST = "POST";
     private static final int BYTES_PER_TOKEN = 4;
-    private static final int TOKENS_PER_PIECE = 2_000;
     private static final byte SEPARATOR = 0;
 
     private final KeyFilter keyFilter;
@@ -68,10 +68,10 @@
     public Either<Failure, ClassifiedRequest> classify(IdentifiedRequest request, ActiveConfiguration configuration) {
         return switch (request.accepted().path()) {
             case COMPLETIONS_PATH ->
-                requirePost(request).flatMap(posted -> modelRequest(posted, configuration, AnswerShape.COMPLETION));
+                requirePost(request).flatMap(posted -> modelRequest(posted, configuration, ResponseFormat.COMPLETION));
             case CHAT_COMPLETIONS_PATH ->
                 requirePost(request)
-                        .flatMap(posted -> modelRequest(posted, configuration, AnswerShape.CHAT_COMPLETION));
+                        .flatMap(posted -> modelRequest(posted, configuration, ResponseFormat.CHAT_COMPLETION));
             case KEYS_PATH -> requirePost(request).flatMap(posted -> mintRequest(posted, configuration.rules()));
             default -> plainRequest(request, configuration.rules());
         };
@@ -86,7 +86,7 @@
     }
 
     private static Either<Failure, ClassifiedRequest> modelRequest(
-            IdentifiedRequest request, ActiveConfiguration configuration, AnswerShape responseFormat) {
+            IdentifiedRequest request, ActiveConfiguration configuration, ResponseFormat responseFormat) {
         return PromptReader.read(request.accepted().body(), responseFormat)
                 .flatMap(prompt -> service(prompt.model(), configuration)
                         .flatMap(service ->
@@ -98,7 +98,7 @@
             ServiceRule service,
             PromptRequest prompt,
             Inventory inventory,
-            AnswerShape responseFormat) {
+            ResponseFormat responseFormat) {
         int promptTokens = estimatedTokens(prompt.prompt());
         long tokens = (long) promptTokens + prompt.sampling().maximumTokens();
         int maximumTokens =
@@ -114,7 +114,7 @@
                 prompt.model(),
                 prompt.prompt(),
                 promptTokens,
-                Math.toIntExact((tokens + TOKENS_PER_PIECE - 1) / TOKENS_PER_PIECE),
+                GrantDemand.piecesOf(tokens),
                 prompt.sampling(),
                 responseFormat,
                 prompt.delivery(),
