Failing test: a lost connection counts as an unread response

No response can follow on a connection that was lost, and everything that came before was read. Still the instances of a service that all lost one get a single request at a time, and the others are refused with 2006.

--- a/gateway/src/test/java/org/merlinwood/gateway/front/UnreadResponsesOfPausedInstancesTest.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/front/UnreadResponsesOfPausedInstancesTest.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.merlinwood.core.result.ExecutionState;
 import org.merlinwood.core.result.ResultCode;
@@ -139,4 +140,14 @@
         fixture.caller.disconnect();
         assertThat(sendBurst()).hasSize(BURST);
     }
+
+    /** A connection that was lost has no response any more that could have declined: nothing may be held back. */
+    @Tag("known-red")
+    @Test
+    void instanceThatLostItsConnectionGetsAllRequests() {
+        first.fail(ResultCode.CONNECTION_LOST, ExecutionState.UNKNOWN);
+        second.fail(ResultCode.CONNECTION_LOST, ExecutionState.UNKNOWN);
+        assertThat(fixture.caller.status).isNotZero();
+        assertThat(sendBurst()).hasSize(BURST);
+    }
 }
