Failing test: a replacement of a plain attempt that declines late uses up the attempts

The silent attempt breaks, then its replacement declines: the request fails though the replacement was not run and an instance is left. A stream in the same order goes on. The test fails.

--- a/gateway/src/test/java/org/merlinwood/gateway/front/SilentPlainAttemptTest.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/front/SilentPlainAttemptTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.merlinwood.gateway.front.SentStream.drainRetries;
 
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
@@ -168,4 +169,20 @@
         assertThat(silent.cancelled()).isFalse();
         assertFirstResponseIsForwarded(next, silent, "third");
     }
+
+    /**
+     * The replacement of an attempt that has ended was not run: it must not use up the attempts of a request that could
+     * go to another instance.
+     */
+    @Tag("known-red")
+    @Test
+    void requestOutlivesAReplacementThatDeclinesLate() {
+        SentRequest silent = sendRequest("a", "b", "c");
+        SentRequest replacement = replace(silent);
+        silent.fail(ResultCode.CONNECTION_LOST, ExecutionState.UNKNOWN);
+        replacement.respond(503, "", FakeUpstreamProtocol.NOT_RUN);
+        assertThat(fixture.client.sent()).hasSize(3);
+        fixture.client.last().respond(200, "other", RequestProcessorFixture.MATCHING_RESPONSE_HEADERS);
+        assertAnswered("other");
+    }
 }
