A pipelined request behind a stream from before the drain gets its response

Callers saw, by a test: a request that was sent and read whole while the stream before it was under way got neither a response nor a refusal. The head of the stream had kept the connection, the drain began, and the connection was closed behind the stream. Only callers that send a request before the response to the one before is complete are affected.

Cause: the end of a connection was decided behind a response without regard to what had been read behind its request.

Change: a connection with bytes of a next request is kept; the head of that request's response announces its end.

--- a/gateway/src/main/java/org/merlinwood/gateway/front/ConnectionReuse.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/ConnectionReuse.java
@@ -1,5 +1,6 @@
 package org.merlinwood.gateway.front;
 
+import io.undertow.server.AbstractServerConnection;
 import io.undertow.server.HttpServerExchange;
 import org.merlinwood.gateway.decision.DrainPolicy;
 
@@ -20,9 +21,19 @@
         endIfDraining(exchange);
     }
 
-    /** Ends the connection behind a complete response, even if its head was sent before the drain. */
+    /**
+     * Ends the connection behind a complete response, even if its head was sent before the drain; unless bytes of a
+     * next request were read, whose response announces the end.
+     */
     void applyAtEnd(HttpServerExchange exchange) {
-        endIfDraining(exchange);
+        if (!hasNextRequest(exchange)) {
+            endIfDraining(exchange);
+        }
+    }
+
+    private static boolean hasNextRequest(HttpServerExchange exchange) {
+        return exchange.getConnection() instanceof AbstractServerConnection connection
+                && connection.getExtraBytes() != null;
     }
 
     private void endIfDraining(HttpServerExchange exchange) {
