The answer to one request that throws doesn't keep the others from theirs at the forced exit

Callers saw, by a test: where the answer to one open request threw, no other one was answered before the forced exit. No answer that throws is known.

Change: each request is answered on its own; an exception is logged.

Test: requestsAreAnsweredAlthoughTheAnswerToOneThrows failed and passes; it is no longer listed.

--- a/gateway/src/main/java/org/merlinwood/gateway/front/ForcedExitGuard.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/ForcedExitGuard.java
@@ -1,5 +1,6 @@
 package org.merlinwood.gateway.front;
 
+import com.google.common.flogger.FluentLogger;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.BooleanSupplier;
@@ -14,6 +15,8 @@
  */
 final class ForcedExitGuard {
 
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
     /** Interval between looks at the open requests, in milliseconds. */
     private static final long POLL_MILLIS = 50;
 
@@ -61,8 +64,17 @@
         scheduled = false;
         open.removeIf(request -> request.finished().getAsBoolean());
         if (drainPolicy.millisUntilForcedExit() <= ANSWER_MILLIS) {
-            List.copyOf(open).forEach(request -> request.answer().run());
+            List.copyOf(open).forEach(ForcedExitGuard::answer);
         }
         schedule();
     }
+
+    /** Answers a request. If that throws, the others are answered all the same. */
+    private static void answer(OpenRequest request) {
+        try {
+            request.answer().run();
+        } catch (RuntimeException exception) {
+            logger.atSevere().withCause(exception).log("could not answer a request before the exit");
+        }
+    }
 }
--- a/gateway/src/test/java/org/merlinwood/gateway/front/ForcedExitGuardTest.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/front/ForcedExitGuardTest.java
@@ -3,7 +3,6 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.concurrent.atomic.AtomicInteger;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.merlinwood.core.time.ManualMillisClock;
 import org.merlinwood.gateway.ManualLoop;
@@ -14,7 +13,6 @@
 
     private static final long GRACE_MILLIS = 8_000;
 
-    @Tag("known-red")
     @Test
     void requestsAreAnsweredAlthoughTheAnswerToOneThrows() {
         ManualMillisClock clock = new ManualMillisClock(0);
