DrainPolicy: a method that nothing calls any more is removed

DrainSequence decides the exit since. The tests that asked the method whether the forced exit is due ask for the time until it, which the method compared with 0; that the exit doesn't wait without open requests is what DrainSequenceTest.exitsOnceAllRequestsAreComplete and its neighbours check.

--- a/gateway/src/main/java/org/merlinwood/gateway/decision/DrainPolicy.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/decision/DrainPolicy.java
@@ -113,16 +113,6 @@
         return finished || millisUntilForcedExit() <= CONNECTION_END_MILLIS;
     }
 
-    /**
-     * Returns whether the process may exit. Called some time after {@link #stopAccepting()}.
-     *
-     * @param openRequests number of requests without a complete response
-     * @return true if no request is open or the forced exit is near
-     */
-    public boolean mayExit(int openRequests) {
-        return openRequests == 0 || millisUntilForcedExit() <= 0;
-    }
-
     /**
      * Returns the time until the entry may exit whatever is open.
      *
--- a/gateway/src/test/java/org/merlinwood/gateway/decision/DrainPolicyTest.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/decision/DrainPolicyTest.java
@@ -37,8 +37,7 @@
         assertThat(policy.mayStopAccepting(0)).isTrue();
         policy.stopAccepting();
         assertThat(policy.accepts(RequestKind.IDEMPOTENT)).isFalse();
-        assertThat(policy.mayExit(1)).isFalse();
-        assertThat(policy.mayExit(0)).isTrue();
+        assertThat(policy.millisUntilForcedExit()).isPositive();
     }
 
     @Test
--- a/gateway/src/test/java/org/merlinwood/gateway/front/RequestCutByForcedExitTest.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/front/RequestCutByForcedExitTest.java
@@ -26,7 +26,7 @@
         fixture.sendRequest("/p/x");
         assertThat(fixture.caller.status).isZero();
         fixture.staySilent(fixture.client.last(), 2_200);
-        assertThat(fixture.drainPolicy.mayExit(1)).isTrue();
+        assertThat(fixture.drainPolicy.millisUntilForcedExit()).isNotPositive();
         assertThat(fixture.caller.status).isNotZero();
     }
 
@@ -42,7 +42,7 @@
         fixture.loop.advance(FORCED_EXIT_MILLIS - 5_000 - 200);
         assertThat(fixture.caller.status).isZero();
         fixture.loop.advance(199);
-        assertThat(fixture.drainPolicy.mayExit(1)).isFalse();
+        assertThat(fixture.drainPolicy.millisUntilForcedExit()).isPositive();
         assertThat(fixture.caller.status).isEqualTo(504);
         assertThat(fixture.client.last().cancelled()).isTrue();
     }
@@ -57,7 +57,7 @@
         fixture.drainPolicy.start();
         fixture.clock.advanceMillis(FORCED_EXIT_MILLIS - 50);
         fixture.loop.advance(0);
-        assertThat(fixture.drainPolicy.mayExit(1)).isFalse();
+        assertThat(fixture.drainPolicy.millisUntilForcedExit()).isPositive();
         assertThat(fixture.caller.status).isEqualTo(504);
     }
 
