--- a/gateway/src/main/java/org/merlinwood/gateway/decision/InstanceStatistics.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/decision/InstanceStatistics.java
@@ -48,7 +48,10 @@
     private long errorRateMillis;
     private double averageMillis;
 
-    /** Whether an attempt was given up since the last response, so that the instance may have declined unheard. */
+    /**
+     * Whether an attempt was given up since the last response, so that the instance may have declined in an unread
+     * response.
+     */
     private boolean responseUnread;
 
     /** The last attempt that was begun while a response was unread; empty once it has ended. */
