Entry: log lines give the software version of an instance, and which stream a request takes up again

What callers saw: streams of two software versions, and streams taken up again that were refused. The logs couldn't tell the hypotheses of either incident apart: no line had the version of an instance, none the attempt that a caller names when it comes back.

Change: the registration's version is read; 'instance registered' and 'send' give it; 'accepted' gives the event behind which a caller goes on and the attempt that it names. No decision uses them.

--- a/gateway/src/main/java/org/merlinwood/gateway/fleet/UpstreamInstance.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/fleet/UpstreamInstance.java
@@ -14,6 +14,8 @@
  * @param stage kind of work that it performs
  * @param startedUnixMillis when it started by its own clock, in milliseconds of Unix time, or {@link #UNKNOWN_START};
  *     only tells incarnations with the same identifier apart
+ * @param version version of its software, as it names it; two versions are the same if their texts are, and neither is
+ *     the later one
  */
 public record UpstreamInstance(
         String identifier,
@@ -23,7 +25,8 @@
         int slots,
         boolean leaving,
         Stage stage,
-        long startedUnixMillis) {
+        long startedUnixMillis,
+        String version) {
 
     /** Start of an instance that doesn't tell it. */
     public static final long UNKNOWN_START = 0;
@@ -35,7 +38,8 @@
      * @return the copy
      */
     public UpstreamInstance withStage(Stage newStage) {
-        return new UpstreamInstance(identifier, service, address, domain, slots, leaving, newStage, startedUnixMillis);
+        return new UpstreamInstance(
+                identifier, service, address, domain, slots, leaving, newStage, startedUnixMillis, version);
     }
 
     /**
@@ -45,6 +49,7 @@
      * @return the copy
      */
     public UpstreamInstance withStart(long newStartedUnixMillis) {
-        return new UpstreamInstance(identifier, service, address, domain, slots, leaving, stage, newStartedUnixMillis);
+        return new UpstreamInstance(
+                identifier, service, address, domain, slots, leaving, stage, newStartedUnixMillis, version);
     }
 }
--- a/gateway/src/main/java/org/merlinwood/gateway/front/RequestDispatcher.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/RequestDispatcher.java
@@ -73,6 +73,8 @@
                 .with("route", route.name())
                 .with("routesVersion", routes.version())
                 .with("timeLeftMillis", request.timeLeftMillis().orElse(-1))
+                .with("behindEvent", request.lastEvent().orElse(-1))
+                .with("resumes", request.resumedAttempt().orElse(""))
                 .write();
         Optional<EngineLimits> limits = Optional.ofNullable(routes.services().get(route.serviceFor(request.attempt())))
                 .flatMap(UpstreamService::engine);
--- a/gateway/src/main/java/org/merlinwood/gateway/front/StreamRequestProcessor.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/StreamRequestProcessor.java
@@ -124,6 +124,7 @@
                 terms.prefill().map(result -> result.instance().identifier()).orElse("none");
         decisionLine("send")
                 .with("instance", instance.identifier())
+                .with("version", instance.version())
                 .with("attemptsBefore", retries.attemptsSent())
                 .with("prefill", prefillInstance)
                 .with("behindEvent", terms.lastEvent().orElse(-1))
--- a/gateway/src/main/java/org/merlinwood/gateway/process/FleetUpdates.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/process/FleetUpdates.java
@@ -73,6 +73,7 @@
                     .with("service", instance.service())
                     .with("address", instance.address().toString())
                     .with("stage", instance.stage().name())
+                    .with("version", instance.version())
                     .with("leaving", String.valueOf(instance.leaving()))
                     .with("revision", position.revision())
                     .with("era", position.era())
--- a/gateway/src/main/java/org/merlinwood/gateway/request/CallerRequest.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/request/CallerRequest.java
@@ -16,6 +16,8 @@
  * @param timeLeftMillis how long the caller waits after the arrival, in milliseconds; empty if it does not say
  * @param prompt prompt for a model engine; empty for a plain request
  * @param lastEvent number of the last event that the caller has already received; empty if none
+ * @param resumedAttempt identifier of the attempt of this caller that brought the first event of the stream, which this
+ *     one takes up again; empty if the caller names none
  * @param forwardedHeaders headers that are forwarded to the upstream unchanged
  * @param body the body
  * @param arrivedMillis monotonic time at which the request arrived, in milliseconds
@@ -30,6 +32,7 @@
         OptionalLong timeLeftMillis,
         Optional<Prompt> prompt,
         OptionalLong lastEvent,
+        Optional<String> resumedAttempt,
         List<HttpHeader> forwardedHeaders,
         byte[] body,
         long arrivedMillis) {
--- a/gateway/src/test/java/org/merlinwood/gateway/decision/CrashCausingPartsTest.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/decision/CrashCausingPartsTest.java
@@ -230,6 +230,6 @@
 
     private static UpstreamInstance instance(String identifier) {
         return new UpstreamInstance(
-                identifier, "service", new InetSocketAddress("127.0.0.1", 1), "near", 4, false, Stage.DECODE, 1);
+                identifier, "service", new InetSocketAddress("127.0.0.1", 1), "near", 4, false, Stage.DECODE, 1, "v1");
     }
 }
--- a/gateway/src/test/java/org/merlinwood/gateway/decision/InstanceNoticesTest.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/decision/InstanceNoticesTest.java
@@ -33,7 +33,8 @@
                 4,
                 false,
                 Stage.PLAIN,
-                startedUnixMillis);
+                startedUnixMillis,
+                "v1");
     }
 
     private static InstanceNotice leaving() {
--- a/gateway/src/test/java/org/merlinwood/gateway/decision/InstancePoolFixture.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/decision/InstancePoolFixture.java
@@ -37,6 +37,7 @@
                 16,
                 leaving,
                 stage,
-                UpstreamInstance.UNKNOWN_START);
+                UpstreamInstance.UNKNOWN_START,
+                "v1");
     }
 }
--- a/gateway/src/test/java/org/merlinwood/gateway/decision/StagePlanTest.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/decision/StagePlanTest.java
@@ -73,7 +73,8 @@
                     16,
                     false,
                     stage,
-                    UpstreamInstance.UNKNOWN_START));
+                    UpstreamInstance.UNKNOWN_START,
+                    "v1"));
         }
     }
 }
--- a/gateway/src/test/java/org/merlinwood/gateway/fleet/FleetStateTest.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/fleet/FleetStateTest.java
@@ -20,7 +20,8 @@
                 4,
                 false,
                 Stage.PLAIN,
-                startedUnixMillis);
+                startedUnixMillis,
+                "v1");
     }
 
     /** Guards against notices that are lost because a registration of the same start doesn't tell the start. */
--- a/gateway/src/test/java/org/merlinwood/gateway/front/RequestProcessorFixture.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/front/RequestProcessorFixture.java
@@ -133,7 +133,8 @@
                     4,
                     false,
                     stage,
-                    UpstreamInstance.UNKNOWN_START));
+                    UpstreamInstance.UNKNOWN_START,
+                    "v1"));
         }
     }
 
@@ -168,6 +169,7 @@
                 OptionalLong.of(CALLER_TIME_MILLIS),
                 prompt,
                 lastEvent,
+                Optional.empty(),
                 List.of(),
                 body.getBytes(StandardCharsets.UTF_8),
                 clock.monotonicMillis());
--- a/gateway/src/test/java/org/merlinwood/gateway/process/InstanceNoticeRecorderTest.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/process/InstanceNoticeRecorderTest.java
@@ -22,7 +22,7 @@
 
     private static final InetSocketAddress ADDRESS = new InetSocketAddress("127.0.0.1", 1);
     private static final UpstreamInstance INSTANCE =
-            new UpstreamInstance("i-1", "service", ADDRESS, "near", 4, false, Stage.PLAIN, 7);
+            new UpstreamInstance("i-1", "service", ADDRESS, "near", 4, false, Stage.PLAIN, 7, "v1");
     private static final long DECLINED_MILLIS = 3_000;
 
     private final ManualMillisClock clock = new ManualMillisClock(5_000);
--- a/gateway/src/test/java/org/merlinwood/gateway/process/NoticesSectionTest.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/process/NoticesSectionTest.java
@@ -23,7 +23,7 @@
 
     private static UpstreamInstance instance(String identifier) {
         return new UpstreamInstance(
-                identifier, "service", new InetSocketAddress("127.0.0.1", 1), "near", 4, false, Stage.PLAIN, 7);
+                identifier, "service", new InetSocketAddress("127.0.0.1", 1), "near", 4, false, Stage.PLAIN, 7, "v1");
     }
 
     /** Guards against an instance without requests of which neither dump nor log of the moment says why. */
--- a/gateway/src/test/java/org/merlinwood/gateway/process/PeerUpdatesTest.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/process/PeerUpdatesTest.java
@@ -219,6 +219,6 @@
 
     private static UpstreamInstance instance(String identifier) {
         return new UpstreamInstance(
-                identifier, "service", new InetSocketAddress("127.0.0.1", 1), "near", 16, false, Stage.PLAIN, 1);
+                identifier, "service", new InetSocketAddress("127.0.0.1", 1), "near", 16, false, Stage.PLAIN, 1, "v1");
     }
 }
--- a/gateway/src/test/java/org/merlinwood/gateway/process/WordsStoreProtocol.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/process/WordsStoreProtocol.java
@@ -63,6 +63,7 @@
                 16,
                 words[0].equals("leaving"),
                 Stage.PLAIN,
-                Long.parseLong(words[1])));
+                Long.parseLong(words[1]),
+                "v1"));
     }
 }
--- a/gateway/src/test/java/org/merlinwood/gateway/upstream/UpstreamClientTest.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/upstream/UpstreamClientTest.java
@@ -19,7 +19,7 @@
 
     private static final InetSocketAddress ADDRESS = new InetSocketAddress("127.0.0.1", 1);
     private static final UpstreamInstance INSTANCE =
-            new UpstreamInstance("i-1", "service", ADDRESS, "near", 4, false, Stage.DECODE, 7);
+            new UpstreamInstance("i-1", "service", ADDRESS, "near", 4, false, Stage.DECODE, 7, "v1");
     private static final long DECLINED_MILLIS = 2_000;
 
     private final FakeHttpClient httpClient = new FakeHttpClient();
