--- a/gateway/src/test/java/org/merlinwood/gateway/front/RequestProcessorFixture.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/front/RequestProcessorFixture.java
@@ -124,6 +124,11 @@
     }
 
     void register(Stage stage, String... identifiers) {
+        registerVersion("v1", stage, identifiers);
+    }
+
+    /** Registers instances of a software version. */
+    void registerVersion(String version, Stage stage, String... identifiers) {
         for (String identifier : identifiers) {
             fleet.put(new UpstreamInstance(
                     identifier,
@@ -134,7 +139,7 @@
                     false,
                     stage,
                     UpstreamInstance.UNKNOWN_START,
-                    "v1"));
+                    version));
         }
     }
 
@@ -142,6 +147,11 @@
         sendRequest(path, OptionalLong.empty());
     }
 
+    /** Sends another attempt of a caller, which takes up the stream that an earlier one began. */
+    void sendResumingAttempt(String attempt, String resumedAttempt, long lastEvent) {
+        sendRequest(attempt, "/p/x", OptionalLong.of(lastEvent), Optional.of(resumedAttempt), List.of(), "body");
+    }
+
     /** Sends a request of a caller that resumes its stream after an event. */
     void sendResumingRequest(String path, long lastEvent) {
         sendRequest(path, OptionalLong.of(lastEvent));
@@ -151,17 +161,23 @@
     void sendRequestWithParts(String path, String... parts) {
         List<PromptPart> promptParts =
                 Stream.of(parts).map(part -> new PromptPart(part, 100)).toList();
-        sendRequest(path, OptionalLong.empty(), promptParts, String.join(" ", parts));
+        sendRequest(ATTEMPT, path, OptionalLong.empty(), Optional.empty(), promptParts, String.join(" ", parts));
     }
 
     private void sendRequest(String path, OptionalLong lastEvent) {
-        sendRequest(path, lastEvent, List.of(), "body");
+        sendRequest(ATTEMPT, path, lastEvent, Optional.empty(), List.of(), "body");
     }
 
-    private void sendRequest(String path, OptionalLong lastEvent, List<PromptPart> parts, String body) {
+    private void sendRequest(
+            String attempt,
+            String path,
+            OptionalLong lastEvent,
+            Optional<String> resumedAttempt,
+            List<PromptPart> parts,
+            String body) {
         Optional<Prompt> prompt = Optional.of(new Prompt("m", 1_000, 100, OptionalInt.empty(), parts));
         request = new CallerRequest(
-                ATTEMPT,
+                attempt,
                 "POST",
                 "host",
                 path,
@@ -169,7 +185,7 @@
                 OptionalLong.of(CALLER_TIME_MILLIS),
                 prompt,
                 lastEvent,
-                Optional.empty(),
+                resumedAttempt,
                 List.of(),
                 body.getBytes(StandardCharsets.UTF_8),
                 clock.monotonicMillis());
--- /dev/null
+++ b/gateway/src/test/java/org/merlinwood/gateway/front/StreamVersionTest.java
@@ -0,0 +1,126 @@
+package org.merlinwood.gateway.front;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.merlinwood.gateway.front.SentStream.FIRST_EVENT;
+import static org.merlinwood.gateway.front.SentStream.SECOND_EVENT;
+
+import java.util.List;
+import java.util.OptionalInt;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+import org.merlinwood.core.result.ExecutionState;
+import org.merlinwood.core.result.ResultCode;
+import org.merlinwood.gateway.FakeHttpClient.SentRequest;
+import org.merlinwood.gateway.FakeUpstreamProtocol;
+import org.merlinwood.gateway.fleet.Stage;
+import org.merlinwood.gateway.request.Prompt;
+import org.merlinwood.gateway.route.RequestKind;
+
+/** Guards against streams that hold events from instances of two software versions. */
+final class StreamVersionTest {
+
+    private static final Prompt OTHER_WORK = new Prompt("m", 2_000, 100, OptionalInt.empty(), List.of());
+
+    /**
+     * Returns a fixture whose stream was sent to the only instance of version v1, d1. Of the instances that register
+     * then, d3 of v1 has more work than d2 of v2, so load alone speaks for d2.
+     */
+    private static RequestProcessorFixture fixtureWithSentStream() {
+        RequestProcessorFixture fixture = new RequestProcessorFixture(RequestKind.STREAM, true);
+        fixture.registerVersion("v1", Stage.DECODE, "d1");
+        fixture.sendRequest("/p/x");
+        fixture.grantMemory("hold-1");
+        fixture.registerVersion("v2", Stage.DECODE, "d2");
+        fixture.registerVersion("v1", Stage.DECODE, "d3");
+        fixture.pool.beginGeneration("d3", OTHER_WORK);
+        return fixture;
+    }
+
+    private static RequestProcessorFixture fixtureWithBegunStream() {
+        RequestProcessorFixture fixture = fixtureWithSentStream();
+        SentStream.begin(fixture.client.last());
+        return fixture;
+    }
+
+    private static void loseInstance(RequestProcessorFixture fixture) {
+        fixture.client.last().fail(ResultCode.CONNECTION_LOST, ExecutionState.UNKNOWN);
+    }
+
+    /** Guards against a response that goes on at another version after its instance was lost. */
+    @Tag("known-red")
+    @Test
+    void interruptedStreamGoesOnAtTheVersionThatBeganIt() {
+        RequestProcessorFixture fixture = fixtureWithBegunStream();
+        loseInstance(fixture);
+        assertThat(fixture.client.last().request().path()).startsWith("/d3/hold/");
+    }
+
+    /** Guards against a replacement of another version for an instance that falls silent within its response. */
+    @Tag("known-red")
+    @Test
+    void silentInstanceOfABegunStreamIsReplacedAtItsVersion() {
+        RequestProcessorFixture fixture = fixtureWithBegunStream();
+        fixture.staySilent(fixture.client.last(), SentStream.SILENCE_MILLIS);
+        assertThat(fixture.client.last().request().path()).startsWith("/d3/hold/");
+    }
+
+    /** Guards against a caller whose connection was lost and who gets the rest of its stream from another version. */
+    @Tag("known-red")
+    @Test
+    void streamOfACallerThatComesBackGoesOnAtTheVersionThatBeganIt() {
+        RequestProcessorFixture fixture = fixtureWithBegunStream();
+        fixture.caller.disconnect();
+        fixture.sendResumingAttempt("attempt-2", RequestProcessorFixture.ATTEMPT, 1);
+        assertThat(fixture.client.last().request().path()).startsWith("/d3/hold/");
+    }
+
+    /** Guards against a caller who waits for an instance of a version that no instance runs any more. */
+    @Tag("known-red")
+    @Test
+    void streamWhoseVersionIsGoneIsBrokenOffAtOnce() {
+        RequestProcessorFixture fixture = fixtureWithBegunStream();
+        SentRequest attempt = fixture.client.last();
+        fixture.fleet.remove("d1");
+        fixture.fleet.remove("d3");
+        attempt.fail(ResultCode.CONNECTION_LOST, ExecutionState.UNKNOWN);
+        assertThat(fixture.caller.aborted).isTrue();
+        assertThat(fixture.hasSent("/d2/run")).isFalse();
+    }
+
+    /** Guards against the rest of a stream that is generated from a prompt which another version computed. */
+    @Tag("known-red")
+    @Test
+    void promptOfABegunStreamIsComputedAtItsVersion() {
+        RequestProcessorFixture fixture = fixtureWithBegunStream();
+        fixture.registerVersion("v2", Stage.PREFILL, "f2");
+        fixture.registerVersion("v1", Stage.PREFILL, "f1");
+        fixture.pool.beginPrompt("f1", 500);
+        loseInstance(fixture);
+        fixture.grantMemory("hold-2");
+        assertThat(fixture.client.last().request().path()).isEqualTo("/f1/prefill");
+    }
+
+    /** Until the caller has an event, any version may begin the stream: the one that sends first binds it. */
+    @Test
+    void streamWithoutAnEventMayBeginAtAnyVersion() {
+        RequestProcessorFixture fixture = fixtureWithSentStream();
+        loseInstance(fixture);
+        fixture.grantMemory("hold-2");
+        assertThat(fixture.client.last().request().path()).isEqualTo("/d2/run");
+        SentStream.begin(fixture.client.last());
+        assertThat(fixture.caller.body).isEqualTo(FIRST_EVENT);
+        assertThat(fixture.caller.headers).contains(FakeUpstreamProtocol.SIGNED);
+    }
+
+    /** Guards against a stream that ends where only its silent instance's version is left: that one may go on. */
+    @Test
+    void silentInstanceWithoutAnotherOfItsVersionGoesOn() {
+        RequestProcessorFixture fixture = fixtureWithBegunStream();
+        SentRequest attempt = fixture.client.last();
+        fixture.fleet.remove("d3");
+        fixture.staySilent(attempt, SentStream.SILENCE_MILLIS);
+        attempt.bytes(SECOND_EVENT);
+        attempt.end();
+        SentStream.assertComplete(fixture);
+    }
+}
