--- a/core/src/main/java/org/merlinwood/core/result/ResultCode.java
+++ b/core/src/main/java/org/merlinwood/core/result/ResultCode.java
@@ -67,6 +67,13 @@
     /** The process has not received a valid inventory and rules yet. */
     NOT_READY(2007, 503, ExecutionState.NOT_RUN, "The process has no valid inventory and rules yet."),
 
+    /** No instance runs the software version that began the stream, so that none may go on with it. */
+    STREAM_VERSION_GONE(
+            2008, 503, ExecutionState.NOT_RUN, "No instance runs the software version that began the stream."),
+    /** No entry knows which software version began the stream that the caller takes up again. */
+    STREAM_VERSION_UNKNOWN(
+            2009, 503, ExecutionState.NOT_RUN, "Which software version began the stream is not known any more."),
+
     // Idempotency keys
 
     /** The request may have run; the outcome is unknown. */
--- a/gateway/src/main/java/org/merlinwood/gateway/decision/DecodePlacement.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/decision/DecodePlacement.java
@@ -50,8 +50,9 @@
     }
 
     /** Chooses an instance with a free slot and enough memory, see {@link InstancePool#chooseDecode}. */
-    Optional<UpstreamInstance> choose(String service, Prompt prompt, EngineLimits limits, Set<String> excluded) {
-        List<UpstreamInstance> eligible = candidates.of(service, Stage.DECODE, excluded);
+    Optional<UpstreamInstance> choose(
+            String service, Optional<String> version, Prompt prompt, EngineLimits limits, Set<String> excluded) {
+        List<UpstreamInstance> eligible = candidates.of(service, Stage.DECODE, version, excluded);
         double lowestErrorRate = ranking.lowestErrorRate(eligible);
         double meanMillis = ranking.meanMillis(eligible);
         Map<String, Long> neededTokens = new HashMap<>();
@@ -76,10 +77,10 @@
     }
 
     /** Forecasts when there is room for a response, see {@link InstancePool#millisUntilCapacity}. */
-    OptionalLong millisUntilCapacity(String service, Prompt prompt, EngineLimits limits) {
+    OptionalLong millisUntilCapacity(String service, Optional<String> version, Prompt prompt, EngineLimits limits) {
         long now = clock.monotonicMillis();
         MemoryForecast.Growth next = newGeneration(prompt);
-        OptionalLong untilCapacity = candidates.of(service, Stage.DECODE, Set.of()).stream()
+        OptionalLong untilCapacity = candidates.of(service, Stage.DECODE, version, Set.of()).stream()
                 .map(instance -> statistics.of(instance.identifier()))
                 .filter(known -> known.acceptsWork(now))
                 .map(known -> MemoryForecast.millisUntilFits(
@@ -87,7 +88,9 @@
                 .filter(OptionalLong::isPresent)
                 .mapToLong(OptionalLong::getAsLong)
                 .min();
-        return untilCapacity.isPresent() ? untilCapacity : candidates.millisUntilAccepted(service, Stage.DECODE);
+        return untilCapacity.isPresent()
+                ? untilCapacity
+                : candidates.millisUntilAccepted(service, Stage.DECODE, version);
     }
 
     private boolean hasFreeSlot(UpstreamInstance instance, EngineLimits limits) {
--- a/gateway/src/main/java/org/merlinwood/gateway/decision/InstanceCandidates.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/decision/InstanceCandidates.java
@@ -1,6 +1,7 @@
 package org.merlinwood.gateway.decision;
 
 import java.util.List;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
 import org.merlinwood.gateway.fleet.FleetState;
@@ -35,7 +36,12 @@
 
     /** Returns the candidates of a service, without the instances whose identifiers are excluded. */
     List<UpstreamInstance> of(String service, Stage stage, Set<String> excluded) {
-        return registered(service, stage).stream()
+        return of(service, stage, Optional.empty(), excluded);
+    }
+
+    /** Returns the candidates of one software version, or of all versions if it is empty, without excluded ones. */
+    List<UpstreamInstance> of(String service, Stage stage, Optional<String> version, Set<String> excluded) {
+        return registered(service, stage, version).stream()
                 .filter(instance -> !switching.contains(instance.identifier()))
                 .filter(instance -> !excluded.contains(instance.identifier()))
                 .filter(notices::mayReceive)
@@ -46,14 +52,21 @@
      * Returns the milliseconds until the first instance accepts requests again, greater than 0; empty if one accepts
      * them now or all are leaving.
      */
-    OptionalLong millisUntilAccepted(String service, Stage stage) {
-        OptionalLong millis = notices.millisUntilAccepted(registered(service, stage));
+    OptionalLong millisUntilAccepted(String service, Stage stage, Optional<String> version) {
+        OptionalLong millis = notices.millisUntilAccepted(registered(service, stage, version));
         return millis.orElse(0) > 0 ? millis : OptionalLong.empty();
     }
 
-    private List<UpstreamInstance> registered(String service, Stage stage) {
+    /** Returns whether all instances of a stage that don't leave run other versions, and there is one at least. */
+    boolean isVersionGone(String service, Stage stage, String version) {
+        return registered(service, stage, Optional.of(version)).isEmpty()
+                && !registered(service, stage, Optional.empty()).isEmpty();
+    }
+
+    private List<UpstreamInstance> registered(String service, Stage stage, Optional<String> version) {
         return fleet.instances(service).stream()
                 .filter(instance -> instance.stage() == stage && !instance.leaving())
+                .filter(instance -> version.isEmpty() || version.get().equals(instance.version()))
                 .toList();
     }
 }
--- a/gateway/src/main/java/org/merlinwood/gateway/decision/InstancePool.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/decision/InstancePool.java
@@ -74,7 +74,7 @@
      * @return milliseconds from now, greater than 0; empty if an instance accepts requests now or all are leaving
      */
     public OptionalLong millisUntilAccepted(String service, Stage stage) {
-        return candidates.millisUntilAccepted(service, stage);
+        return candidates.millisUntilAccepted(service, stage, Optional.empty());
     }
 
     /**
@@ -93,14 +93,15 @@
      * addition to those in progress.
      *
      * @param service name of the service
+     * @param version software version that the instance must run; empty for any version
      * @param prompt the request
      * @param limits limits of each instance of the service
      * @param excluded identifiers of instances that were already tried
      * @return the chosen instance, or empty if no candidate has enough capacity
      */
     public Optional<UpstreamInstance> chooseDecode(
-            String service, Prompt prompt, EngineLimits limits, Set<String> excluded) {
-        return decodePlacement.choose(service, prompt, limits, excluded);
+            String service, Optional<String> version, Prompt prompt, EngineLimits limits, Set<String> excluded) {
+        return decodePlacement.choose(service, version, prompt, limits, excluded);
     }
 
     /**
@@ -131,13 +132,15 @@
      * Forecasts when an instance will have enough memory for a response.
      *
      * @param service name of the service
+     * @param version software version of the instances; empty for any version
      * @param prompt the request
      * @param limits limits of each instance of the service
      * @return milliseconds from now; if all instances decline requests, the time until one accepts them again; empty if
      *     no instance that accepts work could hold the response
      */
-    public OptionalLong millisUntilCapacity(String service, Prompt prompt, EngineLimits limits) {
-        return decodePlacement.millisUntilCapacity(service, prompt, limits);
+    public OptionalLong millisUntilCapacity(
+            String service, Optional<String> version, Prompt prompt, EngineLimits limits) {
+        return decodePlacement.millisUntilCapacity(service, version, prompt, limits);
     }
 
     /**
@@ -147,14 +150,15 @@
      * to compute this prompt itself, since the result would come too late to be used.
      *
      * @param service name of the service
+     * @param version software version that the instance must run; empty for any version
      * @param nearDomain failure domain of the decode instance to which the result is transferred
      * @param tokens length of the prompt, in tokens
      * @param excluded identifiers of instances that were already tried
      * @return the chosen instance, or empty if no candidate is left or all queues are too long
      */
     public Optional<UpstreamInstance> choosePrefill(
-            String service, String nearDomain, int tokens, Set<String> excluded) {
-        return prefillPlacement.choose(service, nearDomain, tokens, excluded);
+            String service, Optional<String> version, String nearDomain, int tokens, Set<String> excluded) {
+        return prefillPlacement.choose(service, version, nearDomain, tokens, excluded);
     }
 
     /**
@@ -182,10 +186,23 @@
      * Returns the number of decode instances that accept work, paused ones included.
      *
      * @param service name of the service
+     * @param version software version of the instances; empty for any version
      * @return number of instances
      */
-    public int decodeInstances(String service) {
-        return candidates.of(service, Stage.DECODE, Set.of()).size();
+    public int decodeInstances(String service, Optional<String> version) {
+        return candidates.of(service, Stage.DECODE, version, Set.of()).size();
+    }
+
+    /**
+     * Returns whether no instance that generates responses runs a software version any more, though instances of other
+     * versions do. If there is no instance at all, what is known of the instances is taken to be incomplete.
+     *
+     * @param service name of the service
+     * @param version the software version
+     * @return true if a stream of that version can't go on
+     */
+    public boolean isVersionGone(String service, String version) {
+        return candidates.isVersionGone(service, Stage.DECODE, version);
     }
 
     /**
--- /dev/null
+++ b/gateway/src/main/java/org/merlinwood/gateway/decision/OriginPeers.java
@@ -0,0 +1,48 @@
+package org.merlinwood.gateway.decision;
+
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Consumer;
+
+/** The other entries as those that keep copies of stream origins. Confined to the event loop. */
+public interface OriginPeers {
+
+    /**
+     * Sends an origin to some other entries, which keep it in case this one is lost.
+     *
+     * @param origin the origin
+     */
+    void tell(StreamOrigin origin);
+
+    /**
+     * Asks other entries for the origin of a stream.
+     *
+     * @param question what is asked
+     * @param consumer receives what they know, exactly once and never before this method returns; soon, also if some
+     *     don't answer
+     */
+    void ask(Question question, Consumer<Answers> consumer);
+
+    /**
+     * A question for the origin of a stream.
+     *
+     * @param attempt identifier of the attempt that brought its first event; empty if it isn't known
+     * @param service name of the service that generates it
+     * @param streamMillis longest time for which a stream of the service goes on, in milliseconds
+     */
+    record Question(String attempt, String service, long streamMillis) {}
+
+    /**
+     * What the other entries know. Immutable.
+     *
+     * @param version the version that the stream is bound to; empty if none of them knows it
+     * @param soleVersions of each one that knows of a single version for the time of a stream, that version
+     */
+    record Answers(Optional<String> version, Set<String> soleVersions) {
+
+        /** Copies the versions. */
+        public Answers {
+            soleVersions = Set.copyOf(soleVersions);
+        }
+    }
+}
--- a/gateway/src/main/java/org/merlinwood/gateway/decision/PrefillPlacement.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/decision/PrefillPlacement.java
@@ -40,8 +40,9 @@
     }
 
     /** Chooses an instance with a short queue, see {@link InstancePool#choosePrefill}. */
-    Optional<UpstreamInstance> choose(String service, String nearDomain, int tokens, Set<String> excluded) {
-        List<UpstreamInstance> eligible = candidates.of(service, Stage.PREFILL, excluded).stream()
+    Optional<UpstreamInstance> choose(
+            String service, Optional<String> version, String nearDomain, int tokens, Set<String> excluded) {
+        List<UpstreamInstance> eligible = candidates.of(service, Stage.PREFILL, version, excluded).stream()
                 .filter(instance -> statistics.of(instance.identifier()).allPromptTokens()
                         <= Math.max(tokens, MINIMUM_QUEUED_PROMPT_TOKENS) * MAXIMUM_QUEUED_PROMPTS)
                 .toList();
--- a/gateway/src/main/java/org/merlinwood/gateway/front/FrontHandlerFactory.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/FrontHandlerFactory.java
@@ -7,7 +7,10 @@
 import org.merlinwood.gateway.decision.DemandMeter;
 import org.merlinwood.gateway.decision.DrainPolicy;
 import org.merlinwood.gateway.decision.InstancePool;
+import org.merlinwood.gateway.decision.OriginPeers;
 import org.merlinwood.gateway.decision.RetryAllowance;
+import org.merlinwood.gateway.decision.StreamOrigins;
+import org.merlinwood.gateway.decision.VersionHistory;
 import org.merlinwood.gateway.fleet.FleetState;
 import org.merlinwood.gateway.loop.EventLoop;
 import org.merlinwood.gateway.request.CallerProtocol;
@@ -36,6 +39,9 @@
      * @param retryAllowance limits the retries that this entry sends
      * @param crashHistory the requests that lost instances
      * @param crashCausingParts the parts of prompts that crash instances
+     * @param origins the software versions that began streams
+     * @param versionHistory the software versions that each service has had
+     * @param originPeers the other entries, which keep and know origins of streams
      * @param demandMeter measures the demand for each model service
      * @param log the decision log
      * @param metrics the request metrics
@@ -50,6 +56,9 @@
             RetryAllowance retryAllowance,
             CrashHistory crashHistory,
             CrashCausingParts crashCausingParts,
+            StreamOrigins origins,
+            VersionHistory versionHistory,
+            OriginPeers originPeers,
             DemandMeter demandMeter,
             DecisionLog log,
             RequestMetrics metrics) {
@@ -63,6 +72,9 @@
                 retryAllowance,
                 crashHistory,
                 crashCausingParts,
+                origins,
+                versionHistory,
+                originPeers,
                 demandMeter,
                 new MemoryWaitQueues(loop, clock),
                 new CollectedBytes(),
--- a/gateway/src/main/java/org/merlinwood/gateway/front/GenerationAttempt.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/GenerationAttempt.java
@@ -147,6 +147,11 @@
         if (completeEvents.length == 0 || processor.isFinished()) {
             return;
         }
+        if (!processor.mayForwardEventsOf(instance)) {
+            endFailedAttempt(Failure.of(ResultCode.UPSTREAM_MALFORMED, "the instance runs another version now"));
+            stream.ifPresent(HttpStream::cancel);
+            return;
+        }
         processor.onEvents();
         eventCount++;
         context.crashCausingParts().recordResponding(instance);
--- a/gateway/src/main/java/org/merlinwood/gateway/front/GenerationPlacement.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/GenerationPlacement.java
@@ -144,7 +144,7 @@
     private Optional<UpstreamInstance> chooseInstance() {
         Set<String> excluded = new HashSet<>(excludedInstances);
         processor.silentInstance().ifPresent(excluded::add);
-        return context.pool().chooseDecode(processor.service, prompt, limits, excluded);
+        return context.pool().chooseDecode(processor.service, processor.requiredVersion(), prompt, limits, excluded);
     }
 
     private void reserveMemory(UpstreamInstance instance) {
@@ -194,7 +194,7 @@
     }
 
     private void startPrefill(UpstreamInstance decodeInstance) {
-        prefillCall.start(decodeInstance, result -> {
+        prefillCall.start(decodeInstance, processor.requiredVersion(), result -> {
             prefillResult = result;
             processor.startGeneration(decodeInstance);
         });
@@ -218,12 +218,18 @@
         if (processor.silentInstance().isPresent() && processor.timeLeftMillis() > 0) {
             return true;
         }
+        if (isVersionGone()) {
+            context.metrics().count("streams_of_gone_version");
+            processor.giveUpAttempt(
+                    ResultCode.STREAM_VERSION_GONE, 0, "no instance runs the version that began the stream");
+            return false;
+        }
         MemoryWaitPolicy.Situation situation = new MemoryWaitPolicy.Situation(
                 context.clock().monotonicMillis() - processor.memoryWaitStartMillis(),
                 processor.isContinuation(),
-                context.pool().millisUntilCapacity(processor.service, prompt, limits),
+                context.pool().millisUntilCapacity(processor.service, processor.requiredVersion(), prompt, limits),
                 context.memoryWaitQueues().size(processor.service),
-                context.pool().decodeInstances(processor.service),
+                context.pool().decodeInstances(processor.service, processor.requiredVersion()),
                 processor.timeLeftMillis(),
                 context.clock().monotonicMillis());
         MemoryWaitPolicy.Decision decision = MemoryWaitPolicy.decide(situation);
@@ -240,6 +246,13 @@
         return true;
     }
 
+    private boolean isVersionGone() {
+        return processor
+                .requiredVersion()
+                .filter(version -> context.pool().isVersionGone(processor.service, version))
+                .isPresent();
+    }
+
     /** The entry of this request in the queue of requests that wait for memory. */
     private final class QueuedRequest implements MemoryWaitQueue.Waiter {
 
--- a/gateway/src/main/java/org/merlinwood/gateway/front/PrefillCall.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/PrefillCall.java
@@ -65,12 +65,14 @@
      * Starts to compute the prompt.
      *
      * @param decodeInstance the instance to which the result will be transferred
+     * @param version software version that the prefill instance must run; empty for any version
      * @param consumer receives the result, or empty if no prefill instance is left or the retry allowance is used up;
      *     not called after the call was cancelled or the request has finished
      */
-    void start(UpstreamInstance decodeInstance, Consumer<Optional<PrefillResult>> consumer) {
+    void start(UpstreamInstance decodeInstance, Optional<String> version, Consumer<Optional<PrefillResult>> consumer) {
         Optional<UpstreamInstance> choice = context.pool()
-                .choosePrefill(processor.service, decodeInstance.domain(), prompt.promptTokens(), triedInstances);
+                .choosePrefill(
+                        processor.service, version, decodeInstance.domain(), prompt.promptTokens(), triedInstances);
         if (choice.isEmpty()
                 || context.retryAllowance().isOverdrawn(processor.service)
                 || (accepted && !retry.tryAcquire())) {
@@ -78,7 +80,13 @@
             consumer.accept(Optional.empty());
             return;
         }
-        send(choice.get(), decodeInstance, consumer);
+        send(choice.get(), decodeInstance, result -> {
+            if (result.isPresent()) {
+                consumer.accept(result);
+            } else {
+                start(decodeInstance, version, consumer);
+            }
+        });
     }
 
     /** Returns the instance that computes the prompt now, or empty if none does. */
@@ -125,11 +133,7 @@
             }
             Optional<PrefillResult> result =
                     onResponse(instance, context.clock().monotonicMillis() - startedMillis, response);
-            if (result.isPresent()) {
-                consumer.accept(result);
-            } else {
-                start(decodeInstance, consumer);
-            }
+            consumer.accept(result);
         }));
     }
 
--- a/gateway/src/main/java/org/merlinwood/gateway/front/RequestDispatcher.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/RequestDispatcher.java
@@ -76,13 +76,12 @@
                 .with("behindEvent", request.lastEvent().orElse(-1))
                 .with("resumes", request.resumedAttempt().orElse(""))
                 .write();
-        Optional<EngineLimits> limits = Optional.ofNullable(routes.services().get(route.serviceFor(request.attempt())))
-                .flatMap(UpstreamService::engine);
+        String service = route.serviceFor(request.streamAttempt());
+        Optional<EngineLimits> limits =
+                Optional.ofNullable(routes.services().get(service)).flatMap(UpstreamService::engine);
         Optional<Prompt> prompt = request.prompt();
         if (prompt.isPresent() && limits.isPresent()) {
-            context.demandMeter()
-                    .recordRequest(
-                            route.serviceFor(request.attempt()), prompt.get().promptTokens());
+            context.demandMeter().recordRequest(service, prompt.get().promptTokens());
             start(new StreamRequestProcessor(context, request, route, channel, prompt.get(), limits.get()));
         } else {
             start(new PlainRequestProcessor(context, request, route, channel));
--- a/gateway/src/main/java/org/merlinwood/gateway/front/RequestProcessor.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/RequestProcessor.java
@@ -52,7 +52,7 @@
         this.context = context;
         this.request = request;
         this.route = route;
-        this.service = route.serviceFor(request.attempt());
+        this.service = route.serviceFor(request.streamAttempt());
         this.channel = channel;
         this.sharedParts = request.prompt().map(PartFingerprints::of).orElse(List.of());
     }
@@ -62,10 +62,15 @@
         context.retryAllowance().recordRequest(service);
         channel.onDisconnect(this::onCallerDisconnected);
         timeoutTimer = Optional.of(context.loop().schedule(Math.max(1, routeTimeLeftMillis()), this::onTimeout));
+        runStep(this::proceed);
+    }
+
+    /** Runs a step of the request. If it throws, the request is answered with an error at once. */
+    final void runStep(Runnable step) {
         try {
-            proceed();
+            step.run();
         } catch (RuntimeException exception) {
-            fail(ResultCode.INTERNAL, 0, "the first step threw " + exception);
+            fail(ResultCode.INTERNAL, 0, "a step threw " + exception);
         }
     }
 
--- a/gateway/src/main/java/org/merlinwood/gateway/front/RequestProcessorContext.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/RequestProcessorContext.java
@@ -5,7 +5,10 @@
 import org.merlinwood.gateway.decision.CrashHistory;
 import org.merlinwood.gateway.decision.DemandMeter;
 import org.merlinwood.gateway.decision.InstancePool;
+import org.merlinwood.gateway.decision.OriginPeers;
 import org.merlinwood.gateway.decision.RetryAllowance;
+import org.merlinwood.gateway.decision.StreamOrigins;
+import org.merlinwood.gateway.decision.VersionHistory;
 import org.merlinwood.gateway.fleet.FleetState;
 import org.merlinwood.gateway.loop.EventLoop;
 import org.merlinwood.gateway.upstream.UpstreamClient;
@@ -24,6 +27,9 @@
  * @param retryAllowance limits the retries that this entry sends
  * @param crashHistory the requests that lost instances
  * @param crashCausingParts the parts of prompts that crash instances
+ * @param origins the software versions that began streams
+ * @param versionHistory the software versions that each service has had
+ * @param originPeers the other entries, which keep and know origins of streams
  * @param demandMeter measures the demand for each model service
  * @param memoryWaitQueues the queues of requests that wait for memory
  * @param collectedBytes the bytes of all plain responses that are being collected
@@ -40,6 +46,9 @@
         RetryAllowance retryAllowance,
         CrashHistory crashHistory,
         CrashCausingParts crashCausingParts,
+        StreamOrigins origins,
+        VersionHistory versionHistory,
+        OriginPeers originPeers,
         DemandMeter demandMeter,
         MemoryWaitQueues memoryWaitQueues,
         CollectedBytes collectedBytes,
--- a/gateway/src/main/java/org/merlinwood/gateway/front/StreamRequestProcessor.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/StreamRequestProcessor.java
@@ -29,6 +29,7 @@
     private final Prompt prompt;
     private final EngineLimits limits;
     private final StreamResponse response;
+    private final StreamBinding binding;
     private final StreamRetries retries;
     private final GenerationRegistration registration;
     private final GenerationPlacement placement;
@@ -45,6 +46,7 @@
         this.prompt = prompt;
         this.limits = limits;
         this.response = new StreamResponse(request, channel);
+        this.binding = new StreamBinding(this);
         this.retries = new StreamRetries(this);
         this.registration = new GenerationRegistration(context.pool(), prompt);
         this.placement = new GenerationPlacement(this, prompt, limits, registration);
@@ -55,11 +57,30 @@
     void proceed() {
         if (isBlocked()) {
             giveUpBlockedAttempt();
-        } else {
+        } else if (binding.isResolved()) {
             placement.start();
+        } else {
+            binding.resolve(this::onBindingResolved);
+        }
+    }
+
+    private void onBindingResolved(boolean found) {
+        if (isFinished()) {
+            return;
+        }
+        if (found) {
+            runStep(this::proceed);
+        } else {
+            context.metrics().count("streams_of_unknown_version");
+            fail(ResultCode.STREAM_VERSION_UNKNOWN, 0, "no entry knows the version that began the stream");
         }
     }
 
+    /** Returns the software version that the next attempt must have; empty if it may be any. */
+    Optional<String> requiredVersion() {
+        return binding.version();
+    }
+
     /** Returns the instance whose silent attempt is being replaced; empty if there is none. */
     Optional<String> silentInstance() {
         return attempts.silentInstance();
@@ -101,6 +122,10 @@
             placement.placeAgain(instance, "the instance wants no request now");
             return;
         }
+        if (!binding.accepts(instance)) {
+            placement.placeAgain(instance, "the instance runs another version now");
+            return;
+        }
         AttemptTerms terms = new AttemptTerms(
                 upstreamTimeLeftMillis(),
                 placement.reservationIdentifier(),
@@ -114,6 +139,7 @@
         GenerationAttempt attempt =
                 new GenerationAttempt(this, attempts, response, prompt, instance, placement.prefillResult());
         attempts.begin(attempt);
+        binding.onSend(instance);
         placement.handOver();
         context.crashCausingParts().recordSent(sharedParts);
         attempts.sent(attempt, context.client().send(instance, generationRequest, attempt));
@@ -131,6 +157,11 @@
                 .write();
     }
 
+    /** Returns whether the caller may have complete events of an instance, which bind the stream to its version. */
+    boolean mayForwardEventsOf(UpstreamInstance instance) {
+        return binding.onEvents(instance);
+    }
+
     /** Records that an attempt, the one that goes on from here, has received complete events. */
     void onEvents() {
         attempts.onSilentInstanceGoesOn();
--- a/gateway/src/main/java/org/merlinwood/gateway/peer/PeerListener.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/peer/PeerListener.java
@@ -2,6 +2,8 @@
 
 import java.util.List;
 import org.merlinwood.gateway.decision.EntryStatus;
+import org.merlinwood.gateway.decision.OriginPeers;
+import org.merlinwood.gateway.decision.StreamOrigin;
 import org.merlinwood.gateway.follow.StoreChange;
 import org.merlinwood.gateway.follow.StorePosition;
 
@@ -61,4 +63,26 @@
      * @param position position up to which the changes are complete
      */
     void onChanges(List<StoreChange> changes, StorePosition position);
+
+    /**
+     * Returns the streams whose attempts this entry sent, for entries that keep copies.
+     *
+     * @return the origins
+     */
+    List<StreamOrigin> ownOrigins();
+
+    /**
+     * Called with stream origins that another entry told.
+     *
+     * @param origins the origins
+     */
+    void onOrigins(List<StreamOrigin> origins);
+
+    /**
+     * Answers another entry that asks for the origin of a stream.
+     *
+     * @param question what it asks
+     * @return what this entry knows
+     */
+    OriginPeers.Answers answer(OriginPeers.Question question);
 }
--- a/gateway/src/main/java/org/merlinwood/gateway/peer/PeerSessions.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/peer/PeerSessions.java
@@ -14,6 +14,7 @@
 import org.merlinwood.core.result.ResultCode;
 import org.merlinwood.core.time.MillisClock;
 import org.merlinwood.gateway.decision.EntryStatus;
+import org.merlinwood.gateway.decision.OriginPeers;
 import org.merlinwood.gateway.follow.StorePosition;
 import org.merlinwood.gateway.loop.EventLoop;
 import org.merlinwood.operation.log.DecisionLog;
@@ -70,6 +71,7 @@
     private final PeerListener listener;
     private final DecisionLog log;
     private final PeerEndpoint endpoint;
+    private final OriginSessions originSessions;
     private final Map<String, Member> members = new HashMap<>();
     private final Map<String, Long> lastStatusMillis = new HashMap<>();
     private int maximumKnownCount;
@@ -106,6 +108,7 @@
         this.clock = clock;
         this.listener = listener;
         this.log = log;
+        this.originSessions = new OriginSessions(new Links(), listener, loop);
         long incarnation = clock.wallMillis() * 1_000_003 + instance.hashCode();
         this.endpoint = PeerEndpoint.builder()
                 .identity(new PeerIdentity(
@@ -139,6 +142,10 @@
         private final boolean seed;
         private Optional<Exchange> exchange = Optional.empty();
         private boolean connecting;
+
+        /** Whether the present exchange has carried a status, by which the other entry recognizes it. */
+        private boolean greeted;
+
         private long lastAttemptMillis = Long.MIN_VALUE / 2;
         private long lastOpenMillis = clock.monotonicMillis();
 
@@ -161,6 +168,7 @@
             connecting = false;
             result.forEach(connection -> {
                 exchange = Optional.of(connection.open(this));
+                greeted = false;
                 lastOpenMillis = clock.monotonicMillis();
                 log.line("peer connected").with("peer", address).write();
             });
@@ -175,6 +183,8 @@
             if (frame.hasStoreChanges()) {
                 loop.execute(() -> listener.onChanges(
                         PeerMessages.changes(frame.getStoreChanges()), PeerMessages.position(frame.getStoreChanges())));
+            } else if (frame.hasStreamOriginAnswer()) {
+                loop.execute(() -> originSessions.onAnswer(frame.getStreamOriginAnswer()));
             }
         }
 
@@ -191,6 +201,25 @@
         }
     }
 
+    private final class Links implements PeerLinks {
+
+        @Override
+        public List<String> reachable() {
+            return members.values().stream()
+                    .filter(member -> member.greeted && member.exchange.isPresent())
+                    .map(member -> member.address)
+                    .filter(lastStatusMillis::containsKey)
+                    .toList();
+        }
+
+        @Override
+        public void send(String address, Frame.Builder frame) {
+            Optional.ofNullable(members.get(address))
+                    .flatMap(member -> member.exchange)
+                    .ifPresent(exchange -> exchange.send(frame));
+        }
+    }
+
     private void addAddress(String address) {
         if (!address.equals(ownAddress)) {
             members.computeIfAbsent(address, Member::new);
@@ -207,12 +236,18 @@
         boolean includesMembers = sentStatusCount++ % MEMBER_LIST_INTERVAL == 0;
         Frame.Builder frame = PeerMessages.status(listener.status(ownAddress, includesMembers ? connected : List.of()));
         for (Member member : members.values()) {
-            member.exchange.ifPresentOrElse(exchange -> exchange.send(frame.clone()), member::connect);
+            member.exchange.ifPresentOrElse(exchange -> greet(member, exchange, frame), member::connect);
         }
         removeSilentEntries();
+        originSessions.tellNewlyReachable();
         loop.schedule(statusIntervalMillis(), this::sendStatus);
     }
 
+    private static void greet(Member member, Exchange exchange, Frame.Builder status) {
+        exchange.send(status.clone());
+        member.greeted = true;
+    }
+
     private long statusIntervalMillis() {
         return STATUS_INTERVAL_MILLIS * Math.max(1, members.size() / FULL_RATE_ENTRIES);
     }
@@ -241,6 +276,10 @@
                     case ENTRY_STATUS -> loop.execute(() -> onStatus(frame));
                     case STORE_CHANGES_REQUEST ->
                         loop.execute(() -> sendChanges(source, PeerMessages.after(frame.getStoreChangesRequest())));
+                    case STREAM_ORIGINS ->
+                        loop.execute(() -> listener.onOrigins(OriginMessages.origins(frame.getStreamOrigins())));
+                    case STREAM_ORIGIN_REQUEST ->
+                        loop.execute(() -> source.send(originSessions.answer(frame.getStreamOriginRequest())));
                     default -> source.connection().close(ResultCode.PROTOCOL_VIOLATION);
                 }
             }
@@ -272,6 +311,15 @@
         exchange.send(PeerMessages.changes(listener.changesAfter(after), listener.storePosition()));
     }
 
+    /**
+     * Returns the other entries as those that keep stream origins.
+     *
+     * @return for use on the event loop
+     */
+    public OriginPeers originPeers() {
+        return originSessions;
+    }
+
     /**
      * Adds addresses of other entries. Call on the event loop.
      *
--- a/gateway/src/main/java/org/merlinwood/gateway/process/EntryComposition.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/process/EntryComposition.java
@@ -21,6 +21,8 @@
 import org.merlinwood.gateway.decision.InstancePool;
 import org.merlinwood.gateway.decision.OrderLeadership;
 import org.merlinwood.gateway.decision.RetryAllowance;
+import org.merlinwood.gateway.decision.StreamOrigins;
+import org.merlinwood.gateway.decision.VersionHistory;
 import org.merlinwood.gateway.fleet.FleetState;
 import org.merlinwood.gateway.follow.StoreFollower;
 import org.merlinwood.gateway.follow.StoreProtocol;
@@ -81,6 +83,8 @@
     private final FleetState fleet = new FleetState();
     private final CrashHistory crashHistory = new CrashHistory(clock);
     private final CrashCausingParts crashCausingParts;
+    private final StreamOrigins origins = new StreamOrigins(clock);
+    private final VersionHistory versionHistory = new VersionHistory(fleet, clock);
     private final DemandMeter demandMeter = new DemandMeter(clock);
     private final OpenRequests openRequests = new OpenRequests();
     private final GatewaySettings settings;
@@ -116,10 +120,10 @@
                 fleet, clock, settings.failureDomain(), settings.instance().hashCode());
         this.noticeRecorder = new InstanceNoticeRecorder(pool.notices(), log, metrics);
         this.follower = new StoreFollower(
-                storeProtocol, client, loop, clock, new FleetUpdates(storeProtocol, fleet, pool, log));
+                storeProtocol, client, loop, clock, new FleetUpdates(storeProtocol, fleet, pool, versionHistory, log));
         UpstreamClient upstreamClient = new UpstreamClient(client, upstreamProtocol, noticeRecorder);
-        FrontHandlerFactory handlerFactory = createHandlerFactory(upstreamClient, upstreamProtocol);
         this.peers = createPeers(createOrders(upstreamClient, upstreamProtocol));
+        FrontHandlerFactory handlerFactory = createHandlerFactory(upstreamClient, upstreamProtocol);
         ByteBufferPool buffers = new DefaultByteBufferPool(true, CONNECTION_BUFFER_BYTES);
         this.callerListener = new CallerListener(
                 settings.callerAddress(),
@@ -142,6 +146,7 @@
                 "upstream_connections_abandoned",
                 () -> () -> client.connectionCounts().abandoned());
         metrics.gauge("store_era", () -> follower::era);
+        metrics.gauge("stream_origins_kept", () -> origins::size);
         metrics.gauge("prompt_parts_blocked", () -> crashCausingParts::blockedCount);
     }
 
@@ -162,6 +167,9 @@
                 retryAllowance,
                 crashHistory,
                 crashCausingParts,
+                origins,
+                versionHistory,
+                peers.originPeers(),
                 demandMeter,
                 log,
                 new RequestMetrics(metrics));
@@ -188,6 +196,8 @@
                 follower,
                 crashHistory,
                 crashCausingParts,
+                origins,
+                versionHistory,
                 demandMeter,
                 orders,
                 this::knownEntryCount,
--- a/gateway/src/main/java/org/merlinwood/gateway/process/FleetUpdates.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/process/FleetUpdates.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import org.merlinwood.gateway.decision.InstancePool;
+import org.merlinwood.gateway.decision.VersionHistory;
 import org.merlinwood.gateway.fleet.FleetState;
 import org.merlinwood.gateway.fleet.UpstreamInstance;
 import org.merlinwood.gateway.follow.StoreChange;
@@ -20,6 +21,7 @@
     private final StoreProtocol storeProtocol;
     private final FleetState fleet;
     private final InstancePool pool;
+    private final VersionHistory versionHistory;
     private final DecisionLog log;
 
     /**
@@ -28,12 +30,19 @@
      * @param storeProtocol decodes keys and values
      * @param fleet routes and registered instances, which are changed
      * @param pool forgets instances that are removed
+     * @param versionHistory records the software versions of the instances
      * @param log receives one line for each change
      */
-    FleetUpdates(StoreProtocol storeProtocol, FleetState fleet, InstancePool pool, DecisionLog log) {
+    FleetUpdates(
+            StoreProtocol storeProtocol,
+            FleetState fleet,
+            InstancePool pool,
+            VersionHistory versionHistory,
+            DecisionLog log) {
         this.storeProtocol = storeProtocol;
         this.fleet = fleet;
         this.pool = pool;
+        this.versionHistory = versionHistory;
         this.log = log;
     }
 
@@ -67,6 +76,8 @@
 
     private void put(UpstreamInstance instance, StorePosition position) {
         Optional<UpstreamInstance> previous = fleet.put(instance);
+        versionHistory.onRegistered(instance);
+        previous.ifPresent(versionHistory::onRegistrationEnded);
         if (!previous.equals(Optional.of(instance))) {
             log.line("instance registered")
                     .with("instance", instance.identifier())
@@ -85,6 +96,7 @@
         storeProtocol.instanceIdentifier(change.key()).flatMap(fleet::remove).ifPresent(removed -> {
             pool.remove(removed.identifier());
             pool.notices().onRemoved(removed);
+            versionHistory.onRegistrationEnded(removed);
             log.line("instance gone")
                     .with("instance", removed.identifier())
                     .with("revision", change.position().revision())
--- a/gateway/src/main/java/org/merlinwood/gateway/process/PeerUpdates.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/process/PeerUpdates.java
@@ -1,6 +1,7 @@
 package org.merlinwood.gateway.process;
 
 import java.util.List;
+import java.util.Set;
 import java.util.function.BooleanSupplier;
 import java.util.function.IntSupplier;
 import org.merlinwood.gateway.decision.CrashCausingParts;
@@ -8,6 +9,10 @@
 import org.merlinwood.gateway.decision.DemandMeter;
 import org.merlinwood.gateway.decision.EntryStatus;
 import org.merlinwood.gateway.decision.InstancePool;
+import org.merlinwood.gateway.decision.OriginPeers;
+import org.merlinwood.gateway.decision.StreamOrigin;
+import org.merlinwood.gateway.decision.StreamOrigins;
+import org.merlinwood.gateway.decision.VersionHistory;
 import org.merlinwood.gateway.follow.StoreChange;
 import org.merlinwood.gateway.follow.StoreFollower;
 import org.merlinwood.gateway.follow.StorePosition;
@@ -26,6 +31,8 @@
     private final StoreFollower follower;
     private final CrashHistory crashHistory;
     private final CrashCausingParts crashCausingParts;
+    private final StreamOrigins origins;
+    private final VersionHistory versionHistory;
     private final DemandMeter demandMeter;
     private final StageOrders orders;
     private final IntSupplier knownEntries;
@@ -40,6 +47,8 @@
      * @param follower position and changes of the configuration store
      * @param crashHistory requests that lost instances
      * @param crashCausingParts parts of prompts that crash instances
+     * @param origins software versions that began streams
+     * @param versionHistory software versions that each service has had
      * @param demandMeter demand of the callers of this entry
      * @param orders orders to change the stage of an instance
      * @param knownEntries returns the number of other known entries
@@ -52,6 +61,8 @@
             StoreFollower follower,
             CrashHistory crashHistory,
             CrashCausingParts crashCausingParts,
+            StreamOrigins origins,
+            VersionHistory versionHistory,
             DemandMeter demandMeter,
             StageOrders orders,
             IntSupplier knownEntries,
@@ -62,6 +73,8 @@
         this.follower = follower;
         this.crashHistory = crashHistory;
         this.crashCausingParts = crashCausingParts;
+        this.origins = origins;
+        this.versionHistory = versionHistory;
         this.demandMeter = demandMeter;
         this.orders = orders;
         this.knownEntries = knownEntries;
@@ -128,4 +141,24 @@
                 .write();
         follower.applyRelayed(changes, position);
     }
+
+    @Override
+    public List<StreamOrigin> ownOrigins() {
+        return origins.own();
+    }
+
+    @Override
+    public void onOrigins(List<StreamOrigin> told) {
+        told.forEach(origins::recordTold);
+    }
+
+    @Override
+    public OriginPeers.Answers answer(OriginPeers.Question question) {
+        return new OriginPeers.Answers(
+                origins.versionOf(question.attempt()),
+                versionHistory
+                        .soleVersionWithin(question.service(), question.streamMillis())
+                        .map(Set::of)
+                        .orElse(Set.of()));
+    }
 }
--- a/gateway/src/main/java/org/merlinwood/gateway/request/CallerRequest.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/request/CallerRequest.java
@@ -41,4 +41,13 @@
     public CallerRequest {
         forwardedHeaders = List.copyOf(forwardedHeaders);
     }
+
+    /**
+     * Returns the attempt of the caller that stands for all of its stream.
+     *
+     * @return identifier of the attempt that is taken up again, or of this one
+     */
+    public String streamAttempt() {
+        return resumedAttempt.orElse(attempt);
+    }
 }
--- a/gateway/src/test/java/org/merlinwood/gateway/decision/DecodePlacementTest.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/decision/DecodePlacementTest.java
@@ -24,18 +24,29 @@
         fixture.register(Stage.DECODE, "a", "b", "c");
         Map<String, Integer> placed = new HashMap<>();
         Optional<UpstreamInstance> choice = fixture.pool.chooseDecode(
-                InstancePoolFixture.SERVICE, InstancePoolFixture.LONG, InstancePoolFixture.LIMITS, Set.of());
+                InstancePoolFixture.SERVICE,
+                Optional.empty(),
+                InstancePoolFixture.LONG,
+                InstancePoolFixture.LIMITS,
+                Set.of());
         while (choice.isPresent()) {
             fixture.pool.beginGeneration(choice.get().identifier(), InstancePoolFixture.LONG);
             placed.merge(choice.get().identifier(), 1, Integer::sum);
             choice = fixture.pool.chooseDecode(
-                    InstancePoolFixture.SERVICE, InstancePoolFixture.LONG, InstancePoolFixture.LIMITS, Set.of());
+                    InstancePoolFixture.SERVICE,
+                    Optional.empty(),
+                    InstancePoolFixture.LONG,
+                    InstancePoolFixture.LIMITS,
+                    Set.of());
         }
         assertThat(placed).hasSize(3);
         assertThat(placed.values()).allMatch(count -> count == 6);
         assertThat(fixture.pool
                         .millisUntilCapacity(
-                                InstancePoolFixture.SERVICE, InstancePoolFixture.LONG, InstancePoolFixture.LIMITS)
+                                InstancePoolFixture.SERVICE,
+                                Optional.empty(),
+                                InstancePoolFixture.LONG,
+                                InstancePoolFixture.LIMITS)
                         .orElse(0))
                 .isPositive();
     }
@@ -48,7 +59,7 @@
         Prompt brief = new Prompt("m", 5_200, 70, OptionalInt.of(70), List.of());
         int placed = 0;
         while (fixture.pool
-                .chooseDecode(InstancePoolFixture.SERVICE, brief, limits, Set.of())
+                .chooseDecode(InstancePoolFixture.SERVICE, Optional.empty(), brief, limits, Set.of())
                 .isPresent()) {
             fixture.pool.beginGeneration("a", brief);
             placed++;
@@ -75,18 +86,25 @@
     void emptyInstanceHasCapacityNow() {
         fixture.register(Stage.DECODE, "a");
         assertThat(fixture.pool.millisUntilCapacity(
-                        InstancePoolFixture.SERVICE, InstancePoolFixture.LONG, InstancePoolFixture.LIMITS))
+                        InstancePoolFixture.SERVICE,
+                        Optional.empty(),
+                        InstancePoolFixture.LONG,
+                        InstancePoolFixture.LIMITS))
                 .hasValue(0);
     }
 
     @Test
     void serviceWithoutInstancesNeverHasCapacity() {
         assertThat(fixture.pool.millisUntilCapacity(
-                        InstancePoolFixture.SERVICE, InstancePoolFixture.LONG, InstancePoolFixture.LIMITS))
+                        InstancePoolFixture.SERVICE,
+                        Optional.empty(),
+                        InstancePoolFixture.LONG,
+                        InstancePoolFixture.LIMITS))
                 .isEmpty();
     }
 
     private Optional<UpstreamInstance> choose(Prompt prompt) {
-        return fixture.pool.chooseDecode(InstancePoolFixture.SERVICE, prompt, InstancePoolFixture.LIMITS, Set.of());
+        return fixture.pool.chooseDecode(
+                InstancePoolFixture.SERVICE, Optional.empty(), prompt, InstancePoolFixture.LIMITS, Set.of());
     }
 }
--- a/gateway/src/test/java/org/merlinwood/gateway/decision/InstanceCandidatesTest.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/decision/InstanceCandidatesTest.java
@@ -31,7 +31,8 @@
     void instanceOfAnotherStageIsNotChosen() {
         fixture.register(Stage.DECODE, "a");
         assertThat(chosen(Set.of())).isEmpty();
-        assertThat(fixture.pool.decodeInstances(InstancePoolFixture.SERVICE)).isEqualTo(1);
+        assertThat(fixture.pool.decodeInstances(InstancePoolFixture.SERVICE, Optional.empty()))
+                .isEqualTo(1);
     }
 
     /** A paused instance is one that may accept work again at any time, so it still counts. */
@@ -39,7 +40,8 @@
     void pausedInstanceStaysCandidate() {
         fixture.register(Stage.DECODE, "a");
         fixture.pool.recordFailure("a");
-        assertThat(fixture.pool.decodeInstances(InstancePoolFixture.SERVICE)).isEqualTo(1);
+        assertThat(fixture.pool.decodeInstances(InstancePoolFixture.SERVICE, Optional.empty()))
+                .isEqualTo(1);
     }
 
     private Optional<String> chosen(Set<String> excluded) {
--- a/gateway/src/test/java/org/merlinwood/gateway/decision/InstanceRankingTest.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/decision/InstanceRankingTest.java
@@ -80,7 +80,11 @@
             entryPool.entryCount(30);
             entryPool
                     .chooseDecode(
-                            InstancePoolFixture.SERVICE, InstancePoolFixture.LONG, InstancePoolFixture.LIMITS, Set.of())
+                            InstancePoolFixture.SERVICE,
+                            Optional.empty(),
+                            InstancePoolFixture.LONG,
+                            InstancePoolFixture.LIMITS,
+                            Set.of())
                     .ifPresent(choice -> placed.merge(choice.identifier(), 1, Integer::sum));
         }
         assertThat(placed.values()).allMatch(count -> count <= 15);
--- a/gateway/src/test/java/org/merlinwood/gateway/decision/PrefillPlacementTest.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/decision/PrefillPlacementTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.Optional;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.merlinwood.gateway.fleet.Stage;
@@ -16,11 +17,12 @@
     void prefillIsNotChosenIfQueueIsFull() {
         fixture.register(Stage.PREFILL, "a");
         for (int index = 0; index < 4; index++) {
-            assertThat(fixture.pool.choosePrefill(InstancePoolFixture.SERVICE, "near", 5_200, Set.of()))
+            assertThat(fixture.pool.choosePrefill(
+                            InstancePoolFixture.SERVICE, Optional.empty(), "near", 5_200, Set.of()))
                     .isPresent();
             fixture.pool.beginPrompt("a", 5_200);
         }
-        assertThat(fixture.pool.choosePrefill(InstancePoolFixture.SERVICE, "near", 5_200, Set.of()))
+        assertThat(fixture.pool.choosePrefill(InstancePoolFixture.SERVICE, Optional.empty(), "near", 5_200, Set.of()))
                 .isEmpty();
     }
 
@@ -50,7 +52,7 @@
     void instanceNearDecodeInstanceIsPreferred() {
         fixture.fleet.put(InstancePoolFixture.instance("a", Stage.PREFILL, "near", false));
         fixture.fleet.put(InstancePoolFixture.instance("b", Stage.PREFILL, "far", false));
-        assertThat(fixture.pool.choosePrefill(InstancePoolFixture.SERVICE, "far", 5_200, Set.of()))
+        assertThat(fixture.pool.choosePrefill(InstancePoolFixture.SERVICE, Optional.empty(), "far", 5_200, Set.of()))
                 .map(UpstreamInstance::identifier)
                 .contains("b");
     }
--- a/gateway/src/test/java/org/merlinwood/gateway/decision/SharedWorkTest.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/decision/SharedWorkTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.merlinwood.gateway.fleet.Stage;
@@ -21,13 +22,21 @@
                 List.of(new MemoryForecast.Growth(30_000, 5_000), new MemoryForecast.Growth(30_000, 5_000));
         fixture.pool.sharedWork().updatePeer(status("peer", new EntryStatus.InstanceWork("a", 2, 0, others)));
         assertThat(fixture.pool.chooseDecode(
-                        InstancePoolFixture.SERVICE, InstancePoolFixture.LONG, InstancePoolFixture.LIMITS, Set.of()))
+                        InstancePoolFixture.SERVICE,
+                        Optional.empty(),
+                        InstancePoolFixture.LONG,
+                        InstancePoolFixture.LIMITS,
+                        Set.of()))
                 .map(UpstreamInstance::identifier)
                 .contains("b");
         fixture.pool.sharedWork().removePeer("peer");
         fixture.pool.beginGeneration("b", InstancePoolFixture.LONG);
         assertThat(fixture.pool.chooseDecode(
-                        InstancePoolFixture.SERVICE, InstancePoolFixture.LONG, InstancePoolFixture.LIMITS, Set.of()))
+                        InstancePoolFixture.SERVICE,
+                        Optional.empty(),
+                        InstancePoolFixture.LONG,
+                        InstancePoolFixture.LIMITS,
+                        Set.of()))
                 .map(UpstreamInstance::identifier)
                 .contains("a");
     }
--- a/gateway/src/test/java/org/merlinwood/gateway/front/RequestProcessorFixture.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/front/RequestProcessorFixture.java
@@ -25,6 +25,9 @@
 import org.merlinwood.gateway.decision.InstancePool;
 import org.merlinwood.gateway.decision.RecordingCrashListener;
 import org.merlinwood.gateway.decision.RetryAllowance;
+import org.merlinwood.gateway.decision.StreamOrigin;
+import org.merlinwood.gateway.decision.StreamOrigins;
+import org.merlinwood.gateway.decision.VersionHistory;
 import org.merlinwood.gateway.fleet.FleetState;
 import org.merlinwood.gateway.fleet.Stage;
 import org.merlinwood.gateway.fleet.UpstreamInstance;
@@ -74,6 +77,9 @@
     final DrainPolicy drainPolicy = new DrainPolicy(clock, 8_000);
     final RetryAllowance retryAllowance = new RetryAllowance(clock, RETRY_WINDOW_MILLIS, 0.2, FIXED_RETRIES, () -> 1);
     final CrashHistory crashHistory = new CrashHistory(clock);
+    final StreamOrigins origins = new StreamOrigins(clock);
+    final VersionHistory versionHistory = new VersionHistory(fleet, clock);
+    final FakeOriginPeers originPeers = new FakeOriginPeers(loop);
     final CrashCausingParts crashCausingParts = new CrashCausingParts(clock, 1, new RecordingCrashListener());
     private final RequestDispatcher dispatcher;
     private CallerRequest request;
@@ -101,6 +107,9 @@
                 retryAllowance,
                 crashHistory,
                 crashCausingParts,
+                origins,
+                versionHistory,
+                originPeers,
                 new DemandMeter(clock),
                 new MemoryWaitQueues(loop, clock),
                 new CollectedBytes(),
@@ -152,9 +161,10 @@
         sendRequest(attempt, "/p/x", OptionalLong.of(lastEvent), Optional.of(resumedAttempt), List.of(), "body");
     }
 
-    /** Sends a request of a caller that resumes its stream after an event. */
+    /** Sends a request of a caller that resumes after an event a stream which began here, at version v1. */
     void sendResumingRequest(String path, long lastEvent) {
-        sendRequest(path, OptionalLong.of(lastEvent));
+        origins.recordOwn(new StreamOrigin("attempt-0", "v1", CALLER_TIME_MILLIS));
+        sendRequest(ATTEMPT, path, OptionalLong.of(lastEvent), Optional.of("attempt-0"), List.of(), "body");
     }
 
     /** Sends a request with a body of its own whose prompt has these parts. */
--- a/gateway/src/test/java/org/merlinwood/gateway/front/StreamVersionTest.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/front/StreamVersionTest.java
@@ -1,18 +1,25 @@
 package org.merlinwood.gateway.front;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.tuple;
 import static org.merlinwood.gateway.front.SentStream.FIRST_EVENT;
 import static org.merlinwood.gateway.front.SentStream.SECOND_EVENT;
 
 import java.util.List;
+import java.util.Optional;
 import java.util.OptionalInt;
-import org.junit.jupiter.api.Tag;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.merlinwood.core.result.ExecutionState;
 import org.merlinwood.core.result.ResultCode;
 import org.merlinwood.gateway.FakeHttpClient.SentRequest;
 import org.merlinwood.gateway.FakeUpstreamProtocol;
+import org.merlinwood.gateway.decision.OriginPeers;
+import org.merlinwood.gateway.decision.StreamOrigin;
 import org.merlinwood.gateway.fleet.Stage;
+import org.merlinwood.gateway.fleet.UpstreamInstance;
 import org.merlinwood.gateway.request.Prompt;
 import org.merlinwood.gateway.route.RequestKind;
 
@@ -47,7 +54,6 @@
     }
 
     /** Guards against a response that goes on at another version after its instance was lost. */
-    @Tag("known-red")
     @Test
     void interruptedStreamGoesOnAtTheVersionThatBeganIt() {
         RequestProcessorFixture fixture = fixtureWithBegunStream();
@@ -56,7 +62,6 @@
     }
 
     /** Guards against a replacement of another version for an instance that falls silent within its response. */
-    @Tag("known-red")
     @Test
     void silentInstanceOfABegunStreamIsReplacedAtItsVersion() {
         RequestProcessorFixture fixture = fixtureWithBegunStream();
@@ -65,17 +70,16 @@
     }
 
     /** Guards against a caller whose connection was lost and who gets the rest of its stream from another version. */
-    @Tag("known-red")
     @Test
     void streamOfACallerThatComesBackGoesOnAtTheVersionThatBeganIt() {
         RequestProcessorFixture fixture = fixtureWithBegunStream();
         fixture.caller.disconnect();
+        fixture.fleet.remove("d1");
         fixture.sendResumingAttempt("attempt-2", RequestProcessorFixture.ATTEMPT, 1);
         assertThat(fixture.client.last().request().path()).startsWith("/d3/hold/");
     }
 
     /** Guards against a caller who waits for an instance of a version that no instance runs any more. */
-    @Tag("known-red")
     @Test
     void streamWhoseVersionIsGoneIsBrokenOffAtOnce() {
         RequestProcessorFixture fixture = fixtureWithBegunStream();
@@ -88,7 +92,6 @@
     }
 
     /** Guards against the rest of a stream that is generated from a prompt which another version computed. */
-    @Tag("known-red")
     @Test
     void promptOfABegunStreamIsComputedAtItsVersion() {
         RequestProcessorFixture fixture = fixtureWithBegunStream();
@@ -123,4 +126,92 @@
         attempt.end();
         SentStream.assertComplete(fixture);
     }
+
+    /** Guards against a caller that comes back to an entry which must ask the others for its stream's version. */
+    @Test
+    void versionOfAStreamThatBeganElsewhereIsAskedFor() {
+        RequestProcessorFixture fixture = fixtureWithSentStream();
+        fixture.originPeers.answers = new OriginPeers.Answers(Optional.of("v1"), Set.of());
+        fixture.fleet.remove("d1");
+        int sent = fixture.client.sent().size();
+        fixture.sendResumingAttempt("attempt-2", "attempt-at-another-entry", 1);
+        assertThat(fixture.client.sent()).hasSize(sent);
+        fixture.loop.advance(FakeOriginPeers.ANSWER_MILLIS);
+        assertThat(fixture.originPeers.questions)
+                .extracting(OriginPeers.Question::attempt)
+                .containsExactly("attempt-at-another-entry");
+        assertThat(fixture.client.last().request().path()).startsWith("/d3/hold/");
+    }
+
+    /**
+     * Guards against a guess where nobody knows the version any more and there are two: the caller learns it at once.
+     */
+    @Test
+    void streamOfUnknownVersionIsRefusedAtOnce() {
+        RequestProcessorFixture fixture = fixtureWithSentStream();
+        int sent = fixture.client.sent().size();
+        fixture.sendResumingAttempt("attempt-2", "attempt-at-another-entry", 1);
+        fixture.loop.advance(FakeOriginPeers.ANSWER_MILLIS);
+        assertThat(fixture.caller.status).isEqualTo(503);
+        assertThat(fixture.caller.body).contains("2009");
+        assertThat(fixture.client.sent()).hasSize(sent);
+    }
+
+    /** Guards against a refusal where the service has had one version only, so that nobody needs to remember it. */
+    @ParameterizedTest
+    @CsvSource({"v1, /d1/hold/", "v2, ''"})
+    void streamGoesOnWithoutARecordWhereThereIsOnlyOneVersion(String soleVersion, String pathPrefix) {
+        RequestProcessorFixture fixture = new RequestProcessorFixture(RequestKind.STREAM, true);
+        fixture.registerVersion("v1", Stage.DECODE, "d1");
+        fixture.originPeers.answers = new OriginPeers.Answers(Optional.empty(), Set.of(soleVersion));
+        fixture.sendResumingAttempt("attempt-2", "attempt-at-another-entry", 1);
+        fixture.loop.advance(FakeOriginPeers.ANSWER_MILLIS);
+        if (pathPrefix.isEmpty()) {
+            assertThat(fixture.caller.body).contains("2009");
+        } else {
+            assertThat(fixture.client.last().request().path()).startsWith(pathPrefix);
+        }
+    }
+
+    /** Guards against an entry that dies with what it knows: the others are told before the caller has an event. */
+    @Test
+    void othersAreToldTheVersionBeforeTheFirstEvent() {
+        RequestProcessorFixture fixture = fixtureWithSentStream();
+        assertThat(fixture.originPeers.told)
+                .extracting(StreamOrigin::attempt, StreamOrigin::version)
+                .containsExactly(tuple(RequestProcessorFixture.ATTEMPT, "v1"));
+        loseInstance(fixture);
+        fixture.grantMemory("hold-2");
+        assertThat(fixture.originPeers.told).extracting(StreamOrigin::version).containsExactly("v1", "v2");
+        SentStream.begin(fixture.client.last());
+        assertThat(fixture.originPeers.told).hasSize(2);
+    }
+
+    /** Guards against records of a replacement that was told last where the silent instance sends first. */
+    @Test
+    void othersAreToldTheVersionOfTheInstanceThatSendsFirst() {
+        RequestProcessorFixture fixture = fixtureWithSentStream();
+        SentRequest silent = fixture.client.last();
+        fixture.staySilent(silent, SentStream.SILENCE_MILLIS);
+        fixture.grantMemory("hold-2");
+        assertThat(fixture.client.last().request().path()).isEqualTo("/d2/run");
+        SentStream.begin(silent);
+        assertThat(fixture.originPeers.told).extracting(StreamOrigin::version).containsExactly("v1", "v2", "v1");
+        assertThat(fixture.origins.versionOf(RequestProcessorFixture.ATTEMPT)).contains("v1");
+    }
+
+    /** Guards against events of an instance that started again, under its identifier, with another version. */
+    @Test
+    void eventsOfAnInstanceThatStartedAgainWithAnotherVersionAreNotForwarded() {
+        RequestProcessorFixture fixture = fixtureWithBegunStream();
+        loseInstance(fixture);
+        fixture.grantMemory("hold-2");
+        assertThat(fixture.client.last().request().path()).isEqualTo("/d3/run");
+        UpstreamInstance former = fixture.fleet.find("d3").orElseThrow();
+        fixture.registerVersion("v2", Stage.DECODE, "d3");
+        fixture.fleet.put(fixture.fleet.find("d3").orElseThrow().withStart(former.startedUnixMillis() + 1));
+        fixture.client.last().head(200, RequestProcessorFixture.MATCHING_RESPONSE_HEADERS);
+        fixture.client.last().bytes(SECOND_EVENT);
+        assertThat(fixture.caller.body).isEqualTo(FIRST_EVENT);
+    }
 }
--- a/gateway/src/test/java/org/merlinwood/gateway/front/TakenUpStreamTest.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/front/TakenUpStreamTest.java
@@ -7,6 +7,7 @@
 import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.merlinwood.gateway.decision.ActiveGeneration;
+import org.merlinwood.gateway.decision.StreamOrigin;
 import org.merlinwood.gateway.fleet.Stage;
 import org.merlinwood.gateway.request.Prompt;
 import org.merlinwood.gateway.route.RequestKind;
@@ -30,6 +31,7 @@
     /** Fills the only instance, at which the stream of {@link #BEGUN_ATTEMPT} has begun, and returns the work there. */
     private ActiveGeneration fillInstance() {
         fixture.register(Stage.DECODE, "d1");
+        fixture.origins.recordOwn(new StreamOrigin(BEGUN_ATTEMPT, "v1", RequestProcessorFixture.CALLER_TIME_MILLIS));
         return fixture.pool.beginGeneration("d1", LARGE);
     }
 
--- a/gateway/src/test/java/org/merlinwood/gateway/process/FleetUpdatesTest.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/process/FleetUpdatesTest.java
@@ -10,6 +10,7 @@
 import org.junit.jupiter.api.Test;
 import org.merlinwood.core.time.ManualMillisClock;
 import org.merlinwood.gateway.decision.InstancePool;
+import org.merlinwood.gateway.decision.VersionHistory;
 import org.merlinwood.gateway.fleet.FleetState;
 import org.merlinwood.gateway.fleet.UpstreamInstance;
 import org.merlinwood.gateway.follow.StoreChange;
@@ -29,6 +30,7 @@
             new WordsStoreProtocol(),
             fleet,
             pool,
+            new VersionHistory(fleet, clock),
             new DecisionLog("test", clock, new PrintStream(OutputStream.nullOutputStream())));
 
     @Test
--- a/gateway/src/test/java/org/merlinwood/gateway/process/PeerUpdatesTest.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/process/PeerUpdatesTest.java
@@ -24,7 +24,11 @@
 import org.merlinwood.gateway.decision.EntryStatus;
 import org.merlinwood.gateway.decision.InstancePool;
 import org.merlinwood.gateway.decision.OrderLeadership;
+import org.merlinwood.gateway.decision.OriginPeers;
 import org.merlinwood.gateway.decision.RecordingCrashListener;
+import org.merlinwood.gateway.decision.StreamOrigin;
+import org.merlinwood.gateway.decision.StreamOrigins;
+import org.merlinwood.gateway.decision.VersionHistory;
 import org.merlinwood.gateway.fleet.FleetState;
 import org.merlinwood.gateway.fleet.Stage;
 import org.merlinwood.gateway.fleet.UpstreamInstance;
@@ -51,6 +55,8 @@
     private final InstancePool pool = new InstancePool(fleet, clock, "near", 1);
     private final CrashHistory crashHistory = new CrashHistory(clock);
     private final CrashCausingParts crashCausingParts = new CrashCausingParts(clock, 1, new RecordingCrashListener());
+    private final StreamOrigins origins = new StreamOrigins(clock);
+    private final VersionHistory versionHistory = new VersionHistory(fleet, clock);
     private boolean mayIssueOrders = true;
     private StoreFollower follower;
     private PeerUpdates updates;
@@ -63,7 +69,7 @@
         InstanceNoticeRecorder noticeRecorder = new InstanceNoticeRecorder(pool.notices(), log, new MetricRegistry());
         DemandMeter demandMeter = new DemandMeter(clock);
         follower = new StoreFollower(
-                storeProtocol, client, loop, clock, new FleetUpdates(storeProtocol, fleet, pool, log));
+                storeProtocol, client, loop, clock, new FleetUpdates(storeProtocol, fleet, pool, versionHistory, log));
         StageOrders orders = new StageOrders(
                 new OrderLeadership(clock, OWN_ADDRESS, 1),
                 fleet,
@@ -80,6 +86,8 @@
                 follower,
                 crashHistory,
                 crashCausingParts,
+                origins,
+                versionHistory,
                 demandMeter,
                 orders,
                 () -> 0,
@@ -88,6 +96,19 @@
         follower.applyRelayed(List.of(), new StorePosition(0, 5));
     }
 
+    /** Guards against a caller that comes back and whom nobody can tell at which version its stream began. */
+    @Test
+    void originThatAnotherEntryToldIsKnownToAllThatAsk() {
+        updates.onOrigins(List.of(new StreamOrigin("a-1", "v1", 1_000)));
+        assertThat(updates.answer(new OriginPeers.Question("a-1", "service", 500))
+                        .version())
+                .contains("v1");
+        assertThat(updates.answer(new OriginPeers.Question("a-2", "service", 500))
+                        .version())
+                .isEmpty();
+        assertThat(updates.ownOrigins()).isEmpty();
+    }
+
     @Test
     void statusTellsOwnStateAndOwnWork() {
         pool.beginPrompt("a", 300);
--- a/wire-generated/src/main/java/org/merlinwood/wire/Frame.java
+++ b/wire-generated/src/main/java/org/merlinwood/wire/Frame.java
@@ -85,6 +85,9 @@
     ENTRY_STATUS(90),
     STORE_CHANGES_REQUEST(91),
     STORE_CHANGES(92),
+    STREAM_ORIGINS(93),
+    STREAM_ORIGIN_REQUEST(94),
+    STREAM_ORIGIN_ANSWER(95),
     BODY_NOT_SET(0);
     private final int value;
     private BodyCase(int value) {
@@ -133,6 +136,9 @@
         case 90: return ENTRY_STATUS;
         case 91: return STORE_CHANGES_REQUEST;
         case 92: return STORE_CHANGES;
+        case 93: return STREAM_ORIGINS;
+        case 94: return STREAM_ORIGIN_REQUEST;
+        case 95: return STREAM_ORIGIN_ANSWER;
         case 0: return BODY_NOT_SET;
         default: return null;
       }
@@ -1125,6 +1131,99 @@
     return org.merlinwood.wire.StoreChanges.getDefaultInstance();
   }
 
+  public static final int STREAM_ORIGINS_FIELD_NUMBER = 93;
+  /**
+   * <code>.merlinwood.wire.v1.StreamOrigins stream_origins = 93;</code>
+   * @return Whether the streamOrigins field is set.
+   */
+  @java.lang.Override
+  public boolean hasStreamOrigins() {
+    return bodyCase_ == 93;
+  }
+  /**
+   * <code>.merlinwood.wire.v1.StreamOrigins stream_origins = 93;</code>
+   * @return The streamOrigins.
+   */
+  @java.lang.Override
+  public org.merlinwood.wire.StreamOrigins getStreamOrigins() {
+    if (bodyCase_ == 93) {
+       return (org.merlinwood.wire.StreamOrigins) body_;
+    }
+    return org.merlinwood.wire.StreamOrigins.getDefaultInstance();
+  }
+  /**
+   * <code>.merlinwood.wire.v1.StreamOrigins stream_origins = 93;</code>
+   */
+  @java.lang.Override
+  public org.merlinwood.wire.StreamOriginsOrBuilder getStreamOriginsOrBuilder() {
+    if (bodyCase_ == 93) {
+       return (org.merlinwood.wire.StreamOrigins) body_;
+    }
+    return org.merlinwood.wire.StreamOrigins.getDefaultInstance();
+  }
+
+  public static final int STREAM_ORIGIN_REQUEST_FIELD_NUMBER = 94;
+  /**
+   * <code>.merlinwood.wire.v1.StreamOriginRequest stream_origin_request = 94;</code>
+   * @return Whether the streamOriginRequest field is set.
+   */
+  @java.lang.Override
+  public boolean hasStreamOriginRequest() {
+    return bodyCase_ == 94;
+  }
+  /**
+   * <code>.merlinwood.wire.v1.StreamOriginRequest stream_origin_request = 94;</code>
+   * @return The streamOriginRequest.
+   */
+  @java.lang.Override
+  public org.merlinwood.wire.StreamOriginRequest getStreamOriginRequest() {
+    if (bodyCase_ == 94) {
+       return (org.merlinwood.wire.StreamOriginRequest) body_;
+    }
+    return org.merlinwood.wire.StreamOriginRequest.getDefaultInstance();
+  }
+  /**
+   * <code>.merlinwood.wire.v1.StreamOriginRequest stream_origin_request = 94;</code>
+   */
+  @java.lang.Override
+  public org.merlinwood.wire.StreamOriginRequestOrBuilder getStreamOriginRequestOrBuilder() {
+    if (bodyCase_ == 94) {
+       return (org.merlinwood.wire.StreamOriginRequest) body_;
+    }
+    return org.merlinwood.wire.StreamOriginRequest.getDefaultInstance();
+  }
+
+  public static final int STREAM_ORIGIN_ANSWER_FIELD_NUMBER = 95;
+  /**
+   * <code>.merlinwood.wire.v1.StreamOriginAnswer stream_origin_answer = 95;</code>
+   * @return Whether the streamOriginAnswer field is set.
+   */
+  @java.lang.Override
+  public boolean hasStreamOriginAnswer() {
+    return bodyCase_ == 95;
+  }
+  /**
+   * <code>.merlinwood.wire.v1.StreamOriginAnswer stream_origin_answer = 95;</code>
+   * @return The streamOriginAnswer.
+   */
+  @java.lang.Override
+  public org.merlinwood.wire.StreamOriginAnswer getStreamOriginAnswer() {
+    if (bodyCase_ == 95) {
+       return (org.merlinwood.wire.StreamOriginAnswer) body_;
+    }
+    return org.merlinwood.wire.StreamOriginAnswer.getDefaultInstance();
+  }
+  /**
+   * <code>.merlinwood.wire.v1.StreamOriginAnswer stream_origin_answer = 95;</code>
+   */
+  @java.lang.Override
+  public org.merlinwood.wire.StreamOriginAnswerOrBuilder getStreamOriginAnswerOrBuilder() {
+    if (bodyCase_ == 95) {
+       return (org.merlinwood.wire.StreamOriginAnswer) body_;
+    }
+    return org.merlinwood.wire.StreamOriginAnswer.getDefaultInstance();
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -1235,6 +1334,15 @@
     if (bodyCase_ == 92) {
       output.writeMessage(92, (org.merlinwood.wire.StoreChanges) body_);
     }
+    if (bodyCase_ == 93) {
+      output.writeMessage(93, (org.merlinwood.wire.StreamOrigins) body_);
+    }
+    if (bodyCase_ == 94) {
+      output.writeMessage(94, (org.merlinwood.wire.StreamOriginRequest) body_);
+    }
+    if (bodyCase_ == 95) {
+      output.writeMessage(95, (org.merlinwood.wire.StreamOriginAnswer) body_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -1369,6 +1477,22 @@
     }
     return size;
   }
+  private int computeSerializedSize_1() {
+    int size = 0;
+    if (bodyCase_ == 93) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(93, (org.merlinwood.wire.StreamOrigins) body_);
+    }
+    if (bodyCase_ == 94) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(94, (org.merlinwood.wire.StreamOriginRequest) body_);
+    }
+    if (bodyCase_ == 95) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(95, (org.merlinwood.wire.StreamOriginAnswer) body_);
+    }
+    return size;
+  }
   @java.lang.Override
   public int getSerializedSize() {
     int size = memoizedSize;
@@ -1376,6 +1500,7 @@
 
     size = 0;
     size += computeSerializedSize_0();
+    size += computeSerializedSize_1();
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -1519,6 +1644,18 @@
         if (!getStoreChanges()
             .equals(other.getStoreChanges())) return false;
         break;
+      case 93:
+        if (!getStreamOrigins()
+            .equals(other.getStreamOrigins())) return false;
+        break;
+      case 94:
+        if (!getStreamOriginRequest()
+            .equals(other.getStreamOriginRequest())) return false;
+        break;
+      case 95:
+        if (!getStreamOriginAnswer()
+            .equals(other.getStreamOriginAnswer())) return false;
+        break;
       case 0:
       default:
     }
@@ -1661,6 +1798,18 @@
         hash = (37 * hash) + STORE_CHANGES_FIELD_NUMBER;
         hash = (53 * hash) + getStoreChanges().hashCode();
         break;
+      case 93:
+        hash = (37 * hash) + STREAM_ORIGINS_FIELD_NUMBER;
+        hash = (53 * hash) + getStreamOrigins().hashCode();
+        break;
+      case 94:
+        hash = (37 * hash) + STREAM_ORIGIN_REQUEST_FIELD_NUMBER;
+        hash = (53 * hash) + getStreamOriginRequest().hashCode();
+        break;
+      case 95:
+        hash = (37 * hash) + STREAM_ORIGIN_ANSWER_FIELD_NUMBER;
+        hash = (53 * hash) + getStreamOriginAnswer().hashCode();
+        break;
       case 0:
       default:
     }
@@ -1795,6 +1944,7 @@
     public Builder clear() {
       super.clear();
       bitField0_ = 0;
+      bitField1_ = 0;
       exchange_ = 0L;
       if (helloBuilder_ != null) {
         helloBuilder_.clear();
@@ -1889,6 +2039,15 @@
       if (storeChangesBuilder_ != null) {
         storeChangesBuilder_.clear();
       }
+      if (streamOriginsBuilder_ != null) {
+        streamOriginsBuilder_.clear();
+      }
+      if (streamOriginRequestBuilder_ != null) {
+        streamOriginRequestBuilder_.clear();
+      }
+      if (streamOriginAnswerBuilder_ != null) {
+        streamOriginAnswerBuilder_.clear();
+      }
       bodyCase_ = 0;
       body_ = null;
       return this;
@@ -1918,6 +2077,7 @@
     public org.merlinwood.wire.Frame buildPartial() {
       org.merlinwood.wire.Frame result = new org.merlinwood.wire.Frame(this);
       if (bitField0_ != 0) { buildPartial0(result); }
+      if (bitField1_ != 0) { buildPartial1(result); }
       buildPartialOneofs(result);
       onBuilt();
       return result;
@@ -1930,6 +2090,10 @@
       }
     }
 
+    private void buildPartial1(org.merlinwood.wire.Frame result) {
+      int from_bitField1_ = bitField1_;
+    }
+
     private void buildPartialOneofs(org.merlinwood.wire.Frame result) {
       result.bodyCase_ = bodyCase_;
       result.body_ = this.body_;
@@ -2057,6 +2221,18 @@
           storeChangesBuilder_ != null) {
         result.body_ = storeChangesBuilder_.build();
       }
+      if (bodyCase_ == 93 &&
+          streamOriginsBuilder_ != null) {
+        result.body_ = streamOriginsBuilder_.build();
+      }
+      if (bodyCase_ == 94 &&
+          streamOriginRequestBuilder_ != null) {
+        result.body_ = streamOriginRequestBuilder_.build();
+      }
+      if (bodyCase_ == 95 &&
+          streamOriginAnswerBuilder_ != null) {
+        result.body_ = streamOriginAnswerBuilder_.build();
+      }
     }
 
     @java.lang.Override
@@ -2199,6 +2375,18 @@
           mergeStoreChanges(other.getStoreChanges());
           break;
         }
+        case STREAM_ORIGINS: {
+          mergeStreamOrigins(other.getStreamOrigins());
+          break;
+        }
+        case STREAM_ORIGIN_REQUEST: {
+          mergeStreamOriginRequest(other.getStreamOriginRequest());
+          break;
+        }
+        case STREAM_ORIGIN_ANSWER: {
+          mergeStreamOriginAnswer(other.getStreamOriginAnswer());
+          break;
+        }
         case BODY_NOT_SET: {
           break;
         }
@@ -2449,6 +2637,27 @@
               bodyCase_ = 92;
               break;
             } // case 738
+            case 746: {
+              input.readMessage(
+                  internalGetStreamOriginsFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 93;
+              break;
+            } // case 746
+            case 754: {
+              input.readMessage(
+                  internalGetStreamOriginRequestFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 94;
+              break;
+            } // case 754
+            case 762: {
+              input.readMessage(
+                  internalGetStreamOriginAnswerFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 95;
+              break;
+            } // case 762
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -2480,6 +2689,7 @@
     }
 
     private int bitField0_;
+    private int bitField1_;
 
     private long exchange_ ;
     /**
@@ -6868,6 +7078,426 @@
       return storeChangesBuilder_;
     }
 
+    private com.google.protobuf.SingleFieldBuilder<
+        org.merlinwood.wire.StreamOrigins, org.merlinwood.wire.StreamOrigins.Builder, org.merlinwood.wire.StreamOriginsOrBuilder> streamOriginsBuilder_;
+    /**
+     * <code>.merlinwood.wire.v1.StreamOrigins stream_origins = 93;</code>
+     * @return Whether the streamOrigins field is set.
+     */
+    @java.lang.Override
+    public boolean hasStreamOrigins() {
+      return bodyCase_ == 93;
+    }
+    /**
+     * <code>.merlinwood.wire.v1.StreamOrigins stream_origins = 93;</code>
+     * @return The streamOrigins.
+     */
+    @java.lang.Override
+    public org.merlinwood.wire.StreamOrigins getStreamOrigins() {
+      if (streamOriginsBuilder_ == null) {
+        if (bodyCase_ == 93) {
+          return (org.merlinwood.wire.StreamOrigins) body_;
+        }
+        return org.merlinwood.wire.StreamOrigins.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 93) {
+          return streamOriginsBuilder_.getMessage();
+        }
+        return org.merlinwood.wire.StreamOrigins.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.merlinwood.wire.v1.StreamOrigins stream_origins = 93;</code>
+     */
+    public Builder setStreamOrigins(org.merlinwood.wire.StreamOrigins value) {
+      if (streamOriginsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        body_ = value;
+        onChanged();
+      } else {
+        streamOriginsBuilder_.setMessage(value);
+      }
+      bodyCase_ = 93;
+      return this;
+    }
+    /**
+     * <code>.merlinwood.wire.v1.StreamOrigins stream_origins = 93;</code>
+     */
+    public Builder setStreamOrigins(
+        org.merlinwood.wire.StreamOrigins.Builder builderForValue) {
+      if (streamOriginsBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        streamOriginsBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 93;
+      return this;
+    }
+    /**
+     * <code>.merlinwood.wire.v1.StreamOrigins stream_origins = 93;</code>
+     */
+    public Builder mergeStreamOrigins(org.merlinwood.wire.StreamOrigins value) {
+      if (streamOriginsBuilder_ == null) {
+        if (bodyCase_ == 93 &&
+            body_ != org.merlinwood.wire.StreamOrigins.getDefaultInstance()) {
+          body_ = org.merlinwood.wire.StreamOrigins.newBuilder((org.merlinwood.wire.StreamOrigins) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 93) {
+          streamOriginsBuilder_.mergeFrom(value);
+        } else {
+          streamOriginsBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 93;
+      return this;
+    }
+    /**
+     * <code>.merlinwood.wire.v1.StreamOrigins stream_origins = 93;</code>
+     */
+    public Builder clearStreamOrigins() {
+      if (streamOriginsBuilder_ == null) {
+        if (bodyCase_ == 93) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 93) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        streamOriginsBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.merlinwood.wire.v1.StreamOrigins stream_origins = 93;</code>
+     */
+    public org.merlinwood.wire.StreamOrigins.Builder getStreamOriginsBuilder() {
+      return internalGetStreamOriginsFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.merlinwood.wire.v1.StreamOrigins stream_origins = 93;</code>
+     */
+    @java.lang.Override
+    public org.merlinwood.wire.StreamOriginsOrBuilder getStreamOriginsOrBuilder() {
+      if ((bodyCase_ == 93) && (streamOriginsBuilder_ != null)) {
+        return streamOriginsBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 93) {
+          return (org.merlinwood.wire.StreamOrigins) body_;
+        }
+        return org.merlinwood.wire.StreamOrigins.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.merlinwood.wire.v1.StreamOrigins stream_origins = 93;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.merlinwood.wire.StreamOrigins, org.merlinwood.wire.StreamOrigins.Builder, org.merlinwood.wire.StreamOriginsOrBuilder> 
+        internalGetStreamOriginsFieldBuilder() {
+      if (streamOriginsBuilder_ == null) {
+        if (!(bodyCase_ == 93)) {
+          body_ = org.merlinwood.wire.StreamOrigins.getDefaultInstance();
+        }
+        streamOriginsBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.merlinwood.wire.StreamOrigins, org.merlinwood.wire.StreamOrigins.Builder, org.merlinwood.wire.StreamOriginsOrBuilder>(
+                (org.merlinwood.wire.StreamOrigins) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 93;
+      onChanged();
+      return streamOriginsBuilder_;
+    }
+
+    private com.google.protobuf.SingleFieldBuilder<
+        org.merlinwood.wire.StreamOriginRequest, org.merlinwood.wire.StreamOriginRequest.Builder, org.merlinwood.wire.StreamOriginRequestOrBuilder> streamOriginRequestBuilder_;
+    /**
+     * <code>.merlinwood.wire.v1.StreamOriginRequest stream_origin_request = 94;</code>
+     * @return Whether the streamOriginRequest field is set.
+     */
+    @java.lang.Override
+    public boolean hasStreamOriginRequest() {
+      return bodyCase_ == 94;
+    }
+    /**
+     * <code>.merlinwood.wire.v1.StreamOriginRequest stream_origin_request = 94;</code>
+     * @return The streamOriginRequest.
+     */
+    @java.lang.Override
+    public org.merlinwood.wire.StreamOriginRequest getStreamOriginRequest() {
+      if (streamOriginRequestBuilder_ == null) {
+        if (bodyCase_ == 94) {
+          return (org.merlinwood.wire.StreamOriginRequest) body_;
+        }
+        return org.merlinwood.wire.StreamOriginRequest.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 94) {
+          return streamOriginRequestBuilder_.getMessage();
+        }
+        return org.merlinwood.wire.StreamOriginRequest.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.merlinwood.wire.v1.StreamOriginRequest stream_origin_request = 94;</code>
+     */
+    public Builder setStreamOriginRequest(org.merlinwood.wire.StreamOriginRequest value) {
+      if (streamOriginRequestBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        body_ = value;
+        onChanged();
+      } else {
+        streamOriginRequestBuilder_.setMessage(value);
+      }
+      bodyCase_ = 94;
+      return this;
+    }
+    /**
+     * <code>.merlinwood.wire.v1.StreamOriginRequest stream_origin_request = 94;</code>
+     */
+    public Builder setStreamOriginRequest(
+        org.merlinwood.wire.StreamOriginRequest.Builder builderForValue) {
+      if (streamOriginRequestBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        streamOriginRequestBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 94;
+      return this;
+    }
+    /**
+     * <code>.merlinwood.wire.v1.StreamOriginRequest stream_origin_request = 94;</code>
+     */
+    public Builder mergeStreamOriginRequest(org.merlinwood.wire.StreamOriginRequest value) {
+      if (streamOriginRequestBuilder_ == null) {
+        if (bodyCase_ == 94 &&
+            body_ != org.merlinwood.wire.StreamOriginRequest.getDefaultInstance()) {
+          body_ = org.merlinwood.wire.StreamOriginRequest.newBuilder((org.merlinwood.wire.StreamOriginRequest) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 94) {
+          streamOriginRequestBuilder_.mergeFrom(value);
+        } else {
+          streamOriginRequestBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 94;
+      return this;
+    }
+    /**
+     * <code>.merlinwood.wire.v1.StreamOriginRequest stream_origin_request = 94;</code>
+     */
+    public Builder clearStreamOriginRequest() {
+      if (streamOriginRequestBuilder_ == null) {
+        if (bodyCase_ == 94) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 94) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        streamOriginRequestBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.merlinwood.wire.v1.StreamOriginRequest stream_origin_request = 94;</code>
+     */
+    public org.merlinwood.wire.StreamOriginRequest.Builder getStreamOriginRequestBuilder() {
+      return internalGetStreamOriginRequestFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.merlinwood.wire.v1.StreamOriginRequest stream_origin_request = 94;</code>
+     */
+    @java.lang.Override
+    public org.merlinwood.wire.StreamOriginRequestOrBuilder getStreamOriginRequestOrBuilder() {
+      if ((bodyCase_ == 94) && (streamOriginRequestBuilder_ != null)) {
+        return streamOriginRequestBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 94) {
+          return (org.merlinwood.wire.StreamOriginRequest) body_;
+        }
+        return org.merlinwood.wire.StreamOriginRequest.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.merlinwood.wire.v1.StreamOriginRequest stream_origin_request = 94;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.merlinwood.wire.StreamOriginRequest, org.merlinwood.wire.StreamOriginRequest.Builder, org.merlinwood.wire.StreamOriginRequestOrBuilder> 
+        internalGetStreamOriginRequestFieldBuilder() {
+      if (streamOriginRequestBuilder_ == null) {
+        if (!(bodyCase_ == 94)) {
+          body_ = org.merlinwood.wire.StreamOriginRequest.getDefaultInstance();
+        }
+        streamOriginRequestBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.merlinwood.wire.StreamOriginRequest, org.merlinwood.wire.StreamOriginRequest.Builder, org.merlinwood.wire.StreamOriginRequestOrBuilder>(
+                (org.merlinwood.wire.StreamOriginRequest) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 94;
+      onChanged();
+      return streamOriginRequestBuilder_;
+    }
+
+    private com.google.protobuf.SingleFieldBuilder<
+        org.merlinwood.wire.StreamOriginAnswer, org.merlinwood.wire.StreamOriginAnswer.Builder, org.merlinwood.wire.StreamOriginAnswerOrBuilder> streamOriginAnswerBuilder_;
+    /**
+     * <code>.merlinwood.wire.v1.StreamOriginAnswer stream_origin_answer = 95;</code>
+     * @return Whether the streamOriginAnswer field is set.
+     */
+    @java.lang.Override
+    public boolean hasStreamOriginAnswer() {
+      return bodyCase_ == 95;
+    }
+    /**
+     * <code>.merlinwood.wire.v1.StreamOriginAnswer stream_origin_answer = 95;</code>
+     * @return The streamOriginAnswer.
+     */
+    @java.lang.Override
+    public org.merlinwood.wire.StreamOriginAnswer getStreamOriginAnswer() {
+      if (streamOriginAnswerBuilder_ == null) {
+        if (bodyCase_ == 95) {
+          return (org.merlinwood.wire.StreamOriginAnswer) body_;
+        }
+        return org.merlinwood.wire.StreamOriginAnswer.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 95) {
+          return streamOriginAnswerBuilder_.getMessage();
+        }
+        return org.merlinwood.wire.StreamOriginAnswer.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.merlinwood.wire.v1.StreamOriginAnswer stream_origin_answer = 95;</code>
+     */
+    public Builder setStreamOriginAnswer(org.merlinwood.wire.StreamOriginAnswer value) {
+      if (streamOriginAnswerBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        body_ = value;
+        onChanged();
+      } else {
+        streamOriginAnswerBuilder_.setMessage(value);
+      }
+      bodyCase_ = 95;
+      return this;
+    }
+    /**
+     * <code>.merlinwood.wire.v1.StreamOriginAnswer stream_origin_answer = 95;</code>
+     */
+    public Builder setStreamOriginAnswer(
+        org.merlinwood.wire.StreamOriginAnswer.Builder builderForValue) {
+      if (streamOriginAnswerBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        streamOriginAnswerBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 95;
+      return this;
+    }
+    /**
+     * <code>.merlinwood.wire.v1.StreamOriginAnswer stream_origin_answer = 95;</code>
+     */
+    public Builder mergeStreamOriginAnswer(org.merlinwood.wire.StreamOriginAnswer value) {
+      if (streamOriginAnswerBuilder_ == null) {
+        if (bodyCase_ == 95 &&
+            body_ != org.merlinwood.wire.StreamOriginAnswer.getDefaultInstance()) {
+          body_ = org.merlinwood.wire.StreamOriginAnswer.newBuilder((org.merlinwood.wire.StreamOriginAnswer) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 95) {
+          streamOriginAnswerBuilder_.mergeFrom(value);
+        } else {
+          streamOriginAnswerBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 95;
+      return this;
+    }
+    /**
+     * <code>.merlinwood.wire.v1.StreamOriginAnswer stream_origin_answer = 95;</code>
+     */
+    public Builder clearStreamOriginAnswer() {
+      if (streamOriginAnswerBuilder_ == null) {
+        if (bodyCase_ == 95) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 95) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        streamOriginAnswerBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.merlinwood.wire.v1.StreamOriginAnswer stream_origin_answer = 95;</code>
+     */
+    public org.merlinwood.wire.StreamOriginAnswer.Builder getStreamOriginAnswerBuilder() {
+      return internalGetStreamOriginAnswerFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.merlinwood.wire.v1.StreamOriginAnswer stream_origin_answer = 95;</code>
+     */
+    @java.lang.Override
+    public org.merlinwood.wire.StreamOriginAnswerOrBuilder getStreamOriginAnswerOrBuilder() {
+      if ((bodyCase_ == 95) && (streamOriginAnswerBuilder_ != null)) {
+        return streamOriginAnswerBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 95) {
+          return (org.merlinwood.wire.StreamOriginAnswer) body_;
+        }
+        return org.merlinwood.wire.StreamOriginAnswer.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.merlinwood.wire.v1.StreamOriginAnswer stream_origin_answer = 95;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.merlinwood.wire.StreamOriginAnswer, org.merlinwood.wire.StreamOriginAnswer.Builder, org.merlinwood.wire.StreamOriginAnswerOrBuilder> 
+        internalGetStreamOriginAnswerFieldBuilder() {
+      if (streamOriginAnswerBuilder_ == null) {
+        if (!(bodyCase_ == 95)) {
+          body_ = org.merlinwood.wire.StreamOriginAnswer.getDefaultInstance();
+        }
+        streamOriginAnswerBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.merlinwood.wire.StreamOriginAnswer, org.merlinwood.wire.StreamOriginAnswer.Builder, org.merlinwood.wire.StreamOriginAnswerOrBuilder>(
+                (org.merlinwood.wire.StreamOriginAnswer) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 95;
+      onChanged();
+      return streamOriginAnswerBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:merlinwood.wire.v1.Frame)
   }
 
--- a/wire-generated/src/main/java/org/merlinwood/wire/FrameOrBuilder.java
+++ b/wire-generated/src/main/java/org/merlinwood/wire/FrameOrBuilder.java
@@ -486,5 +486,50 @@
    */
   org.merlinwood.wire.StoreChangesOrBuilder getStoreChangesOrBuilder();
 
+  /**
+   * <code>.merlinwood.wire.v1.StreamOrigins stream_origins = 93;</code>
+   * @return Whether the streamOrigins field is set.
+   */
+  boolean hasStreamOrigins();
+  /**
+   * <code>.merlinwood.wire.v1.StreamOrigins stream_origins = 93;</code>
+   * @return The streamOrigins.
+   */
+  org.merlinwood.wire.StreamOrigins getStreamOrigins();
+  /**
+   * <code>.merlinwood.wire.v1.StreamOrigins stream_origins = 93;</code>
+   */
+  org.merlinwood.wire.StreamOriginsOrBuilder getStreamOriginsOrBuilder();
+
+  /**
+   * <code>.merlinwood.wire.v1.StreamOriginRequest stream_origin_request = 94;</code>
+   * @return Whether the streamOriginRequest field is set.
+   */
+  boolean hasStreamOriginRequest();
+  /**
+   * <code>.merlinwood.wire.v1.StreamOriginRequest stream_origin_request = 94;</code>
+   * @return The streamOriginRequest.
+   */
+  org.merlinwood.wire.StreamOriginRequest getStreamOriginRequest();
+  /**
+   * <code>.merlinwood.wire.v1.StreamOriginRequest stream_origin_request = 94;</code>
+   */
+  org.merlinwood.wire.StreamOriginRequestOrBuilder getStreamOriginRequestOrBuilder();
+
+  /**
+   * <code>.merlinwood.wire.v1.StreamOriginAnswer stream_origin_answer = 95;</code>
+   * @return Whether the streamOriginAnswer field is set.
+   */
+  boolean hasStreamOriginAnswer();
+  /**
+   * <code>.merlinwood.wire.v1.StreamOriginAnswer stream_origin_answer = 95;</code>
+   * @return The streamOriginAnswer.
+   */
+  org.merlinwood.wire.StreamOriginAnswer getStreamOriginAnswer();
+  /**
+   * <code>.merlinwood.wire.v1.StreamOriginAnswer stream_origin_answer = 95;</code>
+   */
+  org.merlinwood.wire.StreamOriginAnswerOrBuilder getStreamOriginAnswerOrBuilder();
+
   org.merlinwood.wire.Frame.BodyCase getBodyCase();
 }
