An entry that has just started asks those that it reaches a moment later as well

Cause: only the entries reachable at the moment of the question were asked. Change: the question stays open for 500 ms unless all known entries have answered, and goes to each that becomes reachable meanwhile. An answer with the version ends it at once.

--- a/gateway/src/main/java/org/merlinwood/gateway/peer/OriginSessions.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/peer/OriginSessions.java
@@ -30,8 +30,11 @@
     /** Number of entries that are asked: more than keep a copy, since entries don't always know the same ones. */
     private static final int ASKED_ENTRIES = 8;
 
-    /** Time after which entries that haven't answered are taken not to know an origin, in milliseconds. */
-    private static final long ANSWER_TIMEOUT_MILLIS = 200;
+    /**
+     * Time after which entries that haven't answered, or that haven't become reachable, are taken not to know an
+     * origin, in milliseconds. An entry that has just started reaches the others within it.
+     */
+    private static final long ANSWER_TIMEOUT_MILLIS = 500;
 
     /** Largest number of origins in one frame. */
     private static final int ORIGINS_PER_FRAME = 1_000;
@@ -59,13 +62,20 @@
     /** A question that some entries haven't answered yet. */
     private static final class PendingQuestion {
 
+        private final Question question;
         private final Consumer<Answers> consumer;
+        private final Set<String> asked = new HashSet<>();
         private final Set<String> soleVersions = new HashSet<>();
-        private int unanswered;
+        private int answerCount;
 
-        private PendingQuestion(Consumer<Answers> consumer, int unanswered) {
+        private PendingQuestion(Question question, Consumer<Answers> consumer) {
+            this.question = question;
             this.consumer = consumer;
-            this.unanswered = unanswered;
+        }
+
+        /** Returns whether all entries have answered that there are to ask. */
+        private boolean isAnsweredByAll(int knownCount) {
+            return answerCount >= Math.min(ASKED_ENTRIES, knownCount);
         }
     }
 
@@ -87,6 +97,7 @@
                 .filter(address -> !previouslyReachable.contains(address))
                 .forEach(address -> tellAll(address, reachable));
         previouslyReachable = Set.copyOf(reachable);
+        List.copyOf(pendingByNumber.keySet()).forEach(this::askReachable);
     }
 
     private void tellAll(String address, List<String> reachable) {
@@ -101,13 +112,21 @@
 
     @Override
     public void ask(Question question, Consumer<Answers> consumer) {
-        List<String> asked = RendezvousRanking.first(question.attempt(), links.reachable(), ASKED_ENTRIES);
         long number = ++lastNumber;
-        pendingByNumber.put(number, new PendingQuestion(consumer, asked.size()));
-        for (String address : asked) {
-            links.send(address, OriginMessages.request(number, question));
+        pendingByNumber.put(number, new PendingQuestion(question, consumer));
+        loop.schedule(links.knownCount() == 0 ? 0 : ANSWER_TIMEOUT_MILLIS, () -> finish(number, Optional.empty()));
+        askReachable(number);
+    }
+
+    /** Asks those entries that haven't been asked yet and can be reached now. */
+    private void askReachable(long number) {
+        PendingQuestion pending = pendingByNumber.get(number);
+        List<String> first = RendezvousRanking.first(pending.question.attempt(), links.reachable(), ASKED_ENTRIES);
+        for (String address : first) {
+            if (pending.asked.add(address)) {
+                links.send(address, OriginMessages.request(number, pending.question));
+            }
         }
-        loop.schedule(asked.isEmpty() ? 0 : ANSWER_TIMEOUT_MILLIS, () -> finish(number, Optional.empty()));
     }
 
     /** Answers the question of another entry. */
@@ -124,8 +143,8 @@
         }
         Answers answers = OriginMessages.answers(answer);
         pending.soleVersions.addAll(answers.soleVersions());
-        pending.unanswered--;
-        if (answers.version().isPresent() || pending.unanswered == 0) {
+        pending.answerCount++;
+        if (answers.version().isPresent() || pending.isAnsweredByAll(links.knownCount())) {
             finish(answer.getNumber(), answers.version());
         }
     }
--- a/gateway/src/main/java/org/merlinwood/gateway/peer/PeerLinks.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/peer/PeerLinks.java
@@ -9,6 +9,9 @@
     /** Returns the addresses of the entries that this one is connected to and receives status messages from. */
     List<String> reachable();
 
+    /** Returns the number of entries that are known, reachable or not. */
+    int knownCount();
+
     /** Sends a frame to an entry; does nothing if it can't be reached any more. */
     void send(String address, Frame.Builder frame);
 }
--- a/gateway/src/main/java/org/merlinwood/gateway/peer/PeerSessions.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/peer/PeerSessions.java
@@ -212,6 +212,11 @@
                     .toList();
         }
 
+        @Override
+        public int knownCount() {
+            return members.size();
+        }
+
         @Override
         public void send(String address, Frame.Builder frame) {
             Optional.ofNullable(members.get(address))
