The rest of a stream is forecast by what its caller already has

Cause: the memory of a continuation was forecast as that of a whole response before its first event. So too little was reserved for its beginning (prompt alone, without the tokens that the instance reads as well), and memory was kept free for a length that the stream will not have; the shorter the rest, the more. The same held for streams that an entry itself continues.

Change: PendingGeneration carries prompt, generated tokens and version through choice, memory need, forecast and registration.

Test: DecodePlacementTest.restOfAStreamNeedsMemoryForWhatItHasAndForLittleMore. The caller of StreamRequestProcessorTest's resumed stream named an event beyond the longest response that it asked for (83 events of 2 tokens, of 100): it names 8 now, and the test checks the same.

--- a/gateway/src/main/java/org/merlinwood/gateway/decision/ActiveGeneration.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/decision/ActiveGeneration.java
@@ -1,5 +1,6 @@
 package org.merlinwood.gateway.decision;
 
+import java.util.Optional;
 import org.merlinwood.gateway.request.Prompt;
 
 /** A response that an instance is generating for this entry, and its length so far. Confined to the event loop. */
@@ -9,9 +10,10 @@
     private final Prompt prompt;
     private int generatedTokens;
 
-    ActiveGeneration(String instance, Prompt prompt) {
+    ActiveGeneration(String instance, PendingGeneration pending) {
         this.instance = instance;
-        this.prompt = prompt;
+        this.prompt = pending.prompt();
+        this.generatedTokens = pending.generatedTokens();
     }
 
     /**
@@ -33,7 +35,7 @@
     }
 
     /**
-     * Returns the length of the response so far.
+     * Returns the length of the response so far, with what other instances generated of it.
      *
      * @return number of tokens
      */
@@ -42,8 +44,6 @@
     }
 
     MemoryForecast.Growth memoryGrowth() {
-        return new MemoryForecast.Growth(
-                prompt.promptTokens() + generatedTokens,
-                ResponseLengthEstimate.remainingTokens(prompt, generatedTokens));
+        return new PendingGeneration(prompt, generatedTokens, Optional.empty()).memoryGrowth();
     }
 }
--- a/gateway/src/main/java/org/merlinwood/gateway/decision/DecodePlacement.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/decision/DecodePlacement.java
@@ -9,7 +9,6 @@
 import org.merlinwood.core.time.MillisClock;
 import org.merlinwood.gateway.fleet.Stage;
 import org.merlinwood.gateway.fleet.UpstreamInstance;
-import org.merlinwood.gateway.request.Prompt;
 import org.merlinwood.gateway.route.EngineLimits;
 
 /**
@@ -51,36 +50,36 @@
 
     /** Chooses an instance with a free slot and enough memory, see {@link InstancePool#chooseDecode}. */
     Optional<UpstreamInstance> choose(
-            String service, Optional<String> version, Prompt prompt, EngineLimits limits, Set<String> excluded) {
-        List<UpstreamInstance> eligible = candidates.of(service, Stage.DECODE, version, excluded);
+            String service, PendingGeneration pending, EngineLimits limits, Set<String> excluded) {
+        List<UpstreamInstance> eligible = candidates.of(service, Stage.DECODE, pending.version(), excluded);
         double lowestErrorRate = ranking.lowestErrorRate(eligible);
         double meanMillis = ranking.meanMillis(eligible);
         Map<String, Long> neededTokens = new HashMap<>();
-        eligible.forEach(instance -> neededTokens.put(instance.identifier(), neededTokensWith(instance, prompt)));
+        eligible.forEach(instance -> neededTokens.put(instance.identifier(), neededTokensWith(instance, pending)));
         List<UpstreamInstance> withCapacity = eligible.stream()
                 .filter(instance -> neededTokens.get(instance.identifier()) <= limits.memoryTokens())
                 .filter(instance -> hasFreeSlot(instance, limits))
-                .filter(instance -> !hasJustDeclined(instance, prompt, limits))
+                .filter(instance -> !hasJustDeclined(instance, pending, limits))
                 .toList();
         return ranking.chooseBest(withCapacity, instance -> {
             InstanceStatistics known = statistics.of(instance.identifier());
             return neededTokens.get(instance.identifier())
                             * InstanceRanking.latencyFactor(known, meanMillis)
                             * ranking.errorFactor(known, lowestErrorRate)
-                    + InstanceRanking.domainPenalty(instance, ownDomain) * prompt.promptTokens();
+                    + InstanceRanking.domainPenalty(instance, ownDomain) * pending.startTokens();
         });
     }
 
     /** Returns the memory that an instance must have free for a response, see {@link InstancePool#memoryNeed}. */
-    MemoryNeed memoryNeed(String identifier, Prompt prompt, EngineLimits limits) {
-        return MemoryNeed.of(statistics.of(identifier).allGenerations(), newGeneration(prompt), limits);
+    MemoryNeed memoryNeed(String identifier, PendingGeneration pending, EngineLimits limits) {
+        return MemoryNeed.of(statistics.of(identifier).allGenerations(), pending.memoryGrowth(), limits);
     }
 
     /** Forecasts when there is room for a response, see {@link InstancePool#millisUntilCapacity}. */
-    OptionalLong millisUntilCapacity(String service, Optional<String> version, Prompt prompt, EngineLimits limits) {
+    OptionalLong millisUntilCapacity(String service, PendingGeneration pending, EngineLimits limits) {
         long now = clock.monotonicMillis();
-        MemoryForecast.Growth next = newGeneration(prompt);
-        OptionalLong untilCapacity = candidates.of(service, Stage.DECODE, version, Set.of()).stream()
+        MemoryForecast.Growth next = pending.memoryGrowth();
+        OptionalLong untilCapacity = candidates.of(service, Stage.DECODE, pending.version(), Set.of()).stream()
                 .map(instance -> statistics.of(instance.identifier()))
                 .filter(known -> known.acceptsWork(now))
                 .map(known -> MemoryForecast.millisUntilFits(
@@ -90,31 +89,27 @@
                 .min();
         return untilCapacity.isPresent()
                 ? untilCapacity
-                : candidates.millisUntilAccepted(service, Stage.DECODE, version);
+                : candidates.millisUntilAccepted(service, Stage.DECODE, pending.version());
     }
 
     private boolean hasFreeSlot(UpstreamInstance instance, EngineLimits limits) {
         return statistics.of(instance.identifier()).allGenerations().size() < limits.slots();
     }
 
-    private boolean hasJustDeclined(UpstreamInstance instance, Prompt prompt, EngineLimits limits) {
-        int tokens = memoryNeed(instance.identifier(), prompt, limits).freeTokens();
+    private boolean hasJustDeclined(UpstreamInstance instance, PendingGeneration pending, EngineLimits limits) {
+        int tokens = memoryNeed(instance.identifier(), pending, limits).freeTokens();
         return statistics.of(instance.identifier()).recentlyDeclined(tokens, clock.monotonicMillis());
     }
 
-    private static MemoryForecast.Growth newGeneration(Prompt prompt) {
-        return new MemoryForecast.Growth(prompt.promptTokens(), ResponseLengthEstimate.remainingTokens(prompt, 0));
-    }
-
     private static double tokensPerMilli(InstanceStatistics statistics, EngineLimits limits) {
         return limits.tokensPerEvent()
                 / (statistics.averageMillis() > 0 ? statistics.averageMillis() : DEFAULT_EVENT_INTERVAL_MILLIS);
     }
 
-    private long neededTokensWith(UpstreamInstance instance, Prompt prompt) {
+    private long neededTokensWith(UpstreamInstance instance, PendingGeneration pending) {
         List<MemoryForecast.Growth> generations =
                 statistics.of(instance.identifier()).allGenerations();
-        generations.add(newGeneration(prompt));
+        generations.add(pending.memoryGrowth());
         return MemoryForecast.neededTokens(generations);
     }
 }
--- a/gateway/src/main/java/org/merlinwood/gateway/decision/InstancePool.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/decision/InstancePool.java
@@ -7,7 +7,6 @@
 import org.merlinwood.gateway.fleet.FleetState;
 import org.merlinwood.gateway.fleet.Stage;
 import org.merlinwood.gateway.fleet.UpstreamInstance;
-import org.merlinwood.gateway.request.Prompt;
 import org.merlinwood.gateway.route.EngineLimits;
 import org.merlinwood.gateway.upstream.UpstreamLoad;
 
@@ -93,15 +92,14 @@
      * addition to those in progress.
      *
      * @param service name of the service
-     * @param version software version that the instance must run; empty for any version
-     * @param prompt the request
+     * @param pending the response
      * @param limits limits of each instance of the service
      * @param excluded identifiers of instances that were already tried
      * @return the chosen instance, or empty if no candidate has enough capacity
      */
     public Optional<UpstreamInstance> chooseDecode(
-            String service, Optional<String> version, Prompt prompt, EngineLimits limits, Set<String> excluded) {
-        return decodePlacement.choose(service, version, prompt, limits, excluded);
+            String service, PendingGeneration pending, EngineLimits limits, Set<String> excluded) {
+        return decodePlacement.choose(service, pending, limits, excluded);
     }
 
     /**
@@ -109,12 +107,12 @@
      * memory exactly, this entry only as of the last status messages of the others.
      *
      * @param identifier identifier of the instance
-     * @param prompt the request
+     * @param pending the response
      * @param limits limits of the instance
      * @return the need, at most the memory of the instance
      */
-    public MemoryNeed memoryNeed(String identifier, Prompt prompt, EngineLimits limits) {
-        return decodePlacement.memoryNeed(identifier, prompt, limits);
+    public MemoryNeed memoryNeed(String identifier, PendingGeneration pending, EngineLimits limits) {
+        return decodePlacement.memoryNeed(identifier, pending, limits);
     }
 
     /**
@@ -132,15 +130,13 @@
      * Forecasts when an instance will have enough memory for a response.
      *
      * @param service name of the service
-     * @param version software version of the instances; empty for any version
-     * @param prompt the request
+     * @param pending the response
      * @param limits limits of each instance of the service
      * @return milliseconds from now; if all instances decline requests, the time until one accepts them again; empty if
      *     no instance that accepts work could hold the response
      */
-    public OptionalLong millisUntilCapacity(
-            String service, Optional<String> version, Prompt prompt, EngineLimits limits) {
-        return decodePlacement.millisUntilCapacity(service, version, prompt, limits);
+    public OptionalLong millisUntilCapacity(String service, PendingGeneration pending, EngineLimits limits) {
+        return decodePlacement.millisUntilCapacity(service, pending, limits);
     }
 
     /**
@@ -278,11 +274,11 @@
      * Records that an instance is about to generate a response.
      *
      * @param identifier identifier of the instance
-     * @param prompt the request
+     * @param pending the response
      * @return the generation; the caller adds the received tokens to it and passes it to {@link #endGeneration}
      */
-    public ActiveGeneration beginGeneration(String identifier, Prompt prompt) {
-        ActiveGeneration generation = new ActiveGeneration(identifier, prompt);
+    public ActiveGeneration beginGeneration(String identifier, PendingGeneration pending) {
+        ActiveGeneration generation = new ActiveGeneration(identifier, pending);
         statistics.of(identifier).beginGeneration(generation);
         return generation;
     }
--- a/gateway/src/main/java/org/merlinwood/gateway/front/GenerationPlacement.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/GenerationPlacement.java
@@ -27,7 +27,6 @@
 
     private final StreamRequestProcessor processor;
     private final RequestProcessorContext context;
-    private final Prompt prompt;
     private final EngineLimits limits;
     private final GenerationRegistration registration;
     private final CapacityReleaser releaser;
@@ -55,7 +54,6 @@
             StreamRequestProcessor processor, Prompt prompt, EngineLimits limits, GenerationRegistration registration) {
         this.processor = processor;
         this.context = processor.context;
-        this.prompt = prompt;
         this.limits = limits;
         this.registration = registration;
         this.releaser = new CapacityReleaser(processor);
@@ -144,11 +142,11 @@
     private Optional<UpstreamInstance> chooseInstance() {
         Set<String> excluded = new HashSet<>(excludedInstances);
         processor.silentInstance().ifPresent(excluded::add);
-        return context.pool().chooseDecode(processor.service, processor.requiredVersion(), prompt, limits, excluded);
+        return context.pool().chooseDecode(processor.service, processor.pendingGeneration(), limits, excluded);
     }
 
     private void reserveMemory(UpstreamInstance instance) {
-        MemoryNeed need = context.pool().memoryNeed(instance.identifier(), prompt, limits);
+        MemoryNeed need = context.pool().memoryNeed(instance.identifier(), processor.pendingGeneration(), limits);
         registration.begin(instance);
         MemoryReservationCall call = new MemoryReservationCall(
                 context,
@@ -227,7 +225,7 @@
         MemoryWaitPolicy.Situation situation = new MemoryWaitPolicy.Situation(
                 context.clock().monotonicMillis() - processor.memoryWaitStartMillis(),
                 processor.isContinuation(),
-                context.pool().millisUntilCapacity(processor.service, processor.requiredVersion(), prompt, limits),
+                context.pool().millisUntilCapacity(processor.service, processor.pendingGeneration(), limits),
                 context.memoryWaitQueues().size(processor.service),
                 context.pool().decodeInstances(processor.service, processor.requiredVersion()),
                 processor.timeLeftMillis(),
--- a/gateway/src/main/java/org/merlinwood/gateway/front/GenerationRegistration.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/GenerationRegistration.java
@@ -1,10 +1,11 @@
 package org.merlinwood.gateway.front;
 
 import java.util.Optional;
+import java.util.function.Supplier;
 import org.merlinwood.gateway.decision.ActiveGeneration;
 import org.merlinwood.gateway.decision.InstancePool;
+import org.merlinwood.gateway.decision.PendingGeneration;
 import org.merlinwood.gateway.fleet.UpstreamInstance;
-import org.merlinwood.gateway.request.Prompt;
 
 /**
  * The generation that one request prepares or has in progress, as it is registered with the instance pool; at most one
@@ -13,16 +14,22 @@
 final class GenerationRegistration {
 
     private final InstancePool pool;
-    private final Prompt prompt;
+    private final Supplier<PendingGeneration> pending;
     private Optional<ActiveGeneration> active = Optional.empty();
 
-    GenerationRegistration(InstancePool pool, Prompt prompt) {
+    /**
+     * Creates an empty registration.
+     *
+     * @param pool the instance pool
+     * @param pending returns what is to be generated now
+     */
+    GenerationRegistration(InstancePool pool, Supplier<PendingGeneration> pending) {
         this.pool = pool;
-        this.prompt = prompt;
+        this.pending = pending;
     }
 
     void begin(UpstreamInstance instance) {
-        active = Optional.of(pool.beginGeneration(instance.identifier(), prompt));
+        active = Optional.of(pool.beginGeneration(instance.identifier(), pending.get()));
     }
 
     void beginIfAbsent(UpstreamInstance instance) {
--- a/gateway/src/main/java/org/merlinwood/gateway/front/StreamRequestProcessor.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/StreamRequestProcessor.java
@@ -6,6 +6,7 @@
 import org.merlinwood.gateway.decision.CrashHistory;
 import org.merlinwood.gateway.decision.MemoryWaitPolicy;
 import org.merlinwood.gateway.decision.NextStep;
+import org.merlinwood.gateway.decision.PendingGeneration;
 import org.merlinwood.gateway.fleet.UpstreamInstance;
 import org.merlinwood.gateway.request.CallerRequest;
 import org.merlinwood.gateway.request.Prompt;
@@ -48,7 +49,7 @@
         this.response = new StreamResponse(request, channel);
         this.binding = new StreamBinding(this);
         this.retries = new StreamRetries(this);
-        this.registration = new GenerationRegistration(context.pool(), prompt);
+        this.registration = new GenerationRegistration(context.pool(), this::pendingGeneration);
         this.placement = new GenerationPlacement(this, prompt, limits, registration);
         this.attempts = new OpenAttempts(this, response, retries, registration, placement);
     }
@@ -81,6 +82,12 @@
         return binding.version();
     }
 
+    /** Returns what the next attempt has to generate: all of the response, or what the caller doesn't have yet. */
+    PendingGeneration pendingGeneration() {
+        long generatedTokens = response.lastDeliveredEvent().orElse(0) * limits.tokensPerEvent();
+        return new PendingGeneration(prompt, (int) Math.min(generatedTokens, prompt.outputTokens()), binding.version());
+    }
+
     /** Returns the instance whose silent attempt is being replaced; empty if there is none. */
     Optional<String> silentInstance() {
         return attempts.silentInstance();
--- a/gateway/src/test/java/org/merlinwood/gateway/decision/DecodePlacementTest.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/decision/DecodePlacementTest.java
@@ -25,17 +25,15 @@
         Map<String, Integer> placed = new HashMap<>();
         Optional<UpstreamInstance> choice = fixture.pool.chooseDecode(
                 InstancePoolFixture.SERVICE,
-                Optional.empty(),
-                InstancePoolFixture.LONG,
+                PendingGeneration.of(InstancePoolFixture.LONG),
                 InstancePoolFixture.LIMITS,
                 Set.of());
         while (choice.isPresent()) {
-            fixture.pool.beginGeneration(choice.get().identifier(), InstancePoolFixture.LONG);
+            fixture.pool.beginGeneration(choice.get().identifier(), PendingGeneration.of(InstancePoolFixture.LONG));
             placed.merge(choice.get().identifier(), 1, Integer::sum);
             choice = fixture.pool.chooseDecode(
                     InstancePoolFixture.SERVICE,
-                    Optional.empty(),
-                    InstancePoolFixture.LONG,
+                    PendingGeneration.of(InstancePoolFixture.LONG),
                     InstancePoolFixture.LIMITS,
                     Set.of());
         }
@@ -44,8 +42,7 @@
         assertThat(fixture.pool
                         .millisUntilCapacity(
                                 InstancePoolFixture.SERVICE,
-                                Optional.empty(),
-                                InstancePoolFixture.LONG,
+                                PendingGeneration.of(InstancePoolFixture.LONG),
                                 InstancePoolFixture.LIMITS)
                         .orElse(0))
                 .isPositive();
@@ -59,9 +56,9 @@
         Prompt brief = new Prompt("m", 5_200, 70, OptionalInt.of(70), List.of());
         int placed = 0;
         while (fixture.pool
-                .chooseDecode(InstancePoolFixture.SERVICE, Optional.empty(), brief, limits, Set.of())
+                .chooseDecode(InstancePoolFixture.SERVICE, PendingGeneration.of(brief), limits, Set.of())
                 .isPresent()) {
-            fixture.pool.beginGeneration("a", brief);
+            fixture.pool.beginGeneration("a", PendingGeneration.of(brief));
             placed++;
         }
         assertThat(placed).isEqualTo(limits.slots());
@@ -72,7 +69,7 @@
     void instanceThatDeclinedReservationIsLeftOutForShortTimeByRequestsThatNeedAsMuch() {
         fixture.register(Stage.DECODE, "a");
         int declined = fixture.pool
-                .memoryNeed("a", InstancePoolFixture.LONG, InstancePoolFixture.LIMITS)
+                .memoryNeed("a", PendingGeneration.of(InstancePoolFixture.LONG), InstancePoolFixture.LIMITS)
                 .freeTokens();
         Prompt brief = new Prompt("m", 50, 70, OptionalInt.of(70), List.of());
         fixture.pool.recordDeclinedReservation("a", declined);
@@ -87,8 +84,7 @@
         fixture.register(Stage.DECODE, "a");
         assertThat(fixture.pool.millisUntilCapacity(
                         InstancePoolFixture.SERVICE,
-                        Optional.empty(),
-                        InstancePoolFixture.LONG,
+                        PendingGeneration.of(InstancePoolFixture.LONG),
                         InstancePoolFixture.LIMITS))
                 .hasValue(0);
     }
@@ -97,14 +93,33 @@
     void serviceWithoutInstancesNeverHasCapacity() {
         assertThat(fixture.pool.millisUntilCapacity(
                         InstancePoolFixture.SERVICE,
-                        Optional.empty(),
-                        InstancePoolFixture.LONG,
+                        PendingGeneration.of(InstancePoolFixture.LONG),
                         InstancePoolFixture.LIMITS))
                 .isEmpty();
     }
 
     private Optional<UpstreamInstance> choose(Prompt prompt) {
         return fixture.pool.chooseDecode(
-                InstancePoolFixture.SERVICE, Optional.empty(), prompt, InstancePoolFixture.LIMITS, Set.of());
+                InstancePoolFixture.SERVICE, PendingGeneration.of(prompt), InstancePoolFixture.LIMITS, Set.of());
+    }
+
+    /**
+     * Load pattern: the rest of a stream that is nearly whole beside new ones. Guards against one that is forecast as a
+     * whole response, which keeps memory free that it will not use, and reserves too little for its beginning.
+     */
+    @Test
+    void restOfAStreamNeedsMemoryForWhatItHasAndForLittleMore() {
+        PendingGeneration whole = PendingGeneration.of(InstancePoolFixture.LONG);
+        int generatedTokens = 4_000;
+        PendingGeneration rest = new PendingGeneration(InstancePoolFixture.LONG, generatedTokens, Optional.empty());
+        assertThat(fixture.pool
+                        .memoryNeed("a", rest, InstancePoolFixture.LIMITS)
+                        .startTokens())
+                .isEqualTo(fixture.pool
+                                .memoryNeed("a", whole, InstancePoolFixture.LIMITS)
+                                .startTokens()
+                        + generatedTokens);
+        assertThat(rest.memoryGrowth().remainingTokens())
+                .isLessThan(whole.memoryGrowth().remainingTokens());
     }
 }
--- a/gateway/src/test/java/org/merlinwood/gateway/decision/InstanceRankingTest.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/decision/InstanceRankingTest.java
@@ -81,8 +81,7 @@
             entryPool
                     .chooseDecode(
                             InstancePoolFixture.SERVICE,
-                            Optional.empty(),
-                            InstancePoolFixture.LONG,
+                            PendingGeneration.of(InstancePoolFixture.LONG),
                             InstancePoolFixture.LIMITS,
                             Set.of())
                     .ifPresent(choice -> placed.merge(choice.identifier(), 1, Integer::sum));
--- a/gateway/src/test/java/org/merlinwood/gateway/decision/SharedWorkTest.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/decision/SharedWorkTest.java
@@ -3,7 +3,6 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.List;
-import java.util.Optional;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.merlinwood.gateway.fleet.Stage;
@@ -23,18 +22,16 @@
         fixture.pool.sharedWork().updatePeer(status("peer", new EntryStatus.InstanceWork("a", 2, 0, others)));
         assertThat(fixture.pool.chooseDecode(
                         InstancePoolFixture.SERVICE,
-                        Optional.empty(),
-                        InstancePoolFixture.LONG,
+                        PendingGeneration.of(InstancePoolFixture.LONG),
                         InstancePoolFixture.LIMITS,
                         Set.of()))
                 .map(UpstreamInstance::identifier)
                 .contains("b");
         fixture.pool.sharedWork().removePeer("peer");
-        fixture.pool.beginGeneration("b", InstancePoolFixture.LONG);
+        fixture.pool.beginGeneration("b", PendingGeneration.of(InstancePoolFixture.LONG));
         assertThat(fixture.pool.chooseDecode(
                         InstancePoolFixture.SERVICE,
-                        Optional.empty(),
-                        InstancePoolFixture.LONG,
+                        PendingGeneration.of(InstancePoolFixture.LONG),
                         InstancePoolFixture.LIMITS,
                         Set.of()))
                 .map(UpstreamInstance::identifier)
--- a/gateway/src/test/java/org/merlinwood/gateway/front/StreamRequestProcessorTest.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/front/StreamRequestProcessorTest.java
@@ -68,15 +68,15 @@
     @Test
     void streamInterruptedBeforeItsFirstEventContinuesAfterTheEventThatTheCallerNamed() {
         RequestProcessorFixture fixture = fixture(true);
-        fixture.sendResumingRequest("/p/x", 83);
+        fixture.sendResumingRequest("/p/x", 8);
         fixture.grantMemory("hold-1");
         fixture.client.last().respond(200, "handle-1");
-        assertThat(fixture.client.last().request().headers()).contains(new HttpHeader("behind", "83"));
+        assertThat(fixture.client.last().request().headers()).contains(new HttpHeader("behind", "8"));
         fixture.client.last().head(200, RequestProcessorFixture.MATCHING_RESPONSE_HEADERS);
         fixture.client.last().fail(ResultCode.CONNECTION_LOST, ExecutionState.UNKNOWN);
         fixture.grantMemory("hold-2");
         fixture.client.last().respond(200, "handle-2");
-        assertThat(fixture.client.last().request().headers()).contains(new HttpHeader("behind", "83"));
+        assertThat(fixture.client.last().request().headers()).contains(new HttpHeader("behind", "8"));
     }
 
     @Test
--- a/gateway/src/test/java/org/merlinwood/gateway/front/StreamVersionTest.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/front/StreamVersionTest.java
@@ -17,6 +17,7 @@
 import org.merlinwood.gateway.FakeHttpClient.SentRequest;
 import org.merlinwood.gateway.FakeUpstreamProtocol;
 import org.merlinwood.gateway.decision.OriginPeers;
+import org.merlinwood.gateway.decision.PendingGeneration;
 import org.merlinwood.gateway.decision.StreamOrigin;
 import org.merlinwood.gateway.fleet.Stage;
 import org.merlinwood.gateway.fleet.UpstreamInstance;
@@ -39,7 +40,7 @@
         fixture.grantMemory("hold-1");
         fixture.registerVersion("v2", Stage.DECODE, "d2");
         fixture.registerVersion("v1", Stage.DECODE, "d3");
-        fixture.pool.beginGeneration("d3", OTHER_WORK);
+        fixture.pool.beginGeneration("d3", PendingGeneration.of(OTHER_WORK));
         return fixture;
     }
 
--- a/gateway/src/test/java/org/merlinwood/gateway/front/TakenUpStreamTest.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/front/TakenUpStreamTest.java
@@ -6,6 +6,7 @@
 import java.util.OptionalInt;
 import org.junit.jupiter.api.Test;
 import org.merlinwood.gateway.decision.ActiveGeneration;
+import org.merlinwood.gateway.decision.PendingGeneration;
 import org.merlinwood.gateway.decision.StreamOrigin;
 import org.merlinwood.gateway.fleet.Stage;
 import org.merlinwood.gateway.request.Prompt;
@@ -31,7 +32,7 @@
     private ActiveGeneration fillInstance() {
         fixture.register(Stage.DECODE, "d1");
         fixture.origins.recordOwn(new StreamOrigin(BEGUN_ATTEMPT, "v1", RequestProcessorFixture.CALLER_TIME_MILLIS));
-        return fixture.pool.beginGeneration("d1", LARGE);
+        return fixture.pool.beginGeneration("d1", PendingGeneration.of(LARGE));
     }
 
     @Test
