A generation at an instance that is another one now goes elsewhere with its computed prompt

Cause: every refusal of an attempt with a computed prompt was read as the loss of that prompt, and sent again to the same instance, which is what helps then. 421 says that no request will be accepted there, and the prompt wasn't fetched.

Change: AttemptOutcome.Declined.misdirected; the instance is excluded, and the computed prompt is used at the next one.

--- a/gateway/src/main/java/org/merlinwood/gateway/decision/AttemptOutcome.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/decision/AttemptOutcome.java
@@ -17,7 +17,19 @@
      *
      * @param status HTTP status
      */
-    record Declined(int status) implements AttemptOutcome {}
+    record Declined(int status) implements AttemptOutcome {
+
+        private static final int MISDIRECTED_REQUEST_STATUS = 421;
+
+        /**
+         * Returns whether the server is not the addressed instance, or its stage has changed.
+         *
+         * @return true if the instance won't accept the request later either
+         */
+        public boolean misdirected() {
+            return status == MISDIRECTED_REQUEST_STATUS;
+        }
+    }
 
     /**
      * The request did not reach the instance.
--- a/gateway/src/main/java/org/merlinwood/gateway/front/GenerationAttempt.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/GenerationAttempt.java
@@ -23,9 +23,6 @@
  */
 final class GenerationAttempt implements HttpListener {
 
-    /** Status of a server that is not the addressed instance, or whose stage has changed. */
-    private static final int MISDIRECTED_REQUEST_STATUS = 421;
-
     private final StreamRequestProcessor processor;
     private final OpenAttempts attempts;
     private final RequestProcessorContext context;
@@ -184,10 +181,11 @@
 
     private AttemptOutcome classifyOutcome() {
         if (head.notRun()) {
-            if (head.status() == MISDIRECTED_REQUEST_STATUS) {
+            AttemptOutcome.Declined declined = new AttemptOutcome.Declined(head.status());
+            if (declined.misdirected()) {
                 context.pool().recordFailure(instance.identifier());
             }
-            return new AttemptOutcome.Declined(head.status());
+            return declined;
         }
         context.pool().recordErrorResponse(instance.identifier());
         if (!belongsToRequest() || response.started()) {
--- a/gateway/src/main/java/org/merlinwood/gateway/front/StreamRequestProcessor.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/StreamRequestProcessor.java
@@ -185,7 +185,8 @@
         if (!attempts.end(attempt, outcome) || isFinished()) {
             return;
         }
-        boolean prefillResultLost = outcome instanceof AttemptOutcome.Declined
+        boolean prefillResultLost = outcome instanceof AttemptOutcome.Declined declined
+                && !declined.misdirected()
                 && attempt.prefillUsed().isPresent();
         recordOutcome(attempt, outcome, prefillResultLost);
         NextStep step = decideNextStep(outcome, prefillResultLost);
@@ -200,6 +201,10 @@
             placement.exclude(attempt.instance());
             return;
         }
+        if (outcome instanceof AttemptOutcome.Declined declined && declined.misdirected()) {
+            placement.restore(attempt.prefillUsed());
+            placement.exclude(attempt.instance());
+        }
         retries.markUsed();
         if (!prefillResultLost && !isDeclinedReplacement(attempt, outcome)) {
             retries.countSent();
--- a/gateway/src/test/java/org/merlinwood/gateway/front/StreamRequestProcessorTest.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/front/StreamRequestProcessorTest.java
@@ -159,6 +159,24 @@
         assertThat(fixture.client.last().request().headers()).isEmpty();
     }
 
+    /**
+     * Guards against a request that fails where the instance has started again and got another identifier: it was sent
+     * there twice, as if only its computed prompt had been gone.
+     */
+    @Test
+    void misdirectedRequestGoesToAnotherInstanceWithItsComputedPrompt() {
+        RequestProcessorFixture fixture = fixture(false);
+        fixture.sendRequest("/p/x");
+        fixture.grantMemory("hold-1");
+        fixture.client.last().respond(200, "handle-1");
+        String firstPath = fixture.client.last().request().path();
+        fixture.client.last().respond(421, "", FakeUpstreamProtocol.NOT_RUN);
+        fixture.grantMemory("hold-2");
+        assertThat(fixture.client.last().request().path()).endsWith("/run").isNotEqualTo(firstPath);
+        assertThat(fixture.client.last().request().headers())
+                .contains(new HttpHeader("hold", "hold-2"), new HttpHeader("prefill", "handle-1"));
+    }
+
     @ParameterizedTest
     @ValueSource(ints = {1, 2, 3})
     void callerDisconnectCancelsUpstreamRequestAndReleasesUnusedReservation(int activeRequestNumber) {
