--- a/gateway/src/main/java/org/merlinwood/gateway/front/StreamRequestProcessor.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/StreamRequestProcessor.java
@@ -52,6 +52,7 @@
         this.registration = new GenerationRegistration(context.pool(), this::pendingGeneration);
         this.placement = new GenerationPlacement(this, prompt, limits, registration);
         this.attempts = new OpenAttempts(this, response, retries, registration, placement);
+        context.metrics().count(StreamBinding.isTakenUp(request) ? "streams_taken_up" : "streams_new");
     }
 
     @Override
@@ -171,7 +172,11 @@
 
     /** Returns whether the caller may have complete events of an instance, which bind the stream to its version. */
     boolean mayForwardEventsOf(UpstreamInstance instance) {
-        return binding.onEvents(instance);
+        boolean allowed = binding.onEvents(instance);
+        if (allowed && !response.started()) {
+            context.metrics().count(StreamBinding.isTakenUp(request) ? "streams_taken_up_begun" : "streams_new_begun");
+        }
+        return allowed;
     }
 
     /** Records that an attempt, the one that goes on from here, has received complete events. */
--- a/gateway/src/test/java/org/merlinwood/gateway/decision/StagePlanTest.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/decision/StagePlanTest.java
@@ -33,8 +33,8 @@
     void changesStageOfOneInstanceAccordingToPromptRate(
             int prefills, int decodes, double highestRate, double lowestRate, int withoutCapacity, Stage expected) {
         List<UpstreamInstance> instances = new ArrayList<>();
-        add(instances, Stage.PREFILL, prefills);
-        add(instances, Stage.DECODE, decodes);
+        add(instances, Stage.PREFILL, "v1", prefills);
+        add(instances, Stage.DECODE, "v1", decodes);
         StagePlan.View view = new StagePlan.View(instances, highestRate, lowestRate, 50, withoutCapacity);
         assertThat(StagePlan.next(view).map(StagePlan.Change::stage)).isEqualTo(Optional.ofNullable(expected));
     }
@@ -63,10 +63,44 @@
         assertThat(history.minimum()).isEqualTo(40);
     }
 
-    private static void add(List<UpstreamInstance> instances, Stage stage, int count) {
+    /** Guards against orders after which the streams of a version can't go on once its only instance is lost. */
+    @ParameterizedTest(name = "decode instances: {0} of v1, {1} of v2; prompt rate {2}")
+    @CsvSource({
+        "4, 1, 38, DECODE, v2",
+        "1, 4, 38, DECODE, v1",
+        "4, 0, 38, DECODE, v2",
+        "4, 2, 200, PREFILL, v1",
+        "2, 3, 200, PREFILL, v2",
+    })
+    void versionWithTheFewestDecodeInstancesGetsTheNextOneAndNoneLosesItsSecond(
+            int firstDecodes, int secondDecodes, double rate, Stage expected, String version) {
+        List<UpstreamInstance> instances = new ArrayList<>();
+        add(instances, Stage.PREFILL, "v1", 2);
+        add(instances, Stage.PREFILL, "v2", 1);
+        add(instances, Stage.DECODE, "v1", firstDecodes);
+        add(instances, Stage.DECODE, "v2", secondDecodes);
+        assertThat(StagePlan.next(new StagePlan.View(instances, rate, rate, 50, 0)))
+                .hasValueSatisfying(change -> {
+                    assertThat(change.stage()).isEqualTo(expected);
+                    assertThat(change.instance().version()).isEqualTo(version);
+                });
+    }
+
+    /** Guards against a version that loses its second decode instance although no other has one to spare. */
+    @Test
+    void noDecodeInstanceIsTakenWhereEachVersionHasTwo() {
+        List<UpstreamInstance> instances = new ArrayList<>();
+        add(instances, Stage.PREFILL, "v1", 1);
+        add(instances, Stage.DECODE, "v1", 2);
+        add(instances, Stage.DECODE, "v2", 2);
+        assertThat(StagePlan.next(new StagePlan.View(instances, 200, 200, 50, 0)))
+                .isEmpty();
+    }
+
+    private static void add(List<UpstreamInstance> instances, Stage stage, String version, int count) {
         for (int index = 0; index < count; index++) {
             instances.add(new UpstreamInstance(
-                    stage + "-" + index,
+                    stage + "-" + version + "-" + index,
                     "service",
                     new InetSocketAddress("127.0.0.1", 1_000 + index),
                     "domain-" + index % 3,
@@ -74,7 +108,7 @@
                     false,
                     stage,
                     UpstreamInstance.UNKNOWN_START,
-                    "v1"));
+                    version));
         }
     }
 }
