Soak: instances of two versions, and callers that take broken streams up again

Two software versions serve side by side; each event names that of its instance. A caller whose stream is broken off takes it up once at the next entry. New check: no stream holds events of several versions, in one response or over both attempts; what a caller has of both attempts together must be the whole stream.

--- a/proving/src/main/java/org/merlinwood/proving/soak/Observation.java
+++ b/proving/src/main/java/org/merlinwood/proving/soak/Observation.java
@@ -12,7 +12,7 @@
  * @param elapsedMillis duration in milliseconds
  * @param end how the attempt ended
  * @param status HTTP status, 0 if none was received
- * @param body the part of the body that was received
+ * @param body the part of the body that was received; for a stream that was taken up again, that of both attempts
  */
 record Observation(
         String attempt,
@@ -36,6 +36,19 @@
         LEFT
     }
 
+    /** Suffix of the identifier of an attempt that takes a stream up again. */
+    static final String TAKEN_UP_SUFFIX = "r";
+
+    /** Returns whether the attempt took up a stream that had been broken off. */
+    boolean takenUp() {
+        return attempt.endsWith(TAKEN_UP_SUFFIX);
+    }
+
+    /** Returns the identifier of the attempt that began the stream, or of this one. */
+    String firstAttempt() {
+        return takenUp() ? attempt.substring(0, attempt.length() - TAKEN_UP_SUFFIX.length()) : attempt;
+    }
+
     long endMillis() {
         return beganMillis + elapsedMillis;
     }
--- a/proving/src/main/java/org/merlinwood/proving/soak/SoakChecker.java
+++ b/proving/src/main/java/org/merlinwood/proving/soak/SoakChecker.java
@@ -40,11 +40,13 @@
 
     private static void check(FaultPlan plan, Observation observation, int runs, List<String> violations) {
         if (observation.answered()
-                && !observation
-                        .body()
-                        .equals(CallerCalls.completeResponse(observation.kind(), observation.attempt()))) {
+                && !CallerCalls.withoutVersions(observation.body())
+                        .equals(CallerCalls.completeResponse(observation.kind(), observation.firstAttempt()))) {
             violations.add("an answer looks whole and is not: " + observation);
         }
+        if (CallerCalls.versions(observation.body()).size() > 1) {
+            violations.add("a stream holds events of several software versions: " + observation);
+        }
         if (observation.end() == Observation.End.COMPLETE
                 && CallerCalls.isNotRunStatus(observation.status())
                 && runs > 0) {
--- a/proving/src/main/java/org/merlinwood/proving/soak/SoakDeployment.java
+++ b/proving/src/main/java/org/merlinwood/proving/soak/SoakDeployment.java
@@ -39,6 +39,9 @@
     /** Number of entries. */
     static final int ENTRIES = 3;
 
+    /** Number of software versions among the instances. */
+    private static final int VERSIONS = 2;
+
     private static final List<StandInInstance.Stage> STAGES = List.of(
             StandInInstance.Stage.PREFILL,
             StandInInstance.Stage.PREFILL,
@@ -276,7 +279,7 @@
     private void addInstance(StandInInstance.Stage stage) {
         int index = instances.size();
         InetSocketAddress address = ports.next();
-        instances.add(new StandInInstance(name(index), stage, address, ledger));
+        instances.add(new StandInInstance(name(index), stage, address, ledger, version(index)));
         paths.add(new Forwarder(ports.next(), ports.next(), address));
         register(index, false);
     }
@@ -298,7 +301,16 @@
         store.register(
                 name(index),
                 InstanceDocuments.registration(
-                        STAGES.get(index), paths.get(index).address(), leaving, starts.getOrDefault(index, 1L)));
+                        STAGES.get(index),
+                        paths.get(index).address(),
+                        leaving,
+                        starts.getOrDefault(index, 1L),
+                        version(index)));
+    }
+
+    /** Returns the software version of an instance: two versions serve side by side. */
+    private static String version(int index) {
+        return "v" + index % VERSIONS;
     }
 
     /** Returns the kind of work of an instance. */
--- a/proving/src/main/java/org/merlinwood/proving/soak/SoakLoad.java
+++ b/proving/src/main/java/org/merlinwood/proving/soak/SoakLoad.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
 import org.merlinwood.core.result.ExecutionState;
@@ -43,6 +44,9 @@
     /** First part of all prompts, in hexadecimal. */
     private static final String COMMON_PART = "aa";
 
+    /** Ends each event of a stream. */
+    private static final String EVENT_END = "\n\n";
+
     private static final long FIRST_SECOND_PART = 0x100;
     private static final int SECOND_PARTS = 4;
 
@@ -60,6 +64,7 @@
     private final Set<String> crashingAttempts = ConcurrentHashMap.newKeySet();
     private final List<InetSocketAddress> entries;
     private final long startMillis;
+    private final AtomicInteger takenUp = new AtomicInteger();
     private long sequence;
 
     SoakLoad(long seed, List<InetSocketAddress> entries, FaultPlan plan) {
@@ -78,7 +83,7 @@
             TimeUnit.MILLISECONDS.sleep(random.nextInt(2 * MEAN_INTERVAL_MILLIS));
         }
         long latestEnd = now() + 2 * CallerCalls.STREAM_TIMEOUT_MILLIS;
-        while (observations.size() < sequence && now() < latestEnd) {
+        while (open() > 0 && now() < latestEnd) {
             TimeUnit.MILLISECONDS.sleep(MEAN_INTERVAL_MILLIS);
         }
         return List.copyOf(observations);
@@ -86,7 +91,7 @@
 
     /** Returns the number of requests that have not ended. */
     long open() {
-        return sequence - observations.size();
+        return sequence + takenUp.get() - observations.size();
     }
 
     /** Returns the identifiers of the attempts whose prompt has the crashing part; a copy. */
@@ -113,8 +118,10 @@
         sequence++;
         CallerCalls.Kind kind = KINDS.get(random.nextInt(KINDS.size()));
         int entry = random.nextInt(entries.size());
-        Caller caller = new Caller(kind, "a" + sequence, entry);
-        HttpStream stream = client.send(request(kind, entry, caller.attempt), caller);
+        String attempt = "a" + sequence;
+        HttpRequest request = request(kind, entry, attempt);
+        Caller caller = new Caller(request, kind, attempt, entry, "");
+        HttpStream stream = client.send(request, caller);
         if (random.nextInt(REQUESTS_PER_DISCONNECT) == 0) {
             long after = random.nextInt(MAXIMUM_DISCONNECT_DELAY_MILLIS);
             Thread.ofVirtual().start(() -> disconnectAfter(caller, stream, after));
@@ -138,10 +145,21 @@
         }
         sequence++;
         int entry = crashingRandom.nextInt(entries.size());
-        Caller caller = new Caller(CallerCalls.Kind.STREAM, "a" + sequence, entry);
-        crashingAttempts.add(caller.attempt);
+        String attempt = "a" + sequence;
+        crashingAttempts.add(attempt);
         List<String> parts = List.of(COMMON_PART, CRASHING_PART, secondPart());
-        client.send(CallerCalls.stream(entries.get(entry), caller.attempt, parts), caller);
+        HttpRequest request = CallerCalls.stream(entries.get(entry), attempt, parts);
+        client.send(request, new Caller(request, CallerCalls.Kind.STREAM, attempt, entry, ""));
+    }
+
+    /** Takes a stream that was broken off up again, once, at the next entry. */
+    private void takeUp(Caller brokenOff, String events, int lastEvent) {
+        takenUp.incrementAndGet();
+        int entry = (brokenOff.entry + 1) % entries.size();
+        String attempt = brokenOff.attempt + Observation.TAKEN_UP_SUFFIX;
+        HttpRequest request =
+                CallerCalls.takeUp(brokenOff.request, entries.get(entry), attempt, brokenOff.attempt, lastEvent);
+        client.send(request, new Caller(request, brokenOff.kind, attempt, entry, events));
     }
 
     private boolean isCrashingPartDue() {
@@ -164,15 +182,19 @@
     /** Records the response to one attempt. */
     private final class Caller implements HttpListener {
 
+        private final HttpRequest request;
         private final CallerCalls.Kind kind;
         private final String attempt;
         private final int entry;
         private final long beganMillis = now();
         private final ByteArrayOutputStream body = new ByteArrayOutputStream();
         private volatile boolean disconnected;
+        private final String earlierEvents;
         private int status;
 
-        private Caller(CallerCalls.Kind kind, String attempt, int entry) {
+        private Caller(HttpRequest request, CallerCalls.Kind kind, String attempt, int entry, String earlierEvents) {
+            this.request = request;
+            this.earlierEvents = earlierEvents;
             this.kind = kind;
             this.attempt = attempt;
             this.entry = entry;
@@ -202,7 +224,22 @@
                             : unreached ? Observation.End.UNREACHED : Observation.End.BROKEN);
         }
 
+        private void takeUpIfBegun() {
+            if (kind != CallerCalls.Kind.STREAM || status != 200 || !earlierEvents.isEmpty()) {
+                return;
+            }
+            String received = body.toString(StandardCharsets.UTF_8);
+            int lastEnd = received.lastIndexOf(EVENT_END);
+            if (lastEnd >= 0) {
+                String events = received.substring(0, lastEnd + EVENT_END.length());
+                takeUp(this, events, CallerCalls.eventCount(events));
+            }
+        }
+
         private void observe(Observation.End end) {
+            if (end == Observation.End.BROKEN) {
+                takeUpIfBegun();
+            }
             observations.add(new Observation(
                     attempt,
                     kind,
@@ -211,7 +248,7 @@
                     now() - beganMillis,
                     end,
                     status,
-                    body.toString(StandardCharsets.UTF_8)));
+                    earlierEvents + body.toString(StandardCharsets.UTF_8)));
         }
     }
 }
--- a/proving/src/main/java/org/merlinwood/proving/soak/SoakResult.java
+++ b/proving/src/main/java/org/merlinwood/proving/soak/SoakResult.java
@@ -1,6 +1,7 @@
 package org.merlinwood.proving.soak;
 
 import java.util.List;
+import java.util.Locale;
 import java.util.function.Predicate;
 import org.merlinwood.platform.standin.Arrival;
 import org.merlinwood.platform.standin.CallerCalls;
@@ -24,14 +25,18 @@
 
     /** Returns the counts of faults and outcomes in one line. They reveal a run that tested nothing. */
     String summary() {
-        return "%d faults, %d requests: %d answered, %d refused as not run, %d without a whole answer, %d left"
-                .formatted(
-                        plan.faults().size(),
-                        observations.size(),
-                        count(Observation::answered),
-                        count(SoakResult::refused),
-                        count(SoakResult::failed),
-                        count(observation -> observation.end() == Observation.End.LEFT));
+        return String.format(
+                Locale.ROOT,
+                "%d faults, %d requests: %d answered, %d refused as not run, %d without a whole answer, %d left; "
+                        + "%d streams taken up, %d of them whole",
+                plan.faults().size(),
+                observations.size(),
+                count(Observation::answered),
+                count(SoakResult::refused),
+                count(SoakResult::failed),
+                count(observation -> observation.end() == Observation.End.LEFT),
+                count(Observation::takenUp),
+                count(observation -> observation.takenUp() && observation.answered()));
     }
 
     private static boolean refused(Observation observation) {
--- a/proving/src/test/java/org/merlinwood/proving/gateway/StreamVersionOnLoopbackTest.java
+++ b/proving/src/test/java/org/merlinwood/proving/gateway/StreamVersionOnLoopbackTest.java
@@ -11,7 +11,6 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
-import java.util.stream.Collectors;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.merlinwood.core.result.Failure;
@@ -22,7 +21,6 @@
 import org.merlinwood.http.HttpListener;
 import org.merlinwood.http.HttpRequest;
 import org.merlinwood.http.HttpStream;
-import org.merlinwood.platform.HeaderNames;
 import org.merlinwood.platform.PlatformAddress;
 import org.merlinwood.platform.PlatformCallerProtocol;
 import org.merlinwood.platform.PlatformStoreProtocol;
@@ -127,7 +125,7 @@
         @Override
         public void onBytes(byte[] bytes) {
             body.append(new String(bytes, StandardCharsets.UTF_8));
-            events = body.toString().split("id: ", -1).length - 1;
+            events = CallerCalls.eventCount(body.toString());
         }
 
         @Override
@@ -142,16 +140,11 @@
     }
 
     private HttpStream send(int entry, String stream, String attempt, int lastEvent, CallerAttempt listener) {
-        HttpRequest request = CallerCalls.create(callerAddresses.get(entry), CallerCalls.Kind.STREAM, stream);
-        List<HttpHeader> headers = request.headers().stream()
-                .filter(header -> !header.name().equals(HeaderNames.ATTEMPT))
-                .collect(Collectors.toCollection(ArrayList::new));
-        headers.add(new HttpHeader(HeaderNames.ATTEMPT, attempt));
-        if (lastEvent > 0) {
-            headers.add(new HttpHeader(HeaderNames.LAST_EVENT, String.valueOf(lastEvent)));
-            headers.add(new HttpHeader(HeaderNames.RESUMED_ATTEMPT, stream));
-        }
-        return client.send(request.withHeaders(headers), listener);
+        HttpRequest first = CallerCalls.create(callerAddresses.get(entry), CallerCalls.Kind.STREAM, stream);
+        HttpRequest request = lastEvent > 0
+                ? CallerCalls.takeUp(first, callerAddresses.get(entry), attempt, stream, lastEvent)
+                : first;
+        return client.send(request, listener);
     }
 
     private boolean canServe(int entry) {
--- a/proving/src/test/java/org/merlinwood/proving/soak/SoakCheckerTest.java
+++ b/proving/src/test/java/org/merlinwood/proving/soak/SoakCheckerTest.java
@@ -17,6 +17,8 @@
             new FaultPlan(List.of(new ScheduledFault(FaultKind.ENTRY_KILLED, 1, 2_000, 1_000)));
     private static final String COMPLETE_BODY = CallerCalls.completeResponse(CallerCalls.Kind.BOOK, "a1");
 
+    private static final String TWO_VERSIONS = ": version v1\nid: 1\ndata: a\n\n: version v2\nid: 2\ndata: b\n\n";
+
     static Stream<Arguments> brokenPromises() {
         return Stream.of(
                 Arguments.of("looks whole", observation(0, 0, 30, End.COMPLETE, 200, "answer"), 1),
@@ -24,7 +26,8 @@
                 Arguments.of("must not be repeated", observation(0, 0, 30, End.COMPLETE, 200, COMPLETE_BODY), 2),
                 Arguments.of("came late", observation(0, 0, 2_001, End.COMPLETE, 504, ""), 1),
                 Arguments.of("was not reached", observation(0, 0, 3, End.UNREACHED, 0, ""), 0),
-                Arguments.of("gave no answer", observation(0, 0, 3, End.BROKEN, 0, ""), 1));
+                Arguments.of("gave no answer", observation(0, 0, 3, End.BROKEN, 0, ""), 1),
+                Arguments.of("several software versions", observation(0, 0, 30, End.BROKEN, 200, TWO_VERSIONS), 1));
     }
 
     @ParameterizedTest(name = "{0}")
