--- a/gateway/src/main/java/org/merlinwood/gateway/decision/StreamOrigins.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/decision/StreamOrigins.java
@@ -17,7 +17,7 @@
  */
 public final class StreamOrigins {
 
-    /** Largest number of origins that are kept, own and told ones together: about 20 MB. */
+    /** Largest number of origins that are kept, own and told ones together: about 16 MB. */
     static final int MAXIMUM_ORIGINS = 100_000;
 
     /** Longest time for which an origin is kept, in milliseconds. */
