Origins of streams go only to entries that take them

An entry of an earlier release closes a session on a message that it doesn't know; while releases of merlinwood serve side by side, each origin would have cost a session and the status on it. A status says whether its entry keeps origins.

--- a/gateway/src/main/java/org/merlinwood/gateway/peer/PeerMessages.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/peer/PeerMessages.java
@@ -25,7 +25,8 @@
                 .setStoreRevision(status.storePosition().revision())
                 .setStoreEra(status.storePosition().era())
                 .addAllSwitching(status.switching())
-                .setHighestFencingToken(status.highestFencingToken());
+                .setHighestFencingToken(status.highestFencingToken())
+                .setKeepsStreamOrigins(true);
         status.demands()
                 .forEach(demand -> builder.addDemands(org.merlinwood.wire.ServiceDemand.newBuilder()
                         .setService(demand.service())
--- a/gateway/src/main/java/org/merlinwood/gateway/peer/PeerSessions.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/peer/PeerSessions.java
@@ -4,9 +4,11 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Function;
 import org.merlinwood.core.identity.Incarnation;
 import org.merlinwood.core.identity.InstanceName;
@@ -74,6 +76,10 @@
     private final OriginSessions originSessions;
     private final Map<String, Member> members = new HashMap<>();
     private final Map<String, Long> lastStatusMillis = new HashMap<>();
+
+    /** Addresses of the entries that keep stream origins; those of an earlier release don't know the messages. */
+    private final Set<String> originKeepers = new HashSet<>();
+
     private int maximumKnownCount;
     private boolean memberListReceived;
     private long sentStatusCount;
@@ -209,6 +215,7 @@
                     .filter(member -> member.greeted && member.exchange.isPresent())
                     .map(member -> member.address)
                     .filter(lastStatusMillis::containsKey)
+                    .filter(originKeepers::contains)
                     .toList();
         }
 
@@ -268,6 +275,7 @@
         });
         silent.forEach(address -> {
             lastStatusMillis.remove(address);
+            originKeepers.remove(address);
             listener.onLost(address);
         });
     }
@@ -298,6 +306,7 @@
 
     private void onStatus(Frame frame) {
         EntryStatus status = PeerMessages.status(frame.getEntryStatus());
+        recordOriginKeeper(status.address(), frame.getEntryStatus().getKeepsStreamOrigins());
         lastStatusMillis.put(status.address(), clock.monotonicMillis());
         addAddress(status.address());
         status.members().forEach(this::addAddress);
@@ -312,6 +321,14 @@
         }
     }
 
+    private void recordOriginKeeper(String address, boolean keepsOrigins) {
+        if (keepsOrigins) {
+            originKeepers.add(address);
+        } else {
+            originKeepers.remove(address);
+        }
+    }
+
     private void sendChanges(Exchange exchange, StorePosition after) {
         exchange.send(PeerMessages.changes(listener.changesAfter(after), listener.storePosition()));
     }
--- a/wire-generated/src/main/java/org/merlinwood/wire/EntryStatus.java
+++ b/wire-generated/src/main/java/org/merlinwood/wire/EntryStatus.java
@@ -649,6 +649,21 @@
     return partBlocks_.get(index);
   }
 
+  public static final int KEEPS_STREAM_ORIGINS_FIELD_NUMBER = 14;
+  private boolean keepsStreamOrigins_ = false;
+  /**
+   * <pre>
+   * Whether the sender takes StreamOrigins and StreamOriginRequest; entries of earlier releases don't.
+   * </pre>
+   *
+   * <code>bool keeps_stream_origins = 14;</code>
+   * @return The keepsStreamOrigins.
+   */
+  @java.lang.Override
+  public boolean getKeepsStreamOrigins() {
+    return keepsStreamOrigins_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -702,6 +717,9 @@
     for (int i = 0; i < partBlocks_.size(); i++) {
       output.writeMessage(13, partBlocks_.get(i));
     }
+    if (keepsStreamOrigins_ != false) {
+      output.writeBool(14, keepsStreamOrigins_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -800,6 +818,10 @@
           }
           size += 1 * count;
         }
+    if (keepsStreamOrigins_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(14, keepsStreamOrigins_);
+    }
     return size;
   }
   @java.lang.Override
@@ -850,6 +872,8 @@
         .equals(other.getBegunPartsList())) return false;
     if (!getPartBlocksList()
         .equals(other.getPartBlocksList())) return false;
+    if (getKeepsStreamOrigins()
+        != other.getKeepsStreamOrigins()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -908,6 +932,9 @@
       hash = (37 * hash) + PART_BLOCKS_FIELD_NUMBER;
       hash = (53 * hash) + getPartBlocksList().hashCode();
     }
+    hash = (37 * hash) + KEEPS_STREAM_ORIGINS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getKeepsStreamOrigins());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -1100,6 +1127,7 @@
         partBlocksBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00001000);
+      keepsStreamOrigins_ = false;
       return this;
     }
 
@@ -1220,6 +1248,9 @@
       if (((from_bitField0_ & 0x00000100) != 0)) {
         result.storeEra_ = storeEra_;
       }
+      if (((from_bitField0_ & 0x00002000) != 0)) {
+        result.keepsStreamOrigins_ = keepsStreamOrigins_;
+      }
     }
 
     @java.lang.Override
@@ -1450,6 +1481,9 @@
           }
         }
       }
+      if (other.getKeepsStreamOrigins() != false) {
+        setKeepsStreamOrigins(other.getKeepsStreamOrigins());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1595,6 +1629,11 @@
               }
               break;
             } // case 106
+            case 112: {
+              keepsStreamOrigins_ = input.readBool();
+              bitField0_ |= 0x00002000;
+              break;
+            } // case 112
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -4128,6 +4167,50 @@
       return partBlocksBuilder_;
     }
 
+    private boolean keepsStreamOrigins_ ;
+    /**
+     * <pre>
+     * Whether the sender takes StreamOrigins and StreamOriginRequest; entries of earlier releases don't.
+     * </pre>
+     *
+     * <code>bool keeps_stream_origins = 14;</code>
+     * @return The keepsStreamOrigins.
+     */
+    @java.lang.Override
+    public boolean getKeepsStreamOrigins() {
+      return keepsStreamOrigins_;
+    }
+    /**
+     * <pre>
+     * Whether the sender takes StreamOrigins and StreamOriginRequest; entries of earlier releases don't.
+     * </pre>
+     *
+     * <code>bool keeps_stream_origins = 14;</code>
+     * @param value The keepsStreamOrigins to set.
+     * @return This builder for chaining.
+     */
+    public Builder setKeepsStreamOrigins(boolean value) {
+
+      keepsStreamOrigins_ = value;
+      bitField0_ |= 0x00002000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Whether the sender takes StreamOrigins and StreamOriginRequest; entries of earlier releases don't.
+     * </pre>
+     *
+     * <code>bool keeps_stream_origins = 14;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearKeepsStreamOrigins() {
+      bitField0_ = (bitField0_ & ~0x00002000);
+      keepsStreamOrigins_ = false;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:merlinwood.wire.v1.EntryStatus)
   }
 
--- a/wire-generated/src/main/java/org/merlinwood/wire/EntryStatusOrBuilder.java
+++ b/wire-generated/src/main/java/org/merlinwood/wire/EntryStatusOrBuilder.java
@@ -409,4 +409,14 @@
    */
   org.merlinwood.wire.PartBlockOrBuilder getPartBlocksOrBuilder(
       int index);
+
+  /**
+   * <pre>
+   * Whether the sender takes StreamOrigins and StreamOriginRequest; entries of earlier releases don't.
+   * </pre>
+   *
+   * <code>bool keeps_stream_origins = 14;</code>
+   * @return The keepsStreamOrigins.
+   */
+  boolean getKeepsStreamOrigins();
 }
