--- a/gateway/src/main/java/org/merlinwood/gateway/peer/PeerSessions.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/peer/PeerSessions.java
@@ -2,13 +2,10 @@
 
 import io.vavr.control.Either;
 import java.net.InetSocketAddress;
-import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.function.Function;
 import org.merlinwood.core.identity.Incarnation;
 import org.merlinwood.core.identity.InstanceName;
@@ -75,11 +72,7 @@
     private final PeerEndpoint endpoint;
     private final OriginSessions originSessions;
     private final Map<String, Member> members = new HashMap<>();
-    private final Map<String, Long> lastStatusMillis = new HashMap<>();
-
-    /** Addresses of the entries that keep stream origins; those of an earlier release don't know the messages. */
-    private final Set<String> originKeepers = new HashSet<>();
-
+    private final ReceivedStatuses receivedStatuses;
     private int maximumKnownCount;
     private boolean memberListReceived;
     private long sentStatusCount;
@@ -114,6 +107,7 @@
         this.clock = clock;
         this.listener = listener;
         this.log = log;
+        this.receivedStatuses = new ReceivedStatuses(clock);
         this.originSessions = new OriginSessions(new Links(), listener, loop);
         long incarnation = clock.wallMillis() * 1_000_003 + instance.hashCode();
         this.endpoint = PeerEndpoint.builder()
@@ -214,8 +208,7 @@
             return members.values().stream()
                     .filter(member -> member.greeted && member.exchange.isPresent())
                     .map(member -> member.address)
-                    .filter(lastStatusMillis::containsKey)
-                    .filter(originKeepers::contains)
+                    .filter(receivedStatuses::keepsOrigins)
                     .toList();
         }
 
@@ -265,19 +258,8 @@
     }
 
     private void removeSilentEntries() {
-        long oldestAllowedMillis = clock.monotonicMillis()
-                - Math.max(MINIMUM_SILENCE_MILLIS, MISSED_STATUS_LIMIT * statusIntervalMillis());
-        List<String> silent = new ArrayList<>();
-        lastStatusMillis.forEach((address, millis) -> {
-            if (millis < oldestAllowedMillis) {
-                silent.add(address);
-            }
-        });
-        silent.forEach(address -> {
-            lastStatusMillis.remove(address);
-            originKeepers.remove(address);
-            listener.onLost(address);
-        });
+        long silenceMillis = Math.max(MINIMUM_SILENCE_MILLIS, MISSED_STATUS_LIMIT * statusIntervalMillis());
+        receivedStatuses.removeSilent(silenceMillis).forEach(listener::onLost);
     }
 
     private ExchangeListener accept(Exchange exchange, Frame first) {
@@ -306,8 +288,7 @@
 
     private void onStatus(Frame frame) {
         EntryStatus status = PeerMessages.status(frame.getEntryStatus());
-        recordOriginKeeper(status.address(), frame.getEntryStatus().getKeepsStreamOrigins());
-        lastStatusMillis.put(status.address(), clock.monotonicMillis());
+        receivedStatuses.record(status.address(), frame.getEntryStatus().getKeepsStreamOrigins());
         addAddress(status.address());
         status.members().forEach(this::addAddress);
         memberListReceived |= !status.members().isEmpty();
@@ -321,14 +302,6 @@
         }
     }
 
-    private void recordOriginKeeper(String address, boolean keepsOrigins) {
-        if (keepsOrigins) {
-            originKeepers.add(address);
-        } else {
-            originKeepers.remove(address);
-        }
-    }
-
     private void sendChanges(Exchange exchange, StorePosition after) {
         exchange.send(PeerMessages.changes(listener.changesAfter(after), listener.storePosition()));
     }
--- /dev/null
+++ b/gateway/src/main/java/org/merlinwood/gateway/peer/ReceivedStatuses.java
@@ -0,0 +1,47 @@
+package org.merlinwood.gateway.peer;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.merlinwood.core.time.MillisClock;
+
+/** From which entries status messages arrive, and what they say of the entry itself. Confined to the event loop. */
+final class ReceivedStatuses {
+
+    private final MillisClock clock;
+    private final Map<String, Last> lastByAddress = new HashMap<>();
+
+    /**
+     * The last status of an entry.
+     *
+     * @param atMillis monotonic time of its arrival, in milliseconds
+     * @param keepsOrigins whether the entry keeps stream origins; those of an earlier release don't know the messages
+     */
+    private record Last(long atMillis, boolean keepsOrigins) {}
+
+    ReceivedStatuses(MillisClock clock) {
+        this.clock = clock;
+    }
+
+    /** Records a status that has just arrived. */
+    void record(String address, boolean keepsOrigins) {
+        lastByAddress.put(address, new Last(clock.monotonicMillis(), keepsOrigins));
+    }
+
+    /** Returns whether an entry sends status messages and keeps stream origins. */
+    boolean keepsOrigins(String address) {
+        Last last = lastByAddress.get(address);
+        return last != null && last.keepsOrigins();
+    }
+
+    /** Forgets the entries that have sent nothing for longer than a time in milliseconds, and returns them. */
+    List<String> removeSilent(long millis) {
+        long oldestAllowedMillis = clock.monotonicMillis() - millis;
+        List<String> silent = lastByAddress.entrySet().stream()
+                .filter(entry -> entry.getValue().atMillis() < oldestAllowedMillis)
+                .map(Map.Entry::getKey)
+                .toList();
+        silent.forEach(lastByAddress::remove);
+        return silent;
+    }
+}
