--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -3,7 +3,7 @@
 # Needs the build of the deploy file and review/build.sh.
 cd "$(dirname "$0")/../.." || exit 2
 . bin/common.sh
-timeout -k 2 117 "$JAVA" -Xmx1g -cp target/review KeptChannelsCase review/1
+timeout -k 2 117 "$JAVA" -Xmx1g -cp target/review DrainCase review/1
 code=$?
 [ "$code" -le 1 ] && exit "$code"
 exit 2
--- a/review/standins/StreamClient.java
+++ b/review/standins/StreamClient.java
@@ -64,7 +64,7 @@
                 }
             }
             trace += " [" + id + " at " + Http.text(address) + ": " + answer.status + ", events " + (events.size() - before)
-                    + (answer.complete ? ", complete" : ", " + answer.problem) + "]";
+                    + (answer.complete ? ", complete" : ", " + answer.problem) + framing(answer) + "]";
             if (answer.status == 503 || answer.status == 429) {
                 String after = answer.head.header("Retry-After");
                 Thread.sleep(after == null ? 50 : Math.min(leftMillis / 3, Math.round(1_000 * Double.parseDouble(after))));
@@ -72,6 +72,15 @@
         }
     }
 
+    /** Returns how the end of an answer is told, as its head says. */
+    private static String framing(Client.Answer answer) {
+        if (answer.head == null) {
+            return "";
+        }
+        return ", transfer-encoding " + answer.head.header("transfer-encoding") + ", content-length "
+                + answer.head.header("content-length") + ", connection " + answer.head.header("connection");
+    }
+
     private void parse(String text) {
         for (String event : text.split("\n\n")) {
             if (event.startsWith("id: ") && event.contains("\ndata: ")) {
