--- a/review/standins/ResumeCase.java
+++ b/review/standins/ResumeCase.java
@@ -53,7 +53,7 @@
                 }));
                 Thread.sleep(120);
                 if (Rig.TROUBLE && Rig.millis() - startMillis > nextReset) {
-                    nextReset += 2_500;
+                    nextReset += 1_000;
                     int entry = clients.size() % 3;
                     rig.log("channels of " + rig.entries.get(entry).name + " are reset: " + links.get(entry).reset(0.55));
                 }
