--- a/review/build.sh
+++ b/review/build.sh
@@ -5,4 +5,4 @@
 . bin/common.sh
 rm -rf target/review
 mkdir -p target/review
-"$JAVA_HOME/bin/javac" -encoding UTF-8 -d target/review review/standins/*.java
+"$JAVA_HOME/bin/javac" -encoding UTF-8 -d target/review review/platform/*.java
