--- a/review/platform/Runner.java
+++ b/review/platform/Runner.java
@@ -43,7 +43,7 @@
     final String id;
     final String service;
     final String zone;
-    final String stage;
+    volatile String stage;
     final CopyOnWriteArrayList<Run> runs;
     volatile String version;
     volatile long born = System.currentTimeMillis();
@@ -72,6 +72,11 @@
     private long silentSince = -1;
     private volatile boolean closed;
     private long fence;
+
+    /** Whether an order is in progress: requests that have not begun are declined until it is done. */
+    private boolean busy;
+
+    private static final long SWITCH_MILLIS = 6_000;
     private long prefillFreeAt;
 
     Runner(Rig rig, String id, String service, String zone, String stage, String version, String ip, CopyOnWriteArrayList<Run> runs)
@@ -110,6 +115,7 @@
         waiting = 0;
         used = 0;
         fence = 0;
+        busy = false;
         server.listen();
         up = true;
         boolean written = register();
@@ -211,6 +217,9 @@
         if (stage == null) {
             return plain(request, socket, output);
         }
+        if (busy) {
+            return decline(output, 503, "an order is in progress");
+        }
         boolean prefill = "prefill".equals(request.header("Stage"));
         if (prefill != stage.equals("prefill")) {
             return decline(output, 421, "wrong stage");
@@ -219,24 +228,56 @@
     }
 
     private synchronized String report() {
-        return "{\"stage\":\"" + stage + "\",\"models\":[{\"name\":\"m\",\"version\":1,\"adapters\":[]}],\"busy\":false,"
+        return "{\"stage\":\"" + stage + "\",\"models\":[{\"name\":\"m\",\"version\":1,\"adapters\":[]}],\"busy\":" + busy + ","
                 + "\"sequence\":0,\"waiting\":" + waiting + ",\"running\":" + running + ",\"kv_used\":" + used
                 + ",\"kv_total\":" + KV_TOKENS + ",\"handles\":" + handles.size() + ",\"born\":" + born + "}";
     }
 
-    /** Accepts no change of its stage: another order is in progress. Checks fences. */
+    /** Takes an order to change the stage. Checks fences. */
     private synchronized boolean order(String body, OutputStream output) throws IOException {
         long number = number(body, "fence");
         rig.log("order to " + id + ": " + body);
-        if (number < fence) {
-            Http.respond(output, 412, json("{}"));
-        } else {
-            fence = number;
-            Http.respond(output, 409, json("{}"));
+        String wanted = body.contains("\"stage\":\"prefill\"") ? "prefill" : "decode";
+        int status = 202;
+        if (stage == null || !body.contains("\"holder\"") || !body.contains("\"fence\"")) {
+            status = 400;
+        } else if (number < fence) {
+            status = 412;
+        } else if (busy) {
+            status = 409;
+        } else if (stage.equals(wanted)) {
+            status = 200;
+        }
+        fence = Math.max(fence, number);
+        if (status == 202) {
+            busy = true;
+            int bootAtStart = boot;
+            Thread.ofVirtual().start(() -> carryOut(wanted, bootAtStart));
         }
+        Http.respond(output, status, json("{}"));
         return true;
     }
 
+    /** Lets running work end, and is back with the other stage after the switch time. */
+    private void carryOut(String wanted, int bootAtStart) {
+        try {
+            while (running > 0 && boot == bootAtStart) {
+                Thread.sleep(20);
+            }
+            Thread.sleep(SWITCH_MILLIS);
+        } catch (InterruptedException interrupted) {
+            return;
+        }
+        synchronized (this) {
+            if (boot != bootAtStart) {
+                return;
+            }
+            stage = wanted;
+            busy = false;
+        }
+        register();
+    }
+
     private synchronized void expire() {
         long now = Rig.millis();
         holds.values().removeIf(hold -> hold.endMillis < now);
@@ -252,7 +293,7 @@
     private boolean hold(long tokens, long ttlMillis, OutputStream output) throws IOException {
         String name = Long.toHexString(ThreadLocalRandom.current().nextLong());
         synchronized (this) {
-            if (!fits(tokens)) {
+            if (busy || !fits(tokens)) {
                 return decline(output, 503, "{}");
             }
             holds.put(name, new Hold(tokens, Rig.millis() + Math.min(ttlMillis, 2_000)));
