--- a/review/platform/BodiesCase.java
+++ b/review/platform/BodiesCase.java
@@ -10,7 +10,7 @@
     private static final double PER_SECOND = Double.parseDouble(System.getProperty("rate", "15"));
     private static final double BURST = Double.parseDouble(System.getProperty("burst", "1.9"));
     private static final long BURST_MILLIS = Integer.getInteger("burstSeconds", 10) * 1_000L;
-    private static final long ROUTE_TIMEOUT_MILLIS = 1_500;
+    private static final long ROUTE_TIMEOUT_MILLIS = 800;
 
     public static void main(String[] arguments) {
         Rig.main(() -> run(Path.of(arguments[0])));
@@ -112,8 +112,8 @@
                 attempt,
                 Client.call(
                         entry.front,
-                        Client.request("POST", Manifest.ORDER + attempt, new byte[600], "Attempt-Id", attempt, "Deadline-Ms", "4000"),
-                        4_000,
-                        4_000));
+                        Client.request("POST", Manifest.ORDER + attempt, new byte[600], "Attempt-Id", attempt, "Deadline-Ms", "1500"),
+                        1_500,
+                        1_500));
     }
 }
--- a/review/platform/Http.java
+++ b/review/platform/Http.java
@@ -266,11 +266,18 @@
         }
     }
 
-    /** Returns a free port of a loopback address. */
+    /** Returns a free port of a loopback address, below those that the system hands out for connections. */
     static InetSocketAddress free(String ip) throws IOException {
-        try (ServerSocket probe = new ServerSocket(0, 1, InetAddress.getByName(ip))) {
-            return new InetSocketAddress(InetAddress.getByName(ip), probe.getLocalPort());
+        InetAddress address = InetAddress.getByName(ip);
+        for (int attempt = 0; attempt < 100; attempt++) {
+            int port = 16_000 + java.util.concurrent.ThreadLocalRandom.current().nextInt(16_000);
+            try (ServerSocket probe = new ServerSocket(port, 1, address)) {
+                return new InetSocketAddress(address, port);
+            } catch (java.net.BindException taken) {
+                continue;
+            }
         }
+        throw new IOException("no free port of " + ip);
     }
 
     static String text(InetSocketAddress address) {
--- a/review/platform/KeptChannelsCase.java
+++ b/review/platform/KeptChannelsCase.java
@@ -13,10 +13,10 @@
 final class KeptChannelsCase {
 
     private static final int CLIENTS = Integer.getInteger("clients", 30);
-    private static final int BODY_BYTES = Integer.getInteger("size", 600);
-    private static final long PAUSE_MILLIS = Integer.getInteger("pause", 50);
-    private static final long LENGTH_MILLIS = Integer.getInteger("seconds", 90) * 1_000L;
-    private static final long ROUTE_TIMEOUT_MILLIS = 1_500;
+    private static final int BODY_BYTES = Integer.getInteger("size", 3_600);
+    private static final long PAUSE_MILLIS = Integer.getInteger("pause", 250);
+    private static final long LENGTH_MILLIS = Integer.getInteger("seconds", 95) * 1_000L;
+    private static final long ROUTE_TIMEOUT_MILLIS = 800;
 
     record Call(long sentMillis, int status, long tookMillis, String problem) {}
 
@@ -32,6 +32,7 @@
                 Runner runner = rig.add(new Runner(
                         rig, "i-plain-" + index, "ledger-app", Rig.ZONES[index % 3], null, "v1", "127.0.101." + (index + 1), runs));
                 runner.recordsRuns = false;
+                runner.answerBytes = 4_800;
             }
             rig.startEntries(3);
             rig.awaitReady();
@@ -87,13 +88,13 @@
                     socket = new Socket();
                     socket.setTcpNoDelay(true);
                     socket.connect(entry.front, 1_000);
-                    socket.setSoTimeout(4_000);
+                    socket.setSoTimeout(1_500);
                     input = new BufferedInputStream(socket.getInputStream());
                 }
                 String attempt = StreamClient.newAttempt();
                 socket.getOutputStream()
                         .write(Client.request(
-                                "POST", Manifest.ORDER + attempt, new byte[BODY_BYTES], "Attempt-Id", attempt, "Deadline-Ms", "4000"));
+                                "POST", Manifest.ORDER + attempt, new byte[BODY_BYTES], "Attempt-Id", attempt, "Deadline-Ms", "1500"));
                 Http.Message head = Http.readHead(input);
                 if (head == null) {
                     throw new IOException("closed without an answer");
--- a/review/platform/Runner.java
+++ b/review/platform/Runner.java
@@ -54,7 +54,9 @@
 
     volatile long plainMillis = 30;
 
-    /** Every plain answer is delayed by this, after the run. */
+    /** Length of a plain answer, in bytes; it is not shorter than what it has to say. */
+    volatile int answerBytes = 0;
+
     volatile boolean up = true;
 
     /** Whether each run is kept for the judge. */
@@ -158,6 +160,11 @@
         }
     }
 
+    private String answer(Run run) {
+        String text = "answer " + Integer.toHexString(run.bodyHash) + " " + run.target;
+        return text + " ".repeat(Math.max(0, answerBytes - text.length()));
+    }
+
     private static byte[] json(String text) {
         return text.getBytes(StandardCharsets.UTF_8);
     }
@@ -479,7 +486,7 @@
             Http.respond(
                     output,
                     200,
-                    json("answer " + Integer.toHexString(run.bodyHash) + " " + run.target),
+                    json(answer(run)),
                     "Attempt-Id",
                     run.attempt,
                     "Response-Signature",
