A stream that is broken off never looks complete

Cause: the HTTP server sends chunks only on a connection that stays open. An entry that drains announces the end of the connection, so the end of the connection was the end of the response, whatever caused it. Ruled out: a last chunk sent by the exit (streams with chunks lack theirs), an instance that ended early (it logs the cancel).

Change: StreamFraming. HTTP/1.1 always gets chunks. The connection of an HTTP/1.0 caller is reset if it is closed before the stream is complete, by the entry or by the operating system. The same on our own path.

BrokenOffStreamOnLoopbackTest failed before in 6 of 6 ways to break off, and passes now; StreamEndedInsideAnEventOnLoopbackTest and RestartOnLoopbackTest pass as before.

--- a/entry/src/main/java/org/merlinwood/entry/caller/CallerExchange.java
+++ b/entry/src/main/java/org/merlinwood/entry/caller/CallerExchange.java
@@ -17,6 +17,7 @@
 import java.util.function.Consumer;
 import org.merlinwood.core.result.ResultCode;
 import org.merlinwood.http.HttpHeader;
+import org.merlinwood.http.StreamFraming;
 import org.xnio.IoUtils;
 import org.xnio.conduits.StreamSourceConduit;
 
@@ -88,6 +89,7 @@
         exchange.getIoThread().execute(() -> {
             if (!isEnded()) {
                 setHead(status, headers);
+                StreamFraming.begin(exchange);
             }
         });
     }
@@ -159,6 +161,7 @@
             exchange.getResponseSender().send(ByteBuffer.wrap(bytes), new PartWritten(bytes.length));
         } else if (ending) {
             finished = true;
+            StreamFraming.complete(exchange);
             exchange.getResponseSender().close(IoCallback.END_EXCHANGE);
         }
     }
--- a/gateway/src/main/java/org/merlinwood/gateway/front/UndertowCallerChannel.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/UndertowCallerChannel.java
@@ -1,6 +1,5 @@
 package org.merlinwood.gateway.front;
 
-import com.google.common.flogger.FluentLogger;
 import io.undertow.connector.PooledByteBuffer;
 import io.undertow.io.IoCallback;
 import io.undertow.io.Sender;
@@ -9,14 +8,13 @@
 import io.undertow.server.ServerConnection;
 import io.undertow.server.protocol.http.HttpServerConnection;
 import io.undertow.util.HttpString;
-import io.undertow.util.Protocols;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
 import java.util.List;
 import org.merlinwood.http.HttpHeader;
+import org.merlinwood.http.StreamFraming;
 import org.xnio.IoUtils;
-import org.xnio.Options;
 import org.xnio.channels.StreamSinkChannel;
 import org.xnio.conduits.ConduitStreamSourceChannel;
 
@@ -28,8 +26,6 @@
  */
 final class UndertowCallerChannel implements CallerChannel {
 
-    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
-
     /**
      * Maximum number of bytes buffered for a slow caller; beyond it the connection is closed. Many times the size of a
      * complete response.
@@ -84,6 +80,7 @@
             return;
         }
         setResponseHead(status, headers);
+        StreamFraming.begin(exchange);
         sink = exchange.getResponseChannel();
         sink.getWriteSetter().set(writable -> flushPending());
     }
@@ -117,22 +114,9 @@
             return;
         }
         finished = true;
-        if (Protocols.HTTP_1_0.equals(exchange.getProtocol())) {
-            resetOnClose();
-        }
         IoUtils.safeClose(exchange.getConnection());
     }
 
-    /** A response of HTTP/1.0 ends with its connection: only a reset tells the caller that it is not complete. */
-    private void resetOnClose() {
-        try {
-            exchange.getConnection().setOption(Options.CLOSE_ABORT, true);
-        } catch (IOException exception) {
-            logger.atWarning().withCause(exception).log(
-                    "the end of a broken response can't be told from a complete one");
-        }
-    }
-
     private void flushPending() {
         if (finished) {
             return;
@@ -151,6 +135,7 @@
             if (endAfterFlush) {
                 finished = true;
                 sink.suspendWrites();
+                StreamFraming.complete(exchange);
                 exchange.endExchange();
                 return;
             }
