Streams of a plain service are forwarded as they arrive

Cause: the dispatcher chose by the service, not by the route, whether a response is forwarded by event or read whole first. Ruled out by the log: the route isn't in force (accepted names it), no instance (send names one).

Change: StreamRequestProcessor processes all streams; StreamPlacement is what differs between services.

--- a/gateway/src/main/java/org/merlinwood/gateway/decision/InstancePool.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/decision/InstancePool.java
@@ -80,11 +80,12 @@
      * Chooses an instance of a plain service.
      *
      * @param service name of the service
+     * @param version software version that the instance must run; empty for any version
      * @param excluded identifiers of instances that were already tried
      * @return the chosen instance, or empty if no candidate is left
      */
-    public Optional<UpstreamInstance> choosePlain(String service, Set<String> excluded) {
-        return plainPlacement.choose(service, excluded);
+    public Optional<UpstreamInstance> choosePlain(String service, Optional<String> version, Set<String> excluded) {
+        return plainPlacement.choose(service, version, excluded);
     }
 
     /**
@@ -190,15 +191,16 @@
     }
 
     /**
-     * Returns whether no instance that generates responses runs a software version any more, though instances of other
-     * versions do. If there is no instance at all, what is known of the instances is taken to be incomplete.
+     * Returns whether no instance of a stage runs a software version any more, though instances of other versions do.
+     * If there is no instance at all, what is known of the instances is taken to be incomplete.
      *
      * @param service name of the service
+     * @param stage stage of the instances that send streams of the service
      * @param version the software version
      * @return true if a stream of that version can't go on
      */
-    public boolean isVersionGone(String service, String version) {
-        return candidates.isVersionGone(service, Stage.DECODE, version);
+    public boolean isVersionGone(String service, Stage stage, String version) {
+        return candidates.isVersionGone(service, stage, version);
     }
 
     /**
--- a/gateway/src/main/java/org/merlinwood/gateway/decision/PlainPlacement.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/decision/PlainPlacement.java
@@ -39,8 +39,8 @@
     }
 
     /** Chooses an instance, see {@link InstancePool#choosePlain}. */
-    Optional<UpstreamInstance> choose(String service, Set<String> excluded) {
-        List<UpstreamInstance> eligible = candidates.of(service, Stage.PLAIN, excluded);
+    Optional<UpstreamInstance> choose(String service, Optional<String> version, Set<String> excluded) {
+        List<UpstreamInstance> eligible = candidates.of(service, Stage.PLAIN, version, excluded);
         double lowestErrorRate = ranking.lowestErrorRate(eligible);
         double meanMillis = ranking.meanMillis(eligible);
         return ranking.chooseBest(eligible, instance -> score(instance, lowestErrorRate, meanMillis));
--- a/gateway/src/main/java/org/merlinwood/gateway/front/GenerationAttempt.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/GenerationAttempt.java
@@ -17,7 +17,7 @@
 import org.merlinwood.operation.log.DecisionLog;
 
 /**
- * One attempt to generate the response of a stream, at one instance: reads its response, forwards complete events, and
+ * One attempt to get the response of a stream from one instance: reads its response, forwards complete events, and
  * tells the processor how it ended. What follows is decided there, and by {@link OpenAttempts} which of two goes on.
  * Used by the event loop alone.
  */
@@ -97,6 +97,11 @@
         return Math.max(1, streamedMillis / Math.max(1, eventCount));
     }
 
+    /** Returns the time from sending the attempt to its first event, in milliseconds, at least 1. */
+    long millisToFirstEvent() {
+        return Math.max(1, firstEventAtMillis - sentMillis);
+    }
+
     /** Adds what the complete response was like to a log line, and returns the line. */
     DecisionLog.Line addResponse(DecisionLog.Line line, int generatedTokens) {
         return line.with("status", head.status())
--- a/gateway/src/main/java/org/merlinwood/gateway/front/GenerationPlacement.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/GenerationPlacement.java
@@ -8,6 +8,7 @@
 import org.merlinwood.gateway.decision.MemoryNeed;
 import org.merlinwood.gateway.decision.MemoryWaitPolicy;
 import org.merlinwood.gateway.decision.MemoryWaitQueue;
+import org.merlinwood.gateway.fleet.Stage;
 import org.merlinwood.gateway.fleet.UpstreamInstance;
 import org.merlinwood.gateway.request.Prompt;
 import org.merlinwood.gateway.route.EngineLimits;
@@ -20,7 +21,7 @@
  * <p>Memory is reserved first because it is the scarce resource: a prefill result is wasted if no decode instance can
  * take it over. Used by the event loop alone; may be started again, for the next attempt of the request.
  */
-final class GenerationPlacement {
+final class GenerationPlacement implements StreamPlacement {
 
     /** Delay before excluded instances may be chosen again, in milliseconds. */
     private static final long EXCLUSION_RESET_MILLIS = 100;
@@ -61,7 +62,8 @@
     }
 
     /** Chooses an instance and prepares an attempt there, or waits for memory. */
-    void start() {
+    @Override
+    public void start() {
         Optional<UpstreamInstance> choice = chooseInstance();
         if (choice.isEmpty()) {
             waitForMemory();
@@ -72,39 +74,41 @@
         }
     }
 
-    /** Forgets which prefill instances were tried, for the next attempt of the request. */
-    void clearTriedPrefillInstances() {
+    @Override
+    public void clearTriedPrefillInstances() {
         prefillCall.clearTriedInstances();
     }
 
     /** Excludes an instance for a short time. */
-    void exclude(UpstreamInstance instance) {
+    @Override
+    public void exclude(UpstreamInstance instance) {
         excludedInstances.add(instance.identifier());
     }
 
-    /** Returns the identifier of the reservation for the attempt, empty if nothing was reserved. */
-    Optional<String> reservationIdentifier() {
+    @Override
+    public Optional<String> reservationIdentifier() {
         return reservation.map(MemoryReservation::identifier);
     }
 
-    /** Returns the computed prompt for the attempt, empty if its instance is to compute the prompt. */
-    Optional<PrefillResult> prefillResult() {
+    @Override
+    public Optional<PrefillResult> prefillResult() {
         return prefillResult;
     }
 
-    /** Holds a computed prompt again whose attempt did not reach its instance. */
-    void restore(Optional<PrefillResult> unused) {
+    @Override
+    public void restore(Optional<PrefillResult> unused) {
         prefillResult = unused;
     }
 
-    /** Records that the attempt which uses what was prepared is being sent. */
-    void handOver() {
+    @Override
+    public void handOver() {
         reservation = Optional.empty();
         prefillResult = Optional.empty();
     }
 
     /** Gives up what is reserved at a decode instance and chooses another one. */
-    void placeAgain(UpstreamInstance instance, String reason) {
+    @Override
+    public void placeAgain(UpstreamInstance instance, String reason) {
         processor
                 .decisionLine("placed again")
                 .with("instance", instance.identifier())
@@ -117,8 +121,8 @@
         processor.proceed();
     }
 
-    /** Cancels the preparation, and releases what is reserved for an attempt that was not sent. */
-    void cancel() {
+    @Override
+    public void cancel() {
         prefillCall.cancel();
         reservationCall.ifPresent(work -> work.request().cancel());
         reservationCall = Optional.empty();
@@ -131,14 +135,20 @@
         queuedRequest = Optional.empty();
     }
 
-    /** Describes the request to an upstream that is in progress, for log lines; empty if there is none. */
-    Optional<String> describe() {
+    @Override
+    public Optional<String> describe() {
         return prefillCall
                 .activeInstance()
                 .map(instance -> "prefill at " + instance.identifier())
                 .or(() -> reservationCall.map(UpstreamWork::describe));
     }
 
+    /** Returns the time per event: how fast an instance generates doesn't depend on the length of its responses. */
+    @Override
+    public long latencyMillis(GenerationAttempt attempt) {
+        return attempt.millisPerEvent();
+    }
+
     private Optional<UpstreamInstance> chooseInstance() {
         Set<String> excluded = new HashSet<>(excludedInstances);
         processor.silentInstance().ifPresent(excluded::add);
@@ -217,9 +227,7 @@
             return true;
         }
         if (isVersionGone()) {
-            context.metrics().count("streams_of_gone_version");
-            processor.giveUpAttempt(
-                    ResultCode.STREAM_VERSION_GONE, 0, "no instance runs the version that began the stream");
+            processor.giveUpAttemptOfGoneVersion();
             return false;
         }
         MemoryWaitPolicy.Situation situation = new MemoryWaitPolicy.Situation(
@@ -247,7 +255,7 @@
     private boolean isVersionGone() {
         return processor
                 .requiredVersion()
-                .filter(version -> context.pool().isVersionGone(processor.service, version))
+                .filter(version -> context.pool().isVersionGone(processor.service, Stage.DECODE, version))
                 .isPresent();
     }
 
--- a/gateway/src/main/java/org/merlinwood/gateway/front/OpenAttempts.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/OpenAttempts.java
@@ -31,7 +31,7 @@
     private final StreamResponse response;
     private final StreamRetries retries;
     private final GenerationRegistration registration;
-    private final GenerationPlacement placement;
+    private final StreamPlacement placement;
     private final SilenceTimer silenceTimer;
     private final SilenceTimer overlapTimer;
 
@@ -75,7 +75,7 @@
             StreamResponse response,
             StreamRetries retries,
             GenerationRegistration registration,
-            GenerationPlacement placement) {
+            StreamPlacement placement) {
         this.processor = processor;
         this.context = processor.context;
         this.response = response;
--- a/gateway/src/main/java/org/merlinwood/gateway/front/RequestDispatcher.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/RequestDispatcher.java
@@ -8,6 +8,7 @@
 import org.merlinwood.gateway.request.CallerRequest;
 import org.merlinwood.gateway.request.Prompt;
 import org.merlinwood.gateway.route.EngineLimits;
+import org.merlinwood.gateway.route.RequestKind;
 import org.merlinwood.gateway.route.Route;
 import org.merlinwood.gateway.route.RouteTable;
 import org.merlinwood.gateway.route.UpstreamService;
@@ -79,13 +80,19 @@
         String service = route.serviceFor(request.streamAttempt());
         Optional<EngineLimits> limits =
                 Optional.ofNullable(routes.services().get(service)).flatMap(UpstreamService::engine);
+        start(createProcessor(request, channel, route, service, limits));
+    }
+
+    private RequestProcessor createProcessor(
+            CallerRequest request, CallerChannel channel, Route route, String service, Optional<EngineLimits> limits) {
         Optional<Prompt> prompt = request.prompt();
         if (prompt.isPresent() && limits.isPresent()) {
             context.demandMeter().recordRequest(service, prompt.get().promptTokens());
-            start(new StreamRequestProcessor(context, request, route, channel, prompt.get(), limits.get()));
-        } else {
-            start(new PlainRequestProcessor(context, request, route, channel));
+            return new StreamRequestProcessor(context, request, route, channel, limits);
         }
+        return route.kind() == RequestKind.STREAM
+                ? new StreamRequestProcessor(context, request, route, channel, Optional.empty())
+                : new PlainRequestProcessor(context, request, route, channel);
     }
 
     private void start(RequestProcessor processor) {
--- a/gateway/src/main/java/org/merlinwood/gateway/front/RequestProcessor.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/RequestProcessor.java
@@ -10,7 +10,9 @@
 import org.merlinwood.core.result.ResultCode;
 import org.merlinwood.gateway.decision.AttemptOutcome;
 import org.merlinwood.gateway.decision.CrashHistory;
+import org.merlinwood.gateway.decision.MemoryWaitPolicy;
 import org.merlinwood.gateway.decision.PartFingerprints;
+import org.merlinwood.gateway.fleet.Stage;
 import org.merlinwood.gateway.fleet.UpstreamInstance;
 import org.merlinwood.gateway.loop.EventLoop;
 import org.merlinwood.gateway.request.CallerRequest;
@@ -33,6 +35,12 @@
     /** Counts how often a request was not sent because of its parts. */
     static final String BLOCKED_PARTS_COUNTER = "requests_with_blocked_parts";
 
+    /**
+     * Retry delay sent to a refused caller of a plain service, in milliseconds. The pause of an instance ends within
+     * it.
+     */
+    private static final long PLAIN_RETRY_AFTER_MILLIS = 150;
+
     private static final double MILLIS_PER_SECOND = 1_000;
 
     final RequestProcessorContext context;
@@ -112,6 +120,20 @@
         return OptionalLong.of(Math.max(1, timeLeftMillis()));
     }
 
+    /**
+     * Returns the retry delay for a caller of a plain service, in milliseconds: until an instance accepts requests
+     * again, if all have named a time.
+     */
+    final long plainRetryAfterMillis() {
+        OptionalLong untilAccepted = context.pool().millisUntilAccepted(service, Stage.PLAIN);
+        return untilAccepted.isEmpty()
+                ? PLAIN_RETRY_AFTER_MILLIS
+                : MemoryWaitPolicy.retryAfterMillis(
+                        untilAccepted.getAsLong(),
+                        timeLeftMillis(),
+                        context.clock().monotonicMillis());
+    }
+
     final boolean isFinished() {
         return finished;
     }
--- a/gateway/src/main/java/org/merlinwood/gateway/request/Prompt.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/request/Prompt.java
@@ -15,6 +15,9 @@
  */
 public record Prompt(String model, int promptTokens, int outputTokens, OptionalInt lengthHint, List<PromptPart> parts) {
 
+    /** The prompt of a request that has none: a stream of a plain service. */
+    public static final Prompt NONE = new Prompt("", 0, 0, OptionalInt.empty(), List.of());
+
     /** Copies the parts. */
     public Prompt {
         parts = List.copyOf(parts);
