That a service has one version counts only with a current copy of the store

Ruled out: a guess (streamOfUnknownVersionIsRefusedAtOnce), a wrong record (an entry that is cut off gets none).

Change: StreamOriginSearch, taken out of StreamBinding, asks the store before it concludes. The read is sent after the request was received, and applied. Without an answer in 300 ms the version counts as unknown.

soleVersionDoesNotCountAtAnEntryThatCannotReachTheStore and soleVersionDoesNotCountIfTheStoreKnowsOfAnotherOne failed without the confirmation.

--- a/gateway/src/main/java/org/merlinwood/gateway/follow/StoreFollower.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/follow/StoreFollower.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Consumer;
 import java.util.stream.Collectors;
 import org.merlinwood.core.result.Failure;
 import org.merlinwood.core.time.MillisClock;
@@ -23,7 +24,7 @@
  * arrives shortly after a failure of the store is delayed by {@link #REMOVAL_DELAY_MILLIS}: registrations that expired
  * during an outage are renewed within that time if their instance is still running.
  */
-public final class StoreFollower {
+public final class StoreFollower implements StoreConfirmation {
 
     /** Maximum wait of a watch request, in milliseconds. Also limits how late an unresponsive store is detected. */
     static final long WATCH_WAIT_MILLIS = 2_000;
@@ -49,6 +50,15 @@
      */
     static final long REMOVAL_DELAY_MILLIS = 2_000;
 
+    /** Time for each read of a confirmation, in milliseconds. A caller waits for it. */
+    private static final long CONFIRMATION_TIMEOUT_MILLIS = 300;
+
+    /** Maximum wait of a read of a confirmation, in milliseconds: the store answers at once. */
+    private static final long CONFIRMATION_WAIT_MILLIS = 1;
+
+    /** Number of reads after which a store that changes all the time isn't asked any more. */
+    private static final int MAXIMUM_CONFIRMATION_READS = 4;
+
     private final StoreProtocol protocol;
     private final HttpClient client;
     private final EventLoop loop;
@@ -86,6 +96,44 @@
         list(new Listing());
     }
 
+    /**
+     * Reads what has changed, beside the watch that waits, until the store says that nothing has. A failure of it isn't
+     * taken for one of the store: this read has less time.
+     */
+    @Override
+    public void confirm(Consumer<Boolean> consumer) {
+        if (listed) {
+            confirm(copy.position(), MAXIMUM_CONFIRMATION_READS, consumer);
+        } else {
+            consumer.accept(false);
+        }
+    }
+
+    private void confirm(StorePosition after, int readsLeft, Consumer<Boolean> consumer) {
+        HttpRequest request = protocol.watch(after.revision(), CONFIRMATION_WAIT_MILLIS)
+                .withTimeouts(CONFIRMATION_TIMEOUT_MILLIS, CONFIRMATION_TIMEOUT_MILLIS);
+        client.execute(
+                request,
+                result -> loop.execute(() -> onConfirmation(
+                        after, readsLeft - 1, result.toJavaOptional().map(protocol::read), consumer)));
+    }
+
+    private void onConfirmation(
+            StorePosition after, int readsLeft, Optional<StoreResponse> response, Consumer<Boolean> consumer) {
+        if (!(response.orElse(null) instanceof StoreResponse.Changes changes)
+                || changes.position().era() != after.era()
+                || era != after.era()) {
+            consumer.accept(false);
+            return;
+        }
+        changes.changes().forEach(this::apply);
+        if (changes.changes().isEmpty() || readsLeft == 0) {
+            consumer.accept(changes.changes().isEmpty());
+            return;
+        }
+        confirm(changes.position(), readsLeft, consumer);
+    }
+
     /**
      * Returns the position up to which all changes have been applied and may be relayed to peers.
      *
--- a/gateway/src/main/java/org/merlinwood/gateway/front/FrontHandlerFactory.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/FrontHandlerFactory.java
@@ -12,6 +12,7 @@
 import org.merlinwood.gateway.decision.StreamOrigins;
 import org.merlinwood.gateway.decision.VersionHistory;
 import org.merlinwood.gateway.fleet.FleetState;
+import org.merlinwood.gateway.follow.StoreConfirmation;
 import org.merlinwood.gateway.loop.EventLoop;
 import org.merlinwood.gateway.request.CallerProtocol;
 import org.merlinwood.gateway.route.RouteTable;
@@ -42,6 +43,7 @@
      * @param origins the software versions that began streams
      * @param versionHistory the software versions that each service has had
      * @param originPeers the other entries, which keep and know origins of streams
+     * @param storeConfirmation tells whether what is known of the instances is current
      * @param demandMeter measures the demand for each model service
      * @param log the decision log
      * @param metrics the request metrics
@@ -59,6 +61,7 @@
             StreamOrigins origins,
             VersionHistory versionHistory,
             OriginPeers originPeers,
+            StoreConfirmation storeConfirmation,
             DemandMeter demandMeter,
             DecisionLog log,
             RequestMetrics metrics) {
@@ -75,6 +78,7 @@
                 origins,
                 versionHistory,
                 originPeers,
+                storeConfirmation,
                 demandMeter,
                 new MemoryWaitQueues(loop, clock),
                 new CollectedBytes(),
--- a/gateway/src/main/java/org/merlinwood/gateway/front/RequestProcessorContext.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/RequestProcessorContext.java
@@ -10,6 +10,7 @@
 import org.merlinwood.gateway.decision.StreamOrigins;
 import org.merlinwood.gateway.decision.VersionHistory;
 import org.merlinwood.gateway.fleet.FleetState;
+import org.merlinwood.gateway.follow.StoreConfirmation;
 import org.merlinwood.gateway.loop.EventLoop;
 import org.merlinwood.gateway.upstream.UpstreamClient;
 import org.merlinwood.gateway.upstream.UpstreamProtocol;
@@ -30,6 +31,7 @@
  * @param origins the software versions that began streams
  * @param versionHistory the software versions that each service has had
  * @param originPeers the other entries, which keep and know origins of streams
+ * @param storeConfirmation tells whether what is known of the instances is current
  * @param demandMeter measures the demand for each model service
  * @param memoryWaitQueues the queues of requests that wait for memory
  * @param collectedBytes the bytes of all plain responses that are being collected
@@ -49,6 +51,7 @@
         StreamOrigins origins,
         VersionHistory versionHistory,
         OriginPeers originPeers,
+        StoreConfirmation storeConfirmation,
         DemandMeter demandMeter,
         MemoryWaitQueues memoryWaitQueues,
         CollectedBytes collectedBytes,
--- a/gateway/src/main/java/org/merlinwood/gateway/front/StreamBinding.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/StreamBinding.java
@@ -1,10 +1,8 @@
 package org.merlinwood.gateway.front;
 
-import java.util.HashSet;
+import java.util.Locale;
 import java.util.Optional;
-import java.util.Set;
 import java.util.function.Consumer;
-import org.merlinwood.gateway.decision.OriginPeers;
 import org.merlinwood.gateway.decision.StreamOrigin;
 import org.merlinwood.gateway.fleet.UpstreamInstance;
 import org.merlinwood.gateway.request.CallerRequest;
@@ -69,51 +67,22 @@
      * @param consumer receives whether it was found, exactly once; may be called before this method returns
      */
     void resolve(Consumer<Boolean> consumer) {
-        Optional<String> known = request.resumedAttempt().flatMap(context.origins()::versionOf);
-        if (known.isPresent()) {
-            bind(known.get(), "own record");
-            consumer.accept(true);
-            return;
-        }
         long streamMillis = STREAM_TIMEOUTS * route.timeoutMillis();
-        OriginPeers.Question question =
-                new OriginPeers.Question(request.resumedAttempt().orElse(""), processor.service, streamMillis);
-        context.originPeers().ask(question, answers -> {
-            onAnswers(question, answers);
+        new StreamOriginSearch(context, request, processor.service, streamMillis).start(origin -> {
+            origin.ifPresent(this::bind);
             consumer.accept(version.isPresent());
         });
     }
 
-    private void onAnswers(OriginPeers.Question question, OriginPeers.Answers answers) {
-        if (answers.version().isPresent()) {
-            bind(answers.version().get(), "another entry");
-        } else {
-            soleVersion(question, answers).ifPresent(sole -> bind(sole, "only version"));
-        }
-    }
-
-    /** Returns the only version that the service has had while the stream may have begun, or empty. */
-    private Optional<String> soleVersion(OriginPeers.Question question, OriginPeers.Answers answers) {
-        Set<String> versions =
-                new HashSet<>(context.versionHistory().versionsWithin(question.service(), question.streamMillis()));
-        Set<String> soleVersions = new HashSet<>(answers.soleVersions());
-        context.versionHistory()
-                .soleVersionWithin(question.service(), question.streamMillis())
-                .ifPresent(soleVersions::add);
-        versions.addAll(soleVersions);
-        return versions.size() == 1 && !soleVersions.isEmpty()
-                ? versions.stream().findFirst()
-                : Optional.empty();
-    }
-
-    private void bind(String newVersion, String source) {
-        version = Optional.of(newVersion);
-        request.resumedAttempt().ifPresent(attempt -> context.origins().recordTold(origin(attempt, newVersion)));
+    private void bind(StreamOriginSearch.Origin found) {
+        version = Optional.of(found.version());
+        request.resumedAttempt().ifPresent(attempt -> context.origins().recordTold(origin(attempt, found.version())));
         processor
                 .decisionLine("stream taken up")
-                .with("version", newVersion)
-                .with("known", source)
+                .with("version", found.version())
+                .with("known", found.source().description())
                 .write();
+        context.metrics().count("streams_version_from_" + found.source().name().toLowerCase(Locale.ROOT));
     }
 
     /** Returns whether an instance may get the next attempt, as it is registered now. */
--- a/gateway/src/main/java/org/merlinwood/gateway/process/EntryComposition.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/process/EntryComposition.java
@@ -170,6 +170,7 @@
                 origins,
                 versionHistory,
                 peers.originPeers(),
+                follower,
                 demandMeter,
                 log,
                 new RequestMetrics(metrics));
--- a/gateway/src/test/java/org/merlinwood/gateway/follow/StoreFollowerTest.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/follow/StoreFollowerTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.AfterEach;
@@ -36,6 +37,38 @@
         assertThat(listener.restores).isEmpty();
     }
 
+    /** Guards against an entry that stood still, or is cut off, and takes what it knows for current. */
+    @Test
+    void copyIsCurrentOnlyOnceTheStoreHasNothingNew() {
+        List<Boolean> answers = new ArrayList<>();
+        follower.confirm(answers::add);
+        assertThat(client.last().request().path()).isEqualTo("/watch/5");
+        respond("done 8 b=2@8");
+        assertThat(values).containsEntry("b", "2");
+        assertThat(answers).isEmpty();
+        assertThat(client.last().request().path()).isEqualTo("/watch/8");
+        respond("done 8");
+        assertThat(answers).containsExactly(true);
+    }
+
+    @Test
+    void copyIsNotCurrentIfTheStoreDoesNotAnswer() {
+        List<Boolean> answers = new ArrayList<>();
+        follower.confirm(answers::add);
+        client.last().fail(ResultCode.UPSTREAM_TIMEOUT, ExecutionState.UNKNOWN);
+        loop.run();
+        assertThat(answers).containsExactly(false);
+        assertThat(listener.reachable).containsExactly(true);
+    }
+
+    @Test
+    void copyIsNotCurrentIfTheHistoryIsGone() {
+        List<Boolean> answers = new ArrayList<>();
+        follower.confirm(answers::add);
+        respond("gone");
+        assertThat(answers).containsExactly(false);
+    }
+
     @Test
     void watchStartsAtRevisionOfFirstPage() {
         assertThat(values).containsOnlyKeys("a", "b");
--- a/gateway/src/test/java/org/merlinwood/gateway/front/RequestProcessorFixture.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/front/RequestProcessorFixture.java
@@ -61,6 +61,9 @@
     /** Timeout of the route, in milliseconds. */
     static final long ROUTE_TIMEOUT_MILLIS = 5_000;
 
+    /** Number of tokens of each part of a prompt. */
+    static final int PART_TOKENS = 100;
+
     private static final int BODY_BYTES = 1_000;
     private static final long RETRY_WINDOW_MILLIS = 10_000;
     private static final double FIXED_RETRIES = 60;
@@ -80,6 +83,7 @@
     final StreamOrigins origins = new StreamOrigins(clock);
     final VersionHistory versionHistory = new VersionHistory(fleet, clock);
     final FakeOriginPeers originPeers = new FakeOriginPeers(loop);
+    final FakeStoreConfirmation storeConfirmation = new FakeStoreConfirmation();
     final CrashCausingParts crashCausingParts = new CrashCausingParts(clock, 1, new RecordingCrashListener());
     private final RequestDispatcher dispatcher;
     private CallerRequest request;
@@ -97,10 +101,12 @@
     RequestProcessorFixture(RequestKind kind, boolean resumable, boolean hasEngines, int maximumAttempts) {
         clock.advanceMillis(RETRY_WINDOW_MILLIS);
         DecisionLog log = new DecisionLog("test", clock, new PrintStream(OutputStream.nullOutputStream()));
+        UpstreamClient upstreamClient =
+                new UpstreamClient(client, new FakeUpstreamProtocol(), new DecliningInstanceGuard());
         RequestProcessorContext context = new RequestProcessorContext(
                 loop,
                 clock,
-                new UpstreamClient(client, new FakeUpstreamProtocol(), new DecliningInstanceGuard()),
+                upstreamClient,
                 new FakeUpstreamProtocol(),
                 fleet,
                 pool,
@@ -110,6 +116,7 @@
                 origins,
                 versionHistory,
                 originPeers,
+                storeConfirmation,
                 new DemandMeter(clock),
                 new MemoryWaitQueues(loop, clock),
                 new CollectedBytes(),
@@ -161,6 +168,13 @@
         sendRequest(attempt, "/p/x", OptionalLong.of(lastEvent), Optional.of(resumedAttempt), List.of(), "body");
     }
 
+    /** The same for an attempt whose prompt has these parts. */
+    void sendResumingAttemptWithParts(String attempt, String resumedAttempt, long lastEvent, String... parts) {
+        List<PromptPart> promptParts =
+                Stream.of(parts).map(part -> new PromptPart(part, PART_TOKENS)).toList();
+        sendRequest(attempt, "/p/x", OptionalLong.of(lastEvent), Optional.of(resumedAttempt), promptParts, "body");
+    }
+
     /** Sends a request of a caller that resumes after an event a stream which began here, at version v1. */
     void sendResumingRequest(String path, long lastEvent) {
         origins.recordOwn(new StreamOrigin("attempt-0", "v1", CALLER_TIME_MILLIS));
@@ -170,7 +184,7 @@
     /** Sends a request with a body of its own whose prompt has these parts. */
     void sendRequestWithParts(String path, String... parts) {
         List<PromptPart> promptParts =
-                Stream.of(parts).map(part -> new PromptPart(part, 100)).toList();
+                Stream.of(parts).map(part -> new PromptPart(part, PART_TOKENS)).toList();
         sendRequest(ATTEMPT, path, OptionalLong.empty(), Optional.empty(), promptParts, String.join(" ", parts));
     }
 
--- a/gateway/src/test/java/org/merlinwood/gateway/front/StreamVersionTest.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/front/StreamVersionTest.java
@@ -158,6 +158,39 @@
         assertThat(fixture.client.sent()).hasSize(sent);
     }
 
+    /**
+     * Guards against an entry out of step, cut off or standing still while instances of another version joined, which
+     * takes the version that it knows for the only one.
+     */
+    @Test
+    void soleVersionDoesNotCountAtAnEntryThatCannotReachTheStore() {
+        RequestProcessorFixture fixture = fixtureWhereOthersKnowASoleVersion();
+        fixture.storeConfirmation.current = false;
+        takeUpStreamOfUnknownOrigin(fixture);
+        assertThat(fixture.caller.body).contains("2009");
+    }
+
+    /** The same for an entry that learns of the other version only when it asks the store. */
+    @Test
+    void soleVersionDoesNotCountIfTheStoreKnowsOfAnotherOne() {
+        RequestProcessorFixture fixture = fixtureWhereOthersKnowASoleVersion();
+        fixture.storeConfirmation.changes = () -> fixture.registerVersion("v2", Stage.DECODE, "d2");
+        takeUpStreamOfUnknownOrigin(fixture);
+        assertThat(fixture.caller.body).contains("2009");
+    }
+
+    private static RequestProcessorFixture fixtureWhereOthersKnowASoleVersion() {
+        RequestProcessorFixture fixture = new RequestProcessorFixture(RequestKind.STREAM, true);
+        fixture.registerVersion("v1", Stage.DECODE, "d1");
+        fixture.originPeers.answers = new OriginPeers.Answers(Optional.empty(), Set.of("v1"));
+        return fixture;
+    }
+
+    private static void takeUpStreamOfUnknownOrigin(RequestProcessorFixture fixture) {
+        fixture.sendResumingAttempt("attempt-2", "attempt-at-another-entry", 1);
+        fixture.loop.advance(FakeOriginPeers.ANSWER_MILLIS);
+    }
+
     /** Guards against a refusal where the service has had one version only, so that nobody needs to remember it. */
     @ParameterizedTest
     @CsvSource({"v1, /d1/hold/", "v2, ''"})
