--- a/gateway/src/main/java/org/merlinwood/gateway/decision/OriginPeers.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/decision/OriginPeers.java
@@ -29,8 +29,22 @@
      * @param attempt identifier of the attempt that brought its first event; empty if it isn't known
      * @param service name of the service that generates it
      * @param streamMillis longest time for which a stream of the service goes on, in milliseconds
+     * @param model name of the model; empty if the stream has no prompt
+     * @param promptPart identifier of the last part of its prompt, which belongs to the request; empty if it has none
      */
-    record Question(String attempt, String service, long streamMillis) {}
+    record Question(String attempt, String service, long streamMillis, String model, String promptPart) {
+
+        /**
+         * Creates the question for a stream without a prompt.
+         *
+         * @param attempt as above
+         * @param service as above
+         * @param streamMillis as above
+         */
+        public Question(String attempt, String service, long streamMillis) {
+            this(attempt, service, streamMillis, "", "");
+        }
+    }
 
     /**
      * What the other entries know. Immutable.
--- a/gateway/src/main/java/org/merlinwood/gateway/follow/StoreFollower.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/follow/StoreFollower.java
@@ -72,6 +72,7 @@
     private long restoredMillis = Long.MIN_VALUE / 2;
     private boolean reachable;
     private boolean listed;
+    private Runnable firstListingAction = () -> {};
 
     /**
      * Creates a follower.
@@ -91,6 +92,15 @@
         this.listener = listener;
     }
 
+    /**
+     * Sets what follows the first listing.
+     *
+     * @param action run once, when all keys have been applied; set before {@link #start()}
+     */
+    public void onFirstListing(Runnable action) {
+        firstListingAction = action;
+    }
+
     /** Starts the initial listing. Call once. */
     public void start() {
         list(new Listing());
@@ -246,7 +256,10 @@
         StorePosition start = listing.start.orElseThrow();
         copy.missingFrom(listing.keys, start).forEach(this::apply);
         advance(start);
-        listed = true;
+        if (!listed) {
+            listed = true;
+            firstListingAction.run();
+        }
         watch(start);
     }
 
--- a/gateway/src/main/java/org/merlinwood/gateway/front/FrontHandlerFactory.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/FrontHandlerFactory.java
@@ -6,6 +6,7 @@
 import org.merlinwood.gateway.decision.CrashHistory;
 import org.merlinwood.gateway.decision.DemandMeter;
 import org.merlinwood.gateway.decision.DrainPolicy;
+import org.merlinwood.gateway.decision.HeldPrompts;
 import org.merlinwood.gateway.decision.InstancePool;
 import org.merlinwood.gateway.decision.OriginPeers;
 import org.merlinwood.gateway.decision.RetryAllowance;
@@ -27,6 +28,7 @@
     private static final long DEFAULT_BODY_BYTES = 4L << 20;
 
     private final RequestProcessorContext context;
+    private final HeldPromptSearch heldPromptSearch;
 
     /**
      * Creates a factory.
@@ -43,6 +45,7 @@
      * @param origins the software versions that began streams
      * @param versionHistory the software versions that each service has had
      * @param originPeers the other entries, which keep and know origins of streams
+     * @param heldPrompts the software versions of the instances that hold prompts
      * @param storeConfirmation tells whether what is known of the instances is current
      * @param demandMeter measures the demand for each model service
      * @param log the decision log
@@ -61,10 +64,12 @@
             StreamOrigins origins,
             VersionHistory versionHistory,
             OriginPeers originPeers,
+            HeldPrompts heldPrompts,
             StoreConfirmation storeConfirmation,
             DemandMeter demandMeter,
             DecisionLog log,
             RequestMetrics metrics) {
+        heldPromptSearch = new HeldPromptSearch(client, protocol, fleet, pool.notices(), clock, heldPrompts, log);
         context = new RequestProcessorContext(
                 loop,
                 clock,
@@ -78,6 +83,7 @@
                 origins,
                 versionHistory,
                 originPeers,
+                heldPromptSearch,
                 storeConfirmation,
                 demandMeter,
                 new MemoryWaitQueues(loop, clock),
@@ -113,6 +119,11 @@
                 context.log());
     }
 
+    /** Asks the instances which prompts they hold. Called on the event loop, once the instances are known. */
+    public void readHeldPrompts() {
+        heldPromptSearch.readAll();
+    }
+
     private long maximumBodyBytes() {
         return context.fleet().routes().map(RouteTable::maximumBodyBytes).orElse(DEFAULT_BODY_BYTES);
     }
--- /dev/null
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/HeldPromptSearch.java
@@ -0,0 +1,180 @@
+package org.merlinwood.gateway.front;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import org.merlinwood.core.time.MillisClock;
+import org.merlinwood.gateway.decision.HeldPrompts;
+import org.merlinwood.gateway.decision.InstanceNotices;
+import org.merlinwood.gateway.fleet.FleetState;
+import org.merlinwood.gateway.fleet.Stage;
+import org.merlinwood.gateway.fleet.UpstreamInstance;
+import org.merlinwood.gateway.route.RouteTable;
+import org.merlinwood.gateway.upstream.HeldPart;
+import org.merlinwood.gateway.upstream.UpstreamClient;
+import org.merlinwood.gateway.upstream.UpstreamProtocol;
+import org.merlinwood.http.HttpRequest;
+import org.merlinwood.operation.log.DecisionLog;
+
+/**
+ * Asks the instances of a model service which prompts they hold, for streams whose version no entry knows: after all
+ * entries were lost, only the instances do. An entry that starts asks them at once, since new prompts evict those of
+ * the streams that were broken off.
+ *
+ * <p>One round asks the instances that generate responses, once; requests that come meanwhile wait for its end. Used by
+ * the event loop alone.
+ */
+final class HeldPromptSearch {
+
+    /** Time for the answer of an instance, in milliseconds. It answers from its memory. */
+    private static final long ANSWER_TIMEOUT_MILLIS = 400;
+
+    /** Minimum time between two rounds for a service, in milliseconds, since an answer costs an instance some work. */
+    private static final long MINIMUM_INTERVAL_MILLIS = 2_000;
+
+    /** Number of instances of a service that are asked in one round. */
+    private static final int MAXIMUM_INSTANCES = 64;
+
+    private final UpstreamClient client;
+    private final UpstreamProtocol protocol;
+    private final FleetState fleet;
+    private final InstanceNotices notices;
+    private final MillisClock clock;
+    private final HeldPrompts heldPrompts;
+    private final DecisionLog log;
+    private final Map<String, Round> roundByService = new HashMap<>();
+
+    /** One round of questions to the instances of a service. */
+    private static final class Round {
+
+        private final List<Runnable> waiting = new ArrayList<>();
+        private int openQuestions;
+        private int answers;
+        private int parts;
+        private long endedMillis;
+
+        private Round(int questions) {
+            this.openQuestions = questions;
+        }
+
+        private boolean isOpen() {
+            return openQuestions > 0;
+        }
+    }
+
+    /**
+     * Creates a search that has asked nobody.
+     *
+     * @param client sends the questions
+     * @param protocol encodes the questions and decodes the answers
+     * @param fleet the registered instances
+     * @param notices what the instances have stated about themselves; those that want no request aren't asked
+     * @param clock source of the monotonic time
+     * @param heldPrompts receives the answers
+     * @param log receives a line for each round
+     */
+    HeldPromptSearch(
+            UpstreamClient client,
+            UpstreamProtocol protocol,
+            FleetState fleet,
+            InstanceNotices notices,
+            MillisClock clock,
+            HeldPrompts heldPrompts,
+            DecisionLog log) {
+        this.client = client;
+        this.protocol = protocol;
+        this.fleet = fleet;
+        this.notices = notices;
+        this.clock = clock;
+        this.heldPrompts = heldPrompts;
+        this.log = log;
+    }
+
+    /**
+     * Looks for the software version of the instances that hold a part of prompts.
+     *
+     * @param service name of the service
+     * @param model name of the model
+     * @param part identifier of the part
+     * @param consumer receives the version, or empty if it isn't certain; exactly once, possibly before this method
+     *     returns
+     */
+    void find(String service, String model, String part, Consumer<Optional<String>> consumer) {
+        Supplier<Optional<String>> known = () -> heldPrompts.soleVersionHolding(service, model, part);
+        if (part.isEmpty() || known.get().isPresent() || !isRoundDue(service)) {
+            consumer.accept(known.get());
+            return;
+        }
+        Round round = openRound(service);
+        round.waiting.add(() -> consumer.accept(known.get()));
+        if (!round.isOpen()) {
+            end(service, round);
+        }
+    }
+
+    /** Asks the instances of all services with engines. Called once all of them are known. */
+    void readAll() {
+        fleet.routes().map(RouteTable::services).orElse(Map.of()).values().stream()
+                .filter(service -> service.engine().isPresent())
+                .forEach(service -> openRound(service.name()));
+    }
+
+    private boolean isRoundDue(String service) {
+        Round round = roundByService.get(service);
+        return round == null
+                || round.isOpen()
+                || clock.monotonicMillis() - round.endedMillis >= MINIMUM_INTERVAL_MILLIS;
+    }
+
+    /** Returns the round that is open, or starts one, which has ended already if there is no instance to ask. */
+    private Round openRound(String service) {
+        Round open = roundByService.get(service);
+        if (open != null && open.isOpen()) {
+            return open;
+        }
+        List<UpstreamInstance> instances = fleet.instances(service).stream()
+                .filter(instance -> instance.stage() == Stage.DECODE && !notices.isDeclining(instance))
+                .limit(MAXIMUM_INSTANCES)
+                .toList();
+        Round round = new Round(instances.size());
+        roundByService.put(service, round);
+        instances.forEach(instance -> ask(instance, round));
+        return round;
+    }
+
+    private void ask(UpstreamInstance instance, Round round) {
+        HttpRequest request = protocol.heldParts(instance)
+                .withTimeouts(RequestProcessor.CONNECT_TIMEOUT_MILLIS, ANSWER_TIMEOUT_MILLIS);
+        client.executeListing(instance, request, response -> {
+            Optional<List<HeldPart>> parts = response.toJavaOptional().flatMap(protocol::readHeldParts);
+            parts.ifPresent(held -> {
+                round.answers++;
+                round.parts += held.size();
+                heldPrompts.record(instance.service(), instance.version(), held);
+            });
+            endQuestion(instance.service(), round);
+        });
+    }
+
+    private void endQuestion(String service, Round round) {
+        round.openQuestions--;
+        if (!round.isOpen()) {
+            end(service, round);
+        }
+    }
+
+    private void end(String service, Round round) {
+        round.endedMillis = clock.monotonicMillis();
+        log.line("held prompts read")
+                .with("service", service)
+                .with("instances", round.answers)
+                .with("parts", round.parts)
+                .write();
+        round.waiting.forEach(Runnable::run);
+        round.waiting.clear();
+    }
+}
--- a/gateway/src/main/java/org/merlinwood/gateway/front/RequestProcessorContext.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/RequestProcessorContext.java
@@ -31,6 +31,7 @@
  * @param origins the software versions that began streams
  * @param versionHistory the software versions that each service has had
  * @param originPeers the other entries, which keep and know origins of streams
+ * @param heldPromptSearch asks the instances which prompts they hold
  * @param storeConfirmation tells whether what is known of the instances is current
  * @param demandMeter measures the demand for each model service
  * @param memoryWaitQueues the queues of requests that wait for memory
@@ -51,6 +52,7 @@
         StreamOrigins origins,
         VersionHistory versionHistory,
         OriginPeers originPeers,
+        HeldPromptSearch heldPromptSearch,
         StoreConfirmation storeConfirmation,
         DemandMeter demandMeter,
         MemoryWaitQueues memoryWaitQueues,
--- a/gateway/src/main/java/org/merlinwood/gateway/front/StreamOriginSearch.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/StreamOriginSearch.java
@@ -6,6 +6,8 @@
 import java.util.function.Consumer;
 import org.merlinwood.gateway.decision.OriginPeers;
 import org.merlinwood.gateway.request.CallerRequest;
+import org.merlinwood.gateway.request.Prompt;
+import org.merlinwood.gateway.request.PromptPart;
 
 /**
  * Finds the software version that began a stream which its caller takes up again. Asks, until one knows: this entry,
@@ -27,7 +29,9 @@
         /** A record of another entry. */
         OTHER_ENTRY("another entry"),
         /** The service had no other version while the stream may have begun. */
-        SOLE_VERSION("only version");
+        SOLE_VERSION("only version"),
+        /** All instances that hold the prompt run it. */
+        HELD_PROMPT("held prompt");
 
         private final String description;
 
@@ -60,7 +64,15 @@
     StreamOriginSearch(RequestProcessorContext context, CallerRequest request, String service, long streamMillis) {
         this.context = context;
         this.request = request;
-        this.question = new OriginPeers.Question(request.resumedAttempt().orElse(""), service, streamMillis);
+        this.question = new OriginPeers.Question(
+                request.resumedAttempt().orElse(""),
+                service,
+                streamMillis,
+                request.prompt().map(Prompt::model).orElse(""),
+                request.prompt()
+                        .flatMap(Prompt::lastPart)
+                        .map(PromptPart::identifier)
+                        .orElse(""));
     }
 
     /**
@@ -86,7 +98,7 @@
         } else if (soleVersion(answers).isPresent()) {
             context.storeConfirmation().confirm(current -> onConfirmation(current, answers, consumer));
         } else {
-            consumer.accept(Optional.empty());
+            searchHeldPrompts(consumer);
         }
     }
 
@@ -96,10 +108,19 @@
         if (sole.isPresent()) {
             consumer.accept(sole.map(version -> new Origin(version, Source.SOLE_VERSION)));
         } else {
-            consumer.accept(Optional.empty());
+            searchHeldPrompts(consumer);
         }
     }
 
+    private void searchHeldPrompts(Consumer<Optional<Origin>> consumer) {
+        context.heldPromptSearch()
+                .find(
+                        question.service(),
+                        question.model(),
+                        question.promptPart(),
+                        version -> consumer.accept(version.map(held -> new Origin(held, Source.HELD_PROMPT))));
+    }
+
     /** Returns the only version that the service has had while the stream may have begun, or empty. */
     private Optional<String> soleVersion(OriginPeers.Answers answers) {
         Set<String> versions =
--- a/gateway/src/main/java/org/merlinwood/gateway/peer/OriginMessages.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/peer/OriginMessages.java
@@ -37,12 +37,18 @@
                         .setNumber(number)
                         .setAttempt(question.attempt())
                         .setService(question.service())
-                        .setStreamMillis((int) question.streamMillis()));
+                        .setStreamMillis((int) question.streamMillis())
+                        .setModel(question.model())
+                        .setPromptPart(question.promptPart()));
     }
 
     static OriginPeers.Question question(StreamOriginRequest wire) {
         return new OriginPeers.Question(
-                wire.getAttempt(), wire.getService(), Integer.toUnsignedLong(wire.getStreamMillis()));
+                wire.getAttempt(),
+                wire.getService(),
+                Integer.toUnsignedLong(wire.getStreamMillis()),
+                wire.getModel(),
+                wire.getPromptPart());
     }
 
     static Frame.Builder answer(long number, OriginPeers.Answers answers) {
--- a/gateway/src/main/java/org/merlinwood/gateway/process/EntryComposition.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/process/EntryComposition.java
@@ -18,6 +18,7 @@
 import org.merlinwood.gateway.decision.DemandMeter;
 import org.merlinwood.gateway.decision.DrainPolicy;
 import org.merlinwood.gateway.decision.EntryCountBound;
+import org.merlinwood.gateway.decision.HeldPrompts;
 import org.merlinwood.gateway.decision.InstancePool;
 import org.merlinwood.gateway.decision.OrderLeadership;
 import org.merlinwood.gateway.decision.RetryAllowance;
@@ -84,6 +85,7 @@
     private final CrashHistory crashHistory = new CrashHistory(clock);
     private final CrashCausingParts crashCausingParts;
     private final StreamOrigins origins = new StreamOrigins(clock);
+    private final HeldPrompts heldPrompts = new HeldPrompts(clock);
     private final VersionHistory versionHistory = new VersionHistory(fleet, clock);
     private final DemandMeter demandMeter = new DemandMeter(clock);
     private final OpenRequests openRequests = new OpenRequests();
@@ -124,6 +126,7 @@
         UpstreamClient upstreamClient = new UpstreamClient(client, upstreamProtocol, noticeRecorder);
         this.peers = createPeers(createOrders(upstreamClient, upstreamProtocol));
         FrontHandlerFactory handlerFactory = createHandlerFactory(upstreamClient, upstreamProtocol);
+        this.follower.onFirstListing(handlerFactory::readHeldPrompts);
         ByteBufferPool buffers = new DefaultByteBufferPool(true, CONNECTION_BUFFER_BYTES);
         this.callerListener = new CallerListener(
                 settings.callerAddress(),
@@ -170,6 +173,7 @@
                 origins,
                 versionHistory,
                 peers.originPeers(),
+                heldPrompts,
                 follower,
                 demandMeter,
                 log,
@@ -198,6 +202,7 @@
                 crashHistory,
                 crashCausingParts,
                 origins,
+                heldPrompts,
                 versionHistory,
                 demandMeter,
                 orders,
--- a/gateway/src/main/java/org/merlinwood/gateway/process/PeerUpdates.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/process/PeerUpdates.java
@@ -8,6 +8,7 @@
 import org.merlinwood.gateway.decision.CrashHistory;
 import org.merlinwood.gateway.decision.DemandMeter;
 import org.merlinwood.gateway.decision.EntryStatus;
+import org.merlinwood.gateway.decision.HeldPrompts;
 import org.merlinwood.gateway.decision.InstancePool;
 import org.merlinwood.gateway.decision.OriginPeers;
 import org.merlinwood.gateway.decision.StreamOrigin;
@@ -32,6 +33,7 @@
     private final CrashHistory crashHistory;
     private final CrashCausingParts crashCausingParts;
     private final StreamOrigins origins;
+    private final HeldPrompts heldPrompts;
     private final VersionHistory versionHistory;
     private final DemandMeter demandMeter;
     private final StageOrders orders;
@@ -48,6 +50,7 @@
      * @param crashHistory requests that lost instances
      * @param crashCausingParts parts of prompts that crash instances
      * @param origins software versions that began streams
+     * @param heldPrompts software versions of the instances that hold prompts
      * @param versionHistory software versions that each service has had
      * @param demandMeter demand of the callers of this entry
      * @param orders orders to change the stage of an instance
@@ -62,6 +65,7 @@
             CrashHistory crashHistory,
             CrashCausingParts crashCausingParts,
             StreamOrigins origins,
+            HeldPrompts heldPrompts,
             VersionHistory versionHistory,
             DemandMeter demandMeter,
             StageOrders orders,
@@ -74,6 +78,7 @@
         this.crashHistory = crashHistory;
         this.crashCausingParts = crashCausingParts;
         this.origins = origins;
+        this.heldPrompts = heldPrompts;
         this.versionHistory = versionHistory;
         this.demandMeter = demandMeter;
         this.orders = orders;
@@ -155,7 +160,9 @@
     @Override
     public OriginPeers.Answers answer(OriginPeers.Question question) {
         return new OriginPeers.Answers(
-                origins.versionOf(question.attempt()),
+                origins.versionOf(question.attempt())
+                        .or(() -> heldPrompts.soleVersionHolding(
+                                question.service(), question.model(), question.promptPart())),
                 versionHistory
                         .soleVersionWithin(question.service(), question.streamMillis())
                         .map(Set::of)
--- a/gateway/src/main/java/org/merlinwood/gateway/request/Prompt.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/request/Prompt.java
@@ -1,6 +1,7 @@
 package org.merlinwood.gateway.request;
 
 import java.util.List;
+import java.util.Optional;
 import java.util.OptionalInt;
 
 /**
@@ -22,4 +23,13 @@
     public Prompt {
         parts = List.copyOf(parts);
     }
+
+    /**
+     * Returns the part that belongs to the request itself, or to few requests.
+     *
+     * @return the last part, or empty if there is none
+     */
+    public Optional<PromptPart> lastPart() {
+        return parts.isEmpty() ? Optional.empty() : Optional.of(parts.getLast());
+    }
 }
--- a/gateway/src/main/java/org/merlinwood/gateway/upstream/UpstreamClient.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/upstream/UpstreamClient.java
@@ -23,6 +23,9 @@
     /** Size limit of the response body of a reservation, prefill, release or order, in bytes. */
     static final long MAXIMUM_CONTROL_RESPONSE_BYTES = 64 << 10;
 
+    /** Size limit of the response body of a listing, in bytes: some ten thousand parts of prompts. */
+    static final long MAXIMUM_LISTING_RESPONSE_BYTES = 1 << 20;
+
     private final HttpClient client;
     private final UpstreamProtocol protocol;
     private final InstanceListener instanceListener;
@@ -69,6 +72,21 @@
         return send(instance, limited, new ResponseCollector(consumer));
     }
 
+    /**
+     * As {@link #execute}, for a response that lists what an instance holds, of at most
+     * {@link #MAXIMUM_LISTING_RESPONSE_BYTES}.
+     *
+     * @param instance the instance that the request is for
+     * @param request the request
+     * @param consumer receives the response or the failure, exactly once
+     */
+    public void executeListing(
+            UpstreamInstance instance, HttpRequest request, Consumer<Either<Failure, HttpResponse>> consumer) {
+        HttpRequest limited = request.withResponseTimeout(request.readTimeoutMillis())
+                .withMaximumResponseBytes(MAXIMUM_LISTING_RESPONSE_BYTES);
+        send(instance, limited, new ResponseCollector(consumer));
+    }
+
     /**
      * Returns how many connections to upstreams there are.
      *
--- a/gateway/src/main/java/org/merlinwood/gateway/upstream/UpstreamProtocol.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/upstream/UpstreamProtocol.java
@@ -81,6 +81,22 @@
      */
     HttpRequest run(UpstreamInstance instance, CallerRequest request, AttemptTerms terms);
 
+    /**
+     * Creates a request for the parts of prompts that an instance holds.
+     *
+     * @param instance instance that generates responses
+     * @return the HTTP request
+     */
+    HttpRequest heldParts(UpstreamInstance instance);
+
+    /**
+     * Decodes the response to {@link #heldParts}.
+     *
+     * @param response HTTP response of any status
+     * @return the parts, or empty if the instance doesn't tell them
+     */
+    Optional<List<HeldPart>> readHeldParts(HttpResponse response);
+
     /**
      * Creates an order to change the stage of an instance.
      *
--- a/gateway/src/test/java/org/merlinwood/gateway/FakeUpstreamProtocol.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/FakeUpstreamProtocol.java
@@ -5,10 +5,12 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.stream.Stream;
 import org.merlinwood.gateway.fleet.Stage;
 import org.merlinwood.gateway.fleet.UpstreamInstance;
 import org.merlinwood.gateway.request.CallerRequest;
 import org.merlinwood.gateway.upstream.AttemptTerms;
+import org.merlinwood.gateway.upstream.HeldPart;
 import org.merlinwood.gateway.upstream.InstanceNotice;
 import org.merlinwood.gateway.upstream.OrderAnswer;
 import org.merlinwood.gateway.upstream.PrefillResult;
@@ -78,6 +80,26 @@
         return request(instance, "/run").withHeaders(headers);
     }
 
+    @Override
+    public HttpRequest heldParts(UpstreamInstance instance) {
+        return request(instance, "/held");
+    }
+
+    /** Reads parts of the model "m" of the form {@code PART:TOKENS}, separated by spaces. */
+    @Override
+    public Optional<List<HeldPart>> readHeldParts(HttpResponse response) {
+        if (response.status() != 200) {
+            return Optional.empty();
+        }
+        return Optional.of(Stream.of(response.text().split(" ", -1))
+                .filter(part -> part.contains(":"))
+                .map(part -> new HeldPart(
+                        "m",
+                        part.substring(0, part.indexOf(':')),
+                        Integer.parseInt(part.substring(part.indexOf(':') + 1))))
+                .toList());
+    }
+
     @Override
     public HttpRequest order(UpstreamInstance instance, Stage stage, String entry, long fencingToken) {
         return request(instance, "/order/" + stage + "/" + fencingToken);
--- a/gateway/src/test/java/org/merlinwood/gateway/front/RequestProcessorFixture.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/front/RequestProcessorFixture.java
@@ -22,6 +22,7 @@
 import org.merlinwood.gateway.decision.CrashHistory;
 import org.merlinwood.gateway.decision.DemandMeter;
 import org.merlinwood.gateway.decision.DrainPolicy;
+import org.merlinwood.gateway.decision.HeldPrompts;
 import org.merlinwood.gateway.decision.InstancePool;
 import org.merlinwood.gateway.decision.RecordingCrashListener;
 import org.merlinwood.gateway.decision.RetryAllowance;
@@ -116,6 +117,14 @@
                 origins,
                 versionHistory,
                 originPeers,
+                new HeldPromptSearch(
+                        upstreamClient,
+                        new FakeUpstreamProtocol(),
+                        fleet,
+                        pool.notices(),
+                        clock,
+                        new HeldPrompts(clock),
+                        log),
                 storeConfirmation,
                 new DemandMeter(clock),
                 new MemoryWaitQueues(loop, clock),
--- a/gateway/src/test/java/org/merlinwood/gateway/front/StreamVersionTest.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/front/StreamVersionTest.java
@@ -158,6 +158,56 @@
         assertThat(fixture.client.sent()).hasSize(sent);
     }
 
+    /**
+     * Guards against a stream that can't go on, or goes on at another version, since all entries that knew it were
+     * lost: the instances still hold its prompt.
+     */
+    @ParameterizedTest
+    @CsvSource({"own:99 shared:100, shared:100, /d1/hold/", "shared:100, own:40, /d2/hold/"})
+    void streamThatNoEntryKnowsGoesOnAtTheVersionThatHoldsItsPrompt(
+            String heldAtFirst, String heldAtSecond, String pathPrefix) {
+        RequestProcessorFixture fixture = fixtureWithTwoVersions();
+        takeUpUnknownStream(fixture, heldAtFirst, heldAtSecond);
+        assertThat(fixture.client.last().request().path()).startsWith(pathPrefix);
+    }
+
+    /** Guards against a guess: a prompt that two versions hold, or none, doesn't tell where its stream began. */
+    @ParameterizedTest
+    @CsvSource({"own:100, own:100", "shared:100, shared:100", "'', ''"})
+    void streamIsRefusedIfItsPromptDoesNotTellItsVersion(String heldAtFirst, String heldAtSecond) {
+        RequestProcessorFixture fixture = fixtureWithTwoVersions();
+        takeUpUnknownStream(fixture, heldAtFirst, heldAtSecond);
+        assertThat(fixture.caller.body).contains("2009");
+    }
+
+    /** Guards against a listing that reaches an instance which wants no request now. */
+    @Test
+    void instanceThatWantsNoRequestIsNotAskedForItsPrompts() {
+        RequestProcessorFixture fixture = fixtureWithTwoVersions();
+        fixture.recordNotice("d1", FakeUpstreamProtocol.declined(2_000));
+        fixture.sendResumingAttemptWithParts("attempt-2", "attempt-at-another-entry", 1, "shared", "own");
+        fixture.loop.advance(FakeOriginPeers.ANSWER_MILLIS);
+        assertThat(fixture.client.sent())
+                .extracting(sent -> sent.request().path())
+                .containsExactly("/d2/held");
+    }
+
+    private static RequestProcessorFixture fixtureWithTwoVersions() {
+        RequestProcessorFixture fixture = new RequestProcessorFixture(RequestKind.STREAM, true);
+        fixture.registerVersion("v1", Stage.DECODE, "d1");
+        fixture.registerVersion("v2", Stage.DECODE, "d2");
+        return fixture;
+    }
+
+    private static void takeUpUnknownStream(RequestProcessorFixture fixture, String heldAtFirst, String heldAtSecond) {
+        fixture.sendResumingAttemptWithParts("attempt-2", "attempt-at-another-entry", 1, "shared", "own");
+        fixture.loop.advance(FakeOriginPeers.ANSWER_MILLIS);
+        List<SentRequest> questions = List.copyOf(fixture.client.sent());
+        assertThat(questions).extracting(question -> question.request().path()).containsExactly("/d1/held", "/d2/held");
+        questions.getFirst().respond(200, heldAtFirst);
+        questions.getLast().respond(200, heldAtSecond);
+    }
+
     /**
      * Guards against an entry out of step, cut off or standing still while instances of another version joined, which
      * takes the version that it knows for the only one.
--- a/gateway/src/test/java/org/merlinwood/gateway/process/PeerUpdatesTest.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/process/PeerUpdatesTest.java
@@ -22,6 +22,7 @@
 import org.merlinwood.gateway.decision.CrashReport;
 import org.merlinwood.gateway.decision.DemandMeter;
 import org.merlinwood.gateway.decision.EntryStatus;
+import org.merlinwood.gateway.decision.HeldPrompts;
 import org.merlinwood.gateway.decision.InstancePool;
 import org.merlinwood.gateway.decision.OrderLeadership;
 import org.merlinwood.gateway.decision.OriginPeers;
@@ -56,6 +57,7 @@
     private final CrashHistory crashHistory = new CrashHistory(clock);
     private final CrashCausingParts crashCausingParts = new CrashCausingParts(clock, 1, new RecordingCrashListener());
     private final StreamOrigins origins = new StreamOrigins(clock);
+    private final HeldPrompts heldPrompts = new HeldPrompts(clock);
     private final VersionHistory versionHistory = new VersionHistory(fleet, clock);
     private boolean mayIssueOrders = true;
     private StoreFollower follower;
@@ -87,6 +89,7 @@
                 crashHistory,
                 crashCausingParts,
                 origins,
+                heldPrompts,
                 versionHistory,
                 demandMeter,
                 orders,
--- a/proving/src/test/java/org/merlinwood/proving/gateway/StreamVersionOnLoopbackTest.java
+++ b/proving/src/test/java/org/merlinwood/proving/gateway/StreamVersionOnLoopbackTest.java
@@ -36,13 +36,14 @@
 
 /**
  * Guards against streams that hold events from two software versions, between real entries: one of three is lost in the
- * middle of its streams, and their callers come back to the others.
+ * middle of its streams, and their callers come back to the others; or all are lost, and nobody knows the streams.
  */
 final class StreamVersionOnLoopbackTest {
 
     private static final FreePorts PORTS = new FreePorts();
     private static final int STREAMS = 12;
     private static final long WAIT_MILLIS = 5_000;
+    private static final List<String> SHARED_PARTS = List.of("5a");
 
     /** Number of events that a caller has before its entry is lost. */
     private static final int EVENTS_BEFORE_LOSS = 3;
@@ -140,7 +141,7 @@
     }
 
     private HttpStream send(int entry, String stream, String attempt, int lastEvent, CallerAttempt listener) {
-        HttpRequest first = CallerCalls.create(callerAddresses.get(entry), CallerCalls.Kind.STREAM, stream);
+        HttpRequest first = CallerCalls.stream(callerAddresses.get(entry), stream, SHARED_PARTS);
         HttpRequest request = lastEvent > 0
                 ? CallerCalls.takeUp(first, callerAddresses.get(entry), attempt, stream, lastEvent)
                 : first;
@@ -169,19 +170,52 @@
                 .map(versionByInstance::get);
     }
 
-    @Test
-    void streamsOfALostEntryGoOnAtTheVersionThatBeganThem() throws Exception {
+    private void startTwoVersions() {
         store.configure(InstanceDocuments.configuration(1));
         for (String version : List.of("v1", "v2")) {
             startInstance(StandInInstance.Stage.DECODE, version);
             startInstance(StandInInstance.Stage.DECODE, version);
             startInstance(StandInInstance.Stage.PREFILL, version);
         }
-        startEntries(3);
+    }
+
+    private void startServingEntries(int count) throws InterruptedException {
+        startEntries(count);
         for (int entry = 0; entry < entries.size(); entry++) {
             int number = entry;
             EntryFixture.await(() -> canServe(number));
         }
+    }
+
+    @Test
+    void streamsOfALostEntryGoOnAtTheVersionThatBeganThem() throws Exception {
+        startTwoVersions();
+        startServingEntries(3);
+        takeUpStreamsAfter(() -> {
+            entries.removeFirst().close();
+            callerAddresses.removeFirst();
+        });
+    }
+
+    /** Guards against streams that are joined from two versions, or refused, since the entries that knew them died. */
+    @Test
+    void streamsGoOnAtTheVersionThatBeganThemAfterAllEntriesWereLost() throws Exception {
+        startTwoVersions();
+        startServingEntries(2);
+        takeUpStreamsAfter(() -> {
+            entries.forEach(GatewayProcess::close);
+            entries.clear();
+            callerAddresses.clear();
+            startServingEntries(2);
+        });
+    }
+
+    /** What happens to the entries while streams of the first one are under way. */
+    private interface Loss {
+        void run() throws InterruptedException;
+    }
+
+    private void takeUpStreamsAfter(Loss loss) throws Exception {
         List<CallerAttempt> begun = new ArrayList<>();
         List<HttpStream> streams = new ArrayList<>();
         for (int number = 0; number < STREAMS; number++) {
@@ -190,11 +224,11 @@
         }
         EntryFixture.await(() -> begun.stream().allMatch(attempt -> attempt.events >= EVENTS_BEFORE_LOSS));
         streams.forEach(HttpStream::cancel);
-        entries.removeFirst().close();
+        loss.run();
         List<CallerAttempt> resumed = new ArrayList<>();
         for (int number = 0; number < STREAMS; number++) {
             resumed.add(new CallerAttempt());
-            send(1 + number % 2, "stream-" + number, "again-" + number, begun.get(number).events, resumed.getLast());
+            send(number % 2, "stream-" + number, "again-" + number, begun.get(number).events, resumed.getLast());
         }
         for (int number = 0; number < STREAMS; number++) {
             String stream = "stream-" + number;
--- a/wire-generated/src/main/java/org/merlinwood/wire/Merlinwood.java
+++ b/wire-generated/src/main/java/org/merlinwood/wire/Merlinwood.java
@@ -505,43 +505,44 @@
       "\0221\n\007origins\030\001 \003(\0132 .merlinwood.wire.v1.S" +
       "treamOrigin\"I\n\014StreamOrigin\022\017\n\007attempt\030\001" +
       " \001(\t\022\017\n\007version\030\002 \001(\t\022\027\n\017lifetime_millis" +
-      "\030\003 \001(\r\"^\n\023StreamOriginRequest\022\016\n\006number\030" +
-      "\001 \001(\004\022\017\n\007attempt\030\002 \001(\t\022\017\n\007service\030\003 \001(\t\022" +
-      "\025\n\rstream_millis\030\004 \001(\r\"L\n\022StreamOriginAn" +
-      "swer\022\016\n\006number\030\001 \001(\004\022\017\n\007version\030\002 \001(\t\022\025\n" +
-      "\rsole_versions\030\003 \003(\t\"\244\001\n\rInstanceCrash\022\020" +
-      "\n\010instance\030\001 \001(\t\022\033\n\023started_unix_millis\030" +
-      "\002 \001(\003\022\022\n\nage_millis\030\003 \001(\r\022\032\n\022suspect_age" +
-      "_millis\030\004 \001(\r\0224\n\010suspects\030\005 \003(\0132\".merlin" +
-      "wood.wire.v1.SuspectRequest\"\037\n\016SuspectRe" +
-      "quest\022\r\n\005parts\030\001 \003(\006\"-\n\tBegunPart\022\014\n\004par" +
-      "t\030\001 \001(\006\022\022\n\nage_millis\030\002 \001(\r\"H\n\tPartBlock" +
-      "\022\r\n\005parts\030\001 \003(\006\022\035\n\025last_crash_age_millis" +
-      "\030\002 \001(\r\022\r\n\005count\030\003 \001(\r\"@\n\017LeavingInstance" +
-      "\022\020\n\010instance\030\001 \001(\t\022\033\n\023started_unix_milli" +
-      "s\030\002 \001(\003\"Z\n\rServiceDemand\022\017\n\007service\030\001 \001(" +
-      "\t\022\025\n\rprompt_tokens\030\002 \001(\r\022!\n\031requests_wit" +
-      "hout_capacity\030\003 \001(\r\"{\n\014InstanceWork\022\020\n\010i" +
-      "nstance\030\001 \001(\t\022\017\n\007running\030\002 \001(\r\022\025\n\rprompt" +
-      "_tokens\030\003 \001(\r\022\027\n\017occupied_tokens\030\004 \003(\r\022\030" +
-      "\n\020remaining_tokens\030\005 \003(\r\"0\n\007LostRun\022\023\n\013f" +
-      "ingerprint\030\001 \001(\006\022\020\n\010instance\030\002 \001(\t\"7\n\023St" +
-      "oreChangesRequest\022\r\n\005after\030\001 \001(\004\022\021\n\tafte" +
-      "r_era\030\002 \001(\004\"Y\n\014StoreChanges\022*\n\004keys\030\001 \003(" +
-      "\0132\034.merlinwood.wire.v1.StoreKey\022\020\n\010revis" +
-      "ion\030\002 \001(\004\022\013\n\003era\030\003 \001(\004\"V\n\010StoreKey\022\013\n\003ke" +
-      "y\030\001 \001(\t\022\020\n\010revision\030\002 \001(\004\022\r\n\005value\030\003 \001(\014" +
-      "\022\017\n\007removed\030\004 \001(\010\022\013\n\003era\030\005 \001(\004*P\n\013Proces" +
-      "sRole\022\034\n\030PROCESS_ROLE_UNSPECIFIED\020\000\022\t\n\005E" +
-      "NTRY\020\001\022\013\n\007SIDECAR\020\002\022\013\n\007COMMAND\020\003*I\n\010Work" +
-      "Kind\022\031\n\025WORK_KIND_UNSPECIFIED\020\000\022\013\n\007PREFI" +
-      "LL\020\001\022\n\n\006DECODE\020\002\022\t\n\005PLAIN\020\003*I\n\tExecution" +
-      "\022\031\n\025EXECUTION_UNSPECIFIED\020\000\022\013\n\007NOT_RUN\020\001" +
-      "\022\013\n\007UNKNOWN\020\002\022\007\n\003RAN\020\003*8\n\016SuspicionEvent" +
-      "\022\013\n\007CRASHED\020\000\022\013\n\007INQUIRY\020\001\022\014\n\010SURVIVED\020\002" +
-      "*F\n\013PrefixEvent\022\022\n\016ENGINE_CRASHED\020\000\022\022\n\016P" +
-      "REFIX_INQUIRY\020\001\022\017\n\013FIRST_TOKEN\020\002B\031\n\023org." +
-      "merlinwood.wireH\001P\001b\006proto3"
+      "\030\003 \001(\r\"\202\001\n\023StreamOriginRequest\022\016\n\006number" +
+      "\030\001 \001(\004\022\017\n\007attempt\030\002 \001(\t\022\017\n\007service\030\003 \001(\t" +
+      "\022\025\n\rstream_millis\030\004 \001(\r\022\r\n\005model\030\005 \001(\t\022\023" +
+      "\n\013prompt_part\030\006 \001(\t\"L\n\022StreamOriginAnswe" +
+      "r\022\016\n\006number\030\001 \001(\004\022\017\n\007version\030\002 \001(\t\022\025\n\rso" +
+      "le_versions\030\003 \003(\t\"\244\001\n\rInstanceCrash\022\020\n\010i" +
+      "nstance\030\001 \001(\t\022\033\n\023started_unix_millis\030\002 \001" +
+      "(\003\022\022\n\nage_millis\030\003 \001(\r\022\032\n\022suspect_age_mi" +
+      "llis\030\004 \001(\r\0224\n\010suspects\030\005 \003(\0132\".merlinwoo" +
+      "d.wire.v1.SuspectRequest\"\037\n\016SuspectReque" +
+      "st\022\r\n\005parts\030\001 \003(\006\"-\n\tBegunPart\022\014\n\004part\030\001" +
+      " \001(\006\022\022\n\nage_millis\030\002 \001(\r\"H\n\tPartBlock\022\r\n" +
+      "\005parts\030\001 \003(\006\022\035\n\025last_crash_age_millis\030\002 " +
+      "\001(\r\022\r\n\005count\030\003 \001(\r\"@\n\017LeavingInstance\022\020\n" +
+      "\010instance\030\001 \001(\t\022\033\n\023started_unix_millis\030\002" +
+      " \001(\003\"Z\n\rServiceDemand\022\017\n\007service\030\001 \001(\t\022\025" +
+      "\n\rprompt_tokens\030\002 \001(\r\022!\n\031requests_withou" +
+      "t_capacity\030\003 \001(\r\"{\n\014InstanceWork\022\020\n\010inst" +
+      "ance\030\001 \001(\t\022\017\n\007running\030\002 \001(\r\022\025\n\rprompt_to" +
+      "kens\030\003 \001(\r\022\027\n\017occupied_tokens\030\004 \003(\r\022\030\n\020r" +
+      "emaining_tokens\030\005 \003(\r\"0\n\007LostRun\022\023\n\013fing" +
+      "erprint\030\001 \001(\006\022\020\n\010instance\030\002 \001(\t\"7\n\023Store" +
+      "ChangesRequest\022\r\n\005after\030\001 \001(\004\022\021\n\tafter_e" +
+      "ra\030\002 \001(\004\"Y\n\014StoreChanges\022*\n\004keys\030\001 \003(\0132\034" +
+      ".merlinwood.wire.v1.StoreKey\022\020\n\010revision" +
+      "\030\002 \001(\004\022\013\n\003era\030\003 \001(\004\"V\n\010StoreKey\022\013\n\003key\030\001" +
+      " \001(\t\022\020\n\010revision\030\002 \001(\004\022\r\n\005value\030\003 \001(\014\022\017\n" +
+      "\007removed\030\004 \001(\010\022\013\n\003era\030\005 \001(\004*P\n\013ProcessRo" +
+      "le\022\034\n\030PROCESS_ROLE_UNSPECIFIED\020\000\022\t\n\005ENTR" +
+      "Y\020\001\022\013\n\007SIDECAR\020\002\022\013\n\007COMMAND\020\003*I\n\010WorkKin" +
+      "d\022\031\n\025WORK_KIND_UNSPECIFIED\020\000\022\013\n\007PREFILL\020" +
+      "\001\022\n\n\006DECODE\020\002\022\t\n\005PLAIN\020\003*I\n\tExecution\022\031\n" +
+      "\025EXECUTION_UNSPECIFIED\020\000\022\013\n\007NOT_RUN\020\001\022\013\n" +
+      "\007UNKNOWN\020\002\022\007\n\003RAN\020\003*8\n\016SuspicionEvent\022\013\n" +
+      "\007CRASHED\020\000\022\013\n\007INQUIRY\020\001\022\014\n\010SURVIVED\020\002*F\n" +
+      "\013PrefixEvent\022\022\n\016ENGINE_CRASHED\020\000\022\022\n\016PREF" +
+      "IX_INQUIRY\020\001\022\017\n\013FIRST_TOKEN\020\002B\031\n\023org.mer" +
+      "linwood.wireH\001P\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -810,7 +811,7 @@
     internal_static_merlinwood_wire_v1_StreamOriginRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_merlinwood_wire_v1_StreamOriginRequest_descriptor,
-        new java.lang.String[] { "Number", "Attempt", "Service", "StreamMillis", });
+        new java.lang.String[] { "Number", "Attempt", "Service", "StreamMillis", "Model", "PromptPart", });
     internal_static_merlinwood_wire_v1_StreamOriginAnswer_descriptor =
       getDescriptor().getMessageType(44);
     internal_static_merlinwood_wire_v1_StreamOriginAnswer_fieldAccessorTable = new
--- a/wire-generated/src/main/java/org/merlinwood/wire/StreamOriginRequest.java
+++ b/wire-generated/src/main/java/org/merlinwood/wire/StreamOriginRequest.java
@@ -30,6 +30,8 @@
   private StreamOriginRequest() {
     attempt_ = "";
     service_ = "";
+    model_ = "";
+    promptPart_ = "";
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -166,6 +168,100 @@
     return streamMillis_;
   }
 
+  public static final int MODEL_FIELD_NUMBER = 5;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object model_ = "";
+  /**
+   * <pre>
+   * Empty if the stream has no prompt.
+   * </pre>
+   *
+   * <code>string model = 5;</code>
+   * @return The model.
+   */
+  @java.lang.Override
+  public java.lang.String getModel() {
+    java.lang.Object ref = model_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      model_ = s;
+      return s;
+    }
+  }
+  /**
+   * <pre>
+   * Empty if the stream has no prompt.
+   * </pre>
+   *
+   * <code>string model = 5;</code>
+   * @return The bytes for model.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getModelBytes() {
+    java.lang.Object ref = model_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      model_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
+  public static final int PROMPT_PART_FIELD_NUMBER = 6;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object promptPart_ = "";
+  /**
+   * <pre>
+   * Identifier of the last part of the prompt; empty if there is none.
+   * </pre>
+   *
+   * <code>string prompt_part = 6;</code>
+   * @return The promptPart.
+   */
+  @java.lang.Override
+  public java.lang.String getPromptPart() {
+    java.lang.Object ref = promptPart_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      promptPart_ = s;
+      return s;
+    }
+  }
+  /**
+   * <pre>
+   * Identifier of the last part of the prompt; empty if there is none.
+   * </pre>
+   *
+   * <code>string prompt_part = 6;</code>
+   * @return The bytes for promptPart.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getPromptPartBytes() {
+    java.lang.Object ref = promptPart_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      promptPart_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -192,6 +288,12 @@
     if (streamMillis_ != 0) {
       output.writeUInt32(4, streamMillis_);
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(model_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 5, model_);
+    }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(promptPart_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 6, promptPart_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -210,6 +312,12 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt32Size(4, streamMillis_);
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(model_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(5, model_);
+    }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(promptPart_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(6, promptPart_);
+    }
     return size;
   }
   @java.lang.Override
@@ -242,6 +350,10 @@
         .equals(other.getService())) return false;
     if (getStreamMillis()
         != other.getStreamMillis()) return false;
+    if (!getModel()
+        .equals(other.getModel())) return false;
+    if (!getPromptPart()
+        .equals(other.getPromptPart())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -262,6 +374,10 @@
     hash = (53 * hash) + getService().hashCode();
     hash = (37 * hash) + STREAM_MILLIS_FIELD_NUMBER;
     hash = (53 * hash) + getStreamMillis();
+    hash = (37 * hash) + MODEL_FIELD_NUMBER;
+    hash = (53 * hash) + getModel().hashCode();
+    hash = (37 * hash) + PROMPT_PART_FIELD_NUMBER;
+    hash = (53 * hash) + getPromptPart().hashCode();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -397,6 +513,8 @@
       attempt_ = "";
       service_ = "";
       streamMillis_ = 0;
+      model_ = "";
+      promptPart_ = "";
       return this;
     }
 
@@ -442,6 +560,12 @@
       if (((from_bitField0_ & 0x00000008) != 0)) {
         result.streamMillis_ = streamMillis_;
       }
+      if (((from_bitField0_ & 0x00000010) != 0)) {
+        result.model_ = model_;
+      }
+      if (((from_bitField0_ & 0x00000020) != 0)) {
+        result.promptPart_ = promptPart_;
+      }
     }
 
     @java.lang.Override
@@ -472,6 +596,16 @@
       if (other.getStreamMillis() != 0) {
         setStreamMillis(other.getStreamMillis());
       }
+      if (!other.getModel().isEmpty()) {
+        model_ = other.model_;
+        bitField0_ |= 0x00000010;
+        onChanged();
+      }
+      if (!other.getPromptPart().isEmpty()) {
+        promptPart_ = other.promptPart_;
+        bitField0_ |= 0x00000020;
+        onChanged();
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -516,6 +650,16 @@
               bitField0_ |= 0x00000008;
               break;
             } // case 32
+            case 42: {
+              model_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000010;
+              break;
+            } // case 42
+            case 50: {
+              promptPart_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000020;
+              break;
+            } // case 50
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -785,6 +929,190 @@
       return this;
     }
 
+    private java.lang.Object model_ = "";
+    /**
+     * <pre>
+     * Empty if the stream has no prompt.
+     * </pre>
+     *
+     * <code>string model = 5;</code>
+     * @return The model.
+     */
+    public java.lang.String getModel() {
+      java.lang.Object ref = model_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        model_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <pre>
+     * Empty if the stream has no prompt.
+     * </pre>
+     *
+     * <code>string model = 5;</code>
+     * @return The bytes for model.
+     */
+    public com.google.protobuf.ByteString
+        getModelBytes() {
+      java.lang.Object ref = model_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        model_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <pre>
+     * Empty if the stream has no prompt.
+     * </pre>
+     *
+     * <code>string model = 5;</code>
+     * @param value The model to set.
+     * @return This builder for chaining.
+     */
+    public Builder setModel(
+        java.lang.String value) {
+      java.util.Objects.requireNonNull(value);
+      model_ = value;
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Empty if the stream has no prompt.
+     * </pre>
+     *
+     * <code>string model = 5;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearModel() {
+      model_ = getDefaultInstance().getModel();
+      bitField0_ = (bitField0_ & ~0x00000010);
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Empty if the stream has no prompt.
+     * </pre>
+     *
+     * <code>string model = 5;</code>
+     * @param value The bytes for model to set.
+     * @return This builder for chaining.
+     */
+    public Builder setModelBytes(
+        com.google.protobuf.ByteString value) {
+      java.util.Objects.requireNonNull(value);
+      checkByteStringIsUtf8(value);
+      model_ = value;
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+
+    private java.lang.Object promptPart_ = "";
+    /**
+     * <pre>
+     * Identifier of the last part of the prompt; empty if there is none.
+     * </pre>
+     *
+     * <code>string prompt_part = 6;</code>
+     * @return The promptPart.
+     */
+    public java.lang.String getPromptPart() {
+      java.lang.Object ref = promptPart_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        promptPart_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <pre>
+     * Identifier of the last part of the prompt; empty if there is none.
+     * </pre>
+     *
+     * <code>string prompt_part = 6;</code>
+     * @return The bytes for promptPart.
+     */
+    public com.google.protobuf.ByteString
+        getPromptPartBytes() {
+      java.lang.Object ref = promptPart_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        promptPart_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <pre>
+     * Identifier of the last part of the prompt; empty if there is none.
+     * </pre>
+     *
+     * <code>string prompt_part = 6;</code>
+     * @param value The promptPart to set.
+     * @return This builder for chaining.
+     */
+    public Builder setPromptPart(
+        java.lang.String value) {
+      java.util.Objects.requireNonNull(value);
+      promptPart_ = value;
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Identifier of the last part of the prompt; empty if there is none.
+     * </pre>
+     *
+     * <code>string prompt_part = 6;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearPromptPart() {
+      promptPart_ = getDefaultInstance().getPromptPart();
+      bitField0_ = (bitField0_ & ~0x00000020);
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Identifier of the last part of the prompt; empty if there is none.
+     * </pre>
+     *
+     * <code>string prompt_part = 6;</code>
+     * @param value The bytes for promptPart to set.
+     * @return This builder for chaining.
+     */
+    public Builder setPromptPartBytes(
+        com.google.protobuf.ByteString value) {
+      java.util.Objects.requireNonNull(value);
+      checkByteStringIsUtf8(value);
+      promptPart_ = value;
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:merlinwood.wire.v1.StreamOriginRequest)
   }
 
--- a/wire-generated/src/main/java/org/merlinwood/wire/StreamOriginRequestOrBuilder.java
+++ b/wire-generated/src/main/java/org/merlinwood/wire/StreamOriginRequestOrBuilder.java
@@ -61,4 +61,44 @@
    * @return The streamMillis.
    */
   int getStreamMillis();
+
+  /**
+   * <pre>
+   * Empty if the stream has no prompt.
+   * </pre>
+   *
+   * <code>string model = 5;</code>
+   * @return The model.
+   */
+  java.lang.String getModel();
+  /**
+   * <pre>
+   * Empty if the stream has no prompt.
+   * </pre>
+   *
+   * <code>string model = 5;</code>
+   * @return The bytes for model.
+   */
+  com.google.protobuf.ByteString
+      getModelBytes();
+
+  /**
+   * <pre>
+   * Identifier of the last part of the prompt; empty if there is none.
+   * </pre>
+   *
+   * <code>string prompt_part = 6;</code>
+   * @return The promptPart.
+   */
+  java.lang.String getPromptPart();
+  /**
+   * <pre>
+   * Identifier of the last part of the prompt; empty if there is none.
+   * </pre>
+   *
+   * <code>string prompt_part = 6;</code>
+   * @return The bytes for promptPart.
+   */
+  com.google.protobuf.ByteString
+      getPromptPartBytes();
 }
