An odd entry in the store hides no other one and names no instance

Reported from a system like ours: one odd entry of another writer ends the processes that read the list, or stops them from following it.

--- a/gateway/src/main/java/org/merlinwood/gateway/follow/StoreFollower.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/follow/StoreFollower.java
@@ -1,5 +1,6 @@
 package org.merlinwood.gateway.follow;
 
+import com.google.common.flogger.FluentLogger;
 import io.vavr.control.Either;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -26,6 +27,8 @@
  */
 public final class StoreFollower implements StoreConfirmation {
 
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
     /** Maximum wait of a watch request, in milliseconds. Also limits how late an unresponsive store is detected. */
     static final long WATCH_WAIT_MILLIS = 2_000;
 
@@ -392,7 +395,16 @@
         delayedChanges.computeIfPresent(
                 change.key(), (key, delayed) -> delayed.position().isAfter(change.position()) ? delayed : null);
         if (copy.apply(change)) {
+            notifyListener(change);
+        }
+    }
+
+    /** Tells the listener of a change. If that throws, the changes behind it still have to be applied. */
+    private void notifyListener(StoreChange change) {
+        try {
             listener.onChange(change);
+        } catch (RuntimeException exception) {
+            logger.atSevere().withCause(exception).log("could not apply the change of %s", change.key());
         }
     }
 }
--- a/gateway/src/main/java/org/merlinwood/gateway/process/EntryComposition.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/process/EntryComposition.java
@@ -122,7 +122,7 @@
                 fleet, clock, settings.failureDomain(), settings.instance().hashCode());
         this.noticeRecorder = new InstanceNoticeRecorder(pool.notices(), log, metrics);
         this.follower = new StoreFollower(
-                storeProtocol, client, loop, clock, new FleetUpdates(storeProtocol, fleet, pool, versionHistory, log));
+                storeProtocol, client, loop, clock, new FleetUpdates(storeProtocol, fleet, pool, versionHistory, settings.callerAddress(), log));
         UpstreamClient upstreamClient = new UpstreamClient(client, upstreamProtocol, noticeRecorder);
         this.peers = createPeers(createOrders(upstreamClient, upstreamProtocol));
         FrontHandlerFactory handlerFactory = createHandlerFactory(upstreamClient, upstreamProtocol);
--- a/gateway/src/main/java/org/merlinwood/gateway/process/FleetUpdates.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/process/FleetUpdates.java
@@ -1,5 +1,6 @@
 package org.merlinwood.gateway.process;
 
+import java.net.InetSocketAddress;
 import java.util.Optional;
 import org.merlinwood.gateway.decision.InstancePool;
 import org.merlinwood.gateway.decision.VersionHistory;
@@ -22,6 +23,7 @@
     private final FleetState fleet;
     private final InstancePool pool;
     private final VersionHistory versionHistory;
+    private final InetSocketAddress ownAddress;
     private final DecisionLog log;
 
     /**
@@ -31,6 +33,8 @@
      * @param fleet routes and registered instances, which are changed
      * @param pool forgets instances that are removed
      * @param versionHistory records the software versions of the instances
+     * @param ownAddress where this entry accepts callers; a registration with it names no instance, since requests
+     *     would come back without end
      * @param log receives one line for each change
      */
     FleetUpdates(
@@ -38,11 +42,13 @@
             FleetState fleet,
             InstancePool pool,
             VersionHistory versionHistory,
+            InetSocketAddress ownAddress,
             DecisionLog log) {
         this.storeProtocol = storeProtocol;
         this.fleet = fleet;
         this.pool = pool;
         this.versionHistory = versionHistory;
+        this.ownAddress = ownAddress;
         this.log = log;
     }
 
@@ -63,6 +69,7 @@
     private Optional<UpstreamInstance> readInstance(StoreChange change) {
         return change.value()
                 .flatMap(value -> storeProtocol.readInstance(change.key(), value))
+                .filter(instance -> !instance.address().equals(ownAddress))
                 .map(fleet::withKnownStart);
     }
 
--- a/gateway/src/test/java/org/merlinwood/gateway/follow/RecordingStoreListener.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/follow/RecordingStoreListener.java
@@ -15,8 +15,14 @@
     /** The restores, each as {@code ERA to ERA}. */
     final List<String> restores = new ArrayList<>();
 
+    /** Key whose changes can't be applied. */
+    String throwOn = "";
+
     @Override
     public void onChange(StoreChange change) {
+        if (change.key().equals(throwOn)) {
+            throw new IllegalStateException("thrown by the test");
+        }
         change.value()
                 .ifPresentOrElse(
                         value -> values.put(change.key(), new String(value, StandardCharsets.UTF_8)),
--- a/gateway/src/test/java/org/merlinwood/gateway/follow/StoreFollowerTest.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/follow/StoreFollowerTest.java
@@ -37,6 +37,16 @@
         assertThat(listener.restores).isEmpty();
     }
 
+    /** Guards against one odd entry that ends the following of all others. */
+    @Test
+    void changesBehindOneThatCannotBeAppliedAreApplied() {
+        listener.throwOn = "odd";
+        respond("done 9 odd=1@8 b=2@9");
+        assertThat(values).containsEntry("b", "2");
+        loop.advance(StoreFollower.WATCH_PAUSE_MILLIS);
+        assertThat(client.last().request().path()).isEqualTo("/watch/9");
+    }
+
     /** Guards against an entry that stood still, or is cut off, and takes what it knows for current. */
     @Test
     void copyIsCurrentOnlyOnceTheStoreHasNothingNew() {
--- a/gateway/src/test/java/org/merlinwood/gateway/process/FleetUpdatesTest.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/process/FleetUpdatesTest.java
@@ -4,6 +4,7 @@
 
 import java.io.OutputStream;
 import java.io.PrintStream;
+import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -31,6 +32,7 @@
             fleet,
             pool,
             new VersionHistory(fleet, clock),
+            new InetSocketAddress("127.0.0.1", 2),
             new DecisionLog("test", clock, new PrintStream(OutputStream.nullOutputStream())));
 
     @Test
@@ -41,6 +43,20 @@
         assertThat(fleet.routes()).map(RouteTable::version).contains(7L);
     }
 
+    /** Guards against an entry that sends requests to itself, each of which it sends to itself again. */
+    @Test
+    void registrationWithTheAddressOfThisEntryNamesNoInstance() {
+        FleetUpdates atThatAddress = new FleetUpdates(
+                new WordsStoreProtocol(),
+                fleet,
+                pool,
+                new VersionHistory(fleet, clock),
+                WordsStoreProtocol.INSTANCE_ADDRESS,
+                new DecisionLog("test", clock, new PrintStream(OutputStream.nullOutputStream())));
+        atThatAddress.onChange(change("a", "ready 1"));
+        assertThat(fleet.find("a")).isEmpty();
+    }
+
     @Test
     void instanceIsRegisteredAndRemoved() {
         updates.onChange(change("a", "ready 1"));
