--- a/gateway/src/main/java/org/merlinwood/gateway/follow/StoreFollower.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/follow/StoreFollower.java
@@ -8,7 +8,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.function.Consumer;
 import java.util.stream.Collectors;
 import org.merlinwood.core.result.Failure;
 import org.merlinwood.core.time.MillisClock;
@@ -25,7 +24,7 @@
  * arrives shortly after a failure of the store is delayed by {@link #REMOVAL_DELAY_MILLIS}: registrations that expired
  * during an outage are renewed within that time if their instance is still running.
  */
-public final class StoreFollower implements StoreConfirmation {
+public final class StoreFollower {
 
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
@@ -53,15 +52,6 @@
      */
     static final long REMOVAL_DELAY_MILLIS = 2_000;
 
-    /** Time for each read of a confirmation, in milliseconds. A caller waits for it. */
-    private static final long CONFIRMATION_TIMEOUT_MILLIS = 300;
-
-    /** Maximum wait of a read of a confirmation, in milliseconds: the store answers at once. */
-    private static final long CONFIRMATION_WAIT_MILLIS = 1;
-
-    /** Number of reads after which a store that changes all the time isn't asked any more. */
-    private static final int MAXIMUM_CONFIRMATION_READS = 4;
-
     private final StoreProtocol protocol;
     private final HttpClient client;
     private final EventLoop loop;
@@ -109,42 +99,29 @@
         list(new Listing());
     }
 
-    /**
-     * Reads what has changed, beside the watch that waits, until the store says that nothing has. A failure of it isn't
-     * taken for one of the store: this read has less time.
-     */
-    @Override
-    public void confirm(Consumer<Boolean> consumer) {
-        if (listed) {
-            confirm(copy.position(), MAXIMUM_CONFIRMATION_READS, consumer);
-        } else {
-            consumer.accept(false);
-        }
+    /** Returns whether all keys have been read once. */
+    boolean isListed() {
+        return listed;
     }
 
-    private void confirm(StorePosition after, int readsLeft, Consumer<Boolean> consumer) {
-        HttpRequest request = protocol.watch(after.revision(), CONFIRMATION_WAIT_MILLIS)
-                .withTimeouts(CONFIRMATION_TIMEOUT_MILLIS, CONFIRMATION_TIMEOUT_MILLIS);
-        client.execute(
-                request,
-                result -> loop.execute(() -> onConfirmation(
-                        after, readsLeft - 1, result.toJavaOptional().map(protocol::read), consumer)));
+    /** Returns the position up to which all changes have been read, though some may be delayed. */
+    StorePosition readPosition() {
+        return copy.position();
     }
 
-    private void onConfirmation(
-            StorePosition after, int readsLeft, Optional<StoreResponse> response, Consumer<Boolean> consumer) {
-        if (!(response.orElse(null) instanceof StoreResponse.Changes changes)
-                || changes.position().era() != after.era()
-                || era != after.era()) {
-            consumer.accept(false);
-            return;
+    /**
+     * Applies changes that were read beside the watch that waits.
+     *
+     * @param changes all changes behind a position
+     * @param after that position
+     * @return false if they are of another era than this copy, and were not applied
+     */
+    boolean applyRead(StoreResponse.Changes changes, StorePosition after) {
+        if (changes.position().era() != after.era() || era != after.era()) {
+            return false;
         }
         changes.changes().forEach(this::apply);
-        if (changes.changes().isEmpty() || readsLeft == 0) {
-            consumer.accept(changes.changes().isEmpty());
-            return;
-        }
-        confirm(changes.position(), readsLeft, consumer);
+        return true;
     }
 
     /**
--- a/gateway/src/main/java/org/merlinwood/gateway/process/EntryComposition.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/process/EntryComposition.java
@@ -27,6 +27,7 @@
 import org.merlinwood.gateway.fleet.FleetState;
 import org.merlinwood.gateway.follow.StoreFollower;
 import org.merlinwood.gateway.follow.StoreProtocol;
+import org.merlinwood.gateway.follow.StoreReread;
 import org.merlinwood.gateway.front.CallerConnections;
 import org.merlinwood.gateway.front.CallerListener;
 import org.merlinwood.gateway.front.FrontHandlerFactory;
@@ -93,6 +94,7 @@
     private final DrainPolicy drainPolicy;
     private final CallerConnections connections;
     private final InstancePool pool;
+    private final StoreReread storeReread;
     private final InstanceNoticeRecorder noticeRecorder;
 
     /**
@@ -122,7 +124,12 @@
                 fleet, clock, settings.failureDomain(), settings.instance().hashCode());
         this.noticeRecorder = new InstanceNoticeRecorder(pool.notices(), log, metrics);
         this.follower = new StoreFollower(
-                storeProtocol, client, loop, clock, new FleetUpdates(storeProtocol, fleet, pool, versionHistory, settings.callerAddress(), log));
+                storeProtocol,
+                client,
+                loop,
+                clock,
+                new FleetUpdates(storeProtocol, fleet, pool, versionHistory, settings.callerAddress(), log));
+        this.storeReread = new StoreReread(storeProtocol, client, loop, follower);
         UpstreamClient upstreamClient = new UpstreamClient(client, upstreamProtocol, noticeRecorder);
         this.peers = createPeers(createOrders(upstreamClient, upstreamProtocol));
         FrontHandlerFactory handlerFactory = createHandlerFactory(upstreamClient, upstreamProtocol);
@@ -174,7 +181,7 @@
                 versionHistory,
                 peers.originPeers(),
                 heldPrompts,
-                follower,
+                storeReread,
                 demandMeter,
                 log,
                 new RequestMetrics(metrics));
--- a/gateway/src/test/java/org/merlinwood/gateway/follow/StoreFollowerTest.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/follow/StoreFollowerTest.java
@@ -23,6 +23,7 @@
     private final Map<String, String> values = listener.values;
     private final StoreFollower follower =
             new StoreFollower(new PlainTextStoreProtocol(), client, loop, clock, listener);
+    private final StoreReread reread = new StoreReread(new PlainTextStoreProtocol(), client, loop, follower);
 
     @BeforeEach
     void listTwoKeys() {
@@ -51,7 +52,7 @@
     @Test
     void copyIsCurrentOnlyOnceTheStoreHasNothingNew() {
         List<Boolean> answers = new ArrayList<>();
-        follower.confirm(answers::add);
+        reread.confirm(answers::add);
         assertThat(client.last().request().path()).isEqualTo("/watch/5");
         respond("done 8 b=2@8");
         assertThat(values).containsEntry("b", "2");
@@ -64,7 +65,7 @@
     @Test
     void copyIsNotCurrentIfTheStoreDoesNotAnswer() {
         List<Boolean> answers = new ArrayList<>();
-        follower.confirm(answers::add);
+        reread.confirm(answers::add);
         client.last().fail(ResultCode.UPSTREAM_TIMEOUT, ExecutionState.UNKNOWN);
         loop.run();
         assertThat(answers).containsExactly(false);
@@ -74,7 +75,7 @@
     @Test
     void copyIsNotCurrentIfTheHistoryIsGone() {
         List<Boolean> answers = new ArrayList<>();
-        follower.confirm(answers::add);
+        reread.confirm(answers::add);
         respond("gone");
         assertThat(answers).containsExactly(false);
     }
--- a/gateway/src/test/java/org/merlinwood/gateway/process/PeerUpdatesTest.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/process/PeerUpdatesTest.java
@@ -45,7 +45,6 @@
 
     private static final InetSocketAddress CALLER_ADDRESS = new InetSocketAddress("127.0.0.1", 2);
 
-
     private static final String OWN_ADDRESS = "10.0.0.1:1";
     private static final String PEER_ADDRESS = "10.0.0.2:1";
 
@@ -74,7 +73,11 @@
         InstanceNoticeRecorder noticeRecorder = new InstanceNoticeRecorder(pool.notices(), log, new MetricRegistry());
         DemandMeter demandMeter = new DemandMeter(clock);
         follower = new StoreFollower(
-                storeProtocol, client, loop, clock, new FleetUpdates(storeProtocol, fleet, pool, versionHistory, CALLER_ADDRESS, log));
+                storeProtocol,
+                client,
+                loop,
+                clock,
+                new FleetUpdates(storeProtocol, fleet, pool, versionHistory, CALLER_ADDRESS, log));
         StageOrders orders = new StageOrders(
                 new OrderLeadership(clock, OWN_ADDRESS, 1),
                 fleet,
