A kept connection holds nothing of its former requests

Cause: a close listener of the connection for each request, with its exchange, processor and bodies, which the server keeps until the connection is closed. Ruled out: rate and bodies in progress (the same requests on new connections are served).

Change: ConnectionCloseWatch, one listener for each connection, which knows the request in progress alone. The same on our own path.

--- a/entry/src/main/java/org/merlinwood/entry/caller/CallerExchange.java
+++ b/entry/src/main/java/org/merlinwood/entry/caller/CallerExchange.java
@@ -16,6 +16,7 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.merlinwood.core.result.ResultCode;
+import org.merlinwood.http.ConnectionCloseWatch;
 import org.merlinwood.http.HttpHeader;
 import org.merlinwood.http.StreamFraming;
 import org.xnio.IoUtils;
@@ -65,7 +66,7 @@
 
     /** Starts to detect a disconnect of the caller. Called on the I/O thread. */
     void watchForDisconnect() {
-        exchange.getConnection().addCloseListener(connection -> notifyLost(ResultCode.CALLER_GONE));
+        ConnectionCloseWatch.watch(exchange, () -> notifyLost(ResultCode.CALLER_GONE));
         scheduleDisconnectCheck();
     }
 
--- a/gateway/src/main/java/org/merlinwood/gateway/front/UndertowCallerChannel.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/UndertowCallerChannel.java
@@ -5,13 +5,13 @@
 import io.undertow.io.Sender;
 import io.undertow.server.AbstractServerConnection;
 import io.undertow.server.HttpServerExchange;
-import io.undertow.server.ServerConnection;
 import io.undertow.server.protocol.http.HttpServerConnection;
 import io.undertow.util.HttpString;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
 import java.util.List;
+import org.merlinwood.http.ConnectionCloseWatch;
 import org.merlinwood.http.HttpHeader;
 import org.merlinwood.http.StreamFraming;
 import org.xnio.IoUtils;
@@ -46,7 +46,7 @@
     UndertowCallerChannel(HttpServerExchange exchange, ConnectionReuse connectionReuse) {
         this.exchange = exchange;
         this.connectionReuse = connectionReuse;
-        exchange.getConnection().addCloseListener(this::onConnectionClosed);
+        ConnectionCloseWatch.watch(exchange, this::onConnectionClosed);
     }
 
     @Override
@@ -191,7 +191,7 @@
         }
     }
 
-    private void onConnectionClosed(ServerConnection closed) {
+    private void onConnectionClosed() {
         if (!finished) {
             disconnect();
         }
--- /dev/null
+++ b/http/src/main/java/org/merlinwood/http/ConnectionCloseWatch.java
@@ -0,0 +1,54 @@
+package org.merlinwood.http;
+
+import io.undertow.server.HttpServerExchange;
+import io.undertow.server.ServerConnection;
+import io.undertow.util.AttachmentKey;
+
+/**
+ * Runs an action if the connection of a request is closed before its response is complete. Confined to the I/O thread
+ * of the connection.
+ *
+ * <p>There is one for each connection, and it knows the request in progress only: the server keeps a listener of the
+ * connection, with all that it refers to, until the connection is closed, which may be after any number of requests.
+ */
+public final class ConnectionCloseWatch {
+
+    private static final AttachmentKey<ConnectionCloseWatch> KEY = AttachmentKey.create(ConnectionCloseWatch.class);
+    private static final Runnable NO_ACTION = () -> {};
+
+    private Runnable action = NO_ACTION;
+
+    private ConnectionCloseWatch() {}
+
+    /**
+     * Watches the connection of a request until its response is complete.
+     *
+     * @param exchange the exchange of the request
+     * @param action run at most once, when the connection is closed
+     */
+    public static void watch(HttpServerExchange exchange, Runnable action) {
+        ConnectionCloseWatch watch = of(exchange.getConnection());
+        watch.action = action;
+        exchange.addExchangeCompleteListener((completed, next) -> {
+            watch.action = NO_ACTION;
+            next.proceed();
+        });
+    }
+
+    private static ConnectionCloseWatch of(ServerConnection connection) {
+        ConnectionCloseWatch known = connection.getAttachment(KEY);
+        if (known != null) {
+            return known;
+        }
+        ConnectionCloseWatch watch = new ConnectionCloseWatch();
+        connection.putAttachment(KEY, watch);
+        connection.addCloseListener(closed -> watch.onClosed());
+        return watch;
+    }
+
+    private void onClosed() {
+        Runnable watched = action;
+        action = NO_ACTION;
+        watched.run();
+    }
+}
