--- a/http/src/main/java/org/merlinwood/http/ConnectionCloseWatch.java
+++ b/http/src/main/java/org/merlinwood/http/ConnectionCloseWatch.java
@@ -3,6 +3,7 @@
 import io.undertow.server.HttpServerExchange;
 import io.undertow.server.ServerConnection;
 import io.undertow.util.AttachmentKey;
+import java.util.Optional;
 
 /**
  * Runs an action if the connection of a request is closed before its response is complete. Confined to the I/O thread
@@ -14,9 +15,9 @@
 public final class ConnectionCloseWatch {
 
     private static final AttachmentKey<ConnectionCloseWatch> KEY = AttachmentKey.create(ConnectionCloseWatch.class);
-    private static final Runnable NO_ACTION = () -> {};
 
-    private Runnable action = NO_ACTION;
+    /** What to run if the connection is closed now; empty between two requests. */
+    private Optional<Runnable> action = Optional.empty();
 
     private ConnectionCloseWatch() {}
 
@@ -28,9 +29,9 @@
      */
     public static void watch(HttpServerExchange exchange, Runnable action) {
         ConnectionCloseWatch watch = of(exchange.getConnection());
-        watch.action = action;
+        watch.action = Optional.of(action);
         exchange.addExchangeCompleteListener((completed, next) -> {
-            watch.action = NO_ACTION;
+            watch.action = Optional.empty();
             next.proceed();
         });
     }
@@ -47,8 +48,8 @@
     }
 
     private void onClosed() {
-        Runnable watched = action;
-        action = NO_ACTION;
-        watched.run();
+        Optional<Runnable> watched = action;
+        action = Optional.empty();
+        watched.ifPresent(Runnable::run);
     }
 }
