Review case 8: streams that lost two runners can't be taken up again

Tried: five runners crash one after the other; clients take up the streams that broke off. Seen: all 13 to 21 of them are refused, while every new stream begins.

--- /dev/null
+++ b/review/stand-2/TakenUp.java
@@ -0,0 +1,90 @@
+import java.util.ArrayList;
+import java.util.List;
+import java.util.OptionalInt;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/** Case 8: clients take up streams whose runners crashed one after the other. */
+final class TakenUp {
+
+    private static final int EVENTS = 90;
+    private static final int STREAMS = 50;
+
+    /** Time after which a client opens a new channel for its broken stream, in milliseconds. */
+    private static final long CLIENT_PAUSE_MILLIS = 500;
+
+    private static final int JUDGED_FROM = 12;
+
+    private final Case run;
+    private final AtomicInteger taken = new AtomicInteger();
+    private final AtomicInteger goesOn = new AtomicInteger();
+
+    private TakenUp(Case run) {
+        this.run = run;
+    }
+
+    public static void main(String[] arguments) throws Exception {
+        new TakenUp(new Case(arguments)).play();
+    }
+
+    private void play() throws Exception {
+        run.store.put("op/config", Site.manifest(7, 2));
+        List<ModelRunner> runners = new ArrayList<>();
+        for (int number = 1; number <= 5; number++) {
+            ModelRunner runner = new ModelRunner("i-" + number, "model", "v1", 100, run.recorder);
+            runner.register(run.store, "ready");
+            runners.add(runner);
+        }
+        run.startEntries(2, Site.BOUNDS);
+        ShortStreams others = new ShortStreams(run, 30);
+        Thread.sleep(10_500);
+        List<Thread> threads = new ArrayList<>();
+        for (int number = 0; number < STREAMS; number++) {
+            int own = number;
+            threads.add(Thread.ofVirtual().start(() -> client(own)));
+            Thread.sleep(50);
+        }
+        Thread.sleep(500);
+        if (run.trouble) {
+            for (ModelRunner runner : runners) {
+                runner.restart("v1", 700);
+                runner.register(run.store, "ready");
+                Thread.sleep(700);
+            }
+        }
+        for (Thread thread : threads) {
+            thread.join();
+        }
+        others.stop();
+        String result = taken + " streams taken up, " + goesOn + " of them go on; " + others.asked
+                + " new streams, " + others.begun + " of them begin";
+        if (run.trouble && taken.get() < JUDGED_FROM) {
+            run.notRun("the rule needs " + JUDGED_FROM + " streams that are taken up: " + result);
+        }
+        double shareOn = taken.get() == 0 ? 1 : goesOn.get() / (double) taken.get();
+        double shareBegun = others.begun.get() / (double) others.asked.get();
+        run.finish(result, taken.get() >= JUDGED_FROM && shareOn < shareBegun / 2);
+    }
+
+    /** One client: a stream and, if its channel broke behind an event, one more try at the other entry. */
+    private void client(int number) {
+        String first = "s" + number;
+        String parts = "aa:200," + first + ":400";
+        StreamClient stream = new StreamClient(first, run.recorder);
+        stream.run(run.entries.get(number % 2).front, "/stream/a", 600, EVENTS, parts, OptionalInt.empty());
+        if (stream.complete || stream.numbers.isEmpty()) {
+            return;
+        }
+        try {
+            Thread.sleep(CLIENT_PAUSE_MILLIS);
+        } catch (InterruptedException interrupted) {
+            return;
+        }
+        taken.incrementAndGet();
+        OptionalInt last = OptionalInt.of(stream.numbers.getLast());
+        StreamClient again = new StreamClient(first + "-again", run.recorder);
+        again.run(run.entries.get((number + 1) % 2).front, "/stream/a", 600, EVENTS, parts, last, first);
+        if (!again.numbers.isEmpty()) {
+            goesOn.incrementAndGet();
+        }
+    }
+}
