--- a/review/stand-2/LateRemoval.java
+++ b/review/stand-2/LateRemoval.java
@@ -2,7 +2,7 @@
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 
-/** Case 9: a runner leaves soon after an entry's open channel to the store has gone silent. */
+/** Case 7: a runner leaves soon after an entry's open channel to the store has gone silent. */
 final class LateRemoval {
 
     private static final long CONTACT_MILLIS = 3_000;
--- a/review/stand-2/TakenUp.java
+++ b/review/stand-2/TakenUp.java
@@ -3,7 +3,7 @@
 import java.util.OptionalInt;
 import java.util.concurrent.atomic.AtomicInteger;
 
-/** Case 8: clients take up streams whose runners crashed one after the other. */
+/** Case 6: clients take up streams whose runners crashed one after the other. */
 final class TakenUp {
 
     private static final int EVENTS = 90;
