--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,4 +5,4 @@
 . bin/common.sh
 rm -rf target/review-2
 mkdir -p target/review-2
-"$JAVA_HOME/bin/javac" --release 21 -nowarn -d target/review-2 review/stand-2/*.java
+"$JAVA_HOME/bin/javac" --release 21 -nowarn -d target/review-2 review/stand-2/platform/*.java
