Review: cases 6 and 7 read once more, and made fairer

Case 6: the sheet's rate and entries, slots and deadlines kept by the runners, the rest of the time budget sent. Case 7: the runner leaves when the entry is in touch again. A script that throws ends with 2.

--- a/review/stand-2/platform/Case.java
+++ b/review/stand-2/platform/Case.java
@@ -25,6 +25,11 @@
 
     /** Creates a case from the arguments of its script: the checkout and the folder of the case. */
     Case(String[] arguments) throws IOException {
+        Thread.setDefaultUncaughtExceptionHandler((thread, exception) -> {
+            // A fault of the script itself is no result. The entries end with this process.
+            exception.printStackTrace();
+            System.exit(NOT_RUN);
+        });
         root = Path.of(arguments[0]);
         recorder = new Recorder(Path.of(arguments[1]).resolve("record.txt"));
         recorder.line(trouble ? "with the disruption" : "without the disruption");
--- a/review/stand-2/platform/LateRemoval.java
+++ b/review/stand-2/platform/LateRemoval.java
@@ -35,11 +35,11 @@
         run.startEntries(1, Site.BOUNDS, Entry.text(proxy.address()));
         Thread clients = Thread.ofVirtual().start(() -> requests(run));
         Thread.sleep(6_000);
-        long silentAt = run.recorder.millis();
         if (run.trouble) {
             run.recorder.line("open channels to the store go silent: " + proxy.silenceOpen());
         }
-        Thread.sleep(500);
+        // Silence counts as a reset of the channels of all machines: behind this time they are in touch again.
+        Thread.sleep(CONTACT_MILLIS + MARGIN_MILLIS);
         AppRunner leaving = busiest(runners);
         synchronized (registered) {
             registered.remove(leaving);
@@ -47,15 +47,13 @@
         }
         long acknowledged = run.recorder.millis();
         run.recorder.line("store: " + leaving.id + " is removed; it goes on serving");
-        Thread.sleep(CONTACT_MILLIS + DRAIN_MILLIS + 1_000);
+        Thread.sleep(DRAIN_MILLIS + 2_000);
         clients.interrupt();
-        // Silence counts as a reset of the channels of all machines.
-        long inTouchFrom = silentAt + CONTACT_MILLIS;
         int late = 0;
         long latest = 0;
         for (long arrival : leaving.arrivals.values()) {
             long behind = arrival - acknowledged - DRAIN_MILLIS;
-            if (behind > MARGIN_MILLIS && arrival > inTouchFrom + MARGIN_MILLIS) {
+            if (behind > MARGIN_MILLIS) {
                 late++;
                 latest = Math.max(latest, behind);
             }
--- a/review/stand-2/platform/ModelRunner.java
+++ b/review/stand-2/platform/ModelRunner.java
@@ -7,10 +7,14 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 
 /** A model runner of the decode stage: reserves, reads prompts one after the other, and streams events. */
 final class ModelRunner {
@@ -18,13 +22,20 @@
     /** Prompt tokens that a decode runner reads in a millisecond: half of those of the sheets. */
     private static final double TOKENS_PER_MILLI = 55.5 / 2;
 
+    /** Requests at once, as on the sheet. */
+    static final int SLOTS = 16;
+
     final String id;
     final String service;
     private final Recorder recorder;
     private final InetSocketAddress address;
     private final int eventMillis;
-    private final AtomicInteger holds = new AtomicInteger();
+    /** Ends of the leases of slots that are reserved and not used, in milliseconds, by their identifiers. */
+    private final Map<String, Long> holds = new HashMap<>();
+
+    private final AtomicInteger lastHold = new AtomicInteger();
     private final AtomicInteger running = new AtomicInteger();
+    volatile int mostRunning;
     private ServerSocket server;
     private Set<Socket> sockets = ConcurrentHashMap.newKeySet();
     private Semaphore reader = new Semaphore(1, true);
@@ -92,6 +103,9 @@
         version = newVersion;
         sockets = ConcurrentHashMap.newKeySet();
         reader = new Semaphore(1, true);
+        synchronized (this) {
+            holds.clear();
+        }
         Thread.sleep(downMillis);
         server = listenAgain();
         boot();
@@ -136,15 +150,24 @@
         if (!expected.isEmpty() && !expected.equals(id)) {
             send(socket, "421 Misdirected Request", "Instance-Id: " + id + "\r\n", "");
         } else if (request.target().equals("/v1/hold-take")) {
-            send(socket, "200 OK", "", "{\"hold\":\"h" + holds.incrementAndGet() + "\"}");
-        } else if (request.target().startsWith("/v1/hold-drop/") || request.target().startsWith("/v1/kv-handle/")) {
+            String hold = reserve(request.text());
+            if (hold.isEmpty()) {
+                send(socket, "503 Service Unavailable", "Not-Executed: 1\r\n", "");
+            } else {
+                send(socket, "200 OK", "", "{\"hold\":\"" + hold + "\"}");
+            }
+        } else if (request.target().startsWith("/v1/hold-drop/")) {
+            drop(request.target().substring("/v1/hold-drop/".length()));
+            send(socket, "200 OK", "", "{}");
+        } else if (request.target().startsWith("/v1/kv-handle/")) {
             send(socket, "200 OK", "", "{}");
         } else if (request.target().startsWith("/v1/kv-list")) {
             send(socket, "200 OK", "", "{\"epoch\":1,\"next\":1,\"held\":[]}");
         } else if (!request.header("Stage").isEmpty()) {
             send(socket, "421 Misdirected Request", "Instance-Id: " + id + "\r\n", "");
+        } else if (!begin(request.header("Kv-Hold"))) {
+            send(socket, "503 Service Unavailable", "Not-Executed: 1\r\n", "");
         } else {
-            running.incrementAndGet();
             try {
                 stream(request, socket, ownReader, ownVersion);
             } finally {
@@ -153,6 +176,37 @@
         }
     }
 
+    /** Reserves a slot; returns an empty text if none is free. The memory of the sheet holds more than all slots need. */
+    private synchronized String reserve(String body) {
+        if (free() <= 0) {
+            return "";
+        }
+        Matcher lease = Pattern.compile("\"ttl_ms\" *: *(\\d+)").matcher(body);
+        long leaseMillis = lease.find() ? Long.parseLong(lease.group(1)) : 0;
+        String hold = "h" + lastHold.incrementAndGet();
+        holds.put(hold, recorder.millis() + leaseMillis);
+        return hold;
+    }
+
+    /** Takes a slot for a run, the one that was reserved if the reservation is valid; returns false if none is free. */
+    private synchronized boolean begin(String hold) {
+        int free = free();
+        if (holds.remove(hold) == null && free <= 0) {
+            return false;
+        }
+        mostRunning = Math.max(mostRunning, running.incrementAndGet());
+        return true;
+    }
+
+    private synchronized void drop(String hold) {
+        holds.remove(hold);
+    }
+
+    private int free() {
+        holds.values().removeIf(end -> end <= recorder.millis());
+        return SLOTS - running.get() - holds.size();
+    }
+
     private void send(Socket socket, String status, String headers, String body) throws IOException {
         byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
         OutputStream output = socket.getOutputStream();
@@ -169,6 +223,7 @@
         String[] counts = request.header("Token-Counts").split(",");
         int events = Integer.parseInt(counts[1].trim());
         int last = request.header("Last-Event-Id").isEmpty() ? 0 : Integer.parseInt(request.header("Last-Event-Id"));
+        long deadline = recorder.millis() + Long.parseLong(request.header("Deadline-Ms"));
         recorder.line("run " + attempt + " at " + id + " version " + ownVersion + " behind event " + last);
         ownReader.acquire();
         try {
@@ -181,6 +236,10 @@
                         + "\r\nWeight-Versions: 1\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
                 .getBytes(StandardCharsets.US_ASCII));
         for (int number = last + 1; number <= events; number++) {
+            if (recorder.millis() > deadline) {
+                recorder.line("stopped at its deadline: " + attempt);
+                throw new IOException("the time is over");
+            }
             byte[] event = ("id: " + number + "\ndata: " + attempt + " " + ownVersion + " piece " + number + "\n\n")
                     .getBytes(StandardCharsets.US_ASCII);
             output.write((Integer.toHexString(event.length) + "\r\n").getBytes(StandardCharsets.US_ASCII));
--- a/review/stand-2/platform/StreamClient.java
+++ b/review/stand-2/platform/StreamClient.java
@@ -16,6 +16,9 @@
     volatile int status;
     volatile boolean complete;
     volatile String failure = "";
+    /** Time that the client will wait, in milliseconds. */
+    long timeLeftMillis = 14_000;
+
     private final Recorder recorder;
 
     StreamClient(String attempt, Recorder recorder) {
@@ -50,7 +53,8 @@
             socket.getOutputStream()
                     .write(("POST " + path + " HTTP/1.1\r\nHost: site.example\r\nAttempt-Id: " + attempt
                                     + "\r\nModel: m\r\nToken-Counts: " + promptTokens + "," + events
-                                    + "\r\nPrompt-Prefix: " + prefix + "\r\n" + last + "Deadline-Ms: 14000\r\nContent-Length: "
+                                    + "\r\nPrompt-Prefix: " + prefix + "\r\n" + last + "Deadline-Ms: " + timeLeftMillis
+                                    + "\r\nContent-Length: "
                                     + body.length + "\r\n\r\n" + new String(body, StandardCharsets.US_ASCII))
                             .getBytes(StandardCharsets.US_ASCII));
             read(new BufferedInputStream(socket.getInputStream()));
--- a/review/stand-2/platform/TakenUp.java
+++ b/review/stand-2/platform/TakenUp.java
@@ -6,7 +6,15 @@
 /** Case 6: clients take up streams whose runners crashed one after the other. */
 final class TakenUp {
 
-    private static final int EVENTS = 90;
+    /** Entries as on the sheet. */
+    private static final int ENTRIES = 5;
+
+    /** Events of a stream, one each 100 ms; the sheet's largest number is 130. */
+    private static final int EVENTS = 110;
+
+    /** Time between two new short streams, in milliseconds: the 9.1 streams a second of the sheet. */
+    private static final long INTERVAL_MILLIS = 110;
+
     private static final int STREAMS = 50;
 
     /** Time after which a client opens a new channel for its broken stream, in milliseconds. */
@@ -34,16 +42,15 @@
             runner.register(run.store, "ready");
             runners.add(runner);
         }
-        run.startEntries(2, Site.BOUNDS);
-        ShortStreams others = new ShortStreams(run, 30);
+        run.startEntries(ENTRIES, Site.BOUNDS);
+        ShortStreams others = new ShortStreams(run, INTERVAL_MILLIS);
         Thread.sleep(10_500);
         List<Thread> threads = new ArrayList<>();
         for (int number = 0; number < STREAMS; number++) {
             int own = number;
             threads.add(Thread.ofVirtual().start(() -> client(own)));
-            Thread.sleep(50);
+            Thread.sleep(INTERVAL_MILLIS);
         }
-        Thread.sleep(500);
         if (run.trouble) {
             for (ModelRunner runner : runners) {
                 runner.restart("v1", 700);
@@ -69,8 +76,9 @@
     private void client(int number) {
         String first = "s" + number;
         String parts = "aa:200," + first + ":400";
+        long started = run.recorder.millis();
         StreamClient stream = new StreamClient(first, run.recorder);
-        stream.run(run.entries.get(number % 2).front, "/stream/a", 600, EVENTS, parts, OptionalInt.empty());
+        stream.run(run.entries.get(number % ENTRIES).front, "/stream/a", 600, EVENTS, parts, OptionalInt.empty());
         if (stream.complete || stream.numbers.isEmpty()) {
             return;
         }
@@ -82,7 +90,8 @@
         taken.incrementAndGet();
         OptionalInt last = OptionalInt.of(stream.numbers.getLast());
         StreamClient again = new StreamClient(first + "-again", run.recorder);
-        again.run(run.entries.get((number + 1) % 2).front, "/stream/a", 600, EVENTS, parts, last, first);
+        again.timeLeftMillis -= run.recorder.millis() - started;
+        again.run(run.entries.get((number + 1) % ENTRIES).front, "/stream/a", 600, EVENTS, parts, last, first);
         if (!again.numbers.isEmpty()) {
             goesOn.incrementAndGet();
         }
