Requests are blocked by crashes at their begin, not by any lost connection

Cause: a lost connection counted against the request whatever the response had reached, and two lost instances block it at all entries for 60 s. A request that crashes instances does so when they begin it. Ruled out: an unknown or gone version (2009, 2008) and missing room, by the code 2006 that the dispatcher sends at once.

Lost prefill instances count too: a prompt could be sent to all of them, one after the other. New: log line "run lost", counters runs_lost_at_their_begin, runs_lost_later, runs_lost_at_living_instances.

--- a/gateway/src/main/java/org/merlinwood/gateway/decision/EntryStatus.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/decision/EntryStatus.java
@@ -71,8 +71,9 @@
      *
      * @param fingerprint identifies the request by its content, see {@link CrashHistory#fingerprint}
      * @param instance identifier of the lost instance
+     * @param suspicion how much speaks for the request as the cause
      */
-    public record LostRun(long fingerprint, String instance) {}
+    public record LostRun(long fingerprint, String instance, Suspicion suspicion) {}
 
     /**
      * Demand of callers for one service within the last {@link DemandMeter#WINDOW_MILLIS}.
--- a/gateway/src/main/java/org/merlinwood/gateway/front/GenerationAttempt.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/GenerationAttempt.java
@@ -7,6 +7,7 @@
 import org.merlinwood.core.result.ResultCode;
 import org.merlinwood.gateway.decision.AttemptOutcome;
 import org.merlinwood.gateway.decision.PartFingerprints;
+import org.merlinwood.gateway.decision.Suspicion;
 import org.merlinwood.gateway.fleet.UpstreamInstance;
 import org.merlinwood.gateway.request.Prompt;
 import org.merlinwood.gateway.upstream.PrefillResult;
@@ -23,6 +24,9 @@
  */
 final class GenerationAttempt implements HttpListener {
 
+    /** Number of parts of a response after which the instance is known to survive the beginning of the response. */
+    private static final int SURVIVED_EVENT_COUNT = 4;
+
     private final StreamRequestProcessor processor;
     private final OpenAttempts attempts;
     private final RequestProcessorContext context;
@@ -157,6 +161,7 @@
         processor.onEvents();
         eventCount++;
         context.crashCausingParts().recordResponding(instance);
+        processor.recordResponding(instance);
         if (firstEventElapsedMillis < 0) {
             recordFirstEvent();
         }
@@ -203,7 +208,8 @@
     @Override
     public void onFailure(Failure failure) {
         if (!processor.isFinished() && attempts.isOpen(this)) {
-            processor.recordLostConnection(instance, failure);
+            processor.recordLostConnection(
+                    instance, failure, eventCount < SURVIVED_EVENT_COUNT ? Suspicion.STRONG : Suspicion.WEAK);
             endFailedAttempt(failure);
         }
     }
--- a/gateway/src/main/java/org/merlinwood/gateway/front/PlainRequestProcessor.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/PlainRequestProcessor.java
@@ -18,6 +18,7 @@
 import org.merlinwood.gateway.decision.NextStep;
 import org.merlinwood.gateway.decision.RetryClaim;
 import org.merlinwood.gateway.decision.RetryPolicy;
+import org.merlinwood.gateway.decision.Suspicion;
 import org.merlinwood.gateway.fleet.UpstreamInstance;
 import org.merlinwood.gateway.request.CallerRequest;
 import org.merlinwood.gateway.route.Route;
@@ -331,6 +332,7 @@
         public void onHead(int status, List<HttpHeader> headers) {
             head = context.protocol().readHead(status, headers);
             context.pool().recordPlainResponse(work);
+            recordResponding(instance);
             head.load().ifPresent(load -> context.pool().recordLoad(instance.identifier(), load));
         }
 
@@ -371,7 +373,7 @@
                 long latencyMillis = context.clock().monotonicMillis() - startedMillis;
                 context.pool().recordSuccess(instance.identifier(), latencyMillis);
                 context.pool().plainForecasts().recordSuccess(work, latencyMillis);
-                context.crashHistory().remove(CrashHistory.fingerprint(request));
+                context.crashHistory().recordSound(CrashHistory.fingerprint(request));
             }
             return new AttemptOutcome.Answered(head.status());
         }
@@ -384,7 +386,7 @@
             if (!markEnded() || isFinished()) {
                 return;
             }
-            recordLostConnection(instance, failure);
+            recordLostConnection(instance, failure, head == null ? Suspicion.STRONG : Suspicion.WEAK);
             onAttemptEnded(this, recordFailedAttempt(instance, failure));
         }
 
--- a/gateway/src/main/java/org/merlinwood/gateway/front/PrefillCall.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/PrefillCall.java
@@ -8,6 +8,7 @@
 import org.merlinwood.core.result.ExecutionState;
 import org.merlinwood.core.result.Failure;
 import org.merlinwood.gateway.decision.RetryClaim;
+import org.merlinwood.gateway.decision.Suspicion;
 import org.merlinwood.gateway.fleet.UpstreamInstance;
 import org.merlinwood.gateway.request.Prompt;
 import org.merlinwood.gateway.upstream.PrefillResult;
@@ -73,8 +74,10 @@
         Optional<UpstreamInstance> choice = context.pool()
                 .choosePrefill(
                         processor.service, version, decodeInstance.domain(), prompt.promptTokens(), triedInstances);
-        // A request that its caller may not have served any more is refused by the processor, before the generation.
+        // A request that is blocked, or that its caller may not have served any more, is refused by the processor,
+        // before the generation.
         if (choice.isEmpty()
+                || processor.isBlocked()
                 || processor.callerRefusal().isPresent()
                 || context.retryAllowance().isOverdrawn(processor.service)
                 || (accepted && !retry.tryAcquire())) {
@@ -154,7 +157,10 @@
         recordLoad(instance, response);
         activeRequest = Optional.empty();
         activeInstance = Optional.empty();
-        response.peekLeft(failure -> processor.pauseInstance(instance, failure));
+        response.peek(success -> processor.recordResponding(instance)).peekLeft(failure -> {
+            processor.pauseInstance(instance, failure);
+            processor.recordLostConnection(instance, failure, Suspicion.WEAK);
+        });
         processor
                 .decisionLine(result.isPresent() ? "prompt computed" : "prefill failed")
                 .with("instance", instance.identifier())
--- a/gateway/src/main/java/org/merlinwood/gateway/front/RequestProcessor.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/RequestProcessor.java
@@ -11,8 +11,10 @@
 import org.merlinwood.core.result.ResultCode;
 import org.merlinwood.gateway.decision.AttemptOutcome;
 import org.merlinwood.gateway.decision.CrashHistory;
+import org.merlinwood.gateway.decision.EntryStatus;
 import org.merlinwood.gateway.decision.MemoryWaitPolicy;
 import org.merlinwood.gateway.decision.PartFingerprints;
+import org.merlinwood.gateway.decision.Suspicion;
 import org.merlinwood.gateway.fleet.Stage;
 import org.merlinwood.gateway.fleet.UpstreamInstance;
 import org.merlinwood.gateway.loop.EventLoop;
@@ -300,10 +302,29 @@
      *
      * @param instance the instance
      * @param failure the failure as the HTTP client reports it
+     * @param suspicion how much speaks for the request as the cause
      */
-    final void recordLostConnection(UpstreamInstance instance, Failure failure) {
-        if (isConnectionLost(failure) && failure.executionState() != ExecutionState.NOT_RUN) {
-            context.crashHistory().recordLoss(CrashHistory.fingerprint(request), instance.identifier());
+    final void recordLostConnection(UpstreamInstance instance, Failure failure, Suspicion suspicion) {
+        if (!isConnectionLost(failure) || failure.executionState() == ExecutionState.NOT_RUN) {
+            return;
+        }
+        long fingerprint = CrashHistory.fingerprint(request);
+        context.crashHistory().recordLoss(new EntryStatus.LostRun(fingerprint, instance.identifier(), suspicion));
+        context.metrics().count(suspicion == Suspicion.STRONG ? "runs_lost_at_their_begin" : "runs_lost_later");
+        decisionLine("run lost")
+                .with("instance", instance.identifier())
+                .with("suspicion", suspicion.name())
+                .with("blocked", String.valueOf(context.crashHistory().isBlocked(fingerprint)))
+                .write();
+    }
+
+    /** Records that an instance sent a part of a response: a connection to it that was lost before was no crash. */
+    final void recordResponding(UpstreamInstance instance) {
+        if (context.crashHistory().recordResponding(instance.identifier())) {
+            context.metrics().count("runs_lost_at_living_instances");
+            decisionLine("connection lost, instance alive")
+                    .with("instance", instance.identifier())
+                    .write();
         }
     }
 
--- a/gateway/src/main/java/org/merlinwood/gateway/front/StreamRequestProcessor.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/StreamRequestProcessor.java
@@ -320,7 +320,7 @@
     /** Ends the response of the caller behind the last event of a complete stream. */
     void completeStream(GenerationAttempt attempt) {
         attempts.complete();
-        context.crashHistory().remove(CrashHistory.fingerprint(request));
+        context.crashHistory().recordSound(CrashHistory.fingerprint(request));
         context.pool().recordSuccess(attempt.instance().identifier(), placement.latencyMillis(attempt));
         if (!finish()) {
             return;
--- a/gateway/src/main/java/org/merlinwood/gateway/peer/PeerMessages.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/peer/PeerMessages.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import org.merlinwood.gateway.decision.EntryStatus;
 import org.merlinwood.gateway.decision.MemoryForecast;
+import org.merlinwood.gateway.decision.Suspicion;
 import org.merlinwood.gateway.follow.StoreChange;
 import org.merlinwood.gateway.follow.StorePosition;
 import org.merlinwood.wire.Frame;
@@ -38,7 +39,8 @@
         status.lostRuns()
                 .forEach(run -> builder.addLostRuns(org.merlinwood.wire.LostRun.newBuilder()
                         .setFingerprint(run.fingerprint())
-                        .setInstance(run.instance())));
+                        .setInstance(run.instance())
+                        .setWeaklySuspected(run.suspicion() == Suspicion.WEAK)));
         status.leaving()
                 .forEach(instance -> builder.addLeaving(org.merlinwood.wire.LeavingInstance.newBuilder()
                         .setInstance(instance.instance())
@@ -55,7 +57,10 @@
                 new StorePosition(wire.getStoreEra(), wire.getStoreRevision()),
                 wire.getWorkList().stream().map(PeerMessages::work).toList(),
                 wire.getLostRunsList().stream()
-                        .map(run -> new EntryStatus.LostRun(run.getFingerprint(), run.getInstance()))
+                        .map(run -> new EntryStatus.LostRun(
+                                run.getFingerprint(),
+                                run.getInstance(),
+                                run.getWeaklySuspected() ? Suspicion.WEAK : Suspicion.STRONG))
                         .toList(),
                 wire.getDemandsList().stream()
                         .map(demand -> new EntryStatus.ServiceDemand(
--- a/gateway/src/main/java/org/merlinwood/gateway/process/PeerUpdates.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/process/PeerUpdates.java
@@ -120,7 +120,7 @@
         status.leaving().forEach(instance -> noticeRecorder.onPeerNotice(status.address(), instance));
         follower.confirmation().onVersionElsewhere(status.report().configurationVersion());
         crashCausingParts.onPeerReport(status.address(), status.crashReport());
-        status.lostRuns().forEach(run -> crashHistory.recordPeerLoss(run.fingerprint(), run.instance()));
+        status.lostRuns().forEach(crashHistory::recordPeerLoss);
     }
 
     @Override
--- a/gateway/src/test/java/org/merlinwood/gateway/front/RequestProcessorFixture.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/front/RequestProcessorFixture.java
@@ -25,6 +25,7 @@
 import org.merlinwood.gateway.decision.CrashHistory;
 import org.merlinwood.gateway.decision.DemandMeter;
 import org.merlinwood.gateway.decision.DrainPolicy;
+import org.merlinwood.gateway.decision.EntryStatus;
 import org.merlinwood.gateway.decision.HeldPrompts;
 import org.merlinwood.gateway.decision.InstancePool;
 import org.merlinwood.gateway.decision.MemoryCompetition;
@@ -32,6 +33,7 @@
 import org.merlinwood.gateway.decision.RetryAllowance;
 import org.merlinwood.gateway.decision.StreamOrigin;
 import org.merlinwood.gateway.decision.StreamOrigins;
+import org.merlinwood.gateway.decision.Suspicion;
 import org.merlinwood.gateway.decision.VersionHistory;
 import org.merlinwood.gateway.fleet.FleetState;
 import org.merlinwood.gateway.fleet.Stage;
@@ -321,8 +323,9 @@
 
     /** Reports that other entries lost so many instances with the content of the last request that it is blocked. */
     void blockLastRequest() {
-        crashHistory.recordPeerLoss(CrashHistory.fingerprint(request), "lost-1");
-        crashHistory.recordPeerLoss(CrashHistory.fingerprint(request), "lost-2");
+        long fingerprint = CrashHistory.fingerprint(request);
+        crashHistory.recordPeerLoss(new EntryStatus.LostRun(fingerprint, "lost-1", Suspicion.STRONG));
+        crashHistory.recordPeerLoss(new EntryStatus.LostRun(fingerprint, "lost-2", Suspicion.STRONG));
     }
 
     /** Grants both steps of a reservation: the check of the memory that must be free, and that for the start. */
--- a/gateway/src/test/java/org/merlinwood/gateway/peer/PeerMessagesTest.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/peer/PeerMessagesTest.java
@@ -11,6 +11,7 @@
 import org.merlinwood.gateway.decision.EntryReport;
 import org.merlinwood.gateway.decision.EntryStatus;
 import org.merlinwood.gateway.decision.MemoryForecast;
+import org.merlinwood.gateway.decision.Suspicion;
 import org.merlinwood.gateway.follow.StoreChange;
 import org.merlinwood.gateway.follow.StorePosition;
 import org.merlinwood.wire.Frame;
@@ -27,7 +28,9 @@
                 List.of("10.0.0.2:7"),
                 POSITION,
                 List.of(new EntryStatus.InstanceWork("i-1", 2, 300, List.of(new MemoryForecast.Growth(100, 50)))),
-                List.of(new EntryStatus.LostRun(77, "i-2")),
+                List.of(
+                        new EntryStatus.LostRun(77, "i-2", Suspicion.STRONG),
+                        new EntryStatus.LostRun(78, "i-3", Suspicion.WEAK)),
                 List.of(new EntryStatus.ServiceDemand("m", 900, 3)),
                 List.of("i-3"),
                 99,
--- a/gateway/src/test/java/org/merlinwood/gateway/process/PeerUpdatesTest.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/process/PeerUpdatesTest.java
@@ -35,6 +35,7 @@
 import org.merlinwood.gateway.decision.RecordingCrashListener;
 import org.merlinwood.gateway.decision.StreamOrigin;
 import org.merlinwood.gateway.decision.StreamOrigins;
+import org.merlinwood.gateway.decision.Suspicion;
 import org.merlinwood.gateway.decision.VersionHistory;
 import org.merlinwood.gateway.decision.WaitRanking;
 import org.merlinwood.gateway.fleet.FleetState;
@@ -163,8 +164,9 @@
     /** A loss counts once at every other entry, so it is sent once. */
     @Test
     void lossIsToldWithNextStatusOnly() {
-        crashHistory.recordLoss(7, "a");
-        assertThat(updates.status(OWN_ADDRESS, List.of()).lostRuns()).containsExactly(new EntryStatus.LostRun(7, "a"));
+        crashHistory.recordLoss(new EntryStatus.LostRun(7, "a", Suspicion.STRONG));
+        assertThat(updates.status(OWN_ADDRESS, List.of()).lostRuns())
+                .containsExactly(new EntryStatus.LostRun(7, "a", Suspicion.STRONG));
         assertThat(updates.status(OWN_ADDRESS, List.of()).lostRuns()).isEmpty();
     }
 
@@ -207,8 +209,8 @@
     /** A request that crashes instances does so whichever entry sends it. */
     @Test
     void lossesOfPeersBlockRequest() {
-        crashHistory.recordLoss(7, "a");
-        updates.onStatus(peerStatus(List.of(), List.of(new EntryStatus.LostRun(7, "b")), List.of()));
+        crashHistory.recordLoss(new EntryStatus.LostRun(7, "a", Suspicion.STRONG));
+        updates.onStatus(peerStatus(List.of(), List.of(new EntryStatus.LostRun(7, "b", Suspicion.STRONG)), List.of()));
         assertThat(crashHistory.isBlocked(7)).isTrue();
     }
 
--- a/wire-generated/src/main/java/org/merlinwood/wire/LostRun.java
+++ b/wire-generated/src/main/java/org/merlinwood/wire/LostRun.java
@@ -99,6 +99,21 @@
     }
   }
 
+  public static final int WEAKLY_SUSPECTED_FIELD_NUMBER = 3;
+  private boolean weaklySuspected_ = false;
+  /**
+   * <pre>
+   * Whether little speaks for the request as the cause: its instance had responded to it for a while.
+   * </pre>
+   *
+   * <code>bool weakly_suspected = 3;</code>
+   * @return The weaklySuspected.
+   */
+  @java.lang.Override
+  public boolean getWeaklySuspected() {
+    return weaklySuspected_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -119,6 +134,9 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(instance_)) {
       com.google.protobuf.GeneratedMessage.writeString(output, 2, instance_);
     }
+    if (weaklySuspected_ != false) {
+      output.writeBool(3, weaklySuspected_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -130,6 +148,10 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(instance_)) {
       size += com.google.protobuf.GeneratedMessage.computeStringSize(2, instance_);
     }
+    if (weaklySuspected_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(3, weaklySuspected_);
+    }
     return size;
   }
   @java.lang.Override
@@ -158,6 +180,8 @@
         != other.getFingerprint()) return false;
     if (!getInstance()
         .equals(other.getInstance())) return false;
+    if (getWeaklySuspected()
+        != other.getWeaklySuspected()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -174,6 +198,9 @@
         getFingerprint());
     hash = (37 * hash) + INSTANCE_FIELD_NUMBER;
     hash = (53 * hash) + getInstance().hashCode();
+    hash = (37 * hash) + WEAKLY_SUSPECTED_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getWeaklySuspected());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -307,6 +334,7 @@
       bitField0_ = 0;
       fingerprint_ = 0L;
       instance_ = "";
+      weaklySuspected_ = false;
       return this;
     }
 
@@ -346,6 +374,9 @@
       if (((from_bitField0_ & 0x00000002) != 0)) {
         result.instance_ = instance_;
       }
+      if (((from_bitField0_ & 0x00000004) != 0)) {
+        result.weaklySuspected_ = weaklySuspected_;
+      }
     }
 
     @java.lang.Override
@@ -368,6 +399,9 @@
         bitField0_ |= 0x00000002;
         onChanged();
       }
+      if (other.getWeaklySuspected() != false) {
+        setWeaklySuspected(other.getWeaklySuspected());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -402,6 +436,11 @@
               bitField0_ |= 0x00000002;
               break;
             } // case 18
+            case 24: {
+              weaklySuspected_ = input.readBool();
+              bitField0_ |= 0x00000004;
+              break;
+            } // case 24
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -523,6 +562,50 @@
       return this;
     }
 
+    private boolean weaklySuspected_ ;
+    /**
+     * <pre>
+     * Whether little speaks for the request as the cause: its instance had responded to it for a while.
+     * </pre>
+     *
+     * <code>bool weakly_suspected = 3;</code>
+     * @return The weaklySuspected.
+     */
+    @java.lang.Override
+    public boolean getWeaklySuspected() {
+      return weaklySuspected_;
+    }
+    /**
+     * <pre>
+     * Whether little speaks for the request as the cause: its instance had responded to it for a while.
+     * </pre>
+     *
+     * <code>bool weakly_suspected = 3;</code>
+     * @param value The weaklySuspected to set.
+     * @return This builder for chaining.
+     */
+    public Builder setWeaklySuspected(boolean value) {
+
+      weaklySuspected_ = value;
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Whether little speaks for the request as the cause: its instance had responded to it for a while.
+     * </pre>
+     *
+     * <code>bool weakly_suspected = 3;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearWeaklySuspected() {
+      bitField0_ = (bitField0_ & ~0x00000004);
+      weaklySuspected_ = false;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:merlinwood.wire.v1.LostRun)
   }
 
--- a/wire-generated/src/main/java/org/merlinwood/wire/LostRunOrBuilder.java
+++ b/wire-generated/src/main/java/org/merlinwood/wire/LostRunOrBuilder.java
@@ -27,4 +27,14 @@
    */
   com.google.protobuf.ByteString
       getInstanceBytes();
+
+  /**
+   * <pre>
+   * Whether little speaks for the request as the cause: its instance had responded to it for a while.
+   * </pre>
+   *
+   * <code>bool weakly_suspected = 3;</code>
+   * @return The weaklySuspected.
+   */
+  boolean getWeaklySuspected();
 }
--- a/wire-generated/src/main/java/org/merlinwood/wire/Merlinwood.java
+++ b/wire-generated/src/main/java/org/merlinwood/wire/Merlinwood.java
@@ -582,24 +582,24 @@
       "\027\n\017occupied_tokens\030\004 \003(\r\022\030\n\020remaining_to" +
       "kens\030\005 \003(\r\"M\n\nWorkUpdate\022\017\n\007address\030\001 \001(" +
       "\t\022.\n\004work\030\002 \003(\0132 .merlinwood.wire.v1.Ins" +
-      "tanceWork\"0\n\007LostRun\022\023\n\013fingerprint\030\001 \001(" +
-      "\006\022\020\n\010instance\030\002 \001(\t\"7\n\023StoreChangesReque" +
-      "st\022\r\n\005after\030\001 \001(\004\022\021\n\tafter_era\030\002 \001(\004\"Y\n\014" +
-      "StoreChanges\022*\n\004keys\030\001 \003(\0132\034.merlinwood." +
-      "wire.v1.StoreKey\022\020\n\010revision\030\002 \001(\004\022\013\n\003er" +
-      "a\030\003 \001(\004\"V\n\010StoreKey\022\013\n\003key\030\001 \001(\t\022\020\n\010revi" +
-      "sion\030\002 \001(\004\022\r\n\005value\030\003 \001(\014\022\017\n\007removed\030\004 \001" +
-      "(\010\022\013\n\003era\030\005 \001(\004*P\n\013ProcessRole\022\034\n\030PROCES" +
-      "S_ROLE_UNSPECIFIED\020\000\022\t\n\005ENTRY\020\001\022\013\n\007SIDEC" +
-      "AR\020\002\022\013\n\007COMMAND\020\003*I\n\010WorkKind\022\031\n\025WORK_KI" +
-      "ND_UNSPECIFIED\020\000\022\013\n\007PREFILL\020\001\022\n\n\006DECODE\020" +
-      "\002\022\t\n\005PLAIN\020\003*I\n\tExecution\022\031\n\025EXECUTION_U" +
-      "NSPECIFIED\020\000\022\013\n\007NOT_RUN\020\001\022\013\n\007UNKNOWN\020\002\022\007" +
-      "\n\003RAN\020\003*8\n\016SuspicionEvent\022\013\n\007CRASHED\020\000\022\013" +
-      "\n\007INQUIRY\020\001\022\014\n\010SURVIVED\020\002*F\n\013PrefixEvent" +
-      "\022\022\n\016ENGINE_CRASHED\020\000\022\022\n\016PREFIX_INQUIRY\020\001" +
-      "\022\017\n\013FIRST_TOKEN\020\002B\031\n\023org.merlinwood.wire" +
-      "H\001P\001b\006proto3"
+      "tanceWork\"J\n\007LostRun\022\023\n\013fingerprint\030\001 \001(" +
+      "\006\022\020\n\010instance\030\002 \001(\t\022\030\n\020weakly_suspected\030" +
+      "\003 \001(\010\"7\n\023StoreChangesRequest\022\r\n\005after\030\001 " +
+      "\001(\004\022\021\n\tafter_era\030\002 \001(\004\"Y\n\014StoreChanges\022*" +
+      "\n\004keys\030\001 \003(\0132\034.merlinwood.wire.v1.StoreK" +
+      "ey\022\020\n\010revision\030\002 \001(\004\022\013\n\003era\030\003 \001(\004\"V\n\010Sto" +
+      "reKey\022\013\n\003key\030\001 \001(\t\022\020\n\010revision\030\002 \001(\004\022\r\n\005" +
+      "value\030\003 \001(\014\022\017\n\007removed\030\004 \001(\010\022\013\n\003era\030\005 \001(" +
+      "\004*P\n\013ProcessRole\022\034\n\030PROCESS_ROLE_UNSPECI" +
+      "FIED\020\000\022\t\n\005ENTRY\020\001\022\013\n\007SIDECAR\020\002\022\013\n\007COMMAN" +
+      "D\020\003*I\n\010WorkKind\022\031\n\025WORK_KIND_UNSPECIFIED" +
+      "\020\000\022\013\n\007PREFILL\020\001\022\n\n\006DECODE\020\002\022\t\n\005PLAIN\020\003*I" +
+      "\n\tExecution\022\031\n\025EXECUTION_UNSPECIFIED\020\000\022\013" +
+      "\n\007NOT_RUN\020\001\022\013\n\007UNKNOWN\020\002\022\007\n\003RAN\020\003*8\n\016Sus" +
+      "picionEvent\022\013\n\007CRASHED\020\000\022\013\n\007INQUIRY\020\001\022\014\n" +
+      "\010SURVIVED\020\002*F\n\013PrefixEvent\022\022\n\016ENGINE_CRA" +
+      "SHED\020\000\022\022\n\016PREFIX_INQUIRY\020\001\022\017\n\013FIRST_TOKE" +
+      "N\020\002B\031\n\023org.merlinwood.wireH\001P\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -958,7 +958,7 @@
     internal_static_merlinwood_wire_v1_LostRun_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_merlinwood_wire_v1_LostRun_descriptor,
-        new java.lang.String[] { "Fingerprint", "Instance", });
+        new java.lang.String[] { "Fingerprint", "Instance", "WeaklySuspected", });
     internal_static_merlinwood_wire_v1_StoreChangesRequest_descriptor =
       getDescriptor().getMessageType(59);
     internal_static_merlinwood_wire_v1_StoreChangesRequest_fieldAccessorTable = new
