A silent connection to the store is no outage of the store

Cause: any failed request to the store made it unstable for 3 s, in which a removal was delayed by 2 s from its reading; and silence was noticed after 3 s. Ruled out: that the entry chose the instance from an old list (nothing is sent behind "instance gone").

Change: a watch waits for 1.5 s and counts as silent 0.4 s later, so that a removal inside the silence takes effect in time too. The store is then asked at once on a new connection: if it answers there, removals are final. After a failure of the store itself, a reset included, removals are delayed until two seconds after its first answer (StoreStability), no longer from their reading.

--- a/gateway/src/main/java/org/merlinwood/gateway/follow/StoreFollower.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/follow/StoreFollower.java
@@ -7,9 +7,11 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.stream.Collectors;
+import org.merlinwood.core.result.ExecutionState;
 import org.merlinwood.core.result.Failure;
 import org.merlinwood.core.time.MillisClock;
 import org.merlinwood.gateway.loop.EventLoop;
+import org.merlinwood.http.ConnectionUse;
 import org.merlinwood.http.HttpClient;
 import org.merlinwood.http.HttpRequest;
 import org.merlinwood.http.HttpResponse;
@@ -18,18 +20,30 @@
  * Maintains a copy of the configuration store. Lists all keys once, then watches for changes with long polling, and
  * also applies changes relayed by peers.
  *
- * <p>Not thread-safe: used on the event loop only. Started once and runs until the process exits. A removal that
- * arrives shortly after a failure of the store is delayed by {@link #REMOVAL_DELAY_MILLIS}: registrations that expired
- * during an outage are renewed within that time if their instance is still running.
+ * <p>Not thread-safe: used on the event loop only. Started once and runs until the process exits.
+ *
+ * <p>A removal that arrives after an outage of the store is delayed until {@link #REMOVAL_DELAY_MILLIS} after its end:
+ * registrations that expired during an outage are renewed within that time if their instance is still running. An open
+ * connection that falls silent is no outage: the store is asked again at once on a new connection, and only if it
+ * doesn't answer there it is away.
  */
 public final class StoreFollower {
 
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
-    /** Maximum wait of a watch request, in milliseconds. Also limits how late an unresponsive store is detected. */
-    static final long WATCH_WAIT_MILLIS = 2_000;
+    /** Maximum wait of a watch request, in milliseconds. */
+    static final long WATCH_WAIT_MILLIS = 1_500;
+
+    /**
+     * Time beyond its wait after which the connection of a watch counts as silent, in milliseconds. With the wait it is
+     * shorter than the time within which a removal has to take effect. A slow store takes a few hundred milliseconds.
+     */
+    static final long SILENCE_MILLIS = 400;
+
+    /** Wait of a watch request that the store answers at once, in milliseconds. */
+    static final long NO_WAIT_MILLIS = 1;
 
-    /** Response timeout in addition to the wait, in milliseconds. A slow store takes a few hundred milliseconds. */
+    /** Timeout of a request that the store answers at once, and of a connection to it, in milliseconds. */
     static final long RESPONSE_TIMEOUT_MILLIS = 1_000;
 
     /** Pause between two watch requests, in milliseconds. Batches changes and limits the load on the store. */
@@ -41,12 +55,9 @@
     /** Time without progress of this copy before changes are requested from a peer, in milliseconds. */
     static final long RELAY_DELAY_MILLIS = 400;
 
-    /** How long the store is considered unstable after a failure, in milliseconds. */
-    static final long UNSTABLE_MILLIS = 3_000;
-
     /**
-     * Delay of a removal while the store is unstable, in milliseconds: the platform's limit for renewing registrations.
-     * After a restore it also delays changes that a backup may bring back.
+     * Time after an outage of the store until which removals are delayed, in milliseconds: the platform's limit for
+     * renewing registrations. After a restore it also delays changes that a backup may bring back.
      */
     static final long REMOVAL_DELAY_MILLIS = 2_000;
 
@@ -58,7 +69,7 @@
     private final StoreCopy copy = new StoreCopy();
     private final CopyConfirmation confirmation;
     private final Map<String, StoreChange> delayedChanges = new HashMap<>();
-    private long lastFailureMillis = Long.MIN_VALUE / 2;
+    private final StoreStability stability;
     private long lastAdvanceMillis;
     private long era;
     private long restoredMillis = Long.MIN_VALUE / 2;
@@ -83,6 +94,7 @@
         this.clock = clock;
         this.listener = listener;
         this.confirmation = new CopyConfirmation(clock);
+        this.stability = new StoreStability(clock);
     }
 
     /**
@@ -199,11 +211,19 @@
     }
 
     private void listAll() {
-        list(new StoreListing(confirmation.now()));
+        list(new StoreListing(confirmation.now()), ConnectionUse.POOLED);
+    }
+
+    /** Lists all keys anew, the first page on a new connection. */
+    private void listAgain() {
+        list(new StoreListing(confirmation.now()), ConnectionUse.FRESH);
     }
 
-    private void list(StoreListing listing) {
-        send(protocol.list(listing.lastKey()), RESPONSE_TIMEOUT_MILLIS, response -> onPage(listing, response));
+    private void list(StoreListing listing, ConnectionUse use) {
+        HttpRequest request = protocol.list(listing.lastKey())
+                .withTimeouts(RESPONSE_TIMEOUT_MILLIS, RESPONSE_TIMEOUT_MILLIS)
+                .withConnectionUse(use);
+        send(request, response -> onPage(listing, response));
     }
 
     private void onPage(StoreListing listing, StoreResponse response) {
@@ -215,13 +235,14 @@
                 }
                 applyPage(listing, page);
                 if (page.hasMore() && !page.changes().isEmpty()) {
-                    list(listing);
+                    list(listing, ConnectionUse.POOLED);
                 } else {
                     finishListing(listing);
                 }
             }
-            case StoreResponse.HistoryCompacted compacted -> loop.schedule(RETRY_DELAY_MILLIS, this::listAll);
-            case StoreResponse.Failed failed -> loop.schedule(RETRY_DELAY_MILLIS, this::listAll);
+            case StoreResponse.HistoryCompacted compacted -> loop.schedule(RETRY_DELAY_MILLIS, this::listAgain);
+            case StoreResponse.ConnectionFailed failed -> listAgain();
+            case StoreResponse.Failed failed -> loop.schedule(RETRY_DELAY_MILLIS, this::listAgain);
         }
     }
 
@@ -246,11 +267,26 @@
     }
 
     private void watch(StorePosition after) {
+        long readTimeoutMillis = WATCH_WAIT_MILLIS + SILENCE_MILLIS;
+        sendWatch(
+                after,
+                protocol.watch(after.revision(), WATCH_WAIT_MILLIS)
+                        .withTimeouts(RESPONSE_TIMEOUT_MILLIS, readTimeoutMillis)
+                        .withResponseTimeout(readTimeoutMillis));
+    }
+
+    /** Asks for the changes so far on a new connection, before the next watch. */
+    private void readAgain(StorePosition after) {
+        sendWatch(
+                after,
+                protocol.watch(after.revision(), NO_WAIT_MILLIS)
+                        .withTimeouts(RESPONSE_TIMEOUT_MILLIS, RESPONSE_TIMEOUT_MILLIS)
+                        .withConnectionUse(ConnectionUse.FRESH));
+    }
+
+    private void sendWatch(StorePosition after, HttpRequest request) {
         CopyConfirmation.Moment sentAt = confirmation.now();
-        send(
-                protocol.watch(after.revision(), WATCH_WAIT_MILLIS),
-                WATCH_WAIT_MILLIS + RESPONSE_TIMEOUT_MILLIS,
-                response -> onWatchResponse(after, sentAt, response));
+        send(request, response -> onWatchResponse(after, sentAt, response));
     }
 
     private void onWatchResponse(StorePosition after, CopyConfirmation.Moment sentAt, StoreResponse response) {
@@ -271,7 +307,8 @@
                 recordFailure("the store no longer retains changes after revision " + after.revision());
                 listAll();
             }
-            case StoreResponse.Failed failed -> loop.schedule(RETRY_DELAY_MILLIS, () -> watch(after));
+            case StoreResponse.ConnectionFailed failed -> readAgain(after);
+            case StoreResponse.Failed failed -> loop.schedule(RETRY_DELAY_MILLIS, () -> readAgain(after));
         }
     }
 
@@ -279,24 +316,35 @@
         void onResponse(StoreResponse response);
     }
 
-    private void send(HttpRequest request, long readTimeoutMillis, ResponseHandler handler) {
+    private void send(HttpRequest request, ResponseHandler handler) {
         client.execute(
-                request.withTimeouts(RESPONSE_TIMEOUT_MILLIS, readTimeoutMillis),
-                result -> loop.execute(() -> handler.onResponse(classify(result))));
+                request, result -> loop.execute(() -> handler.onResponse(classify(result, request.connectionUse()))));
     }
 
-    private StoreResponse classify(Either<Failure, HttpResponse> result) {
-        StoreResponse response = result.fold(
-                failure -> new StoreResponse.Failed(failure.code() + ": " + failure.detail()), this::readCurrentEra);
-        if (response instanceof StoreResponse.Failed failed) {
-            recordFailure(failed.reason());
-        } else if (!reachable) {
-            reachable = true;
-            listener.onReachable(true, listed ? "answers again" : "answers");
+    private StoreResponse classify(Either<Failure, HttpResponse> result, ConnectionUse use) {
+        StoreResponse response = result.fold(failure -> classify(failure, use), this::readCurrentEra);
+        switch (response) {
+            case StoreResponse.Failed failed -> recordFailure(failed.reason());
+            case StoreResponse.ConnectionFailed failed -> onConnectionFailed(failed);
+            case StoreResponse.Changes changes -> recordAnswer();
+            case StoreResponse.HistoryCompacted compacted -> recordAnswer();
         }
         return response;
     }
 
+    private static StoreResponse classify(Failure failure, ConnectionUse use) {
+        String reason = failure.code() + ": " + failure.detail();
+        boolean mayBeConnection = use == ConnectionUse.POOLED && failure.executionState() != ExecutionState.NOT_RUN;
+        if (!mayBeConnection) {
+            return new StoreResponse.Failed(reason);
+        }
+        return switch (failure.code()) {
+            case UPSTREAM_TIMEOUT -> new StoreResponse.ConnectionFailed(reason, true);
+            case CONNECTION_LOST, UPSTREAM_TRUNCATED -> new StoreResponse.ConnectionFailed(reason, false);
+            default -> new StoreResponse.Failed(reason);
+        };
+    }
+
     /** Reads a response; a late one that was sent before the latest known restore counts as failed. */
     private StoreResponse readCurrentEra(HttpResponse httpResponse) {
         StoreResponse response = protocol.read(httpResponse);
@@ -329,13 +377,36 @@
     }
 
     private void recordFailure(String reason) {
-        lastFailureMillis = clock.monotonicMillis();
+        stability.recordFailure();
+        recordUnreachable(reason);
+    }
+
+    /**
+     * Handles the failure of a connection, before the store is asked again on a new one. A store that falls silent
+     * answers there no more; one that goes away may end its connections and be back at once.
+     */
+    private void onConnectionFailed(StoreResponse.ConnectionFailed failed) {
+        if (!failed.silent()) {
+            stability.recordFailure();
+        }
+        recordUnreachable("only a connection so far: " + failed.reason());
+    }
+
+    private void recordUnreachable(String reason) {
         if (reachable) {
             reachable = false;
             listener.onReachable(false, reason);
         }
     }
 
+    private void recordAnswer() {
+        stability.recordAnswer();
+        if (!reachable) {
+            reachable = true;
+            listener.onReachable(true, listed ? "answers again" : "answers");
+        }
+    }
+
     private void advance(StorePosition position) {
         if (position.isAfter(copy.position())) {
             lastAdvanceMillis = clock.monotonicMillis();
@@ -344,28 +415,29 @@
     }
 
     private void apply(StoreChange change) {
-        if (mayBeTemporary(change)) {
-            delay(change);
+        long delayMillis = delayMillis(change);
+        if (delayMillis > 0) {
+            delay(change, delayMillis);
         } else {
             applyNow(change);
         }
     }
 
     /**
-     * Returns whether a change may be undone within {@link #REMOVAL_DELAY_MILLIS}: a registration that expired during
-     * an outage, or a key that is missing or older in the backup from which the store was restored.
+     * Returns for how long a change may yet be undone, in milliseconds: a registration that expired during an outage,
+     * or a key that is missing or older in the backup from which the store was restored. 0 if it is final.
      */
-    private boolean mayBeTemporary(StoreChange change) {
-        boolean unstable = clock.monotonicMillis() - lastFailureMillis < UNSTABLE_MILLIS;
-        if (change.value().isEmpty()) {
-            return unstable || isRestoring();
+    private long delayMillis(StoreChange change) {
+        boolean removal = change.value().isEmpty();
+        if (isRestoring() && (removal || copy.isRemoved(change.key()) || listener.revives(change))) {
+            return REMOVAL_DELAY_MILLIS;
         }
-        return isRestoring() && (copy.isRemoved(change.key()) || listener.revives(change));
+        return removal ? stability.removalDelayMillis() : 0;
     }
 
-    private void delay(StoreChange change) {
+    private void delay(StoreChange change, long delayMillis) {
         delayedChanges.put(change.key(), change);
-        loop.schedule(REMOVAL_DELAY_MILLIS, () -> {
+        loop.schedule(delayMillis, () -> {
             if (delayedChanges.remove(change.key(), change)) {
                 applyNow(change);
             }
--- a/gateway/src/main/java/org/merlinwood/gateway/follow/StoreResponse.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/follow/StoreResponse.java
@@ -22,6 +22,14 @@
     /** The store no longer retains changes since the requested revision; all keys have to be listed again. */
     record HistoryCompacted() implements StoreResponse {}
 
+    /**
+     * A connection failed that was open before, which says little about the store.
+     *
+     * @param reason cause of the failure, for logs
+     * @param silent whether nothing came in time; otherwise the connection has ended
+     */
+    record ConnectionFailed(String reason, boolean silent) implements StoreResponse {}
+
     /**
      * The request failed, or its response could not be read.
      *
--- a/gateway/src/test/java/org/merlinwood/gateway/follow/StoreFollowerTest.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/follow/StoreFollowerTest.java
@@ -13,9 +13,13 @@
 import org.merlinwood.core.time.ManualMillisClock;
 import org.merlinwood.gateway.FakeHttpClient;
 import org.merlinwood.gateway.ManualLoop;
+import org.merlinwood.http.ConnectionUse;
 
 final class StoreFollowerTest {
 
+    /** Time for which an instance that has left serves on, in milliseconds. */
+    private static final long DRAIN_MILLIS = 2_000;
+
     private final ManualMillisClock clock = new ManualMillisClock(100_000);
     private final ManualLoop loop = new ManualLoop(clock);
     private final FakeHttpClient client = new FakeHttpClient();
@@ -115,6 +119,66 @@
         assertThat(follower.position()).isEqualTo(position(11));
     }
 
+    /**
+     * Guards against an instance that left and gets requests for seconds more, since a silent connection was taken for
+     * an outage of the store.
+     */
+    @Test
+    void removalBehindASilentConnectionIsAppliedOnceTheStoreAnswersOnANewOne() {
+        silence();
+        assertThat(client.last().request().connectionUse()).isEqualTo(ConnectionUse.FRESH);
+        respond("done 9 b=-@9");
+        assertThat(values).containsOnlyKeys("a");
+        assertThat(listener.reachable).containsExactly(true, false, true);
+        loop.advance(StoreFollower.WATCH_PAUSE_MILLIS);
+        assertThat(client.last().request().path()).isEqualTo("/watch/9");
+    }
+
+    /** A removal has to take effect within 2 seconds, also if its watch is silent. */
+    @Test
+    void silentWatchIsGivenUpBeforeARemovalIsDue() {
+        assertThat(client.last().request().readTimeoutMillis()).isLessThan(DRAIN_MILLIS);
+        assertThat(client.last().request().responseTimeoutMillis()).isLessThan(DRAIN_MILLIS);
+    }
+
+    /** The other direction: a store that is silent on a new connection as well is away, and registrations expire. */
+    @Test
+    void removalAfterASilentStoreIsDelayedAndDroppedIfKeyReturns() {
+        silence();
+        silence();
+        loop.advance(StoreFollower.RETRY_DELAY_MILLIS);
+        respond("done 9 a=-@8 b=-@9");
+        assertThat(values).containsOnlyKeys("a", "b");
+        loop.advance(StoreFollower.WATCH_PAUSE_MILLIS);
+        respond("done 11 a=1@11");
+        loop.advance(StoreFollower.REMOVAL_DELAY_MILLIS);
+        assertThat(values).containsOnlyKeys("a");
+    }
+
+    /** Guards against an instance that leaves after an outage and gets requests for longer than it serves. */
+    @Test
+    void removalAfterAnOutageIsDelayedUntilRegistrationsAreRenewedAndNotLonger() {
+        client.last().fail(ResultCode.CONNECTION_LOST, ExecutionState.UNKNOWN);
+        loop.run();
+        respond("done 6");
+        loop.advance(StoreFollower.REMOVAL_DELAY_MILLIS - 100);
+        respond("done 9 b=-@9");
+        assertThat(values).containsOnlyKeys("a", "b");
+        loop.advance(100);
+        assertThat(values).containsOnlyKeys("a");
+    }
+
+    /** Guards against a listing that waits, or starts late, since its connection was silent. */
+    @Test
+    void listingOnASilentConnectionIsRepeatedAtOnceOnANewOne() {
+        respond("gone");
+        silence();
+        assertThat(client.last().request().path()).isEqualTo("/list/");
+        assertThat(client.last().request().connectionUse()).isEqualTo(ConnectionUse.FRESH);
+        respond("done 20 a=1@3 b=1@4");
+        assertThat(client.last().request().path()).isEqualTo("/watch/20");
+    }
+
     @Test
     void compactedHistoryCausesNewListingThatRemovesMissingKeys() {
         respond("gone");
@@ -154,6 +218,12 @@
         assertThat(values).containsEntry("b", "3");
     }
 
+    /** Lets the last request end without a byte. */
+    private void silence() {
+        client.last().fail(ResultCode.UPSTREAM_TIMEOUT, ExecutionState.UNKNOWN);
+        loop.run();
+    }
+
     private static StorePosition position(long revision) {
         return new StorePosition(0, revision);
     }
