--- a/gateway/src/main/java/org/merlinwood/gateway/follow/StoreFollower.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/follow/StoreFollower.java
@@ -304,7 +304,7 @@
                 loop.schedule(WATCH_PAUSE_MILLIS, () -> watch(next));
             }
             case StoreResponse.HistoryCompacted compacted -> {
-                recordFailure("the store no longer retains changes after revision " + after.revision());
+                recordUnreachable("the store no longer retains changes after revision " + after.revision());
                 listAll();
             }
             case StoreResponse.ConnectionFailed failed -> readAgain(after);
--- a/gateway/src/test/java/org/merlinwood/gateway/follow/StoreFollowerTest.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/follow/StoreFollowerTest.java
@@ -190,6 +190,14 @@
         assertThat(client.sent().getLast().request().path()).isEqualTo("/watch/20");
     }
 
+    /** Guards against an instance that left and gets requests for seconds more, since the history was compacted. */
+    @Test
+    void removalBehindACompactedHistoryIsAppliedAtOnce() {
+        respond("gone");
+        respond("done 20 a=1@3");
+        assertThat(values).containsOnlyKeys("a");
+    }
+
     @Test
     void listenerIsNotifiedWhenStoreIsLostAndRegained() {
         client.last().fail(ResultCode.UPSTREAM_TIMEOUT, ExecutionState.UNKNOWN);
