Bodies that can't be passed on are not kept, and all others count together

Cause: GenerationAttempt collected up to 8 MB of each body that was no stream and did not count it.

Change: CollectedBody is the only way to collect a body of an instance, for plain responses, failures of streams and control responses; all count in one account, which belongs to the client of the instances. A body that can't be passed on isn't kept, and read for 64 KB at most. Bytes count until the request has finished.

--- a/gateway/src/main/java/org/merlinwood/gateway/front/FrontHandlerFactory.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/FrontHandlerFactory.java
@@ -92,7 +92,6 @@
                 callerCheck,
                 demandMeter,
                 new MemoryWaitQueues(loop, memoryCompetition),
-                new CollectedBytes(),
                 allotments,
                 log,
                 metrics);
--- a/gateway/src/main/java/org/merlinwood/gateway/front/GenerationAttempt.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/GenerationAttempt.java
@@ -1,6 +1,5 @@
 package org.merlinwood.gateway.front;
 
-import java.io.ByteArrayOutputStream;
 import java.util.List;
 import java.util.Optional;
 import org.merlinwood.core.result.Failure;
@@ -10,6 +9,7 @@
 import org.merlinwood.gateway.decision.Suspicion;
 import org.merlinwood.gateway.fleet.UpstreamInstance;
 import org.merlinwood.gateway.request.Prompt;
+import org.merlinwood.gateway.upstream.CollectedBody;
 import org.merlinwood.gateway.upstream.PrefillResult;
 import org.merlinwood.gateway.upstream.ResponseHead;
 import org.merlinwood.http.HttpHeader;
@@ -34,7 +34,7 @@
     private final Prompt prompt;
     private final UpstreamInstance instance;
     private final Optional<PrefillResult> prefillUsed;
-    private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+    private final CollectedBody body;
 
     /** Cancels this attempt, whichever of two it is; empty while it is being sent. */
     private Optional<HttpStream> stream = Optional.empty();
@@ -70,6 +70,7 @@
         this.prompt = prompt;
         this.instance = instance;
         this.prefillUsed = prefillUsed;
+        this.body = processor.collectBody();
         this.sentMillis = context.clock().monotonicMillis();
     }
 
@@ -122,7 +123,10 @@
         attempts.recordReceived();
         head = context.protocol().readHead(status, headers);
         head.load().ifPresent(load -> context.pool().recordLoad(instance.identifier(), load));
-        streaming = head.success() && belongsToRequest();
+        streaming = head.success() && processor.belongsToRequest(head);
+        if (!processor.mayBeDelivered(head)) {
+            body.discard();
+        }
         if (streaming) {
             attempts.onAccepted(this);
         } else {
@@ -130,15 +134,11 @@
         }
     }
 
-    private boolean belongsToRequest() {
-        return head.attempt().equals(processor.request.attempt()) && head.signed() && !head.encoded();
-    }
-
     @Override
     public void onBytes(byte[] bytes) {
         attempts.recordReceived();
         if (!streaming) {
-            body.writeBytes(bytes);
+            collect(bytes);
             return;
         }
         forward(response.events().split(bytes));
@@ -149,6 +149,21 @@
         }
     }
 
+    /** Collects the body of a response that is not a stream, if it may be passed on to the caller. */
+    private void collect(byte[] bytes) {
+        switch (body.add(bytes)) {
+            case READ_ON -> {}
+            case STOP -> {
+                onEnd();
+                stream.ifPresent(HttpStream::cancel);
+            }
+            case TOO_LARGE -> {
+                endFailedAttempt(RequestProcessor.tooLarge());
+                stream.ifPresent(HttpStream::cancel);
+            }
+        }
+    }
+
     private void forward(byte[] completeEvents) {
         if (completeEvents.length == 0 || processor.isFinished()) {
             return;
@@ -198,7 +213,7 @@
             return declined;
         }
         context.pool().recordErrorResponse(instance.identifier());
-        if (!belongsToRequest() || response.started()) {
+        if (!processor.belongsToRequest(head) || response.started()) {
             return new AttemptOutcome.Broken(
                     Failure.of(ResultCode.UPSTREAM_MALFORMED, "the response does not belong to this request"));
         }
@@ -223,6 +238,7 @@
             response.events().discardIncomplete();
         }
         recordLostGeneration(failure);
+        body.release();
         processor.onAttemptEnded(this, processor.recordFailedAttempt(instance, failure));
     }
 
--- a/gateway/src/main/java/org/merlinwood/gateway/front/PlainRequestProcessor.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/PlainRequestProcessor.java
@@ -1,6 +1,5 @@
 package org.merlinwood.gateway.front;
 
-import java.io.ByteArrayOutputStream;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
@@ -23,6 +22,7 @@
 import org.merlinwood.gateway.request.CallerRequest;
 import org.merlinwood.gateway.route.Route;
 import org.merlinwood.gateway.upstream.AttemptTerms;
+import org.merlinwood.gateway.upstream.CollectedBody;
 import org.merlinwood.gateway.upstream.ResponseHead;
 import org.merlinwood.http.HttpHeader;
 import org.merlinwood.http.HttpListener;
@@ -295,7 +295,7 @@
         private final UpstreamInstance instance;
         private final long startedMillis = context.clock().monotonicMillis();
         private final ActivePlainAttempt work;
-        private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+        private final CollectedBody body = collectBody();
         private Optional<HttpStream> stream = Optional.empty();
         private ResponseHead head;
         private boolean ended;
@@ -334,6 +334,9 @@
             context.pool().recordPlainResponse(work);
             recordResponding(instance);
             head.load().ifPresent(load -> context.pool().recordLoad(instance.identifier(), load));
+            if (!mayBeDelivered(head)) {
+                body.discard();
+            }
         }
 
         @Override
@@ -341,11 +344,16 @@
             if (ended) {
                 return;
             }
-            body.writeBytes(bytes);
-            if (!context.collectedBytes().add(bytes.length, body.size())) {
-                onFailure(Failure.of(
-                        ResultCode.UPSTREAM_MALFORMED, "the response bodies of this entry exceed its memory for them"));
-                cancel();
+            switch (body.add(bytes)) {
+                case READ_ON -> {}
+                case STOP -> {
+                    onEnd();
+                    cancel();
+                }
+                case TOO_LARGE -> {
+                    onFailure(tooLarge());
+                    cancel();
+                }
             }
         }
 
@@ -361,8 +369,7 @@
             if (head.notRun()) {
                 return new AttemptOutcome.Declined(head.status());
             }
-            boolean belongsToRequest = head.attempt().equals(request.attempt()) && head.signed() && !head.encoded();
-            if (!belongsToRequest) {
+            if (!belongsToRequest(head)) {
                 context.pool().recordErrorResponse(instance.identifier());
                 return new AttemptOutcome.Broken(
                         Failure.of(ResultCode.UPSTREAM_MALFORMED, "the response does not belong to this request"));
@@ -386,6 +393,7 @@
             if (!markEnded() || isFinished()) {
                 return;
             }
+            body.release();
             recordLostConnection(instance, failure, head == null ? Suspicion.STRONG : Suspicion.WEAK);
             onAttemptEnded(this, recordFailedAttempt(instance, failure));
         }
@@ -395,7 +403,6 @@
                 return false;
             }
             ended = true;
-            context.collectedBytes().remove(body.size());
             context.pool().endPlainAttempt(work);
             return true;
         }
--- a/gateway/src/main/java/org/merlinwood/gateway/front/RequestProcessor.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/RequestProcessor.java
@@ -1,6 +1,7 @@
 package org.merlinwood.gateway.front;
 
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
@@ -21,6 +22,8 @@
 import org.merlinwood.gateway.request.CallerRequest;
 import org.merlinwood.gateway.route.Route;
 import org.merlinwood.gateway.route.RouteTable;
+import org.merlinwood.gateway.upstream.CollectedBody;
+import org.merlinwood.gateway.upstream.ResponseHead;
 import org.merlinwood.gateway.workspace.CallerIdentity;
 import org.merlinwood.gateway.workspace.Workspace;
 import org.merlinwood.http.HttpHeader;
@@ -60,6 +63,9 @@
     /** When the request had been read completely, by the monotonic clock, in milliseconds. */
     private final long readAtMillis;
 
+    /** The bodies of responses that are being collected or may yet be delivered. */
+    private final List<CollectedBody> collectedBodies = new ArrayList<>();
+
     private Optional<ResultCode> unknownOutcome = Optional.empty();
     private Optional<RunCharges> runCharges = Optional.empty();
     private boolean finished;
@@ -185,6 +191,7 @@
         }
         finished = true;
         runCharges.ifPresent(RunCharges::settle);
+        collectedBodies.forEach(CollectedBody::release);
         timeoutTimer.ifPresent(EventLoop.Timer::cancel);
         return true;
     }
@@ -200,6 +207,29 @@
         }
     }
 
+    /** Creates the body of a response, which is released when the request has finished, if not before. */
+    final CollectedBody collectBody() {
+        CollectedBody body = context.client().collectedBytes().open();
+        collectedBodies.add(body);
+        return body;
+    }
+
+    /** Returns the failure of a response whose body is too large, by itself or with all others. */
+    static Failure tooLarge() {
+        return Failure.of(
+                ResultCode.UPSTREAM_MALFORMED, "the response bodies of this entry exceed its memory for them");
+    }
+
+    /** Returns whether a response can be passed on to the caller: it is one to this request, and the request ran. */
+    final boolean mayBeDelivered(ResponseHead head) {
+        return !head.notRun() && belongsToRequest(head);
+    }
+
+    /** Returns whether a response is one to this request, as the instance made it. */
+    final boolean belongsToRequest(ResponseHead head) {
+        return head.attempt().equals(request.attempt()) && head.signed() && !head.encoded();
+    }
+
     /** Records that the outcome of an attempt is unknown, so that no later failure reports the request as not run. */
     final void recordUnknownOutcome(ResultCode code) {
         unknownOutcome = Optional.of(code);
--- a/gateway/src/main/java/org/merlinwood/gateway/front/RequestProcessorContext.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/RequestProcessorContext.java
@@ -37,7 +37,6 @@
  * @param callerCheck identifies callers
  * @param demandMeter measures the demand for each model service
  * @param memoryWaitQueues the queues of requests that wait for memory
- * @param collectedBytes the bytes of all plain responses that are being collected
  * @param allotments limits what the workspaces use
  * @param log the decision log
  * @param metrics the request metrics
@@ -60,7 +59,6 @@
         CallerCheck callerCheck,
         DemandMeter demandMeter,
         MemoryWaitQueues memoryWaitQueues,
-        CollectedBytes collectedBytes,
         AllotmentLedger allotments,
         DecisionLog log,
         RequestMetrics metrics) {}
--- a/gateway/src/main/java/org/merlinwood/gateway/upstream/UpstreamClient.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/upstream/UpstreamClient.java
@@ -12,7 +12,6 @@
 import org.merlinwood.http.HttpRequest;
 import org.merlinwood.http.HttpResponse;
 import org.merlinwood.http.HttpStream;
-import org.merlinwood.http.ResponseCollector;
 
 /**
  * Sends all requests to upstream instances, and reports what their responses state about the instances before anything
@@ -29,6 +28,7 @@
     private final HttpClient client;
     private final UpstreamProtocol protocol;
     private final InstanceListener instanceListener;
+    private final CollectedBytes collectedBytes = new CollectedBytes();
 
     /**
      * Creates a client.
@@ -69,7 +69,7 @@
             UpstreamInstance instance, HttpRequest request, Consumer<Either<Failure, HttpResponse>> consumer) {
         HttpRequest limited = request.withResponseTimeout(request.readTimeoutMillis())
                 .withMaximumResponseBytes(MAXIMUM_CONTROL_RESPONSE_BYTES);
-        return send(instance, limited, new ResponseCollector(consumer));
+        return sendAndCollect(instance, limited, consumer);
     }
 
     /**
@@ -84,7 +84,23 @@
             UpstreamInstance instance, HttpRequest request, Consumer<Either<Failure, HttpResponse>> consumer) {
         HttpRequest limited = request.withResponseTimeout(request.readTimeoutMillis())
                 .withMaximumResponseBytes(MAXIMUM_LISTING_RESPONSE_BYTES);
-        send(instance, limited, new ResponseCollector(consumer));
+        sendAndCollect(instance, limited, consumer);
+    }
+
+    private HttpStream sendAndCollect(
+            UpstreamInstance instance, HttpRequest request, Consumer<Either<Failure, HttpResponse>> consumer) {
+        ControlResponseCollector collector = new ControlResponseCollector(collectedBytes.open(), consumer);
+        return collector.sent(send(instance, request, collector));
+    }
+
+    /**
+     * Returns the account of all response bodies that are being collected: those of control requests, and those that a
+     * listener of {@link #send} collects.
+     *
+     * @return the account, which changes with each byte
+     */
+    public CollectedBytes collectedBytes() {
+        return collectedBytes;
     }
 
     /**
--- a/gateway/src/test/java/org/merlinwood/gateway/front/RequestProcessorFixture.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/front/RequestProcessorFixture.java
@@ -189,7 +189,6 @@
                 callerCheck(revocationLimit),
                 new DemandMeter(clock),
                 new MemoryWaitQueues(loop, memoryCompetition),
-                new CollectedBytes(),
                 allotments,
                 log,
                 new RequestMetrics(metrics));
