Crash evidence has a package of its own

A move without a change of behaviour: what finds requests and parts of prompts that crash instances goes from gateway.decision, a long flat room, to gateway.crash, with a record of its own for a lost run. It depends on facts alone, which DependencyTest holds.

--- a/architecture-tests/src/test/java/org/merlinwood/architecture/DependencyTest.java
+++ b/architecture-tests/src/test/java/org/merlinwood/architecture/DependencyTest.java
@@ -93,7 +93,7 @@
     void decisionsDoNotDependOnTransport() {
         noClasses()
                 .that()
-                .resideInAnyPackage(ROOT + "decision..", ROOT + "gateway.decision..")
+                .resideInAnyPackage(ROOT + "decision..", ROOT + "gateway.decision..", ROOT + "gateway.crash..")
                 .should()
                 .dependOnClassesThat()
                 .resideInAnyPackage(
@@ -101,6 +101,23 @@
                 .check(PRODUCT);
     }
 
+    /** What crashes instances is known without anything that is decided because of it. */
+    @Test
+    void crashEvidenceDependsOnFactsAlone() {
+        classes()
+                .that()
+                .resideInAPackage(ROOT + "gateway.crash..")
+                .should()
+                .onlyDependOnClassesThat(not(resideInAPackage("org.merlinwood.."))
+                        .or(resideInAnyPackage(
+                                ROOT + "core..",
+                                ROOT + "gateway.crash..",
+                                ROOT + "gateway.fleet..",
+                                ROOT + "gateway.request..",
+                                ROOT + "gateway.workspace..")))
+                .check(PRODUCT);
+    }
+
     @ParameterizedTest
     @MethodSource("clockMethods")
     void onlyCoreTimeReadsTheSystemClock(Class<?> owner, String method) {
--- a/gateway/src/main/java/org/merlinwood/gateway/decision/CrashEvidence.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/crash/CrashEvidence.java
@@ -1,4 +1,4 @@
-package org.merlinwood.gateway.decision;
+package org.merlinwood.gateway.crash;
 
 import java.util.ArrayList;
 import java.util.HashMap;
--- a/gateway/src/main/java/org/merlinwood/gateway/decision/CrashHistory.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/crash/CrashHistory.java
@@ -1,4 +1,4 @@
-package org.merlinwood.gateway.decision;
+package org.merlinwood.gateway.crash;
 
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -43,7 +43,7 @@
     private static final int MAXIMUM_REQUESTS = 4_096;
 
     private final MillisClock clock;
-    private final List<EntryStatus.LostRun> unsentLosses = new ArrayList<>();
+    private final List<LostRun> unsentLosses = new ArrayList<>();
     private final Map<Long, Losses> lossesByRequest = boundedMap();
 
     /** Monotonic time of the last complete response by request, in milliseconds. */
@@ -79,7 +79,7 @@
      *
      * @param run the request and the instance
      */
-    public void recordLoss(EntryStatus.LostRun run) {
+    public void recordLoss(LostRun run) {
         unsentLosses.add(run);
         recordPeerLoss(run);
     }
@@ -89,7 +89,7 @@
      *
      * @param run the request and the instance
      */
-    public void recordPeerLoss(EntryStatus.LostRun run) {
+    public void recordPeerLoss(LostRun run) {
         long now = clock.monotonicMillis();
         Losses known = lossesByRequest.get(run.fingerprint());
         if (known == null || now - known.lastMillis > RETENTION_MILLIS) {
@@ -132,8 +132,8 @@
      *
      * @return losses recorded by {@link #recordLoss} since the last call
      */
-    public List<EntryStatus.LostRun> drainUnsentLosses() {
-        List<EntryStatus.LostRun> drained = List.copyOf(unsentLosses);
+    public List<LostRun> drainUnsentLosses() {
+        List<LostRun> drained = List.copyOf(unsentLosses);
         unsentLosses.clear();
         return drained;
     }
--- a/gateway/src/main/java/org/merlinwood/gateway/decision/Suspicion.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/crash/Suspicion.java
@@ -1,4 +1,4 @@
-package org.merlinwood.gateway.decision;
+package org.merlinwood.gateway.crash;
 
 /** How much the loss of an instance speaks for a request that it ran as the cause. */
 public enum Suspicion {
--- a/gateway/src/main/java/org/merlinwood/gateway/decision/EntryStatus.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/decision/EntryStatus.java
@@ -1,6 +1,8 @@
 package org.merlinwood.gateway.decision;
 
 import java.util.List;
+import org.merlinwood.gateway.crash.CrashReport;
+import org.merlinwood.gateway.crash.LostRun;
 import org.merlinwood.gateway.follow.StorePosition;
 
 /**
@@ -66,15 +68,6 @@
      */
     public record LeavingInstance(String instance, long startedUnixMillis) {}
 
-    /**
-     * A run that ended with a lost instance.
-     *
-     * @param fingerprint identifies the request by its content, see {@link CrashHistory#fingerprint}
-     * @param instance identifier of the lost instance
-     * @param suspicion how much speaks for the request as the cause
-     */
-    public record LostRun(long fingerprint, String instance, Suspicion suspicion) {}
-
     /**
      * Demand of callers for one service within the last {@link DemandMeter#WINDOW_MILLIS}.
      *
--- a/gateway/src/main/java/org/merlinwood/gateway/front/RequestProcessor.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/RequestProcessor.java
@@ -10,12 +10,12 @@
 import org.merlinwood.core.result.ExecutionState;
 import org.merlinwood.core.result.Failure;
 import org.merlinwood.core.result.ResultCode;
+import org.merlinwood.gateway.crash.CrashHistory;
+import org.merlinwood.gateway.crash.LostRun;
+import org.merlinwood.gateway.crash.PartFingerprints;
+import org.merlinwood.gateway.crash.Suspicion;
 import org.merlinwood.gateway.decision.AttemptOutcome;
-import org.merlinwood.gateway.decision.CrashHistory;
-import org.merlinwood.gateway.decision.EntryStatus;
 import org.merlinwood.gateway.decision.MemoryWaitPolicy;
-import org.merlinwood.gateway.decision.PartFingerprints;
-import org.merlinwood.gateway.decision.Suspicion;
 import org.merlinwood.gateway.fleet.Stage;
 import org.merlinwood.gateway.fleet.UpstreamInstance;
 import org.merlinwood.gateway.loop.EventLoop;
@@ -339,7 +339,7 @@
             return;
         }
         long fingerprint = CrashHistory.fingerprint(request);
-        context.crashHistory().recordLoss(new EntryStatus.LostRun(fingerprint, instance.identifier(), suspicion));
+        context.crashHistory().recordLoss(new LostRun(fingerprint, instance.identifier(), suspicion));
         context.metrics().count(suspicion == Suspicion.STRONG ? "runs_lost_at_their_begin" : "runs_lost_later");
         decisionLine("run lost")
                 .with("instance", instance.identifier())
--- a/gateway/src/main/java/org/merlinwood/gateway/front/RequestProcessorContext.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/RequestProcessorContext.java
@@ -2,8 +2,8 @@
 
 import org.merlinwood.core.time.MillisClock;
 import org.merlinwood.gateway.allotment.AllotmentLedger;
-import org.merlinwood.gateway.decision.CrashCausingParts;
-import org.merlinwood.gateway.decision.CrashHistory;
+import org.merlinwood.gateway.crash.CrashCausingParts;
+import org.merlinwood.gateway.crash.CrashHistory;
 import org.merlinwood.gateway.decision.DemandMeter;
 import org.merlinwood.gateway.decision.InstancePool;
 import org.merlinwood.gateway.decision.OriginPeers;
--- a/gateway/src/main/java/org/merlinwood/gateway/front/StreamRequestProcessor.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/StreamRequestProcessor.java
@@ -2,8 +2,8 @@
 
 import java.util.Optional;
 import org.merlinwood.core.result.ResultCode;
+import org.merlinwood.gateway.crash.CrashHistory;
 import org.merlinwood.gateway.decision.AttemptOutcome;
-import org.merlinwood.gateway.decision.CrashHistory;
 import org.merlinwood.gateway.decision.MemoryWaitPolicy;
 import org.merlinwood.gateway.decision.NextStep;
 import org.merlinwood.gateway.decision.PendingGeneration;
--- a/gateway/src/main/java/org/merlinwood/gateway/peer/CrashReportMessages.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/peer/CrashReportMessages.java
@@ -2,7 +2,7 @@
 
 import java.util.List;
 import java.util.Set;
-import org.merlinwood.gateway.decision.CrashReport;
+import org.merlinwood.gateway.crash.CrashReport;
 import org.merlinwood.wire.BegunPart;
 import org.merlinwood.wire.EntryStatus;
 import org.merlinwood.wire.InstanceCrash;
--- a/gateway/src/main/java/org/merlinwood/gateway/peer/PeerMessages.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/peer/PeerMessages.java
@@ -4,9 +4,10 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import org.merlinwood.gateway.crash.LostRun;
+import org.merlinwood.gateway.crash.Suspicion;
 import org.merlinwood.gateway.decision.EntryStatus;
 import org.merlinwood.gateway.decision.MemoryForecast;
-import org.merlinwood.gateway.decision.Suspicion;
 import org.merlinwood.gateway.follow.StoreChange;
 import org.merlinwood.gateway.follow.StorePosition;
 import org.merlinwood.wire.Frame;
@@ -57,7 +58,7 @@
                 new StorePosition(wire.getStoreEra(), wire.getStoreRevision()),
                 wire.getWorkList().stream().map(PeerMessages::work).toList(),
                 wire.getLostRunsList().stream()
-                        .map(run -> new EntryStatus.LostRun(
+                        .map(run -> new LostRun(
                                 run.getFingerprint(),
                                 run.getInstance(),
                                 run.getWeaklySuspected() ? Suspicion.WEAK : Suspicion.STRONG))
--- a/gateway/src/main/java/org/merlinwood/gateway/process/BlockedPartsSection.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/process/BlockedPartsSection.java
@@ -1,8 +1,8 @@
 package org.merlinwood.gateway.process;
 
 import java.util.List;
-import org.merlinwood.gateway.decision.CrashCausingParts;
-import org.merlinwood.gateway.decision.PartFingerprints;
+import org.merlinwood.gateway.crash.CrashCausingParts;
+import org.merlinwood.gateway.crash.PartFingerprints;
 import org.merlinwood.operation.port.StateSection;
 
 /**
--- a/gateway/src/main/java/org/merlinwood/gateway/process/CrashRecorder.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/process/CrashRecorder.java
@@ -4,9 +4,9 @@
 import java.util.Collection;
 import java.util.Set;
 import java.util.stream.Collectors;
-import org.merlinwood.gateway.decision.CrashListener;
-import org.merlinwood.gateway.decision.CrashReport;
-import org.merlinwood.gateway.decision.PartFingerprints;
+import org.merlinwood.gateway.crash.CrashListener;
+import org.merlinwood.gateway.crash.CrashReport;
+import org.merlinwood.gateway.crash.PartFingerprints;
 import org.merlinwood.operation.log.DecisionLog;
 
 /** Writes a log line and counts for each crash of an instance and each block of prompt parts. */
--- a/gateway/src/test/java/org/merlinwood/gateway/decision/CrashCausingPartsTest.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/crash/CrashCausingPartsTest.java
@@ -1,4 +1,4 @@
-package org.merlinwood.gateway.decision;
+package org.merlinwood.gateway.crash;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
--- a/gateway/src/test/java/org/merlinwood/gateway/decision/CrashHistoryTest.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/crash/CrashHistoryTest.java
@@ -1,4 +1,4 @@
-package org.merlinwood.gateway.decision;
+package org.merlinwood.gateway.crash;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -36,17 +36,17 @@
     @ParameterizedTest
     @CsvSource({"STRONG, STRONG, true", "STRONG, WEAK, false", "WEAK, STRONG, false", "WEAK, WEAK, false"})
     void weakSuspicionDoesNotBlockAfterTwoLosses(Suspicion first, Suspicion second, boolean blocked) {
-        history.recordLoss(new EntryStatus.LostRun(REQUEST, "one", first));
-        history.recordPeerLoss(new EntryStatus.LostRun(REQUEST, "two", second));
+        history.recordLoss(new LostRun(REQUEST, "one", first));
+        history.recordPeerLoss(new LostRun(REQUEST, "two", second));
         assertThat(history.isBlocked(REQUEST)).isEqualTo(blocked);
     }
 
     /** A request that crashes its instances late is contained as well, over all entries. */
     @Test
     void weakSuspicionBlocksAfterThreeLosses() {
-        history.recordLoss(new EntryStatus.LostRun(REQUEST, "one", Suspicion.WEAK));
-        history.recordPeerLoss(new EntryStatus.LostRun(REQUEST, "two", Suspicion.WEAK));
-        history.recordPeerLoss(new EntryStatus.LostRun(REQUEST, "three", Suspicion.WEAK));
+        history.recordLoss(new LostRun(REQUEST, "one", Suspicion.WEAK));
+        history.recordPeerLoss(new LostRun(REQUEST, "two", Suspicion.WEAK));
+        history.recordPeerLoss(new LostRun(REQUEST, "three", Suspicion.WEAK));
         assertThat(history.isBlocked(REQUEST)).isTrue();
     }
 
@@ -54,7 +54,7 @@
     @Test
     void strongSuspicionOfAnInstanceStays() {
         history.recordLoss(lostRun("one"));
-        history.recordPeerLoss(new EntryStatus.LostRun(REQUEST, "one", Suspicion.WEAK));
+        history.recordPeerLoss(new LostRun(REQUEST, "one", Suspicion.WEAK));
         history.recordLoss(lostRun("two"));
         assertThat(history.isBlocked(REQUEST)).isTrue();
     }
@@ -86,7 +86,7 @@
     void crashStaysKnownWhenALaterConnectionToTheInstanceBreaks() {
         history.recordLoss(lostRun("one"));
         clock.advanceMillis(CrashHistory.RESTART_MILLIS + 1);
-        history.recordLoss(new EntryStatus.LostRun(OTHER_REQUEST, "one", Suspicion.STRONG));
+        history.recordLoss(new LostRun(OTHER_REQUEST, "one", Suspicion.STRONG));
         clock.advanceMillis(PendingCrashes.DELAYED_BYTES_MILLIS);
         assertThat(history.recordResponding("one")).isTrue();
         history.recordLoss(lostRun("two"));
@@ -121,7 +121,7 @@
         assertThat(history.isBlocked(REQUEST)).isFalse();
     }
 
-    private static EntryStatus.LostRun lostRun(String instance) {
-        return new EntryStatus.LostRun(REQUEST, instance, Suspicion.STRONG);
+    private static LostRun lostRun(String instance) {
+        return new LostRun(REQUEST, instance, Suspicion.STRONG);
     }
 }
--- a/gateway/src/test/java/org/merlinwood/gateway/decision/ContendingEntry.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/decision/ContendingEntry.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import org.merlinwood.gateway.crash.CrashReport;
 import org.merlinwood.gateway.fleet.FleetState;
 import org.merlinwood.gateway.fleet.UpstreamInstance;
 import org.merlinwood.gateway.follow.StorePosition;
--- a/gateway/src/test/java/org/merlinwood/gateway/decision/PlainPlacementTest.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/decision/PlainPlacementTest.java
@@ -11,6 +11,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
+import org.merlinwood.gateway.crash.CrashReport;
 import org.merlinwood.gateway.fleet.Stage;
 import org.merlinwood.gateway.fleet.UpstreamInstance;
 import org.merlinwood.gateway.follow.StorePosition;
--- a/gateway/src/test/java/org/merlinwood/gateway/decision/SharedWorkTest.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/decision/SharedWorkTest.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
+import org.merlinwood.gateway.crash.CrashReport;
 import org.merlinwood.gateway.fleet.Stage;
 import org.merlinwood.gateway.fleet.UpstreamInstance;
 import org.merlinwood.gateway.follow.StorePosition;
--- a/gateway/src/test/java/org/merlinwood/gateway/decision/UnevenInstancesSimulation.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/decision/UnevenInstancesSimulation.java
@@ -9,6 +9,7 @@
 import java.util.SplittableRandom;
 import java.util.stream.IntStream;
 import org.merlinwood.core.time.ManualMillisClock;
+import org.merlinwood.gateway.crash.CrashReport;
 import org.merlinwood.gateway.fleet.FleetState;
 import org.merlinwood.gateway.fleet.Stage;
 import org.merlinwood.gateway.follow.StorePosition;
--- a/gateway/src/test/java/org/merlinwood/gateway/front/RequestProcessorFixture.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/front/RequestProcessorFixture.java
@@ -21,19 +21,19 @@
 import org.merlinwood.gateway.ManualLoop;
 import org.merlinwood.gateway.allotment.AllotmentLedger;
 import org.merlinwood.gateway.allotment.AllotmentLimits;
-import org.merlinwood.gateway.decision.CrashCausingParts;
-import org.merlinwood.gateway.decision.CrashHistory;
+import org.merlinwood.gateway.crash.CrashCausingParts;
+import org.merlinwood.gateway.crash.CrashHistory;
+import org.merlinwood.gateway.crash.LostRun;
+import org.merlinwood.gateway.crash.RecordingCrashListener;
+import org.merlinwood.gateway.crash.Suspicion;
 import org.merlinwood.gateway.decision.DemandMeter;
 import org.merlinwood.gateway.decision.DrainPolicy;
-import org.merlinwood.gateway.decision.EntryStatus;
 import org.merlinwood.gateway.decision.HeldPrompts;
 import org.merlinwood.gateway.decision.InstancePool;
 import org.merlinwood.gateway.decision.MemoryCompetition;
-import org.merlinwood.gateway.decision.RecordingCrashListener;
 import org.merlinwood.gateway.decision.RetryAllowance;
 import org.merlinwood.gateway.decision.StreamOrigin;
 import org.merlinwood.gateway.decision.StreamOrigins;
-import org.merlinwood.gateway.decision.Suspicion;
 import org.merlinwood.gateway.decision.VersionHistory;
 import org.merlinwood.gateway.fleet.FleetState;
 import org.merlinwood.gateway.fleet.Stage;
@@ -323,8 +323,8 @@
     /** Reports that other entries lost so many instances with the content of the last request that it is blocked. */
     void blockLastRequest() {
         long fingerprint = CrashHistory.fingerprint(request);
-        crashHistory.recordPeerLoss(new EntryStatus.LostRun(fingerprint, "lost-1", Suspicion.STRONG));
-        crashHistory.recordPeerLoss(new EntryStatus.LostRun(fingerprint, "lost-2", Suspicion.STRONG));
+        crashHistory.recordPeerLoss(new LostRun(fingerprint, "lost-1", Suspicion.STRONG));
+        crashHistory.recordPeerLoss(new LostRun(fingerprint, "lost-2", Suspicion.STRONG));
     }
 
     /** Grants both steps of a reservation: the check of the memory that must be free, and that for the start. */
--- a/gateway/src/test/java/org/merlinwood/gateway/peer/AllotmentSizes.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/peer/AllotmentSizes.java
@@ -5,7 +5,7 @@
 import org.merlinwood.core.time.ManualMillisClock;
 import org.merlinwood.gateway.allotment.AllotmentLedger;
 import org.merlinwood.gateway.allotment.AllotmentLimits;
-import org.merlinwood.gateway.decision.CrashReport;
+import org.merlinwood.gateway.crash.CrashReport;
 import org.merlinwood.gateway.decision.EntryReport;
 import org.merlinwood.gateway.decision.EntryReport.AllotmentReport;
 import org.merlinwood.gateway.decision.EntryReport.AllotmentUse;
--- a/gateway/src/test/java/org/merlinwood/gateway/peer/OriginMessagesTest.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/peer/OriginMessagesTest.java
@@ -8,7 +8,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
-import org.merlinwood.gateway.decision.CrashReport;
+import org.merlinwood.gateway.crash.CrashReport;
 import org.merlinwood.gateway.decision.EntryReport;
 import org.merlinwood.gateway.decision.EntryStatus;
 import org.merlinwood.gateway.decision.OriginPeers;
--- a/gateway/src/test/java/org/merlinwood/gateway/peer/PeerMessagesTest.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/peer/PeerMessagesTest.java
@@ -7,11 +7,12 @@
 import java.util.Optional;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
-import org.merlinwood.gateway.decision.CrashReport;
+import org.merlinwood.gateway.crash.CrashReport;
+import org.merlinwood.gateway.crash.LostRun;
+import org.merlinwood.gateway.crash.Suspicion;
 import org.merlinwood.gateway.decision.EntryReport;
 import org.merlinwood.gateway.decision.EntryStatus;
 import org.merlinwood.gateway.decision.MemoryForecast;
-import org.merlinwood.gateway.decision.Suspicion;
 import org.merlinwood.gateway.follow.StoreChange;
 import org.merlinwood.gateway.follow.StorePosition;
 import org.merlinwood.wire.Frame;
@@ -28,9 +29,7 @@
                 List.of("10.0.0.2:7"),
                 POSITION,
                 List.of(new EntryStatus.InstanceWork("i-1", 2, 300, List.of(new MemoryForecast.Growth(100, 50)))),
-                List.of(
-                        new EntryStatus.LostRun(77, "i-2", Suspicion.STRONG),
-                        new EntryStatus.LostRun(78, "i-3", Suspicion.WEAK)),
+                List.of(new LostRun(77, "i-2", Suspicion.STRONG), new LostRun(78, "i-3", Suspicion.WEAK)),
                 List.of(new EntryStatus.ServiceDemand("m", 900, 3)),
                 List.of("i-3"),
                 99,
--- a/gateway/src/test/java/org/merlinwood/gateway/process/BlockedPartsSectionTest.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/process/BlockedPartsSectionTest.java
@@ -6,9 +6,9 @@
 import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.merlinwood.core.time.ManualMillisClock;
-import org.merlinwood.gateway.decision.CrashCausingParts;
-import org.merlinwood.gateway.decision.CrashReport;
-import org.merlinwood.gateway.decision.RecordingCrashListener;
+import org.merlinwood.gateway.crash.CrashCausingParts;
+import org.merlinwood.gateway.crash.CrashReport;
+import org.merlinwood.gateway.crash.RecordingCrashListener;
 import org.merlinwood.operation.port.StateDump;
 
 final class BlockedPartsSectionTest {
--- a/gateway/src/test/java/org/merlinwood/gateway/process/PeerUpdatesTest.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/process/PeerUpdatesTest.java
@@ -20,9 +20,12 @@
 import org.merlinwood.gateway.ManualLoop;
 import org.merlinwood.gateway.allotment.AllotmentLedger;
 import org.merlinwood.gateway.allotment.AllotmentLimits;
-import org.merlinwood.gateway.decision.CrashCausingParts;
-import org.merlinwood.gateway.decision.CrashHistory;
-import org.merlinwood.gateway.decision.CrashReport;
+import org.merlinwood.gateway.crash.CrashCausingParts;
+import org.merlinwood.gateway.crash.CrashHistory;
+import org.merlinwood.gateway.crash.CrashReport;
+import org.merlinwood.gateway.crash.LostRun;
+import org.merlinwood.gateway.crash.RecordingCrashListener;
+import org.merlinwood.gateway.crash.Suspicion;
 import org.merlinwood.gateway.decision.DemandMeter;
 import org.merlinwood.gateway.decision.EntryReport;
 import org.merlinwood.gateway.decision.EntryReport.AllotmentReport;
@@ -32,10 +35,8 @@
 import org.merlinwood.gateway.decision.MemoryCompetition;
 import org.merlinwood.gateway.decision.OrderLeadership;
 import org.merlinwood.gateway.decision.OriginPeers;
-import org.merlinwood.gateway.decision.RecordingCrashListener;
 import org.merlinwood.gateway.decision.StreamOrigin;
 import org.merlinwood.gateway.decision.StreamOrigins;
-import org.merlinwood.gateway.decision.Suspicion;
 import org.merlinwood.gateway.decision.VersionHistory;
 import org.merlinwood.gateway.decision.WaitRanking;
 import org.merlinwood.gateway.fleet.FleetState;
@@ -164,9 +165,9 @@
     /** A loss counts once at every other entry, so it is sent once. */
     @Test
     void lossIsToldWithNextStatusOnly() {
-        crashHistory.recordLoss(new EntryStatus.LostRun(7, "a", Suspicion.STRONG));
+        crashHistory.recordLoss(new LostRun(7, "a", Suspicion.STRONG));
         assertThat(updates.status(OWN_ADDRESS, List.of()).lostRuns())
-                .containsExactly(new EntryStatus.LostRun(7, "a", Suspicion.STRONG));
+                .containsExactly(new LostRun(7, "a", Suspicion.STRONG));
         assertThat(updates.status(OWN_ADDRESS, List.of()).lostRuns()).isEmpty();
     }
 
@@ -209,8 +210,8 @@
     /** A request that crashes instances does so whichever entry sends it. */
     @Test
     void lossesOfPeersBlockRequest() {
-        crashHistory.recordLoss(new EntryStatus.LostRun(7, "a", Suspicion.STRONG));
-        updates.onStatus(peerStatus(List.of(), List.of(new EntryStatus.LostRun(7, "b", Suspicion.STRONG)), List.of()));
+        crashHistory.recordLoss(new LostRun(7, "a", Suspicion.STRONG));
+        updates.onStatus(peerStatus(List.of(), List.of(new LostRun(7, "b", Suspicion.STRONG)), List.of()));
         assertThat(crashHistory.isBlocked(7)).isTrue();
     }
 
@@ -311,9 +312,7 @@
     }
 
     private static EntryStatus peerStatus(
-            List<EntryStatus.InstanceWork> work,
-            List<EntryStatus.LostRun> lostRuns,
-            List<EntryStatus.LeavingInstance> leaving) {
+            List<EntryStatus.InstanceWork> work, List<LostRun> lostRuns, List<EntryStatus.LeavingInstance> leaving) {
         return new EntryStatus(
                 PEER_ADDRESS,
                 List.of(),
