A number above 599 is no status

Cause: the HTTP client refused only what is below 200. Change: a response whose status isn't between 200 and 599 is malformed, for all requests.

--- a/http/src/main/java/org/merlinwood/http/impl/ActiveHttpRequest.java
+++ b/http/src/main/java/org/merlinwood/http/impl/ActiveHttpRequest.java
@@ -51,6 +51,9 @@
     /** Lowest status of a response that is not an interim one. Undertow skips the interim status 100 itself. */
     private static final int FIRST_FINAL_STATUS = 200;
 
+    /** Highest number that is a status. */
+    private static final int LAST_STATUS = 599;
+
     /** Methods whose requests carry no Content-Length if the body is empty. */
     private static final Set<String> BODILESS_METHODS = Set.of("GET", "HEAD", "DELETE");
 
@@ -220,9 +223,9 @@
             return;
         }
         ClientResponse response = exchange.getResponse();
-        if (response.getResponseCode() < FIRST_FINAL_STATUS) {
-            fail(Failure.of(
-                    ResultCode.UPSTREAM_MALFORMED, "unexpected interim response " + response.getResponseCode()));
+        int status = response.getResponseCode();
+        if (status < FIRST_FINAL_STATUS || status > LAST_STATUS) {
+            fail(Failure.of(ResultCode.UPSTREAM_MALFORMED, "no status of a final response: " + status));
             return;
         }
         List<HttpHeader> headers = new ArrayList<>();
@@ -230,7 +233,7 @@
             values.forEach(
                     value -> headers.add(new HttpHeader(values.getHeaderName().toString(), value)));
         }
-        listener.onHead(response.getResponseCode(), headers);
+        listener.onHead(status, headers);
         StreamSourceChannel channel = exchange.getResponseChannel();
         channel.getReadSetter().set(this::readBody);
         readBody(channel);
