Requests to the store, losses of a run and own error responses have classes of their own

StoreRequests sends what the follower asks and tells failures of a connection from those of the store, RunLosses records which instances a request may have crashed, ErrorResponses leaves RequestProcessor.

--- a/gateway/src/main/java/org/merlinwood/gateway/follow/StoreFollower.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/follow/StoreFollower.java
@@ -1,20 +1,15 @@
 package org.merlinwood.gateway.follow;
 
 import com.google.common.flogger.FluentLogger;
-import io.vavr.control.Either;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.stream.Collectors;
-import org.merlinwood.core.result.ExecutionState;
-import org.merlinwood.core.result.Failure;
 import org.merlinwood.core.time.MillisClock;
 import org.merlinwood.gateway.loop.EventLoop;
 import org.merlinwood.http.ConnectionUse;
 import org.merlinwood.http.HttpClient;
-import org.merlinwood.http.HttpRequest;
-import org.merlinwood.http.HttpResponse;
 
 /**
  * Maintains a copy of the configuration store. Lists all keys once, then watches for changes with long polling, and
@@ -31,21 +26,6 @@
 
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
-    /** Maximum wait of a watch request, in milliseconds. */
-    static final long WATCH_WAIT_MILLIS = 1_500;
-
-    /**
-     * Time beyond its wait after which the connection of a watch counts as silent, in milliseconds. With the wait it is
-     * shorter than the time within which a removal has to take effect. A slow store takes a few hundred milliseconds.
-     */
-    static final long SILENCE_MILLIS = 400;
-
-    /** Wait of a watch request that the store answers at once, in milliseconds. */
-    static final long NO_WAIT_MILLIS = 1;
-
-    /** Timeout of a request that the store answers at once, and of a connection to it, in milliseconds. */
-    static final long RESPONSE_TIMEOUT_MILLIS = 1_000;
-
     /** Pause between two watch requests, in milliseconds. Batches changes and limits the load on the store. */
     static final long WATCH_PAUSE_MILLIS = 150;
 
@@ -61,8 +41,7 @@
      */
     static final long REMOVAL_DELAY_MILLIS = 2_000;
 
-    private final StoreProtocol protocol;
-    private final HttpClient client;
+    private final StoreRequests requests;
     private final EventLoop loop;
     private final MillisClock clock;
     private final StoreListener listener;
@@ -88,8 +67,7 @@
      */
     public StoreFollower(
             StoreProtocol protocol, HttpClient client, EventLoop loop, MillisClock clock, StoreListener listener) {
-        this.protocol = protocol;
-        this.client = client;
+        this.requests = new StoreRequests(protocol, client, loop);
         this.loop = loop;
         this.clock = clock;
         this.listener = listener;
@@ -117,7 +95,7 @@
 
     /** Starts the initial listing. Call once. */
     public void start() {
-        listAll();
+        listAll(ConnectionUse.POOLED);
     }
 
     /** Returns whether all keys have been read once. */
@@ -210,27 +188,20 @@
         advance(position);
     }
 
-    private void listAll() {
-        list(new StoreListing(confirmation.now()), ConnectionUse.POOLED);
-    }
-
-    /** Lists all keys anew, the first page on a new connection. */
-    private void listAgain() {
-        list(new StoreListing(confirmation.now()), ConnectionUse.FRESH);
+    /** Lists all keys anew; says on what connection the first page is requested. */
+    private void listAll(ConnectionUse use) {
+        list(new StoreListing(confirmation.now()), use);
     }
 
     private void list(StoreListing listing, ConnectionUse use) {
-        HttpRequest request = protocol.list(listing.lastKey())
-                .withTimeouts(RESPONSE_TIMEOUT_MILLIS, RESPONSE_TIMEOUT_MILLIS)
-                .withConnectionUse(use);
-        send(request, response -> onPage(listing, response));
+        requests.list(listing.lastKey(), use, response -> onPage(listing, record(response)));
     }
 
     private void onPage(StoreListing listing, StoreResponse response) {
         switch (response) {
             case StoreResponse.Changes page -> {
                 if (listing.isOfOtherEra(page)) {
-                    listAll();
+                    listAll(ConnectionUse.POOLED);
                     return;
                 }
                 applyPage(listing, page);
@@ -240,9 +211,10 @@
                     finishListing(listing);
                 }
             }
-            case StoreResponse.HistoryCompacted compacted -> loop.schedule(RETRY_DELAY_MILLIS, this::listAgain);
-            case StoreResponse.ConnectionFailed failed -> listAgain();
-            case StoreResponse.Failed failed -> loop.schedule(RETRY_DELAY_MILLIS, this::listAgain);
+            case StoreResponse.HistoryCompacted compacted ->
+                loop.schedule(RETRY_DELAY_MILLIS, () -> listAll(ConnectionUse.FRESH));
+            case StoreResponse.ConnectionFailed failed -> listAll(ConnectionUse.FRESH);
+            case StoreResponse.Failed failed -> loop.schedule(RETRY_DELAY_MILLIS, () -> listAll(ConnectionUse.FRESH));
         }
     }
 
@@ -267,26 +239,14 @@
     }
 
     private void watch(StorePosition after) {
-        long readTimeoutMillis = WATCH_WAIT_MILLIS + SILENCE_MILLIS;
-        sendWatch(
-                after,
-                protocol.watch(after.revision(), WATCH_WAIT_MILLIS)
-                        .withTimeouts(RESPONSE_TIMEOUT_MILLIS, readTimeoutMillis)
-                        .withResponseTimeout(readTimeoutMillis));
+        CopyConfirmation.Moment sentAt = confirmation.now();
+        requests.watch(after.revision(), response -> onWatchResponse(after, sentAt, record(response)));
     }
 
     /** Asks for the changes so far on a new connection, before the next watch. */
     private void readAgain(StorePosition after) {
-        sendWatch(
-                after,
-                protocol.watch(after.revision(), NO_WAIT_MILLIS)
-                        .withTimeouts(RESPONSE_TIMEOUT_MILLIS, RESPONSE_TIMEOUT_MILLIS)
-                        .withConnectionUse(ConnectionUse.FRESH));
-    }
-
-    private void sendWatch(StorePosition after, HttpRequest request) {
         CopyConfirmation.Moment sentAt = confirmation.now();
-        send(request, response -> onWatchResponse(after, sentAt, response));
+        requests.readChanges(after.revision(), response -> onWatchResponse(after, sentAt, record(response)));
     }
 
     private void onWatchResponse(StorePosition after, CopyConfirmation.Moment sentAt, StoreResponse response) {
@@ -294,7 +254,7 @@
             case StoreResponse.Changes changes -> {
                 if (changes.position().era() != after.era()) {
                     // The revision that the watch started from is of another history.
-                    listAll();
+                    listAll(ConnectionUse.POOLED);
                     return;
                 }
                 changes.changes().forEach(this::apply);
@@ -305,24 +265,16 @@
             }
             case StoreResponse.HistoryCompacted compacted -> {
                 recordUnreachable("the store no longer retains changes after revision " + after.revision());
-                listAll();
+                listAll(ConnectionUse.POOLED);
             }
             case StoreResponse.ConnectionFailed failed -> readAgain(after);
             case StoreResponse.Failed failed -> loop.schedule(RETRY_DELAY_MILLIS, () -> readAgain(after));
         }
     }
 
-    private interface ResponseHandler {
-        void onResponse(StoreResponse response);
-    }
-
-    private void send(HttpRequest request, ResponseHandler handler) {
-        client.execute(
-                request, result -> loop.execute(() -> handler.onResponse(classify(result, request.connectionUse()))));
-    }
-
-    private StoreResponse classify(Either<Failure, HttpResponse> result, ConnectionUse use) {
-        StoreResponse response = result.fold(failure -> classify(failure, use), this::readCurrentEra);
+    /** Records what a response says of the store, and returns it, or what it counts as. */
+    private StoreResponse record(StoreResponse received) {
+        StoreResponse response = asOfCurrentEra(received);
         switch (response) {
             case StoreResponse.Failed failed -> recordFailure(failed.reason());
             case StoreResponse.ConnectionFailed failed -> onConnectionFailed(failed);
@@ -332,22 +284,8 @@
         return response;
     }
 
-    private static StoreResponse classify(Failure failure, ConnectionUse use) {
-        String reason = failure.code() + ": " + failure.detail();
-        boolean mayBeConnection = use == ConnectionUse.POOLED && failure.executionState() != ExecutionState.NOT_RUN;
-        if (!mayBeConnection) {
-            return new StoreResponse.Failed(reason);
-        }
-        return switch (failure.code()) {
-            case UPSTREAM_TIMEOUT -> new StoreResponse.ConnectionFailed(reason, true);
-            case CONNECTION_LOST, UPSTREAM_TRUNCATED -> new StoreResponse.ConnectionFailed(reason, false);
-            default -> new StoreResponse.Failed(reason);
-        };
-    }
-
-    /** Reads a response; a late one that was sent before the latest known restore counts as failed. */
-    private StoreResponse readCurrentEra(HttpResponse httpResponse) {
-        StoreResponse response = protocol.read(httpResponse);
+    /** Returns a response; a late one that was sent before the latest known restore counts as failed. */
+    private StoreResponse asOfCurrentEra(StoreResponse response) {
         return response instanceof StoreResponse.Changes changes
                         && changes.position().era() < era
                 ? new StoreResponse.Failed("the response is older than the restore of the store")
--- a/gateway/src/main/java/org/merlinwood/gateway/front/FrontHandler.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/FrontHandler.java
@@ -67,7 +67,7 @@
             connection.startRequest(connection::close);
             connection.refuseIncompleteBody(exchange.getRequestContentLength());
             exchange.setPersistent(false);
-            RequestProcessor.ErrorResponses.send(channel, ResultCode.MALFORMED_REQUEST, 0);
+            ErrorResponses.send(channel, ResultCode.MALFORMED_REQUEST, 0);
             return;
         }
         readBody(exchange, connection, channel, arrivedMillis);
@@ -94,7 +94,7 @@
                     if (incompleteBody.end()) {
                         connection.refuseIncompleteBody(exchange.getRequestContentLength());
                         exchange.setPersistent(false);
-                        RequestProcessor.ErrorResponses.send(channel, code, 0);
+                        ErrorResponses.send(channel, code, 0);
                     }
                 });
         connection.startRequest(() -> {
--- a/gateway/src/main/java/org/merlinwood/gateway/front/GenerationAttempt.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/GenerationAttempt.java
@@ -176,7 +176,7 @@
         processor.onEvents();
         eventCount++;
         context.crashCausingParts().recordResponding(instance);
-        processor.recordResponding(instance);
+        processor.losses.recordResponding(instance);
         if (firstEventElapsedMillis < 0) {
             recordFirstEvent();
         }
@@ -223,7 +223,7 @@
     @Override
     public void onFailure(Failure failure) {
         if (!processor.isFinished() && attempts.isOpen(this)) {
-            processor.recordLostConnection(
+            processor.losses.recordLostConnection(
                     instance, failure, eventCount < SURVIVED_EVENT_COUNT ? Suspicion.STRONG : Suspicion.WEAK);
             endFailedAttempt(failure);
         }
--- a/gateway/src/main/java/org/merlinwood/gateway/front/IncompleteBody.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/IncompleteBody.java
@@ -63,6 +63,6 @@
                 .find(exchange)
                 .ifPresent(connection -> connection.refuseIncompleteBody(exchange.getRequestContentLength()));
         exchange.setPersistent(false);
-        RequestProcessor.ErrorResponses.send(channel, code, retryAfterMillis);
+        ErrorResponses.send(channel, code, retryAfterMillis);
     }
 }
--- a/gateway/src/main/java/org/merlinwood/gateway/front/PlainRequestProcessor.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/PlainRequestProcessor.java
@@ -332,7 +332,7 @@
         public void onHead(int status, List<HttpHeader> headers) {
             head = context.protocol().readHead(status, headers);
             context.pool().recordPlainResponse(work);
-            recordResponding(instance);
+            losses.recordResponding(instance);
             head.load().ifPresent(load -> context.pool().recordLoad(instance.identifier(), load));
             if (!mayBeDelivered(head)) {
                 body.discard();
@@ -394,7 +394,7 @@
                 return;
             }
             body.release();
-            recordLostConnection(instance, failure, head == null ? Suspicion.STRONG : Suspicion.WEAK);
+            losses.recordLostConnection(instance, failure, head == null ? Suspicion.STRONG : Suspicion.WEAK);
             onAttemptEnded(this, recordFailedAttempt(instance, failure));
         }
 
--- a/gateway/src/main/java/org/merlinwood/gateway/front/PrefillCall.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/PrefillCall.java
@@ -157,9 +157,9 @@
         recordLoad(instance, response);
         activeRequest = Optional.empty();
         activeInstance = Optional.empty();
-        response.peek(success -> processor.recordResponding(instance)).peekLeft(failure -> {
+        response.peek(success -> processor.losses.recordResponding(instance)).peekLeft(failure -> {
             processor.pauseInstance(instance, failure);
-            processor.recordLostConnection(instance, failure, Suspicion.WEAK);
+            processor.losses.recordLostConnection(instance, failure, Suspicion.WEAK);
         });
         processor
                 .decisionLine(result.isPresent() ? "prompt computed" : "prefill failed")
--- a/gateway/src/main/java/org/merlinwood/gateway/front/RequestDispatcher.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/RequestDispatcher.java
@@ -158,6 +158,6 @@
                 .write();
         context.metrics().count("refused_" + code.name());
         context.metrics().count("requests_refused_by_code_" + code.number());
-        RequestProcessor.ErrorResponses.send(channel, code, retryAfterMillis);
+        ErrorResponses.send(channel, code, retryAfterMillis);
     }
 }
--- a/gateway/src/main/java/org/merlinwood/gateway/front/RequestProcessor.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/RequestProcessor.java
@@ -1,9 +1,7 @@
 package org.merlinwood.gateway.front;
 
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Locale;
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
@@ -11,9 +9,7 @@
 import org.merlinwood.core.result.Failure;
 import org.merlinwood.core.result.ResultCode;
 import org.merlinwood.gateway.crash.CrashHistory;
-import org.merlinwood.gateway.crash.LostRun;
 import org.merlinwood.gateway.crash.PartFingerprints;
-import org.merlinwood.gateway.crash.Suspicion;
 import org.merlinwood.gateway.decision.AttemptOutcome;
 import org.merlinwood.gateway.decision.MemoryWaitPolicy;
 import org.merlinwood.gateway.fleet.Stage;
@@ -49,8 +45,6 @@
      */
     private static final long PLAIN_RETRY_AFTER_MILLIS = 150;
 
-    private static final double MILLIS_PER_SECOND = 1_000;
-
     final RequestProcessorContext context;
     final CallerRequest request;
     final Route route;
@@ -60,6 +54,9 @@
     /** Fingerprints of the parts of the prompt that other requests can share; empty without a prompt. */
     final List<Long> sharedParts;
 
+    /** Records which instances the request may have crashed. */
+    final RunLosses losses;
+
     /** When the request had been read completely, by the monotonic clock, in milliseconds. */
     private final long readAtMillis;
 
@@ -77,6 +74,7 @@
         this.route = route;
         this.service = route.serviceFor(request.streamAttempt());
         this.channel = channel;
+        this.losses = new RunLosses(this);
         this.readAtMillis = context.clock().monotonicMillis();
         this.sharedParts = request.prompt().map(PartFingerprints::of).orElse(List.of());
     }
@@ -326,38 +324,6 @@
         return blocked;
     }
 
-    /**
-     * Records that the request may have crashed an instance, if the HTTP client reports that a connection was lost. A
-     * response that ends in order, but wrongly, was sent by an instance that lives.
-     *
-     * @param instance the instance
-     * @param failure the failure as the HTTP client reports it
-     * @param suspicion how much speaks for the request as the cause
-     */
-    final void recordLostConnection(UpstreamInstance instance, Failure failure, Suspicion suspicion) {
-        if (!isConnectionLost(failure) || failure.executionState() == ExecutionState.NOT_RUN) {
-            return;
-        }
-        long fingerprint = CrashHistory.fingerprint(request);
-        context.crashHistory().recordLoss(new LostRun(fingerprint, instance.identifier(), suspicion));
-        context.metrics().count(suspicion == Suspicion.STRONG ? "runs_lost_at_their_begin" : "runs_lost_later");
-        decisionLine("run lost")
-                .with("instance", instance.identifier())
-                .with("suspicion", suspicion.name())
-                .with("blocked", String.valueOf(context.crashHistory().isBlocked(fingerprint)))
-                .write();
-    }
-
-    /** Records that an instance sent a part of a response: a connection to it that was lost before was no crash. */
-    final void recordResponding(UpstreamInstance instance) {
-        if (context.crashHistory().recordResponding(instance.identifier())) {
-            context.metrics().count("runs_lost_at_living_instances");
-            decisionLine("connection lost, instance alive")
-                    .with("instance", instance.identifier())
-                    .write();
-        }
-    }
-
     /** Returns whether the HTTP client reports that the connection of an attempt was lost. */
     static boolean isConnectionLost(Failure failure) {
         return failure.code() == ResultCode.CONNECTION_LOST || failure.code() == ResultCode.UPSTREAM_TRUNCATED;
@@ -410,30 +376,4 @@
                 .with("route", route.name())
                 .with("elapsedMillis", elapsedMillis());
     }
-
-    /** Sends error responses that the entry creates itself. */
-    static final class ErrorResponses {
-
-        private ErrorResponses() {}
-
-        /**
-         * Sends an error response with a JSON body.
-         *
-         * @param channel the channel to the caller
-         * @param code the result code; determines the status
-         * @param retryAfterMillis delay for the {@code Retry-After} header, in milliseconds; 0 for none. The header is
-         *     sent only if the code says that the request was not run
-         */
-        static void send(CallerChannel channel, ResultCode code, long retryAfterMillis) {
-            HttpHeader contentType = new HttpHeader("Content-Type", "application/json");
-            HttpHeader retryAfter = new HttpHeader(
-                    "Retry-After", String.format(Locale.ROOT, "%.2f", retryAfterMillis / MILLIS_PER_SECOND));
-            boolean hasRetryAfter = retryAfterMillis > 0 && code.executionState() == ExecutionState.NOT_RUN;
-            String body = "{\"code\":" + code.number() + ",\"message\":\"" + code.description() + "\"}";
-            channel.respond(
-                    code.httpStatus(),
-                    hasRetryAfter ? List.of(contentType, retryAfter) : List.of(contentType),
-                    body.getBytes(StandardCharsets.UTF_8));
-        }
-    }
 }
