--- a/gateway/src/main/java/org/merlinwood/gateway/follow/StoreFollower.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/follow/StoreFollower.java
@@ -188,7 +188,7 @@
         advance(position);
     }
 
-    /** Lists all keys anew; says on what connection the first page is requested. */
+    /** Lists all keys anew, the first page on a pooled or a fresh connection. */
     private void listAll(ConnectionUse use) {
         list(new StoreListing(confirmation.now()), use);
     }
