A spoilt length is no answer

What callers saw: a complete 200 with a body that wasn't the instance's, where a head was spoilt in the line that tells the length. With a transfer coding other than chunked, the sizes of the chunks came as body, on reads, orders and streams; of two lengths the first counted, so 11 of 31 bytes were complete; +31 was a length; a coding beside a length was ignored. The same came into streams that went on at another instance, and a reservation or a computed prompt in such a response was used.

Cause: the library's client skips what it doesn't know, a coding or a second length, and nothing asked what the server had written. Each path checks identifier and signature, which are whole here, so a check in one path was ruled out; a check of the parsed head as well, since it lists forms and can't see what the parser skipped.

Change: ResponseGuard, which was ReceiveLimit, shows the bytes of a connection to a ResponseReader before the library's parser gets them. A head states the end of its body in one way: one length in digits, or chunked alone in HTTP/1.1, or neither. All else is malformed: the connection is closed, and an order isn't said not to have run. Responses of status 204 and 304 announce no body. Instances, the store, the configuration service and the engines of the own path are read by this client alone.

--- a/http/src/main/java/org/merlinwood/http/impl/ActiveHttpRequest.java
+++ b/http/src/main/java/org/merlinwood/http/impl/ActiveHttpRequest.java
@@ -54,6 +54,9 @@
     /** Highest number that is a status. */
     private static final int LAST_STATUS = 599;
 
+    /** Method of requests whose responses have no body. */
+    private static final String HEAD_METHOD = "HEAD";
+
     /** Methods whose requests carry no Content-Length if the body is empty. */
     private static final Set<String> BODILESS_METHODS = Set.of("GET", "HEAD", "DELETE");
 
@@ -68,7 +71,7 @@
     private volatile XnioExecutor.Key timeout;
     private long sentMillis;
     private long lastDataMillis;
-    private Optional<ReceiveLimit> limit = Optional.empty();
+    private Optional<ResponseGuard> guard = Optional.empty();
     private long receivedBytes;
 
     ActiveHttpRequest(
@@ -131,8 +134,8 @@
             return;
         }
         passedToConnection = true;
-        limit = tracker.limit(opened);
-        limit.ifPresent(present -> present.begin(this::failOversized));
+        guard = tracker.guard(opened);
+        guard.ifPresent(present -> present.begin(!request.method().equals(HEAD_METHOD), this::fail));
         try {
             opened.sendRequest(toClientRequest(), exchangeListener());
         } catch (RuntimeException exception) {
@@ -260,15 +263,9 @@
         }
     }
 
-    private void failOversized(long limitBytes) {
-        fail(Failure.of(
-                ResultCode.UPSTREAM_MALFORMED,
-                "the head, chunk sizes or trailers of the response exceed " + limitBytes + " bytes"));
-    }
-
     private void receiveBytes(ByteBuffer buffer) {
         receivedBytes += buffer.remaining();
-        limit.ifPresent(ReceiveLimit::bodyReceived);
+        guard.ifPresent(ResponseGuard::bodyReceived);
         if (receivedBytes > request.maximumResponseBytes()) {
             fail(Failure.of(
                     ResultCode.UPSTREAM_MALFORMED,
--- a/http/src/main/java/org/merlinwood/http/impl/ConnectionTracker.java
+++ b/http/src/main/java/org/merlinwood/http/impl/ConnectionTracker.java
@@ -6,20 +6,20 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 
-/** Knows which connections are open, the limits of each, and which of them carry a request. Thread-safe. */
+/** Knows which connections are open, the guard of each, and which of them carry a request. Thread-safe. */
 final class ConnectionTracker {
 
-    private final Map<ClientConnection, ReceiveLimit> open = new ConcurrentHashMap<>();
+    private final Map<ClientConnection, ResponseGuard> open = new ConcurrentHashMap<>();
     private final Set<ClientConnection> inUse = ConcurrentHashMap.newKeySet();
 
     /** Adds a connection that was just established. It is removed when its socket is closed. */
-    void opened(ClientConnection connection, ReceiveLimit limit) {
-        open.put(connection, limit);
+    void opened(ClientConnection connection, ResponseGuard guard) {
+        open.put(connection, guard);
         connection.addCloseListener(open::remove);
     }
 
-    /** Returns the limit of a connection; empty if it is closed. */
-    Optional<ReceiveLimit> limit(ClientConnection connection) {
+    /** Returns the guard of a connection; empty if it is closed. */
+    Optional<ResponseGuard> guard(ClientConnection connection) {
         return Optional.ofNullable(open.get(connection));
     }
 
--- a/http/src/main/java/org/merlinwood/http/impl/LimitingIoThread.java
+++ b/http/src/main/java/org/merlinwood/http/impl/GuardingIoThread.java
@@ -10,22 +10,22 @@
 import org.xnio.XnioIoThread;
 
 /**
- * Opens one connection on an I/O thread and inserts a {@link ReceiveLimit} into it before Undertow's client connection
+ * Opens one connection on an I/O thread and inserts a {@link ResponseGuard} into it before Undertow's client connection
  * takes it over, which has no hook for that. Itself never started as a thread.
  */
-final class LimitingIoThread extends XnioIoThread {
+final class GuardingIoThread extends XnioIoThread {
 
     private final XnioIoThread thread;
-    private ReceiveLimit limit;
+    private ResponseGuard guard;
 
-    LimitingIoThread(XnioIoThread thread) {
+    GuardingIoThread(XnioIoThread thread) {
         super(thread.getWorker(), thread.getNumber());
         this.thread = thread;
     }
 
-    /** Returns the limit of the connection. Called on the I/O thread, once the connection is open. */
-    ReceiveLimit limit() {
-        return limit;
+    /** Returns the guard of the connection. Called on the I/O thread, once the connection is open. */
+    ResponseGuard guard() {
+        return guard;
     }
 
     @Override
@@ -34,7 +34,7 @@
         return thread.openStreamConnection(
                 destination,
                 connection -> {
-                    limit = ReceiveLimit.insert(connection);
+                    guard = ResponseGuard.insert(connection);
                     ChannelListeners.invokeChannelListener(connection, openListener);
                 },
                 options);
--- a/http/src/main/java/org/merlinwood/http/impl/UndertowHttpClient.java
+++ b/http/src/main/java/org/merlinwood/http/impl/UndertowHttpClient.java
@@ -124,14 +124,14 @@
     }
 
     private void connect(HttpRequest request, ActiveHttpRequest activeRequest) {
-        LimitingIoThread thread = new LimitingIoThread(worker.getIoThread());
+        GuardingIoThread thread = new GuardingIoThread(worker.getIoThread());
         activeRequest.startConnectTimeout(thread);
         UndertowClient.getInstance()
                 .connect(
                         new ClientCallback<ClientConnection>() {
                             @Override
                             public void completed(ClientConnection connection) {
-                                tracker.opened(connection, thread.limit());
+                                tracker.opened(connection, thread.guard());
                                 activeRequest.start(connection);
                             }
 
