A line that begins with a blank is no field

What callers saw: a head with such a line was taken. Behind the signature the rest was added to the signature's value and passed on; " Content-Length: 31" was read as part of the field before it, so the body ended elsewhere. It came into streams that went on at another instance, too.

Cause: the library joins a line that begins with a blank or a tab to the field before it, which servers did long ago. Ruled out: other lines that are no field. A line without a colon or a name, one with a blank, a control byte or another character in its name, a second status line and control bytes in a value were failures already, at all places of a head.

--- a/http/src/test/java/org/merlinwood/http/MalformedResponseTest.java
+++ b/http/src/test/java/org/merlinwood/http/MalformedResponseTest.java
@@ -102,6 +102,38 @@
                 "HTTP/1.1 304 Not Modified~Transfer-Encoding: chunked~~" + CHUNKS);
     }
 
+    static Stream<String> fields() {
+        return Stream.of(
+                        " folded",
+                        "\tfolded",
+                        " Content-Length: 31",
+                        "\tA: b",
+                        " ",
+                        "no field",
+                        ": no name",
+                        "{\"a\":1}",
+                        "HTTP/1.1 200 OK",
+                        "A b: c",
+                        "A : c",
+                        "A\t: c",
+                        "A\u0001: c",
+                        "A\u007f: c",
+                        "A\u0000: c",
+                        "A(b): c",
+                        "\u00e4: c",
+                        "A: b\u0000c",
+                        "A: b\u0001c",
+                        "A: b\rc",
+                        "A: b\nB: c",
+                        "\u0000\u0000\u0000")
+                .flatMap(line -> Stream.of(
+                        "Content-Length: 31~A: b~" + line + "~~",
+                        "A: b~" + line + "~Content-Length: 31~~",
+                        "Connection: close~" + line + "~~",
+                        line + "~Content-Length: 31~~"))
+                .map(head -> "HTTP/1.1 200 OK~" + head + BODY);
+    }
+
     static Stream<Arguments> inPieces(Stream<String> responses) {
         return responses.flatMap(response -> Stream.of(Arguments.of(response, 1), Arguments.of(response, 64 << 10)));
     }
@@ -111,12 +143,22 @@
                 .flatMap(responses -> responses));
     }
 
+    static Stream<Arguments> malformedFields() {
+        return inPieces(fields());
+    }
+
     @ParameterizedTest
     @MethodSource("malformedLengths")
     void spoiltLengthIsAFailure(String response, int pieceBytes) throws Exception {
         assertFails(response, pieceBytes);
     }
 
+    @ParameterizedTest
+    @MethodSource("malformedFields")
+    void lineThatIsNoFieldIsAFailure(String response, int pieceBytes) throws Exception {
+        assertFails(response, pieceBytes);
+    }
+
     private void assertFails(String response, int pieceBytes) throws Exception {
         try (ResponseServer server = new ResponseServer(response, pieceBytes)) {
             Either<Failure, HttpResponse> result = server.exchange(client, "GET");
