A spoilt chunk is no part of an answer

What callers saw: a chunked body that wasn't the instance's was complete. A size was read up to the first character that is no digit, so "1 f" was 1 of 31 bytes; a size that is too small, behind which no line end comes, ended the body there. On streams "zz", "-1f", "0x1f", "+1f" and a body without any size became a complete 200 without a body; "+1f" ended a stream as if it were complete behind the events of another instance.

Cause: the library's reader of chunks is lenient, and what it can't read as a size counts as the last chunk. Ruled out: the end of the connection inside the framing; each cut was a failure before.

A response ends where the reader and the library agree that it is complete; one that the library takes for complete too early is truncated.

--- a/http/src/main/java/org/merlinwood/http/impl/ActiveHttpRequest.java
+++ b/http/src/main/java/org/merlinwood/http/impl/ActiveHttpRequest.java
@@ -279,6 +279,10 @@
     }
 
     private void finishResponse() {
+        if (!guard.map(ResponseGuard::isResponseComplete).orElse(false)) {
+            fail(Failure.of(ResultCode.UPSTREAM_TRUNCATED, "the response was truncated: its end has not come"));
+            return;
+        }
         if (!ended.compareAndSet(false, true)) {
             return;
         }
--- a/http/src/main/java/org/merlinwood/http/impl/ResponseGuard.java
+++ b/http/src/main/java/org/merlinwood/http/impl/ResponseGuard.java
@@ -68,6 +68,11 @@
         overheadBytes = 0;
     }
 
+    /** Returns whether the response has come to its end, as its server told it. */
+    boolean isResponseComplete() {
+        return reader.isComplete();
+    }
+
     @Override
     public int read(ByteBuffer target) throws IOException {
         if (turnBytes >= MAXIMUM_TURN_BYTES) {
@@ -75,7 +80,9 @@
         }
         int start = target.position();
         int count = super.read(target);
-        if (count > 0) {
+        if (count < 0) {
+            reader.readEnd();
+        } else if (count > 0) {
             check(target.slice(start, count));
         }
         return count;
--- a/http/src/test/java/org/merlinwood/http/MalformedResponseTest.java
+++ b/http/src/test/java/org/merlinwood/http/MalformedResponseTest.java
@@ -102,6 +102,62 @@
                 "HTTP/1.1 304 Not Modified~Transfer-Encoding: chunked~~" + CHUNKS);
     }
 
+    static Stream<String> chunks() {
+        Stream<String> sizes = Stream.of(
+                        "zz",
+                        "-1f",
+                        "+1f",
+                        "0x1f",
+                        "1 f",
+                        "1f ",
+                        " 1f",
+                        "\t1f",
+                        "1f\t",
+                        "1f\u0001",
+                        "1f\u0000",
+                        "1g",
+                        "1f x",
+                        "1f:x",
+                        "1f,1f",
+                        "",
+                        "x",
+                        ";x",
+                        "\u00b9f",
+                        "ffffffffffffffffff",
+                        "8000000000000000",
+                        "1000000000000001f",
+                        "1f\r",
+                        "1f;a\u0001b")
+                .map(size -> size + "~" + BODY + "~0~~");
+        Stream<String> ends = Stream.of(
+                "10~" + BODY + "~0~~",
+                "1e~" + BODY + "~0~~",
+                "20~" + BODY + "~0~~",
+                "1f~" + BODY + "0~~",
+                "1f~" + BODY + "\n0~~",
+                "1f~" + BODY + "\r0~~",
+                "1f~" + BODY + " ~0~~",
+                "1f\n" + BODY + "~0~~",
+                "1f~" + BODY + "~0\n\n",
+                "1f~" + BODY + "~zz~~",
+                "1f~" + BODY + "~0x~~",
+                "1f~" + BODY + "~-0~~",
+                "1f~" + BODY + "~ 0~~",
+                "1f~" + BODY + "~",
+                "1f~" + BODY + "~0",
+                "1f~" + BODY + "~0~",
+                "1f~" + BODY + "~0~X: y",
+                "1f~" + BODY + "~0~X: y~",
+                "1f~" + BODY + "~~~",
+                BODY);
+        Stream<String> trailers = Stream.of(
+                        "X y: z", "X", ": z", " X: z", "X : z", "X\u0001: z", "X: y\u0000", "\tX: y")
+                .map(trailer -> "1f~" + BODY + "~0~" + trailer + "~~");
+        return Stream.of(sizes, ends, trailers)
+                .flatMap(bodies -> bodies)
+                .map(body -> "HTTP/1.1 200 OK~Transfer-Encoding: chunked~~" + body);
+    }
+
     static Stream<String> fields() {
         return Stream.of(
                         " folded",
@@ -143,6 +199,10 @@
                 .flatMap(responses -> responses));
     }
 
+    static Stream<Arguments> malformedChunks() {
+        return inPieces(chunks());
+    }
+
     static Stream<Arguments> malformedFields() {
         return inPieces(fields());
     }
@@ -153,6 +213,12 @@
         assertFails(response, pieceBytes);
     }
 
+    @ParameterizedTest
+    @MethodSource("malformedChunks")
+    void spoiltChunkIsAFailure(String response, int pieceBytes) throws Exception {
+        assertFails(response, pieceBytes);
+    }
+
     @ParameterizedTest
     @MethodSource("malformedFields")
     void lineThatIsNoFieldIsAFailure(String response, int pieceBytes) throws Exception {
