--- a/http/src/main/java/org/merlinwood/http/impl/ActiveHttpRequest.java
+++ b/http/src/main/java/org/merlinwood/http/impl/ActiveHttpRequest.java
@@ -48,12 +48,6 @@
      */
     private static final long STALL_MILLIS = 20;
 
-    /** Lowest status of a response that is not an interim one. Undertow skips the interim status 100 itself. */
-    private static final int FIRST_FINAL_STATUS = 200;
-
-    /** Highest number that is a status. */
-    private static final int LAST_STATUS = 599;
-
     /** Method of requests whose responses have no body. */
     private static final String HEAD_METHOD = "HEAD";
 
@@ -226,17 +220,12 @@
             return;
         }
         ClientResponse response = exchange.getResponse();
-        int status = response.getResponseCode();
-        if (status < FIRST_FINAL_STATUS || status > LAST_STATUS) {
-            fail(Failure.of(ResultCode.UPSTREAM_MALFORMED, "no status of a final response: " + status));
-            return;
-        }
         List<HttpHeader> headers = new ArrayList<>();
         for (HeaderValues values : response.getResponseHeaders()) {
             values.forEach(
                     value -> headers.add(new HttpHeader(values.getHeaderName().toString(), value)));
         }
-        listener.onHead(status, headers);
+        listener.onHead(response.getResponseCode(), headers);
         StreamSourceChannel channel = exchange.getResponseChannel();
         channel.getReadSetter().set(this::readBody);
         readBody(channel);
--- a/http/src/test/java/org/merlinwood/http/MalformedResponseTest.java
+++ b/http/src/test/java/org/merlinwood/http/MalformedResponseTest.java
@@ -190,6 +190,32 @@
                 .map(head -> "HTTP/1.1 200 OK~" + head + BODY);
     }
 
+    static Stream<String> statusLines() {
+        return Stream.of(
+                        "HTTP/2.0 200 OK",
+                        "HTTP/1.2 200 OK",
+                        "HTTP/0.9 200 OK",
+                        "HTTP/1.10 200 OK",
+                        "HTTP/1 200 OK",
+                        "HTTP/11 200 OK",
+                        "http/1.1 200 OK",
+                        "ICY 200 OK",
+                        "HTTPS/1.1 200 OK",
+                        "HTTP/1.1  200 OK",
+                        "HTTP/1.1\t200 OK",
+                        "HTTP/1.1 200\tOK",
+                        "HTTP/1.1 200",
+                        "HTTP/1.1 200OK",
+                        "HTTP/1.1200 OK",
+                        " HTTP/1.1 200 OK",
+                        "~HTTP/1.1 200 OK",
+                        "HTTP/1.1 200 O\u0001K",
+                        "HTTP/1.1 200 O\u0000K",
+                        "HTTP/1.1 2 0 OK",
+                        "HTTP/1.1 \u00b2\u00b0\u00b0 OK")
+                .map(line -> line + "~Content-Length: 31~~" + BODY);
+    }
+
     static Stream<Arguments> inPieces(Stream<String> responses) {
         return responses.flatMap(response -> Stream.of(Arguments.of(response, 1), Arguments.of(response, 64 << 10)));
     }
@@ -207,6 +233,10 @@
         return inPieces(fields());
     }
 
+    static Stream<Arguments> malformedStatusLines() {
+        return inPieces(statusLines());
+    }
+
     @ParameterizedTest
     @MethodSource("malformedLengths")
     void spoiltLengthIsAFailure(String response, int pieceBytes) throws Exception {
@@ -225,6 +255,12 @@
         assertFails(response, pieceBytes);
     }
 
+    @ParameterizedTest
+    @MethodSource("malformedStatusLines")
+    void lineThatIsNoStatusLineIsAFailure(String response, int pieceBytes) throws Exception {
+        assertFails(response, pieceBytes);
+    }
+
     private void assertFails(String response, int pieceBytes) throws Exception {
         try (ResponseServer server = new ResponseServer(response, pieceBytes)) {
             Either<Failure, HttpResponse> result = server.exchange(client, "GET");
