A sound head is read although the body behind it is spoilt

What was seen: NoticeWithoutBodyEndTest failed in one of two cases in a run of all tests of the module platform: an instance that names a time in the head of a 503 got 12 requests in that time.

Change: of a read that is refused the parser gets a head that ends in it, and then the failure; no byte of a body. The request learns of the failure also if the parser waits for more bytes first.

--- a/http/src/main/java/org/merlinwood/http/impl/ResponseGuard.java
+++ b/http/src/main/java/org/merlinwood/http/impl/ResponseGuard.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import java.util.Optional;
 import java.util.function.Consumer;
 import org.merlinwood.core.result.Failure;
 import org.merlinwood.core.result.ResultCode;
@@ -17,9 +18,10 @@
  * Stands between one connection and the response parser, which reads as long as there are bytes, keeps all of a
  * response head, of a chunk's size and of the trailers, and skips or guesses at what it doesn't understand.
  *
- * <p>The parser gets only bytes that a {@link ResponseReader} accepts: of a read that contains others it gets nothing.
- * Two limits apply besides: to the bytes of the response that are not body, until the next byte of body, and to the
- * bytes that are read in one turn of the I/O thread, so that the other connections get their turns. Confined to the I/O
+ * <p>The parser gets only bytes that a {@link ResponseReader} accepts. Of a read that contains others it gets a head
+ * that ends there, since a head tells something of its server also if the body is spoilt, and then the failure. Two
+ * limits apply besides: to the bytes of the response that are not body, until the next byte of body, and to the bytes
+ * that are read in one turn of the I/O thread, so that the other connections get their turns. Confined to the I/O
  * thread of the connection.
  */
 final class ResponseGuard extends AbstractStreamSourceConduit<StreamSourceConduit> {
@@ -36,6 +38,7 @@
     private final ResponseReader reader = new ResponseReader();
     private long overheadBytes;
     private long turnBytes;
+    private Optional<MalformedResponseException> refused = Optional.empty();
     private Consumer<Failure> onRefused = failure -> {};
 
     private ResponseGuard(StreamSourceConduit next) {
@@ -75,6 +78,10 @@
 
     @Override
     public int read(ByteBuffer target) throws IOException {
+        if (refused.isPresent()) {
+            refuse(refused.get().getMessage());
+            throw refused.get();
+        }
         if (turnBytes >= MAXIMUM_TURN_BYTES) {
             return 0;
         }
@@ -82,10 +89,13 @@
         int count = super.read(target);
         if (count < 0) {
             reader.readEnd();
-        } else if (count > 0) {
-            check(target.slice(start, count));
         }
-        return count;
+        if (count <= 0) {
+            return count;
+        }
+        int accepted = accept(target.slice(start, count));
+        target.position(start + accepted);
+        return accepted;
     }
 
     /** Reads into the first of the buffers that has room. */
@@ -99,7 +109,8 @@
         return 0;
     }
 
-    private void check(ByteBuffer received) throws IOException {
+    /** Returns the number of bytes that the parser gets, at least 1. */
+    private int accept(ByteBuffer received) throws IOException {
         turnBytes += received.remaining();
         overheadBytes += received.remaining();
         if (overheadBytes > MAXIMUM_OVERHEAD_BYTES) {
@@ -109,9 +120,15 @@
         try {
             reader.read(received);
         } catch (MalformedResponseException malformed) {
-            refuse(malformed.getMessage());
-            throw malformed;
+            refused = Optional.of(malformed);
+            if (received.position() == 0) {
+                refuse(malformed.getMessage());
+                throw malformed;
+            }
+            // The parser learns of it with its next read, the request also if the parser waits for more bytes first.
+            getReadThread().execute(() -> refuse(malformed.getMessage()));
         }
+        return received.position();
     }
 
     private void refuse(String reason) {
--- a/http/src/main/java/org/merlinwood/http/impl/response/ResponseReader.java
+++ b/http/src/main/java/org/merlinwood/http/impl/response/ResponseReader.java
@@ -47,17 +47,34 @@
     /**
      * Reads the next bytes.
      *
-     * @param bytes the bytes, all of which are consumed
+     * @param bytes the bytes, all of which are consumed; if some are refused, those of a head that ends among them
+     *     alone
      * @throws MalformedResponseException if they are no part of a response; nothing may be read behind them
      */
     public void read(ByteBuffer bytes) throws MalformedResponseException {
-        while (bytes.hasRemaining()) {
-            switch (part) {
-                case STATUS_LINE, FIELD_LINE, CHUNK_SIZE, TRAILER_LINE -> readLine(bytes);
-                case CHUNK_END -> readChunkEnd(bytes);
-                case BODY_WITH_LENGTH, CHUNK -> readBody(bytes);
-                case BODY_UNTIL_END, NONE -> bytes.position(bytes.limit());
+        int headEnd = bytes.position();
+        try {
+            while (bytes.hasRemaining()) {
+                boolean inHead = isInHead();
+                readPart(bytes);
+                headEnd = inHead && !isInHead() ? bytes.position() : headEnd;
             }
+        } catch (MalformedResponseException malformed) {
+            bytes.position(headEnd);
+            throw malformed;
+        }
+    }
+
+    private boolean isInHead() {
+        return part == Part.STATUS_LINE || part == Part.FIELD_LINE;
+    }
+
+    private void readPart(ByteBuffer bytes) throws MalformedResponseException {
+        switch (part) {
+            case STATUS_LINE, FIELD_LINE, CHUNK_SIZE, TRAILER_LINE -> readLine(bytes);
+            case CHUNK_END -> readChunkEnd(bytes);
+            case BODY_WITH_LENGTH, CHUNK -> readBody(bytes);
+            case BODY_UNTIL_END, NONE -> bytes.position(bytes.limit());
         }
     }
 
