A line that is no field is no part of a stream

What callers saw: the sizes of chunks, texts of errors and heads in the middle of their streams, or as complete streams, where the framing of a response was sound and not that of its body: a field "Transfer-Encodinh: chunked", a size that covers the framing of the next chunk too, or an unsuspicious 200 with another text.

Cause: a stream was cut into events at empty lines, whatever the lines were. Ruled out: the grammar of responses, since each of these heads is sound; the end of the connection, which may be the end of a stream.

Change: each line of an event is a field, a comment, or the bare name of one of the four fields that events have. An event with another line isn't forwarded, nor are those that came with it; the attempt has failed as a malformed one. On plain routes a body in chunks behind a misspelt name can't be told from a body to the end of the connection: that stays.

--- a/gateway/src/main/java/org/merlinwood/gateway/front/EventSplitter.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/EventSplitter.java
@@ -21,12 +21,14 @@
 
     private final ByteArrayOutputStream incomplete = new ByteArrayOutputStream();
     private OptionalLong lastEventNumber = OptionalLong.empty();
+    private boolean malformed;
 
     /**
      * Appends bytes of the stream and returns the events that they complete.
      *
      * @param bytes the next bytes of the stream
-     * @return the bytes of the events that are complete now; empty if there are none
+     * @return the bytes of the events that are complete now; empty if there are none, or one has a line that is no
+     *     field
      */
     byte[] split(byte[] bytes) {
         incomplete.writeBytes(bytes);
@@ -36,12 +38,21 @@
             return NO_BYTES;
         }
         byte[] completeEvents = Arrays.copyOf(received, end);
+        if (!EventFields.areSound(completeEvents)) {
+            malformed = true;
+            return NO_BYTES;
+        }
         incomplete.reset();
         incomplete.write(received, end, received.length - end);
         updateLastEventNumber(completeEvents);
         return completeEvents;
     }
 
+    /** Returns whether there was an event with a line that is no field, since when none has been returned. */
+    boolean isMalformed() {
+        return malformed;
+    }
+
     /** Returns whether the event that is not complete yet is larger than {@link #MAXIMUM_EVENT_BYTES}. */
     boolean exceedsLimit() {
         return incomplete.size() > MAXIMUM_EVENT_BYTES;
@@ -52,8 +63,9 @@
         return incomplete.size() > 0;
     }
 
-    /** Discards the bytes after the last complete event. */
+    /** Discards the bytes after the last event that was returned. */
     void discardIncomplete() {
+        malformed = false;
         incomplete.reset();
     }
 
--- a/gateway/src/main/java/org/merlinwood/gateway/front/GenerationAttempt.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/GenerationAttempt.java
@@ -148,13 +148,19 @@
             return;
         }
         forward(response.events().split(bytes));
-        if (response.events().exceedsLimit()) {
-            endFailedAttempt(Failure.of(
-                    ResultCode.UPSTREAM_MALFORMED, "an event exceeds " + EventSplitter.MAXIMUM_EVENT_BYTES + " bytes"));
-            stream.ifPresent(HttpStream::cancel);
+        if (response.events().isMalformed()) {
+            endMalformedAttempt("an event has a line that is no field");
+        } else if (response.events().exceedsLimit()) {
+            endMalformedAttempt("an event exceeds " + EventSplitter.MAXIMUM_EVENT_BYTES + " bytes");
         }
     }
 
+    /** Ends this attempt, and its request, in the middle of its response. */
+    private void endMalformedAttempt(String reason) {
+        endFailedAttempt(Failure.of(ResultCode.UPSTREAM_MALFORMED, reason));
+        stream.ifPresent(HttpStream::cancel);
+    }
+
     /** Collects the body of a response that is not a stream, if it may be passed on to the caller. */
     private void collect(byte[] bytes) {
         switch (body.add(bytes)) {
@@ -175,8 +181,7 @@
             return;
         }
         if (!processor.mayForwardEventsOf(instance)) {
-            endFailedAttempt(Failure.of(ResultCode.UPSTREAM_MALFORMED, "the instance runs another version now"));
-            stream.ifPresent(HttpStream::cancel);
+            endMalformedAttempt("the instance runs another version now");
             return;
         }
         processor.onEvents();
