--- a/gateway/src/main/java/org/merlinwood/gateway/front/EventSplitter.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/EventSplitter.java
@@ -48,7 +48,7 @@
         return completeEvents;
     }
 
-    /** Returns whether there was an event with a line that is no field, since when none has been returned. */
+    /** Returns whether an event had a line that is no field; no event is returned from then on. */
     boolean isMalformed() {
         return malformed;
     }
--- a/http/src/main/java/org/merlinwood/http/impl/response/ResponseReader.java
+++ b/http/src/main/java/org/merlinwood/http/impl/response/ResponseReader.java
@@ -5,7 +5,7 @@
 /**
  * Reads the bytes that one connection receives, and refuses those that are no response. The grammar is narrow: it has
  * what servers write, and nothing that one reader understands in another way than the next. Created once for each
- * connection; confined to the I/O thread of that.
+ * connection; confined to its I/O thread.
  *
  * <p>What it has read is judged, not kept: the response is parsed by whoever gets the same bytes next. Behind a
  * complete response, and before the first request, any bytes are surplus.
