--- /dev/null
+++ b/review/stand-3/review3/Deployment.java
@@ -0,0 +1,109 @@
+package review3;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+
+/** Entries as processes before model runners of two software versions and a store. */
+final class Deployment implements AutoCloseable {
+
+    private static final long READY_MILLIS = 20_000;
+
+    /** As on the sheet of the site. */
+    static final long CONTACT_MILLIS = 3_000;
+
+    final Record record;
+    final List<EntryProcess> entries = new ArrayList<>();
+    final List<ModelRunner> runners = new ArrayList<>();
+    private final StoreStandIn store = new StoreStandIn();
+    private final Path folder = Files.createTempDirectory("review3");
+
+    /** Starts everything and waits until the entries are ready. */
+    Deployment(Record record, int entryCount, int runnersOfEachVersion) throws IOException, InterruptedException {
+        this.record = record;
+        store.put("op/config", manifest());
+        for (int number = 1; number <= runnersOfEachVersion; number++) {
+            runners.add(new ModelRunner("old-" + number, "1.0", store, record));
+            runners.add(new ModelRunner("new-" + number, "2.0", store, record));
+        }
+        Path root = Path.of("").toAbsolutePath();
+        for (int number = 1; number <= entryCount; number++) {
+            entries.add(new EntryProcess(number, root, folder));
+        }
+        startEntries();
+        Thread.sleep(CONTACT_MILLIS);
+    }
+
+    /** Starts all entries and waits until they are ready. */
+    void startEntries() throws IOException, InterruptedException {
+        for (EntryProcess entry : entries) {
+            entry.start(seeds(), store.address());
+        }
+        long endMillis = System.currentTimeMillis() + READY_MILLIS;
+        while (!entries.stream().allMatch(EntryProcess::isReady)) {
+            if (System.currentTimeMillis() > endMillis) {
+                throw new IOException("the entries are not ready");
+            }
+            Thread.sleep(50);
+        }
+        record.write("all entries are ready");
+    }
+
+    /** Ends all entries at the same moment. */
+    void killEntries() throws InterruptedException {
+        record.write("all entries are killed");
+        for (EntryProcess entry : entries) {
+            entry.kill();
+        }
+    }
+
+    private String seeds() {
+        return entries.stream()
+                .limit(3)
+                .map(entry -> EntryProcess.quote(entry.ip + ":" + entry.peerPort))
+                .collect(Collectors.joining(",", "[", "]"));
+    }
+
+    private static String manifest() {
+        return "{\"version\":7,\"routes\":[{\"name\":\"r-gen\",\"host\":\"h.example\",\"prefix\":\"/gen/\","
+                + "\"kind\":\"streaming\",\"timeout_ms\":14000,\"target_latency_ms\":900,\"priority\":1,"
+                + "\"service\":\"llm\",\"max_attempts\":2,\"sticky_sessions\":true,\"resumable\":true,"
+                + "\"target_gap_ms\":300}],\"services\":[{\"name\":\"llm\",\"health_path\":\"/health\","
+                + "\"max_connections\":180,\"protocol\":\"h1\",\"tls\":false,\"engine\":{\"slots\":"
+                + ModelRunner.SLOTS + ",\"kv_capacity_tokens\":74442,\"kv_bytes\":262144,\"link_mbps\":8800000.0,"
+                + "\"moves\":true,\"backups\":true,\"stride\":72,\"most\":12,\"handle_ttl_s\":0.5,"
+                + "\"switch_time_s\":6.0,\"pin_ms\":4000.0,\"hold_ms\":2000.0,\"models\":[{\"name\":\"m\"}]}}],"
+                + "\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":4194304,\"header_timeout_ms\":3000,"
+                + "\"idle_timeout_ms\":15000}}";
+    }
+
+    /** Copies the lines of the entries' logs that contain a text into the record. */
+    void recordLogLines(String text) throws IOException {
+        for (EntryProcess entry : entries) {
+            try (Stream<String> lines = Files.lines(entry.log())) {
+                lines.filter(line -> line.contains(text)).forEach(record::write);
+            }
+        }
+    }
+
+    @Override
+    public void close() throws IOException, InterruptedException {
+        for (EntryProcess entry : entries) {
+            entry.close();
+        }
+        for (ModelRunner runner : runners) {
+            runner.close();
+        }
+        store.close();
+        try (Stream<Path> files = Files.walk(folder)) {
+            for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
+                Files.delete(file);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/review/stand-3/review3/SharedSessions.java
@@ -0,0 +1,78 @@
+package review3;
+
+import java.util.List;
+import java.util.concurrent.Future;
+import java.util.stream.IntStream;
+
+/** All entries are killed; the streams of sessions whose former request ran at another version are refused. */
+final class SharedSessions {
+
+    private static final int STREAMS = 56;
+    private static final int NEW_STREAMS = 24;
+    private static final long TROUBLE_AFTER_MILLIS = 3_000;
+    private static final long DOWN_MILLIS = 1_000;
+
+    /** Tries of a client, the first one included, and the pause between two. */
+    private static final int TRIES = 5;
+
+    private static final long PAUSE_MILLIS = 2_000;
+
+    /** Number of streams from which on the rule counts. */
+    private static final int COUNTED_FROM = 12;
+
+    public static void main(String[] arguments) {
+        StreamCase.main(arguments, SharedSessions::play);
+    }
+
+    private static boolean play(Record record, boolean trouble) throws Exception {
+        try (Deployment deployment = new Deployment(record, 3, 2)) {
+            List<String> sessions = StreamCase.sessions(STREAMS);
+            StreamCase.awaitAll(StreamCase.start(
+                    sessions.stream()
+                            .map(session -> new StreamClient(deployment, session, "short"))
+                            .toList(),
+                    3,
+                    40,
+                    2,
+                    200));
+            List<StreamClient> clients = sessions.stream()
+                    .map(session -> new StreamClient(deployment, session, "long"))
+                    .toList();
+            List<Future<?>> ends = StreamCase.start(clients, 3, 40, TRIES, PAUSE_MILLIS);
+            if (trouble) {
+                Thread.sleep(TROUBLE_AFTER_MILLIS);
+                deployment.killEntries();
+                Thread.sleep(DOWN_MILLIS);
+                deployment.startEntries();
+            } else {
+                Thread.sleep(TROUBLE_AFTER_MILLIS + DOWN_MILLIS);
+            }
+            Thread.sleep(Deployment.CONTACT_MILLIS);
+            long inTouchMillis = record.millis();
+            record.write("all entries are in touch");
+            List<StreamClient> begun = IntStream.range(0, NEW_STREAMS)
+                    .mapToObj(index -> new StreamClient(deployment, String.format("9e30%04x", index), "short"))
+                    .toList();
+            StreamCase.awaitAll(StreamCase.start(begun, 3, 40, 1, 200));
+            StreamCase.awaitAll(ends);
+            List<StreamClient> takenUp = clients.stream()
+                    .filter(client ->
+                            client.takenUp.stream().anyMatch(attempt -> attempt.atMillis() >= inTouchMillis))
+                    .toList();
+            long wentOn = takenUp.stream()
+                    .filter(client -> client.takenUp.stream()
+                            .anyMatch(attempt -> attempt.atMillis() >= inTouchMillis && attempt.events() > 0))
+                    .count();
+            long newBegun = begun.stream()
+                    .filter(client -> !client.events.isEmpty())
+                    .count();
+            deployment.recordLogLines("no entry knows the version");
+            record.print(takenUp.size() + " streams were taken up at entries in touch, " + wentOn + " went on; "
+                    + newBegun + " of " + NEW_STREAMS + " new streams began; of all " + STREAMS + " streams "
+                    + clients.stream().filter(StreamClient::isComplete).count() + " are complete");
+            double shareTakenUp = takenUp.isEmpty() ? 1 : (double) wentOn / takenUp.size();
+            double shareNew = (double) newBegun / NEW_STREAMS;
+            return takenUp.size() >= COUNTED_FROM && shareTakenUp < shareNew / 2;
+        }
+    }
+}
