--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -3,4 +3,7 @@
 cd "$(dirname "$0")/../.." || exit 2
 . bin/common.sh
 [ -d target/review-3 ] && [ -x target/runtime/bin/java ] || { echo "build first: deploy/build and review/build-3.sh"; exit 2; }
-exec "$JAVA" -Xmx256m -cp target/review-3 review3.SharedSessions review/13
+timeout -k 5 117 "$JAVA" -Xmx256m -cp target/review-3 review3.SharedSessions review/13
+code=$?
+[ "$code" -le 1 ] && exit "$code"
+exit 2
--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -5,4 +5,4 @@
 . bin/common.sh
 rm -rf target/review-3
 mkdir -p target/review-3
-"$JAVA_HOME/bin/javac" --release 21 -d target/review-3 review/stand-3/review3/*.java
+"$JAVA_HOME/bin/javac" --release 21 -d target/review-3 review/stand-3/platform/*.java
--- a/review/stand-3/review3/Deployment.java
+++ b/review/stand-3/platform/Deployment.java
@@ -35,10 +35,22 @@
         for (int number = 1; number <= entryCount; number++) {
             entries.add(new EntryProcess(number, root, folder));
         }
+        Runtime.getRuntime().addShutdownHook(new Thread(this::killQuietly));
         startEntries();
         Thread.sleep(CONTACT_MILLIS);
     }
 
+    /** Leaves no process behind, however the case ends. */
+    private void killQuietly() {
+        for (EntryProcess entry : entries) {
+            try {
+                entry.kill();
+            } catch (InterruptedException ended) {
+                Thread.currentThread().interrupt();
+            }
+        }
+    }
+
     /** Starts all entries and waits until they are ready. */
     void startEntries() throws IOException, InterruptedException {
         for (EntryProcess entry : entries) {
--- a/review/stand-3/review3/ModelRunner.java
+++ b/review/stand-3/platform/ModelRunner.java
@@ -30,12 +30,11 @@
     private final AtomicInteger running = new AtomicInteger();
     private final Map<String, Long> holds = new ConcurrentHashMap<>();
     private final Map<String, Integer> heldParts = new ConcurrentHashMap<>();
-    private final int port;
-    private volatile String version;
-    private volatile long bornMillis = System.currentTimeMillis();
+    private final String version;
+    private final long bornMillis = System.currentTimeMillis();
     private volatile long silentMillis;
     private volatile long silentUntilMillis;
-    private volatile LoopbackServer server;
+    private final LoopbackServer server;
 
     ModelRunner(String id, String version, StoreStandIn store, Record record) throws IOException {
         this.id = id;
@@ -43,37 +42,20 @@
         this.store = store;
         this.record = record;
         this.server = new LoopbackServer(0, this::serve);
-        this.port = server.port();
         register();
     }
 
     /** Writes the entry of this runner in the store. */
-    void register() {
+    private void register() {
         store.put(
                 "servers/" + id,
-                "{\"service\":\"llm\",\"address\":\"127.0.0.1:" + port + "\",\"zone\":\"zone-a\",\"version\":\""
+                "{\"service\":\"llm\",\"address\":\"127.0.0.1:" + server.port() + "\",\"zone\":\"zone-a\",\"version\":\""
                         + version + "\",\"slots\":" + SLOTS + ",\"state\":\"ready\",\"cold_remaining_ms\":0,"
                         + "\"sequence\":1,\"born\":" + bornMillis + ",\"stage\":\"decode\","
                         + "\"models\":[{\"name\":\"m\",\"version\":1,\"adapters\":[]}]}");
         record.write("runner " + id + " is registered with version " + version);
     }
 
-    /** Ends the process of this runner: its memory is lost, its connections are reset. */
-    void stop() throws IOException {
-        record.write("runner " + id + " stops");
-        server.close();
-        heldParts.clear();
-        holds.clear();
-    }
-
-    /** Starts it again under its identifier, at its address. It is not registered anew by this. */
-    void start(String newVersion) throws IOException {
-        version = newVersion;
-        bornMillis = System.currentTimeMillis();
-        server = new LoopbackServer(port, this::serve);
-        record.write("runner " + id + " serves again, with version " + newVersion);
-    }
-
     /** Falls silent for so long as soon as it is asked next which prompts it holds. */
     void fallSilentWhenListed(long millis) {
         silentMillis = millis;
@@ -159,10 +141,9 @@
 
     private void stream(HttpMessage request, String attempt, OutputStream out)
             throws IOException, InterruptedException {
-        String madeBy = version;
         String last = request.header("Last-Event-Id");
         int first = last == null ? 1 : Integer.parseInt(last) + 1;
-        record.write("run " + attempt + " at " + id + ", version " + madeBy + ", from event " + first);
+        record.write("run " + attempt + " at " + id + ", version " + version + ", from event " + first);
         for (String part : request.header("Prompt-Prefix").split(",")) {
             heldParts.put(part.split(":")[0], Integer.parseInt(part.split(":")[1]));
         }
@@ -174,7 +155,7 @@
         for (int number = first; number <= events; number++) {
             Thread.sleep(EVENT_MILLIS);
             awaitEndOfSilence();
-            String event = "id: " + number + "\ndata: " + madeBy + (number == events ? " last" : "") + "\n\n";
+            String event = "id: " + number + "\ndata: " + version + (number == events ? " last" : "") + "\n\n";
             out.write(Bytes.join(Integer.toHexString(event.length()) + "\r\n" + event + "\r\n", new byte[0]));
         }
         out.write(Bytes.join("0\r\n\r\n", new byte[0]));
--- a/review/stand-3/review3/StaleAnswers.java
+++ b/review/stand-3/platform/StaleAnswers.java
@@ -9,10 +9,10 @@
 final class StaleAnswers {
 
     private static final int ENTRIES = 8;
-    private static final int STREAMS = 260;
+    private static final int STREAMS = 330;
     private static final long INTERVAL_MILLIS = 45;
     private static final long DOWN_MILLIS = 1_000;
-    private static final int STRIKES = 4;
+    private static final int STRIKES = 5;
     private static final long FIRST_STRIKE_MILLIS = 3_500;
     private static final long STRIKE_INTERVAL_MILLIS = 2_500;
 
