Review: cases at the sheet's rate and retries

A last reading: clients sent 25 to 33 streams a second (the sheet: 9.1) and came back four times (the sheet: once); the runner stand-in didn't stop at the deadline.

--- a/review/stand-3/platform/Deployment.java
+++ b/review/stand-3/platform/Deployment.java
@@ -21,15 +21,17 @@
     final List<EntryProcess> entries = new ArrayList<>();
     final List<ModelRunner> runners = new ArrayList<>();
     private final StoreStandIn store = new StoreStandIn();
+    private long startedMillis;
     private final Path folder = Files.createTempDirectory("review3");
 
-    /** Starts everything and waits until the entries are ready. */
-    Deployment(Record record, int entryCount, int runnersOfEachVersion) throws IOException, InterruptedException {
+    /** Starts everything, with runners that make an event each so many milliseconds, and waits until all are ready. */
+    Deployment(Record record, int entryCount, int runnersOfEachVersion, long eventMillis)
+            throws IOException, InterruptedException {
         this.record = record;
         store.put("op/config", manifest());
         for (int number = 1; number <= runnersOfEachVersion; number++) {
-            runners.add(new ModelRunner("old-" + number, "1.0", store, record));
-            runners.add(new ModelRunner("new-" + number, "2.0", store, record));
+            runners.add(new ModelRunner("old-" + number, "1.0", eventMillis, store, record));
+            runners.add(new ModelRunner("new-" + number, "2.0", eventMillis, store, record));
         }
         Path root = Path.of("").toAbsolutePath();
         for (int number = 1; number <= entryCount; number++) {
@@ -56,6 +58,7 @@
         for (EntryProcess entry : entries) {
             entry.start(seeds(), store.address());
         }
+        startedMillis = record.millis();
         long endMillis = System.currentTimeMillis() + READY_MILLIS;
         while (!entries.stream().allMatch(EntryProcess::isReady)) {
             if (System.currentTimeMillis() > endMillis) {
@@ -66,6 +69,11 @@
         record.write("all entries are ready");
     }
 
+    /** Returns when the last entry was started, by the clock of the record. */
+    long startedMillis() {
+        return startedMillis;
+    }
+
     /** Ends all entries at the same moment. */
     void killEntries() throws InterruptedException {
         record.write("all entries are killed");
--- a/review/stand-3/platform/ModelRunner.java
+++ b/review/stand-3/platform/ModelRunner.java
@@ -21,8 +21,9 @@
     static final int SLOTS = 16;
 
     private static final int EVENTS_OF_SHORT_STREAM = 10;
-    private static final int EVENTS_OF_LONG_STREAM = 100;
-    private static final long EVENT_MILLIS = 40;
+
+    /** The mean of the site. */
+    private static final int EVENTS_OF_LONG_STREAM = 70;
 
     final String id;
     private final StoreStandIn store;
@@ -32,13 +33,16 @@
     private final Map<String, Integer> heldParts = new ConcurrentHashMap<>();
     private final String version;
     private final long bornMillis = System.currentTimeMillis();
+    private final long eventMillis;
     private volatile long silentMillis;
     private volatile long silentUntilMillis;
     private final LoopbackServer server;
 
-    ModelRunner(String id, String version, StoreStandIn store, Record record) throws IOException {
+    /** Starts a runner that makes an event each so many milliseconds. */
+    ModelRunner(String id, String version, long eventMillis, StoreStandIn store, Record record) throws IOException {
         this.id = id;
         this.version = version;
+        this.eventMillis = eventMillis;
         this.store = store;
         this.record = record;
         this.server = new LoopbackServer(0, this::serve);
@@ -100,6 +104,7 @@
             holds.remove(path.substring(path.lastIndexOf('/') + 1));
             answer(out, 200, "", "");
         } else if (path.startsWith("/v1/")) {
+            record.write("runner " + id + " got a call that this stand-in doesn't know: " + request.firstLine);
             answer(out, 404, "", "");
         } else {
             run(request, out);
@@ -141,6 +146,7 @@
 
     private void stream(HttpMessage request, String attempt, OutputStream out)
             throws IOException, InterruptedException {
+        long endMillis = System.currentTimeMillis() + Long.parseLong(request.header("Deadline-Ms"));
         String last = request.header("Last-Event-Id");
         int first = last == null ? 1 : Integer.parseInt(last) + 1;
         record.write("run " + attempt + " at " + id + ", version " + version + ", from event " + first);
@@ -148,13 +154,16 @@
             heldParts.put(part.split(":")[0], Integer.parseInt(part.split(":")[1]));
         }
         String head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nAttempt-Id: " + attempt
-                + "\r\nResponse-Signature: " + id + "." + attempt + "\r\n" + load()
+                + "\r\nResponse-Signature: " + id + "." + attempt + "\r\nWeight-Versions: 1\r\n" + load()
                 + "Transfer-Encoding: chunked\r\n\r\n";
         out.write(Bytes.join(head, new byte[0]));
         int events = request.text().startsWith("short") ? EVENTS_OF_SHORT_STREAM : EVENTS_OF_LONG_STREAM;
         for (int number = first; number <= events; number++) {
-            Thread.sleep(EVENT_MILLIS);
+            Thread.sleep(eventMillis);
             awaitEndOfSilence();
+            if (System.currentTimeMillis() > endMillis) {
+                throw new IOException("the time of the request is over");
+            }
             String event = "id: " + number + "\ndata: " + version + (number == events ? " last" : "") + "\n\n";
             out.write(Bytes.join(Integer.toHexString(event.length()) + "\r\n" + event + "\r\n", new byte[0]));
         }
--- a/review/stand-3/platform/SharedSessions.java
+++ b/review/stand-3/platform/SharedSessions.java
@@ -7,15 +7,20 @@
 /** All entries are killed; the streams of sessions whose former request ran at another version are refused. */
 final class SharedSessions {
 
-    private static final int STREAMS = 56;
+    private static final int STREAMS = 90;
     private static final int NEW_STREAMS = 24;
-    private static final long TROUBLE_AFTER_MILLIS = 3_000;
+    private static final long TROUBLE_AFTER_MILLIS = 9_900;
     private static final long DOWN_MILLIS = 1_000;
 
-    /** Tries of a client, the first one included, and the pause between two. */
-    private static final int TRIES = 5;
+    private static final long EVENT_MILLIS = 150;
 
-    private static final long PAUSE_MILLIS = 2_000;
+    /** Requests of each session before the one that is broken off. */
+    private static final int FORMER_REQUESTS = 3;
+
+    /** Clients come back once, spread evenly over this time. */
+    private static final long SHORTEST_PAUSE_MILLIS = 1_000;
+
+    private static final long LONGEST_PAUSE_MILLIS = 8_000;
 
     /** Number of streams from which on the rule counts. */
     private static final int COUNTED_FROM = 12;
@@ -24,21 +29,26 @@
         StreamCase.main(arguments, SharedSessions::play);
     }
 
+    private static long pauseMillis(int client) {
+        return SHORTEST_PAUSE_MILLIS
+                + client * 37 % STREAMS * (LONGEST_PAUSE_MILLIS - SHORTEST_PAUSE_MILLIS) / STREAMS;
+    }
+
     private static boolean play(Record record, boolean trouble) throws Exception {
-        try (Deployment deployment = new Deployment(record, 3, 2)) {
+        try (Deployment deployment = new Deployment(record, 3, 4, EVENT_MILLIS)) {
             List<String> sessions = StreamCase.sessions(STREAMS);
-            StreamCase.awaitAll(StreamCase.start(
-                    sessions.stream()
-                            .map(session -> new StreamClient(deployment, session, "short"))
-                            .toList(),
-                    3,
-                    40,
-                    2,
-                    200));
+            for (int turn = 0; turn < FORMER_REQUESTS; turn++) {
+                StreamCase.awaitAll(StreamCase.start(
+                        sessions.stream()
+                                .map(session -> new StreamClient(deployment, session, "short"))
+                                .toList(),
+                        3,
+                        number -> SHORTEST_PAUSE_MILLIS));
+            }
             List<StreamClient> clients = sessions.stream()
                     .map(session -> new StreamClient(deployment, session, "long"))
                     .toList();
-            List<Future<?>> ends = StreamCase.start(clients, 3, 40, TRIES, PAUSE_MILLIS);
+            List<Future<?>> ends = StreamCase.start(clients, 3, SharedSessions::pauseMillis);
             if (trouble) {
                 Thread.sleep(TROUBLE_AFTER_MILLIS);
                 deployment.killEntries();
@@ -47,13 +57,13 @@
             } else {
                 Thread.sleep(TROUBLE_AFTER_MILLIS + DOWN_MILLIS);
             }
-            Thread.sleep(Deployment.CONTACT_MILLIS);
-            long inTouchMillis = record.millis();
+            long inTouchMillis = deployment.startedMillis() + Deployment.CONTACT_MILLIS;
+            Thread.sleep(Math.max(0, inTouchMillis - record.millis()));
             record.write("all entries are in touch");
             List<StreamClient> begun = IntStream.range(0, NEW_STREAMS)
                     .mapToObj(index -> new StreamClient(deployment, String.format("9e30%04x", index), "short"))
                     .toList();
-            StreamCase.awaitAll(StreamCase.start(begun, 3, 40, 1, 200));
+            StreamCase.awaitAll(StreamCase.start(begun, 3, number -> SHORTEST_PAUSE_MILLIS));
             StreamCase.awaitAll(ends);
             List<StreamClient> takenUp = clients.stream()
                     .filter(client ->
--- a/review/stand-3/platform/SilentRunner.java
+++ b/review/stand-3/platform/SilentRunner.java
@@ -7,11 +7,14 @@
 final class SilentRunner {
 
     private static final int STREAMS = 60;
-    /** Tries of a client, the first one included, and the pause between two. */
-    private static final int TRIES = 5;
+    private static final long EVENT_MILLIS = 90;
 
-    private static final long PAUSE_MILLIS = 1_000;
-    private static final long TROUBLE_AFTER_MILLIS = 3_000;
+    /** Clients come back once, spread evenly over this time. */
+    private static final long SHORTEST_PAUSE_MILLIS = 2_500;
+
+    private static final long LONGEST_PAUSE_MILLIS = 6_500;
+
+    private static final long TROUBLE_AFTER_MILLIS = 6_300;
     private static final long DOWN_MILLIS = 1_000;
     private static final long SILENT_MILLIS = 1_000;
 
@@ -19,21 +22,24 @@
         StreamCase.main(arguments, SilentRunner::play);
     }
 
+    private static long pauseMillis(int client) {
+        return SHORTEST_PAUSE_MILLIS
+                + client * 37 % STREAMS * (LONGEST_PAUSE_MILLIS - SHORTEST_PAUSE_MILLIS) / STREAMS;
+    }
+
     private static boolean play(Record record, boolean trouble) throws Exception {
-        try (Deployment deployment = new Deployment(record, 3, 2)) {
+        try (Deployment deployment = new Deployment(record, 3, 2, EVENT_MILLIS)) {
             List<String> sessions = StreamCase.sessions(STREAMS);
             StreamCase.awaitAll(StreamCase.start(
                     sessions.stream()
                             .map(session -> new StreamClient(deployment, session, "short"))
                             .toList(),
                     3,
-                    40,
-                    2,
-                    200));
+                    number -> SHORTEST_PAUSE_MILLIS));
             List<StreamClient> clients = sessions.stream()
                     .map(session -> new StreamClient(deployment, session, "long"))
                     .toList();
-            List<Future<?>> ends = StreamCase.start(clients, 3, 40, TRIES, PAUSE_MILLIS);
+            List<Future<?>> ends = StreamCase.start(clients, 3, SilentRunner::pauseMillis);
             if (trouble) {
                 Thread.sleep(TROUBLE_AFTER_MILLIS);
                 deployment.killEntries();
--- a/review/stand-3/platform/StaleAnswers.java
+++ b/review/stand-3/platform/StaleAnswers.java
@@ -9,12 +9,13 @@
 final class StaleAnswers {
 
     private static final int ENTRIES = 8;
-    private static final int STREAMS = 330;
-    private static final long INTERVAL_MILLIS = 45;
+    private static final int STREAMS = 140;
+    private static final long EVENT_MILLIS = 150;
+    private static final long PAUSE_MILLIS = 50;
     private static final long DOWN_MILLIS = 1_000;
-    private static final int STRIKES = 5;
-    private static final long FIRST_STRIKE_MILLIS = 3_500;
-    private static final long STRIKE_INTERVAL_MILLIS = 2_500;
+    private static final int STRIKES = 6;
+    private static final long FIRST_STRIKE_MILLIS = 7_000;
+    private static final long STRIKE_INTERVAL_MILLIS = 1_500;
 
     /** Share of the entries whose channels are reset, and share of their channels. */
     private static final int STRUCK_ENTRIES = 3;
@@ -26,16 +27,14 @@
     }
 
     private static boolean play(Record record, boolean trouble) throws Exception {
-        try (Deployment deployment = new Deployment(record, ENTRIES, 4)) {
+        try (Deployment deployment = new Deployment(record, ENTRIES, 4, EVENT_MILLIS)) {
             List<String> sessions = StreamCase.sessions(STREAMS);
             StreamCase.awaitAll(StreamCase.start(
                     sessions.stream()
                             .map(session -> new StreamClient(deployment, session, "short"))
                             .toList(),
                     ENTRIES,
-                    30,
-                    2,
-                    200));
+                    number -> PAUSE_MILLIS));
             if (trouble) {
                 deployment.killEntries();
                 Thread.sleep(DOWN_MILLIS);
@@ -45,7 +44,7 @@
             List<StreamClient> clients = sessions.stream()
                     .map(session -> new StreamClient(deployment, session, "long"))
                     .toList();
-            List<Future<?>> ends = StreamCase.start(clients, ENTRIES, INTERVAL_MILLIS, 4, 50);
+            List<Future<?>> ends = StreamCase.start(clients, ENTRIES, number -> PAUSE_MILLIS);
             if (trouble) {
                 Thread.sleep(FIRST_STRIKE_MILLIS);
                 for (int strike = 0; strike < STRIKES; strike++) {
--- a/review/stand-3/platform/StreamCase.java
+++ b/review/stand-3/platform/StreamCase.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
+import java.util.function.IntToLongFunction;
 
 /** What the cases have in common: the record, the exit status, and clients that come one after the other. */
 final class StreamCase {
@@ -38,15 +39,24 @@
         System.exit(status);
     }
 
-    /** Starts clients at an interval, spread over the entries; returns what ends when all have ended. */
-    static List<Future<?>> start(List<StreamClient> clients, int entries, long intervalMillis, int tries, long pause) {
+    /** Interval of streams, in milliseconds: 9.1 a second, as on the sheet of the site. */
+    static final long INTERVAL_MILLIS = 110;
+
+    /** Tries of a client: the first one and the one retry of the sheet. */
+    private static final int TRIES = 2;
+
+    /**
+     * Starts clients one after the other, spread over the entries; returns what ends when all have ended. The pause
+     * before its retry, in milliseconds, is given by the number of the client.
+     */
+    static List<Future<?>> start(List<StreamClient> clients, int entries, IntToLongFunction pauseMillis) {
         ExecutorService threads = Executors.newVirtualThreadPerTaskExecutor();
         List<Future<?>> ends = new ArrayList<>();
         for (int index = 0; index < clients.size(); index++) {
             int number = index;
             ends.add(threads.submit(() -> {
-                Thread.sleep(number * intervalMillis);
-                clients.get(number).run(number % entries, tries, pause);
+                Thread.sleep(number * INTERVAL_MILLIS);
+                clients.get(number).run(number % entries, TRIES, pauseMillis.applyAsLong(number));
                 return null;
             }));
         }
