--- a/review/stand-3/platform/Deployment.java
+++ b/review/stand-3/platform/Deployment.java
@@ -14,9 +14,7 @@
 
     private static final long READY_MILLIS = 20_000;
 
-    /** As on the sheet of the site. */
-    static final long CONTACT_MILLIS = 3_000;
-
+    final Site site;
     final Record record;
     final List<EntryProcess> entries = new ArrayList<>();
     final List<ModelRunner> runners = new ArrayList<>();
@@ -25,21 +23,22 @@
     private final Path folder = Files.createTempDirectory("review3");
 
     /** Starts everything, with runners that make an event each so many milliseconds, and waits until all are ready. */
-    Deployment(Record record, int entryCount, int runnersOfEachVersion, long eventMillis)
+    Deployment(Record record, Site site, int entryCount, int runnersOfEachVersion, long eventMillis)
             throws IOException, InterruptedException {
+        this.site = site;
         this.record = record;
         store.put("op/config", manifest());
         for (int number = 1; number <= runnersOfEachVersion; number++) {
-            runners.add(new ModelRunner("old-" + number, "1.0", eventMillis, store, record));
-            runners.add(new ModelRunner("new-" + number, "2.0", eventMillis, store, record));
+            runners.add(new ModelRunner("old-" + number, "1.0", site.slots(), eventMillis, store, record));
+            runners.add(new ModelRunner("new-" + number, "2.0", site.slots(), eventMillis, store, record));
         }
         Path root = Path.of("").toAbsolutePath();
         for (int number = 1; number <= entryCount; number++) {
-            entries.add(new EntryProcess(number, root, folder));
+            entries.add(new EntryProcess(number, site, root, folder));
         }
         Runtime.getRuntime().addShutdownHook(new Thread(this::killQuietly));
-        startEntries();
-        Thread.sleep(CONTACT_MILLIS);
+        startEntries(entries);
+        Thread.sleep(site.contactMillis());
     }
 
     /** Leaves no process behind, however the case ends. */
@@ -53,20 +52,20 @@
         }
     }
 
-    /** Starts all entries and waits until they are ready. */
-    void startEntries() throws IOException, InterruptedException {
-        for (EntryProcess entry : entries) {
+    /** Starts entries and waits until they are ready. */
+    void startEntries(List<EntryProcess> started) throws IOException, InterruptedException {
+        for (EntryProcess entry : started) {
             entry.start(seeds(), store.address());
         }
         startedMillis = record.millis();
         long endMillis = System.currentTimeMillis() + READY_MILLIS;
-        while (!entries.stream().allMatch(EntryProcess::isReady)) {
+        while (!started.stream().allMatch(EntryProcess::isReady)) {
             if (System.currentTimeMillis() > endMillis) {
                 throw new IOException("the entries are not ready");
             }
             Thread.sleep(50);
         }
-        record.write("all entries are ready");
+        record.write(names(started) + " are ready");
     }
 
     /** Returns when the last entry was started, by the clock of the record. */
@@ -74,10 +73,14 @@
         return startedMillis;
     }
 
-    /** Ends all entries at the same moment. */
-    void killEntries() throws InterruptedException {
-        record.write("all entries are killed");
-        for (EntryProcess entry : entries) {
+    private static List<String> names(List<EntryProcess> entries) {
+        return entries.stream().map(entry -> entry.name).toList();
+    }
+
+    /** Ends entries at the same moment. */
+    void killEntries(List<EntryProcess> killed) throws InterruptedException {
+        record.write(names(killed) + " are killed");
+        for (EntryProcess entry : killed) {
             entry.kill();
         }
     }
@@ -89,13 +92,15 @@
                 .collect(Collectors.joining(",", "[", "]"));
     }
 
-    private static String manifest() {
+    private String manifest() {
         return "{\"version\":7,\"routes\":[{\"name\":\"r-gen\",\"host\":\"h.example\",\"prefix\":\"/gen/\","
-                + "\"kind\":\"streaming\",\"timeout_ms\":14000,\"target_latency_ms\":900,\"priority\":1,"
+                + "\"kind\":\"streaming\",\"timeout_ms\":" + site.budgetMillis()
+                + ",\"target_latency_ms\":900,\"priority\":1,"
                 + "\"service\":\"llm\",\"max_attempts\":2,\"sticky_sessions\":true,\"resumable\":true,"
                 + "\"target_gap_ms\":300}],\"services\":[{\"name\":\"llm\",\"health_path\":\"/health\","
-                + "\"max_connections\":180,\"protocol\":\"h1\",\"tls\":false,\"engine\":{\"slots\":"
-                + ModelRunner.SLOTS + ",\"kv_capacity_tokens\":74442,\"kv_bytes\":262144,\"link_mbps\":8800000.0,"
+                + "\"max_connections\":" + site.channels() + ",\"protocol\":\"h1\",\"tls\":false,"
+                + "\"engine\":{\"slots\":" + site.slots() + ",\"kv_capacity_tokens\":" + site.memoryTokens()
+                + ",\"kv_bytes\":262144,\"link_mbps\":8800000.0,"
                 + "\"moves\":true,\"backups\":true,\"stride\":72,\"most\":12,\"handle_ttl_s\":0.5,"
                 + "\"switch_time_s\":6.0,\"pin_ms\":4000.0,\"hold_ms\":2000.0,\"models\":[{\"name\":\"m\"}]}}],"
                 + "\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":4194304,\"header_timeout_ms\":3000,"
--- a/review/stand-3/platform/EntryProcess.java
+++ b/review/stand-3/platform/EntryProcess.java
@@ -18,13 +18,15 @@
     final int callerPort;
     final int peerPort;
     private final int readyPort;
+    private final Site site;
     private final Path root;
     private final Path folder;
     private Process process;
 
-    EntryProcess(int number, Path root, Path folder) throws IOException {
+    EntryProcess(int number, Site site, Path root, Path folder) throws IOException {
         this.name = "front-" + number;
         this.ip = "127.0.0." + (10 + number);
+        this.site = site;
         this.root = root;
         this.folder = folder;
         this.callerPort = freePort(ip);
@@ -72,7 +74,8 @@
                 "platform.address", quote(storeAddress),
                 "bounds.grace_s", "8",
                 "bounds.require_fencing", "true");
-        Map<String, String> bounds = Map.of("budget_ratio", "0.2", "budget_slack", "58", "budget_window_s", "10");
+        Map<String, String> bounds = Map.of(
+                "budget_ratio", "0.2", "budget_slack", String.valueOf(site.repeatSlack()), "budget_window_s", "10");
         String text = Files.readString(root.resolve("deploy/entry-settings.json"));
         for (Map.Entry<String, String> value : values.entrySet()) {
             text = text.replace("{{" + value.getKey() + "|json}}", value.getValue());
--- a/review/stand-3/platform/ModelRunner.java
+++ b/review/stand-3/platform/ModelRunner.java
@@ -17,15 +17,13 @@
  */
 final class ModelRunner implements AutoCloseable {
 
-    /** Requests that run at the same time. */
-    static final int SLOTS = 16;
-
     private static final int EVENTS_OF_SHORT_STREAM = 10;
 
     /** The mean of the site. */
     private static final int EVENTS_OF_LONG_STREAM = 70;
 
     final String id;
+    private final int slots;
     private final StoreStandIn store;
     private final Record record;
     private final AtomicInteger running = new AtomicInteger();
@@ -39,9 +37,11 @@
     private final LoopbackServer server;
 
     /** Starts a runner that makes an event each so many milliseconds. */
-    ModelRunner(String id, String version, long eventMillis, StoreStandIn store, Record record) throws IOException {
+    ModelRunner(String id, String version, int slots, long eventMillis, StoreStandIn store, Record record)
+            throws IOException {
         this.id = id;
         this.version = version;
+        this.slots = slots;
         this.eventMillis = eventMillis;
         this.store = store;
         this.record = record;
@@ -53,8 +53,9 @@
     private void register() {
         store.put(
                 "servers/" + id,
-                "{\"service\":\"llm\",\"address\":\"127.0.0.1:" + server.port() + "\",\"zone\":\"zone-a\",\"version\":\""
-                        + version + "\",\"slots\":" + SLOTS + ",\"state\":\"ready\",\"cold_remaining_ms\":0,"
+                "{\"service\":\"llm\",\"address\":\"127.0.0.1:" + server.port()
+                        + "\",\"zone\":\"zone-a\",\"version\":\"" + version + "\",\"slots\":" + slots
+                        + ",\"state\":\"ready\",\"cold_remaining_ms\":0,"
                         + "\"sequence\":1,\"born\":" + bornMillis + ",\"stage\":\"decode\","
                         + "\"models\":[{\"name\":\"m\",\"version\":1,\"adapters\":[]}]}");
         record.write("runner " + id + " is registered with version " + version);
@@ -120,7 +121,7 @@
     private void takeHold(OutputStream out) throws IOException {
         long nowMillis = System.currentTimeMillis();
         holds.values().removeIf(endMillis -> endMillis < nowMillis);
-        if (running.get() + holds.size() >= SLOTS) {
+        if (running.get() + holds.size() >= slots) {
             answer(out, 503, "", "");
             return;
         }
@@ -132,7 +133,7 @@
     private void run(HttpMessage request, OutputStream out) throws IOException, InterruptedException {
         String attempt = request.header("Attempt-Id");
         boolean held = request.header("Kv-Hold") != null && holds.remove(request.header("Kv-Hold")) != null;
-        if (running.incrementAndGet() > SLOTS && !held) {
+        if (running.incrementAndGet() > slots && !held) {
             running.decrementAndGet();
             answer(out, 503, "Attempt-Id: " + attempt + "\r\nNot-Executed: 1\r\n" + load(), "");
             return;
@@ -171,7 +172,7 @@
     }
 
     private String load() {
-        return "Server-Load: " + running.get() + ",0," + SLOTS + "\r\n";
+        return "Server-Load: " + running.get() + ",0," + slots + "\r\n";
     }
 
     private static void answer(OutputStream out, int status, String headers, String body) throws IOException {
--- a/review/stand-3/platform/SharedSessions.java
+++ b/review/stand-3/platform/SharedSessions.java
@@ -7,7 +7,7 @@
 /** All entries are killed; the streams of sessions whose former request ran at another version are refused. */
 final class SharedSessions {
 
-    private static final int STREAMS = 90;
+    private static final int STREAMS = 64;
     private static final int NEW_STREAMS = 24;
     private static final long TROUBLE_AFTER_MILLIS = 9_900;
     private static final long DOWN_MILLIS = 1_000;
@@ -35,35 +35,35 @@
     }
 
     private static boolean play(Record record, boolean trouble) throws Exception {
-        try (Deployment deployment = new Deployment(record, 3, 4, EVENT_MILLIS)) {
+        try (Deployment deployment = new Deployment(record, Site.CORDILLERA, 3, 3, EVENT_MILLIS)) {
             List<String> sessions = StreamCase.sessions(STREAMS);
             for (int turn = 0; turn < FORMER_REQUESTS; turn++) {
                 StreamCase.awaitAll(StreamCase.start(
+                        deployment,
                         sessions.stream()
                                 .map(session -> new StreamClient(deployment, session, "short"))
                                 .toList(),
-                        3,
                         number -> SHORTEST_PAUSE_MILLIS));
             }
             List<StreamClient> clients = sessions.stream()
                     .map(session -> new StreamClient(deployment, session, "long"))
                     .toList();
-            List<Future<?>> ends = StreamCase.start(clients, 3, SharedSessions::pauseMillis);
+            List<Future<?>> ends = StreamCase.start(deployment, clients, SharedSessions::pauseMillis);
             if (trouble) {
                 Thread.sleep(TROUBLE_AFTER_MILLIS);
-                deployment.killEntries();
+                deployment.killEntries(deployment.entries);
                 Thread.sleep(DOWN_MILLIS);
-                deployment.startEntries();
+                deployment.startEntries(deployment.entries);
             } else {
                 Thread.sleep(TROUBLE_AFTER_MILLIS + DOWN_MILLIS);
             }
-            long inTouchMillis = deployment.startedMillis() + Deployment.CONTACT_MILLIS;
+            long inTouchMillis = deployment.startedMillis() + deployment.site.contactMillis();
             Thread.sleep(Math.max(0, inTouchMillis - record.millis()));
             record.write("all entries are in touch");
             List<StreamClient> begun = IntStream.range(0, NEW_STREAMS)
                     .mapToObj(index -> new StreamClient(deployment, String.format("9e30%04x", index), "short"))
                     .toList();
-            StreamCase.awaitAll(StreamCase.start(begun, 3, number -> SHORTEST_PAUSE_MILLIS));
+            StreamCase.awaitAll(StreamCase.start(deployment, begun, number -> SHORTEST_PAUSE_MILLIS));
             StreamCase.awaitAll(ends);
             List<StreamClient> takenUp = clients.stream()
                     .filter(client ->
--- a/review/stand-3/platform/StaleAnswers.java
+++ b/review/stand-3/platform/StaleAnswers.java
@@ -1,72 +1,63 @@
 package review3;
 
 import java.util.List;
-import java.util.Random;
 import java.util.concurrent.Future;
-import java.util.stream.IntStream;
 
-/** All entries are killed; later, channels of clients to some entries are reset, a few times. */
+/** All entries are killed, and start again; while streams run that began later, half of the entries are killed. */
 final class StaleAnswers {
 
     private static final int ENTRIES = 8;
-    private static final int STREAMS = 140;
+    private static final int STREAMS = 110;
     private static final long EVENT_MILLIS = 150;
-    private static final long PAUSE_MILLIS = 50;
-    private static final long DOWN_MILLIS = 1_000;
-    private static final int STRIKES = 6;
-    private static final long FIRST_STRIKE_MILLIS = 7_000;
-    private static final long STRIKE_INTERVAL_MILLIS = 1_500;
+    private static final long DOWN_MILLIS = 700;
+    private static final long SECOND_LOSS_AFTER_MILLIS = 9_000;
 
-    /** Share of the entries whose channels are reset, and share of their channels. */
-    private static final int STRUCK_ENTRIES = 3;
+    /** Entries of the second loss: half of them, the largest share on the pages being 0.6. */
+    private static final int LOST_ENTRIES = 4;
 
-    private static final double STRUCK_SHARE = 0.65;
+    /** Clients come back once, spread evenly over this time, in which the lost entries start again. */
+    private static final long SHORTEST_PAUSE_MILLIS = 2_500;
+
+    private static final long LONGEST_PAUSE_MILLIS = 4_500;
 
     public static void main(String[] arguments) {
         StreamCase.main(arguments, StaleAnswers::play);
     }
 
+    private static long pauseMillis(int client) {
+        return SHORTEST_PAUSE_MILLIS
+                + client * 37 % STREAMS * (LONGEST_PAUSE_MILLIS - SHORTEST_PAUSE_MILLIS) / STREAMS;
+    }
+
     private static boolean play(Record record, boolean trouble) throws Exception {
-        try (Deployment deployment = new Deployment(record, ENTRIES, 4, EVENT_MILLIS)) {
+        try (Deployment deployment = new Deployment(record, Site.EIGHT_OF_CORDILLERA_GROWN, ENTRIES, 6, EVENT_MILLIS)) {
             List<String> sessions = StreamCase.sessions(STREAMS);
             StreamCase.awaitAll(StreamCase.start(
+                    deployment,
                     sessions.stream()
                             .map(session -> new StreamClient(deployment, session, "short"))
                             .toList(),
-                    ENTRIES,
-                    number -> PAUSE_MILLIS));
+                    StaleAnswers::pauseMillis));
             if (trouble) {
-                deployment.killEntries();
+                deployment.killEntries(deployment.entries);
                 Thread.sleep(DOWN_MILLIS);
-                deployment.startEntries();
-                Thread.sleep(Deployment.CONTACT_MILLIS);
+                deployment.startEntries(deployment.entries);
+                Thread.sleep(deployment.site.contactMillis());
             }
             List<StreamClient> clients = sessions.stream()
                     .map(session -> new StreamClient(deployment, session, "long"))
                     .toList();
-            List<Future<?>> ends = StreamCase.start(clients, ENTRIES, number -> PAUSE_MILLIS);
+            List<Future<?>> ends = StreamCase.start(deployment, clients, StaleAnswers::pauseMillis);
             if (trouble) {
-                Thread.sleep(FIRST_STRIKE_MILLIS);
-                for (int strike = 0; strike < STRIKES; strike++) {
-                    strike(record, deployment, clients, new Random(strike));
-                    Thread.sleep(STRIKE_INTERVAL_MILLIS);
-                }
+                Thread.sleep(SECOND_LOSS_AFTER_MILLIS);
+                List<EntryProcess> lost = deployment.entries.subList(0, LOST_ENTRIES);
+                deployment.killEntries(lost);
+                Thread.sleep(DOWN_MILLIS);
+                deployment.startEntries(lost);
             }
             StreamCase.awaitAll(ends);
             deployment.recordLogLines("stream taken up");
             return StreamCase.judgeOrder(record, clients);
         }
     }
-
-    private static void strike(Record record, Deployment deployment, List<StreamClient> clients, Random random) {
-        List<EntryProcess> struck = IntStream.range(0, STRUCK_ENTRIES)
-                .mapToObj(index -> deployment.entries.get((random.nextInt(ENTRIES) + index) % ENTRIES))
-                .distinct()
-                .toList();
-        long resets = clients.stream()
-                .filter(client -> random.nextDouble() < STRUCK_SHARE)
-                .filter(client -> struck.stream().anyMatch(client::reset))
-                .count();
-        record.write(resets + " channels to " + struck.stream().map(entry -> entry.name).toList() + " are reset");
-    }
 }
--- a/review/stand-3/platform/StreamCase.java
+++ b/review/stand-3/platform/StreamCase.java
@@ -39,9 +39,6 @@
         System.exit(status);
     }
 
-    /** Interval of streams, in milliseconds: 9.1 a second, as on the sheet of the site. */
-    static final long INTERVAL_MILLIS = 110;
-
     /** Tries of a client: the first one and the one retry of the sheet. */
     private static final int TRIES = 2;
 
@@ -49,14 +46,14 @@
      * Starts clients one after the other, spread over the entries; returns what ends when all have ended. The pause
      * before its retry, in milliseconds, is given by the number of the client.
      */
-    static List<Future<?>> start(List<StreamClient> clients, int entries, IntToLongFunction pauseMillis) {
+    static List<Future<?>> start(Deployment deployment, List<StreamClient> clients, IntToLongFunction pauseMillis) {
         ExecutorService threads = Executors.newVirtualThreadPerTaskExecutor();
         List<Future<?>> ends = new ArrayList<>();
         for (int index = 0; index < clients.size(); index++) {
             int number = index;
             ends.add(threads.submit(() -> {
-                Thread.sleep(number * INTERVAL_MILLIS);
-                clients.get(number).run(number % entries, TRIES, pauseMillis.applyAsLong(number));
+                Thread.sleep(number * deployment.site.intervalMillis());
+                clients.get(number).run(number % deployment.entries.size(), TRIES, pauseMillis.applyAsLong(number));
                 return null;
             }));
         }
--- a/review/stand-3/platform/StreamClient.java
+++ b/review/stand-3/platform/StreamClient.java
@@ -17,9 +17,6 @@
  */
 final class StreamClient {
 
-    /** Time budget of the request, as on the sheet of the site. */
-    private static final long BUDGET_MILLIS = 14_000;
-
     /** A client leaves a stream after four times the objective without an event. */
     private static final int GAP_MILLIS = 3_600;
 
@@ -44,8 +41,6 @@
     private String firstAttempt;
     private long endMillis;
     private volatile boolean complete;
-    private volatile Socket channel;
-    private volatile EntryProcess entry;
 
     /** Creates a client; the session is the last part of its prompt, and kind is "short" or "long". */
     StreamClient(Deployment deployment, String session, String kind) {
@@ -56,7 +51,7 @@
 
     /** Sends the request, and again while its time lasts, until the stream is complete or tries are used up. */
     void run(int firstEntry, int maximumTries, long pauseMillis) throws InterruptedException {
-        endMillis = System.currentTimeMillis() + BUDGET_MILLIS;
+        endMillis = System.currentTimeMillis() + deployment.site.budgetMillis();
         int number = firstEntry;
         while (!complete && outcomes.size() < maximumTries && System.currentTimeMillis() < endMillis) {
             if (!outcomes.isEmpty()) {
@@ -75,8 +70,6 @@
         try (Socket socket = new Socket()) {
             socket.connect(new InetSocketAddress(chosen.ip, chosen.callerPort), 1_000);
             socket.setSoTimeout(GAP_MILLIS);
-            entry = chosen;
-            channel = socket;
             String request = request(attempt);
             deployment.record.write("client " + session + " sends " + attempt + " to " + chosen.name
                     + (before == 0 ? "" : ", resumes " + firstAttempt + " behind event " + events.getLast()));
@@ -84,8 +77,6 @@
             outcome = readAnswer(new BufferedInputStream(socket.getInputStream()), attempt);
         } catch (IOException broken) {
             outcome = "no channel";
-        } finally {
-            channel = null;
         }
         outcomes.add(outcome);
         if (before > 0 && !outcome.equals("no channel")) {
@@ -141,16 +132,6 @@
         }
     }
 
-    /** Resets the channel if the client has one to an entry. */
-    boolean reset(EntryProcess at) {
-        Socket open = channel;
-        if (open == null || entry != at) {
-            return false;
-        }
-        LoopbackServer.reset(open);
-        return true;
-    }
-
     boolean isComplete() {
         return complete;
     }
