Review: cases with prompts of the sheet's size and a runner's memory that yields

A doubting reading found prompts of 500 tokens where the sheet has 5,200, a stand-in runner that never gave up a part, a client that came back when its time was over (counted in case 13), a store without Store-Era whose watches ignored their prefix, and four runners in case 11 where the site has six.

--- a/review/stand-3/platform/Deployment.java
+++ b/review/stand-3/platform/Deployment.java
@@ -29,8 +29,8 @@
         this.record = record;
         store.put("op/config", manifest());
         for (int number = 1; number <= runnersOfEachVersion; number++) {
-            runners.add(new ModelRunner("old-" + number, "1.0", site.slots(), eventMillis, store, record));
-            runners.add(new ModelRunner("new-" + number, "2.0", site.slots(), eventMillis, store, record));
+            runners.add(new ModelRunner("old-" + number, "1.0", site, eventMillis, store, record));
+            runners.add(new ModelRunner("new-" + number, "2.0", site, eventMillis, store, record));
         }
         Path root = Path.of("").toAbsolutePath();
         for (int number = 1; number <= entryCount; number++) {
--- a/review/stand-3/platform/ModelRunner.java
+++ b/review/stand-3/platform/ModelRunner.java
@@ -28,7 +28,7 @@
     private final Record record;
     private final AtomicInteger running = new AtomicInteger();
     private final Map<String, Long> holds = new ConcurrentHashMap<>();
-    private final Map<String, Integer> heldParts = new ConcurrentHashMap<>();
+    private final PromptMemory memory;
     private final String version;
     private final long bornMillis = System.currentTimeMillis();
     private final long eventMillis;
@@ -37,11 +37,12 @@
     private final LoopbackServer server;
 
     /** Starts a runner that makes an event each so many milliseconds. */
-    ModelRunner(String id, String version, int slots, long eventMillis, StoreStandIn store, Record record)
+    ModelRunner(String id, String version, Site site, long eventMillis, StoreStandIn store, Record record)
             throws IOException {
         this.id = id;
         this.version = version;
-        this.slots = slots;
+        this.slots = site.slots();
+        this.memory = new PromptMemory(site.memoryTokens());
         this.eventMillis = eventMillis;
         this.store = store;
         this.record = record;
@@ -96,10 +97,11 @@
         } else if (path.equals("/v1/hold-take")) {
             takeHold(out);
         } else if (path.equals("/v1/kv-list")) {
-            String parts = heldParts.entrySet().stream()
+            Map<String, Integer> held = memory.held();
+            String parts = held.entrySet().stream()
                     .map(part -> "[\"\",\"" + part.getKey() + "\"," + part.getValue() + ",\"m\"]")
                     .collect(Collectors.joining(","));
-            record.write("runner " + id + " lists " + heldParts.size() + " parts");
+            record.write("runner " + id + " lists " + held.size() + " parts");
             answer(out, 200, "", "{\"epoch\":" + bornMillis + ",\"next\":1,\"held\":[" + parts + "]}");
         } else if (path.startsWith("/v1/hold-drop/")) {
             holds.remove(path.substring(path.lastIndexOf('/') + 1));
@@ -121,7 +123,7 @@
     private void takeHold(OutputStream out) throws IOException {
         long nowMillis = System.currentTimeMillis();
         holds.values().removeIf(endMillis -> endMillis < nowMillis);
-        if (running.get() + holds.size() >= slots) {
+        if (running.get() + holds.size() >= slots || !memory.hasRoom(StreamClient.TOKENS * (holds.size() + 1))) {
             answer(out, 503, "", "");
             return;
         }
@@ -138,9 +140,11 @@
             answer(out, 503, "Attempt-Id: " + attempt + "\r\nNot-Executed: 1\r\n" + load(), "");
             return;
         }
+        PromptMemory.Use use = memory.use(request.header("Prompt-Prefix"));
         try {
             stream(request, attempt, out);
         } finally {
+            memory.release(use);
             running.decrementAndGet();
         }
     }
@@ -151,9 +155,6 @@
         String last = request.header("Last-Event-Id");
         int first = last == null ? 1 : Integer.parseInt(last) + 1;
         record.write("run " + attempt + " at " + id + ", version " + version + ", from event " + first);
-        for (String part : request.header("Prompt-Prefix").split(",")) {
-            heldParts.put(part.split(":")[0], Integer.parseInt(part.split(":")[1]));
-        }
         String head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nAttempt-Id: " + attempt
                 + "\r\nResponse-Signature: " + id + "." + attempt + "\r\nWeight-Versions: 1\r\n" + load()
                 + "Transfer-Encoding: chunked\r\n\r\n";
--- a/review/stand-3/platform/SharedSessions.java
+++ b/review/stand-3/platform/SharedSessions.java
@@ -7,12 +7,12 @@
 /** All entries are killed; the streams of sessions whose former request ran at another version are refused. */
 final class SharedSessions {
 
-    private static final int STREAMS = 64;
+    private static final int STREAMS = 48;
     private static final int NEW_STREAMS = 24;
-    private static final long TROUBLE_AFTER_MILLIS = 9_900;
+    private static final long TROUBLE_AFTER_MILLIS = 7_000;
     private static final long DOWN_MILLIS = 1_000;
 
-    private static final long EVENT_MILLIS = 150;
+    private static final long EVENT_MILLIS = 100;
 
     /** Requests of each session before the one that is broken off. */
     private static final int FORMER_REQUESTS = 3;
--- a/review/stand-3/platform/SilentRunner.java
+++ b/review/stand-3/platform/SilentRunner.java
@@ -28,7 +28,7 @@
     }
 
     private static boolean play(Record record, boolean trouble) throws Exception {
-        try (Deployment deployment = new Deployment(record, Site.CORDILLERA, 3, 2, EVENT_MILLIS)) {
+        try (Deployment deployment = new Deployment(record, Site.CORDILLERA, 3, 3, EVENT_MILLIS)) {
             List<String> sessions = StreamCase.sessions(STREAMS);
             StreamCase.awaitAll(StreamCase.start(
                     deployment,
--- a/review/stand-3/platform/StoreStandIn.java
+++ b/review/stand-3/platform/StoreStandIn.java
@@ -60,8 +60,8 @@
             HttpMessage request = HttpMessage.readHead(in);
             while (request != null) {
                 byte[] body = answer(URI.create(request.target())).getBytes(StandardCharsets.UTF_8);
-                String head = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: " + body.length
-                        + "\r\n\r\n";
+                String head = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nStore-Era: 1\r\n"
+                        + "Content-Length: " + body.length + "\r\n\r\n";
                 connection.getOutputStream().write(Bytes.join(head, body));
                 request = HttpMessage.readHead(in);
             }
@@ -92,14 +92,19 @@
     private synchronized String watch(Map<String, String> query) throws InterruptedException {
         long after = Long.parseLong(query.get("after"));
         long endMillis = System.currentTimeMillis() + Long.parseLong(query.get("wait_ms"));
-        while (revision <= after && System.currentTimeMillis() < endMillis) {
+        List<Item> events = eventsAfter(after, query.get("prefix"));
+        while (events.isEmpty() && System.currentTimeMillis() < endMillis) {
             wait(Math.max(1, endMillis - System.currentTimeMillis()));
+            events = eventsAfter(after, query.get("prefix"));
         }
-        String events = history.stream()
-                .filter(item -> item.revision > after)
-                .map(Item::json)
-                .collect(Collectors.joining(","));
-        return "{\"events\":[" + events + "],\"at\":" + revision + "}";
+        String list = events.stream().map(Item::json).collect(Collectors.joining(","));
+        return "{\"events\":[" + list + "],\"at\":" + revision + "}";
+    }
+
+    private List<Item> eventsAfter(long after, String prefix) {
+        return history.stream()
+                .filter(item -> item.revision > after && item.key.startsWith(prefix))
+                .toList();
     }
 
     @Override
--- a/review/stand-3/platform/StreamClient.java
+++ b/review/stand-3/platform/StreamClient.java
@@ -17,6 +17,18 @@
  */
 final class StreamClient {
 
+    /** Size of a prompt, of the part that all share, and largest size of an answer, as on the sheet of the site. */
+    private static final int PROMPT_TOKENS = 5_200;
+
+    private static final int SHARED_TOKENS = 200;
+    static final int OUTPUT_TOKENS = 130;
+
+    /** Memory that a request takes at most. */
+    static final int TOKENS = PROMPT_TOKENS + OUTPUT_TOKENS;
+
+    /** A client doesn't come back with less than this time left, in which no answer could begin. */
+    private static final long SHORTEST_TRY_MILLIS = 1_000;
+
     /** A client leaves a stream after four times the objective without an event. */
     private static final int GAP_MILLIS = 3_600;
 
@@ -56,6 +68,9 @@
         while (!complete && outcomes.size() < maximumTries && System.currentTimeMillis() < endMillis) {
             if (!outcomes.isEmpty()) {
                 Thread.sleep(pauseMillis);
+                if (endMillis - System.currentTimeMillis() < SHORTEST_TRY_MILLIS) {
+                    return;
+                }
                 number += 1 + ThreadLocalRandom.current().nextInt(deployment.entries.size() - 1);
             }
             attempt(deployment.entries.get(number % deployment.entries.size()));
@@ -92,7 +107,9 @@
                 ? ""
                 : "Last-Event-Id: " + events.getLast() + "\r\nResumes: " + firstAttempt + "\r\n";
         return "POST /gen/x HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: " + attempt
-                + "\r\nModel: m\r\nToken-Counts: 500,100\r\nPrompt-Prefix: aaaa:200," + session + ":300\r\n" + resumed
+                + "\r\nModel: m\r\nToken-Counts: " + PROMPT_TOKENS + "," + OUTPUT_TOKENS
+                + "\r\nPrompt-Prefix: aaaa:" + SHARED_TOKENS + "," + session + ":"
+                + (PROMPT_TOKENS - SHARED_TOKENS) + "\r\n" + resumed
                 + "Deadline-Ms: " + Math.max(1, endMillis - System.currentTimeMillis()) + "\r\nContent-Length: "
                 + body.length() + "\r\n\r\n" + body;
     }
