An instance that hasn't answered may hold the prompt of a stream

A sound instance was silent for a second when the entries asked which prompts it holds.

Cause: HeldPrompts counted an instance without an answer as one that holds nothing. A former request of the session had left the prompt at the other version, which was then the only one.

Change: HeldPrompts keeps whom it asked; HeldVersion says whether a version is certain. A search waits for the answers that can change its result, up to 1.5 s in place of 400 ms, since a sound instance may be silent for a second; it ends as soon as they tell. The same for an instance that wasn't asked, has started again, refused the connection, declines, or sent no list; and for the answers to other entries, so that a round that is still open decides nothing.

Log: `held prompts read` names who didn't answer, and `version not told by instances` says why a stream stays unknown.

--- a/gateway/src/main/java/org/merlinwood/gateway/decision/HeldPrompts.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/decision/HeldPrompts.java
@@ -1,12 +1,15 @@
 package org.merlinwood.gateway.decision;
 
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
 import org.merlinwood.core.time.MillisClock;
+import org.merlinwood.gateway.fleet.FleetState;
+import org.merlinwood.gateway.fleet.Stage;
+import org.merlinwood.gateway.fleet.UpstreamInstance;
 import org.merlinwood.gateway.upstream.HeldPart;
 
 /**
@@ -14,7 +17,8 @@
  * generated a response holds the prompt for some time, also when the stream was broken off and whoever sent it is gone.
  *
  * <p>What was said is kept for as long as a stream may be taken up again, since the instances evict prompts meanwhile.
- * Confined to the event loop.
+ * An instance that was asked and hasn't answered, or that wasn't asked, may hold any prompt. Confined to the event
+ * loop.
  */
 public final class HeldPrompts {
 
@@ -24,11 +28,18 @@
     /** Largest number of parts that are kept: about 8 MB. The oldest ones are forgotten first. */
     static final int MAXIMUM_PARTS = 50_000;
 
+    private final FleetState fleet;
     private final MillisClock clock;
 
     /** The part that was recorded first comes first. */
     private final Map<Key, Holders> holdersByPart = new LinkedHashMap<>();
 
+    /** The last question to each start of an instance. */
+    private final Map<Start, Question> questionByStart = new HashMap<>();
+
+    /** When a part was last forgotten for want of room, by the versions that held it; monotonic, in milliseconds. */
+    private final Map<String, Long> forgottenMillisByVersion = new HashMap<>();
+
     /**
      * What is asked for.
      *
@@ -49,41 +60,91 @@
         }
     }
 
+    /**
+     * One start of an instance, since an instance that has started again has forgotten what it held.
+     *
+     * @param instance identifier of the instance
+     * @param startedUnixMillis when it started by its own clock
+     */
+    private record Start(String instance, long startedUnixMillis) {
+
+        private static Start of(UpstreamInstance instance) {
+            return new Start(instance.identifier(), instance.startedUnixMillis());
+        }
+    }
+
+    /**
+     * A question to an instance that has ended.
+     *
+     * @param service name of the service of the instance
+     * @param version its software version
+     * @param answered whether it said what it holds
+     * @param endedMillis monotonic time of the end, in milliseconds
+     */
+    private record Question(String service, String version, boolean answered, long endedMillis) {}
+
     /**
      * Creates an empty registry.
      *
+     * @param fleet the registered instances
      * @param clock source of the monotonic time
      */
-    public HeldPrompts(MillisClock clock) {
+    public HeldPrompts(FleetState fleet, MillisClock clock) {
+        this.fleet = fleet;
         this.clock = clock;
     }
 
     /**
      * Records what an instance holds, in addition to what it held before.
      *
-     * @param service name of its service
-     * @param version its software version
+     * @param instance the instance
      * @param parts the parts of prompts in its memory
      */
-    public void record(String service, String version, List<HeldPart> parts) {
+    public void record(UpstreamInstance instance, List<HeldPart> parts) {
+        recordQuestion(instance, true);
         long nowMillis = clock.monotonicMillis();
         for (HeldPart part : parts) {
             holdersByPart
                     .computeIfAbsent(
-                            new Key(service, part.model(), part.identifier()), ignored -> new Holders(nowMillis))
+                            new Key(instance.service(), part.model(), part.identifier()),
+                            ignored -> new Holders(nowMillis))
                     .versions
-                    .add(version);
+                    .add(instance.version());
         }
         forgetOldest(nowMillis);
     }
 
+    /**
+     * Records that an instance was asked and hasn't told what it holds.
+     *
+     * @param instance the instance
+     */
+    public void recordUnanswered(UpstreamInstance instance) {
+        recordQuestion(instance, false);
+    }
+
+    private void recordQuestion(UpstreamInstance instance, boolean answered) {
+        questionByStart.values().removeIf(question -> isExpired(question.endedMillis()));
+        questionByStart.put(
+                Start.of(instance),
+                new Question(instance.service(), instance.version(), answered, clock.monotonicMillis()));
+    }
+
+    private boolean isExpired(long sinceMillis) {
+        return clock.monotonicMillis() - sinceMillis >= LIFETIME_MILLIS;
+    }
+
     private void forgetOldest(long nowMillis) {
         var oldestFirst = holdersByPart.values().iterator();
         while (oldestFirst.hasNext()) {
-            boolean expired = nowMillis - oldestFirst.next().sinceMillis >= LIFETIME_MILLIS;
+            Holders oldest = oldestFirst.next();
+            boolean expired = isExpired(oldest.sinceMillis);
             if (!expired && holdersByPart.size() <= MAXIMUM_PARTS) {
                 return;
             }
+            if (!expired) {
+                oldest.versions.forEach(version -> forgottenMillisByVersion.put(version, nowMillis));
+            }
             oldestFirst.remove();
         }
     }
@@ -94,12 +155,45 @@
      * @param service name of the service
      * @param model name of the model
      * @param part identifier of the part; one that belongs to a single request tells where that was sent
-     * @return the version, or empty if no instance holds the part, or instances of several versions do
+     * @return the version and how certain it is
      */
-    public Optional<String> soleVersionHolding(String service, String model, String part) {
-        return Optional.ofNullable(holdersByPart.get(new Key(service, model, part)))
-                .filter(holders -> clock.monotonicMillis() - holders.sinceMillis < LIFETIME_MILLIS)
-                .filter(holders -> holders.versions.size() == 1)
-                .flatMap(holders -> holders.versions.stream().findFirst());
+    public HeldVersion versionHolding(String service, String model, String part) {
+        Set<String> versions = versionsHolding(service, model, part);
+        if (versions.size() != 1) {
+            return new HeldVersion.Ambiguous(versions);
+        }
+        String version = versions.iterator().next();
+        Set<String> unknownVersions = unknownVersions(service);
+        unknownVersions.remove(version);
+        return unknownVersions.isEmpty()
+                ? new HeldVersion.Certain(version)
+                : new HeldVersion.Uncertain(version, unknownVersions);
+    }
+
+    private Set<String> versionsHolding(String service, String model, String part) {
+        Holders holders = holdersByPart.get(new Key(service, model, part));
+        return holders == null || isExpired(holders.sinceMillis) ? Set.of() : holders.versions;
+    }
+
+    /**
+     * Returns the versions of the instances that may hold any prompt, also of those that aren't registered any more.
+     */
+    private Set<String> unknownVersions(String service) {
+        Set<String> versions = new HashSet<>();
+        forgottenMillisByVersion.values().removeIf(this::isExpired);
+        versions.addAll(forgottenMillisByVersion.keySet());
+        questionByStart.values().stream()
+                .filter(question -> question.service().equals(service) && !question.answered())
+                .filter(question -> !isExpired(question.endedMillis()))
+                .forEach(question -> versions.add(question.version()));
+        fleet.instances(service).stream()
+                .filter(instance -> instance.stage() == Stage.DECODE && !hasBeenAsked(instance))
+                .forEach(instance -> versions.add(instance.version()));
+        return versions;
+    }
+
+    private boolean hasBeenAsked(UpstreamInstance instance) {
+        Question question = questionByStart.get(Start.of(instance));
+        return question != null && !isExpired(question.endedMillis());
     }
 }
--- a/gateway/src/main/java/org/merlinwood/gateway/front/HeldPromptSearch.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/HeldPromptSearch.java
@@ -6,9 +6,10 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
-import java.util.function.Supplier;
+import java.util.function.Predicate;
 import org.merlinwood.core.time.MillisClock;
 import org.merlinwood.gateway.decision.HeldPrompts;
+import org.merlinwood.gateway.decision.HeldVersion;
 import org.merlinwood.gateway.decision.InstanceNotices;
 import org.merlinwood.gateway.fleet.FleetState;
 import org.merlinwood.gateway.fleet.Stage;
@@ -25,13 +26,14 @@
  * entries were lost, only the instances do. An entry that starts asks them at once, since new prompts evict those of
  * the streams that were broken off.
  *
- * <p>One round asks the instances that generate responses, once; requests that come meanwhile wait for its end. Used by
- * the event loop alone.
+ * <p>One round asks the instances that generate responses, once. Requests that come meanwhile wait until the answers
+ * tell their version, at most for the end of the round: an instance that hasn't answered may hold their prompts. Used
+ * by the event loop alone.
  */
 final class HeldPromptSearch {
 
-    /** Time for the answer of an instance, in milliseconds. It answers from its memory. */
-    private static final long ANSWER_TIMEOUT_MILLIS = 400;
+    /** Time for the answer of an instance, in milliseconds. A sound one may be silent for a second. */
+    private static final long ANSWER_TIMEOUT_MILLIS = 1_500;
 
     /** Minimum time between two rounds for a service, in milliseconds, since an answer costs an instance some work. */
     private static final long MINIMUM_INTERVAL_MILLIS = 2_000;
@@ -48,10 +50,21 @@
     private final DecisionLog log;
     private final Map<String, Round> roundByService = new HashMap<>();
 
+    /**
+     * A request for the version that holds a prompt.
+     *
+     * @param service name of the service
+     * @param model name of the model
+     * @param part identifier of the part of the prompt
+     * @param consumer receives the version, exactly once
+     */
+    private record Search(String service, String model, String part, Consumer<HeldVersion> consumer) {}
+
     /** One round of questions to the instances of a service. */
     private static final class Round {
 
-        private final List<Runnable> waiting = new ArrayList<>();
+        private final List<Search> waiting = new ArrayList<>();
+        private final List<String> unanswered = new ArrayList<>();
         private int openQuestions;
         private int answers;
         private int parts;
@@ -99,23 +112,34 @@
      *
      * @param service name of the service
      * @param model name of the model
-     * @param part identifier of the part
-     * @param consumer receives the version, or empty if it isn't certain; exactly once, possibly before this method
-     *     returns
+     * @param part identifier of the part; empty if there is none
+     * @param consumer receives what the instances tell, exactly once, possibly before this method returns
      */
-    void find(String service, String model, String part, Consumer<Optional<String>> consumer) {
-        Supplier<Optional<String>> known = () -> heldPrompts.soleVersionHolding(service, model, part);
-        if (part.isEmpty() || known.get().isPresent() || !isRoundDue(service)) {
-            consumer.accept(known.get());
+    void find(String service, String model, String part, Consumer<HeldVersion> consumer) {
+        Search search = new Search(service, model, part, consumer);
+        if (part.isEmpty() || isCertain(search) || !isRoundDue(service)) {
+            complete(search);
             return;
         }
         Round round = openRound(service);
-        round.waiting.add(() -> consumer.accept(known.get()));
+        round.waiting.add(search);
         if (!round.isOpen()) {
             end(service, round);
         }
     }
 
+    private HeldVersion versionOf(Search search) {
+        return heldPrompts.versionHolding(search.service(), search.model(), search.part());
+    }
+
+    private boolean isCertain(Search search) {
+        return versionOf(search) instanceof HeldVersion.Certain;
+    }
+
+    private void complete(Search search) {
+        search.consumer().accept(versionOf(search));
+    }
+
     /** Asks the instances of all services with engines. Called once all of them are known. */
     void readAll() {
         fleet.routes().map(RouteTable::services).orElse(Map.of()).values().stream()
@@ -151,18 +175,23 @@
                 .withTimeouts(RequestProcessor.CONNECT_TIMEOUT_MILLIS, ANSWER_TIMEOUT_MILLIS);
         client.executeListing(instance, request, response -> {
             Optional<List<HeldPart>> parts = response.toJavaOptional().flatMap(protocol::readHeldParts);
-            parts.ifPresent(held -> {
+            if (parts.isPresent()) {
                 round.answers++;
-                round.parts += held.size();
-                heldPrompts.record(instance.service(), instance.version(), held);
-            });
+                round.parts += parts.get().size();
+                heldPrompts.record(instance, parts.get());
+            } else {
+                round.unanswered.add(instance.identifier());
+                heldPrompts.recordUnanswered(instance);
+            }
             endQuestion(instance.service(), round);
         });
     }
 
     private void endQuestion(String service, Round round) {
         round.openQuestions--;
-        if (!round.isOpen()) {
+        if (round.isOpen()) {
+            completeIf(round, this::isCertain);
+        } else {
             end(service, round);
         }
     }
@@ -173,8 +202,15 @@
                 .with("service", service)
                 .with("instances", round.answers)
                 .with("parts", round.parts)
+                .with("unanswered", String.join(",", round.unanswered))
                 .write();
-        round.waiting.forEach(Runnable::run);
-        round.waiting.clear();
+        completeIf(round, search -> true);
+    }
+
+    /** Completes the searches that wait for a round and meet a condition. */
+    private void completeIf(Round round, Predicate<Search> condition) {
+        List<Search> completed = round.waiting.stream().filter(condition).toList();
+        round.waiting.removeAll(completed);
+        completed.forEach(this::complete);
     }
 }
--- a/gateway/src/main/java/org/merlinwood/gateway/front/StreamOriginSearch.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/StreamOriginSearch.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
+import org.merlinwood.gateway.decision.HeldVersion;
 import org.merlinwood.gateway.decision.OriginPeers;
 import org.merlinwood.gateway.request.CallerRequest;
 import org.merlinwood.gateway.request.Prompt;
@@ -118,7 +119,29 @@
                         question.service(),
                         question.model(),
                         question.promptPart(),
-                        version -> consumer.accept(version.map(held -> new Origin(held, Source.HELD_PROMPT))));
+                        held -> consumer.accept(originOf(held)));
+    }
+
+    private Optional<Origin> originOf(HeldVersion held) {
+        Optional<String> version = switch (held) {
+            case HeldVersion.Certain certain -> Optional.of(certain.version());
+            case HeldVersion.Uncertain uncertain -> Optional.empty();
+            case HeldVersion.Ambiguous ambiguous -> Optional.empty();
+        };
+        if (version.isEmpty()) {
+            logUnknown(held);
+        }
+        return version.map(found -> new Origin(found, Source.HELD_PROMPT));
+    }
+
+    private void logUnknown(HeldVersion held) {
+        context.log()
+                .line("version not told by instances")
+                .with("attempt", request.attempt())
+                .with("resumed", question.attempt())
+                .with("part", question.promptPart())
+                .with("held", held.toString())
+                .write();
     }
 
     /** Returns the only version that the service has had while the stream may have begun, or empty. */
--- a/gateway/src/main/java/org/merlinwood/gateway/process/EntryComposition.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/process/EntryComposition.java
@@ -114,7 +114,7 @@
     private final CrashHistory crashHistory = new CrashHistory(clock);
     private final CrashCausingParts crashCausingParts;
     private final StreamOrigins origins = new StreamOrigins(clock);
-    private final HeldPrompts heldPrompts = new HeldPrompts(clock);
+    private final HeldPrompts heldPrompts = new HeldPrompts(fleet, clock);
     private final VersionHistory versionHistory = new VersionHistory(fleet, clock);
     private final DemandMeter demandMeter = new DemandMeter(clock);
     private final OpenRequests openRequests = new OpenRequests();
--- a/gateway/src/test/java/org/merlinwood/gateway/front/RequestProcessorFixture.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/front/RequestProcessorFixture.java
@@ -183,7 +183,7 @@
                         fleet,
                         pool.notices(),
                         clock,
-                        new HeldPrompts(clock),
+                        new HeldPrompts(fleet, clock),
                         log),
                 storeConfirmation,
                 callerCheck(revocationLimit),
--- a/gateway/src/test/java/org/merlinwood/gateway/front/StreamVersionTest.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/front/StreamVersionTest.java
@@ -12,6 +12,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.merlinwood.core.result.ExecutionState;
 import org.merlinwood.core.result.ResultCode;
 import org.merlinwood.gateway.FakeHttpClient.SentRequest;
@@ -180,6 +181,58 @@
         assertThat(fixture.caller.body).contains("2009");
     }
 
+    /**
+     * Guards against a stream that goes on at another version since an instance that holds its prompt was silent for a
+     * second when it was asked: a former request of the session left the prompt at the other version.
+     */
+    @ParameterizedTest
+    @CsvSource({"own:100, ''", "shared:100, /d2/hold/"})
+    void streamWaitsForAnInstanceThatIsSilentForASecond(String heldAtSilent, String pathPrefix) {
+        RequestProcessorFixture fixture = fixtureWithTwoVersions();
+        List<SentRequest> questions = askForHeldPrompts(fixture);
+        questions.getLast().respond(200, "own:100");
+        fixture.staySilent(questions.getFirst(), 1_000);
+        assertThat(fixture.hasSent("/d2/run") || fixture.caller.ended).isFalse();
+        questions.getFirst().respond(200, heldAtSilent);
+        if (pathPrefix.isEmpty()) {
+            assertThat(fixture.caller.body).contains("2009");
+        } else {
+            assertThat(fixture.client.last().request().path()).startsWith(pathPrefix);
+        }
+    }
+
+    /** Guards against a guess where an instance of another version can't be asked: it may hold the prompt. */
+    @ParameterizedTest
+    @ValueSource(strings = {"refuses the connection", "stays silent", "declines", "sends no listing"})
+    void streamIsRefusedIfAnInstanceOfAnotherVersionMayHoldItsPrompt(String behaviour) {
+        RequestProcessorFixture fixture = fixtureWithTwoVersions();
+        if (behaviour.equals("declines")) {
+            fixture.recordNotice("d1", FakeUpstreamProtocol.declined(10_000));
+        }
+        List<SentRequest> questions = askForHeldPrompts(fixture);
+        questions.getLast().respond(200, "own:100");
+        switch (behaviour) {
+            case "refuses the connection" ->
+                questions.getFirst().fail(ResultCode.CONNECTION_LOST, ExecutionState.NOT_RUN);
+            case "stays silent" -> fixture.staySilent(questions.getFirst(), 2_000);
+            case "sends no listing" -> questions.getFirst().respond(404, "");
+            default -> {}
+        }
+        assertThat(fixture.caller.body).contains("2009");
+    }
+
+    /** Guards against a refusal, or a wait, for an instance whose answer can't change anything. */
+    @Test
+    void streamDoesNotWaitForAnInstanceOfTheVersionThatHoldsItsPrompt() {
+        RequestProcessorFixture fixture = fixtureWithTwoVersions();
+        fixture.registerVersion("v2", Stage.DECODE, "d3");
+        List<SentRequest> questions = askForHeldPrompts(fixture);
+        questions.get(0).respond(200, "shared:100");
+        questions.get(1).respond(200, "own:100");
+        assertThat(fixture.hasSent("/d2/held")).isTrue();
+        assertThat(fixture.client.last().request().path()).matches("/d[23]/hold/.*");
+    }
+
     /** Guards against a listing that reaches an instance which wants no request now. */
     @Test
     void instanceThatWantsNoRequestIsNotAskedForItsPrompts() {
@@ -199,10 +252,15 @@
         return fixture;
     }
 
-    private static void takeUpUnknownStream(RequestProcessorFixture fixture, String heldAtFirst, String heldAtSecond) {
+    /** Takes up a stream that no entry knows; returns the questions to the instances. */
+    private static List<SentRequest> askForHeldPrompts(RequestProcessorFixture fixture) {
         fixture.sendResumingAttemptWithParts("attempt-2", "attempt-at-another-entry", 1, "shared", "own");
         fixture.loop.advance(FakeOriginPeers.ANSWER_MILLIS);
-        List<SentRequest> questions = List.copyOf(fixture.client.sent());
+        return List.copyOf(fixture.client.sent());
+    }
+
+    private static void takeUpUnknownStream(RequestProcessorFixture fixture, String heldAtFirst, String heldAtSecond) {
+        List<SentRequest> questions = askForHeldPrompts(fixture);
         assertThat(questions).extracting(question -> question.request().path()).containsExactly("/d1/held", "/d2/held");
         questions.getFirst().respond(200, heldAtFirst);
         questions.getLast().respond(200, heldAtSecond);
--- a/gateway/src/test/java/org/merlinwood/gateway/process/PeerUpdatesTest.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/process/PeerUpdatesTest.java
@@ -73,7 +73,7 @@
     private final CrashHistory crashHistory = new CrashHistory(clock);
     private final CrashCausingParts crashCausingParts = new CrashCausingParts(clock, 1, new RecordingCrashListener());
     private final StreamOrigins origins = new StreamOrigins(clock);
-    private final HeldPrompts heldPrompts = new HeldPrompts(clock);
+    private final HeldPrompts heldPrompts = new HeldPrompts(fleet, clock);
     private final VersionHistory versionHistory = new VersionHistory(fleet, clock);
     private final AllotmentLedger allotments = new AllotmentLedger(1, clock, new AllotmentLimits(10_000, 0.1, 0));
     private boolean leaving;
