--- a/gateway/src/main/java/org/merlinwood/gateway/decision/HeldPrompts.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/decision/HeldPrompts.java
@@ -41,13 +41,13 @@
     private final Map<String, Long> forgottenMillisByVersion = new HashMap<>();
 
     /**
-     * What is asked for.
+     * The part of prompts that instances are asked for.
      *
      * @param service name of the service of the instances
      * @param model name of the model
      * @param part identifier of the part
      */
-    private record Key(String service, String model, String part) {}
+    public record Key(String service, String model, String part) {}
 
     /** The instances that hold a part, and when that was first said, in milliseconds of the monotonic time. */
     private static final class Holders {
@@ -79,9 +79,9 @@
      * @param service name of the service of the instance
      * @param version its software version
      * @param answered whether it said what it holds
-     * @param endedMillis monotonic time of the end, in milliseconds
+     * @param askedMillis monotonic time at which it was asked, in milliseconds
      */
-    private record Question(String service, String version, boolean answered, long endedMillis) {}
+    private record Question(String service, String version, boolean answered, long askedMillis) {}
 
     /**
      * Creates an empty registry.
@@ -98,10 +98,11 @@
      * Records what an instance holds, in addition to what it held before.
      *
      * @param instance the instance
+     * @param askedMillis monotonic time at which it was asked, in milliseconds
      * @param parts the parts of prompts in its memory
      */
-    public void record(UpstreamInstance instance, List<HeldPart> parts) {
-        recordQuestion(instance, true);
+    public void record(UpstreamInstance instance, long askedMillis, List<HeldPart> parts) {
+        recordQuestion(instance, askedMillis, true);
         long nowMillis = clock.monotonicMillis();
         for (HeldPart part : parts) {
             holdersByPart
@@ -118,16 +119,16 @@
      * Records that an instance was asked and hasn't told what it holds.
      *
      * @param instance the instance
+     * @param askedMillis monotonic time at which it was asked, in milliseconds
      */
-    public void recordUnanswered(UpstreamInstance instance) {
-        recordQuestion(instance, false);
+    public void recordUnanswered(UpstreamInstance instance, long askedMillis) {
+        recordQuestion(instance, askedMillis, false);
     }
 
-    private void recordQuestion(UpstreamInstance instance, boolean answered) {
-        questionByStart.values().removeIf(question -> isExpired(question.endedMillis()));
+    private void recordQuestion(UpstreamInstance instance, long askedMillis, boolean answered) {
+        questionByStart.values().removeIf(question -> isExpired(question.askedMillis()));
         questionByStart.put(
-                Start.of(instance),
-                new Question(instance.service(), instance.version(), answered, clock.monotonicMillis()));
+                Start.of(instance), new Question(instance.service(), instance.version(), answered, askedMillis));
     }
 
     private boolean isExpired(long sinceMillis) {
@@ -152,48 +153,58 @@
     /**
      * Returns the software version of all instances that hold a part of prompts, wholly or what they haven't evicted.
      *
-     * @param service name of the service
-     * @param model name of the model
-     * @param part identifier of the part; one that belongs to a single request tells where that was sent
+     * <p>An instance that held the part earlier counts, since it may have evicted it meanwhile. One that didn't hold it
+     * earlier is not known: the stream may have begun since.
+     *
+     * @param part the part; one that belongs to a single request tells where that was sent
+     * @param heldElsewhere versions that held the part when other entries asked
+     * @param sinceMillis monotonic time in milliseconds; an instance that wasn't asked since then is not known
      * @return the version and how certain it is
      */
-    public HeldVersion versionHolding(String service, String model, String part) {
-        Set<String> versions = versionsHolding(service, model, part);
+    public HeldVersion versionHolding(Key part, Set<String> heldElsewhere, long sinceMillis) {
+        Set<String> versions = new HashSet<>(versionsHolding(part));
+        versions.addAll(heldElsewhere);
         if (versions.size() != 1) {
             return new HeldVersion.Ambiguous(versions);
         }
         String version = versions.iterator().next();
-        Set<String> unknownVersions = unknownVersions(service);
+        Set<String> unknownVersions = unknownVersions(part.service(), sinceMillis);
         unknownVersions.remove(version);
         return unknownVersions.isEmpty()
                 ? new HeldVersion.Certain(version)
                 : new HeldVersion.Uncertain(version, unknownVersions);
     }
 
-    private Set<String> versionsHolding(String service, String model, String part) {
-        Holders holders = holdersByPart.get(new Key(service, model, part));
-        return holders == null || isExpired(holders.sinceMillis) ? Set.of() : holders.versions;
+    /**
+     * Returns the versions of the instances that are known to hold a part of prompts, or to have held it.
+     *
+     * @param part the part
+     * @return the versions, empty if no instance has named the part
+     */
+    public Set<String> versionsHolding(Key part) {
+        Holders holders = holdersByPart.get(part);
+        return holders == null || isExpired(holders.sinceMillis) ? Set.of() : Set.copyOf(holders.versions);
     }
 
     /**
      * Returns the versions of the instances that may hold any prompt, also of those that aren't registered any more.
      */
-    private Set<String> unknownVersions(String service) {
+    private Set<String> unknownVersions(String service, long sinceMillis) {
         Set<String> versions = new HashSet<>();
         forgottenMillisByVersion.values().removeIf(this::isExpired);
         versions.addAll(forgottenMillisByVersion.keySet());
         questionByStart.values().stream()
                 .filter(question -> question.service().equals(service) && !question.answered())
-                .filter(question -> !isExpired(question.endedMillis()))
+                .filter(question -> !isExpired(question.askedMillis()))
                 .forEach(question -> versions.add(question.version()));
         fleet.instances(service).stream()
-                .filter(instance -> instance.stage() == Stage.DECODE && !hasBeenAsked(instance))
+                .filter(instance -> instance.stage() == Stage.DECODE && !hasBeenAsked(instance, sinceMillis))
                 .forEach(instance -> versions.add(instance.version()));
         return versions;
     }
 
-    private boolean hasBeenAsked(UpstreamInstance instance) {
+    private boolean hasBeenAsked(UpstreamInstance instance, long sinceMillis) {
         Question question = questionByStart.get(Start.of(instance));
-        return question != null && !isExpired(question.endedMillis());
+        return question != null && question.askedMillis() >= sinceMillis;
     }
 }
--- a/gateway/src/main/java/org/merlinwood/gateway/decision/OriginPeers.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/decision/OriginPeers.java
@@ -44,19 +44,34 @@
         public Question(String attempt, String service, long streamMillis) {
             this(attempt, service, streamMillis, "", "");
         }
+
+        /**
+         * Returns the part of prompts that instances are asked for.
+         *
+         * @return the part; its identifier is empty if the stream has none
+         */
+        public HeldPrompts.Key heldPart() {
+            return new HeldPrompts.Key(service, model, promptPart);
+        }
     }
 
     /**
      * What the other entries know. Immutable.
      *
-     * @param version the version that the stream is bound to; empty if none of them knows it
+     * <p>A record goes before all else: it was made when the stream began. What an instance held when an entry asked it
+     * doesn't tell whether the stream had begun by then.
+     *
+     * @param recordedVersion the version that the stream is bound to, as an entry recorded it; empty if none of them
+     *     did
      * @param soleVersions of each one that knows of a single version for the time of a stream, that version
+     * @param heldVersions the versions of the instances that held the prompt when one of them asked
      */
-    record Answers(Optional<String> version, Set<String> soleVersions) {
+    record Answers(Optional<String> recordedVersion, Set<String> soleVersions, Set<String> heldVersions) {
 
         /** Copies the versions. */
         public Answers {
             soleVersions = Set.copyOf(soleVersions);
+            heldVersions = Set.copyOf(heldVersions);
         }
     }
 }
--- a/gateway/src/main/java/org/merlinwood/gateway/front/HeldPromptSearch.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/HeldPromptSearch.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
 import org.merlinwood.core.time.MillisClock;
@@ -53,25 +54,29 @@
     /**
      * A request for the version that holds a prompt.
      *
-     * @param service name of the service
-     * @param model name of the model
-     * @param part identifier of the part of the prompt
+     * @param part the part of the prompt
+     * @param heldElsewhere versions that held the part when other entries asked
+     * @param sinceMillis monotonic time of the start of the round that tells, in milliseconds
      * @param consumer receives the version, exactly once
      */
-    private record Search(String service, String model, String part, Consumer<HeldVersion> consumer) {}
+    private record Search(
+            HeldPrompts.Key part, Set<String> heldElsewhere, long sinceMillis, Consumer<HeldVersion> consumer) {}
 
     /** One round of questions to the instances of a service. */
     private static final class Round {
 
         private final List<Search> waiting = new ArrayList<>();
         private final List<String> unanswered = new ArrayList<>();
+        private final long startedMillis;
         private int openQuestions;
         private int answers;
         private int parts;
         private long endedMillis;
 
-        private Round(int questions) {
+        private Round(int questions, long startedMillis) {
             this.openQuestions = questions;
+            this.startedMillis = startedMillis;
+            this.endedMillis = startedMillis;
         }
 
         private boolean isOpen() {
@@ -108,28 +113,29 @@
     }
 
     /**
-     * Looks for the software version of the instances that hold a part of prompts.
+     * Looks for the software version of the instances that hold a part of prompts, as they say now: what they held
+     * before a stream began tells nothing of it.
      *
-     * @param service name of the service
-     * @param model name of the model
-     * @param part identifier of the part; empty if there is none
+     * @param part the part; its identifier is empty if there is none
+     * @param heldElsewhere versions that held the part when other entries asked
      * @param consumer receives what the instances tell, exactly once, possibly before this method returns
      */
-    void find(String service, String model, String part, Consumer<HeldVersion> consumer) {
-        Search search = new Search(service, model, part, consumer);
-        if (part.isEmpty() || isCertain(search) || !isRoundDue(service)) {
-            complete(search);
+    void find(HeldPrompts.Key part, Set<String> heldElsewhere, Consumer<HeldVersion> consumer) {
+        if (part.part().isEmpty()) {
+            consumer.accept(new HeldVersion.Ambiguous(Set.of()));
             return;
         }
-        Round round = openRound(service);
-        round.waiting.add(search);
-        if (!round.isOpen()) {
-            end(service, round);
+        Round round = currentRound(part.service());
+        Search search = new Search(part, heldElsewhere, round.startedMillis, consumer);
+        if (round.isOpen() && !isCertain(search)) {
+            round.waiting.add(search);
+        } else {
+            complete(search);
         }
     }
 
     private HeldVersion versionOf(Search search) {
-        return heldPrompts.versionHolding(search.service(), search.model(), search.part());
+        return heldPrompts.versionHolding(search.part(), search.heldElsewhere(), search.sinceMillis());
     }
 
     private boolean isCertain(Search search) {
@@ -144,27 +150,24 @@
     void readAll() {
         fleet.routes().map(RouteTable::services).orElse(Map.of()).values().stream()
                 .filter(service -> service.engine().isPresent())
-                .forEach(service -> openRound(service.name()));
+                .forEach(service -> startRound(service.name()));
     }
 
-    private boolean isRoundDue(String service) {
-        Round round = roundByService.get(service);
-        return round == null
-                || round.isOpen()
-                || clock.monotonicMillis() - round.endedMillis >= MINIMUM_INTERVAL_MILLIS;
+    /** Returns the round that is open or has ended just now, or starts one. */
+    private Round currentRound(String service) {
+        Round last = roundByService.get(service);
+        boolean current =
+                last != null && (last.isOpen() || clock.monotonicMillis() - last.endedMillis < MINIMUM_INTERVAL_MILLIS);
+        return current ? last : startRound(service);
     }
 
-    /** Returns the round that is open, or starts one, which has ended already if there is no instance to ask. */
-    private Round openRound(String service) {
-        Round open = roundByService.get(service);
-        if (open != null && open.isOpen()) {
-            return open;
-        }
+    /** Starts a round, which has ended already if there is no instance to ask. */
+    private Round startRound(String service) {
         List<UpstreamInstance> instances = fleet.instances(service).stream()
                 .filter(instance -> instance.stage() == Stage.DECODE && !notices.isDeclining(instance))
                 .limit(MAXIMUM_INSTANCES)
                 .toList();
-        Round round = new Round(instances.size());
+        Round round = new Round(instances.size(), clock.monotonicMillis());
         roundByService.put(service, round);
         instances.forEach(instance -> ask(instance, round));
         return round;
@@ -178,10 +181,10 @@
             if (parts.isPresent()) {
                 round.answers++;
                 round.parts += parts.get().size();
-                heldPrompts.record(instance, parts.get());
+                heldPrompts.record(instance, round.startedMillis, parts.get());
             } else {
                 round.unanswered.add(instance.identifier());
-                heldPrompts.recordUnanswered(instance);
+                heldPrompts.recordUnanswered(instance, round.startedMillis);
             }
             endQuestion(instance.service(), round);
         });
--- a/gateway/src/main/java/org/merlinwood/gateway/front/StreamBinding.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/StreamBinding.java
@@ -74,9 +74,15 @@
         });
     }
 
+    /**
+     * Binds the stream to a version that was found. What instances held is not kept as a record: it may be asked again.
+     */
     private void bind(StreamOriginSearch.Origin found) {
         version = Optional.of(found.version());
-        request.resumedAttempt().ifPresent(attempt -> context.origins().recordTold(origin(attempt, found.version())));
+        if (found.source() != StreamOriginSearch.Source.HELD_PROMPT) {
+            request.resumedAttempt()
+                    .ifPresent(attempt -> context.origins().recordTold(origin(attempt, found.version())));
+        }
         processor
                 .decisionLine("stream taken up")
                 .with("version", found.version())
--- a/gateway/src/main/java/org/merlinwood/gateway/front/StreamOriginSearch.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/StreamOriginSearch.java
@@ -94,12 +94,12 @@
     }
 
     private void onAnswers(OriginPeers.Answers answers, Consumer<Optional<Origin>> consumer) {
-        if (answers.version().isPresent()) {
-            consumer.accept(answers.version().map(version -> new Origin(version, Source.OTHER_ENTRY)));
+        if (answers.recordedVersion().isPresent()) {
+            consumer.accept(answers.recordedVersion().map(version -> new Origin(version, Source.OTHER_ENTRY)));
         } else if (soleVersion(answers).isPresent()) {
             context.storeConfirmation().confirm(current -> onConfirmation(current, answers, consumer));
         } else {
-            searchHeldPrompts(consumer);
+            searchHeldPrompts(answers, consumer);
         }
     }
 
@@ -109,17 +109,13 @@
         if (sole.isPresent()) {
             consumer.accept(sole.map(version -> new Origin(version, Source.SOLE_VERSION)));
         } else {
-            searchHeldPrompts(consumer);
+            searchHeldPrompts(answers, consumer);
         }
     }
 
-    private void searchHeldPrompts(Consumer<Optional<Origin>> consumer) {
+    private void searchHeldPrompts(OriginPeers.Answers answers, Consumer<Optional<Origin>> consumer) {
         context.heldPromptSearch()
-                .find(
-                        question.service(),
-                        question.model(),
-                        question.promptPart(),
-                        held -> consumer.accept(originOf(held)));
+                .find(question.heldPart(), answers.heldVersions(), held -> consumer.accept(originOf(held)));
     }
 
     private Optional<Origin> originOf(HeldVersion held) {
--- a/gateway/src/main/java/org/merlinwood/gateway/peer/OriginMessages.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/peer/OriginMessages.java
@@ -55,13 +55,15 @@
         return Frame.newBuilder()
                 .setStreamOriginAnswer(StreamOriginAnswer.newBuilder()
                         .setNumber(number)
-                        .setVersion(answers.version().orElse(""))
-                        .addAllSoleVersions(answers.soleVersions()));
+                        .setVersion(answers.recordedVersion().orElse(""))
+                        .addAllSoleVersions(answers.soleVersions())
+                        .addAllHeldVersions(answers.heldVersions()));
     }
 
     static OriginPeers.Answers answers(StreamOriginAnswer wire) {
         return new OriginPeers.Answers(
                 Optional.of(wire.getVersion()).filter(version -> !version.isEmpty()),
-                Set.copyOf(wire.getSoleVersionsList()));
+                Set.copyOf(wire.getSoleVersionsList()),
+                Set.copyOf(wire.getHeldVersionsList()));
     }
 }
--- a/gateway/src/main/java/org/merlinwood/gateway/peer/OriginSessions.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/peer/OriginSessions.java
@@ -66,6 +66,7 @@
         private final Consumer<Answers> consumer;
         private final Set<String> asked = new HashSet<>();
         private final Set<String> soleVersions = new HashSet<>();
+        private final Set<String> heldVersions = new HashSet<>();
         private int answerCount;
 
         private PendingQuestion(Question question, Consumer<Answers> consumer) {
@@ -135,7 +136,11 @@
         return OriginMessages.answer(request.getNumber(), answers);
     }
 
-    /** Records what another entry answered. An answer that comes after the end of its question is left out. */
+    /**
+     * Records what another entry answered. The first record of the stream ends the question; as long as an entry that
+     * was asked may have one, what instances told the others doesn't. An answer that comes after the end of its
+     * question is left out.
+     */
     void onAnswer(StreamOriginAnswer answer) {
         PendingQuestion pending = pendingByNumber.get(answer.getNumber());
         if (pending == null) {
@@ -143,16 +148,17 @@
         }
         Answers answers = OriginMessages.answers(answer);
         pending.soleVersions.addAll(answers.soleVersions());
+        pending.heldVersions.addAll(answers.heldVersions());
         pending.answerCount++;
-        if (answers.version().isPresent() || pending.isAnsweredByAll(links.knownCount())) {
-            finish(answer.getNumber(), answers.version());
+        if (answers.recordedVersion().isPresent() || pending.isAnsweredByAll(links.knownCount())) {
+            finish(answer.getNumber(), answers.recordedVersion());
         }
     }
 
-    private void finish(long number, Optional<String> version) {
+    private void finish(long number, Optional<String> recordedVersion) {
         PendingQuestion pending = pendingByNumber.remove(number);
         if (pending != null) {
-            pending.consumer.accept(new Answers(version, pending.soleVersions));
+            pending.consumer.accept(new Answers(recordedVersion, pending.soleVersions, pending.heldVersions));
         }
     }
 }
--- a/gateway/src/main/java/org/merlinwood/gateway/process/PeerUpdates.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/process/PeerUpdates.java
@@ -1,7 +1,6 @@
 package org.merlinwood.gateway.process;
 
 import java.util.List;
-import java.util.Optional;
 import java.util.Set;
 import java.util.function.BooleanSupplier;
 import java.util.function.IntSupplier;
@@ -10,7 +9,6 @@
 import org.merlinwood.gateway.decision.DemandMeter;
 import org.merlinwood.gateway.decision.EntryStatus;
 import org.merlinwood.gateway.decision.HeldPrompts;
-import org.merlinwood.gateway.decision.HeldVersion;
 import org.merlinwood.gateway.decision.InstancePool;
 import org.merlinwood.gateway.decision.OriginPeers;
 import org.merlinwood.gateway.decision.StreamOrigin;
@@ -177,16 +175,11 @@
     @Override
     public OriginPeers.Answers answer(OriginPeers.Question question) {
         return new OriginPeers.Answers(
-                origins.versionOf(question.attempt()).or(() -> versionHolding(question)),
+                origins.versionOf(question.attempt()),
                 versionHistory
                         .soleVersionWithin(question.service(), question.streamMillis())
                         .map(Set::of)
-                        .orElse(Set.of()));
-    }
-
-    /** Returns the version that began a stream if the instances have told it for certain. */
-    private Optional<String> versionHolding(OriginPeers.Question question) {
-        HeldVersion held = heldPrompts.versionHolding(question.service(), question.model(), question.promptPart());
-        return held instanceof HeldVersion.Certain certain ? Optional.of(certain.version()) : Optional.empty();
+                        .orElse(Set.of()),
+                heldPrompts.versionsHolding(question.heldPart()));
     }
 }
--- a/gateway/src/test/java/org/merlinwood/gateway/decision/HeldPromptsTest.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/decision/HeldPromptsTest.java
@@ -43,11 +43,21 @@
 
     private void record(String instance, String... parts) {
         heldPrompts.record(
-                instance(instance), Stream.of(parts).map(HeldPromptsTest::part).toList());
+                instance(instance),
+                clock.monotonicMillis(),
+                Stream.of(parts).map(HeldPromptsTest::part).toList());
     }
 
     private HeldVersion versionHolding(String part) {
-        return heldPrompts.versionHolding("service", "m", part);
+        return versionHolding(part, 0);
+    }
+
+    private HeldVersion versionHolding(String part, long sinceMillis) {
+        return heldPrompts.versionHolding(key("service", "m", part), Set.of(), sinceMillis);
+    }
+
+    private static HeldPrompts.Key key(String service, String model, String part) {
+        return new HeldPrompts.Key(service, model, part);
     }
 
     private static HeldVersion certain(String version) {
@@ -74,8 +84,10 @@
     @Test
     void partOfAnotherServiceOrModelTellsNothing() {
         record("v1-a", "own");
-        assertThat(heldPrompts.versionHolding("other", "m", "own")).isEqualTo(ambiguous());
-        assertThat(heldPrompts.versionHolding("service", "n", "own")).isEqualTo(ambiguous());
+        assertThat(heldPrompts.versionHolding(key("other", "m", "own"), Set.of(), 0))
+                .isEqualTo(ambiguous());
+        assertThat(heldPrompts.versionHolding(key("service", "n", "own"), Set.of(), 0))
+                .isEqualTo(ambiguous());
     }
 
     /** Guards against streams at another version: an instance that hasn't answered is not one that holds nothing. */
@@ -85,13 +97,13 @@
         UpstreamInstance other = instance("v2-a");
         fleet.put(other);
         switch (memory) {
-            case "not answered" -> heldPrompts.recordUnanswered(other);
+            case "not answered" -> heldPrompts.recordUnanswered(other, clock.monotonicMillis());
             case "started again" -> {
-                heldPrompts.record(other, List.of());
+                heldPrompts.record(other, clock.monotonicMillis(), List.of());
                 fleet.put(other.withStart(7));
             }
             case "gone without an answer" -> {
-                heldPrompts.recordUnanswered(other);
+                heldPrompts.recordUnanswered(other, clock.monotonicMillis());
                 fleet.remove(other.identifier());
             }
             default -> {}
@@ -100,6 +112,30 @@
         assertThat(versionHolding("own")).isEqualTo(uncertain("v1", "v2"));
     }
 
+    /** Guards against streams at another version: one that began since may be held where it wasn't before. */
+    @Test
+    void instanceThatWasAskedBeforeIsNotKnownNow() {
+        fleet.put(instance("v2-a"));
+        record("v1-a", "own");
+        record("v2-a", "other");
+        clock.advanceMillis(1);
+        long nowMillis = clock.monotonicMillis();
+        record("v1-a", "own");
+        assertThat(versionHolding("own", nowMillis)).isEqualTo(uncertain("v1", "v2"));
+        record("v2-a", "other");
+        assertThat(versionHolding("own", nowMillis)).isEqualTo(certain("v1"));
+    }
+
+    /** Guards against refusals: the instance that began a stream may have evicted its prompt since it was asked. */
+    @Test
+    void partThatWasHeldEarlierCounts() {
+        record("v1-a", "own");
+        clock.advanceMillis(1);
+        long nowMillis = clock.monotonicMillis();
+        record("v1-a", "other");
+        assertThat(versionHolding("own", nowMillis)).isEqualTo(certain("v1"));
+    }
+
     /** Guards against refusals: a memory that can't speak for another version doesn't matter. */
     @Test
     void instanceOfTheSameVersionNeedNotAnswer() {
@@ -111,7 +147,7 @@
     /** Guards against refusals: an instance that was silent for a second tells what it holds then. */
     @Test
     void answerThatComesLateCounts() {
-        heldPrompts.recordUnanswered(instance("v2-a"));
+        heldPrompts.recordUnanswered(instance("v2-a"), clock.monotonicMillis());
         record("v1-a", "own");
         record("v2-a", "other");
         assertThat(versionHolding("own")).isEqualTo(certain("v1"));
@@ -134,7 +170,7 @@
         List<HeldPart> parts = IntStream.range(1, HeldPrompts.MAXIMUM_PARTS)
                 .mapToObj(number -> part("part-" + number))
                 .toList();
-        heldPrompts.record(instance("v1-a"), parts);
+        heldPrompts.record(instance("v1-a"), clock.monotonicMillis(), parts);
         assertThat(versionHolding("forgotten")).isEqualTo(ambiguous());
         assertThat(versionHolding("own")).isEqualTo(certain("v2"));
         assertThat(versionHolding("part-1")).isEqualTo(uncertain("v1", "v2"));
--- a/gateway/src/test/java/org/merlinwood/gateway/front/FakeOriginPeers.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/front/FakeOriginPeers.java
@@ -17,7 +17,7 @@
 
     final List<StreamOrigin> told = new ArrayList<>();
     final List<Question> questions = new ArrayList<>();
-    Answers answers = new Answers(Optional.empty(), Set.of());
+    Answers answers = new Answers(Optional.empty(), Set.of(), Set.of());
     private final ManualLoop loop;
 
     FakeOriginPeers(ManualLoop loop) {
--- a/gateway/src/test/java/org/merlinwood/gateway/front/StreamVersionTest.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/front/StreamVersionTest.java
@@ -133,7 +133,7 @@
     @Test
     void versionOfAStreamThatBeganElsewhereIsAskedFor() {
         RequestProcessorFixture fixture = fixtureWithSentStream();
-        fixture.originPeers.answers = new OriginPeers.Answers(Optional.of("v1"), Set.of());
+        fixture.originPeers.answers = new OriginPeers.Answers(Optional.of("v1"), Set.of(), Set.of());
         fixture.fleet.remove("d1");
         int sent = fixture.client.sent().size();
         fixture.sendResumingAttempt("attempt-2", "attempt-at-another-entry", 1);
@@ -233,6 +233,50 @@
         assertThat(fixture.client.last().request().path()).matches("/d[23]/hold/.*");
     }
 
+    /**
+     * Guards against a stream that goes on at another version since the instances were asked before it began: a former
+     * request of its session had left the prompt there.
+     */
+    @ParameterizedTest
+    @CsvSource({"own:100, ''", "shared:100, /d1/hold/"})
+    void whatInstancesHeldEarlierDoesNotTellTheVersionOfALaterStream(String heldAtSecond, String pathPrefix) {
+        RequestProcessorFixture fixture = fixtureWithTwoVersions();
+        takeUpUnknownStream(fixture, "own:100", "shared:100");
+        assertThat(fixture.origins.versionOf("attempt-at-another-entry"))
+                .as("a record")
+                .isEmpty();
+        fixture.caller.disconnect();
+        fixture.loop.advance(RequestProcessorFixture.CALLER_TIME_MILLIS);
+        int sent = fixture.client.sent().size();
+        askForHeldPrompts(fixture);
+        List<SentRequest> questions = List.copyOf(
+                fixture.client.sent().subList(sent, fixture.client.sent().size()));
+        assertThat(questions).extracting(question -> question.request().path()).containsExactly("/d1/held", "/d2/held");
+        questions.getFirst().respond(200, "shared:100");
+        questions.getLast().respond(200, heldAtSecond);
+        if (pathPrefix.isEmpty()) {
+            assertThat(fixture.caller.body).contains("2009");
+        } else {
+            assertThat(fixture.client.last().request().path()).startsWith(pathPrefix);
+        }
+    }
+
+    /** Guards against a stream that goes on where instances told another entry that they held its prompt, earlier. */
+    @ParameterizedTest
+    @CsvSource({"v1, shared:100, /d1/hold/", "v1, own:100, ''", "v1 v2, shared:100, ''"})
+    void whatInstancesToldOtherEntriesCountsBesideWhatTheyTellNow(
+            String heldElsewhere, String heldAtSecond, String pathPrefix) {
+        RequestProcessorFixture fixture = fixtureWithTwoVersions();
+        fixture.originPeers.answers =
+                new OriginPeers.Answers(Optional.empty(), Set.of(), Set.of(heldElsewhere.split(" ")));
+        takeUpUnknownStream(fixture, "shared:100", heldAtSecond);
+        if (pathPrefix.isEmpty()) {
+            assertThat(fixture.caller.body).contains("2009");
+        } else {
+            assertThat(fixture.client.last().request().path()).startsWith(pathPrefix);
+        }
+    }
+
     /** Guards against a listing that reaches an instance which wants no request now. */
     @Test
     void instanceThatWantsNoRequestIsNotAskedForItsPrompts() {
@@ -290,7 +334,7 @@
     private static RequestProcessorFixture fixtureWhereOthersKnowASoleVersion() {
         RequestProcessorFixture fixture = new RequestProcessorFixture(RequestKind.STREAM, true);
         fixture.registerVersion("v1", Stage.DECODE, "d1");
-        fixture.originPeers.answers = new OriginPeers.Answers(Optional.empty(), Set.of("v1"));
+        fixture.originPeers.answers = new OriginPeers.Answers(Optional.empty(), Set.of("v1"), Set.of());
         return fixture;
     }
 
@@ -305,7 +349,7 @@
     void streamGoesOnWithoutARecordWhereThereIsOnlyOneVersion(String soleVersion, String pathPrefix) {
         RequestProcessorFixture fixture = new RequestProcessorFixture(RequestKind.STREAM, true);
         fixture.registerVersion("v1", Stage.DECODE, "d1");
-        fixture.originPeers.answers = new OriginPeers.Answers(Optional.empty(), Set.of(soleVersion));
+        fixture.originPeers.answers = new OriginPeers.Answers(Optional.empty(), Set.of(soleVersion), Set.of());
         fixture.sendResumingAttempt("attempt-2", "attempt-at-another-entry", 1);
         fixture.loop.advance(FakeOriginPeers.ANSWER_MILLIS);
         if (pathPrefix.isEmpty()) {
--- a/gateway/src/test/java/org/merlinwood/gateway/peer/OriginMessagesTest.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/peer/OriginMessagesTest.java
@@ -35,8 +35,8 @@
     @ParameterizedTest
     @ValueSource(strings = {"", "v1"})
     void answerArrivesUnchanged(String version) {
-        OriginPeers.Answers answers =
-                new OriginPeers.Answers(Optional.of(version).filter(text -> !text.isEmpty()), Set.of("v1"));
+        OriginPeers.Answers answers = new OriginPeers.Answers(
+                Optional.of(version).filter(text -> !text.isEmpty()), Set.of("v1"), Set.of("v2", "v3"));
         StreamOriginAnswer message = OriginMessages.answer(7, answers).getStreamOriginAnswer();
         assertThat(message.getNumber()).isEqualTo(7);
         assertThat(OriginMessages.answers(message)).isEqualTo(answers);
--- a/gateway/src/test/java/org/merlinwood/gateway/peer/OriginSessionsTest.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/peer/OriginSessionsTest.java
@@ -9,6 +9,8 @@
 import java.util.Optional;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.merlinwood.core.time.ManualMillisClock;
 import org.merlinwood.gateway.ManualLoop;
 import org.merlinwood.gateway.decision.EntryStatus;
@@ -36,6 +38,7 @@
         private final StreamOrigins origins = new StreamOrigins(clock);
         private final OriginSessions sessions = new OriginSessions(this, this, loop);
         private Set<String> soleVersions = Set.of();
+        private Set<String> heldVersions = Set.of();
         private int unreachable;
 
         private Entry(String address) {
@@ -125,14 +128,14 @@
 
         @Override
         public OriginPeers.Answers answer(OriginPeers.Question question) {
-            return new OriginPeers.Answers(origins.versionOf(question.attempt()), soleVersions);
+            return new OriginPeers.Answers(origins.versionOf(question.attempt()), soleVersions, heldVersions);
         }
     }
 
     private record Answers(OriginPeers.Answers received) {
 
         Optional<String> version() {
-            return received.version();
+            return received.recordedVersion();
         }
     }
 
@@ -187,7 +190,7 @@
         loop.advance(499);
         assertThat(received).isEmpty();
         loop.advance(1);
-        assertThat(received).containsExactly(new OriginPeers.Answers(Optional.empty(), Set.of("v1")));
+        assertThat(received).containsExactly(new OriginPeers.Answers(Optional.empty(), Set.of("v1"), Set.of()));
         loop.advance(1_000);
         assertThat(received).hasSize(1);
     }
@@ -205,7 +208,32 @@
         Entry other = entry("10.0.0.2");
         other.origins.recordTold(new StreamOrigin(QUESTION.attempt(), "v1", 10_000));
         started.sessions.tellNewlyReachable();
-        assertThat(received).containsExactly(new OriginPeers.Answers(Optional.of("v1"), Set.of()));
+        assertThat(received).containsExactly(new OriginPeers.Answers(Optional.of("v1"), Set.of(), Set.of()));
+    }
+
+    /**
+     * Guards against a stream that goes on at another version since an entry that knows only what instances held
+     * answers before one that recorded its origin.
+     */
+    @ParameterizedTest
+    @ValueSource(ints = {0, 1, 2, 3, 4, 5, 6, 7})
+    void recordOfAnyEntryGoesBeforeWhatInstancesToldTheOthers(int recording) {
+        Entry asking = entry("10.0.0.9");
+        List<Entry> others = entries(8);
+        others.forEach(other -> other.heldVersions = Set.of("v2"));
+        others.get(recording).origins.recordTold(new StreamOrigin(QUESTION.attempt(), "v1", 10_000));
+        assertThat(asking.ask().flatMap(Answers::version)).contains("v1");
+    }
+
+    /** Guards against a refusal where no entry has a record: what instances told some of them is gathered. */
+    @Test
+    void whatInstancesToldOtherEntriesIsGathered() {
+        Entry asking = entry("10.0.0.9");
+        List<Entry> others = entries(3);
+        others.get(0).heldVersions = Set.of("v1");
+        others.get(2).heldVersions = Set.of("v2");
+        assertThat(asking.ask().map(Answers::received))
+                .contains(new OriginPeers.Answers(Optional.empty(), Set.of(), Set.of("v1", "v2")));
     }
 
     /** An entry without any other must not keep its caller waiting. */
@@ -214,6 +242,6 @@
         List<OriginPeers.Answers> received = new ArrayList<>();
         entry("10.0.0.1").sessions.ask(QUESTION, received::add);
         loop.advance(1);
-        assertThat(received).containsExactly(new OriginPeers.Answers(Optional.empty(), Set.of()));
+        assertThat(received).containsExactly(new OriginPeers.Answers(Optional.empty(), Set.of(), Set.of()));
     }
 }
--- a/gateway/src/test/java/org/merlinwood/gateway/process/PeerUpdatesTest.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/process/PeerUpdatesTest.java
@@ -47,6 +47,7 @@
 import org.merlinwood.gateway.follow.StorePosition;
 import org.merlinwood.gateway.order.StageOrders;
 import org.merlinwood.gateway.route.RouteTable;
+import org.merlinwood.gateway.upstream.HeldPart;
 import org.merlinwood.gateway.upstream.InstanceNotice;
 import org.merlinwood.gateway.upstream.UpstreamClient;
 import org.merlinwood.gateway.upstream.UpstreamLoad;
@@ -128,14 +129,24 @@
     void originThatAnotherEntryToldIsKnownToAllThatAsk() {
         updates.onOrigins(List.of(new StreamOrigin("a-1", "v1", 1_000)));
         assertThat(updates.answer(new OriginPeers.Question("a-1", "service", 500))
-                        .version())
+                        .recordedVersion())
                 .contains("v1");
         assertThat(updates.answer(new OriginPeers.Question("a-2", "service", 500))
-                        .version())
+                        .recordedVersion())
                 .isEmpty();
         assertThat(updates.ownOrigins()).isEmpty();
     }
 
+    /** Guards against an answer that passes what instances held at some time for a record of the stream. */
+    @Test
+    void whatInstancesHeldIsNotAnsweredAsARecord() {
+        heldPrompts.record(instance("a"), 0, List.of(new HeldPart("m", "own", 100)));
+        OriginPeers.Question question = new OriginPeers.Question("a-1", "service", 500, "m", "own");
+        assertThat(updates.answer(question))
+                .isEqualTo(new OriginPeers.Answers(
+                        Optional.empty(), Set.of(), Set.of(instance("a").version())));
+    }
+
     @Test
     void statusTellsOwnStateAndOwnWork() {
         pool.beginPrompt("a", 300);
--- a/wire-generated/src/main/java/org/merlinwood/wire/Merlinwood.java
+++ b/wire-generated/src/main/java/org/merlinwood/wire/Merlinwood.java
@@ -563,43 +563,44 @@
       "StreamOriginRequest\022\016\n\006number\030\001 \001(\004\022\017\n\007a" +
       "ttempt\030\002 \001(\t\022\017\n\007service\030\003 \001(\t\022\025\n\rstream_" +
       "millis\030\004 \001(\r\022\r\n\005model\030\005 \001(\t\022\023\n\013prompt_pa" +
-      "rt\030\006 \001(\t\"L\n\022StreamOriginAnswer\022\016\n\006number" +
+      "rt\030\006 \001(\t\"c\n\022StreamOriginAnswer\022\016\n\006number" +
       "\030\001 \001(\004\022\017\n\007version\030\002 \001(\t\022\025\n\rsole_versions" +
-      "\030\003 \003(\t\"\244\001\n\rInstanceCrash\022\020\n\010instance\030\001 \001" +
-      "(\t\022\033\n\023started_unix_millis\030\002 \001(\003\022\022\n\nage_m" +
-      "illis\030\003 \001(\r\022\032\n\022suspect_age_millis\030\004 \001(\r\022" +
-      "4\n\010suspects\030\005 \003(\0132\".merlinwood.wire.v1.S" +
-      "uspectRequest\"\037\n\016SuspectRequest\022\r\n\005parts" +
-      "\030\001 \003(\006\"-\n\tBegunPart\022\014\n\004part\030\001 \001(\006\022\022\n\nage" +
-      "_millis\030\002 \001(\r\"H\n\tPartBlock\022\r\n\005parts\030\001 \003(" +
-      "\006\022\035\n\025last_crash_age_millis\030\002 \001(\r\022\r\n\005coun" +
-      "t\030\003 \001(\r\"@\n\017LeavingInstance\022\020\n\010instance\030\001" +
-      " \001(\t\022\033\n\023started_unix_millis\030\002 \001(\003\"Z\n\rSer" +
-      "viceDemand\022\017\n\007service\030\001 \001(\t\022\025\n\rprompt_to" +
-      "kens\030\002 \001(\r\022!\n\031requests_without_capacity\030" +
-      "\003 \001(\r\"{\n\014InstanceWork\022\020\n\010instance\030\001 \001(\t\022" +
-      "\017\n\007running\030\002 \001(\r\022\025\n\rprompt_tokens\030\003 \001(\r\022" +
-      "\027\n\017occupied_tokens\030\004 \003(\r\022\030\n\020remaining_to" +
-      "kens\030\005 \003(\r\"M\n\nWorkUpdate\022\017\n\007address\030\001 \001(" +
-      "\t\022.\n\004work\030\002 \003(\0132 .merlinwood.wire.v1.Ins" +
-      "tanceWork\"J\n\007LostRun\022\023\n\013fingerprint\030\001 \001(" +
-      "\006\022\020\n\010instance\030\002 \001(\t\022\030\n\020weakly_suspected\030" +
-      "\003 \001(\010\"7\n\023StoreChangesRequest\022\r\n\005after\030\001 " +
-      "\001(\004\022\021\n\tafter_era\030\002 \001(\004\"Y\n\014StoreChanges\022*" +
-      "\n\004keys\030\001 \003(\0132\034.merlinwood.wire.v1.StoreK" +
-      "ey\022\020\n\010revision\030\002 \001(\004\022\013\n\003era\030\003 \001(\004\"V\n\010Sto" +
-      "reKey\022\013\n\003key\030\001 \001(\t\022\020\n\010revision\030\002 \001(\004\022\r\n\005" +
-      "value\030\003 \001(\014\022\017\n\007removed\030\004 \001(\010\022\013\n\003era\030\005 \001(" +
-      "\004*P\n\013ProcessRole\022\034\n\030PROCESS_ROLE_UNSPECI" +
-      "FIED\020\000\022\t\n\005ENTRY\020\001\022\013\n\007SIDECAR\020\002\022\013\n\007COMMAN" +
-      "D\020\003*I\n\010WorkKind\022\031\n\025WORK_KIND_UNSPECIFIED" +
-      "\020\000\022\013\n\007PREFILL\020\001\022\n\n\006DECODE\020\002\022\t\n\005PLAIN\020\003*I" +
-      "\n\tExecution\022\031\n\025EXECUTION_UNSPECIFIED\020\000\022\013" +
-      "\n\007NOT_RUN\020\001\022\013\n\007UNKNOWN\020\002\022\007\n\003RAN\020\003*8\n\016Sus" +
-      "picionEvent\022\013\n\007CRASHED\020\000\022\013\n\007INQUIRY\020\001\022\014\n" +
-      "\010SURVIVED\020\002*F\n\013PrefixEvent\022\022\n\016ENGINE_CRA" +
-      "SHED\020\000\022\022\n\016PREFIX_INQUIRY\020\001\022\017\n\013FIRST_TOKE" +
-      "N\020\002B\031\n\023org.merlinwood.wireH\001P\001b\006proto3"
+      "\030\003 \003(\t\022\025\n\rheld_versions\030\004 \003(\t\"\244\001\n\rInstan" +
+      "ceCrash\022\020\n\010instance\030\001 \001(\t\022\033\n\023started_uni" +
+      "x_millis\030\002 \001(\003\022\022\n\nage_millis\030\003 \001(\r\022\032\n\022su" +
+      "spect_age_millis\030\004 \001(\r\0224\n\010suspects\030\005 \003(\013" +
+      "2\".merlinwood.wire.v1.SuspectRequest\"\037\n\016" +
+      "SuspectRequest\022\r\n\005parts\030\001 \003(\006\"-\n\tBegunPa" +
+      "rt\022\014\n\004part\030\001 \001(\006\022\022\n\nage_millis\030\002 \001(\r\"H\n\t" +
+      "PartBlock\022\r\n\005parts\030\001 \003(\006\022\035\n\025last_crash_a" +
+      "ge_millis\030\002 \001(\r\022\r\n\005count\030\003 \001(\r\"@\n\017Leavin" +
+      "gInstance\022\020\n\010instance\030\001 \001(\t\022\033\n\023started_u" +
+      "nix_millis\030\002 \001(\003\"Z\n\rServiceDemand\022\017\n\007ser" +
+      "vice\030\001 \001(\t\022\025\n\rprompt_tokens\030\002 \001(\r\022!\n\031req" +
+      "uests_without_capacity\030\003 \001(\r\"{\n\014Instance" +
+      "Work\022\020\n\010instance\030\001 \001(\t\022\017\n\007running\030\002 \001(\r\022" +
+      "\025\n\rprompt_tokens\030\003 \001(\r\022\027\n\017occupied_token" +
+      "s\030\004 \003(\r\022\030\n\020remaining_tokens\030\005 \003(\r\"M\n\nWor" +
+      "kUpdate\022\017\n\007address\030\001 \001(\t\022.\n\004work\030\002 \003(\0132 " +
+      ".merlinwood.wire.v1.InstanceWork\"J\n\007Lost" +
+      "Run\022\023\n\013fingerprint\030\001 \001(\006\022\020\n\010instance\030\002 \001" +
+      "(\t\022\030\n\020weakly_suspected\030\003 \001(\010\"7\n\023StoreCha" +
+      "ngesRequest\022\r\n\005after\030\001 \001(\004\022\021\n\tafter_era\030" +
+      "\002 \001(\004\"Y\n\014StoreChanges\022*\n\004keys\030\001 \003(\0132\034.me" +
+      "rlinwood.wire.v1.StoreKey\022\020\n\010revision\030\002 " +
+      "\001(\004\022\013\n\003era\030\003 \001(\004\"V\n\010StoreKey\022\013\n\003key\030\001 \001(" +
+      "\t\022\020\n\010revision\030\002 \001(\004\022\r\n\005value\030\003 \001(\014\022\017\n\007re" +
+      "moved\030\004 \001(\010\022\013\n\003era\030\005 \001(\004*P\n\013ProcessRole\022" +
+      "\034\n\030PROCESS_ROLE_UNSPECIFIED\020\000\022\t\n\005ENTRY\020\001" +
+      "\022\013\n\007SIDECAR\020\002\022\013\n\007COMMAND\020\003*I\n\010WorkKind\022\031" +
+      "\n\025WORK_KIND_UNSPECIFIED\020\000\022\013\n\007PREFILL\020\001\022\n" +
+      "\n\006DECODE\020\002\022\t\n\005PLAIN\020\003*I\n\tExecution\022\031\n\025EX" +
+      "ECUTION_UNSPECIFIED\020\000\022\013\n\007NOT_RUN\020\001\022\013\n\007UN" +
+      "KNOWN\020\002\022\007\n\003RAN\020\003*8\n\016SuspicionEvent\022\013\n\007CR" +
+      "ASHED\020\000\022\013\n\007INQUIRY\020\001\022\014\n\010SURVIVED\020\002*F\n\013Pr" +
+      "efixEvent\022\022\n\016ENGINE_CRASHED\020\000\022\022\n\016PREFIX_" +
+      "INQUIRY\020\001\022\017\n\013FIRST_TOKEN\020\002B\031\n\023org.merlin" +
+      "wood.wireH\001P\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -904,7 +905,7 @@
     internal_static_merlinwood_wire_v1_StreamOriginAnswer_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_merlinwood_wire_v1_StreamOriginAnswer_descriptor,
-        new java.lang.String[] { "Number", "Version", "SoleVersions", });
+        new java.lang.String[] { "Number", "Version", "SoleVersions", "HeldVersions", });
     internal_static_merlinwood_wire_v1_InstanceCrash_descriptor =
       getDescriptor().getMessageType(50);
     internal_static_merlinwood_wire_v1_InstanceCrash_fieldAccessorTable = new
--- a/wire-generated/src/main/java/org/merlinwood/wire/StreamOriginAnswer.java
+++ b/wire-generated/src/main/java/org/merlinwood/wire/StreamOriginAnswer.java
@@ -31,6 +31,8 @@
     version_ = "";
     soleVersions_ =
         com.google.protobuf.LazyStringArrayList.emptyList();
+    heldVersions_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -67,7 +69,7 @@
   private volatile java.lang.Object version_ = "";
   /**
    * <pre>
-   * Empty if the sender doesn't know it.
+   * As the sender recorded it when the stream began, or was told then; empty if it doesn't know it.
    * </pre>
    *
    * <code>string version = 2;</code>
@@ -88,7 +90,7 @@
   }
   /**
    * <pre>
-   * Empty if the sender doesn't know it.
+   * As the sender recorded it when the stream began, or was told then; empty if it doesn't know it.
    * </pre>
    *
    * <code>string version = 2;</code>
@@ -162,6 +164,59 @@
     return soleVersions_.getByteString(index);
   }
 
+  public static final int HELD_VERSIONS_FIELD_NUMBER = 4;
+  @SuppressWarnings("serial")
+  private com.google.protobuf.LazyStringArrayList heldVersions_ =
+      com.google.protobuf.LazyStringArrayList.emptyList();
+  /**
+   * <pre>
+   * Versions of the instances that held the prompt when the sender asked them.
+   * </pre>
+   *
+   * <code>repeated string held_versions = 4;</code>
+   * @return A list containing the heldVersions.
+   */
+  public com.google.protobuf.ProtocolStringList
+      getHeldVersionsList() {
+    return heldVersions_;
+  }
+  /**
+   * <pre>
+   * Versions of the instances that held the prompt when the sender asked them.
+   * </pre>
+   *
+   * <code>repeated string held_versions = 4;</code>
+   * @return The count of heldVersions.
+   */
+  public int getHeldVersionsCount() {
+    return heldVersions_.size();
+  }
+  /**
+   * <pre>
+   * Versions of the instances that held the prompt when the sender asked them.
+   * </pre>
+   *
+   * <code>repeated string held_versions = 4;</code>
+   * @param index The index of the element to return.
+   * @return The heldVersions at the given index.
+   */
+  public java.lang.String getHeldVersions(int index) {
+    return heldVersions_.get(index);
+  }
+  /**
+   * <pre>
+   * Versions of the instances that held the prompt when the sender asked them.
+   * </pre>
+   *
+   * <code>repeated string held_versions = 4;</code>
+   * @param index The index of the value to return.
+   * @return The bytes of the heldVersions at the given index.
+   */
+  public com.google.protobuf.ByteString
+      getHeldVersionsBytes(int index) {
+    return heldVersions_.getByteString(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -185,6 +240,9 @@
     for (int i = 0; i < soleVersions_.size(); i++) {
       com.google.protobuf.GeneratedMessage.writeString(output, 3, soleVersions_.getRaw(i));
     }
+    for (int i = 0; i < heldVersions_.size(); i++) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 4, heldVersions_.getRaw(i));
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -204,6 +262,14 @@
       size += dataSize;
       size += 1 * getSoleVersionsList().size();
     }
+    {
+      int dataSize = 0;
+      for (int i = 0; i < heldVersions_.size(); i++) {
+        dataSize += computeStringSizeNoTag(heldVersions_.getRaw(i));
+      }
+      size += dataSize;
+      size += 1 * getHeldVersionsList().size();
+    }
     return size;
   }
   @java.lang.Override
@@ -234,6 +300,8 @@
         .equals(other.getVersion())) return false;
     if (!getSoleVersionsList()
         .equals(other.getSoleVersionsList())) return false;
+    if (!getHeldVersionsList()
+        .equals(other.getHeldVersionsList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -254,6 +322,10 @@
       hash = (37 * hash) + SOLE_VERSIONS_FIELD_NUMBER;
       hash = (53 * hash) + getSoleVersionsList().hashCode();
     }
+    if (getHeldVersionsCount() > 0) {
+      hash = (37 * hash) + HELD_VERSIONS_FIELD_NUMBER;
+      hash = (53 * hash) + getHeldVersionsList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -389,6 +461,8 @@
       version_ = "";
       soleVersions_ =
           com.google.protobuf.LazyStringArrayList.emptyList();
+      heldVersions_ =
+          com.google.protobuf.LazyStringArrayList.emptyList();
       return this;
     }
 
@@ -432,6 +506,10 @@
         soleVersions_.makeImmutable();
         result.soleVersions_ = soleVersions_;
       }
+      if (((from_bitField0_ & 0x00000008) != 0)) {
+        heldVersions_.makeImmutable();
+        result.heldVersions_ = heldVersions_;
+      }
     }
 
     @java.lang.Override
@@ -464,6 +542,16 @@
         }
         onChanged();
       }
+      if (!other.heldVersions_.isEmpty()) {
+        if (heldVersions_.isEmpty()) {
+          heldVersions_ = other.heldVersions_;
+          bitField0_ |= 0x00000008;
+        } else {
+          ensureHeldVersionsIsMutable();
+          heldVersions_.addAll(other.heldVersions_);
+        }
+        onChanged();
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -503,6 +591,11 @@
               soleVersions_.add(input.readStringRequireUtf8());
               break;
             } // case 26
+            case 34: {
+              ensureHeldVersionsIsMutable();
+              heldVersions_.add(input.readStringRequireUtf8());
+              break;
+            } // case 34
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -555,7 +648,7 @@
     private java.lang.Object version_ = "";
     /**
      * <pre>
-     * Empty if the sender doesn't know it.
+     * As the sender recorded it when the stream began, or was told then; empty if it doesn't know it.
      * </pre>
      *
      * <code>string version = 2;</code>
@@ -575,7 +668,7 @@
     }
     /**
      * <pre>
-     * Empty if the sender doesn't know it.
+     * As the sender recorded it when the stream began, or was told then; empty if it doesn't know it.
      * </pre>
      *
      * <code>string version = 2;</code>
@@ -596,7 +689,7 @@
     }
     /**
      * <pre>
-     * Empty if the sender doesn't know it.
+     * As the sender recorded it when the stream began, or was told then; empty if it doesn't know it.
      * </pre>
      *
      * <code>string version = 2;</code>
@@ -613,7 +706,7 @@
     }
     /**
      * <pre>
-     * Empty if the sender doesn't know it.
+     * As the sender recorded it when the stream began, or was told then; empty if it doesn't know it.
      * </pre>
      *
      * <code>string version = 2;</code>
@@ -627,7 +720,7 @@
     }
     /**
      * <pre>
-     * Empty if the sender doesn't know it.
+     * As the sender recorded it when the stream began, or was told then; empty if it doesn't know it.
      * </pre>
      *
      * <code>string version = 2;</code>
@@ -791,6 +884,153 @@
       return this;
     }
 
+    private com.google.protobuf.LazyStringArrayList heldVersions_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
+    private void ensureHeldVersionsIsMutable() {
+      if (!heldVersions_.isModifiable()) {
+        heldVersions_ = new com.google.protobuf.LazyStringArrayList(heldVersions_);
+      }
+      bitField0_ |= 0x00000008;
+    }
+    /**
+     * <pre>
+     * Versions of the instances that held the prompt when the sender asked them.
+     * </pre>
+     *
+     * <code>repeated string held_versions = 4;</code>
+     * @return A list containing the heldVersions.
+     */
+    public com.google.protobuf.ProtocolStringList
+        getHeldVersionsList() {
+      heldVersions_.makeImmutable();
+      return heldVersions_;
+    }
+    /**
+     * <pre>
+     * Versions of the instances that held the prompt when the sender asked them.
+     * </pre>
+     *
+     * <code>repeated string held_versions = 4;</code>
+     * @return The count of heldVersions.
+     */
+    public int getHeldVersionsCount() {
+      return heldVersions_.size();
+    }
+    /**
+     * <pre>
+     * Versions of the instances that held the prompt when the sender asked them.
+     * </pre>
+     *
+     * <code>repeated string held_versions = 4;</code>
+     * @param index The index of the element to return.
+     * @return The heldVersions at the given index.
+     */
+    public java.lang.String getHeldVersions(int index) {
+      return heldVersions_.get(index);
+    }
+    /**
+     * <pre>
+     * Versions of the instances that held the prompt when the sender asked them.
+     * </pre>
+     *
+     * <code>repeated string held_versions = 4;</code>
+     * @param index The index of the value to return.
+     * @return The bytes of the heldVersions at the given index.
+     */
+    public com.google.protobuf.ByteString
+        getHeldVersionsBytes(int index) {
+      return heldVersions_.getByteString(index);
+    }
+    /**
+     * <pre>
+     * Versions of the instances that held the prompt when the sender asked them.
+     * </pre>
+     *
+     * <code>repeated string held_versions = 4;</code>
+     * @param index The index to set the value at.
+     * @param value The heldVersions to set.
+     * @return This builder for chaining.
+     */
+    public Builder setHeldVersions(
+        int index, java.lang.String value) {
+      java.util.Objects.requireNonNull(value);
+      ensureHeldVersionsIsMutable();
+      heldVersions_.set(index, value);
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Versions of the instances that held the prompt when the sender asked them.
+     * </pre>
+     *
+     * <code>repeated string held_versions = 4;</code>
+     * @param value The heldVersions to add.
+     * @return This builder for chaining.
+     */
+    public Builder addHeldVersions(
+        java.lang.String value) {
+      java.util.Objects.requireNonNull(value);
+      ensureHeldVersionsIsMutable();
+      heldVersions_.add(value);
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Versions of the instances that held the prompt when the sender asked them.
+     * </pre>
+     *
+     * <code>repeated string held_versions = 4;</code>
+     * @param values The heldVersions to add.
+     * @return This builder for chaining.
+     */
+    public Builder addAllHeldVersions(
+        java.lang.Iterable<java.lang.String> values) {
+      ensureHeldVersionsIsMutable();
+      com.google.protobuf.AbstractMessageLite.Builder.addAll(
+          values, heldVersions_);
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Versions of the instances that held the prompt when the sender asked them.
+     * </pre>
+     *
+     * <code>repeated string held_versions = 4;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearHeldVersions() {
+      heldVersions_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
+      bitField0_ = (bitField0_ & ~0x00000008);;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Versions of the instances that held the prompt when the sender asked them.
+     * </pre>
+     *
+     * <code>repeated string held_versions = 4;</code>
+     * @param value The bytes of the heldVersions to add.
+     * @return This builder for chaining.
+     */
+    public Builder addHeldVersionsBytes(
+        com.google.protobuf.ByteString value) {
+      java.util.Objects.requireNonNull(value);
+      checkByteStringIsUtf8(value);
+      ensureHeldVersionsIsMutable();
+      heldVersions_.add(value);
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:merlinwood.wire.v1.StreamOriginAnswer)
   }
 
--- a/wire-generated/src/main/java/org/merlinwood/wire/StreamOriginAnswerOrBuilder.java
+++ b/wire-generated/src/main/java/org/merlinwood/wire/StreamOriginAnswerOrBuilder.java
@@ -18,7 +18,7 @@
 
   /**
    * <pre>
-   * Empty if the sender doesn't know it.
+   * As the sender recorded it when the stream began, or was told then; empty if it doesn't know it.
    * </pre>
    *
    * <code>string version = 2;</code>
@@ -27,7 +27,7 @@
   java.lang.String getVersion();
   /**
    * <pre>
-   * Empty if the sender doesn't know it.
+   * As the sender recorded it when the stream began, or was told then; empty if it doesn't know it.
    * </pre>
    *
    * <code>string version = 2;</code>
@@ -76,4 +76,45 @@
    */
   com.google.protobuf.ByteString
       getSoleVersionsBytes(int index);
+
+  /**
+   * <pre>
+   * Versions of the instances that held the prompt when the sender asked them.
+   * </pre>
+   *
+   * <code>repeated string held_versions = 4;</code>
+   * @return A list containing the heldVersions.
+   */
+  java.util.List<java.lang.String>
+      getHeldVersionsList();
+  /**
+   * <pre>
+   * Versions of the instances that held the prompt when the sender asked them.
+   * </pre>
+   *
+   * <code>repeated string held_versions = 4;</code>
+   * @return The count of heldVersions.
+   */
+  int getHeldVersionsCount();
+  /**
+   * <pre>
+   * Versions of the instances that held the prompt when the sender asked them.
+   * </pre>
+   *
+   * <code>repeated string held_versions = 4;</code>
+   * @param index The index of the element to return.
+   * @return The heldVersions at the given index.
+   */
+  java.lang.String getHeldVersions(int index);
+  /**
+   * <pre>
+   * Versions of the instances that held the prompt when the sender asked them.
+   * </pre>
+   *
+   * <code>repeated string held_versions = 4;</code>
+   * @param index The index of the value to return.
+   * @return The bytes of the heldVersions at the given index.
+   */
+  com.google.protobuf.ByteString
+      getHeldVersionsBytes(int index);
 }
