Requests of a session begin at one version, so that its streams go on

Cause: the last part of a prompt belongs to its session. Its requests went wherever there was most room, so instances of both versions held the part, and nobody could tell which of them had begun the stream. Ruled out: want of room (the refusals are 2009, not 2001) and eviction (without former requests 22 of 22 go on, as measured with the issue).

Change: a session has a home version, that of the instance which ranks first for the last part of its prompts; all entries compute the same one, without a message or state. Its requests begin there while an instance of that version has room, accepts work and isn't more than twice as slow as others. If instances of the home version alone hold a prompt, the stream goes on there also if an instance of another version can't be asked.

--- a/gateway/src/main/java/org/merlinwood/gateway/decision/DecodePlacement.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/decision/DecodePlacement.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.function.ToDoubleFunction;
 import org.merlinwood.core.time.MillisClock;
 import org.merlinwood.gateway.fleet.Stage;
 import org.merlinwood.gateway.fleet.UpstreamInstance;
@@ -20,6 +21,9 @@
     /** Assumed time between two events until an instance has completed its first response, in milliseconds. */
     private static final double DEFAULT_EVENT_INTERVAL_MILLIS = 45;
 
+    /** How much slower, or more often failing, than the best one an instance of the home version may be. */
+    private static final double MAXIMUM_SLOWNESS = 2;
+
     private final InstanceCandidates candidates;
     private final FleetStatistics statistics;
     private final InstanceRanking ranking;
@@ -54,6 +58,10 @@
         List<UpstreamInstance> eligible = candidates.of(service, Stage.DECODE, pending.version(), excluded);
         double lowestErrorRate = ranking.lowestErrorRate(eligible);
         double meanMillis = ranking.meanMillis(eligible);
+        ToDoubleFunction<UpstreamInstance> slowness = instance -> {
+            InstanceStatistics known = statistics.of(instance.identifier());
+            return InstanceRanking.latencyFactor(known, meanMillis) * ranking.errorFactor(known, lowestErrorRate);
+        };
         Map<String, Long> neededTokens = new HashMap<>();
         eligible.forEach(instance -> neededTokens.put(instance.identifier(), neededTokensWith(instance, pending)));
         List<UpstreamInstance> withCapacity = eligible.stream()
@@ -61,13 +69,34 @@
                 .filter(instance -> hasFreeSlot(instance, limits))
                 .filter(instance -> !hasJustDeclined(instance, pending, limits))
                 .toList();
-        return ranking.chooseBest(withCapacity, instance -> {
-            InstanceStatistics known = statistics.of(instance.identifier());
-            return neededTokens.get(instance.identifier())
-                            * InstanceRanking.latencyFactor(known, meanMillis)
-                            * ranking.errorFactor(known, lowestErrorRate)
-                    + InstanceRanking.domainPenalty(instance, ownDomain) * pending.startTokens();
-        });
+        List<UpstreamInstance> atHome = atHomeVersion(service, pending, withCapacity, slowness);
+        return ranking.chooseBest(
+                atHome.isEmpty() ? withCapacity : atHome,
+                instance -> neededTokens.get(instance.identifier()) * slowness.applyAsDouble(instance)
+                        + InstanceRanking.domainPenalty(instance, ownDomain) * pending.startTokens());
+    }
+
+    /**
+     * Returns the instances with capacity of the version at which the requests of a session preferably begin, without
+     * those that accept no work now or are much slower than others.
+     */
+    private List<UpstreamInstance> atHomeVersion(
+            String service,
+            PendingGeneration pending,
+            List<UpstreamInstance> withCapacity,
+            ToDoubleFunction<UpstreamInstance> slowness) {
+        Optional<String> home = pending.version().isPresent()
+                ? Optional.empty()
+                : pending.prompt().lastPart().flatMap(part -> candidates.homeVersion(service, part.identifier()));
+        if (home.isEmpty()) {
+            return List.of();
+        }
+        List<UpstreamInstance> available = ranking.available(withCapacity);
+        double lowestSlowness = available.stream().mapToDouble(slowness).min().orElse(0);
+        return available.stream()
+                .filter(instance -> home.get().equals(instance.version()))
+                .filter(instance -> slowness.applyAsDouble(instance) <= MAXIMUM_SLOWNESS * lowestSlowness)
+                .toList();
     }
 
     /** Returns how many instances have capacity for a response, see {@link MemoryRoom#of}. */
--- a/gateway/src/main/java/org/merlinwood/gateway/decision/HeldVersion.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/decision/HeldVersion.java
@@ -1,10 +1,27 @@
 package org.merlinwood.gateway.decision;
 
+import java.util.Optional;
 import java.util.Set;
 
 /** What the instances tell of the version that began a stream: which of them hold its prompt. Immutable. */
 public sealed interface HeldVersion {
 
+    /**
+     * Returns the version at which the stream goes on. Where not all instances of other versions could be asked, the
+     * home version is taken to have begun the stream if its instances hold the prompt: it began there unless they had
+     * no room for it.
+     *
+     * @param homeVersion the version at which the requests of the session preferably begin; empty if there is none
+     * @return the version, or empty if it isn't certain enough
+     */
+    default Optional<String> versionAt(Optional<String> homeVersion) {
+        return switch (this) {
+            case Certain certain -> Optional.of(certain.version());
+            case Uncertain uncertain -> homeVersion.filter(uncertain.version()::equals);
+            case Ambiguous ambiguous -> Optional.empty();
+        };
+    }
+
     /**
      * Instances of this version alone hold the prompt, and no instance of another one is left that may hold it.
      *
--- a/gateway/src/main/java/org/merlinwood/gateway/decision/InstanceCandidates.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/decision/InstanceCandidates.java
@@ -48,6 +48,14 @@
                 .toList();
     }
 
+    /** Returns the version at which the requests of a session preferably begin; empty if there is only one version. */
+    Optional<String> homeVersion(String service, String lastPart) {
+        List<UpstreamInstance> instances = fleet.instances(service);
+        boolean severalVersions =
+                instances.stream().map(UpstreamInstance::version).distinct().count() > 1;
+        return severalVersions ? HomeVersion.of(lastPart, instances) : Optional.empty();
+    }
+
     /**
      * Returns the milliseconds until the first instance accepts requests again, greater than 0; empty if one accepts
      * them now or all are leaving.
--- a/gateway/src/main/java/org/merlinwood/gateway/decision/RendezvousRanking.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/decision/RendezvousRanking.java
@@ -2,6 +2,7 @@
 
 import java.util.Comparator;
 import java.util.List;
+import java.util.function.Function;
 
 /**
  * Ranks addresses for a subject by highest random weight: all processes that know the same addresses rank them alike,
@@ -25,12 +26,23 @@
      */
     public static List<String> first(String subject, List<String> addresses, int count) {
         return addresses.stream()
-                .sorted(Comparator.comparingLong((String address) -> weight(subject, address))
-                        .reversed())
+                .sorted(order(subject, (String address) -> address).reversed())
                 .limit(count)
                 .toList();
     }
 
+    /**
+     * Returns the order of things by the weights of their addresses.
+     *
+     * @param subject what the addresses are ranked for
+     * @param address returns the address of a thing
+     * @param <T> type of the things
+     * @return the order, the lowest weight first
+     */
+    static <T> Comparator<T> order(String subject, Function<T, String> address) {
+        return Comparator.comparingLong(thing -> weight(subject, address.apply(thing)));
+    }
+
     private static long weight(String subject, String address) {
         long hash = add(add(FNV_OFFSET, subject), address);
         hash = (hash ^ (hash >>> 33)) * MIX_FACTOR;
--- a/gateway/src/main/java/org/merlinwood/gateway/front/StreamOriginSearch.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/StreamOriginSearch.java
@@ -5,6 +5,7 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import org.merlinwood.gateway.decision.HeldVersion;
+import org.merlinwood.gateway.decision.HomeVersion;
 import org.merlinwood.gateway.decision.OriginPeers;
 import org.merlinwood.gateway.request.CallerRequest;
 import org.merlinwood.gateway.request.Prompt;
@@ -119,24 +120,23 @@
     }
 
     private Optional<Origin> originOf(HeldVersion held) {
-        Optional<String> version = switch (held) {
-            case HeldVersion.Certain certain -> Optional.of(certain.version());
-            case HeldVersion.Uncertain uncertain -> Optional.empty();
-            case HeldVersion.Ambiguous ambiguous -> Optional.empty();
-        };
+        Optional<String> home =
+                HomeVersion.of(question.promptPart(), context.fleet().instances(question.service()));
+        Optional<String> version = held.versionAt(home);
         if (version.isEmpty()) {
-            logUnknown(held);
+            logUnknown(held, home);
         }
         return version.map(found -> new Origin(found, Source.HELD_PROMPT));
     }
 
-    private void logUnknown(HeldVersion held) {
+    private void logUnknown(HeldVersion held, Optional<String> home) {
         context.log()
                 .line("version not told by instances")
                 .with("attempt", request.attempt())
                 .with("resumed", question.attempt())
                 .with("part", question.promptPart())
                 .with("held", held.toString())
+                .with("home", home.orElse(""))
                 .write();
     }
 
--- a/gateway/src/test/java/org/merlinwood/gateway/front/StreamVersionTest.java
+++ b/gateway/src/test/java/org/merlinwood/gateway/front/StreamVersionTest.java
@@ -17,6 +17,7 @@
 import org.merlinwood.core.result.ResultCode;
 import org.merlinwood.gateway.FakeHttpClient.SentRequest;
 import org.merlinwood.gateway.FakeUpstreamProtocol;
+import org.merlinwood.gateway.decision.HomeVersion;
 import org.merlinwood.gateway.decision.OriginPeers;
 import org.merlinwood.gateway.decision.PendingGeneration;
 import org.merlinwood.gateway.decision.StreamOrigin;
@@ -221,6 +222,29 @@
         assertThat(fixture.caller.body).contains("2009");
     }
 
+    /**
+     * Guards against refusals: an instance of another version can't be asked, but the requests of this session begin at
+     * the version that holds the prompt.
+     */
+    @ParameterizedTest
+    @ValueSource(strings = {"refuses the connection", "stays silent", "declines"})
+    void streamGoesOnAtTheHomeVersionOfItsSessionIfThatHoldsItsPrompt(String behaviour) {
+        RequestProcessorFixture fixture = fixtureWithTwoVersions();
+        assertThat(HomeVersion.of("own", fixture.fleet.instances("service"))).contains("v1");
+        if (behaviour.equals("declines")) {
+            fixture.recordNotice("d2", FakeUpstreamProtocol.declined(10_000));
+        }
+        List<SentRequest> questions = askForHeldPrompts(fixture);
+        questions.getFirst().respond(200, "own:100");
+        switch (behaviour) {
+            case "refuses the connection" ->
+                questions.getLast().fail(ResultCode.CONNECTION_LOST, ExecutionState.NOT_RUN);
+            case "stays silent" -> fixture.staySilent(questions.getLast(), 2_000);
+            default -> {}
+        }
+        assertThat(fixture.client.last().request().path()).startsWith("/d1/hold/");
+    }
+
     /** Guards against a refusal, or a wait, for an instance whose answer can't change anything. */
     @Test
     void streamDoesNotWaitForAnInstanceOfTheVersionThatHoldsItsPrompt() {
