Placement: slowness as a function of its own; clearer names of held parts

No change of behaviour but in a log line: `version not told by instances` names its request as the other lines do, so that `explain` finds it.

--- a/gateway/src/main/java/org/merlinwood/gateway/decision/DecodePlacement.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/decision/DecodePlacement.java
@@ -56,12 +56,7 @@
     Optional<UpstreamInstance> choose(
             String service, PendingGeneration pending, EngineLimits limits, Set<String> excluded) {
         List<UpstreamInstance> eligible = candidates.of(service, Stage.DECODE, pending.version(), excluded);
-        double lowestErrorRate = ranking.lowestErrorRate(eligible);
-        double meanMillis = ranking.meanMillis(eligible);
-        ToDoubleFunction<UpstreamInstance> slowness = instance -> {
-            InstanceStatistics known = statistics.of(instance.identifier());
-            return InstanceRanking.latencyFactor(known, meanMillis) * ranking.errorFactor(known, lowestErrorRate);
-        };
+        ToDoubleFunction<UpstreamInstance> slowness = slownessAmong(eligible);
         Map<String, Long> neededTokens = new HashMap<>();
         eligible.forEach(instance -> neededTokens.put(instance.identifier(), neededTokensWith(instance, pending)));
         List<UpstreamInstance> withCapacity = eligible.stream()
@@ -76,6 +71,16 @@
                         + InstanceRanking.domainPenalty(instance, ownDomain) * pending.startTokens());
     }
 
+    /** Returns how slow, or how often failing, an instance is beside others; about 1 for a usual one. */
+    private ToDoubleFunction<UpstreamInstance> slownessAmong(List<UpstreamInstance> instances) {
+        double lowestErrorRate = ranking.lowestErrorRate(instances);
+        double meanMillis = ranking.meanMillis(instances);
+        return instance -> {
+            InstanceStatistics known = statistics.of(instance.identifier());
+            return InstanceRanking.latencyFactor(known, meanMillis) * ranking.errorFactor(known, lowestErrorRate);
+        };
+    }
+
     /**
      * Returns the instances with capacity of the version at which the requests of a session preferably begin, without
      * those that accept no work now or are much slower than others.
--- a/gateway/src/main/java/org/merlinwood/gateway/decision/HeldPrompts.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/decision/HeldPrompts.java
@@ -45,9 +45,9 @@
      *
      * @param service name of the service of the instances
      * @param model name of the model
-     * @param part identifier of the part
+     * @param identifier identifier of the part
      */
-    public record Key(String service, String model, String part) {}
+    public record Key(String service, String model, String identifier) {}
 
     /** The instances that hold a part, and when that was first said, in milliseconds of the monotonic time. */
     private static final class Holders {
--- a/gateway/src/main/java/org/merlinwood/gateway/front/HeldPromptSearch.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/HeldPromptSearch.java
@@ -121,7 +121,7 @@
      * @param consumer receives what the instances tell, exactly once, possibly before this method returns
      */
     void find(HeldPrompts.Key part, Set<String> heldElsewhere, Consumer<HeldVersion> consumer) {
-        if (part.part().isEmpty()) {
+        if (part.identifier().isEmpty()) {
             consumer.accept(new HeldVersion.Ambiguous(Set.of()));
             return;
         }
--- a/gateway/src/main/java/org/merlinwood/gateway/front/StreamOriginSearch.java
+++ b/gateway/src/main/java/org/merlinwood/gateway/front/StreamOriginSearch.java
@@ -132,8 +132,8 @@
     private void logUnknown(HeldVersion held, Optional<String> home) {
         context.log()
                 .line("version not told by instances")
-                .with("attempt", request.attempt())
-                .with("resumed", question.attempt())
+                .with("request", request.attempt())
+                .with("resumes", question.attempt())
                 .with("part", question.promptPart())
                 .with("held", held.toString())
                 .with("home", home.orElse(""))
