Tests: a long answer is written in pieces, so that the test's own heap holds it

Cause: 80 clients ask for 6 MB each and read late. The test's instance wrote each answer at once, and the server copies what it is given, so the heap of the test process (768 MB) was used up. This time the error hit the I/O thread of the store's stand-in (`OutOfMemoryError thrown from the UncaughtExceptionHandler in thread "XNIO-40 I/O-1"`), whose stop then waits for ever. No code of the product takes part: entry and instance were closed already.

Change: pieces of 16 KB, the same bytes on the connection. No check was touched.

--- a/proving/src/test/java/org/merlinwood/proving/uncontrolled/LongAnswerInstance.java
+++ b/proving/src/test/java/org/merlinwood/proving/uncontrolled/LongAnswerInstance.java
@@ -15,6 +15,7 @@
 final class LongAnswerInstance implements AutoCloseable {
 
     private static final int LONG_ANSWER_BYTES = 6_000_000;
+    private static final byte[] PIECE = new byte[16_384];
     private static final int EVENT_BYTES = 1_000;
     private static final int EVENTS = 12_000;
 
@@ -41,10 +42,16 @@
             stream(exchange);
             return;
         }
-        byte[] answer = new byte[path.contains("long") ? LONG_ANSWER_BYTES : 2];
-        exchange.sendResponseHeaders(200, answer.length);
+        answer(exchange, path.contains("long") ? LONG_ANSWER_BYTES : 2);
+    }
+
+    /** Writes an answer in pieces, since the server copies what it is given at once, and many clients read late. */
+    private static void answer(HttpExchange exchange, int bytes) throws IOException {
+        exchange.sendResponseHeaders(200, bytes);
         try (OutputStream output = exchange.getResponseBody()) {
-            output.write(answer);
+            for (int written = 0; written < bytes; written += PIECE.length) {
+                output.write(PIECE, 0, Math.min(PIECE.length, bytes - written));
+            }
         }
     }
 
